--- /dev/null
+++ b/packages/agent/src/agent.ts
@@ -0,0 +1,547 @@
+import { HttpLogClient, HttpVmListClient } from "@radishreel/log";
+import { findOwner } from "@radishreel/membership";
+import { type Message, type MessageOf, OfferingsSync, type OutgoingMessage } from "@radishreel/protocol";
+import { AgentMetrics, type Logger, startMetricsServer } from "@radishreel/telemetry";
+import { HttpOrderClient } from "@radishreel/upstreams";
+import type { NodeIdentity } from "@radishreel/wire";
+import { randomUUID } from "node:crypto";
+import type { Server } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createMachine, interpret, state, transition } from "robot3";
+import { type ApplyRequest, ConfigurationTask } from "./configuration.js";
+import { type AgentStatus, type AppliedReport, OperatorListener } from "./operators.js";
+import { OwnerTask } from "./owning.js";
+import { formatIncarnation, type PeerLink, PeerTask } from "./peers.js";
+import { PlacerTask } from "./placing.js";
+import { ProgressTable } from "./progress.js";
+import type { AgentSettings } from "./settings.js";
+import { UpstreamTask } from "./upstreams.js";
+
+/** Where an agent listens. */
+export interface AgentAddresses {
+    readonly peers: string;
+    readonly operators: string;
+    readonly metrics: string;
+}
+
+/** Life of an agent. */
+const agentMachine = createMachine("running", {
+    running: state(transition("stop", "stopping")),
+    stopping: state(transition("stopped", "stopped")),
+    stopped: state(),
+});
+
+/** Wait before a change of progress is told, so that nodes that follow each other closely are told as one. */
+const progressDelayMs = 100;
+
+/** Interval at which an apply looks whether every node has it, in milliseconds. */
+const applyPollMs = 25;
+
+/** Longest wait for the placer's explanation, in milliseconds. */
+const explainTimeoutMs = 1000;
+
+/** Time for the last words of a stopping agent to be sent, in milliseconds. */
+const farewellMs = 100;
+
+/** Names the placer's part in the choice of who is responsible. */
+const placerKey = "placer";
+const snapshotKey = "snapshot";
+
+/** One agent: it wires the tasks together and passes messages between them. */
+export class Agent {
+    private readonly service = interpret(agentMachine, () => {});
+    private readonly metrics = new AgentMetrics();
+    private readonly incarnation = Date.now();
+    private readonly configuration: ConfigurationTask;
+    private readonly peers: PeerTask;
+    private readonly upstreams: UpstreamTask;
+    private readonly owner: OwnerTask;
+    private readonly placer: PlacerTask;
+    private readonly progress: ProgressTable;
+    private readonly operators: OperatorListener;
+    private readonly syncs = new Map<PeerLink, OfferingsSync>();
+    private readonly heirs = new Map<string, MessageOf<"heirs">["heirs"][number]>();
+    /** Which agent told of an engine last: its owner. */
+    private readonly engineOwners = new Map<string, string>();
+    private readonly explanations = new Map<string, (explanation: unknown) => void>();
+    private peersAddress = "";
+    private metricsServer: Server | undefined;
+    private progressTimer: NodeJS.Timeout | undefined;
+
+    constructor(private readonly settings: AgentSettings, private readonly logger: Logger) {
+        this.progress = new ProgressTable(settings.dataCentre);
+        this.configuration = this.createConfiguration();
+        this.peers = this.createPeers();
+        const orders = new HttpOrderClient({ loadTimeoutMs: settings.loadTimeoutMs });
+        this.upstreams = this.createUpstreams(orders);
+        this.owner = this.createOwner(orders);
+        this.placer = this.createPlacer();
+        this.operators = this.createOperators();
+    }
+
+    async start(): Promise<AgentAddresses> {
+        const { settings } = this;
+        // The address is known once the listener is up, and the own identity is read for every link after that.
+        const port = await this.peers.start();
+        this.peersAddress = `${settings.peers.host}:${port}`;
+        this.progress.setNode(settings.id, this.configuration.fold.version);
+        this.configuration.start();
+        this.upstreams.start();
+        this.owner.start();
+        this.placer.start();
+        this.updateMembership();
+        const operators = await this.operators.start();
+        const metrics = await startMetricsServer({
+            ...settings.metrics,
+            registry: this.metrics.registry,
+            isReady: () => this.service.machine.current === "running" && this.configuration.fold.isKnown,
+        });
+        this.metricsServer = metrics.server;
+        const addresses = {
+            peers: this.peersAddress,
+            operators: `${settings.operators.host}:${operators}`,
+            metrics: `${settings.metrics.host}:${metrics.port}`,
+        };
+        this.logger.info("listening", addresses);
+        return addresses;
+    }
+
+    /** A planned stop: others own the engines at once. A second call changes nothing. */
+    async stop(): Promise<void> {
+        if (this.service.machine.current !== "running") {
+            return;
+        }
+        this.service.send("stop");
+        this.logger.info("stopping");
+        this.placer.stop();
+        this.owner.stop();
+        this.upstreams.stop();
+        this.peers.broadcast([...this.peers.listAgentLinks(), ...this.peers.listGatewayLinks()], { type: "bye" });
+        await this.operators.stop();
+        await sleep(farewellMs);
+        this.configuration.stop();
+        this.peers.stop();
+        this.metricsServer?.close();
+        clearTimeout(this.progressTimer);
+        this.service.send("stopped");
+        this.logger.info("stopped");
+    }
+
+    private get identity(): NodeIdentity {
+        const { id, dataCentre } = this.settings;
+        return { id, role: "agent", dataCentre, incarnation: this.incarnation, address: this.peersAddress };
+    }
+
+    // Wiring.
+
+    private createConfiguration(): ConfigurationTask {
+        const { settings, metrics, logger } = this;
+        return new ConfigurationTask({
+            log: new HttpLogClient({ address: settings.log, timeoutMs: settings.platformTimeoutMs }),
+            logWaitMs: settings.logWaitMs,
+            snapshotMs: settings.snapshotMs,
+            metrics,
+            logger,
+            onChange: () => this.receiveOfferings(),
+            isSnapshotWriter: () => findOwner(snapshotKey, this.peers.listAgentIds()) === settings.id,
+        });
+    }
+
+    private createPeers(): PeerTask {
+        const { settings, metrics, logger } = this;
+        return new PeerTask({
+            settings,
+            self: () => this.identity,
+            metrics,
+            logger,
+            events: {
+                onMembership: () => this.updateMembership(),
+                onOpen: link => this.receiveOpen(link),
+                onMessage: (link, message) => this.receive(link, message),
+                onClose: link => this.receiveClose(link),
+            },
+        });
+    }
+
+    private createUpstreams(orders: HttpOrderClient): UpstreamTask {
+        const { settings, logger } = this;
+        return new UpstreamTask({
+            settings,
+            vmList: new HttpVmListClient({ address: settings.vmList, timeoutMs: settings.platformTimeoutMs }),
+            orders,
+            logger,
+            listAgentIds: () => this.peers.listAgentIds(),
+            onEntryVms: vms => this.peers.setEntryVms(vms),
+            onChange: () => this.updateMembership(),
+            onLeaving: (upstreamId, instance) => {
+                const message: OutgoingMessage = { type: "leaving", upstreamId, instance };
+                this.peers.broadcast(this.listHomeAgentLinks(), message);
+            },
+        });
+    }
+
+    private createOwner(orders: HttpOrderClient): OwnerTask {
+        const { settings, metrics, logger } = this;
+        return new OwnerTask({
+            settings,
+            identity: `${settings.id}#${this.incarnation}`,
+            orders,
+            metrics,
+            logger,
+            listAgentIds: () => this.peers.listAgentIds(),
+            listEngines: () => this.upstreams.listEngines(),
+            listGatewayLinks: () => this.peers.listGatewayLinks(),
+            onSummaries: engines =>
+                this.sendToPlacer({ type: "engines", engines: [...engines] as MessageOf<"engines">["engines"] }),
+            onLoadEnded: (engineId, model, outcome) =>
+                this.sendToPlacer({ type: "loadEnded", engineId, model, outcome }),
+            onStatus: (engineId, instance, engineState) =>
+                this.upstreams.receiveStatus(engineId, instance, engineState),
+        });
+    }
+
+    private createPlacer(): PlacerTask {
+        return new PlacerTask({
+            dataCentre: this.settings.dataCentre,
+            loadTimeoutMs: this.settings.loadTimeoutMs,
+            sendOrder: order => this.sendOrder(order),
+            sendToGateways: message => this.peers.broadcast(this.peers.listGatewayLinks(), message),
+            sendShare: message => this.peers.broadcast(this.peers.listAgentLinks(), message),
+        });
+    }
+
+    private createOperators(): OperatorListener {
+        const { settings, logger, configuration, upstreams } = this;
+        return new OperatorListener({
+            ...settings.operators,
+            keyDigests: settings.operatorKeyDigests,
+            logger,
+            actions: {
+                readStatus: () => this.readStatus(),
+                readOfferings: () => {
+                    const { version, offerings } = configuration.fold;
+                    return { version, digest: offerings.digest, offerings: offerings.readOfferings() };
+                },
+                apply: request => this.apply(request),
+                explain: model => this.explain(model),
+                drainUpstream: upstreamId => upstreams.receiveLeaving(upstreamId, undefined),
+            },
+        });
+    }
+
+    // Membership.
+
+    private listHomeAgentLinks(): PeerLink[] {
+        return this.peers.listAgentLinks().filter(link => link.peer.dataCentre === this.settings.dataCentre);
+    }
+
+    private listForeignAgentLinks(): PeerLink[] {
+        return this.peers.listAgentLinks().filter(link => link.peer.dataCentre !== this.settings.dataCentre);
+    }
+
+    /** Agents, gateways or upstreams of the data centre have changed. */
+    private updateMembership(): void {
+        this.owner.updateOwnership();
+        this.updatePlacer();
+        this.placer.setPolicy(this.configuration.fold.offerings.policy, this.upstreams.listDataCentres());
+        const gateways = this.peers.listGatewayLinks();
+        this.peers.broadcast(gateways, { type: "services", upstreams: this.upstreams.listOwnServices() });
+        this.peers.broadcast(gateways, { type: "agents", addresses: this.peers.listAgentAddresses() });
+        this.peers.broadcast(gateways, {
+            type: "gateways",
+            gateways: gateways.map(({ peer }) => ({ issuer: formatIncarnation(peer), address: peer.address })),
+        });
+    }
+
+    private get placerId(): string | undefined {
+        return findOwner(placerKey, this.peers.listAgentIds());
+    }
+
+    private updatePlacer(): void {
+        const known = new Set(this.upstreams.listEngines().map(engine => engine.id));
+        for (const engineId of this.engineOwners.keys()) {
+            if (!known.has(engineId)) {
+                this.engineOwners.delete(engineId);
+                this.placer.removeEngine(engineId);
+            }
+        }
+        if (this.placer.setActive(this.placerId === this.settings.id)) {
+            this.logger.info(this.placer.isActive ? "is placer" : "is no longer placer");
+        }
+        const engines = this.owner.listSummaries() as MessageOf<"engines">["engines"];
+        this.sendToPlacer({ type: "engines", engines });
+    }
+
+    private sendToPlacer(message: MessageOf<"engines" | "loadEnded" | "demand">): void {
+        const { placerId } = this;
+        if (placerId === this.settings.id) {
+            this.receiveForPlacer(this.settings.id, message);
+            return;
+        }
+        if (placerId !== undefined) {
+            this.peers.sendToAgent(placerId, message);
+        }
+    }
+
+    private receiveForPlacer(from: string, message: MessageOf<"engines" | "loadEnded" | "demand">): void {
+        switch (message.type) {
+            case "engines":
+                message.engines.forEach(engine => this.engineOwners.set(engine.id, from));
+                this.placer.receiveSummaries(message.engines);
+                return;
+            case "loadEnded":
+                this.placer.receiveLoadEnded(message.engineId, message.model, message.outcome);
+                return;
+            case "demand":
+                this.placer.receiveDemand(message);
+        }
+    }
+
+    private sendOrder(order: MessageOf<"order">): void {
+        const owner = this.engineOwners.get(order.engineId);
+        if (owner === this.settings.id) {
+            // Not from within the decision that gave the order.
+            setImmediate(() => this.owner.receiveOrder(order));
+            return;
+        }
+        const isSent = owner !== undefined && this.peers.sendToAgent(owner, order);
+        if (!isSent && order.action === "load") {
+            setImmediate(() => this.placer.receiveLoadEnded(order.engineId, order.model, "refused"));
+        }
+    }
+
+    // Messages.
+
+    private receiveOpen(link: PeerLink): void {
+        const sync = new OfferingsSync(this.configuration.fold);
+        this.syncs.set(link, sync);
+        link.send(sync.createHave());
+        if (this.heirs.size > 0) {
+            link.send({ type: "heirs", heirs: [...this.heirs.values()] });
+        }
+        if (link.peer.role === "agent") {
+            this.progress.list().forEach(progress => link.send(progress));
+        }
+    }
+
+    private receiveClose(link: PeerLink): void {
+        this.syncs.delete(link);
+        this.progress.removeNode(link.peer.id);
+        if (link.peer.role === "gateway") {
+            this.owner.removeGateway(link);
+            this.placer.removeGateway(formatIncarnation(link.peer));
+        }
+        this.scheduleProgress();
+    }
+
+    private receive(link: PeerLink, message: Message): void {
+        switch (message.type) {
+            case "renew":
+                this.owner.receiveRenewal(link, message);
+                this.receiveNodeVersion(link, message.offeringsVersion);
+                return;
+            case "demand":
+                this.receiveDemand(link, message);
+                return;
+            case "engines":
+            case "loadEnded":
+                this.receiveForPlacer(link.peer.id, message);
+                return;
+            case "order":
+                this.owner.receiveOrder(message);
+                return;
+            case "leaving":
+                this.upstreams.receiveLeaving(message.upstreamId, message.instance);
+                return;
+            case "have":
+            case "want":
+            case "changes":
+            case "wholePart":
+                this.receiveSync(link, message);
+                return;
+            case "storeShare":
+                this.placer.receiveShare(message);
+                this.relay(link, message);
+                return;
+            case "progress":
+                this.progress.receive(message);
+                this.relay(link, message);
+                return;
+            case "heirs":
+                this.receiveHeirs(link, message.heirs);
+                return;
+            case "explain":
+                link.send({
+                    type: "explained",
+                    requestId: message.requestId,
+                    explanation: this.placer.explain(message.model),
+                });
+                return;
+            case "explained":
+                this.explanations.get(message.requestId)?.(message.explanation);
+                return;
+            case "bye":
+                link.close("peerClosed");
+                return;
+            default:
+                this.metrics.frames.inc({ event: "unexpectedMessage" });
+        }
+    }
+
+    /** A gateway may take another agent for the placer than the agents themselves do; its demand is passed on once. */
+    private receiveDemand(link: PeerLink, message: MessageOf<"demand">): void {
+        if (this.placer.isActive) {
+            this.receiveForPlacer(link.peer.id, message);
+            return;
+        }
+        if (link.peer.role === "gateway") {
+            this.sendToPlacer(message);
+        }
+    }
+
+    /** Summaries cross between data centres on a few links, and reach every agent in two steps. */
+    private relay(link: PeerLink, message: MessageOf<"storeShare" | "progress">): void {
+        const isFromHome = link.peer.dataCentre === this.settings.dataCentre;
+        if (message.dataCentre === this.settings.dataCentre) {
+            if (isFromHome) {
+                this.peers.broadcast(this.listForeignAgentLinks(), message);
+            }
+            return;
+        }
+        if (!isFromHome) {
+            this.peers.broadcast(this.listHomeAgentLinks(), message);
+        }
+    }
+
+    private receiveHeirs(link: PeerLink, heirs: MessageOf<"heirs">["heirs"]): void {
+        const news = heirs.filter(heir => this.heirs.get(heir.issuer)?.address !== heir.address);
+        if (news.length === 0) {
+            return;
+        }
+        news.forEach(heir => this.heirs.set(heir.issuer, heir));
+        const others = [...this.peers.listAgentLinks(), ...this.peers.listGatewayLinks()].filter(other =>
+            other !== link
+        );
+        this.peers.broadcast(others, { type: "heirs", heirs: news });
+    }
+
+    // Offerings.
+
+    private receiveSync(link: PeerLink, message: MessageOf<"have" | "want" | "changes" | "wholePart">): void {
+        const sync = this.syncs.get(link);
+        if (sync === undefined) {
+            return;
+        }
+        switch (message.type) {
+            case "have": {
+                this.receiveNodeVersion(link, message.version);
+                const want = sync.receiveHave(message);
+                if (want !== undefined) {
+                    link.send(want);
+                }
+                return;
+            }
+            case "want":
+                sync.receiveWant(message).forEach(answer => link.send(answer));
+                return;
+            case "changes":
+                this.receivePeerChange(sync.receiveChanges(message));
+                return;
+            case "wholePart":
+                this.receivePeerChange(sync.receivePart(message));
+        }
+    }
+
+    private receivePeerChange(changed: boolean): void {
+        if (changed) {
+            this.configuration.recordPeerChange();
+        }
+    }
+
+    private receiveOfferings(): void {
+        for (const [link, sync] of this.syncs) {
+            link.send(sync.createHave());
+        }
+        this.progress.setNode(this.settings.id, this.configuration.fold.version);
+        this.scheduleProgress();
+        this.placer.setPolicy(this.configuration.fold.offerings.policy, this.upstreams.listDataCentres());
+    }
+
+    private receiveNodeVersion(link: PeerLink, version: number): void {
+        if (link.peer.dataCentre === this.settings.dataCentre) {
+            this.progress.setNode(link.peer.id, version);
+            this.scheduleProgress();
+        }
+    }
+
+    private toldProgress = "";
+
+    private scheduleProgress(): void {
+        this.progressTimer ??= setTimeout(() => {
+            this.progressTimer = undefined;
+            const progress = this.progress.readOwn();
+            const text = JSON.stringify(progress);
+            if (text !== this.toldProgress) {
+                this.toldProgress = text;
+                this.peers.broadcast(this.listForeignAgentLinks(), progress);
+            }
+        }, progressDelayMs);
+    }
+
+    // Operators.
+
+    private async apply(request: ApplyRequest): Promise<AppliedReport> {
+        const result = await this.configuration.apply(request);
+        const dataCentres = this.upstreams.listDataCentres();
+        if (result.kind !== "accepted") {
+            return { result, progress: this.progress.list(), behind: [] };
+        }
+        const deadline = performance.now() + this.settings.applyWaitMs;
+        let behind = this.progress.listBehind(result.version, dataCentres);
+        while (behind.length > 0 && performance.now() < deadline) {
+            await sleep(applyPollMs);
+            behind = this.progress.listBehind(result.version, dataCentres);
+        }
+        return { result, progress: this.progress.list(), behind };
+    }
+
+    private readStatus(): AgentStatus {
+        const { fold } = this.configuration;
+        return {
+            id: this.settings.id,
+            dataCentre: this.settings.dataCentre,
+            version: fold.version,
+            isKnown: fold.isKnown,
+            hasGap: fold.hasGap,
+            isLogReachable: this.configuration.isLogReachable,
+            placer: this.placerId,
+            agents: this.peers.listAgentIds(),
+            gateways: this.peers.listGatewayLinks().map(link => link.peer.id),
+            ownedEngines: this.owner.listSummaries(),
+            progress: this.progress.list(),
+        };
+    }
+
+    private async explain(model: string): Promise<unknown> {
+        const { placerId } = this;
+        const [adapter = "", version = ""] = model.split("@");
+        const baseModel = this.configuration.fold.offerings.findBaseModel({ adapter, version });
+        const placement = placerId === this.settings.id
+            ? this.placer.explain(model)
+            : await this.askPlacer(placerId, model);
+        return { model, isOffered: baseModel !== undefined, baseModel, placer: placerId, placement };
+    }
+
+    private async askPlacer(placerId: string | undefined, model: string): Promise<unknown> {
+        const requestId = randomUUID();
+        if (placerId === undefined || !this.peers.sendToAgent(placerId, { type: "explain", requestId, model })) {
+            return undefined;
+        }
+        const explanation = await Promise.race([
+            new Promise<unknown>(resolve => this.explanations.set(requestId, resolve)),
+            sleep(explainTimeoutMs),
+        ]);
+        this.explanations.delete(requestId);
+        return explanation;
+    }
+}
--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,3 @@
+/** The control path of one VM. */
+export { Agent, type AgentAddresses } from "./agent.js";
+export { type AgentSettings, agentSettingsSchema } from "./settings.js";
--- /dev/null
+++ b/packages/agent/src/peers.ts
@@ -0,0 +1,217 @@
+import { rankNodes } from "@radishreel/membership";
+import { type Message, messageSchema, type OutgoingMessage } from "@radishreel/protocol";
+import type { AgentMetrics, Logger } from "@radishreel/telemetry";
+import {
+    type CloseReason,
+    type Link,
+    LinkClient,
+    type LinkEvents,
+    LinkServer,
+    type NodeIdentity,
+    resolveLinkLimits,
+} from "@radishreel/wire";
+import type { AgentSettings } from "./settings.js";
+
+/** A link between an agent and another process. */
+export type PeerLink = Link<Message, OutgoingMessage>;
+
+/** What the peer task tells the agent. */
+export interface PeerEvents {
+    /** Which agents or gateways are connected has changed. */
+    onMembership(): void;
+    onOpen(link: PeerLink): void;
+    onMessage(link: PeerLink, message: Message): void;
+    onClose(link: PeerLink): void;
+}
+
+/** Options of {@link PeerTask}. */
+export interface PeerOptions {
+    readonly settings: AgentSettings;
+    readonly self: () => NodeIdentity;
+    readonly metrics: AgentMetrics;
+    readonly logger: Logger;
+    readonly events: PeerEvents;
+}
+
+/** An entry VM of the platform's list. */
+export interface EntryVm {
+    readonly id: string;
+    readonly dataCentre: string;
+    readonly address: string;
+}
+
+/** Agents of each other data centre that this one keeps a link to. */
+const linksToOtherDataCentre = 2;
+
+/** Names one start of a process. */
+export function formatIncarnation(identity: NodeIdentity): string {
+    return `${identity.id}#${identity.incarnation}`;
+}
+
+/** Owns the agent's links: to every agent of its data centre, to a few of each other one, and from its gateways. */
+export class PeerTask {
+    private readonly server: LinkServer<Message, OutgoingMessage>;
+    private readonly clients = new Map<string, LinkClient<Message, OutgoingMessage>>();
+    private readonly links = new Set<PeerLink>();
+    private readonly seeds: ReadonlySet<string>;
+    private listed: readonly EntryVm[] = [];
+
+    constructor(private readonly options: PeerOptions) {
+        const { settings, self } = options;
+        this.seeds = new Set(settings.agents);
+        this.server = new LinkServer({ ...settings.peers, ...this.createLinkOptions(), self });
+    }
+
+    /** Starts to listen and to connect. Returns the port. */
+    async start(): Promise<number> {
+        const port = await this.server.start();
+        this.updateClients();
+        return port;
+    }
+
+    stop(): void {
+        for (const client of this.clients.values()) {
+            client.stop();
+        }
+        this.server.stop();
+    }
+
+    /** Takes the entry VMs of the platform's list. */
+    setEntryVms(vms: readonly EntryVm[]): void {
+        this.listed = vms;
+        this.updateClients();
+    }
+
+    /** Names of the agents of the own data centre that are connected, and the own one. */
+    listAgentIds(): string[] {
+        const { id, dataCentre } = this.options.self();
+        const ids = new Set([id]);
+        for (const { peer } of this.listAgentLinks()) {
+            if (peer.dataCentre === dataCentre) {
+                ids.add(peer.id);
+            }
+        }
+        return [...ids];
+    }
+
+    /** One open link to each connected agent. */
+    listAgentLinks(): PeerLink[] {
+        return this.listLinks("agent");
+    }
+
+    /** One open link to each connected gateway. */
+    listGatewayLinks(): PeerLink[] {
+        return this.listLinks("gateway");
+    }
+
+    /** Sends to one agent by name. Returns false if it is not connected. */
+    sendToAgent(id: string, message: OutgoingMessage): boolean {
+        return this.listAgentLinks().find(link => link.peer.id === id)?.send(message) ?? false;
+    }
+
+    broadcast(links: readonly PeerLink[], message: OutgoingMessage): void {
+        for (const link of links) {
+            link.send(message);
+        }
+    }
+
+    /** Addresses of the own data centre's agents, for gateways. */
+    listAgentAddresses(): string[] {
+        const { dataCentre, address } = this.options.self();
+        const linked = this.listAgentLinks().filter(link => link.peer.dataCentre === dataCentre).map(link =>
+            link.peer.address
+        );
+        return [...new Set([address, ...linked])];
+    }
+
+    private listLinks(role: NodeIdentity["role"]): PeerLink[] {
+        const byNode = new Map<string, PeerLink>();
+        for (const link of this.links) {
+            if (link.isOpen && link.peer.role === role) {
+                byNode.set(link.peer.id, link);
+            }
+        }
+        return [...byNode.values()];
+    }
+
+    // Whom to connect to.
+
+    private updateClients(): void {
+        const wanted = new Set([...this.seeds, ...this.listWantedAddresses()]);
+        wanted.delete(this.options.self().address);
+        for (const [address, client] of this.clients) {
+            if (!wanted.has(address)) {
+                client.stop();
+                this.clients.delete(address);
+            }
+        }
+        for (const address of wanted) {
+            this.openClient(address);
+        }
+    }
+
+    private listWantedAddresses(): string[] {
+        const { id, dataCentre } = this.options.self();
+        // Of each pair at home one side connects, so that a pair has one link.
+        const home = this.listed.filter(vm => vm.dataCentre === dataCentre && id < vm.id).map(vm => vm.address);
+        const foreign = this.listed.filter(vm => vm.dataCentre !== dataCentre);
+        const dataCentres = new Set(foreign.map(vm => vm.dataCentre));
+        const chosen = [...dataCentres].flatMap(other => {
+            const addresses = foreign.filter(vm => vm.dataCentre === other).map(vm => vm.address);
+            return rankNodes(id, addresses).slice(0, linksToOtherDataCentre);
+        });
+        return [...home, ...chosen];
+    }
+
+    private openClient(address: string): void {
+        if (this.clients.has(address)) {
+            return;
+        }
+        const client = new LinkClient<Message, OutgoingMessage>({
+            address,
+            ...this.createLinkOptions(),
+            self: this.options.self,
+        });
+        this.clients.set(address, client);
+        client.start();
+    }
+
+    // Links.
+
+    private createLinkOptions() {
+        const { settings, metrics } = this.options;
+        const events: LinkEvents<Message, OutgoingMessage> = {
+            onOpen: link => this.receiveOpen(link),
+            onMessage: (link, message) => this.options.events.onMessage(link, message),
+            onClose: (link, reason) => this.receiveClose(link, reason),
+            onBytes: (direction, count) => metrics.bytes.inc({ direction }, count),
+        };
+        return {
+            secret: settings.secret,
+            schema: messageSchema,
+            limits: resolveLinkLimits({ heartbeatMs: settings.heartbeatMs, silenceMs: settings.peerSilenceMs }),
+            events,
+        };
+    }
+
+    private receiveOpen(link: PeerLink): void {
+        if (link.peer.id === this.options.self().id && link.peer.role === "agent") {
+            link.close("asked");
+            return;
+        }
+        this.links.add(link);
+        this.options.logger.info("peer connected", { peer: link.peer.id, role: link.peer.role });
+        this.options.events.onOpen(link);
+        this.options.events.onMembership();
+    }
+
+    private receiveClose(link: PeerLink, reason: CloseReason): void {
+        this.options.metrics.frames.inc({ event: reason });
+        if (!this.links.delete(link)) {
+            return;
+        }
+        this.options.logger.warn("peer disconnected", { peer: link.peer.id, role: link.peer.role, reason });
+        this.options.events.onClose(link);
+        this.options.events.onMembership();
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/dispatcher.ts
@@ -0,0 +1,493 @@
+import { createRefused, type Reason } from "@radishreel/verdict";
+import TinyQueue from "tinyqueue";
+import { RetryBudget } from "./budget.js";
+import { EngineView } from "./engine.js";
+import { FairClock } from "./fair.js";
+import { PrefixIndex } from "./prefixes.js";
+import { ModelQueue, type QueueEntry } from "./queue.js";
+import {
+    type AttemptOutcome,
+    type CustomerClass,
+    type DispatchCommand,
+    type DispatcherOptions,
+    type DispatchEvent,
+    type DispatchRequest,
+    type LeasedEngine,
+    type ModelDemand,
+    type ResolvedDispatcherOptions,
+    resolveDispatcherOptions,
+} from "./types.js";
+
+/** One request on an engine. */
+interface Attempt {
+    readonly entry: QueueEntry;
+    readonly engineId: string;
+    readonly startedAt: number;
+}
+
+const classes: readonly CustomerClass[] = ["paying", "trial"];
+
+/** Bonus of an engine that has the prompt's prefix cached, against a fullness between 0 and 1. */
+const prefixBonus = 0.5;
+
+/** Shortest Retry-After, in seconds. */
+const minRetryAfterSeconds = 1;
+
+/**
+ * Decides when and where one gateway's requests run. Paying requests never wait behind trial ones, customers of a
+ * class share fairly, and what cannot make its deadline is refused at once. See docs/design/dispatch.md.
+ */
+export class Dispatcher {
+    /** Shared with the engines' views, so that a change is in force everywhere at once. */
+    private readonly options: ResolvedDispatcherOptions;
+    private readonly queues = new Map<string, ModelQueue>();
+    private readonly engines = new Map<string, EngineView>();
+    private readonly entries = new Map<string, QueueEntry>();
+    private readonly attempts = new Map<string, Attempt>();
+    private readonly deadlines = new TinyQueue<QueueEntry>(
+        [],
+        (left, right) => left.request.deadlineAt - right.request.deadlineAt,
+    );
+    private readonly clocks: Record<CustomerClass, FairClock> = { paying: new FairClock(), trial: new FairClock() };
+    private readonly queued: Record<CustomerClass, number> = { paying: 0, trial: 0 };
+    private readonly changedModels = new Set<string>();
+    private readonly prefixes = new PrefixIndex();
+    private readonly budget: RetryBudget;
+    private outlook = { payingWaitMs: 0, trialWaitMs: 0 };
+    private commands: DispatchCommand[] = [];
+
+    constructor(options: DispatcherOptions = {}) {
+        this.options = resolveDispatcherOptions(options);
+        this.budget = new RetryBudget(this.options.retryShare);
+    }
+
+    /** Takes new offerings; what is left out keeps its default. */
+    setOptions(options: DispatcherOptions): void {
+        Object.assign(this.options, resolveDispatcherOptions(options));
+    }
+
+    /** Takes one event and returns what to do. */
+    decide(event: DispatchEvent, now: number): DispatchCommand[] {
+        this.commands = [];
+        this.receive(event, now);
+        this.expire(now);
+        return this.commands;
+    }
+
+    /**
+     * What changed since the last call, for the placer. Arrivals are told once.
+     * @param isUrgent Leaves out models for which nobody waits now or did when last told: only arrivals were counted.
+     */
+    readDemand(now: number, isUrgent = false): ModelDemand[] {
+        const changes: ModelDemand[] = [];
+        for (const model of this.changedModels) {
+            const queue = this.queues.get(model);
+            if (isUrgent && queue?.isWaitingChanged === false) {
+                continue;
+            }
+            this.changedModels.delete(model);
+            if (queue !== undefined) {
+                changes.push(queue.readDemand(now));
+                this.removeIfUnused(queue);
+            }
+        }
+        return changes;
+    }
+
+    /** Everything that waits, for a placer that has just taken over. */
+    readWholeDemand(now: number): ModelDemand[] {
+        for (const queue of this.queues.values()) {
+            if (!queue.isEmpty) {
+                this.changedModels.add(queue.model);
+            }
+        }
+        return this.readDemand(now);
+    }
+
+    /** When `decide` must be called with a tick at the latest; undefined if nothing waits. */
+    findNextWake(now: number): number | undefined {
+        let next = this.findHeadDeadline()?.request.deadlineAt;
+        if (next === undefined) {
+            return undefined;
+        }
+        for (const engine of this.engines.values()) {
+            next = Math.min(next, engine.findPauseEnd(now) ?? Infinity);
+        }
+        return next;
+    }
+
+    /** Requests that wait and that run. */
+    get openRequests(): number {
+        return this.entries.size + this.attempts.size;
+    }
+
+    private receive(event: DispatchEvent, now: number): void {
+        switch (event.type) {
+            case "arrive":
+                this.receiveRequest(event.request, now);
+                return;
+            case "cancel":
+                this.removeWaiting(event.requestId);
+                return;
+            case "ended":
+                this.receiveEnd(event.requestId, event.outcome, event.reason, now);
+                return;
+            case "engine":
+                this.receiveEngine(event.engine, now);
+                return;
+            case "engineGone":
+                this.removeEngine(event.engineId);
+                return;
+            case "outlook":
+                this.outlook = event;
+                return;
+            case "prefix":
+                this.receivePrefix(event.engineId, event.prefix, event.isCached);
+                return;
+            case "tick":
+                for (const engine of this.engines.values()) {
+                    this.serveEngine(engine, now);
+                }
+        }
+    }
+
+    // Admission.
+
+    private receiveRequest(request: DispatchRequest, now: number): void {
+        const queue = this.findQueue(request.model);
+        queue.recordArrival(request.customerClass);
+        this.changedModels.add(request.model);
+        const refusal = this.findRefusal(request, queue, now);
+        if (refusal !== undefined) {
+            this.commands.push(refusal);
+            return;
+        }
+        const entry: QueueEntry = {
+            request,
+            tag: this.clocks[request.customerClass].createTag(request),
+            excluded: new Set(),
+            stalledAt: queue.engines.size === 0 ? now : undefined,
+            isWaiting: true,
+        };
+        this.enqueue(entry, queue);
+        this.serveModel(queue, now);
+    }
+
+    private findRefusal(request: DispatchRequest, queue: ModelQueue, now: number): DispatchCommand | undefined {
+        if (this.queued[request.customerClass] >= this.options.maxQueued) {
+            const retryAfter = this.formatRetryAfter(this.readWait(request, queue));
+            return {
+                type: "refuse",
+                request,
+                verdict: createRefused("queueFull", "too many requests wait here", retryAfter),
+            };
+        }
+        const waitMs = this.readWait(request, queue);
+        if (now + waitMs < request.deadlineAt) {
+            return undefined;
+        }
+        const detail = `the expected wait of ${Math.round(waitMs)} ms is longer than the deadline allows`;
+        return {
+            type: "refuse",
+            request,
+            verdict: createRefused("deadlineUnreachable", detail, this.formatRetryAfter(waitMs)),
+        };
+    }
+
+    /** Expected wait of a request that arrives now, in milliseconds. */
+    private readWait(request: DispatchRequest, queue: ModelQueue): number {
+        if (queue.engines.size === 0) {
+            // Others wait for the same load already: its turn comes before that of a load asked for now.
+            const isAskedFor = queue.countWaiting("paying") + queue.countWaiting("trial") > 0;
+            const wholeWaitMs = request.customerClass === "paying"
+                ? this.outlook.payingWaitMs
+                : this.outlook.trialWaitMs;
+            return isAskedFor ? wholeWaitMs / 2 : wholeWaitMs;
+        }
+        return this.readQueueWait(queue, request.customerClass);
+    }
+
+    /** Wait for batch room behind the requests of the class that wait for the model. */
+    private readQueueWait(queue: ModelQueue, customerClass: CustomerClass): number {
+        const ahead = queue.countWaiting("paying") + (customerClass === "trial" ? queue.countWaiting("trial") : 0);
+        let room = 0;
+        let durationMs = 0;
+        for (const engineId of queue.engines) {
+            const engine = this.engines.get(engineId);
+            room += engine?.readRoom(0) ?? 0;
+            durationMs = Math.max(durationMs, engine?.meanDurationMs ?? 0);
+        }
+        return room === 0 ? 0 : ahead / room * durationMs;
+    }
+
+    private formatRetryAfter(waitMs: number): number {
+        return Math.max(minRetryAfterSeconds, Math.ceil(waitMs / 1000));
+    }
+
+    // Queues.
+
+    private enqueue(entry: QueueEntry, queue: ModelQueue): void {
+        queue.push(entry);
+        this.entries.set(entry.request.id, entry);
+        this.queued[entry.request.customerClass]++;
+        this.deadlines.push(entry);
+        this.changedModels.add(queue.model);
+    }
+
+    private dequeue(entry: QueueEntry): void {
+        const queue = this.findQueue(entry.request.model);
+        queue.remove(entry);
+        this.entries.delete(entry.request.id);
+        this.queued[entry.request.customerClass]--;
+        this.changedModels.add(queue.model);
+    }
+
+    private removeWaiting(requestId: string): void {
+        const entry = this.entries.get(requestId);
+        if (entry !== undefined) {
+            this.dequeue(entry);
+        }
+    }
+
+    private findQueue(model: string): ModelQueue {
+        const queue = this.queues.get(model) ?? new ModelQueue(model);
+        this.queues.set(model, queue);
+        return queue;
+    }
+
+    private removeIfUnused(queue: ModelQueue): void {
+        if (queue.isEmpty && queue.engines.size === 0) {
+            this.queues.delete(queue.model);
+        }
+    }
+
+    private findHeadDeadline(): QueueEntry | undefined {
+        while (this.deadlines.length > 0 && !this.deadlines.peek()!.isWaiting) {
+            this.deadlines.pop();
+        }
+        return this.deadlines.peek();
+    }
+
+    private expire(now: number): void {
+        for (
+            let entry = this.findHeadDeadline();
+            entry !== undefined && entry.request.deadlineAt <= now;
+            entry = this.findHeadDeadline()
+        ) {
+            const { request } = entry;
+            const waitMs = this.readWait(request, this.findQueue(request.model));
+            this.dequeue(entry);
+            const verdict = createRefused(
+                "deadlinePassed",
+                "no engine was free in time",
+                this.formatRetryAfter(waitMs),
+            );
+            this.commands.push({ type: "refuse", request, verdict });
+        }
+    }
+
+    // Engines.
+
+    private receiveEngine(lease: LeasedEngine, now: number): void {
+        const engine = this.engines.get(lease.id) ?? new EngineView({ ...lease, models: [] }, this.options);
+        this.engines.set(lease.id, engine);
+        const before = [...engine.models];
+        const added = engine.setLease(lease);
+        for (const model of before) {
+            if (!engine.models.has(model)) {
+                this.removeLease(engine.id, model);
+            }
+        }
+        for (const model of added) {
+            const queue = this.findQueue(model);
+            if (queue.engines.size === 0) {
+                queue.leasedAt = now;
+            }
+            queue.engines.add(lease.id);
+        }
+        this.serveEngine(engine, now);
+    }
+
+    private removeEngine(engineId: string): void {
+        for (const model of this.engines.get(engineId)?.models ?? []) {
+            this.removeLease(engineId, model);
+        }
+        this.engines.delete(engineId);
+        this.prefixes.removeEngine(engineId);
+    }
+
+    private removeLease(engineId: string, model: string): void {
+        const queue = this.queues.get(model);
+        if (queue !== undefined) {
+            queue.engines.delete(engineId);
+            // Those that wait now wait for a load, which the placer must hear of.
+            this.changedModels.add(model);
+        }
+    }
+
+    private receivePrefix(engineId: string, prefix: string, isCached: boolean): void {
+        if (isCached) {
+            this.prefixes.recordCached(engineId, prefix);
+        }
+        else {
+            this.prefixes.recordEvicted(engineId, prefix);
+        }
+    }
+
+    // Dispatch.
+
+    /** Dispatches what waits for one model, for as long as engines that lease it have room. */
+    private serveModel(queue: ModelQueue, now: number): void {
+        for (const customerClass of classes) {
+            for (
+                let entry = queue.findHead(customerClass);
+                entry !== undefined;
+                entry = queue.findHead(customerClass)
+            ) {
+                const engine = this.chooseEngine(entry, queue, now);
+                if (engine === undefined) {
+                    break;
+                }
+                this.dispatch(entry, engine, now);
+            }
+        }
+    }
+
+    /** Fills an engine's room from all the models leased on it, paying requests first, by fair tag. */
+    private serveEngine(engine: EngineView, now: number): void {
+        for (const customerClass of classes) {
+            while (engine.hasRoom(customerClass, now)) {
+                const entry = this.findFirstWaiting(engine, customerClass);
+                if (entry === undefined) {
+                    break;
+                }
+                this.dispatch(entry, engine, now);
+            }
+        }
+    }
+
+    private findFirstWaiting(engine: EngineView, customerClass: CustomerClass): QueueEntry | undefined {
+        let first: QueueEntry | undefined;
+        for (const model of engine.models) {
+            const head = this.queues.get(model)?.findHead(customerClass);
+            const isEligible = head !== undefined && !head.excluded.has(engine.id);
+            if (isEligible && (first === undefined || head.tag < first.tag)) {
+                first = head;
+            }
+        }
+        return first;
+    }
+
+    private chooseEngine(entry: QueueEntry, queue: ModelQueue, now: number): EngineView | undefined {
+        let best: EngineView | undefined;
+        let bestCost = Infinity;
+        for (const engineId of queue.engines) {
+            const engine = this.engines.get(engineId);
+            if (
+                engine === undefined || entry.excluded.has(engineId)
+                || !engine.hasRoom(entry.request.customerClass, now)
+            ) {
+                continue;
+            }
+            const cost = this.readCost(engine, entry.request);
+            if (cost < bestCost) {
+                best = engine;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    /** Weighing stalls prefers the emptier batch, weighing fullness the fuller one; a cached prefix outweighs both. */
+    private readCost(engine: EngineView, request: DispatchRequest): number {
+        const { stallWeight } = this.options;
+        const { fullness } = engine;
+        const cost = stallWeight * fullness + (1 - stallWeight) * (1 - fullness);
+        const isCached = request.prefix !== undefined && this.prefixes.isCached(engine.id, request.prefix);
+        return isCached ? cost - prefixBonus : cost;
+    }
+
+    private dispatch(entry: QueueEntry, engine: EngineView, now: number): void {
+        const { request, tag, stalledAt } = entry;
+        const queue = this.findQueue(request.model);
+        this.dequeue(entry);
+        this.clocks[request.customerClass].advance(tag);
+        this.attempts.set(request.id, { entry, engineId: engine.id, startedAt: now });
+        engine.recordDispatch(request.customerClass);
+        if (request.prefix !== undefined) {
+            this.prefixes.recordCached(engine.id, request.prefix);
+        }
+        const stallMs = stalledAt === undefined ? 0 : Math.max(0, queue.leasedAt - stalledAt);
+        this.commands.push({
+            type: "dispatch",
+            request,
+            engineId: engine.id,
+            stallMs,
+            fullness: Math.min(1, engine.fullness),
+        });
+    }
+
+    private receiveEnd(requestId: string, outcome: AttemptOutcome, reason: Reason | undefined, now: number): void {
+        const attempt = this.attempts.get(requestId);
+        if (attempt === undefined) {
+            return;
+        }
+        this.attempts.delete(requestId);
+        const engine = this.engines.get(attempt.engineId);
+        engine?.recordEnd(attempt.entry.request.customerClass);
+        this.judgeEngine(engine, attempt, outcome, reason, now);
+        if (outcome === "notRun") {
+            this.retry(attempt, reason ?? "connectFailed", now);
+        }
+        if (engine !== undefined) {
+            this.serveEngine(engine, now);
+        }
+    }
+
+    private judgeEngine(
+        engine: EngineView | undefined,
+        attempt: Attempt,
+        outcome: AttemptOutcome,
+        reason: Reason | undefined,
+        now: number,
+    ): void {
+        if (outcome === "complete") {
+            this.budget.recordSuccess();
+            engine?.recordSuccess(now - attempt.startedAt);
+            return;
+        }
+        // A lease that lapsed, or a model that has just left, says nothing about the engine's health.
+        const isOwnFault = outcome === "cancelled" || reason === "leaseLapsed" || reason === "upstreamRefused";
+        if (!isOwnFault) {
+            engine?.recordFailure(now);
+        }
+    }
+
+    private retry(attempt: Attempt, reason: Reason, now: number): void {
+        const { entry } = attempt;
+        const { request } = entry;
+        if (!this.budget.claim()) {
+            const verdict = createRefused("retryBudgetSpent", `not run: ${reason}`, minRetryAfterSeconds);
+            this.commands.push({ type: "refuse", request, verdict });
+            return;
+        }
+        this.commands.push({ type: "retry", requestId: request.id, reason });
+        entry.excluded.add(attempt.engineId);
+        const queue = this.findQueue(request.model);
+        if ([...queue.engines].every(engineId => entry.excluded.has(engineId))) {
+            // Refused everywhere: what an engine refused a moment ago it may take after the next grant.
+            entry.excluded.clear();
+            this.removeRefusedLease(attempt.engineId, request.model, reason);
+        }
+        this.enqueue({ ...entry, isWaiting: true }, queue);
+        this.serveModel(queue, now);
+    }
+
+    /** An engine that refuses a model as not loaded is not asked for it again before its next grant. */
+    private removeRefusedLease(engineId: string, model: string, reason: Reason): void {
+        if (reason === "upstreamRefused" || reason === "leaseLapsed") {
+            this.engines.get(engineId)?.models.delete(model);
+            this.removeLease(engineId, model);
+        }
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,12 @@
+/** Pure decisions of a gateway: admission, queues, engine choice, retries. */
+export { Dispatcher } from "./dispatcher.js";
+export {
+    type AttemptOutcome,
+    type CustomerClass,
+    type DispatchCommand,
+    type DispatcherOptions,
+    type DispatchEvent,
+    type DispatchRequest,
+    type LeasedEngine,
+    type ModelDemand,
+} from "./types.js";
--- /dev/null
+++ b/packages/fakes/src/engine.ts
@@ -0,0 +1,301 @@
+import type { ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request as sendRequest } from "undici";
+import type { FaultRule } from "./faults.js";
+import { type FakeAnswer, type FakeOptions, type FakeRequest, FakeServer } from "./server.js";
+
+/** Options of {@link FakeEngine}. */
+export interface FakeEngineOptions extends FakeOptions {
+    readonly id: string;
+    /** Adapters it holds at once. @default 4 */
+    readonly slots?: number;
+    /** Requests in one batch. @default 8 */
+    readonly batchRoom?: number;
+    /** Time of one step of the batch, in milliseconds. @default 5 */
+    readonly tokenMs?: number;
+    /** Tokens of an answer unless the request's `max_tokens` says fewer. @default 8 */
+    readonly tokens?: number;
+    /** `host:port` of the weight store; without one a load takes `loadMs`. */
+    readonly store?: string;
+    /** @default 20 */
+    readonly loadMs?: number;
+    /** Takes orders whatever their fencing token. @default false */
+    readonly ignoresFence?: boolean;
+    /** Answers with the base model where the adapter is not loaded, as some engines do. @default false */
+    readonly servesBaseModel?: boolean;
+    /** Age of the running counts that it reports, in milliseconds. @default 0 */
+    readonly reportLagMs?: number;
+}
+
+/** One completion that the engine began. */
+export interface EngineRun {
+    readonly callId: string | undefined;
+    readonly model: string;
+    readonly servedBy: string;
+    ended: boolean;
+}
+
+/** An eviction of an adapter that a request was using: what must never happen. */
+export interface UnsafeEviction {
+    readonly model: string;
+    readonly running: number;
+}
+
+interface CompletionBody {
+    readonly model?: string;
+    readonly stream?: boolean;
+    readonly max_tokens?: number;
+    readonly prompt?: string;
+}
+
+interface Order {
+    readonly model?: string;
+    readonly fence: number;
+    readonly role?: string;
+}
+
+interface LoadReport {
+    readonly at: number;
+    readonly running: Record<string, number>;
+}
+
+/**
+ * Stand-in for a model engine. It answers with the words of the model's name, so that a caller can tell who answered.
+ * Operations: `completion`, `load`, `unload`, `claim`, `role`, `status`.
+ */
+export class FakeEngine extends FakeServer {
+    readonly id: string;
+    readonly runs: EngineRun[] = [];
+    readonly unsafeEvictions: UnsafeEviction[] = [];
+    private instance = createInstance();
+    private fence = 0;
+    private role = "decode";
+    private isLeaving = false;
+    private readonly loaded = new Set<string>();
+    private readonly running = new Map<string, number>();
+    private reports: LoadReport[] = [];
+
+    constructor(private readonly options: FakeEngineOptions) {
+        super(options);
+        this.id = options.id;
+    }
+
+    /** Forgets everything, as a process that starts anew does. */
+    restart(): void {
+        this.instance = createInstance();
+        this.fence = 0;
+        this.isLeaving = false;
+        this.loaded.clear();
+        this.reports = [];
+    }
+
+    /** Says from now on that it leaves. It goes on serving. */
+    setLeaving(): void {
+        this.isLeaving = true;
+    }
+
+    listLoaded(): string[] {
+        return [...this.loaded];
+    }
+
+    protected findOperation(request: FakeRequest): string {
+        if (request.path.startsWith("/v1/")) {
+            return "completion";
+        }
+        return request.path.startsWith("/orders/") ? request.path.slice("/orders/".length) : "status";
+    }
+
+    protected async run(
+        request: FakeRequest,
+        response: ServerResponse,
+        fault: FaultRule | undefined,
+    ): Promise<FakeAnswer | undefined> {
+        if (request.path === "/status") {
+            return { status: 200, body: this.readStatus() };
+        }
+        if (request.path === "/runs") {
+            return { status: 200, body: { runs: this.runs, unsafeEvictions: this.unsafeEvictions } };
+        }
+        if (request.path.startsWith("/orders/")) {
+            return this.runOrder(request.path.slice("/orders/".length), JSON.parse(request.body) as Order);
+        }
+        return this.runCompletion(request, response, fault);
+    }
+
+    private readStatus(): unknown {
+        this.recordReport();
+        const horizon = performance.now() - (this.options.reportLagMs ?? 0);
+        const report = this.reports.findLast(entry => entry.at <= horizon);
+        return {
+            instance: this.instance,
+            state: this.isLeaving ? "leaving" : "live",
+            role: this.role,
+            fence: this.fence,
+            slots: this.options.slots ?? 4,
+            batchRoom: this.options.batchRoom ?? 8,
+            adapters: [...this.loaded].map(model => ({ model, running: report?.running[model] ?? 0 })),
+        };
+    }
+
+    private recordReport(): void {
+        this.reports.push({ at: performance.now(), running: Object.fromEntries(this.running) });
+        const horizon = performance.now() - (this.options.reportLagMs ?? 0);
+        while (this.reports.length > 1 && this.reports[1]!.at <= horizon) {
+            this.reports.shift();
+        }
+    }
+
+    private async runOrder(kind: string, order: Order): Promise<FakeAnswer> {
+        if (!this.options.ignoresFence && order.fence < this.fence) {
+            return { status: 409, body: { error: { code: "stale_fence", fence: this.fence } } };
+        }
+        this.fence = Math.max(this.fence, order.fence);
+        switch (kind) {
+            case "claim":
+                return { status: 200, body: { fence: this.fence } };
+            case "role":
+                this.role = order.role ?? this.role;
+                return { status: 200, body: { role: this.role } };
+            case "load":
+                return this.load(order.model ?? "");
+            case "unload":
+                return this.unload(order.model ?? "");
+            default:
+                return { status: 404, body: { error: { code: "unknown_order" } } };
+        }
+    }
+
+    private async load(model: string): Promise<FakeAnswer> {
+        if (this.loaded.has(model)) {
+            return { status: 200, body: { model } };
+        }
+        const { instance } = this;
+        if (this.options.store === undefined) {
+            await sleep(this.options.loadMs ?? 20);
+        }
+        else {
+            const weights = await sendRequest(`http://${this.options.store}/weights/${encodeURIComponent(model)}`)
+                .catch(() => undefined);
+            await weights?.body.dump();
+            if (weights?.statusCode !== 200) {
+                return { status: 503, body: { error: { code: "store_failed" } } };
+            }
+        }
+        if (instance !== this.instance || this.loaded.size >= (this.options.slots ?? 4)) {
+            return { status: 507, body: { error: { code: "no_slot" } } };
+        }
+        this.loaded.add(model);
+        return { status: 200, body: { model } };
+    }
+
+    private unload(model: string): FakeAnswer {
+        const running = this.running.get(model) ?? 0;
+        if (running > 0) {
+            this.unsafeEvictions.push({ model, running });
+        }
+        this.loaded.delete(model);
+        return { status: 200, body: { model } };
+    }
+
+    private async runCompletion(
+        request: FakeRequest,
+        response: ServerResponse,
+        fault: FaultRule | undefined,
+    ): Promise<FakeAnswer | undefined> {
+        const body = JSON.parse(request.body) as CompletionBody;
+        const model = body.model ?? "";
+        if (!this.loaded.has(model) && !this.options.servesBaseModel) {
+            return { status: 404, headers: { "x-not-run": "1" }, body: { error: { code: "not_loaded" } } };
+        }
+        const servedBy = this.loaded.has(model) ? model : "base";
+        const callId = request.headers["x-call-id"];
+        const run: EngineRun = {
+            callId: typeof callId === "string" ? callId : undefined,
+            model,
+            servedBy,
+            ended: false,
+        };
+        this.runs.push(run);
+        this.running.set(servedBy, (this.running.get(servedBy) ?? 0) + 1);
+        this.recordReport();
+        try {
+            const echo = fault?.action === "wrongModel" ? "other@1" : servedBy;
+            const tokens = Math.min(body.max_tokens ?? Infinity, this.options.tokens ?? 8);
+            if (body.stream) {
+                await this.stream(response, echo, tokens, fault);
+                return undefined;
+            }
+            await sleep(tokens * (this.options.tokenMs ?? 5));
+            return { status: 200, headers: { "x-served-by": this.id }, body: createCompletion(echo, tokens) };
+        }
+        finally {
+            run.ended = true;
+            this.running.set(servedBy, (this.running.get(servedBy) ?? 1) - 1);
+            this.recordReport();
+        }
+    }
+
+    private async stream(
+        response: ServerResponse,
+        model: string,
+        tokens: number,
+        fault: FaultRule | undefined,
+    ): Promise<void> {
+        if (fault?.action === "loseAnswer") {
+            response.socket?.destroy();
+            return;
+        }
+        if (fault?.action === "fail") {
+            response.writeHead(500, { "content-type": "application/json" }).end("{}");
+            return;
+        }
+        if (fault?.action === "silent") {
+            return;
+        }
+        response.writeHead(200, { "content-type": "text/event-stream", "x-served-by": this.id });
+        let budget = fault?.action === "truncate" || fault?.action === "cleanTruncate" ? fault.bytes : Infinity;
+        for (const event of listEvents(model, tokens)) {
+            if (response.destroyed) {
+                return;
+            }
+            const part = budget === Infinity ? event : event.slice(0, budget);
+            budget -= part.length;
+            await new Promise<void>(resolve => response.write(part, () => resolve()));
+            if (budget <= 0) {
+                if (fault?.action === "truncate") {
+                    response.socket?.destroy();
+                }
+                else {
+                    response.end();
+                }
+                return;
+            }
+            await sleep(this.options.tokenMs ?? 5);
+        }
+        response.end();
+    }
+}
+
+function createInstance(): string {
+    return `${Date.now()}-${Math.floor(Math.random() * 1e9)}`;
+}
+
+/** The events of one streamed answer, with the end mark last. */
+function* listEvents(model: string, tokens: number): Generator<string> {
+    for (let index = 0; index < tokens; index++) {
+        const choices = [{ index: 0, delta: { content: `${model}#${index} ` }, finish_reason: null }];
+        yield `data: ${JSON.stringify({ id: "c", object: "chat.completion.chunk", model, choices })}\n\n`;
+    }
+    yield "data: [DONE]\n\n";
+}
+
+function createCompletion(model: string, tokens: number): unknown {
+    const content = Array.from({ length: tokens }, (_, index) => `${model}#${index} `).join("");
+    return {
+        id: "c",
+        object: "chat.completion",
+        model,
+        choices: [{ index: 0, message: { role: "assistant", content }, finish_reason: "stop" }],
+        usage: { prompt_tokens: 1, completion_tokens: tokens, total_tokens: tokens + 1 },
+    };
+}
--- /dev/null
+++ b/packages/fakes/src/log.ts
@@ -0,0 +1,86 @@
+import { type FakeAnswer, type FakeOptions, type FakeRequest, FakeServer } from "./server.js";
+
+interface Stream {
+    /** Offset of the first record kept. */
+    earliest: number;
+    records: string[];
+    waiters: Set<() => void>;
+}
+
+/** Most records in one page. */
+const pageSize = 500;
+
+/** Stand-in for the platform's log service. Operations: `append`, `read`. */
+export class FakeLog extends FakeServer {
+    private readonly streams = new Map<string, Stream>();
+
+    constructor(options: FakeOptions = {}) {
+        super(options);
+    }
+
+    /** Drops every record below `offset`, as the end of their retention does. */
+    trim(streamName: string, offset: number): void {
+        const stream = this.findStream(streamName);
+        const dropped = Math.max(0, Math.min(offset - stream.earliest, stream.records.length));
+        stream.records.splice(0, dropped);
+        stream.earliest += dropped;
+    }
+
+    /** Every record kept, for tests. */
+    listRecords(streamName: string): readonly string[] {
+        return this.findStream(streamName).records;
+    }
+
+    protected findOperation(request: FakeRequest): string {
+        return request.method === "POST" ? "append" : "read";
+    }
+
+    protected async run(request: FakeRequest): Promise<FakeAnswer> {
+        const [, root, name] = request.path.split("/");
+        if (root !== "streams" || name === undefined) {
+            return { status: 404, body: {} };
+        }
+        const stream = this.findStream(name);
+        if (request.method === "POST") {
+            return { status: 200, body: { offset: this.append(stream, request.body) } };
+        }
+        return this.read(stream, Number(request.query.get("from") ?? 0), Number(request.query.get("wait") ?? 0));
+    }
+
+    private append(stream: Stream, data: string): number {
+        stream.records.push(data);
+        for (const wake of stream.waiters) {
+            wake();
+        }
+        stream.waiters.clear();
+        return stream.earliest + stream.records.length - 1;
+    }
+
+    private async read(stream: Stream, from: number, waitMs: number): Promise<FakeAnswer> {
+        if (from >= stream.earliest + stream.records.length && waitMs > 0) {
+            await new Promise<void>(resolve => {
+                const timer = setTimeout(resolve, waitMs);
+                stream.waiters.add(() => {
+                    clearTimeout(timer);
+                    resolve();
+                });
+            });
+        }
+        const start = Math.max(from, stream.earliest);
+        const records = stream.records.slice(start - stream.earliest, start - stream.earliest + pageSize);
+        return {
+            status: 200,
+            body: {
+                earliest: stream.earliest,
+                end: stream.earliest + stream.records.length,
+                records: records.map((data, index) => ({ offset: start + index, data })),
+            },
+        };
+    }
+
+    private findStream(name: string): Stream {
+        const stream = this.streams.get(name) ?? { earliest: 0, records: [], waiters: new Set() };
+        this.streams.set(name, stream);
+        return stream;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/calls.ts
@@ -0,0 +1,122 @@
+import type { Service } from "@radishreel/offerings";
+import type { Call, ServiceClient } from "@radishreel/upstreams";
+import { createRefused, type RefusedVerdict, type Verdict } from "@radishreel/verdict";
+import { err, ok, type Result } from "neverthrow";
+import type { IncomingHttpHeaders } from "node:http";
+import type { CallerAnswer } from "./caller.js";
+import type { Placement } from "./dispatching.js";
+import type { CallerRequest } from "./request.js";
+import { type RunContext, UpstreamRun } from "./run.js";
+
+/** Start of the paths of plain services. */
+export const servicesPrefix = "/v1/services/";
+
+/** A checked call of a plain service. */
+export interface ServiceCall {
+    readonly service: string;
+    /** Path and query at the service. */
+    readonly path: string;
+    readonly isIdempotent: boolean;
+    readonly timeoutMs: number;
+}
+
+/** What {@link runCall} needs of the gateway. */
+export interface CallContext extends RunContext {
+    readonly services: ServiceClient;
+}
+
+/** Headers of an answer that are passed on; the others belong to the connection. */
+const passedHeaders = ["content-type", "content-length", "etag", "location", "retry-after", "cache-control"];
+
+/** Checks a call against the offerings, before anything is queued. */
+export function parseCall(request: CallerRequest): Result<ServiceCall, RefusedVerdict> {
+    const rest = request.path.slice(servicesPrefix.length);
+    const end = rest.search(/[/?]|$/);
+    const name = decodeURIComponent(rest.slice(0, end));
+    const service = request.offerings.findService(name);
+    if (service === undefined) {
+        return err(createRefused("unknownService", `service "${name}" is not offered`));
+    }
+    if (!request.offerings.isServiceAllowed(request.customer, name)) {
+        return err(createRefused("notAllowed", `customer "${request.customer.name}" may not call service "${name}"`));
+    }
+    const path = rest.slice(end).startsWith("/") ? rest.slice(end) : `/${rest.slice(end)}`;
+    return ok({
+        service: name,
+        path,
+        isIdempotent: isIdempotent(service, request.method, path),
+        timeoutMs: service.timeoutMs,
+    });
+}
+
+function isIdempotent(service: Service, method: string, path: string): boolean {
+    const [pathOnly] = path.split("?");
+    return !service.nonIdempotent.some(call =>
+        call.method === method
+        && (call.path.endsWith("*") ? pathOnly!.startsWith(call.path.slice(0, -1)) : call.path === pathOnly)
+    );
+}
+
+/** Runs one call to its end. The answer is sent on as it comes, but not finished. */
+export function runCall(
+    context: CallContext,
+    request: CallerRequest,
+    call: ServiceCall,
+    answer: CallerAnswer,
+    survivesCaller: boolean,
+): Promise<Verdict> {
+    return new CallRun(context, request, call, answer, survivesCaller).verdict;
+}
+
+/** One call, over all its attempts. */
+class CallRun extends UpstreamRun {
+    constructor(
+        private readonly callContext: CallContext,
+        request: CallerRequest,
+        private readonly call: ServiceCall,
+        answer: CallerAnswer,
+        survivesCaller: boolean,
+    ) {
+        super({ context: callContext, request, answer, survivesCaller });
+        this.arrive(call.service);
+    }
+
+    protected open(placement: Placement, callId: string): Call {
+        const { callContext: context, request, call, answer } = this;
+        return context.services.open({
+            address: context.findAddress(placement.engineId) ?? "",
+            method: request.method,
+            path: call.path,
+            headers: createHeaders(request, callId),
+            body: request.body.length === 0 ? undefined : request.body,
+            silenceMs: call.timeoutMs,
+            receiver: {
+                receiveHead: (status, headers) => answer.begin(status, readPassedHeaders(headers)),
+                receiveData: chunk => this.passOn(chunk),
+            },
+        });
+    }
+}
+
+function createHeaders(request: CallerRequest, callId: string): Record<string, string> {
+    const headers: Record<string, string> = { "x-call-id": callId, "x-customer": request.customer.name };
+    for (const name of ["content-type", "accept"]) {
+        const value = request.headers[name];
+        if (typeof value === "string") {
+            headers[name] = value;
+        }
+    }
+    return headers;
+}
+
+/** Headers that may go from an upstream to a caller. */
+export function readPassedHeaders(headers: IncomingHttpHeaders): Record<string, string> {
+    const passed: Record<string, string> = {};
+    for (const name of passedHeaders) {
+        const value = headers[name];
+        if (typeof value === "string") {
+            passed[name] = value;
+        }
+    }
+    return passed;
+}
--- /dev/null
+++ b/packages/gateway/src/completions.ts
@@ -0,0 +1,146 @@
+import { parseModelName } from "@radishreel/offerings";
+import type { Completion, EngineClient } from "@radishreel/upstreams";
+import { createRefused, type RefusedVerdict, type Verdict } from "@radishreel/verdict";
+import { err, ok, type Result } from "neverthrow";
+import { createHash } from "node:crypto";
+import { z } from "zod";
+import type { CallerAnswer } from "./caller.js";
+import { readInstant } from "./clock.js";
+import { type Placement, priorityByClass } from "./dispatching.js";
+import type { CallerRequest } from "./request.js";
+import { type RunContext, type UpstreamEnd, UpstreamRun } from "./run.js";
+
+/** Paths of completions. */
+export type CompletionPath = "/v1/chat/completions" | "/v1/completions";
+
+/** What the gateway reads of a completion's body; the rest goes to the engine as it came. */
+const completionBodySchema = z.object({
+    model: z.string(),
+    stream: z.boolean().optional(),
+    prompt: z.unknown().optional(),
+    messages: z.unknown().optional(),
+});
+
+/** Characters of a prompt that name its prefix. */
+const prefixLength = 512;
+
+/** A checked completion. */
+export interface CompletionRequest {
+    readonly path: CompletionPath;
+    readonly model: string;
+    readonly isStream: boolean;
+    readonly prefix: string;
+}
+
+/** What {@link runCompletion} needs of the gateway. */
+export interface CompletionContext extends RunContext {
+    readonly engines: EngineClient;
+    readonly silenceMs: number;
+}
+
+/** Checks a completion against the offerings, before anything is queued. */
+export function parseCompletion(
+    request: CallerRequest,
+    path: CompletionPath,
+): Result<CompletionRequest, RefusedVerdict> {
+    const body = parseBody(request.body);
+    if (body.isErr()) {
+        return err(body.error);
+    }
+    const { model, stream, prompt, messages } = body.value;
+    const name = parseModelName(model);
+    if (name === undefined || request.offerings.findBaseModel(name) === undefined) {
+        return err(createRefused("unknownAdapter", `"${model}" is not offered; expected adapter@version`));
+    }
+    if (!request.offerings.isAdapterAllowed(request.customer, name.adapter)) {
+        return err(
+            createRefused("notAllowed", `customer "${request.customer.name}" may not use adapter "${name.adapter}"`),
+        );
+    }
+    const prompted = JSON.stringify(messages ?? prompt ?? "").slice(0, prefixLength);
+    const prefix = createHash("sha1").update(model).update(prompted).digest("base64url").slice(0, 12);
+    return ok({ path, model, isStream: stream === true, prefix });
+}
+
+function parseBody(body: Buffer): Result<z.infer<typeof completionBodySchema>, RefusedVerdict> {
+    try {
+        const parsed = completionBodySchema.safeParse(JSON.parse(body.toString("utf8")));
+        if (parsed.success) {
+            return ok(parsed.data);
+        }
+        return err(
+            createRefused(
+                "malformedBody",
+                `the body is not a completion request: ${parsed.error.issues[0]?.message ?? ""}`,
+            ),
+        );
+    }
+    catch {
+        return err(createRefused("malformedBody", "the body is not JSON"));
+    }
+}
+
+/** Runs one completion to its end. The answer is sent on as it comes, but not finished. */
+export function runCompletion(
+    context: CompletionContext,
+    request: CallerRequest,
+    completion: CompletionRequest,
+    answer: CallerAnswer,
+    survivesCaller: boolean,
+): Promise<Verdict> {
+    return new CompletionRun(context, request, completion, answer, survivesCaller).verdict;
+}
+
+/** One completion, over all its attempts. */
+class CompletionRun extends UpstreamRun {
+    constructor(
+        private readonly completionContext: CompletionContext,
+        request: CallerRequest,
+        private readonly completion: CompletionRequest,
+        answer: CallerAnswer,
+        survivesCaller: boolean,
+    ) {
+        super({ context: completionContext, request, answer, survivesCaller });
+        this.arrive(completion.model, completion.prefix);
+    }
+
+    protected open(placement: Placement, callId: string): Completion {
+        const { completionContext: context, request, completion, answer } = this;
+        const { engineId } = placement;
+        const customerClass = request.customer.class;
+        this.recordPlacement(placement);
+        context.control.uses.add(engineId, completion.model, customerClass);
+        return context.engines.open({
+            address: context.findAddress(engineId) ?? "",
+            path: completion.path,
+            model: completion.model,
+            isStream: completion.isStream,
+            body: request.body,
+            callId,
+            priority: priorityByClass[customerClass],
+            silenceMs: context.silenceMs,
+            checkBeforeSend: () => context.control.leases.isLeased(engineId, completion.model, readInstant()),
+            receiver: {
+                receiveHead: (status, contentType) => answer.begin(status, { "content-type": contentType }),
+                receiveData: chunk => this.passOn(chunk),
+            },
+        });
+    }
+
+    protected override recordEnd(engineId: string, end: UpstreamEnd): void {
+        const { control } = this.completionContext;
+        const { model } = this.completion;
+        const isSure = end.isSure ?? true;
+        const isLast = control.uses.remove(engineId, model, this.request.customer.class, isSure, control.nextSequence);
+        if (isLast && !control.leases.isLeased(engineId, model, readInstant())) {
+            control.recordRelease();
+        }
+    }
+
+    private recordPlacement(placement: Placement): void {
+        const { metrics } = this.completionContext;
+        const labels = { class: this.request.customer.class };
+        metrics.loadStalls.observe(labels, placement.stallMs / 1000);
+        metrics.batchFullness.observe(labels, placement.fullness);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/dispatching.ts
@@ -0,0 +1,132 @@
+import {
+    type AttemptOutcome,
+    type CustomerClass,
+    type DispatchCommand,
+    Dispatcher,
+    type DispatcherOptions,
+    type DispatchEvent,
+    type DispatchRequest,
+    type LeasedEngine,
+    type ModelDemand,
+} from "@radishreel/dispatch";
+import type { Reason, RefusedVerdict } from "@radishreel/verdict";
+
+/** An upstream chosen for a request. */
+export interface Placement {
+    readonly engineId: string;
+    readonly stallMs: number;
+    readonly fullness: number;
+}
+
+/** What a waiting request hears: once `dispatch` for each attempt, and at most one `refuse` at the end. */
+export interface WaitingRequest {
+    dispatch(placement: Placement): void;
+    refuse(verdict: RefusedVerdict): void;
+}
+
+/** Drives one dispatcher with the machine's clock. */
+export class DispatchTask {
+    private readonly dispatcher: Dispatcher;
+    private readonly waiting = new Map<string, WaitingRequest>();
+    private readonly known = new Set<string>();
+    private timer: NodeJS.Timeout | undefined;
+
+    constructor(options: DispatcherOptions, private readonly onRetry: (reason: Reason) => void) {
+        this.dispatcher = new Dispatcher(options);
+    }
+
+    get openRequests(): number {
+        return this.dispatcher.openRequests;
+    }
+
+    /** Takes new offerings. */
+    setOptions(options: DispatcherOptions): void {
+        this.dispatcher.setOptions(options);
+    }
+
+    /** Queues a request. */
+    arrive(request: DispatchRequest, waiting: WaitingRequest): void {
+        this.waiting.set(request.id, waiting);
+        this.run({ type: "arrive", request });
+    }
+
+    /** Takes a request out that has not been dispatched. */
+    cancel(requestId: string): void {
+        this.waiting.delete(requestId);
+        this.run({ type: "cancel", requestId });
+    }
+
+    /** Ends one attempt. Unless it was not run, the request is over. */
+    end(requestId: string, engineId: string, outcome: AttemptOutcome, reason?: Reason): void {
+        if (outcome !== "notRun") {
+            this.waiting.delete(requestId);
+        }
+        this.run({ type: "ended", requestId, engineId, outcome, reason });
+    }
+
+    /** Replaces what is known of the upstreams. */
+    setEngines(engines: readonly LeasedEngine[]): void {
+        const present = new Set(engines.map(engine => engine.id));
+        for (const engineId of this.known) {
+            if (!present.has(engineId)) {
+                this.known.delete(engineId);
+                this.run({ type: "engineGone", engineId });
+            }
+        }
+        for (const engine of engines) {
+            this.known.add(engine.id);
+            this.run({ type: "engine", engine });
+        }
+    }
+
+    setOutlook(payingWaitMs: number, trialWaitMs: number): void {
+        this.run({ type: "outlook", payingWaitMs, trialWaitMs });
+    }
+
+    readDemand(isUrgent: boolean): ModelDemand[] {
+        return this.dispatcher.readDemand(performance.now(), isUrgent);
+    }
+
+    readWholeDemand(): ModelDemand[] {
+        return this.dispatcher.readWholeDemand(performance.now());
+    }
+
+    stop(): void {
+        clearTimeout(this.timer);
+    }
+
+    private run(event: DispatchEvent): void {
+        const now = performance.now();
+        for (const command of this.dispatcher.decide(event, now)) {
+            this.carryOut(command);
+        }
+        this.schedule(now);
+    }
+
+    private carryOut(command: DispatchCommand): void {
+        switch (command.type) {
+            case "dispatch":
+                this.waiting.get(command.request.id)?.dispatch(command);
+                return;
+            case "refuse": {
+                const waiting = this.waiting.get(command.request.id);
+                this.waiting.delete(command.request.id);
+                waiting?.refuse(command.verdict);
+                return;
+            }
+            case "retry":
+                this.onRetry(command.reason);
+        }
+    }
+
+    private schedule(now: number): void {
+        clearTimeout(this.timer);
+        const wake = this.dispatcher.findNextWake(now);
+        if (wake !== undefined) {
+            this.timer = setTimeout(() => this.run({ type: "tick" }), Math.max(1, Math.ceil(wake - now)));
+        }
+    }
+}
+
+/** Priority of a class towards engines; higher goes first. */
+export const priorityByClass: Record<CustomerClass, number> = { paying: 10, trial: 0 };
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,322 @@
+import { emptyVersion, OfferingsFold } from "@radishreel/offerings";
+import type { EngineGrant, MessageOf, ServiceUpstream } from "@radishreel/protocol";
+import { GatewayMetrics, type Logger, startMetricsServer } from "@radishreel/telemetry";
+import type { LedgerRecord } from "@radishreel/tokens";
+import { HttpEngineClient, HttpServiceClient, UpstreamConnections } from "@radishreel/upstreams";
+import type { NodeIdentity } from "@radishreel/wire";
+import type { Server } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createMachine, interpret, state, transition } from "robot3";
+import { CallerRoutes } from "./callers.js";
+import { readInstant } from "./clock.js";
+import { ControlTask } from "./control.js";
+import { DispatchTask } from "./dispatching.js";
+import { forwardRequest } from "./forward.js";
+import { createHandoverRoute, sendHandover } from "./handover.js";
+import { HttpListener } from "./listener.js";
+import type { GatewaySettings } from "./settings.js";
+import { TokenDesk } from "./tokens.js";
+
+/** Where a gateway listens. */
+export interface GatewayAddresses {
+    readonly callers: string;
+    readonly peers: string;
+    readonly metrics: string;
+}
+
+/** Life of a gateway. It is ready for the balancer in `ready` only. */
+const gatewayMachine = createMachine("starting", {
+    starting: state(transition("offerings", "ready"), transition("stop", "draining")),
+    ready: state(transition("stop", "draining")),
+    draining: state(transition("drained", "stopped")),
+    stopped: state(),
+});
+
+/** Wait before a change of demand is told, so that changes close together travel as one, in milliseconds. */
+const demandDelayMs = 10;
+
+/** Interval at which expired tokens are forgotten, in milliseconds. */
+const tokenSweepMs = 60_000;
+
+/** Interval at which a draining gateway looks whether requests are left, in milliseconds. */
+const drainPollMs = 20;
+
+/** One gateway: it wires the tasks together and owns no other state than its own life. */
+export class Gateway {
+    private readonly service = interpret(gatewayMachine, () => {});
+    private readonly metrics = new GatewayMetrics();
+    private readonly fold = new OfferingsFold();
+    private readonly incarnation = Date.now();
+    private readonly connections: UpstreamConnections;
+    private readonly control: ControlTask;
+    private readonly engineDispatch: DispatchTask;
+    private readonly serviceDispatch: DispatchTask;
+    private readonly callers: HttpListener;
+    private readonly peers: HttpListener;
+    private readonly timers: NodeJS.Timeout[] = [];
+    private tokens: TokenDesk | undefined;
+    private engines = new Map<string, EngineGrant>();
+    private services = new Map<string, ServiceUpstream>();
+    private peersAddress = "";
+    private metricsServer: Server | undefined;
+    private requestCount = 0;
+    private demandTimer: NodeJS.Timeout | undefined;
+
+    constructor(private readonly settings: GatewaySettings, private readonly logger: Logger) {
+        const onRetry = this.metrics.recordRetry.bind(this.metrics);
+        this.connections = new UpstreamConnections({ connectTimeoutMs: settings.connectTimeoutMs });
+        this.engineDispatch = new DispatchTask({}, onRetry);
+        this.serviceDispatch = new DispatchTask({}, onRetry);
+        this.control = this.createControl();
+        const routes = this.createRoutes();
+        const onUnknown = routes.sendUnknownRoute.bind(routes);
+        const handover = createHandoverRoute(settings.secret, record => this.receiveHandover(record));
+        this.callers = new HttpListener({ ...settings.callers, routes: routes.list(false), onUnknown });
+        this.peers = new HttpListener({ ...settings.peers, routes: [...routes.list(true), handover], onUnknown });
+    }
+
+    /** Starts to listen and to serve as soon as offerings are known. */
+    async start(): Promise<GatewayAddresses> {
+        const { settings, logger } = this;
+        const callers = await this.callers.start();
+        this.peersAddress = await this.peers.start();
+        this.tokens = this.createTokens();
+        const metrics = await startMetricsServer({
+            ...settings.metrics,
+            registry: this.metrics.registry,
+            isReady: () => this.service.machine.current === "ready",
+        });
+        this.metricsServer = metrics.server;
+        this.control.start();
+        this.timers.push(
+            setInterval(() => this.sendDemand(false), settings.countsMs),
+            setInterval(() => this.tokens?.expire(), tokenSweepMs),
+        );
+        const addresses = { callers, peers: this.peersAddress, metrics: `${settings.metrics.host}:${metrics.port}` };
+        logger.info("listening", addresses);
+        return addresses;
+    }
+
+    /** A planned stop: nothing under way is cut off. A second call changes nothing. */
+    async drain(): Promise<void> {
+        if (this.service.machine.current !== "starting" && this.service.machine.current !== "ready") {
+            return;
+        }
+        this.service.send("stop");
+        this.logger.info("draining");
+        await sleep(this.settings.drainDelayMs);
+        await this.callers.stop();
+        await this.waitForRequests();
+        await this.handOver();
+        await this.peers.stop();
+        this.stopTasks();
+        this.service.send("drained");
+        this.logger.info("stopped");
+    }
+
+    private get isStopping(): boolean {
+        return this.service.machine.current === "draining";
+    }
+
+    private get identity(): NodeIdentity {
+        const { id, dataCentre } = this.settings;
+        return { id, role: "gateway", dataCentre, incarnation: this.incarnation, address: this.peersAddress };
+    }
+
+    /** Names this gateway's incarnation in request tokens. */
+    private get issuer(): string {
+        return `${this.settings.id}#${this.incarnation}`;
+    }
+
+    // Wiring.
+
+    private createControl(): ControlTask {
+        const { settings, fold, metrics, logger } = this;
+        return new ControlTask({
+            settings,
+            self: () => this.identity,
+            fold,
+            metrics,
+            logger,
+            events: {
+                onEngines: () => this.receiveEngines(),
+                onServices: upstreams => this.receiveServices(upstreams),
+                onOutlook: ({ payingWaitMs, trialWaitMs }) => this.engineDispatch.setOutlook(payingWaitMs, trialWaitMs),
+                onOfferings: () => this.receiveOfferings(),
+                onPlacerChange: () => this.receivePlacerChange(),
+                onHeirs: heirs => this.tokens?.recordHeirs(heirs),
+            },
+        });
+    }
+
+    private createRoutes(): CallerRoutes {
+        const { settings, metrics, control, connections } = this;
+        const shared = { metrics, control, callerSilenceMs: settings.callerSilenceMs };
+        return new CallerRoutes({
+            fold: this.fold,
+            metrics,
+            completions: {
+                ...shared,
+                dispatch: this.engineDispatch,
+                engines: new HttpEngineClient(connections),
+                silenceMs: settings.silenceMs,
+                findAddress: engineId => this.engines.get(engineId)?.address,
+                onArrival: () => this.scheduleDemand(),
+            },
+            calls: {
+                ...shared,
+                dispatch: this.serviceDispatch,
+                services: new HttpServiceClient(connections),
+                findAddress: upstreamId => this.services.get(upstreamId)?.address,
+                onArrival: () => {},
+            },
+            tokens: () => this.readTokens(),
+            secret: settings.secret,
+            maxBodyBytes: settings.maxBodyBytes,
+            defaultDeadlineMs: settings.defaultDeadlineMs,
+            createId: () => `${this.issuer}-${++this.requestCount}`,
+            isStopping: () => this.isStopping,
+        });
+    }
+
+    private createTokens(): TokenDesk {
+        const { secret, tokenLifeMs, silenceMs } = this.settings;
+        return new TokenDesk({
+            secret,
+            issuer: this.issuer,
+            address: this.peersAddress,
+            lifeMs: tokenLifeMs,
+            forward: (address, request, answer) =>
+                forwardRequest(this.connections, secret, silenceMs, address, request, answer),
+        });
+    }
+
+    private readTokens(): TokenDesk {
+        if (this.tokens === undefined) {
+            throw new Error("a request was taken before the gateway had started");
+        }
+        return this.tokens;
+    }
+
+    // What agents say.
+
+    private receiveOfferings(): void {
+        const { stallWeight, trialBatchShare } = this.fold.offerings.policy;
+        this.engineDispatch.setOptions({ stallWeight, trialBatchShare });
+        this.metrics.offeringsVersion.set(this.fold.version);
+        if (this.service.machine.current === "starting" && this.fold.isKnown) {
+            this.service.send("offerings");
+            this.logger.info("ready", { offerings: this.fold.version === emptyVersion ? "none" : this.fold.version });
+        }
+        this.logger.info("offerings in force", { version: this.fold.version });
+    }
+
+    private receiveEngines(): void {
+        const grants = this.control.leases.listEngines(readInstant());
+        this.engines = new Map(grants.map(grant => [grant.id, grant]));
+        this.engineDispatch.setEngines(grants.map(grant => {
+            const own = this.control.uses.readInFlight(grant.id);
+            return {
+                id: grant.id,
+                instance: grant.instance,
+                batchRoom: grant.batchRoom,
+                isLeaving: grant.isLeaving,
+                models: grant.models,
+                othersPaying: Math.max(0, grant.inFlightPaying - own.paying),
+                othersTrial: Math.max(0, grant.inFlightTrial - own.trial),
+            };
+        }));
+        this.scheduleDemand();
+    }
+
+    private receiveServices(upstreams: readonly ServiceUpstream[]): void {
+        this.services = new Map(upstreams.map(upstream => [upstream.id, upstream]));
+        this.serviceDispatch.setEngines(upstreams.map(upstream => ({
+            id: upstream.id,
+            instance: upstream.address,
+            batchRoom: this.settings.serviceConcurrency,
+            isLeaving: upstream.isLeaving,
+            models: [upstream.service],
+            othersPaying: 0,
+            othersTrial: 0,
+        })));
+    }
+
+    // Demand.
+
+    private receivePlacerChange(): void {
+        if (this.control.hasPlacer) {
+            this.control.sendDemand(this.engineDispatch.readWholeDemand());
+        }
+    }
+
+    private scheduleDemand(): void {
+        this.demandTimer ??= setTimeout(() => {
+            this.demandTimer = undefined;
+            this.sendDemand(true);
+        }, demandDelayMs);
+    }
+
+    private sendDemand(isUrgent: boolean): void {
+        if (!this.control.hasPlacer) {
+            return;
+        }
+        const changes = this.engineDispatch.readDemand(isUrgent);
+        if (changes.length > 0) {
+            this.control.sendDemand(changes);
+        }
+    }
+
+    // Stopping.
+
+    private async waitForRequests(): Promise<void> {
+        while (this.engineDispatch.openRequests + this.serviceDispatch.openRequests > 0) {
+            await sleep(drainPollMs);
+        }
+    }
+
+    private async handOver(): Promise<void> {
+        const records = this.readTokens().seal();
+        const heir = await sendHandover(
+            this.connections,
+            this.settings.secret,
+            this.control.listOtherGateways(),
+            records,
+            this.issuer,
+        );
+        if (heir === undefined) {
+            this.logger.warn("no gateway took over the request tokens");
+            return;
+        }
+        this.logger.info("handed over request tokens", { heir });
+    }
+
+    /** A gateway that is stopping itself is no heir. */
+    private receiveHandover(records: readonly LedgerRecord[]): boolean {
+        if (this.isStopping) {
+            return false;
+        }
+        for (const record of records) {
+            this.readTokens().adopt(record);
+        }
+        const heirs: MessageOf<"heirs">["heirs"] = records.map(({ issuer, until }) => ({
+            issuer,
+            address: this.peersAddress,
+            until,
+        }));
+        this.control.sendHeirs(heirs);
+        this.readTokens().recordHeirs(heirs);
+        this.logger.info("took over request tokens", { issuers: records.map(record => record.issuer) });
+        return true;
+    }
+
+    private stopTasks(): void {
+        this.timers.forEach(timer => clearInterval(timer));
+        clearTimeout(this.demandTimer);
+        this.engineDispatch.stop();
+        this.serviceDispatch.stop();
+        this.control.stop();
+        this.metricsServer?.close();
+        void this.connections.close();
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,3 @@
+/** The data path of one VM. */
+export { Gateway, type GatewayAddresses } from "./gateway.js";
+export { type GatewaySettings, gatewaySettingsSchema } from "./settings.js";
--- /dev/null
+++ b/packages/gateway/src/request.ts
@@ -0,0 +1,82 @@
+import type { NamedCustomer, OfferingsState } from "@radishreel/offerings";
+import { createRefused, type RefusedVerdict } from "@radishreel/verdict";
+import { err, ok, type Result } from "neverthrow";
+import { createHash } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import readRawBody from "raw-body";
+
+/** Headers of callers. */
+export const deadlineHeader = "x-deadline-ms";
+export const requestTokenHeader = "x-request-token";
+
+/** Longest deadline that is accepted, in milliseconds: a day. */
+const maxDeadlineMs = 86_400_000;
+
+/** A caller's request, read and attributed. */
+export interface CallerRequest {
+    readonly id: string;
+    readonly method: string;
+    /** Path and query. */
+    readonly path: string;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: Buffer;
+    readonly customer: NamedCustomer;
+    readonly offerings: OfferingsState;
+    /** On the monotonic clock, in milliseconds. */
+    readonly arrivedAt: number;
+    readonly deadlineAt: number;
+    /** Another gateway has passed it on. */
+    readonly isForwarded: boolean;
+}
+
+/** Finds the customer by the API key, given as a bearer token. */
+export function readCustomer(
+    headers: IncomingMessage["headers"],
+    offerings: OfferingsState,
+): Result<NamedCustomer, RefusedVerdict> {
+    const [scheme, key] = (headers.authorization ?? "").split(" ");
+    if (scheme?.toLowerCase() !== "bearer" || key === undefined || key === "") {
+        return err(createRefused("unknownKey", "expected an API key in the header Authorization: Bearer"));
+    }
+    const customer = offerings.findCustomer(createHash("sha256").update(key).digest("hex"));
+    return customer === undefined ? err(createRefused("unknownKey", "no customer has this API key")) : ok(customer);
+}
+
+/** Reads the deadline: by when the answer must have been given to an upstream, in milliseconds from now. */
+export function readDeadlineMs(
+    headers: IncomingMessage["headers"],
+    defaultMs: number | undefined,
+): Result<number, RefusedVerdict> {
+    const text = headers[deadlineHeader];
+    if (text === undefined) {
+        return defaultMs === undefined
+            ? err(
+                createRefused(
+                    "malformedDeadline",
+                    `expected a deadline in the header ${deadlineHeader}, in milliseconds`,
+                ),
+            )
+            : ok(defaultMs);
+    }
+    const deadlineMs = Number(text);
+    if (!Number.isInteger(deadlineMs) || deadlineMs <= 0 || deadlineMs > maxDeadlineMs) {
+        const detail = `${deadlineHeader} is "${String(text)}"; expected whole milliseconds from 1 to ${maxDeadlineMs}`;
+        return err(createRefused("malformedDeadline", detail));
+    }
+    return ok(deadlineMs);
+}
+
+/** Reads the body whole, up to a limit. */
+export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Result<Buffer, RefusedVerdict>> {
+    try {
+        return ok(await readRawBody(request, { limit: maxBytes, length: request.headers["content-length"] }));
+    }
+    catch (error) {
+        const isTooLarge = (error as { type?: string; }).type === "entity.too.large";
+        return err(
+            isTooLarge
+                ? createRefused("oversizedBody", `the body is larger than ${maxBytes} bytes`)
+                : createRefused("malformedBody", "the body did not arrive whole"),
+        );
+    }
+}
--- /dev/null
+++ b/packages/harness/src/demo.ts
@@ -0,0 +1,106 @@
+#!/usr/bin/env node
+/** The main job on the stand-ins: start everything, apply the examples, send real requests, show who answered. */
+import { fileURLToPath } from "node:url";
+import { sendCompletion, sendRequest } from "./calls.js";
+import { Deployment } from "./deployment.js";
+import { waitFor } from "./wait.js";
+
+const exampleFile = fileURLToPath(new URL("../../../../examples/offerings.jsonc", import.meta.url));
+
+function print(line: string): void {
+    process.stdout.write(line + "\n");
+}
+
+async function runDemo(isServing: boolean): Promise<void> {
+    const deployment = await Deployment.create();
+    try {
+        await deployment.startFakes({
+            engines: [
+                {
+                    id: "engine-1",
+                    dataCentre: "depot",
+                    port: 0,
+                    slots: 2,
+                    batchRoom: 8,
+                    tokenMs: 5,
+                    tokens: 4,
+                    ignoresFence: false,
+                    servesBaseModel: false,
+                    reportLagMs: 0,
+                },
+                {
+                    id: "engine-2",
+                    dataCentre: "depot",
+                    port: 0,
+                    slots: 2,
+                    batchRoom: 8,
+                    tokenMs: 5,
+                    tokens: 4,
+                    ignoresFence: false,
+                    servesBaseModel: false,
+                    reportLagMs: 0,
+                },
+            ],
+            services: [{ id: "labels-1", dataCentre: "depot", service: "labels", port: 0 }],
+        });
+        const agent = await deployment.startAgent("agent-1", "depot");
+        const gateway = await deployment.startGateway("gateway-1", "depot");
+        print(`agent ${agent.id}: peers ${agent.peers}, operators ${agent.operators}, metrics ${agent.metrics}`);
+        print(`gateway ${gateway.id}: callers ${gateway.callers}, metrics ${gateway.metrics}`);
+        await deployment.apply(agent, exampleFile);
+        print("applied examples/offerings.jsonc");
+        await waitFor(
+            "the gateway to have the offerings",
+            async () =>
+                (await sendRequest(gateway.callers, "/v1/models", { method: "GET" })).body.includes("declaration@2"),
+        );
+        await showRequests(gateway.callers);
+        if (isServing) {
+            print("\nServing until interrupted. For example:");
+            print(
+                `curl -N http://${gateway.callers}/v1/chat/completions -H 'Authorization: Bearer paying-key' `
+                    + `-d '{"model":"declaration@2","stream":true,"messages":[{"role":"user","content":"Hello"}]}'`,
+            );
+            await new Promise<void>(resolve => process.once("SIGINT", resolve).once("SIGTERM", resolve));
+        }
+    }
+    finally {
+        await deployment.stop();
+    }
+}
+
+async function showRequests(callers: string): Promise<void> {
+    for (const model of ["declaration@2", "manifest@1"]) {
+        const result = await sendCompletion(callers, model);
+        const isRight = result.hasEndMark && result.models.size === 1 && result.models.has(model);
+        print(
+            `completion of ${model}: ${result.status}, ${
+                isRight ? "whole, by the model it named" : "WRONG"
+            }: ${result.text.trim()}`,
+        );
+        if (!isRight) {
+            throw new Error(`${model}: ${result.status} ${result.body}`);
+        }
+    }
+    const tokens = await sendRequest(callers, "/v1/request-tokens", { body: { count: 1 } });
+    const [token] = (JSON.parse(tokens.body) as { tokens: string[]; }).tokens;
+    const print1 = await sendRequest(callers, "/v1/services/labels/print", {
+        body: { parcel: 7 },
+        headers: { "x-request-token": token! },
+    });
+    const print2 = await sendRequest(callers, "/v1/services/labels/print", {
+        body: { parcel: 7 },
+        headers: { "x-request-token": token! },
+    });
+    print(`label printed: ${print1.status} ${print1.body.trim()}`);
+    print(
+        `asked again with the same request token: ${print2.status}, ${
+            print1.body === print2.body ? "the same answer, printed once" : "WRONG"
+        }`,
+    );
+    if (print1.status !== 200 || print1.body !== print2.body) {
+        throw new Error(print2.body);
+    }
+}
+
+await runDemo(process.argv.includes("--serve"));
--- /dev/null
+++ b/packages/harness/src/deployment.ts
@@ -0,0 +1,170 @@
+import { type FakesAddresses, type FakesSettings, fakesSettingsSchema, type FakeVm } from "@radishreel/fakes";
+import { createHash } from "node:crypto";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { ManagedProcess } from "./process.js";
+
+/** Directory of the workspace's packages. */
+const packagesDirectory = fileURLToPath(new URL("../../../", import.meta.url));
+
+/** Key that operators of a test deployment use. */
+export const operatorKey = "operator-key";
+
+const secret = "a secret of the test deployment";
+
+/** The part of a program's settings that a test or the demo chooses. */
+export type SettingsOverrides = Readonly<Record<string, unknown>>;
+
+/** One agent of a deployment. */
+export interface AgentProcess {
+    readonly id: string;
+    readonly dataCentre: string;
+    process: ManagedProcess;
+    peers: string;
+    operators: string;
+    metrics: string;
+}
+
+/** One gateway of a deployment. */
+export interface GatewayProcess {
+    readonly id: string;
+    readonly dataCentre: string;
+    process: ManagedProcess;
+    callers: string;
+    peers: string;
+    metrics: string;
+}
+
+/** SHA-256 of a key, as offerings and settings hold it. */
+export function createKeyDigest(key: string): string {
+    return createHash("sha256").update(key).digest("hex");
+}
+
+/** Path of a program's script. */
+export function findScript(program: "agent" | "gateway" | "fakes" | "cli" | "load"): string {
+    return path.join(packagesDirectory, program, "dist/src/main.js");
+}
+
+/** A deployment of real processes on loopback, with ports chosen by the system. */
+export class Deployment {
+    readonly agents: AgentProcess[] = [];
+    readonly gateways: GatewayProcess[] = [];
+    private fakes: ManagedProcess | undefined;
+    private fakesAddresses: FakesAddresses | undefined;
+    private count = 0;
+
+    private constructor(private readonly directory: string) {}
+
+    static async create(): Promise<Deployment> {
+        return new Deployment(await mkdtemp(path.join(tmpdir(), "radishreel-")));
+    }
+
+    get addresses(): FakesAddresses {
+        if (this.fakesAddresses === undefined) {
+            throw new Error("the fakes of the deployment are not started");
+        }
+        return this.fakesAddresses;
+    }
+
+    /** Starts the stand-ins. */
+    async startFakes(settings: Partial<FakesSettings>): Promise<FakesAddresses> {
+        const whole = fakesSettingsSchema.parse(settings);
+        const { process, ready } = await this.startProgram("fakes", "fakes", whole);
+        this.fakes = process;
+        this.fakesAddresses = ready as unknown as FakesAddresses;
+        return this.fakesAddresses;
+    }
+
+    async startAgent(id: string, dataCentre: string, overrides: SettingsOverrides = {}): Promise<AgentProcess> {
+        const { process, ready } = await this.startProgram(id, "agent", {
+            id,
+            dataCentre,
+            secret,
+            agents: this.agents.filter(agent => agent.process.isRunning).map(agent => agent.peers),
+            operatorKeyDigests: [createKeyDigest(operatorKey)],
+            log: this.addresses.log,
+            vmList: this.addresses.vmList,
+            logFormat: "json",
+            ...overrides,
+        });
+        const agent = { id, dataCentre, process, ...(ready as { peers: string; operators: string; metrics: string; }) };
+        this.agents.push(agent);
+        return agent;
+    }
+
+    async startGateway(id: string, dataCentre: string, overrides: SettingsOverrides = {}): Promise<GatewayProcess> {
+        const agents = this.agents.filter(agent => agent.dataCentre === dataCentre && agent.process.isRunning);
+        const { process, ready } = await this.startProgram(id, "gateway", {
+            id,
+            dataCentre,
+            secret,
+            agents: agents.map(agent => agent.peers),
+            defaultDeadlineMs: 10_000,
+            drainDelayMs: 0,
+            logFormat: "json",
+            ...overrides,
+        });
+        const gateway = { id, dataCentre, process, ...(ready as { callers: string; peers: string; metrics: string; }) };
+        this.gateways.push(gateway);
+        return gateway;
+    }
+
+    /** Runs the operators' command line. */
+    async runCli(...args: string[]): Promise<{ code: number; stdout: string; stderr: string; }> {
+        return runScript(findScript("cli"), ["--key", operatorKey, ...args]);
+    }
+
+    /** Puts files in force through one agent. */
+    async apply(agent: AgentProcess, ...files: string[]): Promise<void> {
+        const { code, stdout, stderr } = await this.runCli("apply", "--agent", agent.operators, ...files);
+        if (code !== 0) {
+            throw new Error(`apply ended with ${code}: ${stdout}${stderr}`);
+        }
+    }
+
+    /** Writes a file into the deployment's own directory and returns its path. */
+    async writeFile(name: string, value: unknown): Promise<string> {
+        const file = path.join(this.directory, name);
+        await writeFile(file, JSON.stringify(value));
+        return file;
+    }
+
+    /** Sets the faults of a stand-in. */
+    async setFaults(address: string, rules: readonly object[]): Promise<void> {
+        await (await request(`http://${address}/faults`, { method: "PUT", body: JSON.stringify(rules) })).body.dump();
+    }
+
+    /** Replaces the platform's list of VMs. */
+    async setVms(vms: readonly FakeVm[]): Promise<void> {
+        await (await request(`http://${this.addresses.vmList}/vms`, { method: "PUT", body: JSON.stringify(vms) })).body
+            .dump();
+    }
+
+    /** Ends every process, and removes the deployment's files. */
+    async stop(): Promise<void> {
+        const processes = [...this.gateways, ...this.agents].map(entry => entry.process);
+        await Promise.all([...processes, this.fakes].map(async process => process?.kill()));
+        await rm(this.directory, { recursive: true, force: true });
+    }
+
+    private async startProgram(name: string, program: "agent" | "gateway" | "fakes", settings: object) {
+        const file = await this.writeFile(`${name}-${++this.count}.json`, settings);
+        return ManagedProcess.start(name, findScript(program), ["--settings", file]);
+    }
+}
+
+/** Runs a script to its end. */
+export async function runScript(
+    script: string,
+    args: readonly string[],
+): Promise<{ code: number; stdout: string; stderr: string; }> {
+    const { execFile } = await import("node:child_process");
+    return new Promise(resolve => {
+        execFile(process.execPath, [script, ...args], { maxBuffer: 64 * 1024 * 1024 }, (error, stdout, stderr) => {
+            resolve({ code: typeof error?.code === "number" ? error.code : error === null ? 0 : 1, stdout, stderr });
+        });
+    });
+}
--- /dev/null
+++ b/packages/membership/src/owners.ts
@@ -0,0 +1,27 @@
+import murmurhash from "murmurhash";
+
+/** Weight of `node` for `key`: the same on every node that computes it. */
+function readWeight(key: string, node: string): number {
+    return murmurhash.v3(`${node}|${key}`);
+}
+
+/** Ranks nodes for a key by rendezvous hashing, best first. Adding or removing a node moves only that node's keys. */
+export function rankNodes(key: string, nodes: readonly string[]): string[] {
+    const weighed = nodes.map(node => ({ node, weight: readWeight(key, node) }));
+    weighed.sort((left, right) => right.weight - left.weight || (left.node < right.node ? -1 : 1));
+    return weighed.map(({ node }) => node);
+}
+
+/** The first of {@link rankNodes}; undefined without nodes. */
+export function findOwner(key: string, nodes: readonly string[]): string | undefined {
+    let best: string | undefined;
+    let bestWeight = -1;
+    for (const node of nodes) {
+        const weight = readWeight(key, node);
+        if (weight > bestWeight || (weight === bestWeight && best !== undefined && node < best)) {
+            best = node;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/packages/offerings/src/schema.ts
@@ -0,0 +1,106 @@
+import { z } from "zod";
+
+const nameSchema = z.string().regex(
+    /^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/,
+    "expected a name of letters, digits, '.', '_' and '-'",
+);
+
+/** Whether a customer pays or tries. Paying requests never wait behind trial ones. */
+export const customerClassSchema = z.enum(["paying", "trial"]);
+
+/** See {@link customerClassSchema}. */
+export type CustomerClass = z.infer<typeof customerClassSchema>;
+
+/** One customer. */
+export const customerSchema = z.strictObject({
+    class: customerClassSchema,
+    /** SHA-256 digests of the API keys, in lower-case hexadecimal. */
+    keyDigests: z.array(
+        z.string().regex(/^[0-9a-f]{64}$/, "expected a SHA-256 digest: 64 lower-case hexadecimal digits"),
+    ).min(1),
+    /** Adapters it may use: names, or prefixes that end in `*`. */
+    adapters: z.array(z.string().min(1)).default([]),
+    /** Plain services it may call. */
+    services: z.array(nameSchema).default([]),
+    /** Share against other customers of its class. */
+    weight: z.number().positive().max(1000).default(1),
+});
+
+/** One adapter and the versions that are served. */
+export const adapterSchema = z.strictObject({
+    baseModel: nameSchema,
+    versions: z.array(nameSchema).min(1),
+});
+
+/** One call of a service that must not run twice. */
+export const nonIdempotentCallSchema = z.strictObject({
+    method: z.enum(["POST", "PUT", "PATCH", "DELETE"]),
+    /** Path below the service; a trailing `*` matches any rest. */
+    path: z.string().startsWith("/"),
+});
+
+/** One plain service. */
+export const serviceSchema = z.strictObject({
+    nonIdempotent: z.array(nonIdempotentCallSchema).default([]),
+    /** Longest silence of an upstream before the call is given up, in milliseconds. */
+    timeoutMs: z.number().int().positive().default(10_000),
+});
+
+/** How decisions weigh one thing against another. */
+export const policySchema = z.strictObject({
+    /** 1 weighs load stalls only, 0 weighs batch fullness only. */
+    stallWeight: z.number().min(0).max(1).default(0.7),
+    /** Share of an engine's batch room that trial requests may take while paying ones use the engine. */
+    trialBatchShare: z.number().min(0).max(1).default(0.3),
+    /** Share of an engine's slots that adapters wanted by trials alone may hold. */
+    trialSlotShare: z.number().min(0).max(1).default(0.25),
+    /** Loads a second that the weight store bears, over all data centres. */
+    storeLoadsPerSecond: z.number().positive().default(2),
+    /** Weights of the data centres' shares of that rate; one that is not listed weighs 1. */
+    storeShares: z.record(nameSchema, z.number().positive()).default({}),
+});
+
+/** Offerings as operators write them, in one file or several. */
+export const offeringsSchema = z.strictObject({
+    customers: z.record(nameSchema, customerSchema).default({}),
+    adapters: z.record(nameSchema, adapterSchema).default({}),
+    services: z.record(nameSchema, serviceSchema).default({}),
+    policy: policySchema.default(policySchema.parse({})),
+});
+
+/** See {@link customerSchema}. */
+export type Customer = z.infer<typeof customerSchema>;
+/** See {@link adapterSchema}. */
+export type Adapter = z.infer<typeof adapterSchema>;
+/** See {@link serviceSchema}. */
+export type Service = z.infer<typeof serviceSchema>;
+/** See {@link policySchema}. */
+export type Policy = z.infer<typeof policySchema>;
+/** See {@link offeringsSchema}. */
+export type Offerings = z.infer<typeof offeringsSchema>;
+
+/** One entry that a change sets. */
+export const entrySchema = z.discriminatedUnion("section", [
+    z.strictObject({ section: z.literal("customers"), name: nameSchema, value: customerSchema }),
+    z.strictObject({ section: z.literal("adapters"), name: nameSchema, value: adapterSchema }),
+    z.strictObject({ section: z.literal("services"), name: nameSchema, value: serviceSchema }),
+    z.strictObject({ section: z.literal("policy"), name: z.literal("policy"), value: policySchema }),
+]);
+
+/** See {@link entrySchema}. */
+export type Entry = z.infer<typeof entrySchema>;
+
+/** The place of an entry. */
+export const entryKeySchema = z.strictObject({
+    section: z.enum(["customers", "adapters", "services"]),
+    name: nameSchema,
+});
+
+/** See {@link entryKeySchema}. */
+export type EntryKey = z.infer<typeof entryKeySchema>;
+
+/** What an apply changes. */
+export const changeSchema = z.strictObject({ set: z.array(entrySchema), remove: z.array(entryKeySchema) });
+
+/** See {@link changeSchema}. */
+export type Change = z.infer<typeof changeSchema>;
--- /dev/null
+++ b/packages/offerings/src/state.ts
@@ -0,0 +1,218 @@
+import { timingSafeEqual } from "node:crypto";
+import { EntryDigest } from "./digest.js";
+import {
+    type Adapter,
+    type Change,
+    type Customer,
+    type Entry,
+    type EntryKey,
+    type Offerings,
+    type Policy,
+    policySchema,
+    type Service,
+} from "./schema.js";
+
+const defaultPolicy = policySchema.parse({});
+
+/** A customer with its name. */
+export interface NamedCustomer extends Customer {
+    readonly name: string;
+}
+
+/** The model that a request names: `adapter@version`. */
+export interface ModelName {
+    readonly adapter: string;
+    readonly version: string;
+}
+
+/** Parses `adapter@version`; undefined if it is not of that form. */
+export function parseModelName(model: string): ModelName | undefined {
+    const separator = model.indexOf("@");
+    if (separator <= 0 || separator === model.length - 1) {
+        return undefined;
+    }
+    return { adapter: model.slice(0, separator), version: model.slice(separator + 1) };
+}
+
+function isAllowed(patterns: readonly string[], name: string): boolean {
+    return patterns.some(pattern => pattern.endsWith("*") ? name.startsWith(pattern.slice(0, -1)) : pattern === name);
+}
+
+/** Offerings held in memory, changed entry by entry at the cost of the change alone. */
+export class OfferingsState {
+    private readonly customers = new Map<string, Customer>();
+    private readonly adapters = new Map<string, Adapter>();
+    private readonly services = new Map<string, Service>();
+    private readonly customerByKey = new Map<string, string>();
+    private entryDigest = new EntryDigest();
+    private currentPolicy: Policy | undefined;
+
+    get digest(): string {
+        return this.entryDigest.format();
+    }
+
+    get policy(): Policy {
+        return this.currentPolicy ?? defaultPolicy;
+    }
+
+    get size(): { customers: number; adapters: number; services: number; } {
+        return { customers: this.customers.size, adapters: this.adapters.size, services: this.services.size };
+    }
+
+    /** Digest that the state would have after `change`, at the cost of the change. */
+    readDigestAfter(change: Change): string {
+        const digest = new EntryDigest(this.digest);
+        for (const entry of this.listReplaced(change)) {
+            digest.mergeEntry(entry);
+        }
+        for (const entry of change.set) {
+            digest.mergeEntry(entry);
+        }
+        return digest.format();
+    }
+
+    /** Applies a change. The caller has checked it. */
+    applyChange(change: Change): void {
+        this.entryDigest = new EntryDigest(this.readDigestAfter(change));
+        for (const key of change.remove) {
+            this.removeEntry(key);
+        }
+        for (const entry of change.set) {
+            this.setEntry(entry);
+        }
+    }
+
+    /** The customer whose key has this SHA-256 digest (hexadecimal). */
+    findCustomer(keyDigest: string): NamedCustomer | undefined {
+        const name = this.customerByKey.get(keyDigest.slice(0, keyPrefixLength));
+        const customer = name === undefined ? undefined : this.customers.get(name);
+        if (name === undefined || customer === undefined) {
+            return undefined;
+        }
+        // The index is keyed by a prefix only; whole digests are compared in constant time.
+        const wanted = Buffer.from(keyDigest, "hex");
+        const matches = customer.keyDigests.some(digest => timingSafeEqual(Buffer.from(digest, "hex"), wanted));
+        return matches ? { ...customer, name } : undefined;
+    }
+
+    findAdapter(name: string): Adapter | undefined {
+        return this.adapters.get(name);
+    }
+
+    /** The base model of a served model; undefined if that adapter or version does not exist. */
+    findBaseModel(model: ModelName): string | undefined {
+        const adapter = this.adapters.get(model.adapter);
+        return adapter?.versions.includes(model.version) ? adapter.baseModel : undefined;
+    }
+
+    findService(name: string): Service | undefined {
+        return this.services.get(name);
+    }
+
+    /** Whether the customer may use the adapter. */
+    isAdapterAllowed(customer: Customer, adapter: string): boolean {
+        return isAllowed(customer.adapters, adapter);
+    }
+
+    /** Whether the customer may call the service. */
+    isServiceAllowed(customer: Customer, service: string): boolean {
+        return customer.services.includes(service);
+    }
+
+    /** Every model that the customer may use, as `adapter@version`. */
+    listModels(customer: Customer): string[] {
+        const models: string[] = [];
+        for (const [name, adapter] of this.adapters) {
+            if (isAllowed(customer.adapters, name)) {
+                models.push(...adapter.versions.map(version => `${name}@${version}`));
+            }
+        }
+        return models;
+    }
+
+    /** Every entry, for peers, snapshots and differences. */
+    *listEntries(): Generator<Entry> {
+        for (const [name, value] of this.customers) {
+            yield { section: "customers", name, value };
+        }
+        for (const [name, value] of this.adapters) {
+            yield { section: "adapters", name, value };
+        }
+        for (const [name, value] of this.services) {
+            yield { section: "services", name, value };
+        }
+        if (this.currentPolicy !== undefined) {
+            yield { section: "policy", name: "policy", value: this.currentPolicy };
+        }
+    }
+
+    /** The whole as operators would write it. */
+    readOfferings(): Offerings {
+        return {
+            customers: Object.fromEntries(this.customers),
+            adapters: Object.fromEntries(this.adapters),
+            services: Object.fromEntries(this.services),
+            policy: this.policy,
+        };
+    }
+
+    private findEntry(key: { section: Entry["section"]; name: string; }): Entry | undefined {
+        const { section, name } = key;
+        switch (section) {
+            case "customers": {
+                const value = this.customers.get(name);
+                return value && { section, name, value };
+            }
+            case "adapters": {
+                const value = this.adapters.get(name);
+                return value && { section, name, value };
+            }
+            case "services": {
+                const value = this.services.get(name);
+                return value && { section, name, value };
+            }
+            case "policy":
+                return this.currentPolicy && { section, name: "policy", value: this.currentPolicy };
+        }
+    }
+
+    private listReplaced(change: Change): Entry[] {
+        return [...change.remove, ...change.set].map(key => this.findEntry(key)).filter(entry => entry !== undefined);
+    }
+
+    private removeEntry(key: EntryKey): void {
+        if (key.section === "customers") {
+            this.removeKeys(key.name);
+        }
+        this[key.section].delete(key.name);
+    }
+
+    private setEntry(entry: Entry): void {
+        switch (entry.section) {
+            case "customers":
+                this.removeKeys(entry.name);
+                this.customers.set(entry.name, entry.value);
+                for (const digest of entry.value.keyDigests) {
+                    this.customerByKey.set(digest.slice(0, keyPrefixLength), entry.name);
+                }
+                return;
+            case "adapters":
+                this.adapters.set(entry.name, entry.value);
+                return;
+            case "services":
+                this.services.set(entry.name, entry.value);
+                return;
+            case "policy":
+                this.currentPolicy = entry.value;
+        }
+    }
+
+    private removeKeys(customer: string): void {
+        for (const digest of this.customers.get(customer)?.keyDigests ?? []) {
+            this.customerByKey.delete(digest.slice(0, keyPrefixLength));
+        }
+    }
+}
+
+/** Hexadecimal digits of a key's digest that the index is keyed by. */
+const keyPrefixLength = 32;
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,23 @@
+/** Pure decisions about slots, leases, loads and evictions. */
+export { createFence } from "./fence.js";
+export type { LeaseUse } from "./leases.js";
+export {
+    type EngineReport,
+    type GrantedEngine,
+    Owner,
+    type OwnerCommand,
+    type OwnerEvent,
+    type OwnerOptions,
+} from "./owner.js";
+export {
+    type LoadOutlook,
+    type PlacementExplanation,
+    Placer,
+    type PlacerCommand,
+    type PlacerEvent,
+    type PlacerOptions,
+} from "./placer.js";
+export { Popularity, type PopularityOptions } from "./popularity.js";
+export { WaitRank } from "./rank.js";
+export { StoreShare, type StoreShareOptions } from "./share.js";
+export type { EngineSummary, LoadOutcome, ModelDemand, SlotState, SlotSummary, Waiting } from "./types.js";
--- /dev/null
+++ b/packages/placement/src/owner.ts
@@ -0,0 +1,514 @@
+import { createFence } from "./fence.js";
+import { LeaseBook, type LeaseUse } from "./leases.js";
+import type { EngineSummary, LoadOutcome, SlotState } from "./types.js";
+
+/** Options of {@link Owner}. */
+export interface OwnerOptions {
+    /** Identity that fencing tokens are made from: different for every agent's every start. */
+    readonly identity: string;
+    /** Length of a lease, in milliseconds. @default 3000 */
+    readonly leaseMs?: number;
+    /** Greatest age of the running counts that engines report, in milliseconds. @default 1000 */
+    readonly reportLagMs?: number;
+}
+
+/** What an engine said of itself. */
+export interface EngineReport {
+    readonly instance: string;
+    readonly isLeaving: boolean;
+    readonly fence: number;
+    readonly slots: number;
+    readonly batchRoom: number;
+    readonly adapters: readonly { readonly model: string; readonly running: number; }[];
+    /** When the report was asked for. */
+    readonly askedAt: number;
+}
+
+/** What an owner hears. */
+export type OwnerEvent =
+    | { readonly type: "own"; readonly engineId: string; readonly address: string; }
+    | { readonly type: "disown"; readonly engineId: string; }
+    | { readonly type: "report"; readonly engineId: string; readonly report: EngineReport; }
+    | { readonly type: "claimed"; readonly engineId: string; readonly fence: number; }
+    | { readonly type: "fenced"; readonly engineId: string; }
+    | { readonly type: "leaving"; readonly engineId: string; }
+    | {
+        readonly type: "renew";
+        readonly gateway: string;
+        readonly grantVersion: number;
+        readonly uses: readonly LeaseUse[];
+        readonly unsure: readonly LeaseUse[];
+    }
+    | { readonly type: "order"; readonly action: "load" | "evict"; readonly engineId: string; readonly model: string; }
+    | { readonly type: "loadEnded"; readonly engineId: string; readonly model: string; readonly outcome: LoadOutcome; }
+    | { readonly type: "evictEnded"; readonly engineId: string; readonly model: string; readonly isDone: boolean; }
+    | { readonly type: "tick"; };
+
+/** What an owner wants done. */
+export type OwnerCommand =
+    | { readonly type: "claim"; readonly engineId: string; readonly address: string; readonly fence: number; }
+    | {
+        readonly type: "load" | "evict";
+        readonly engineId: string;
+        readonly address: string;
+        readonly model: string;
+        readonly fence: number;
+    }
+    /** Tell the placer that an order came to nothing. */
+    | { readonly type: "refuse"; readonly engineId: string; readonly model: string; }
+    /** What gateways are granted has changed. */
+    | { readonly type: "publish"; };
+
+/** One engine as it is leased to every gateway. */
+export interface GrantedEngine {
+    readonly id: string;
+    readonly address: string;
+    readonly instance: string;
+    readonly fence: number;
+    readonly batchRoom: number;
+    readonly isLeaving: boolean;
+    readonly inFlightPaying: number;
+    readonly inFlightTrial: number;
+    readonly models: string[];
+}
+
+interface Slot {
+    state: SlotState;
+    /** Requests that the engine reported, and when that report was asked for. */
+    running: number;
+    /** Version of the grant that no longer holds the model. */
+    revokedVersion: number;
+    /** Until a report asked for after this time shows nothing running, the model may be in use. */
+    doubtAt: number;
+    /** A report that was asked for before this time does not tell whether the model is there. */
+    readonly since: number;
+}
+
+interface OwnedEngine {
+    readonly id: string;
+    readonly address: string;
+    instance: string | undefined;
+    /** Own fencing token; undefined until the engine took it. */
+    fence: number | undefined;
+    /** Highest token that the engine has reported. */
+    seenFence: number;
+    claimingFence: number | undefined;
+    nextClaimAt: number;
+    slots: number;
+    batchRoom: number;
+    isLeaving: boolean;
+    reportAskedAt: number;
+    /** After a change of owner, gateways may hold leases that this owner never gave. */
+    noEvictionBefore: number;
+    readonly models: Map<string, Slot>;
+    /** When models were evicted; a report that was asked for before may still list them. */
+    readonly evictedAt: Map<string, number>;
+}
+
+const defaultLeaseMs = 3000;
+const defaultReportLagMs = 1000;
+
+/** Wait before an engine that went to another owner is claimed again, in milliseconds. */
+const claimBackoffMs = 1000;
+
+/**
+ * Owns engines: leases their loaded models to gateways, and evicts a model only when no request can be using it.
+ * Eviction has two phases. The model leaves the grant; then every gateway has either confirmed that grant with no
+ * request running, or its lease has lapsed and the engine itself reports nothing running. See docs/design/leases.md.
+ */
+export class Owner {
+    private readonly engines = new Map<string, OwnedEngine>();
+    private readonly leases: LeaseBook;
+    private readonly leaseMs: number;
+    private readonly reportLagMs: number;
+    private readonly identity: string;
+    private version = 1;
+
+    constructor(options: OwnerOptions) {
+        this.identity = options.identity;
+        this.leaseMs = options.leaseMs ?? defaultLeaseMs;
+        this.reportLagMs = options.reportLagMs ?? defaultReportLagMs;
+        this.leases = new LeaseBook(this.leaseMs);
+    }
+
+    /** Takes one event and returns what to do. */
+    decide(event: OwnerEvent, now: number): OwnerCommand[] {
+        const versionBefore = this.version;
+        const commands = this.receive(event, now);
+        this.expireLeases(now);
+        for (const engine of this.engines.values()) {
+            this.claim(engine, now, commands);
+            this.evictReleased(engine, now, commands);
+        }
+        if (this.version !== versionBefore) {
+            commands.push({ type: "publish" });
+        }
+        return commands;
+    }
+
+    /** Rises with every change of what is granted. */
+    get grantVersion(): number {
+        return this.version;
+    }
+
+    /** What every gateway is granted. */
+    listGranted(): GrantedEngine[] {
+        const granted: GrantedEngine[] = [];
+        for (const engine of this.engines.values()) {
+            if (engine.fence === undefined || engine.instance === undefined) {
+                continue;
+            }
+            const models = [...engine.models].filter(([, slot]) => slot.state === "loaded").map(([model]) => model);
+            const { id, address, instance, fence, batchRoom, isLeaving } = engine;
+            const inFlight = this.leases.readInFlight(id);
+            granted.push({
+                id,
+                address,
+                instance,
+                fence,
+                batchRoom,
+                isLeaving,
+                inFlightPaying: inFlight.paying,
+                inFlightTrial: inFlight.trial,
+                models,
+            });
+        }
+        return granted;
+    }
+
+    /** What the placer needs to know. */
+    listSummaries(): EngineSummary[] {
+        const summaries: EngineSummary[] = [];
+        for (const engine of this.engines.values()) {
+            if (engine.fence === undefined) {
+                continue;
+            }
+            const inFlight = this.leases.readInFlight(engine.id);
+            summaries.push({
+                id: engine.id,
+                slots: engine.slots,
+                batchRoom: engine.batchRoom,
+                isLeaving: engine.isLeaving,
+                inFlight: inFlight.paying + inFlight.trial,
+                models: [...engine.models].map(([model, slot]) => ({
+                    model,
+                    state: slot.state,
+                    inUse: this.leases.readUses(engine.id, model),
+                })),
+            });
+        }
+        return summaries;
+    }
+
+    listOwned(): string[] {
+        return [...this.engines.keys()];
+    }
+
+    private receive(event: OwnerEvent, now: number): OwnerCommand[] {
+        switch (event.type) {
+            case "own":
+                this.own(event.engineId, event.address);
+                return [];
+            case "disown":
+                this.disown(event.engineId);
+                return [];
+            case "report":
+                this.receiveReport(event.engineId, event.report, now);
+                return [];
+            case "claimed":
+                this.receiveClaimed(event.engineId, event.fence, now);
+                return [];
+            case "fenced":
+                this.receiveFenced(event.engineId, now);
+                return [];
+            case "leaving":
+                this.receiveLeaving(event.engineId);
+                return [];
+            case "renew":
+                this.leases.renew(event.gateway, event.grantVersion, event.uses, now);
+                this.receiveUnsure(event.unsure, now);
+                return [];
+            case "order":
+                return this.receiveOrder(event.action, event.engineId, event.model, now);
+            case "loadEnded":
+                this.receiveLoadEnded(event.engineId, event.model, event.outcome, now);
+                return [];
+            case "evictEnded":
+                this.receiveEvictEnded(event.engineId, event.model, event.isDone, now);
+                return [];
+            case "tick":
+                return [];
+        }
+    }
+
+    // Ownership.
+
+    private own(engineId: string, address: string): void {
+        const known = this.engines.get(engineId);
+        if (known?.address === address) {
+            return;
+        }
+        this.engines.set(engineId, {
+            id: engineId,
+            address,
+            instance: undefined,
+            fence: undefined,
+            seenFence: 0,
+            claimingFence: undefined,
+            nextClaimAt: 0,
+            slots: 0,
+            batchRoom: 0,
+            isLeaving: false,
+            reportAskedAt: -Infinity,
+            noEvictionBefore: Infinity,
+            models: new Map(),
+            evictedAt: new Map(),
+        });
+        this.version++;
+    }
+
+    private disown(engineId: string): void {
+        if (this.engines.delete(engineId)) {
+            this.version++;
+        }
+    }
+
+    private claim(engine: OwnedEngine, now: number, commands: OwnerCommand[]): void {
+        const isWanted = engine.fence === undefined && engine.claimingFence === undefined
+            && engine.instance !== undefined;
+        if (!isWanted || now < engine.nextClaimAt) {
+            return;
+        }
+        engine.claimingFence = createFence(engine.seenFence, this.identity);
+        engine.nextClaimAt = now + claimBackoffMs;
+        commands.push({ type: "claim", engineId: engine.id, address: engine.address, fence: engine.claimingFence });
+    }
+
+    private receiveClaimed(engineId: string, fence: number, now: number): void {
+        const engine = this.engines.get(engineId);
+        if (engine?.claimingFence !== fence) {
+            return;
+        }
+        engine.claimingFence = undefined;
+        engine.fence = fence;
+        // Leases of the owner before lapse by then; what runs under them shows in a report asked for after that.
+        engine.noEvictionBefore = now + this.leaseMs;
+        for (const slot of engine.models.values()) {
+            slot.doubtAt = Math.max(slot.doubtAt, engine.noEvictionBefore);
+        }
+        this.version++;
+    }
+
+    /** Another owner gave the engine a higher token. Nothing more is ordered or leased here until it is claimed again. */
+    private receiveFenced(engineId: string, now: number): void {
+        const engine = this.engines.get(engineId);
+        if (engine === undefined) {
+            return;
+        }
+        engine.fence = undefined;
+        engine.claimingFence = undefined;
+        engine.instance = undefined;
+        engine.nextClaimAt = now + claimBackoffMs;
+        engine.models.clear();
+        this.version++;
+    }
+
+    // What engines say.
+
+    private receiveReport(engineId: string, report: EngineReport, now: number): void {
+        const engine = this.engines.get(engineId);
+        if (engine === undefined || report.askedAt < engine.reportAskedAt) {
+            return;
+        }
+        engine.reportAskedAt = report.askedAt;
+        engine.seenFence = report.fence;
+        if (engine.instance !== report.instance) {
+            this.receiveNewInstance(engine, report);
+        }
+        if (engine.fence !== undefined && report.fence > engine.fence) {
+            // Engines that ignore tokens report them all the same: this is how an owner that was paused learns of it.
+            this.receiveFenced(engineId, now);
+            return;
+        }
+        const isLeaving = engine.isLeaving || report.isLeaving;
+        if (engine.isLeaving !== isLeaving || engine.batchRoom !== report.batchRoom) {
+            this.version++;
+        }
+        engine.isLeaving = isLeaving;
+        engine.slots = report.slots;
+        engine.batchRoom = report.batchRoom;
+        this.receiveAdapters(engine, report);
+    }
+
+    /** A process that has just started runs nothing, so that no doubt about the one before it remains. */
+    private receiveNewInstance(engine: OwnedEngine, report: EngineReport): void {
+        const isRestart = engine.instance !== undefined;
+        engine.instance = report.instance;
+        engine.isLeaving = report.isLeaving;
+        engine.models.clear();
+        engine.evictedAt.clear();
+        if (isRestart) {
+            engine.fence = undefined;
+            engine.claimingFence = undefined;
+            engine.nextClaimAt = 0;
+        }
+        this.version++;
+    }
+
+    private receiveAdapters(engine: OwnedEngine, report: EngineReport): void {
+        const reported = new Map(report.adapters.map(adapter => [adapter.model, adapter.running]));
+        for (const [model, slot] of engine.models) {
+            const running = reported.get(model);
+            slot.running = running ?? 0;
+            if (running === undefined && slot.state !== "loading" && report.askedAt >= slot.since) {
+                engine.models.delete(model);
+                this.version++;
+            }
+        }
+        for (const [model, running] of reported) {
+            const evictedAt = engine.evictedAt.get(model);
+            const isOutdated = evictedAt !== undefined && report.askedAt <= evictedAt;
+            if (!engine.models.has(model) && !isOutdated) {
+                const doubtAt = engine.noEvictionBefore;
+                engine.models.set(model, {
+                    state: "loaded",
+                    running,
+                    revokedVersion: 0,
+                    doubtAt,
+                    since: report.askedAt,
+                });
+                this.version++;
+            }
+        }
+        for (const [model, evictedAt] of engine.evictedAt) {
+            if (report.askedAt > evictedAt) {
+                engine.evictedAt.delete(model);
+            }
+        }
+    }
+
+    private receiveLeaving(engineId: string): void {
+        const engine = this.engines.get(engineId);
+        if (engine !== undefined && !engine.isLeaving) {
+            engine.isLeaving = true;
+            this.version++;
+        }
+    }
+
+    // Leases.
+
+    private receiveUnsure(unsure: readonly LeaseUse[], now: number): void {
+        for (const { engineId, model } of unsure) {
+            const slot = this.engines.get(engineId)?.models.get(model);
+            if (slot !== undefined) {
+                slot.doubtAt = Math.max(slot.doubtAt, now);
+            }
+        }
+    }
+
+    /** A gateway whose lease has lapsed may have begun requests that it never told of. */
+    private expireLeases(now: number): void {
+        if (this.leases.expire(now) === 0) {
+            return;
+        }
+        for (const engine of this.engines.values()) {
+            for (const slot of engine.models.values()) {
+                slot.doubtAt = Math.max(slot.doubtAt, now);
+            }
+        }
+    }
+
+    // Orders.
+
+    private receiveOrder(action: "load" | "evict", engineId: string, model: string, now: number): OwnerCommand[] {
+        const engine = this.engines.get(engineId);
+        if (engine?.fence === undefined) {
+            return [{ type: "refuse", engineId, model }];
+        }
+        return action === "load"
+            ? this.startLoad(engine, engine.fence, model, now)
+            : this.startRevocation(engine, model);
+    }
+
+    private startLoad(engine: OwnedEngine, fence: number, model: string, now: number): OwnerCommand[] {
+        const slot = engine.models.get(model);
+        if (slot?.state === "revoking") {
+            slot.state = "loaded";
+            this.version++;
+        }
+        if (slot !== undefined || engine.isLeaving || engine.models.size >= engine.slots) {
+            return [{ type: "refuse", engineId: engine.id, model }];
+        }
+        engine.models.set(model, { state: "loading", running: 0, revokedVersion: 0, doubtAt: -Infinity, since: now });
+        return [{ type: "load", engineId: engine.id, address: engine.address, model, fence }];
+    }
+
+    private startRevocation(engine: OwnedEngine, model: string): OwnerCommand[] {
+        const slot = engine.models.get(model);
+        if (slot?.state !== "loaded") {
+            return [];
+        }
+        slot.state = "revoking";
+        slot.revokedVersion = ++this.version;
+        return [];
+    }
+
+    private receiveLoadEnded(engineId: string, model: string, outcome: LoadOutcome, now: number): void {
+        const models = this.engines.get(engineId)?.models;
+        const slot = models?.get(model);
+        if (models === undefined || slot?.state !== "loading") {
+            return;
+        }
+        if (outcome === "loaded") {
+            models.set(model, { ...slot, state: "loaded", since: now });
+        }
+        else {
+            models.delete(model);
+        }
+        this.version++;
+    }
+
+    private evictReleased(engine: OwnedEngine, now: number, commands: OwnerCommand[]): void {
+        if (engine.fence === undefined || now < engine.noEvictionBefore) {
+            return;
+        }
+        for (const [model, slot] of engine.models) {
+            if (slot.state === "revoking" && this.isReleased(engine, model, slot)) {
+                slot.state = "evicting";
+                commands.push({
+                    type: "evict",
+                    engineId: engine.id,
+                    address: engine.address,
+                    model,
+                    fence: engine.fence,
+                });
+            }
+        }
+    }
+
+    private isReleased(engine: OwnedEngine, model: string, slot: Slot): boolean {
+        if (!this.leases.isReleased(engine.id, model, slot.revokedVersion)) {
+            return false;
+        }
+        if (slot.doubtAt === -Infinity) {
+            return true;
+        }
+        return engine.reportAskedAt >= slot.doubtAt + this.reportLagMs && slot.running === 0;
+    }
+
+    private receiveEvictEnded(engineId: string, model: string, isDone: boolean, now: number): void {
+        const engine = this.engines.get(engineId);
+        const slot = engine?.models.get(model);
+        if (engine === undefined || slot?.state !== "evicting") {
+            return;
+        }
+        if (isDone) {
+            engine.models.delete(model);
+            engine.evictedAt.set(model, now);
+            this.version++;
+            return;
+        }
+        // Whether the engine acted is open: the next report tells, and until then nobody is leased the model.
+        slot.state = "revoking";
+    }
+}
--- /dev/null
+++ b/packages/placement/src/placer.ts
@@ -0,0 +1,586 @@
+import TinyQueue from "tinyqueue";
+import { Popularity } from "./popularity.js";
+import { WaitRank } from "./rank.js";
+import type { EngineSummary, LoadOutcome, ModelDemand } from "./types.js";
+
+/** Options of {@link Placer}. */
+export interface PlacerOptions {
+    /** 1 weighs load stalls only, 0 weighs batch fullness only. @default 0.7 */
+    readonly stallWeight?: number;
+    /** Share of an engine's slots that adapters wanted by trials alone may hold. @default 0.25 */
+    readonly trialSlotShare?: number;
+    /** Time after which an arrival counts half, in milliseconds. @default 300000 */
+    readonly halfLifeMs?: number;
+    /** Loads a second that may be started now. @default no limit but one at a time */
+    readonly readRate?: (now: number) => number;
+    /** A load that does not end within this long is counted as failed, in milliseconds. @default 60000 */
+    readonly loadTimeoutMs?: number;
+}
+
+/** What a placer hears. */
+export type PlacerEvent =
+    | { readonly type: "engine"; readonly engine: EngineSummary; }
+    | { readonly type: "engineGone"; readonly engineId: string; }
+    | { readonly type: "demand"; readonly gateway: string; readonly changes: readonly ModelDemand[]; }
+    | { readonly type: "gatewayGone"; readonly gateway: string; }
+    | { readonly type: "loadEnded"; readonly engineId: string; readonly model: string; readonly outcome: LoadOutcome; }
+    | { readonly type: "tick"; };
+
+/** What a placer orders of an engine's owner. */
+export interface PlacerCommand {
+    readonly type: "load" | "evict";
+    readonly engineId: string;
+    readonly model: string;
+}
+
+/** How long a load that is asked for now would wait, in milliseconds. */
+export interface LoadOutlook {
+    readonly payingWaitMs: number;
+    readonly trialWaitMs: number;
+}
+
+/** Where a model is, and what its next load waits for. */
+export interface PlacementExplanation {
+    readonly engines: readonly { readonly engineId: string; readonly state: string; }[];
+    readonly payingWaiting: number;
+    readonly trialWaiting: number;
+    /** Arrivals, each counting half after the half-life. */
+    readonly decayedArrivals: number;
+    readonly isNext: boolean;
+    readonly isLoading: boolean;
+    /** Models that paying customers wait for. */
+    readonly modelsAhead: number;
+    readonly outlook: LoadOutlook;
+}
+
+interface GatewayWaiting {
+    payingCount: number;
+    payingStart: number;
+    trialCount: number;
+    trialStart: number;
+}
+
+interface ModelState {
+    readonly gateways: Map<string, GatewayWaiting>;
+    payingCount: number;
+    payingStart: number;
+    trialCount: number;
+    trialStart: number;
+    /** Engines that hold the model, in any state. */
+    readonly engines: Set<string>;
+    /** Whether a paying customer has asked for it since it was last forgotten. */
+    isPaying: boolean;
+}
+
+interface Order {
+    readonly engineId: string;
+    readonly model: string;
+    readonly at: number;
+}
+
+interface Backoff {
+    failures: number;
+    until: number;
+}
+
+/** First wait after a failed load, in milliseconds; it doubles with each failure. */
+const minBackoffMs = 500;
+const maxBackoffMs = 60_000;
+
+/** A replica relieves requests that would be served in the end, a first load relieves those that would not. */
+const replicaDiscount = 0.25;
+
+/** An eviction that its owner does not confirm is ordered again after this long, in milliseconds. */
+const evictTimeoutMs = 10_000;
+
+/** Weight of a new measurement in the mean load time. */
+const loadTimeGain = 0.2;
+
+/** Load time assumed before the first measurement, in milliseconds. */
+const firstLoadMs = 500;
+
+/** Engines may be filled up to this multiple of their batch room by placement. */
+const packBound = 1;
+
+/**
+ * Decides what one data centre loads and evicts. One load runs at a time, since the weight store is fastest so; which
+ * one is next is the total time waited that it relieves, paying customers strictly first.
+ * See docs/design/placement.md.
+ */
+export class Placer {
+    private readonly engines = new Map<string, EngineSummary>();
+    private readonly models = new Map<string, ModelState>();
+    private readonly popularity: Popularity;
+    private readonly payingRank = new WaitRank();
+    private readonly trialRank = new WaitRank();
+    /** Models that are waited for although they are loaded, since no engine that holds them has room. */
+    private readonly replicaRank = new WaitRank();
+    private readonly hot = new TinyQueue<{ model: string; score: number; }>(
+        [],
+        (left, right) => right.score - left.score,
+    );
+    private readonly backoffs = new Map<string, Backoff>();
+    private readonly evictions = new Map<string, Order>();
+    private load: Order | undefined;
+    private nextLoadAt = 0;
+    private meanLoadMs = firstLoadMs;
+
+    constructor(private options: PlacerOptions = {}) {
+        this.popularity = new Popularity({ halfLifeMs: options.halfLifeMs });
+    }
+
+    /** Takes new offerings. */
+    setOptions(options: PlacerOptions): void {
+        this.options = { ...options, halfLifeMs: this.options.halfLifeMs };
+    }
+
+    /** Takes one event and returns what to order. */
+    decide(event: PlacerEvent, now: number): PlacerCommand[] {
+        this.receive(event, now);
+        return this.plan(now);
+    }
+
+    /** Whether anybody waits for a load here. */
+    get isWanting(): boolean {
+        return this.load !== undefined || this.payingRank.size > 0 || this.trialRank.size > 0;
+    }
+
+    /** What is known of a model, for operators. */
+    explain(model: string, now: number): PlacementExplanation {
+        const state = this.models.get(model);
+        return {
+            engines: [...state?.engines ?? []].map(engineId => ({
+                engineId,
+                state: this.engines.get(engineId)?.models.find(slot => slot.model === model)?.state ?? "loading",
+            })),
+            payingWaiting: state?.payingCount ?? 0,
+            trialWaiting: state?.trialCount ?? 0,
+            decayedArrivals: this.popularity.readCount(model, now),
+            isNext: this.findWanted(now)?.model === model,
+            isLoading: this.load?.model === model,
+            modelsAhead: this.payingRank.size,
+            outlook: this.readOutlook(now),
+        };
+    }
+
+    /** What gateways need to know to refuse at once what cannot be loaded in time. */
+    readOutlook(now: number): LoadOutlook {
+        const rate = this.options.readRate?.(now) ?? Infinity;
+        const perLoadMs = Math.max(this.meanLoadMs, 1000 / rate);
+        const running = this.load === undefined ? 0 : 1;
+        return {
+            payingWaitMs: (running + this.payingRank.size) * perLoadMs,
+            trialWaitMs: (running + this.payingRank.size + this.trialRank.size) * perLoadMs,
+        };
+    }
+
+    private receive(event: PlacerEvent, now: number): void {
+        switch (event.type) {
+            case "engine":
+                this.receiveEngine(event.engine);
+                return;
+            case "engineGone":
+                this.removeEngine(event.engineId);
+                return;
+            case "demand":
+                for (const change of event.changes) {
+                    this.receiveDemand(event.gateway, change, now);
+                }
+                return;
+            case "gatewayGone":
+                this.removeGateway(event.gateway);
+                return;
+            case "loadEnded":
+                this.receiveLoadEnd(event.engineId, event.model, event.outcome, now);
+                return;
+            case "tick":
+                this.expire(now);
+        }
+    }
+
+    // What is known of engines.
+
+    private receiveEngine(summary: EngineSummary): void {
+        // What a leaving engine holds is as good as not loaded: it gets nothing new.
+        const engine = summary.isLeaving ? { ...summary, models: [] } : summary;
+        const before = this.engines.get(engine.id);
+        const present = new Set(engine.models.map(slot => slot.model));
+        for (const { model } of before?.models ?? []) {
+            if (!present.has(model)) {
+                this.evictions.delete(formatPlace(engine.id, model));
+                this.removePlace(engine.id, model);
+            }
+        }
+        this.engines.set(engine.id, engine);
+        for (const { model } of engine.models) {
+            const state = this.findModel(model);
+            if (!state.engines.has(engine.id)) {
+                state.engines.add(engine.id);
+                this.updateRanks(model, state);
+            }
+        }
+    }
+
+    private removeEngine(engineId: string): void {
+        for (const { model } of this.engines.get(engineId)?.models ?? []) {
+            this.evictions.delete(formatPlace(engineId, model));
+            this.removePlace(engineId, model);
+        }
+        this.engines.delete(engineId);
+        if (this.load?.engineId === engineId) {
+            this.load = undefined;
+        }
+    }
+
+    private removePlace(engineId: string, model: string): void {
+        const state = this.models.get(model);
+        if (state === undefined) {
+            return;
+        }
+        state.engines.delete(engineId);
+        this.updateRanks(model, state);
+        this.hot.push({ model, score: this.popularity.readScore(model) });
+        this.removeIfUnused(model, state);
+    }
+
+    // What gateways want.
+
+    private receiveDemand(gateway: string, change: ModelDemand, now: number): void {
+        const { model, paying, trial } = change;
+        const state = this.findModel(model);
+        this.subtractGateway(state, gateway);
+        if (paying.count > 0 || trial.count > 0) {
+            const waiting: GatewayWaiting = {
+                payingCount: paying.count,
+                payingStart: paying.count * now - paying.ageMs,
+                trialCount: trial.count,
+                trialStart: trial.count * now - trial.ageMs,
+            };
+            state.gateways.set(gateway, waiting);
+            this.addWaiting(state, waiting, 1);
+        }
+        state.isPaying ||= change.payingArrivals > 0;
+        const arrivals = change.payingArrivals + change.trialArrivals;
+        if (arrivals > 0) {
+            const score = this.popularity.recordArrivals(model, arrivals, now);
+            if (state.engines.size === 0) {
+                this.hot.push({ model, score });
+            }
+        }
+        this.updateRanks(model, state);
+        this.removeIfUnused(model, state);
+    }
+
+    private removeGateway(gateway: string): void {
+        for (const [model, state] of this.models) {
+            if (state.gateways.has(gateway)) {
+                this.subtractGateway(state, gateway);
+                this.updateRanks(model, state);
+                this.removeIfUnused(model, state);
+            }
+        }
+    }
+
+    private subtractGateway(state: ModelState, gateway: string): void {
+        const waiting = state.gateways.get(gateway);
+        if (waiting !== undefined) {
+            this.addWaiting(state, waiting, -1);
+            state.gateways.delete(gateway);
+        }
+    }
+
+    private addWaiting(state: ModelState, waiting: GatewayWaiting, sign: 1 | -1): void {
+        state.payingCount += sign * waiting.payingCount;
+        state.payingStart += sign * waiting.payingStart;
+        state.trialCount += sign * waiting.trialCount;
+        state.trialStart += sign * waiting.trialStart;
+    }
+
+    private updateRanks(model: string, state: ModelState): void {
+        const isPlaced = state.engines.size > 0;
+        this.payingRank.setWaiting(model, isPlaced ? 0 : state.payingCount, state.payingStart);
+        this.trialRank.setWaiting(model, isPlaced ? 0 : state.trialCount, state.trialStart);
+        this.replicaRank.setWaiting(model, isPlaced ? state.payingCount : 0, state.payingStart);
+    }
+
+    private findModel(model: string): ModelState {
+        const known = this.models.get(model);
+        if (known !== undefined) {
+            return known;
+        }
+        const state: ModelState = {
+            gateways: new Map(),
+            payingCount: 0,
+            payingStart: 0,
+            trialCount: 0,
+            trialStart: 0,
+            engines: new Set(),
+            isPaying: false,
+        };
+        this.models.set(model, state);
+        return state;
+    }
+
+    /** Memory is bounded by what is loaded or waited for; popularity alone is kept longer, and more compactly. */
+    private removeIfUnused(model: string, state: ModelState): void {
+        if (state.engines.size === 0 && state.gateways.size === 0) {
+            this.models.delete(model);
+        }
+    }
+
+    // Loads.
+
+    private receiveLoadEnd(engineId: string, model: string, outcome: LoadOutcome, now: number): void {
+        const place = formatPlace(engineId, model);
+        if (outcome === "loaded") {
+            this.backoffs.delete(place);
+        }
+        else {
+            const failures = (this.backoffs.get(place)?.failures ?? 0) + 1;
+            this.backoffs.set(place, {
+                failures,
+                until: now + Math.min(minBackoffMs * 2 ** (failures - 1), maxBackoffMs),
+            });
+        }
+        if (this.load?.engineId !== engineId || this.load.model !== model) {
+            return;
+        }
+        if (outcome === "loaded") {
+            this.meanLoadMs += loadTimeGain * (now - this.load.at - this.meanLoadMs);
+        }
+        this.load = undefined;
+    }
+
+    private expire(now: number): void {
+        if (this.load !== undefined && now - this.load.at > (this.options.loadTimeoutMs ?? 60_000)) {
+            this.receiveLoadEnd(this.load.engineId, this.load.model, "failed", now);
+        }
+        for (const [place, order] of this.evictions) {
+            if (now - order.at > evictTimeoutMs) {
+                this.evictions.delete(place);
+            }
+        }
+        for (const [place, backoff] of this.backoffs) {
+            if (now - backoff.until > maxBackoffMs) {
+                this.backoffs.delete(place);
+            }
+        }
+    }
+
+    private plan(now: number): PlacerCommand[] {
+        const commands: PlacerCommand[] = [];
+        const isBusy = this.load !== undefined || now < this.nextLoadAt;
+        const wanted = this.findWanted(now);
+        if (wanted === undefined) {
+            return commands;
+        }
+        const free = this.findFreeEngine(wanted, now);
+        if (!isBusy && free !== undefined) {
+            commands.push(this.startLoad(wanted.model, free, now));
+            // While that load runs, a slot is made free for the next one.
+            const next = this.findWanted(now);
+            const isNextStuck = next !== undefined && next.mayEvict && this.findFreeEngine(next, now) === undefined;
+            return isNextStuck ? commands.concat(this.startEviction(next, now)) : commands;
+        }
+        if (free === undefined && wanted.mayEvict) {
+            commands.push(...this.startEviction(wanted, now));
+        }
+        return commands;
+    }
+
+    /** The load that is worth most now. */
+    private findWanted(now: number): Wanted | undefined {
+        const isEligible = (model: string): boolean => this.load?.model !== model && this.hasPlace(model, now);
+        const paying = this.payingRank.findBest(now, isEligible);
+        const replica = this.replicaRank.findBest(now, model => this.isReplicaWanted(model) && isEligible(model));
+        if (paying !== undefined || replica !== undefined) {
+            const payingTotal = paying === undefined ? -1 : this.payingRank.readTotal(paying, now);
+            const replicaTotal = replica === undefined
+                ? -1
+                : replicaDiscount * this.replicaRank.readTotal(replica, now);
+            const model = payingTotal >= replicaTotal ? paying! : replica!;
+            return { model, isTrial: false, mayEvict: true };
+        }
+        const trial = this.trialRank.findBest(now, isEligible);
+        if (trial !== undefined) {
+            return { model: trial, isTrial: true, mayEvict: true };
+        }
+        const prefetch = this.findPrefetch(now);
+        return prefetch === undefined ? undefined : { model: prefetch, isTrial: false, mayEvict: false };
+    }
+
+    /** Whether some engine could take the model: not leaving, not holding it, and not backed off. */
+    private hasPlace(model: string, now: number): boolean {
+        for (const engine of this.engines.values()) {
+            if (this.isCandidate(engine, model, now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private isCandidate(engine: EngineSummary, model: string, now: number): boolean {
+        if (engine.isLeaving || this.models.get(model)?.engines.has(engine.id)) {
+            return false;
+        }
+        return this.backoffs.size === 0 || now >= (this.backoffs.get(formatPlace(engine.id, model))?.until ?? 0);
+    }
+
+    /** A replica is wanted where every engine that holds the model is full, and none is about to hold it. */
+    private isReplicaWanted(model: string): boolean {
+        for (const engineId of this.models.get(model)?.engines ?? []) {
+            const engine = this.engines.get(engineId);
+            const slot = engine?.models.find(entry => entry.model === model);
+            const isFull = engine !== undefined && engine.inFlight >= engine.batchRoom;
+            if (slot?.state !== "loaded" || !isFull) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** A popular model that is not loaded; loaded into free slots only, while nobody waits. */
+    private findPrefetch(now: number): string | undefined {
+        if (this.load !== undefined) {
+            return undefined;
+        }
+        while (this.hot.length > 0) {
+            const { model, score } = this.hot.peek()!;
+            const isStale = this.popularity.readScore(model) !== score
+                || (this.models.get(model)?.engines.size ?? 0) > 0;
+            if (!isStale && this.popularity.readCount(model, now) >= 1) {
+                return this.hasPlace(model, now) ? model : undefined;
+            }
+            this.hot.pop();
+        }
+        return undefined;
+    }
+
+    private readFreeSlots(engine: EngineSummary): number {
+        const isLoadPending = this.load?.engineId === engine.id
+            && !engine.models.some(slot => slot.model === this.load?.model);
+        return engine.slots - engine.models.length - (isLoadPending ? 1 : 0);
+    }
+
+    private findFreeEngine(wanted: Wanted, now: number): EngineSummary | undefined {
+        let best: EngineSummary | undefined;
+        let bestCost = Infinity;
+        for (const engine of this.engines.values()) {
+            if (this.readFreeSlots(engine) <= 0 || !this.isCandidate(engine, wanted.model, now)) {
+                continue;
+            }
+            const cost = this.readPackCost(engine);
+            if (cost < bestCost) {
+                best = engine;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    /** 0 for the engine that placement would rather fill; full ones come last whatever the weights. */
+    private readPackCost(engine: EngineSummary): number {
+        const fullness = engine.inFlight / engine.batchRoom;
+        if (fullness >= packBound) {
+            return 2 + fullness;
+        }
+        const stallWeight = this.options.stallWeight ?? 0.7;
+        return stallWeight * fullness + (1 - stallWeight) * (1 - fullness);
+    }
+
+    private startLoad(model: string, engine: EngineSummary, now: number): PlacerCommand {
+        this.load = { engineId: engine.id, model, at: now };
+        const rate = this.options.readRate?.(now) ?? Infinity;
+        this.nextLoadAt = now + 1000 / rate;
+        return { type: "load", engineId: engine.id, model };
+    }
+
+    // Evictions.
+
+    private startEviction(wanted: Wanted, now: number): PlacerCommand[] {
+        if (this.hasEvictionUnderWay()) {
+            return [];
+        }
+        const victim = this.findVictim(wanted, now);
+        if (victim === undefined) {
+            return [];
+        }
+        this.evictions.set(formatPlace(victim.engineId, victim.model), victim);
+        return [{ type: "evict", engineId: victim.engineId, model: victim.model }];
+    }
+
+    /** One slot at a time is made free; an owner that is slow to do so is asked for another one after a while. */
+    private hasEvictionUnderWay(): boolean {
+        return this.evictions.size > 0;
+    }
+
+    private findVictim(wanted: Wanted, now: number): Order | undefined {
+        let best: Order | undefined;
+        let bestCost = Infinity;
+        for (const engine of this.engines.values()) {
+            if (!this.isCandidate(engine, wanted.model, now)) {
+                continue;
+            }
+            for (const slot of engine.models) {
+                if (slot.state !== "loaded") {
+                    continue;
+                }
+                const cost = this.readEvictCost(slot.model, slot.inUse, now) + this.readPackBias(engine);
+                if (cost < bestCost && this.isWorthEvicting(wanted, slot.model)) {
+                    bestCost = cost;
+                    best = { engineId: engine.id, model: slot.model, at: now };
+                }
+            }
+        }
+        return best;
+    }
+
+    /** Expected stalls a second that an eviction causes. What is in use costs the wait for its end besides. */
+    private readEvictCost(model: string, inUse: number, now: number): number {
+        const copies = this.models.get(model)?.engines.size ?? 1;
+        const waiting = this.models.get(model)?.payingCount ?? 0;
+        const rate = this.popularity.readRate(model, now) / copies;
+        return rate + (inUse > 0 ? inUseCost : 0) + waiting * inUseCost;
+    }
+
+    private readPackBias(engine: EngineSummary): number {
+        const stallWeight = this.options.stallWeight ?? 0.7;
+        return (1 - stallWeight) * packBiasRate * this.readPackCost(engine);
+    }
+
+    /** A trial's adapter pushes out another trial's adapter, or what nobody paying has asked for. */
+    private isWorthEvicting(wanted: Wanted, victim: string): boolean {
+        if (!wanted.isTrial) {
+            return true;
+        }
+        return this.models.get(victim)?.isPaying !== true
+            || this.readTrialSlotShare() < (this.options.trialSlotShare ?? 0.25);
+    }
+
+    private readTrialSlotShare(): number {
+        let slots = 0;
+        let trial = 0;
+        for (const engine of this.engines.values()) {
+            slots += engine.slots;
+            trial += engine.models.filter(slot => this.models.get(slot.model)?.isPaying !== true).length;
+        }
+        return slots === 0 ? 1 : trial / slots;
+    }
+}
+
+/** Cost, in requests a second, that makes any idle model a better victim than one in use. */
+const inUseCost = 1e6;
+
+/** Requests a second of a victim's rate that packing may outweigh. */
+const packBiasRate = 0.01;
+
+interface Wanted {
+    readonly model: string;
+    readonly isTrial: boolean;
+    /** Whether a slot may be made free for it. */
+    readonly mayEvict: boolean;
+}
+
+function formatPlace(engineId: string, model: string): string {
+    return `${engineId} ${model}`;
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,13 @@
+/** Typed messages between gateways and agents. */
+export {
+    type EngineGrant,
+    type EngineSummary,
+    type Message,
+    type MessageOf,
+    messageSchema,
+    type ModelDemand,
+    type OutgoingMessage,
+    type ServiceUpstream,
+    type Use,
+} from "./messages.js";
+export { OfferingsSync } from "./sync.js";
--- /dev/null
+++ b/packages/upstreams/src/index.ts
@@ -0,0 +1,36 @@
+/** Clients of engines and plain services, and the verdict of each exchange. */
+export {
+    type Call,
+    type CallEnd,
+    type CallOptions,
+    type CallReceiver,
+    HttpServiceClient,
+    type ServiceClient,
+} from "./call.js";
+export {
+    type Completion,
+    type CompletionEnd,
+    type CompletionOptions,
+    type CompletionReceiver,
+    type EngineClient,
+    HttpEngineClient,
+    notRunHeader,
+} from "./completion.js";
+export {
+    createBreakVerdict,
+    type Exchange,
+    type ExchangeEnd,
+    type ExchangePhase,
+    UpstreamConnections,
+    type UpstreamConnectionsOptions,
+} from "./exchange.js";
+export {
+    type EngineStatus,
+    HttpOrderClient,
+    type OrderClient,
+    type OrderClientOptions,
+    type OrderError,
+    type OrderGuard,
+    type ServiceStatus,
+} from "./orders.js";
+export { StreamChecker, type StreamStep } from "./stream.js";
--- /dev/null
+++ b/packages/wire/src/client.ts
@@ -0,0 +1,73 @@
+import { connect } from "node:net";
+import type { z } from "zod";
+import { Link, type LinkEvents } from "./link.js";
+import type { CloseReason, LinkLimits, NodeIdentity } from "./types.js";
+
+/** Shortest and longest wait before another try to connect, in milliseconds. */
+const minBackoffMs = 50;
+const maxBackoffMs = 2000;
+
+/** Options of {@link LinkClient}. */
+export interface LinkClientOptions<Message, Outgoing = Message> {
+    /** `host:port` of the peer. */
+    readonly address: string;
+    readonly self: () => NodeIdentity;
+    readonly secret: string;
+    readonly schema: z.ZodType<Message, Outgoing>;
+    readonly limits: LinkLimits;
+    readonly events: LinkEvents<Message, Outgoing>;
+}
+
+/** Keeps one link to an address, and opens it anew whenever it ends. At most one attempt is under way. */
+export class LinkClient<Message, Outgoing = Message> {
+    private link: Link<Message, Outgoing> | undefined;
+    private retryTimer: NodeJS.Timeout | undefined;
+    private backoffMs = minBackoffMs;
+    private isStopped = false;
+
+    constructor(private readonly options: LinkClientOptions<Message, Outgoing>) {}
+
+    start(): void {
+        this.open();
+    }
+
+    /** Ends the link for good. */
+    stop(): void {
+        this.isStopped = true;
+        clearTimeout(this.retryTimer);
+        this.link?.close("asked");
+    }
+
+    private open(): void {
+        const { address, events, limits } = this.options;
+        const separator = address.lastIndexOf(":");
+        const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
+        this.link = new Link<Message, Outgoing>({
+            ...this.options,
+            socket,
+            self: this.options.self(),
+            limits,
+            events: {
+                onBytes: (direction, count) => events.onBytes?.(direction, count),
+                onMessage: (link, message) => events.onMessage(link, message),
+                onOpen: link => {
+                    this.backoffMs = minBackoffMs;
+                    events.onOpen(link);
+                },
+                onClose: (link, reason) => this.receiveClose(link, reason),
+            },
+        });
+    }
+
+    private receiveClose(link: Link<Message, Outgoing>, reason: CloseReason): void {
+        this.options.events.onClose(link, reason);
+        if (this.isStopped) {
+            return;
+        }
+        // Jitter keeps peers that lost the same VM from coming back in step.
+        const waitMs = this.backoffMs * (0.5 + Math.random() / 2);
+        this.backoffMs = Math.min(this.backoffMs * 2, maxBackoffMs);
+        this.retryTimer = setTimeout(() => this.open(), waitMs);
+        this.retryTimer.unref();
+    }
+}
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,14 @@
+/** Authenticated, schema-checked, size-bounded cbor-x frames over TCP. */
+export { LinkClient, type LinkClientOptions } from "./client.js";
+export { encodeFrame, frameHeaderBytes, FrameReader } from "./frame.js";
+export { checkProof, createHello, createProof, type Hello } from "./greeting.js";
+export { Link, type LinkEvents, type LinkOptions } from "./link.js";
+export { LinkServer, type LinkServerOptions } from "./server.js";
+export {
+    type CloseReason,
+    type LinkLimits,
+    type NodeIdentity,
+    nodeIdentitySchema,
+    protocolVersion,
+    resolveLinkLimits,
+} from "./types.js";
--- /dev/null
+++ b/packages/wire/src/server.ts
@@ -0,0 +1,61 @@
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import type { z } from "zod";
+import { Link, type LinkEvents } from "./link.js";
+import type { LinkLimits, NodeIdentity } from "./types.js";
+
+/** Options of {@link LinkServer}. */
+export interface LinkServerOptions<Message, Outgoing = Message> {
+    readonly host: string;
+    /** 0 lets the system choose. */
+    readonly port: number;
+    readonly self: () => NodeIdentity;
+    readonly secret: string;
+    readonly schema: z.ZodType<Message, Outgoing>;
+    readonly limits: LinkLimits;
+    readonly events: LinkEvents<Message, Outgoing>;
+}
+
+/** Accepts links from peers. */
+export class LinkServer<Message, Outgoing = Message> {
+    private readonly server: Server;
+    private readonly links = new Set<Link<Message, Outgoing>>();
+
+    constructor(private readonly options: LinkServerOptions<Message, Outgoing>) {
+        this.server = createServer(socket => this.receiveSocket(socket));
+    }
+
+    /** Starts to listen and returns the port. */
+    async start(): Promise<number> {
+        await new Promise<void>(resolve => this.server.listen(this.options.port, this.options.host, resolve));
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Closes the listener and every link. */
+    stop(): void {
+        this.server.close();
+        for (const link of [...this.links]) {
+            link.close("asked");
+        }
+    }
+
+    private receiveSocket(socket: Socket): void {
+        const { events, secret, schema, limits } = this.options;
+        const link = new Link<Message, Outgoing>({
+            socket,
+            self: this.options.self(),
+            secret,
+            schema,
+            limits,
+            events: {
+                ...events,
+                onOpen: opened => events.onOpen(opened),
+                onMessage: (sender, message) => events.onMessage(sender, message),
+                onClose: (closed, reason) => {
+                    this.links.delete(closed);
+                    events.onClose(closed, reason);
+                },
+            },
+        });
+        this.links.add(link);
+    }
+}
--- /dev/null
+++ b/packages/wire/test/link.test.ts
@@ -0,0 +1,229 @@
+import { Encoder } from "cbor-x";
+import { once } from "node:events";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { z } from "zod";
+import {
+    type CloseReason,
+    encodeFrame,
+    type Link,
+    LinkClient,
+    LinkServer,
+    type NodeIdentity,
+    resolveLinkLimits,
+} from "../src/index.js";
+
+const schema = z.strictObject({ type: z.literal("word"), text: z.string() });
+type Word = z.infer<typeof schema>;
+
+function createIdentity(id: string): NodeIdentity {
+    return { id, role: "agent", dataCentre: "depot", incarnation: 1, address: "127.0.0.1:1" };
+}
+
+interface Opened {
+    readonly messages: Word[];
+    readonly reasons: CloseReason[];
+    waitForMessage(): Promise<Word>;
+    waitForClose(): Promise<CloseReason>;
+    waitForOpen(): Promise<Link<Word>>;
+}
+
+/** Records what a side sees, and lets tests wait for it. */
+function createRecorder() {
+    const messages: Word[] = [];
+    const reasons: CloseReason[] = [];
+    const waiting: {
+        message: ((word: Word) => void)[];
+        close: ((reason: CloseReason) => void)[];
+        open: ((link: Link<Word>) => void)[];
+    } = {
+        message: [],
+        close: [],
+        open: [],
+    };
+    let opened: Link<Word> | undefined;
+    const events = {
+        onOpen: (link: Link<Word>) => {
+            opened = link;
+            waiting.open.splice(0).forEach(resolve => resolve(link));
+        },
+        onMessage: (_link: Link<Word>, word: Word) => {
+            messages.push(word);
+            waiting.message.splice(0).forEach(resolve => resolve(word));
+        },
+        onClose: (_link: Link<Word>, reason: CloseReason) => {
+            reasons.push(reason);
+            waiting.close.splice(0).forEach(resolve => resolve(reason));
+        },
+    };
+    const recorder: Opened = {
+        messages,
+        reasons,
+        waitForMessage: () =>
+            new Promise(resolve => messages[0] === undefined ? waiting.message.push(resolve) : resolve(messages[0])),
+        waitForClose: () =>
+            new Promise(resolve => reasons[0] === undefined ? waiting.close.push(resolve) : resolve(reasons[0])),
+        waitForOpen: () => new Promise(resolve => opened === undefined ? waiting.open.push(resolve) : resolve(opened)),
+    };
+    return { events, recorder };
+}
+
+async function startServer(secret = "secret", limits = {}) {
+    const { events, recorder } = createRecorder();
+    const server = new LinkServer<Word>({
+        host: "127.0.0.1",
+        port: 0,
+        self: () => createIdentity("server"),
+        secret,
+        schema,
+        limits: resolveLinkLimits(limits),
+        events,
+    });
+    const port = await server.start();
+    return { server, recorder, port };
+}
+
+function startClient(port: number, secret = "secret", limits = {}) {
+    const { events, recorder } = createRecorder();
+    const client = new LinkClient<Word>({
+        address: `127.0.0.1:${port}`,
+        self: () => createIdentity("client"),
+        secret,
+        schema,
+        limits: resolveLinkLimits(limits),
+        events,
+    });
+    client.start();
+    return { client, recorder };
+}
+
+test("two processes that share a secret exchange messages", async () => {
+    const { server, recorder, port } = await startServer();
+    const { client, recorder: clientRecorder } = startClient(port);
+    const link = await clientRecorder.waitForOpen();
+    assert.is(link.peer.id, "server");
+    link.send({ type: "word", text: "hello" });
+    assert.equal(await recorder.waitForMessage(), { type: "word", text: "hello" });
+    client.stop();
+    server.stop();
+});
+
+test("a process with another secret is refused", async () => {
+    const { server, recorder, port } = await startServer("one");
+    const { client, recorder: clientRecorder } = startClient(port, "another");
+    const reasons = await Promise.race([recorder.waitForClose(), clientRecorder.waitForClose()]);
+    assert.is(reasons, "notAuthenticated");
+    assert.equal(recorder.messages, []);
+    client.stop();
+    server.stop();
+});
+
+/** Bytes that a peer must not send, and what the link is closed with. */
+const badBytes: readonly { name: string; bytes: Buffer; reason: CloseReason; }[] = [
+    { name: "an oversized frame", bytes: Buffer.from([0x7f, 0xff, 0xff, 0xff]), reason: "oversizedFrame" },
+    { name: "a frame that is no CBOR", bytes: Buffer.from([0, 0, 0, 3, 0xff, 0xff, 0xff]), reason: "malformedFrame" },
+    { name: "a frame that is no hello", bytes: encodeFrame({ type: "word", text: "hello" }), reason: "malformedFrame" },
+    {
+        name: "a hello of another version",
+        bytes: encodeFrame({ type: "hello", version: 99, nonce: Buffer.alloc(16), node: createIdentity("old") }),
+        reason: "wrongVersion",
+    },
+];
+
+for (const { name, bytes, reason } of badBytes) {
+    test(`${name} closes that connection and no other`, async () => {
+        const { server, recorder, port } = await startServer();
+        const socket = connect(port, "127.0.0.1");
+        socket.on("error", () => {});
+        socket.write(bytes);
+        assert.is(await recorder.waitForClose(), reason);
+        const { client, recorder: clientRecorder } = startClient(port);
+        await clientRecorder.waitForOpen();
+        socket.destroy();
+        client.stop();
+        server.stop();
+    });
+}
+
+test("an unknown message on an open link closes it", async () => {
+    const { server, recorder, port } = await startServer();
+    const { client, recorder: clientRecorder } = startClient(port);
+    const link = await clientRecorder.waitForOpen();
+    await recorder.waitForOpen();
+    link.send({ type: "other", text: "" } as unknown as Word);
+    assert.is(await recorder.waitForClose(), "unknownMessage");
+    client.stop();
+    server.stop();
+});
+
+test("a frame cut at every byte arrives whole", async () => {
+    const { FrameReader } = await import("../src/index.js");
+    const message = { type: "word", text: "cut me" };
+    const frame = encodeFrame(message);
+    for (let cut = 0; cut <= frame.length; cut++) {
+        const reader = new FrameReader(1000);
+        const parts = [frame.subarray(0, cut), frame.subarray(cut)];
+        const messages = parts.flatMap(part => reader.receive(part)._unsafeUnwrap());
+        assert.equal(messages, [message]);
+    }
+});
+
+/** A middleman that can stop passing bytes on while its connections stay open. */
+async function startMiddleman(
+    target: number,
+): Promise<{ port: number; server: Server; freeze(): void; sockets: Socket[]; }> {
+    const sockets: Socket[] = [];
+    const frozen = new Set<Socket>();
+    const server = createServer(inner => {
+        const outer = connect(target, "127.0.0.1");
+        sockets.push(inner, outer);
+        for (const [from, to] of [[inner, outer], [outer, inner]] as const) {
+            from.on("data", bytes => {
+                if (!frozen.has(from)) {
+                    to.write(bytes);
+                }
+            });
+            from.on("error", () => {});
+            from.on("close", () => to.destroy());
+        }
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    return {
+        port: (server.address() as AddressInfo).port,
+        server,
+        sockets,
+        freeze: () => sockets.forEach(socket => frozen.add(socket)),
+    };
+}
+
+test("a link that goes silent is closed and opened anew", async () => {
+    const { server, port } = await startServer("secret", { heartbeatMs: 20, silenceMs: 100 });
+    const middleman = await startMiddleman(port);
+    const { client, recorder } = startClient(middleman.port, "secret", { heartbeatMs: 20, silenceMs: 100 });
+    const first = await recorder.waitForOpen();
+    middleman.freeze();
+    assert.is(await recorder.waitForClose(), "silent");
+    await new Promise<void>(resolve => {
+        const timer = setInterval(() => {
+            if (middleman.sockets.length > 2) {
+                clearInterval(timer);
+                resolve();
+            }
+        }, 5);
+    });
+    assert.not(first.isOpen);
+    client.stop();
+    server.stop();
+    middleman.server.close();
+    middleman.sockets.forEach(socket => socket.destroy());
+});
+
+test("frames are CBOR that any decoder reads", () => {
+    const frame = encodeFrame({ type: "word", text: "plain" });
+    assert.equal(new Encoder({ useRecords: false }).decode(frame.subarray(4)), { type: "word", text: "plain" });
+});
+
+test.run();
