--- a/packages/wire/test/link.test.ts
+++ b/packages/wire/test/link.test.ts
@@ -8,6 +8,7 @@
 import {
     type CloseReason,
     encodeFrame,
+    FrameReader,
     type Link,
     LinkClient,
     LinkServer,
@@ -159,7 +160,6 @@
 });
 
 test("a frame cut at every byte arrives whole", async () => {
-    const { FrameReader } = await import("../src/index.js");
     const message = { type: "word", text: "cut me" };
     const frame = encodeFrame(message);
     for (let cut = 0; cut <= frame.length; cut++) {
@@ -200,7 +200,7 @@
 }
 
 test("a link that goes silent is closed and opened anew", async () => {
-    const { server, port } = await startServer("secret", { heartbeatMs: 20, silenceMs: 100 });
+    const { server, port } = await startServer("secret", { heartbeatMs: 20, silenceMs: 60_000 });
     const middleman = await startMiddleman(port);
     const { client, recorder } = startClient(middleman.port, "secret", { heartbeatMs: 20, silenceMs: 100 });
     const first = await recorder.waitForOpen();
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -10,6 +10,9 @@
 const uvu = path.join(root, "node_modules/uvu/bin.js");
 const maxKnownRed = 3;
 
+/** A directory whose tests hang counts as failed after this long, in milliseconds. */
+const directoryTimeoutMs = 300_000;
+
 const only = process.argv.slice(2);
 const directories = [
     ...readdirSync(path.join(root, "packages")).sort().map(name => path.join("packages", name, "dist/test")),
