--- a/packages/agent/src/placing.ts
+++ b/packages/agent/src/placing.ts
@@ -37,6 +37,7 @@
     private ticks = 0;
     private policy: Policy | undefined;
     private toldWaitMs = -1;
+    private toldLoading: string | undefined;
 
     constructor(private readonly options: PlacerTaskOptions) {
         this.share = new StoreShare({ dataCentre: options.dataCentre, loadsPerSecond: 2, weights: {} });
@@ -143,8 +144,10 @@
             return;
         }
         const isChanged = Math.abs(outlook.payingWaitMs - this.toldWaitMs) > outlookChange * this.toldWaitMs;
-        if (isChanged || this.ticks % ticksPerShare === 0) {
+        const isOtherLoad = outlook.loading !== this.toldLoading;
+        if (isChanged || isOtherLoad || this.ticks % ticksPerShare === 0) {
             this.toldWaitMs = outlook.payingWaitMs;
+            this.toldLoading = outlook.loading;
             this.options.sendToGateways({ type: "outlook", ...outlook });
         }
     }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -13,6 +13,7 @@
     type DispatchEvent,
     type DispatchRequest,
     type LeasedEngine,
+    type LoadOutlook,
     type ModelDemand,
     type ResolvedDispatcherOptions,
     resolveDispatcherOptions,
@@ -53,7 +54,7 @@
     private readonly changedModels = new Set<string>();
     private readonly prefixes = new PrefixIndex();
     private readonly budget: RetryBudget;
-    private outlook = { payingWaitMs: 0, trialWaitMs: 0 };
+    private outlook: LoadOutlook = { payingWaitMs: 0, trialWaitMs: 0, loadMs: 0 };
     private commands: DispatchCommand[] = [];
 
     constructor(options: DispatcherOptions = {}) {
@@ -106,7 +107,7 @@
 
     /** When `decide` must be called with a tick at the latest; undefined if nothing waits. */
     findNextWake(now: number): number | undefined {
-        let next = this.findHeadDeadline()?.request.deadlineAt;
+        let next = this.findHeadDeadline()?.checkAt;
         if (next === undefined) {
             return undefined;
         }
@@ -139,7 +140,7 @@
                 this.removeEngine(event.engineId);
                 return;
             case "outlook":
-                this.outlook = event;
+                this.outlook = event.outlook;
                 return;
             case "prefix":
                 this.receivePrefix(event.engineId, event.prefix, event.isCached);
@@ -167,6 +168,7 @@
             tag: this.clocks[request.customerClass].createTag(request),
             excluded: new Set(),
             stalledAt: queue.engines.size === 0 ? now : undefined,
+            checkAt: this.readCheckAt(request, queue),
             isWaiting: true,
         };
         this.enqueue(entry, queue);
@@ -271,11 +273,19 @@
     private expire(now: number): void {
         for (
             let entry = this.findHeadDeadline();
-            entry !== undefined && entry.request.deadlineAt <= now;
+            entry !== undefined && entry.checkAt <= now;
             entry = this.findHeadDeadline()
         ) {
             const { request } = entry;
-            const waitMs = this.readWait(request, this.findQueue(request.model));
+            const queue = this.findQueue(request.model);
+            const checkAt = this.readCheckAt(request, queue);
+            if (checkAt > now) {
+                this.deadlines.pop();
+                entry.checkAt = checkAt;
+                this.deadlines.push(entry);
+                continue;
+            }
+            const waitMs = this.readWait(request, queue);
             this.dequeue(entry);
             const verdict = createRefused(
                 "deadlinePassed",
@@ -286,6 +296,12 @@
         }
     }
 
+    /** A request whose load has not begun when it would have to is given up then: loading for it would be in vain. */
+    private readCheckAt(request: DispatchRequest, queue: ModelQueue): number {
+        const isComing = queue.engines.size > 0 || this.outlook.loading === request.model;
+        return isComing ? request.deadlineAt : request.deadlineAt - this.outlook.loadMs;
+    }
+
     // Engines.
 
     private receiveEngine(lease: LeasedEngine, now: number): void {
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -8,5 +8,6 @@
     type DispatchEvent,
     type DispatchRequest,
     type LeasedEngine,
+    type LoadOutlook,
     type ModelDemand,
 } from "./types.js";
--- a/packages/dispatch/src/queue.ts
+++ b/packages/dispatch/src/queue.ts
@@ -10,6 +10,8 @@
     readonly excluded: Set<string>;
     /** When it began to wait for a load; undefined if its model was leased when it came. */
     readonly stalledAt: number | undefined;
+    /** When it must be looked at again: its deadline, or when a load for it could no longer end in time. */
+    checkAt: number;
     isWaiting: boolean;
 }
 
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -31,6 +31,17 @@
     readonly othersTrial: number;
 }
 
+/** What the placer says of loads. Times in milliseconds. */
+export interface LoadOutlook {
+    /** How long a load that is asked for now would wait. */
+    readonly payingWaitMs: number;
+    readonly trialWaitMs: number;
+    /** Mean time of one load. */
+    readonly loadMs: number;
+    /** Model that is being loaded now. */
+    readonly loading?: string;
+}
+
 /** How an attempt ended, as far as dispatch is concerned. */
 export type AttemptOutcome = "complete" | "notRun" | "mayHaveRun" | "cancelled";
 
@@ -49,8 +60,7 @@
     /** Engines whose lease is valid, with what is leased on them. */
     | { readonly type: "engine"; readonly engine: LeasedEngine; }
     | { readonly type: "engineGone"; readonly engineId: string; }
-    /** How long a load that is asked for now would wait, in milliseconds. */
-    | { readonly type: "outlook"; readonly payingWaitMs: number; readonly trialWaitMs: number; }
+    | { readonly type: "outlook"; readonly outlook: LoadOutlook; }
     /** A cache event of an engine; late and with gaps. */
     | { readonly type: "prefix"; readonly engineId: string; readonly prefix: string; readonly isCached: boolean; }
     | { readonly type: "tick"; };
--- /dev/null
+++ b/packages/experiment/src/naive.ts
@@ -0,0 +1,141 @@
+import { findOwner } from "@radishreel/membership";
+import type { TraceRequest } from "./trace.js";
+import type { Policy, World } from "./world.js";
+
+/** What differs between the two naive versions. */
+interface NaiveOptions {
+    readonly name: string;
+    readonly chooseEngine: (request: TraceRequest, count: number, engines: number) => number;
+    /** Paying requests go first, at dispatch and at loads. */
+    readonly hasPriority: boolean;
+}
+
+/**
+ * Requests are bound to an engine when they come; each engine evicts what was used longest ago; one load runs at a
+ * time, in the order of the queue.
+ */
+class NaivePolicy implements Policy {
+    private readonly queue: { request: TraceRequest; engine: number; }[] = [];
+    private readonly usedAt = new Map<string, number>();
+    private isLoading = false;
+    private arrivals = 0;
+
+    constructor(private readonly options: NaiveOptions) {}
+
+    get name(): string {
+        return this.options.name;
+    }
+
+    receiveArrival(request: TraceRequest, world: World): void {
+        const engine = this.options.chooseEngine(request, this.arrivals++, world.options.engines);
+        this.queue.push({ request, engine });
+        if (this.options.hasPriority) {
+            // A stable sort keeps the order of arrival within a class.
+            this.queue.sort((left, right) => rankClass(left.request) - rankClass(right.request));
+        }
+        this.serve(world);
+    }
+
+    receiveEnd(_request: TraceRequest, _engine: number, world: World): void {
+        this.serve(world);
+    }
+
+    receiveLoadEnd(_engine: number, _model: string, _isLoaded: boolean, world: World): void {
+        this.isLoading = false;
+        this.serve(world);
+    }
+
+    receiveEvicted(_engine: number, _model: string, world: World): void {
+        this.serve(world);
+    }
+
+    receiveRestart(_engine: number, _lost: readonly string[], world: World): void {
+        this.isLoading = false;
+        this.serve(world);
+    }
+
+    receiveWake(world: World): void {
+        this.serve(world);
+    }
+
+    private serve(world: World): void {
+        let position = 0;
+        while (position < this.queue.length) {
+            const { request, engine } = this.queue[position]!;
+            if (request.deadlineAt <= world.now) {
+                this.queue.splice(position, 1);
+                world.refuse(request.id, "deadlinePassed");
+                continue;
+            }
+            if (world.isLoaded(engine, request.model) && world.countRunning(engine) < world.options.batchRoom) {
+                this.queue.splice(position, 1);
+                this.usedAt.set(`${engine} ${request.model}`, world.now);
+                world.dispatch(request.id, engine);
+                continue;
+            }
+            position++;
+        }
+        this.startLoad(world);
+    }
+
+    private startLoad(world: World): void {
+        if (this.isLoading) {
+            return;
+        }
+        for (const { request, engine } of this.queue) {
+            if (world.listModels(engine).includes(request.model)) {
+                continue;
+            }
+            if (world.listModels(engine).length < world.options.slots) {
+                this.isLoading = true;
+                world.load(engine, request.model);
+                return;
+            }
+            if (this.startEviction(engine, world)) {
+                return;
+            }
+        }
+    }
+
+    private startEviction(engine: number, world: World): boolean {
+        const models = world.listModels(engine);
+        if (models.some(model => !world.isLoaded(engine, model))) {
+            return false;
+        }
+        const idle = models.filter(model => world.countRunning(engine, model) === 0);
+        idle.sort((left, right) => this.readUsedAt(engine, left) - this.readUsedAt(engine, right));
+        const [victim] = idle;
+        if (victim === undefined) {
+            return false;
+        }
+        world.evict(engine, victim);
+        return true;
+    }
+
+    private readUsedAt(engine: number, model: string): number {
+        return this.usedAt.get(`${engine} ${model}`) ?? 0;
+    }
+}
+
+function rankClass(request: TraceRequest): number {
+    return request.customerClass === "paying" ? 0 : 1;
+}
+
+/** Round robin over the engines, one queue in the order of arrival. */
+export function createNaiveA(): Policy {
+    return new NaivePolicy({
+        name: "naive A",
+        chooseEngine: (_request, count, engines) => count % engines,
+        hasPriority: false,
+    });
+}
+
+/** Each adapter has one engine by hashing; paying requests go first. */
+export function createNaiveB(): Policy {
+    return new NaivePolicy({
+        name: "naive B",
+        chooseEngine: (request, _count, engines) =>
+            Number(findOwner(request.model, Array.from({ length: engines }, (_, index) => String(index)))),
+        hasPriority: true,
+    });
+}
--- /dev/null
+++ b/packages/experiment/src/ours.ts
@@ -0,0 +1,207 @@
+import { type DispatchCommand, Dispatcher, type DispatchEvent } from "@radishreel/dispatch";
+import { Placer, type PlacerCommand, type PlacerEvent } from "@radishreel/placement";
+import type { TraceRequest } from "./trace.js";
+import type { Policy, World } from "./world.js";
+
+/** Time for a message between two processes of a data centre, in milliseconds. */
+const transitMs = 1;
+
+/** Options of {@link OurPolicy}. */
+export interface OurOptions {
+    readonly stallWeight: number;
+    readonly trialBatchShare?: number;
+    /** Gateways that share the requests. @default 3 */
+    readonly gateways?: number;
+    /** Least time between two words of a gateway, in milliseconds. @default 10 */
+    readonly lagMs?: number;
+}
+
+/** The dispatchers of several gateways and one placer, as the programs run them. */
+export class OurPolicy implements Policy {
+    readonly name: string;
+    private readonly gateways: Dispatcher[];
+    private readonly placer: Placer;
+    private readonly gatewayOf = new Map<string, number>();
+    private readonly lagMs: number;
+    private arrivals = 0;
+    private isToldScheduled = false;
+    private toldAt = -Infinity;
+    private models: string[][] = [];
+
+    constructor(options: OurOptions) {
+        this.name = `ours (${options.stallWeight})`;
+        this.lagMs = options.lagMs ?? 10;
+        const { stallWeight, trialBatchShare } = options;
+        this.gateways = Array.from(
+            { length: options.gateways ?? 3 },
+            () => new Dispatcher({ stallWeight, trialBatchShare }),
+        );
+        this.placer = new Placer({ stallWeight });
+    }
+
+    receiveArrival(request: TraceRequest, world: World): void {
+        this.prepare(world);
+        const gateway = this.arrivals++ % this.gateways.length;
+        this.gatewayOf.set(request.id, gateway);
+        this.decide(gateway, { type: "arrive", request: { ...request, weight: 1 } }, world);
+        this.schedule(world);
+    }
+
+    receiveEnd(request: TraceRequest, engine: number, world: World): void {
+        const gateway = this.gatewayOf.get(request.id)!;
+        this.gatewayOf.delete(request.id);
+        this.decide(
+            gateway,
+            { type: "ended", requestId: request.id, engineId: String(engine), outcome: "complete" },
+            world,
+        );
+        this.schedule(world);
+    }
+
+    receiveLoadEnd(engine: number, model: string, isLoaded: boolean, world: World): void {
+        this.tellEngine(engine, world);
+        this.place(
+            { type: "loadEnded", engineId: String(engine), model, outcome: isLoaded ? "loaded" : "failed" },
+            world,
+        );
+    }
+
+    receiveEvicted(engine: number, _model: string, world: World): void {
+        this.tellEngine(engine, world);
+    }
+
+    receiveRestart(engine: number, lost: readonly string[], world: World): void {
+        for (const requestId of lost) {
+            const gateway = this.gatewayOf.get(requestId)!;
+            this.decide(gateway, { type: "ended", requestId, engineId: String(engine), outcome: "cancelled" }, world);
+        }
+        this.place({ type: "engineGone", engineId: String(engine) }, world);
+        this.tellEngine(engine, world);
+    }
+
+    /** What gateways, owners and the placer tell each other travels together, a little late. */
+    receiveWake(world: World): void {
+        this.isToldScheduled = false;
+        this.toldAt = world.now;
+        for (let engine = 0; engine < world.options.engines; engine++) {
+            this.tellEngine(engine, world);
+        }
+        this.gateways.forEach((dispatcher, gateway) => {
+            const changes = dispatcher.readDemand(world.now);
+            if (changes.length > 0) {
+                this.place({ type: "demand", gateway: String(gateway), changes }, world);
+            }
+            this.decide(gateway, { type: "outlook", outlook: this.placer.readOutlook(world.now) }, world);
+        });
+    }
+
+    private prepare(world: World): void {
+        if (this.models.length > 0) {
+            return;
+        }
+        this.models = Array.from({ length: world.options.engines }, () => []);
+        this.models.forEach((_models, engine) => this.tellEngine(engine, world));
+    }
+
+    private schedule(world: World): void {
+        if (!this.isToldScheduled) {
+            this.isToldScheduled = true;
+            world.wakeAt(Math.max(world.now + transitMs, this.toldAt + this.lagMs));
+        }
+    }
+
+    private tellEngine(engine: number, world: World): void {
+        const id = String(engine);
+        const { slots, batchRoom } = world.options;
+        const models = world.listModels(engine);
+        const loaded = models.filter(model => world.isLoaded(engine, model));
+        const running = world.countRunning(engine);
+        this.gateways.forEach((_dispatcher, gateway) => {
+            const own = this.countOwn(gateway, engine);
+            const lease = {
+                id,
+                instance: "1",
+                batchRoom,
+                isLeaving: false,
+                models: loaded,
+                othersPaying: running - own,
+                othersTrial: 0,
+            };
+            this.decide(gateway, { type: "engine", engine: lease }, world);
+        });
+        this.place({
+            type: "engine",
+            engine: {
+                id,
+                slots,
+                batchRoom,
+                isLeaving: false,
+                inFlight: world.countRunning(engine),
+                models: models.map(model => ({
+                    model,
+                    state: world.isLoaded(engine, model) ? "loaded" : "loading",
+                    inUse: world.countRunning(engine, model),
+                })),
+            },
+        }, world);
+    }
+
+    private readonly own = new Map<string, number>();
+
+    private countOwn(gateway: number, engine: number): number {
+        return this.own.get(`${gateway} ${engine}`) ?? 0;
+    }
+
+    private decide(gateway: number, event: DispatchEvent, world: World): void {
+        if (event.type === "ended") {
+            this.own.set(`${gateway} ${event.engineId}`, this.countOwn(gateway, Number(event.engineId)) - 1);
+        }
+        const commands = this.gateways[gateway]!.decide(event, world.now);
+        commands.forEach(command => this.carryOut(gateway, command, world));
+    }
+
+    private carryOut(gateway: number, command: DispatchCommand, world: World): void {
+        switch (command.type) {
+            case "dispatch": {
+                const engine = Number(command.engineId);
+                if (!world.isLoaded(engine, command.request.model)) {
+                    // The grant was older than the eviction: the engine refuses, and the gateway tries elsewhere.
+                    const requestId = command.request.id;
+                    this.own.set(`${gateway} ${engine}`, this.countOwn(gateway, engine) + 1);
+                    this.decide(gateway, {
+                        type: "ended",
+                        requestId,
+                        engineId: command.engineId,
+                        outcome: "notRun",
+                        reason: "leaseLapsed",
+                    }, world);
+                    return;
+                }
+                this.own.set(`${gateway} ${engine}`, this.countOwn(gateway, engine) + 1);
+                world.dispatch(command.request.id, engine);
+                return;
+            }
+            case "refuse":
+                this.gatewayOf.delete(command.request.id);
+                world.refuse(command.request.id, command.verdict.reason);
+                return;
+            case "retry":
+        }
+    }
+
+    private place(event: PlacerEvent, world: World): void {
+        this.placer.decide(event, world.now).forEach(command => this.carryOutOrder(command, world));
+    }
+
+    private carryOutOrder({ type, engineId, model }: PlacerCommand, world: World): void {
+        const engine = Number(engineId);
+        if (type === "load") {
+            world.load(engine, model);
+            return;
+        }
+        if (world.isLoaded(engine, model)) {
+            world.evict(engine, model);
+            this.tellEngine(engine, world);
+        }
+    }
+}
--- a/packages/gateway/src/dispatching.ts
+++ b/packages/gateway/src/dispatching.ts
@@ -7,6 +7,7 @@
     type DispatchEvent,
     type DispatchRequest,
     type LeasedEngine,
+    type LoadOutlook,
     type ModelDemand,
 } from "@radishreel/dispatch";
 import type { Reason, RefusedVerdict } from "@radishreel/verdict";
@@ -79,8 +80,8 @@
         }
     }
 
-    setOutlook(payingWaitMs: number, trialWaitMs: number): void {
-        this.run({ type: "outlook", payingWaitMs, trialWaitMs });
+    setOutlook(outlook: LoadOutlook): void {
+        this.run({ type: "outlook", outlook });
     }
 
     readDemand(isUrgent: boolean): ModelDemand[] {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,7 +32,7 @@
     stopped: state(),
 });
 
-/** Wait before a change of demand is told, so that changes close together travel as one, in milliseconds. */
+/** Least time between two words of demand, in milliseconds. */
 const demandDelayMs = 10;
 
 /** Interval at which expired tokens are forgotten, in milliseconds. */
@@ -61,6 +61,7 @@
     private metricsServer: Server | undefined;
     private requestCount = 0;
     private demandTimer: NodeJS.Timeout | undefined;
+    private demandSentAt = 0;
 
     constructor(private readonly settings: GatewaySettings, private readonly logger: Logger) {
         const onRetry = this.metrics.recordRetry.bind(this.metrics);
@@ -141,7 +142,7 @@
             events: {
                 onEngines: () => this.receiveEngines(),
                 onServices: upstreams => this.receiveServices(upstreams),
-                onOutlook: ({ payingWaitMs, trialWaitMs }) => this.engineDispatch.setOutlook(payingWaitMs, trialWaitMs),
+                onOutlook: outlook => this.engineDispatch.setOutlook(outlook),
                 onOfferings: () => this.receiveOfferings(),
                 onPlacerChange: () => this.receivePlacerChange(),
                 onHeirs: heirs => this.tokens?.recordHeirs(heirs),
@@ -250,11 +251,17 @@
         }
     }
 
+    /** The first change after a pause is told at once, those that follow it closely travel as one. */
     private scheduleDemand(): void {
-        this.demandTimer ??= setTimeout(() => {
+        if (this.demandTimer !== undefined) {
+            return;
+        }
+        const sinceLastMs = performance.now() - this.demandSentAt;
+        this.demandTimer = setTimeout(() => {
             this.demandTimer = undefined;
+            this.demandSentAt = performance.now();
             this.sendDemand(true);
-        }, demandDelayMs);
+        }, Math.max(0, demandDelayMs - sinceLastMs));
     }
 
     private sendDemand(isUrgent: boolean): void {
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -37,6 +37,10 @@
 export interface LoadOutlook {
     readonly payingWaitMs: number;
     readonly trialWaitMs: number;
+    /** Mean time of one load. */
+    readonly loadMs: number;
+    /** Model that is being loaded now. */
+    readonly loading: string | undefined;
 }
 
 /** Where a model is, and what its next load waits for. */
@@ -171,6 +175,8 @@
         return {
             payingWaitMs: (running + this.payingRank.size) * perLoadMs,
             trialWaitMs: (running + this.payingRank.size + this.trialRank.size) * perLoadMs,
+            loadMs: this.meanLoadMs,
+            loading: this.load?.model,
         };
     }
 
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -107,6 +107,9 @@
     type: z.literal("outlook"),
     payingWaitMs: z.number().nonnegative(),
     trialWaitMs: z.number().nonnegative(),
+    loadMs: z.number().nonnegative(),
+    /** Model that is being loaded now. */
+    loading: modelSchema.optional(),
 });
 
 const servicesSchema = z.strictObject({ type: z.literal("services"), upstreams: z.array(serviceUpstreamSchema) });
