--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -9,7 +9,7 @@
     readonly stallWeight?: number;
     /** Share of an engine's slots that adapters wanted by trials alone may hold. @default 0.25 */
     readonly trialSlotShare?: number;
-    /** Time after which an arrival counts half, in milliseconds. @default 300000 */
+    /** Time after which an arrival counts half, in milliseconds. @default 150000 */
     readonly halfLifeMs?: number;
     /** Loads a second that may be started now. @default no limit but one at a time */
     readonly readRate?: (now: number) => number;
@@ -578,7 +578,7 @@
 const inUseCost = 1e6;
 
 /** Requests a second of a victim's rate that packing may outweigh. */
-const packBiasRate = 0.01;
+const packBiasRate = 0.06;
 
 interface Wanted {
     readonly model: string;
--- a/packages/placement/src/popularity.ts
+++ b/packages/placement/src/popularity.ts
@@ -3,7 +3,7 @@
 
 /** Options of {@link Popularity}. */
 export interface PopularityOptions {
-    /** Time after which an arrival counts half, in milliseconds. @default 300000 */
+    /** Time after which an arrival counts half, in milliseconds. @default 150000 */
     readonly halfLifeMs?: number;
 }
 
@@ -16,7 +16,7 @@
     private readonly halfLifeMs: number;
 
     constructor(options: PopularityOptions = {}) {
-        this.halfLifeMs = options.halfLifeMs ?? 300_000;
+        this.halfLifeMs = options.halfLifeMs ?? 150_000;
     }
 
     /** Counts arrivals and returns the new score. */
