--- a/packages/agent/src/owning.ts
+++ b/packages/agent/src/owning.ts
@@ -246,7 +246,8 @@
         const evicted = await this.options.orders.evictModel(address, model, fence, this.createGuard());
         this.options.metrics.evictions.inc({ outcome: evicted.isOk() ? "done" : evicted.error.kind });
         this.receiveFence(engineId, evicted);
-        this.run({ type: "evictEnded", engineId, model, isDone: evicted.isOk() });
+        const outcome = evicted.isOk() ? "done" : evicted.error.kind === "unknown" ? "unknown" : "failed";
+        this.run({ type: "evictEnded", engineId, model, outcome });
     }
 
     private receiveFence(engineId: string, result: Result<void, OrderError>): void {
--- a/packages/offerings/src/fold.ts
+++ b/packages/offerings/src/fold.ts
@@ -38,6 +38,8 @@
 
 /** Records read after others were trimmed unread, until a snapshot or a peer closes the gap. */
 interface Gap {
+    /** Offset up to which records were folded before. */
+    readonly start: number;
     /** Offset of the first record after the gap. */
     readonly end: number;
     readonly records: { offset: number; record: ContentRecord; }[];
@@ -146,7 +148,7 @@
     /** The whole version in force, for a peer. */
     readWhole(): WholeVersion {
         // A peer that starts here must still read the chunks of records that are not ended.
-        const asOf = Math.min(this.gap?.end ?? this.next, this.chunks.findOldest() ?? this.next);
+        const asOf = Math.min(this.gap?.start ?? this.next, this.chunks.findOldest() ?? this.next);
         return {
             version: this.currentVersion,
             asOf,
@@ -182,7 +184,7 @@
     /** Records were trimmed unread. The version in force stays, and moves again once something covers the gap. */
     private openGap(earliest: number): void {
         this.chunks.removeBefore(earliest);
-        this.gap = { end: earliest, records: [], lastBroken: -1 };
+        this.gap = { start: this.gap?.start ?? this.next, end: earliest, records: [], lastBroken: -1 };
         this.next = earliest;
     }
 
--- a/packages/placement/src/owner.ts
+++ b/packages/placement/src/owner.ts
@@ -41,9 +41,17 @@
     }
     | { readonly type: "order"; readonly action: "load" | "evict"; readonly engineId: string; readonly model: string; }
     | { readonly type: "loadEnded"; readonly engineId: string; readonly model: string; readonly outcome: LoadOutcome; }
-    | { readonly type: "evictEnded"; readonly engineId: string; readonly model: string; readonly isDone: boolean; }
+    | {
+        readonly type: "evictEnded";
+        readonly engineId: string;
+        readonly model: string;
+        readonly outcome: EvictOutcome;
+    }
     | { readonly type: "tick"; };
 
+/** How an eviction ended. After `unknown` the order may still be on its way to the engine. */
+export type EvictOutcome = "done" | "failed" | "unknown";
+
 /** What an owner wants done. */
 export type OwnerCommand =
     | { readonly type: "claim"; readonly engineId: string; readonly address: string; readonly fence: number; }
@@ -82,6 +90,8 @@
     doubtAt: number;
     /** A report that was asked for before this time does not tell whether the model is there. */
     readonly since: number;
+    /** An order to evict the model may still reach the engine: it must not be leased. */
+    isEvictionOpen: boolean;
 }
 
 interface OwnedEngine {
@@ -94,6 +104,8 @@
     seenFence: number;
     claimingFence: number | undefined;
     nextClaimAt: number;
+    /** An order with the own token may be delayed on the network: a higher token makes it void. */
+    mustReclaim: boolean;
     slots: number;
     batchRoom: number;
     isLeaving: boolean;
@@ -234,7 +246,7 @@
                 this.receiveLoadEnded(event.engineId, event.model, event.outcome, now);
                 return [];
             case "evictEnded":
-                this.receiveEvictEnded(event.engineId, event.model, event.isDone, now);
+                this.receiveEvictEnded(event.engineId, event.model, event.outcome, now);
                 return [];
             case "tick":
                 return [];
@@ -256,6 +268,7 @@
             seenFence: 0,
             claimingFence: undefined,
             nextClaimAt: 0,
+            mustReclaim: false,
             slots: 0,
             batchRoom: 0,
             isLeaving: false,
@@ -274,12 +287,13 @@
     }
 
     private claim(engine: OwnedEngine, now: number, commands: OwnerCommand[]): void {
-        const isWanted = engine.fence === undefined && engine.claimingFence === undefined
-            && engine.instance !== undefined;
-        if (!isWanted || now < engine.nextClaimAt) {
+        const isNeeded = engine.fence === undefined || engine.mustReclaim;
+        if (
+            !isNeeded || engine.claimingFence !== undefined || engine.instance === undefined || now < engine.nextClaimAt
+        ) {
             return;
         }
-        engine.claimingFence = createFence(engine.seenFence, this.identity);
+        engine.claimingFence = createFence(Math.max(engine.seenFence, engine.fence ?? 0), this.identity);
         engine.nextClaimAt = now + claimBackoffMs;
         commands.push({ type: "claim", engineId: engine.id, address: engine.address, fence: engine.claimingFence });
     }
@@ -289,14 +303,23 @@
         if (engine?.claimingFence !== fence) {
             return;
         }
+        const isTakeOver = engine.fence === undefined;
         engine.claimingFence = undefined;
+        engine.mustReclaim = false;
         engine.fence = fence;
+        this.version++;
+        for (const slot of engine.models.values()) {
+            // Orders with the token before are void from here on.
+            slot.isEvictionOpen = slot.state === "evicting";
+        }
+        if (!isTakeOver) {
+            return;
+        }
         // Leases of the owner before lapse by then; what runs under them shows in a report asked for after that.
         engine.noEvictionBefore = now + this.leaseMs;
         for (const slot of engine.models.values()) {
             slot.doubtAt = Math.max(slot.doubtAt, engine.noEvictionBefore);
         }
-        this.version++;
     }
 
     /** Another owner gave the engine a higher token. Nothing more is ordered or leased here until it is claimed again. */
@@ -307,6 +330,7 @@
         }
         engine.fence = undefined;
         engine.claimingFence = undefined;
+        engine.mustReclaim = false;
         engine.instance = undefined;
         engine.nextClaimAt = now + claimBackoffMs;
         engine.models.clear();
@@ -369,13 +393,15 @@
             const evictedAt = engine.evictedAt.get(model);
             const isOutdated = evictedAt !== undefined && report.askedAt <= evictedAt;
             if (!engine.models.has(model) && !isOutdated) {
-                const doubtAt = engine.noEvictionBefore;
+                // Before the claim there is no time to count from; the claim itself sets the doubt then.
+                const doubtAt = engine.fence === undefined ? -Infinity : engine.noEvictionBefore;
                 engine.models.set(model, {
                     state: "loaded",
                     running,
                     revokedVersion: 0,
                     doubtAt,
                     since: report.askedAt,
+                    isEvictionOpen: false,
                 });
                 this.version++;
             }
@@ -432,14 +458,21 @@
 
     private startLoad(engine: OwnedEngine, fence: number, model: string, now: number): OwnerCommand[] {
         const slot = engine.models.get(model);
-        if (slot?.state === "revoking") {
+        if (slot?.state === "revoking" && !slot.isEvictionOpen) {
             slot.state = "loaded";
             this.version++;
         }
         if (slot !== undefined || engine.isLeaving || engine.models.size >= engine.slots) {
             return [{ type: "refuse", engineId: engine.id, model }];
         }
-        engine.models.set(model, { state: "loading", running: 0, revokedVersion: 0, doubtAt: -Infinity, since: now });
+        engine.models.set(model, {
+            state: "loading",
+            running: 0,
+            revokedVersion: 0,
+            doubtAt: -Infinity,
+            since: now,
+            isEvictionOpen: false,
+        });
         return [{ type: "load", engineId: engine.id, address: engine.address, model, fence }];
     }
 
@@ -469,12 +502,13 @@
     }
 
     private evictReleased(engine: OwnedEngine, now: number, commands: OwnerCommand[]): void {
-        if (engine.fence === undefined || now < engine.noEvictionBefore) {
+        if (engine.fence === undefined || engine.mustReclaim || now < engine.noEvictionBefore) {
             return;
         }
         for (const [model, slot] of engine.models) {
             if (slot.state === "revoking" && this.isReleased(engine, model, slot)) {
                 slot.state = "evicting";
+                slot.isEvictionOpen = true;
                 commands.push({
                     type: "evict",
                     engineId: engine.id,
@@ -496,19 +530,26 @@
         return engine.reportAskedAt >= slot.doubtAt + this.reportLagMs && slot.running === 0;
     }
 
-    private receiveEvictEnded(engineId: string, model: string, isDone: boolean, now: number): void {
+    private receiveEvictEnded(engineId: string, model: string, outcome: EvictOutcome, now: number): void {
         const engine = this.engines.get(engineId);
         const slot = engine?.models.get(model);
         if (engine === undefined || slot?.state !== "evicting") {
             return;
         }
-        if (isDone) {
-            engine.models.delete(model);
-            engine.evictedAt.set(model, now);
-            this.version++;
-            return;
+        switch (outcome) {
+            case "done":
+                engine.models.delete(model);
+                engine.evictedAt.set(model, now);
+                this.version++;
+                return;
+            case "failed":
+                slot.isEvictionOpen = false;
+                slot.state = "revoking";
+                return;
+            case "unknown":
+                // A delayed order must find a higher token at the engine before the model may be leased again.
+                slot.state = "revoking";
+                engine.mustReclaim = true;
         }
-        // Whether the engine acted is open: the next report tells, and until then nobody is leased the model.
-        slot.state = "revoking";
     }
 }
