--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -31,6 +31,9 @@
 /** Bonus of an engine that has the prompt's prefix cached, against a fullness between 0 and 1. */
 const prefixBonus = 0.5;
 
+/** How long an engine is not asked again for a request that it did not run, in milliseconds. */
+const exclusionMs = 400;
+
 /** Shortest Retry-After, in seconds. */
 const minRetryAfterSeconds = 1;
 
@@ -70,8 +73,9 @@
     /** Takes one event and returns what to do. */
     decide(event: DispatchEvent, now: number): DispatchCommand[] {
         this.commands = [];
-        this.receive(event, now);
+        // First of all, so that no request is dispatched after its deadline.
         this.expire(now);
+        this.receive(event, now);
         return this.commands;
     }
 
@@ -166,7 +170,7 @@
         const entry: QueueEntry = {
             request,
             tag: this.clocks[request.customerClass].createTag(request),
-            excluded: new Set(),
+            excluded: new Map(),
             stalledAt: queue.engines.size === 0 ? now : undefined,
             checkAt: this.readCheckAt(request, queue),
             isWaiting: true,
@@ -373,7 +377,7 @@
     private serveEngine(engine: EngineView, now: number): void {
         for (const customerClass of classes) {
             while (engine.hasRoom(customerClass, now)) {
-                const entry = this.findFirstWaiting(engine, customerClass);
+                const entry = this.findFirstWaiting(engine, customerClass, now);
                 if (entry === undefined) {
                     break;
                 }
@@ -382,11 +386,11 @@
         }
     }
 
-    private findFirstWaiting(engine: EngineView, customerClass: CustomerClass): QueueEntry | undefined {
+    private findFirstWaiting(engine: EngineView, customerClass: CustomerClass, now: number): QueueEntry | undefined {
         let first: QueueEntry | undefined;
         for (const model of engine.models) {
             const head = this.queues.get(model)?.findHead(customerClass);
-            const isEligible = head !== undefined && !head.excluded.has(engine.id);
+            const isEligible = head !== undefined && !isExcluded(head, engine.id, now);
             if (isEligible && (first === undefined || head.tag < first.tag)) {
                 first = head;
             }
@@ -400,7 +404,7 @@
         for (const engineId of queue.engines) {
             const engine = this.engines.get(engineId);
             if (
-                engine === undefined || entry.excluded.has(engineId)
+                engine === undefined || isExcluded(entry, engineId, now)
                 || !engine.hasRoom(entry.request.customerClass, now)
             ) {
                 continue;
@@ -488,11 +492,9 @@
             return;
         }
         this.commands.push({ type: "retry", requestId: request.id, reason });
-        entry.excluded.add(attempt.engineId);
+        entry.excluded.set(attempt.engineId, now + exclusionMs);
         const queue = this.findQueue(request.model);
-        if ([...queue.engines].every(engineId => entry.excluded.has(engineId))) {
-            // Refused everywhere: what an engine refused a moment ago it may take after the next grant.
-            entry.excluded.clear();
+        if ([...queue.engines].every(engineId => isExcluded(entry, engineId, now))) {
             this.removeRefusedLease(attempt.engineId, request.model, reason);
         }
         this.enqueue({ ...entry, isWaiting: true }, queue);
@@ -507,3 +509,7 @@
         }
     }
 }
+
+function isExcluded(entry: QueueEntry, engineId: string, now: number): boolean {
+    return now < (entry.excluded.get(engineId) ?? -Infinity);
+}
--- a/packages/dispatch/src/queue.ts
+++ b/packages/dispatch/src/queue.ts
@@ -6,8 +6,8 @@
     readonly request: DispatchRequest;
     /** Start tag of fair queueing. */
     readonly tag: number;
-    /** Engines that have refused it. */
-    readonly excluded: Set<string>;
+    /** Engines that have refused it, and until when they are not asked again. */
+    readonly excluded: Map<string, number>;
     /** When it began to wait for a load; undefined if its model was leased when it came. */
     readonly stalledAt: number | undefined;
     /** When it must be looked at again: its deadline, or when a load for it could no longer end in time. */
--- a/packages/fakes/src/engine.ts
+++ b/packages/fakes/src/engine.ts
@@ -116,6 +116,14 @@
         if (request.path === "/runs") {
             return { status: 200, body: { runs: this.runs, unsafeEvictions: this.unsafeEvictions } };
         }
+        if (request.path === "/restart") {
+            this.restart();
+            return { status: 200, body: {} };
+        }
+        if (request.path === "/leave") {
+            this.setLeaving();
+            return { status: 200, body: {} };
+        }
         if (request.path.startsWith("/orders/")) {
             return this.runOrder(request.path.slice("/orders/".length), JSON.parse(request.body) as Order);
         }
--- a/packages/fakes/src/log.ts
+++ b/packages/fakes/src/log.ts
@@ -32,11 +32,18 @@
     }
 
     protected findOperation(request: FakeRequest): string {
+        if (request.path.startsWith("/trim/")) {
+            return "trim";
+        }
         return request.method === "POST" ? "append" : "read";
     }
 
     protected async run(request: FakeRequest): Promise<FakeAnswer> {
         const [, root, name] = request.path.split("/");
+        if (root === "trim" && name !== undefined) {
+            this.trim(name, Number(request.query.get("before")));
+            return { status: 200, body: {} };
+        }
         if (root !== "streams" || name === undefined) {
             return { status: 404, body: {} };
         }
--- a/packages/fakes/src/service.ts
+++ b/packages/fakes/src/service.ts
@@ -47,6 +47,10 @@
         if (request.path === "/runs") {
             return { status: 200, body: { runs: this.runs } };
         }
+        if (request.path === "/leave") {
+            this.setLeaving();
+            return { status: 200, body: {} };
+        }
         const { method, path, body } = request;
         const callId = request.headers["x-call-id"];
         this.runs.push({ method, path, body, callId: typeof callId === "string" ? callId : undefined });
--- a/packages/gateway/src/control.ts
+++ b/packages/gateway/src/control.ts
@@ -202,6 +202,7 @@
         }
         this.expireServices();
         this.options.events.onEngines();
+        this.options.events.onServices(this.listServices());
     }
 
     private renew(key: string): void {
@@ -305,7 +306,6 @@
         for (const [agent, { goneAt }] of this.services) {
             if (this.peers.size > 0 && goneAt !== undefined && now - goneAt > goneAgentMs) {
                 this.services.delete(agent);
-                this.options.events.onServices(this.listServices());
             }
         }
     }
--- /dev/null
+++ b/test/configuration.test.ts
@@ -0,0 +1,154 @@
+import { type Deployment, sendRequest, waitFor } from "@radishreel/harness";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+    dataCentre,
+    listModels,
+    quickAgent,
+    quickGateway,
+    startDeployment,
+    testOfferings,
+    useDeployment,
+    waitForOfferings,
+} from "./support.js";
+
+/** Offerings with one adapter more. */
+function createOfferings(adapter: string) {
+    return {
+        ...testOfferings,
+        adapters: { ...testOfferings.adapters, [adapter]: { baseModel: "base", versions: ["1"] } },
+    };
+}
+
+async function apply(deployment: Deployment, adapter: string, ...options: string[]) {
+    const file = await deployment.writeFile(`${adapter}.json`, createOfferings(adapter));
+    const { code, stdout } = await deployment.runCli(
+        "apply",
+        "--json",
+        "--agent",
+        deployment.agents[0]!.operators,
+        ...options,
+        file,
+    );
+    return { code, outcome: (JSON.parse(stdout) as { outcome: string; }).outcome };
+}
+
+test("of two operators who apply at the same moment one wins, and the loser is told", () =>
+    useDeployment(async deployment => {
+        await startDeployment(deployment, { agents: 2 });
+        const [left, right] = await Promise.all([
+            apply(deployment, "left", "--base", "0"),
+            apply(deployment, "right", "--base", "0"),
+        ]);
+        const codes = [left.code, right.code].sort();
+        assert.equal(codes, [0, 3]);
+        const winner = left.code === 0 ? "left@1" : "right@1";
+        const loser = left.code === 0 ? "right@1" : "left@1";
+        await waitForOfferings(deployment.gateways[0]!, winner);
+        assert.not((await listModels(deployment.gateways[0]!)).includes(loser));
+    }));
+
+test("an apply whose append took effect without an answer is in force once, and told so", () =>
+    useDeployment(async deployment => {
+        await startDeployment(deployment);
+        await deployment.setFaults(deployment.addresses.log, [{ operation: "append", action: "loseAnswer" }]);
+        assert.equal(await apply(deployment, "lost"), { code: 0, outcome: "inForce" });
+        await waitForOfferings(deployment.gateways[0]!, "lost@1");
+    }));
+
+test("an apply that the log refuses is told as not in force, and is not", () =>
+    useDeployment(async deployment => {
+        await startDeployment(deployment);
+        await deployment.setFaults(deployment.addresses.log, [{ operation: "append", action: "refuse", count: 100 }]);
+        assert.equal(await apply(deployment, "refused"), { code: 4, outcome: "notInForce" });
+        assert.not((await listModels(deployment.gateways[0]!)).includes("refused@1"));
+    }));
+
+test("a file with a mistake changes nothing, and the mistake is named with its line", () =>
+    useDeployment(async deployment => {
+        await startDeployment(deployment);
+        const file = await deployment.writeFile("wrong.json", {
+            ...testOfferings,
+            adapters: { declaration: { baseModel: "base", versions: [] } },
+        });
+        const { code, stderr } = await deployment.runCli("apply", "--agent", deployment.agents[0]!.operators, file);
+        assert.is(code, 1);
+        assert.match(stderr, /wrong\.json:1:\d+: adapters\.declaration\.versions/);
+        assert.ok((await listModels(deployment.gateways[0]!)).includes("manifest@1"));
+    }));
+
+test("a node cut off from the log gets new offerings from its peers, and one that starts then does too", () =>
+    useDeployment(async deployment => {
+        await startDeployment(deployment);
+        const first = deployment.agents[0]!;
+        const nowhere = { ...quickAgent, log: "127.0.0.1:1", agents: [first.peers] };
+        const cut = await deployment.startAgent("agent-cut", dataCentre, nowhere);
+        const gateway = await deployment.startGateway("gateway-cut", dataCentre, {
+            ...quickGateway,
+            agents: [cut.peers],
+        });
+        await waitForOfferings(gateway);
+        assert.equal(await apply(deployment, "late"), { code: 0, outcome: "inForce" });
+        await waitForOfferings(gateway, "late@1");
+    }));
+
+test("during an outage of the log nodes are replaced and serve what the others know", () =>
+    useDeployment(async deployment => {
+        await startDeployment(deployment, { agents: 2 });
+        await deployment.setFaults(deployment.addresses.log, [{ operation: "*", action: "refuse", count: 100_000 }]);
+        await deployment.agents[1]!.process.kill();
+        const replaced = await deployment.startAgent("agent-3", dataCentre, quickAgent);
+        await waitFor(
+            "the new agent to know the offerings",
+            async () => (await sendRequest(replaced.metrics, "/readyz", { method: "GET" })).status === 200,
+        );
+        await deployment.agents[0]!.process.kill();
+        const gateway = await deployment.startGateway("gateway-3", dataCentre, quickGateway);
+        await waitForOfferings(gateway);
+    }));
+
+test("a gateway that nobody can tell the offerings serves nothing, and says so", () =>
+    useDeployment(async deployment => {
+        await deployment.startFakes({});
+        await deployment.setFaults(deployment.addresses.log, [{ operation: "*", action: "refuse", count: 100_000 }]);
+        await deployment.startAgent("agent-1", dataCentre, quickAgent);
+        const gateway = await deployment.startGateway("gateway-1", dataCentre, quickGateway);
+        const result = await sendRequest(gateway.callers, "/v1/models", { method: "GET" });
+        assert.is(result.status, 503);
+        assert.match(result.body, "noOfferings");
+        assert.is((await sendRequest(gateway.metrics, "/readyz", { method: "GET" })).status, 503);
+    }));
+
+test("offerings outlive the records that made them, by snapshots", () =>
+    useDeployment(async deployment => {
+        await startDeployment(deployment, { agent: { snapshotMs: 1 } });
+        const { log } = deployment.addresses;
+        const readPage = async (): Promise<{ records: { offset: number; data: string; }[]; }> =>
+            JSON.parse((await sendRequest(log, "/streams/offerings?from=0", { method: "GET" })).body) as {
+                records: { offset: number; data: string; }[];
+            };
+        const snapshot = await waitFor("a snapshot", async () =>
+            (await readPage()).records.find(record => record.data.includes("\"snapshot\"")));
+        assert.is(
+            (await sendRequest(log, `/trim/offerings?before=${snapshot.offset}`, { method: "POST" })).status,
+            200,
+        );
+        await deployment.agents[0]!.process.kill();
+        await deployment.gateways[0]!.process.kill();
+        await deployment.startAgent("agent-2", dataCentre, quickAgent);
+        const gateway = await deployment.startGateway("gateway-2", dataCentre, quickGateway);
+        await waitForOfferings(gateway);
+    }));
+
+test("an operator without a key is refused", () =>
+    useDeployment(async deployment => {
+        await deployment.startFakes({});
+        const agent = await deployment.startAgent("agent-1", dataCentre, quickAgent);
+        const result = await sendRequest(agent.operators, "/operator/status", {
+            method: "GET",
+            key: "not-an-operator",
+        });
+        assert.is(result.status, 401);
+    }));
+
+test.run();
