--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -361,11 +361,11 @@
                 return;
             case "storeShare":
                 this.placer.receiveShare(message);
-                this.relay(link, message);
+                this.forward(link, message);
                 return;
             case "progress":
                 this.progress.receive(message);
-                this.relay(link, message);
+                this.forward(link, message);
                 return;
             case "heirs":
                 this.receiveHeirs(link, message.heirs);
@@ -400,7 +400,7 @@
     }
 
     /** Summaries cross between data centres on a few links, and reach every agent in two steps. */
-    private relay(link: PeerLink, message: MessageOf<"storeShare" | "progress">): void {
+    private forward(link: PeerLink, message: MessageOf<"storeShare" | "progress">): void {
         const isFromHome = link.peer.dataCentre === this.settings.dataCentre;
         if (message.dataCentre === this.settings.dataCentre) {
             if (isFromHome) {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -455,7 +455,7 @@
         this.attempts.delete(requestId);
         const engine = this.engines.get(attempt.engineId);
         engine?.recordEnd(attempt.entry.request.customerClass);
-        this.judgeEngine(engine, attempt, outcome, reason, now);
+        this.recordAttempt(engine, attempt, outcome, reason, now);
         if (outcome === "notRun") {
             this.retry(attempt, reason ?? "connectFailed", now);
         }
@@ -464,7 +464,7 @@
         }
     }
 
-    private judgeEngine(
+    private recordAttempt(
         engine: EngineView | undefined,
         attempt: Attempt,
         outcome: AttemptOutcome,
--- a/packages/experiment/src/ours.ts
+++ b/packages/experiment/src/ours.ts
@@ -59,15 +59,15 @@
     }
 
     receiveLoadEnd(engine: number, model: string, isLoaded: boolean, world: World): void {
-        this.tellEngine(engine, world);
-        this.place(
+        this.sendEngine(engine, world);
+        this.runPlacer(
             { type: "loadEnded", engineId: String(engine), model, outcome: isLoaded ? "loaded" : "failed" },
             world,
         );
     }
 
     receiveEvicted(engine: number, _model: string, world: World): void {
-        this.tellEngine(engine, world);
+        this.sendEngine(engine, world);
     }
 
     receiveRestart(engine: number, lost: readonly string[], world: World): void {
@@ -75,8 +75,8 @@
             const gateway = this.gatewayOf.get(requestId)!;
             this.decide(gateway, { type: "ended", requestId, engineId: String(engine), outcome: "cancelled" }, world);
         }
-        this.place({ type: "engineGone", engineId: String(engine) }, world);
-        this.tellEngine(engine, world);
+        this.runPlacer({ type: "engineGone", engineId: String(engine) }, world);
+        this.sendEngine(engine, world);
     }
 
     /** What gateways, owners and the placer tell each other travels together, a little late. */
@@ -84,12 +84,12 @@
         this.isToldScheduled = false;
         this.toldAt = world.now;
         for (let engine = 0; engine < world.options.engines; engine++) {
-            this.tellEngine(engine, world);
+            this.sendEngine(engine, world);
         }
         this.gateways.forEach((dispatcher, gateway) => {
             const changes = dispatcher.readDemand(world.now);
             if (changes.length > 0) {
-                this.place({ type: "demand", gateway: String(gateway), changes }, world);
+                this.runPlacer({ type: "demand", gateway: String(gateway), changes }, world);
             }
             this.decide(gateway, { type: "outlook", outlook: this.placer.readOutlook(world.now) }, world);
         });
@@ -100,17 +100,17 @@
             return;
         }
         this.models = Array.from({ length: world.options.engines }, () => []);
-        this.models.forEach((_models, engine) => this.tellEngine(engine, world));
+        this.models.forEach((_models, engine) => this.sendEngine(engine, world));
     }
 
     private schedule(world: World): void {
         if (!this.isToldScheduled) {
             this.isToldScheduled = true;
-            world.wakeAt(Math.max(world.now + transitMs, this.toldAt + this.lagMs));
+            world.scheduleWake(Math.max(world.now + transitMs, this.toldAt + this.lagMs));
         }
     }
 
-    private tellEngine(engine: number, world: World): void {
+    private sendEngine(engine: number, world: World): void {
         const id = String(engine);
         const { slots, batchRoom } = world.options;
         const models = world.listModels(engine);
@@ -129,7 +129,7 @@
             };
             this.decide(gateway, { type: "engine", engine: lease }, world);
         });
-        this.place({
+        this.runPlacer({
             type: "engine",
             engine: {
                 id,
@@ -189,7 +189,7 @@
         }
     }
 
-    private place(event: PlacerEvent, world: World): void {
+    private runPlacer(event: PlacerEvent, world: World): void {
         this.placer.decide(event, world.now).forEach(command => this.carryOutOrder(command, world));
     }
 
@@ -201,7 +201,7 @@
         }
         if (world.isLoaded(engine, model)) {
             world.evict(engine, model);
-            this.tellEngine(engine, world);
+            this.sendEngine(engine, world);
         }
     }
 }
--- a/packages/experiment/src/world.ts
+++ b/packages/experiment/src/world.ts
@@ -32,7 +32,7 @@
     /** Models in the engine's slots, whatever their state. */
     listModels(engine: number): string[];
     countRunning(engine: number, model?: string): number;
-    wakeAt(at: number): void;
+    scheduleWake(at: number): void;
 }
 
 /** A way to place and dispatch. */
@@ -202,7 +202,7 @@
         return count;
     }
 
-    wakeAt(at: number): void {
+    scheduleWake(at: number): void {
         this.schedule(at, () => this.ask(() => this.policy.receiveWake(this)));
     }
 
--- a/packages/fakes/src/engine.ts
+++ b/packages/fakes/src/engine.ts
@@ -167,7 +167,7 @@
             case "load":
                 return this.load(order.model ?? "");
             case "unload":
-                return this.unload(order.model ?? "");
+                return this.evict(order.model ?? "");
             default:
                 return { status: 404, body: { error: { code: "unknown_order" } } };
         }
@@ -196,7 +196,7 @@
         return { status: 200, body: { model } };
     }
 
-    private unload(model: string): FakeAnswer {
+    private evict(model: string): FakeAnswer {
         const running = this.running.get(model) ?? 0;
         if (running > 0) {
             this.unsafeEvictions.push({ model, running });
@@ -230,7 +230,7 @@
             const echo = fault?.action === "wrongModel" ? "other@1" : servedBy;
             const tokens = Math.min(body.max_tokens ?? Infinity, this.options.tokens ?? 8);
             if (body.stream) {
-                await this.stream(response, echo, tokens, fault);
+                await this.sendStream(response, echo, tokens, fault);
                 return undefined;
             }
             await sleep(tokens * (this.options.tokenMs ?? 5));
@@ -243,7 +243,7 @@
         }
     }
 
-    private async stream(
+    private async sendStream(
         response: ServerResponse,
         model: string,
         tokens: number,
--- a/packages/fakes/src/log.ts
+++ b/packages/fakes/src/log.ts
@@ -19,7 +19,7 @@
     }
 
     /** Drops every record below `offset`, as the end of their retention does. */
-    trim(streamName: string, offset: number): void {
+    removeBefore(streamName: string, offset: number): void {
         const stream = this.findStream(streamName);
         const dropped = Math.max(0, Math.min(offset - stream.earliest, stream.records.length));
         stream.records.splice(0, dropped);
@@ -41,7 +41,7 @@
     protected async run(request: FakeRequest): Promise<FakeAnswer> {
         const [, root, name] = request.path.split("/");
         if (root === "trim" && name !== undefined) {
-            this.trim(name, Number(request.query.get("before")));
+            this.removeBefore(name, Number(request.query.get("before")));
             return { status: 200, body: {} };
         }
         if (root !== "streams" || name === undefined) {
--- a/packages/gateway/src/caller.ts
+++ b/packages/gateway/src/caller.ts
@@ -67,7 +67,7 @@
 
     /** Sends bytes on. Returns false when the caller reads too slowly and the upstream should pause. */
     write(chunk: Buffer): boolean {
-        this.capture(chunk);
+        this.recordCaptured(chunk);
         return this.response.destroyed || this.response.write(chunk);
     }
 
@@ -119,7 +119,7 @@
         return { status: this.status, contentType: this.contentType, body: Buffer.concat(this.captured) };
     }
 
-    private capture(chunk: Buffer): void {
+    private recordCaptured(chunk: Buffer): void {
         if (this.options.captureBytes === 0 || this.capturedLength > this.options.captureBytes) {
             return;
         }
--- a/packages/gateway/src/control.ts
+++ b/packages/gateway/src/control.ts
@@ -230,7 +230,7 @@
         const renewal = index < 0 ? undefined : peer.renewals[index];
         peer.renewals.splice(0, index + 1);
         peer.answered = Math.max(peer.answered, grant.sequence);
-        this.uses.forgetUnsure(Math.min(...[...this.peers.values()].map(other => other.answered)));
+        this.uses.removeUnsure(Math.min(...[...this.peers.values()].map(other => other.answered)));
         const versionBefore = this.leases.readVersion(key);
         const changed = this.leases.receiveGrant(key, grant, renewal?.sentAt);
         if (changed) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -108,7 +108,7 @@
         await sleep(this.settings.drainDelayMs);
         await this.callers.stop();
         await this.waitForRequests();
-        await this.handOver();
+        await this.sendLedgers();
         await this.peers.stop();
         this.stopTasks();
         this.service.send("drained");
@@ -282,7 +282,7 @@
         }
     }
 
-    private async handOver(): Promise<void> {
+    private async sendLedgers(): Promise<void> {
         const records = this.readTokens().seal();
         const heir = await sendHandover(
             this.connections,
--- a/packages/gateway/src/run.ts
+++ b/packages/gateway/src/run.ts
@@ -52,7 +52,7 @@
     protected readonly request: CallerRequest;
     protected readonly answer: CallerAnswer;
     private readonly context: RunContext;
-    private settle: (verdict: Verdict) => void = () => {};
+    private finishRun: (verdict: Verdict) => void = () => {};
     private attempt: UpstreamAttempt | undefined;
     private isCallerGone = false;
     private attempts = 0;
@@ -63,7 +63,7 @@
         this.request = options.request;
         this.answer = options.answer;
         this.verdict = new Promise(resolve => {
-            this.settle = resolve;
+            this.finishRun = resolve;
         });
         if (!options.survivesCaller) {
             this.answer.onGone(() => this.cancel());
@@ -91,7 +91,7 @@
                 deadlineAt,
                 prefix,
             },
-            { dispatch: placement => this.start(placement), refuse: verdict => this.settle(verdict) },
+            { dispatch: placement => this.start(placement), refuse: verdict => this.finishRun(verdict) },
         );
         this.context.onArrival();
     }
@@ -131,12 +131,12 @@
         }
         if (verdict.kind === "complete") {
             dispatch.end(id, upstreamId, "complete");
-            this.settle(verdict);
+            this.finishRun(verdict);
             return;
         }
         if (this.isCallerGone) {
             dispatch.end(id, upstreamId, "cancelled", verdict.reason);
-            this.settle(verdict);
+            this.finishRun(verdict);
             return;
         }
         if (verdict.kind === "notRun") {
@@ -145,7 +145,7 @@
             return;
         }
         dispatch.end(id, upstreamId, "mayHaveRun", verdict.reason);
-        this.settle({ ...verdict, retryAfterSeconds: askAgainSeconds });
+        this.finishRun({ ...verdict, retryAfterSeconds: askAgainSeconds });
     }
 
     private cancel(): void {
@@ -155,6 +155,6 @@
             return;
         }
         this.context.dispatch.cancel(this.request.id);
-        this.settle(createRefused("callerGone", "the caller went away before its request was sent on"));
+        this.finishRun(createRefused("callerGone", "the caller went away before its request was sent on"));
     }
 }
--- a/packages/gateway/src/uses.ts
+++ b/packages/gateway/src/uses.ts
@@ -53,7 +53,7 @@
     }
 
     /** Every owner has been told of what was unsure before the renewal `sequence`. */
-    forgetUnsure(sequence: number): void {
+    removeUnsure(sequence: number): void {
         for (const [key, { since }] of this.unsure) {
             if (since <= sequence) {
                 this.unsure.delete(key);
--- a/packages/gateway/test/world.ts
+++ b/packages/gateway/test/world.ts
@@ -133,7 +133,7 @@
     run(durationMs: number): void {
         this.setOwner(0, true);
         for (let at = 10; at < durationMs; at += 10) {
-            this.schedule(at, () => this.step());
+            this.schedule(at, () => this.runStep());
         }
         for (;;) {
             const event = this.events.pop();
@@ -145,7 +145,7 @@
         }
     }
 
-    private step(): void {
+    private runStep(): void {
         for (const agent of this.agents) {
             this.decide(agent, { type: "tick" });
             if (this.now % 50 === 0) {
@@ -153,7 +153,7 @@
             }
             if (agent.owns && this.random() < 0.2) {
                 const action = this.random() < 0.3 ? "load" : "evict";
-                this.decide(agent, { type: "order", action, engineId, model: this.pickModel() });
+                this.decide(agent, { type: "order", action, engineId, model: this.chooseModel() });
             }
         }
         for (const gateway of this.gateways) {
@@ -164,14 +164,14 @@
                 this.dispatch(gateway);
             }
         }
-        this.breakSomething();
+        this.runFault();
     }
 
-    private pickModel(): string {
+    private chooseModel(): string {
         return models[Math.floor(this.random() * models.length)]!;
     }
 
-    private breakSomething(): void {
+    private runFault(): void {
         const dice = this.random();
         if (dice < 0.003) {
             this.agents[Math.floor(this.random() * 2)]!.pausedUntil = this.now + this.random() * 3 * leaseMs;
@@ -354,7 +354,7 @@
                 const sentAt = gateway.sentAt.get(sequence);
                 const renewedAt = sentAt === undefined ? undefined : { monotonic: sentAt, wall: sentAt };
                 const answered = gateway.answered.set(agent.name, sequence);
-                gateway.uses.forgetUnsure(Math.min(...this.agents.map(other => answered.get(other.name) ?? 0)));
+                gateway.uses.removeUnsure(Math.min(...this.agents.map(other => answered.get(other.name) ?? 0)));
                 const known = gateway.leases.readVersion(agent.name);
                 if (version >= known) {
                     gateway.leases.receiveGrant(
@@ -387,7 +387,7 @@
         if (this.now < gateway.pausedUntil) {
             return;
         }
-        const model = this.pickModel();
+        const model = this.chooseModel();
         const instant = { monotonic: this.now, wall: this.now };
         if (!gateway.leases.isLeased(engineId, model, instant)) {
             return;
--- a/packages/harness/src/demo.ts
+++ b/packages/harness/src/demo.ts
@@ -54,7 +54,7 @@
             async () =>
                 (await sendRequest(gateway.callers, "/v1/models", { method: "GET" })).body.includes("declaration@2"),
         );
-        await showRequests(gateway.callers);
+        await printRequests(gateway.callers);
         if (isServing) {
             print("\nServing until interrupted. For example:");
             print(
@@ -69,7 +69,7 @@
     }
 }
 
-async function showRequests(callers: string): Promise<void> {
+async function printRequests(callers: string): Promise<void> {
     for (const model of ["declaration@2", "manifest@1"]) {
         const result = await sendCompletion(callers, model);
         const isRight = result.hasEndMark && result.models.size === 1 && result.models.has(model);
--- a/packages/offerings/src/fold.ts
+++ b/packages/offerings/src/fold.ts
@@ -124,9 +124,9 @@
     foldPeerVersion(whole: WholeVersion): boolean {
         const isNewer = !this.known || whole.version > this.currentVersion;
         if (this.gap !== undefined) {
-            return this.closeGap(whole) || (isNewer && this.replaceState(whole));
+            return this.closeGap(whole) || (isNewer && this.setState(whole));
         }
-        if (!isNewer || !this.replaceState(whole)) {
+        if (!isNewer || !this.setState(whole)) {
             return false;
         }
         if (whole.asOf > this.next) {
@@ -219,7 +219,7 @@
             return false;
         }
         if (whole.version > this.currentVersion || !this.known) {
-            if (!this.replaceState(whole)) {
+            if (!this.setState(whole)) {
                 return false;
             }
         }
@@ -276,7 +276,7 @@
         return outcome;
     }
 
-    private replaceState(whole: WholeVersion): boolean {
+    private setState(whole: WholeVersion): boolean {
         // Never backwards: an older snapshot may still be met after a newer version came from a peer.
         if (whole.version < this.currentVersion) {
             return false;
--- a/packages/offerings/test/fold.test.ts
+++ b/packages/offerings/test/fold.test.ts
@@ -275,7 +275,9 @@
     let hashed = 0;
     const change = createAdapterChange("adapter-5", "2");
     const counting: Change = {
-        set: change.set.map(entry => new Proxy(entry, { get: (target, key) => (hashed++, Reflect.get(target, key)) })),
+        set: change.set.map(entry =>
+            new Proxy(entry, { get: (target, key) => (hashed++, Reflect.get(target, key) as unknown) })
+        ),
         remove: [],
     };
     state.applyChange(counting);
--- a/packages/placement/src/owner.ts
+++ b/packages/placement/src/owner.ts
@@ -219,10 +219,10 @@
     private receive(event: OwnerEvent, now: number): OwnerCommand[] {
         switch (event.type) {
             case "own":
-                this.own(event.engineId, event.address);
+                this.addEngine(event.engineId, event.address);
                 return [];
             case "disown":
-                this.disown(event.engineId);
+                this.removeEngine(event.engineId);
                 return [];
             case "report":
                 this.receiveReport(event.engineId, event.report, now);
@@ -255,7 +255,7 @@
 
     // Ownership.
 
-    private own(engineId: string, address: string): void {
+    private addEngine(engineId: string, address: string): void {
         const known = this.engines.get(engineId);
         if (known?.address === address) {
             return;
@@ -280,7 +280,7 @@
         this.version++;
     }
 
-    private disown(engineId: string): void {
+    private removeEngine(engineId: string): void {
         if (this.engines.delete(engineId)) {
             this.version++;
         }
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -254,7 +254,7 @@
     private receiveDemand(gateway: string, change: ModelDemand, now: number): void {
         const { model, paying, trial } = change;
         const state = this.findModel(model);
-        this.subtractGateway(state, gateway);
+        this.removeGatewayWaiting(state, gateway);
         if (paying.count > 0 || trial.count > 0) {
             const waiting: GatewayWaiting = {
                 payingCount: paying.count,
@@ -280,14 +280,14 @@
     private removeGateway(gateway: string): void {
         for (const [model, state] of this.models) {
             if (state.gateways.has(gateway)) {
-                this.subtractGateway(state, gateway);
+                this.removeGatewayWaiting(state, gateway);
                 this.updateRanks(model, state);
                 this.removeIfUnused(model, state);
             }
         }
     }
 
-    private subtractGateway(state: ModelState, gateway: string): void {
+    private removeGatewayWaiting(state: ModelState, gateway: string): void {
         const waiting = state.gateways.get(gateway);
         if (waiting !== undefined) {
             this.addWaiting(state, waiting, -1);
--- a/packages/tokens/src/ledger.ts
+++ b/packages/tokens/src/ledger.ts
@@ -81,8 +81,8 @@
         if (entry === undefined) {
             return;
         }
-        entry.outcome = this.fitOutcome(outcome);
-        this.dropOldAnswers();
+        entry.outcome = this.resolveOutcome(outcome);
+        this.removeOldAnswers();
     }
 
     /** Forgets what has expired, later than any gateway whose clock is behind could still take its token. */
@@ -110,12 +110,12 @@
     /** Takes over the ledger of an issuer that has stopped. */
     adopt(record: LedgerRecord): void {
         for (const { sequence, digest, expiresAt, outcome } of record.entries) {
-            this.entries.set(sequence, { digest, expiresAt, outcome: this.fitOutcome(outcome) });
+            this.entries.set(sequence, { digest, expiresAt, outcome: this.resolveOutcome(outcome) });
         }
-        this.dropOldAnswers();
+        this.removeOldAnswers();
     }
 
-    private fitOutcome(outcome: TokenOutcome): TokenOutcome {
+    private resolveOutcome(outcome: TokenOutcome): TokenOutcome {
         const bytes = readAnswerBytes(outcome);
         if (outcome.kind === "complete" && bytes > this.maxAnswerBytes) {
             return { kind: "complete", answer: undefined };
@@ -124,7 +124,7 @@
         return outcome;
     }
 
-    private dropOldAnswers(): void {
+    private removeOldAnswers(): void {
         for (const entry of this.entries.values()) {
             if (this.keptBytes <= this.maxKeptBytes) {
                 return;
--- a/packages/upstreams/src/completion.ts
+++ b/packages/upstreams/src/completion.ts
@@ -143,7 +143,7 @@
         }
         const step = this.checker.receive(chunk);
         if (step.kind === "reject") {
-            this.reject(step.reason, step.detail);
+            this.refuse(step.reason, step.detail);
         }
         if (step.kind === "pass") {
             this.pass(step.chunk, "text/event-stream");
@@ -154,7 +154,7 @@
         this.buffered.push(chunk);
         this.bufferedLength += chunk.length;
         if (this.bufferedLength > (this.options.maxAnswerBytes ?? defaultMaxAnswerBytes)) {
-            this.reject("malformedAnswer", "the answer is too large");
+            this.refuse("malformedAnswer", "the answer is too large");
         }
     }
 
@@ -166,7 +166,7 @@
         this.options.receiver.receiveData(chunk);
     }
 
-    private reject(reason: Reason, detail: string): void {
+    private refuse(reason: Reason, detail: string): void {
         this.rejection = { reason, detail };
         this.exchange.cancel(reason);
     }
--- a/packages/upstreams/src/exchange.ts
+++ b/packages/upstreams/src/exchange.ts
@@ -105,7 +105,7 @@
 
 class UndiciExchange implements Exchange, Dispatcher.DispatchHandler {
     readonly end: Promise<ExchangeEnd>;
-    private settle: (end: ExchangeEnd) => void = () => {};
+    private finishExchange: (end: ExchangeEnd) => void = () => {};
     private phase: ExchangePhase = "connecting";
     private controller: Dispatcher.DispatchController | undefined;
     private cancelReason: Reason | undefined;
@@ -113,7 +113,7 @@
 
     constructor(agent: Agent, private readonly options: ExchangeOptions) {
         this.end = new Promise(resolve => {
-            this.settle = resolve;
+            this.finishExchange = resolve;
         });
         const { address, method, path, headers, body } = options;
         agent.dispatch(
@@ -136,7 +136,12 @@
         this.cancelReason ??= reason;
         if (this.controller === undefined) {
             // Nothing is written yet, and `onRequestStart` sees to it that nothing will be.
-            this.settle({ kind: "broken", phase: "connecting", reason, detail: "cancelled before it was sent" });
+            this.finishExchange({
+                kind: "broken",
+                phase: "connecting",
+                reason,
+                detail: "cancelled before it was sent",
+            });
             return;
         }
         this.controller.abort(new Error(reason));
@@ -174,13 +179,13 @@
 
     onResponseEnd(): void {
         clearTimeout(this.timer);
-        this.settle({ kind: "answered" });
+        this.finishExchange({ kind: "answered" });
     }
 
     onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
         clearTimeout(this.timer);
         const reason = this.cancelReason ?? (this.phase === "connecting" ? "connectFailed" : "connectionLost");
-        this.settle({ kind: "broken", phase: this.phase, reason, detail: error.message });
+        this.finishExchange({ kind: "broken", phase: this.phase, reason, detail: error.message });
     }
 
     private startTimer(): void {
--- a/packages/upstreams/test/exchange.test.ts
+++ b/packages/upstreams/test/exchange.test.ts
@@ -47,7 +47,7 @@
     return { end: await completion.end, received, hasBegun };
 }
 
-async function useServer(
+async function runWithServer(
     run: (server: ByteServer, address: string, connections: UpstreamConnections) => Promise<void>,
 ): Promise<void> {
     const server = new ByteServer();
@@ -81,7 +81,7 @@
 
 for (const { point, bytes = 0, ran, verdict } of breaks) {
     test(`an exchange that breaks at "${point}" after ${bytes} bytes is told as ${verdict}`, () =>
-        useServer(async (server, address, connections) => {
+        runWithServer(async (server, address, connections) => {
             server.plan = { point, bytes, answer: streamAnswer };
             const { end } = await runCompletion(connections, address, true, 100);
             assert.is(server.runs, ran ? 1 : 0);
@@ -101,7 +101,7 @@
 });
 
 test("a request whose lease has lapsed by the time of the write is not sent", () =>
-    useServer(async (server, address, connections) => {
+    runWithServer(async (server, address, connections) => {
         const completion = new HttpEngineClient(connections).open({
             address,
             path: "/v1/completions",
@@ -121,7 +121,7 @@
     }));
 
 test("a stream cut at every byte is never taken for a whole one", () =>
-    useServer(async (server, address, connections) => {
+    runWithServer(async (server, address, connections) => {
         for (let bytes = 1; bytes < streamAnswer.length; bytes++) {
             server.plan = { point: "answer", bytes, answer: streamAnswer };
             const { end, received } = await runCompletion(connections, address, true);
@@ -131,7 +131,7 @@
     }));
 
 test("a plain answer cut at every byte is never passed on", () =>
-    useServer(async (server, address, connections) => {
+    runWithServer(async (server, address, connections) => {
         for (let bytes = 1; bytes < plainAnswer.length; bytes++) {
             server.plan = { point: "answer", bytes, answer: plainAnswer };
             const { end, hasBegun } = await runCompletion(connections, address, false);
@@ -178,7 +178,7 @@
 
 for (const { name, isStream, answer, reason } of wrongAnswers) {
     test(`${name} is told as ${reason}`, () =>
-        useServer(async (server, address, connections) => {
+        runWithServer(async (server, address, connections) => {
             server.plan = { point: "never", bytes: 0, answer };
             const { end } = await runCompletion(connections, address, isStream);
             assert.is(end.verdict.kind, "mayHaveRun");
@@ -187,7 +187,7 @@
 }
 
 test("a wrong model passes no byte to the caller", () =>
-    useServer(async (server, address, connections) => {
+    runWithServer(async (server, address, connections) => {
         server.plan = { point: "never", bytes: 0, answer: createStreamAnswer("base", 3) };
         const { received, hasBegun } = await runCompletion(connections, address, true);
         assert.is(received, "");
@@ -195,7 +195,7 @@
     }));
 
 test("over random plans on reused connections, not-run was not run and complete is complete", () =>
-    useServer(async (server, address, connections) => {
+    runWithServer(async (server, address, connections) => {
         const plan: fc.Arbitrary<Plan & { isStream: boolean; }> = fc.record({
             point: fc.constantFrom<BreakPoint>(
                 "accept",
@@ -236,7 +236,7 @@
     }));
 
 test("answers of requests at the same time go to their own callers", () =>
-    useServer(async (server, address, connections) => {
+    runWithServer(async (server, address, connections) => {
         server.plan = { point: "never", bytes: 0, answer: streamAnswer };
         const attempts = await Promise.all(Array.from({ length: 50 }, () => runCompletion(connections, address, true)));
         assert.ok(
@@ -246,7 +246,7 @@
     }));
 
 test("a service's whole answer is passed on whatever its status", () =>
-    useServer(async (server, address, connections) => {
+    runWithServer(async (server, address, connections) => {
         server.plan = { point: "never", bytes: 0, answer: createPlainAnswer("{\"no\":\"parcel\"}", 404) };
         let status = 0;
         let received = "";
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -6,9 +6,9 @@
     listModels,
     quickAgent,
     quickGateway,
+    runWithDeployment,
     startDeployment,
     testOfferings,
-    useDeployment,
     waitForOfferings,
 } from "./support.js";
 
@@ -34,7 +34,7 @@
 }
 
 test("of two operators who apply at the same moment one wins, and the loser is told", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, { agents: 2 });
         const [left, right] = await Promise.all([
             apply(deployment, "left", "--base", "0"),
@@ -49,7 +49,7 @@
     }));
 
 test("an apply whose append took effect without an answer is in force once, and told so", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment);
         await deployment.setFaults(deployment.addresses.log, [{ operation: "append", action: "loseAnswer" }]);
         assert.equal(await apply(deployment, "lost"), { code: 0, outcome: "inForce" });
@@ -57,7 +57,7 @@
     }));
 
 test("an apply that the log refuses is told as not in force, and is not", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment);
         await deployment.setFaults(deployment.addresses.log, [{ operation: "append", action: "refuse", count: 100 }]);
         assert.equal(await apply(deployment, "refused"), { code: 4, outcome: "notInForce" });
@@ -65,7 +65,7 @@
     }));
 
 test("a file with a mistake changes nothing, and the mistake is named with its line", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment);
         const file = await deployment.writeFile("wrong.json", {
             ...testOfferings,
@@ -78,7 +78,7 @@
     }));
 
 test("a node cut off from the log gets new offerings from its peers, and one that starts then does too", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment);
         const first = deployment.agents[0]!;
         const nowhere = { ...quickAgent, log: "127.0.0.1:1", agents: [first.peers] };
@@ -93,7 +93,7 @@
     }));
 
 test("during an outage of the log nodes are replaced and serve what the others know", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, { agents: 2 });
         await deployment.setFaults(deployment.addresses.log, [{ operation: "*", action: "refuse", count: 100_000 }]);
         await deployment.agents[1]!.process.kill();
@@ -108,7 +108,7 @@
     }));
 
 test("a gateway that nobody can tell the offerings serves nothing, and says so", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await deployment.startFakes({});
         await deployment.setFaults(deployment.addresses.log, [{ operation: "*", action: "refuse", count: 100_000 }]);
         await deployment.startAgent("agent-1", dataCentre, quickAgent);
@@ -120,7 +120,7 @@
     }));
 
 test("offerings outlive the records that made them, by snapshots", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, { agent: { snapshotMs: 1 } });
         const { log } = deployment.addresses;
         const readPage = async (): Promise<{ records: { offset: number; data: string; }[]; }> =>
@@ -141,7 +141,7 @@
     }));
 
 test("an operator without a key is refused", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await deployment.startFakes({});
         const agent = await deployment.startAgent("agent-1", dataCentre, quickAgent);
         const result = await sendRequest(agent.operators, "/operator/status", {
--- a/test/failures.test.ts
+++ b/test/failures.test.ts
@@ -7,9 +7,9 @@
     quickAgent,
     readEngineRuns,
     readProblem,
+    runWithDeployment,
     startDeployment,
     testOfferings,
-    useDeployment,
 } from "./support.js";
 
 const models = ["declaration@1", "declaration@2", "manifest@1", "tender@1"];
@@ -21,7 +21,7 @@
 }
 
 test("a planned stop, asked for twice, cuts off no stream", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, {
             engines: [createEngine("engine-1", { slots: 4, tokens: 60, tokenMs: 10 })],
             gateways: 2,
@@ -43,7 +43,7 @@
 
 for (const role of ["killed", "frozen and resumed", "stopped on plan"] as const) {
     test(`when the owner of the engines is ${role}, streams go on, loaded adapters stay reachable, and nothing is evicted in use`, () =>
-        useDeployment(async deployment => {
+        runWithDeployment(async deployment => {
             await startDeployment(deployment, {
                 agents: 2,
                 engines: [
@@ -84,7 +84,7 @@
 }
 
 test("an engine that starts cold in the middle answers nothing wrong, and serves again", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, {
             engines: [createEngine("engine-1", { slots: 4, servesBaseModel: false })],
         });
@@ -96,7 +96,7 @@
     }));
 
 test("an engine that answers with the base model for what it has lost passes nothing on", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, {
             engines: [createEngine("engine-1", { servesBaseModel: true })],
             agent: { statusMs: 2000 },
@@ -115,7 +115,7 @@
 /** Who says first that an upstream leaves. */
 for (const source of ["the engine's status", "an operator"] as const) {
     test(`a leaving engine gets nothing new within 3 s of the word of ${source}, while the list of VMs is out`, () =>
-        useDeployment(async deployment => {
+        runWithDeployment(async deployment => {
             await startDeployment(deployment);
             const [gateway] = deployment.gateways;
             await sendCompletion(gateway!.callers, "manifest@1");
@@ -154,7 +154,7 @@
 }
 
 test("an engine that stops answering is found, and the caller is told what may have run", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, {
             engines: [createEngine("engine-1", { slots: 4 })],
             gateway: { silenceMs: 300 },
@@ -174,7 +174,7 @@
     }));
 
 test("a paying request is answered while trial requests fill every engine", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, {
             engines: [createEngine("engine-1", { slots: 4, batchRoom: 4, tokens: 100, tokenMs: 10 })],
         });
@@ -185,22 +185,22 @@
                 key: "trial-key",
                 headers: { "x-deadline-ms": "30000" },
             }));
-        await waitFor("trial requests to run", async () =>
-            (await readEngineRuns(deployment.addresses.engines["engine-1"]!)).runs.filter(run =>
-                !run.ended
-            ).length >= 4);
+        await waitFor(
+            "trial requests to run",
+            async () =>
+                (await readEngineRuns(deployment.addresses.engines["engine-1"]!)).runs.filter(run => !run.ended).length
+                    >= 4,
+        );
         const paid = await sendCompletion(gateway!.callers, "declaration@1", { tokens: 3 });
         checkWhole(paid, "declaration@1");
         let ended = 0;
-        trials.forEach(trial =>
-            void trial.then(() => ended++)
-        );
+        trials.forEach(trial => void trial.then(() => ended++));
         assert.ok(ended < 40, "the trials were not running any more");
         await Promise.all(trials);
     }));
 
 test("a data centre cut off from the others and from the platform goes on serving", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment);
         await deployment.startAgent("agent-far", "yard", quickAgent);
         for (const address of [deployment.addresses.log, deployment.addresses.vmList]) {
@@ -214,7 +214,7 @@
     }));
 
 test("a new version in the offerings is served beside the old one, each by itself", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment);
         const [gateway] = deployment.gateways;
         const running = ["declaration@1", "declaration@2"].map(model => sendCompletion(gateway!.callers, model));
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -187,8 +187,8 @@
     for (const address of Object.values(deployment.addresses.engines)) {
         await deployment.setFaults(address, [{ operation: "load", action: "silentBefore", count: 100 }]);
     }
-    const slow = sendCompletion(gateway.callers, "tender@1", { headers: { "x-deadline-ms": "300" } });
-    const result = await slow;
+    // A model that nobody asked for before, so that it was not prefetched either.
+    const result = await sendCompletion(gateway.callers, "spare@1", { headers: { "x-deadline-ms": "300" } });
     assert.is(result.status, 504, result.body);
     assert.equal(readProblem(result.body).verdict, "not-run");
     assert.ok(Number(result.headers["retry-after"]) >= 1);
--- a/test/support.ts
+++ b/test/support.ts
@@ -14,6 +14,7 @@
         declaration: { baseModel: "base", versions: ["1", "2"] },
         manifest: { baseModel: "base", versions: ["1"] },
         tender: { baseModel: "base", versions: ["1"] },
+        spare: { baseModel: "base", versions: ["1"] },
     },
     services: { labels: { nonIdempotent: [{ method: "POST", path: "/print" }], timeoutMs: 1500 } },
 };
@@ -64,7 +65,7 @@
 }
 
 /** Runs a test with a deployment that is gone afterwards, whatever happens. */
-export async function useDeployment(run: (deployment: Deployment) => Promise<void>): Promise<void> {
+export async function runWithDeployment(run: (deployment: Deployment) => Promise<void>): Promise<void> {
     const deployment = await Deployment.create();
     try {
         await run(deployment);
--- a/test/tokens.test.ts
+++ b/test/tokens.test.ts
@@ -8,12 +8,12 @@
     printLabel,
     quickGateway,
     readProblem,
+    runWithDeployment,
     startDeployment,
-    useDeployment,
 } from "./support.js";
 
 test("a label asked for again through every gateway is printed once, and everyone gets the same answer", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, { gateways: 3, services: ["labels-1", "labels-2"] });
         const [first, second, third] = deployment.gateways;
         const [token] = await createTokens(first!, 1);
@@ -30,7 +30,7 @@
     }));
 
 test("a balancer that sends a request to two gateways at once gets it run once", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, { gateways: 2 });
         const tokens = await createTokens(deployment.gateways[0]!, 20);
         await Promise.all(
@@ -42,7 +42,7 @@
     }));
 
 test("when the service loses its answer the caller is told may-have-run, again and again, and it ran once", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, { gateways: 2 });
         const service = deployment.addresses.services["labels-1"]!;
         const [token] = await createTokens(deployment.gateways[0]!, 1);
@@ -55,7 +55,7 @@
     }));
 
 test("a request that the service refused before acting may be asked again with its token", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment);
         const service = deployment.addresses.services["labels-1"]!;
         const [token] = await createTokens(deployment.gateways[0]!, 1);
@@ -73,7 +73,7 @@
 
 for (const ending of endings) {
     test(`when the issuer is ${ending} the caller is told may-have-run, and it ran once`, () =>
-        useDeployment(async deployment => {
+        runWithDeployment(async deployment => {
             await startDeployment(deployment, { gateways: 2, gateway: { silenceMs: 500, tokenLifeMs: 60_000 } });
             const [issuer, other] = deployment.gateways;
             const [used, unused] = await createTokens(issuer!, 2);
@@ -106,7 +106,7 @@
 }
 
 test("a gateway that stops on plan hands its tokens over: the answer is kept, and an unused token still works", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment, { gateways: 3 });
         const [issuer, other, third] = deployment.gateways;
         const [used, unused] = await createTokens(issuer!, 2);
@@ -125,7 +125,7 @@
     }));
 
 test("a token serves one customer and one request", () =>
-    useDeployment(async deployment => {
+    runWithDeployment(async deployment => {
         await startDeployment(deployment);
         const [gateway] = deployment.gateways;
         const [token] = await createTokens(gateway!, 1);
