--- a/packages/fakes/src/engine.ts
+++ b/packages/fakes/src/engine.ts
@@ -32,6 +32,8 @@
     readonly callId: string | undefined;
     readonly model: string;
     readonly servedBy: string;
+    /** The request's own `user`, by which a test knows it again. */
+    readonly user: string | undefined;
     ended: boolean;
 }
 
@@ -45,7 +47,7 @@
     readonly model?: string;
     readonly stream?: boolean;
     readonly max_tokens?: number;
-    readonly prompt?: string;
+    readonly user?: string;
 }
 
 interface Order {
@@ -221,6 +223,7 @@
             callId: typeof callId === "string" ? callId : undefined,
             model,
             servedBy,
+            user: body.user,
             ended: false,
         };
         this.runs.push(run);
--- a/packages/gateway/src/control.ts
+++ b/packages/gateway/src/control.ts
@@ -41,11 +41,21 @@
     readonly link: AgentLink;
     readonly sync: OfferingsSync;
     /** Renewals that the agent has not answered yet, oldest first. */
-    readonly renewals: { sequence: number; sentAt: Instant; }[];
+    readonly renewals: { sequence: number; sentAt: Instant; own: ReadonlyMap<string, InFlight>; }[];
     /** Sequence of the last renewal that the agent has answered. */
     answered: number;
+    /** Own requests by engine, as that renewal told them: the agent's counts hold just these. */
+    toldOwn: ReadonlyMap<string, InFlight>;
 }
 
+/** Requests by customer class. */
+interface InFlight {
+    readonly paying: number;
+    readonly trial: number;
+}
+
+const noneInFlight: InFlight = { paying: 0, trial: 0 };
+
 type AgentLink = Link<Message, OutgoingMessage>;
 
 /** Unanswered renewals that are remembered for one agent. */
@@ -66,6 +76,7 @@
         string,
         { upstreams: readonly ServiceUpstream[]; goneAt: number | undefined; }
     >();
+    private readonly others = new Map<string, InFlight>();
     private otherGateways: MessageOf<"gateways">["gateways"] = [];
     private sequence = 0;
     private placer: string | undefined;
@@ -105,6 +116,11 @@
         return this.placer !== undefined;
     }
 
+    /** Requests that other gateways have on an engine, as its owner last said. */
+    readOthers(engineId: string): InFlight {
+        return this.others.get(engineId) ?? noneInFlight;
+    }
+
     /** A use of a model has ended. Owners that wait for its release are told at once. */
     recordRelease(): void {
         this.renewAll();
@@ -160,7 +176,13 @@
 
     private receiveOpen(link: AgentLink): void {
         const key = formatAgent(link.peer);
-        this.peers.set(key, { link, sync: new OfferingsSync(this.options.fold), renewals: [], answered: 0 });
+        this.peers.set(key, {
+            link,
+            sync: new OfferingsSync(this.options.fold),
+            renewals: [],
+            answered: 0,
+            toldOwn: new Map(),
+        });
         this.options.logger.info("agent connected", { agent: link.peer.id });
         this.updatePlacer();
         this.renew(key);
@@ -211,7 +233,7 @@
             return;
         }
         const sequence = ++this.sequence;
-        peer.renewals.push({ sequence, sentAt: readInstant() });
+        peer.renewals.push({ sequence, sentAt: readInstant(), own: this.uses.readInFlight() });
         if (peer.renewals.length > maxRenewals) {
             peer.renewals.shift();
         }
@@ -230,6 +252,14 @@
         const renewal = index < 0 ? undefined : peer.renewals[index];
         peer.renewals.splice(0, index + 1);
         peer.answered = Math.max(peer.answered, grant.sequence);
+        peer.toldOwn = renewal?.own ?? peer.toldOwn;
+        for (const { id, inFlightPaying, inFlightTrial } of grant.engines ?? []) {
+            const own = peer.toldOwn.get(id) ?? noneInFlight;
+            this.others.set(id, {
+                paying: Math.max(0, inFlightPaying - own.paying),
+                trial: Math.max(0, inFlightTrial - own.trial),
+            });
+        }
         this.uses.removeUnsure(Math.min(...[...this.peers.values()].map(other => other.answered)));
         const versionBefore = this.leases.readVersion(key);
         const changed = this.leases.receiveGrant(key, grant, renewal?.sentAt);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -216,15 +216,15 @@
         const grants = this.control.leases.listEngines(readInstant());
         this.engines = new Map(grants.map(grant => [grant.id, grant]));
         this.engineDispatch.setEngines(grants.map(grant => {
-            const own = this.control.uses.readInFlight(grant.id);
+            const others = this.control.readOthers(grant.id);
             return {
                 id: grant.id,
                 instance: grant.instance,
                 batchRoom: grant.batchRoom,
                 isLeaving: grant.isLeaving,
                 models: grant.models,
-                othersPaying: Math.max(0, grant.inFlightPaying - own.paying),
-                othersTrial: Math.max(0, grant.inFlightTrial - own.trial),
+                othersPaying: others.paying,
+                othersTrial: others.trial,
             };
         }));
         this.scheduleDemand();
--- a/packages/gateway/src/uses.ts
+++ b/packages/gateway/src/uses.ts
@@ -61,16 +61,16 @@
         }
     }
 
-    /** Own requests on an engine. */
-    readInFlight(engineId: string): { paying: number; trial: number; } {
-        const total = { paying: 0, trial: 0 };
+    /** Own requests by engine. */
+    readInFlight(): Map<string, { paying: number; trial: number; }> {
+        const totals = new Map<string, { paying: number; trial: number; }>();
         for (const use of this.uses.values()) {
-            if (use.engineId === engineId) {
-                total.paying += use.paying;
-                total.trial += use.trial;
-            }
+            const total = totals.get(use.engineId) ?? { paying: 0, trial: 0 };
+            total.paying += use.paying;
+            total.trial += use.trial;
+            totals.set(use.engineId, total);
         }
-        return total;
+        return totals;
     }
 }
 
--- a/packages/harness/src/calls.ts
+++ b/packages/harness/src/calls.ts
@@ -59,13 +59,14 @@
 export async function sendCompletion(
     address: string,
     model: string,
-    options: CallerOptions & { readonly isStream?: boolean; readonly tokens?: number; } = {},
+    options: CallerOptions & { readonly isStream?: boolean; readonly tokens?: number; readonly user?: string; } = {},
 ): Promise<CompletionResult> {
     const isStream = options.isStream ?? true;
     const body = {
         model,
         stream: isStream,
         max_tokens: options.tokens,
+        user: options.user,
         messages: [{ role: "user", content: "What is in the parcel?" }],
     };
     const result = await sendRequest(address, "/v1/chat/completions", { ...options, body });
