--- a/packages/agent/src/owning.ts
+++ b/packages/agent/src/owning.ts
@@ -41,7 +41,7 @@
 }
 
 /** Interval at which the owner looks at its clock, in milliseconds. */
-const tickMs = 50;
+const tickMs = 200;
 
 /** An order is given up if its process was held up for longer than this between deciding and sending, in milliseconds. */
 const maxHoldMs = 500;
--- a/packages/experiment/src/bench.ts
+++ b/packages/experiment/src/bench.ts
@@ -9,9 +9,10 @@
 const { control } = await yargs(hideBin(process.argv))
     .scriptName("bench")
     .option("control", {
-        type: "boolean",
-        default: false,
-        describe: "Measure an agent's cost at rest over four sizes each; five minutes",
+        type: "string",
+        choices: ["none", "all", "gateways", "engines", "agents", "adapters"],
+        default: "none",
+        describe: "Measure an agent's cost at rest over four sizes of each, or of one; a minute a series",
     })
     .strict()
     .parseAsync();
@@ -45,8 +46,8 @@
     );
 }
 
-if (control) {
-    const results = await runControl(cost => print(`control: ${JSON.stringify(cost)}`));
+if (control !== "none") {
+    const results = await runControl(control, cost => print(`control: ${JSON.stringify(cost)}`));
     for (const { name, cpuPercent, memoryMegabytes, bytesPerSecond } of results) {
         print(
             `slope by ${name}: CPU % ${JSON.stringify(cpuPercent)}, MB ${JSON.stringify(memoryMegabytes)}, bytes/s ${
--- a/packages/experiment/src/control.ts
+++ b/packages/experiment/src/control.ts
@@ -116,10 +116,13 @@
     readonly bytesPerSecond: Fit;
 }
 
-/** Measures every series. Takes about five minutes. */
-export async function runControl(onCost: (cost: ControlCost) => void): Promise<ControlSeries[]> {
+/**
+ * Measures one series, or `all`. Each takes about a minute.
+ * @param onCost Called with each measurement as it is made.
+ */
+export async function runControl(wanted: string, onCost: (cost: ControlCost) => void): Promise<ControlSeries[]> {
     const results: ControlSeries[] = [];
-    for (const { name, values } of series) {
+    for (const { name, values } of series.filter(each => wanted === "all" || each.name === wanted)) {
         const costs: ControlCost[] = [];
         for (const value of values) {
             const cost = await measureControl({ agents: 1, gateways: 1, engines: 2, adapters: 100, [name]: value });
--- a/packages/offerings/src/fold.ts
+++ b/packages/offerings/src/fold.ts
@@ -36,6 +36,9 @@
 /** Accepted changes, and outcomes of applies, that are kept for peers and for the writers of applies. */
 const maxKept = 256;
 
+/** Entries of the largest change that is kept. */
+export const maxKeptEntries = 2000;
+
 /** Records read after others were trimmed unread, until a snapshot or a peer closes the gap. */
 interface Gap {
     /** Offset up to which records were folded before. */
@@ -260,6 +263,11 @@
         this.state.applyChange(accepted.change);
         this.currentVersion = accepted.version;
         this.recordOutcome({ applyId: accepted.applyId, offset: accepted.version, accepted: true });
+        // A change this large travels as a whole version; keeping it would hold its entries twice.
+        if (accepted.change.set.length + accepted.change.remove.length > maxKeptEntries) {
+            this.kept.length = 0;
+            return;
+        }
         this.kept.push(accepted);
         if (this.kept.length > maxKept) {
             this.kept.shift();
--- a/packages/offerings/src/index.ts
+++ b/packages/offerings/src/index.ts
@@ -1,7 +1,14 @@
 /** Declarative offerings: their schema, the change between two versions, and the fold of the log into the one in force. */
 export { checkOfferings, createChange, listOfferingsEntries, type OfferingsMistake } from "./change.js";
 export { EntryDigest, formatCanonical } from "./digest.js";
-export { type AcceptedChange, type ApplyOutcome, OfferingsFold, type VoidReason, type WholeVersion } from "./fold.js";
+export {
+    type AcceptedChange,
+    type ApplyOutcome,
+    maxKeptEntries,
+    OfferingsFold,
+    type VoidReason,
+    type WholeVersion,
+} from "./fold.js";
 export {
     type ApplyRecord,
     type ContentRecord,
--- a/packages/protocol/src/sync.ts
+++ b/packages/protocol/src/sync.ts
@@ -1,12 +1,15 @@
-import type { AcceptedChange, Entry, OfferingsFold, WholeVersion } from "@radishreel/offerings";
+import {
+    type AcceptedChange,
+    type Entry,
+    maxKeptEntries,
+    type OfferingsFold,
+    type WholeVersion,
+} from "@radishreel/offerings";
 import type { Message, MessageOf } from "./messages.js";
 
 /** Entries in one part of a whole version: far below the largest frame. */
 const entriesPerPart = 2000;
 
-/** Most entries that are sent as a chain of changes rather than as a whole. */
-const maxChainEntries = 2000;
-
 function countEntries(changes: readonly AcceptedChange[]): number {
     return changes.reduce((total, { change }) => total + change.set.length + change.remove.length, 0);
 }
@@ -44,7 +47,7 @@
             return [];
         }
         const changes = want.isWhole ? undefined : this.fold.listChangesAfter(want.version);
-        if (changes !== undefined && countEntries(changes) <= maxChainEntries) {
+        if (changes !== undefined && countEntries(changes) <= maxKeptEntries) {
             return [{ type: "changes", changes }];
         }
         return createParts(this.fold.readWhole());
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -10,31 +10,141 @@
 
 /** File below packages/, text, replacement, test file. */
 const mutations = [
-    ["placement/dist/src/owner.js", "engine.reportAskedAt >= slot.doubtAt + this.reportLagMs && slot.running === 0", "true", "packages/placement/dist/test/owner.test.js"],
-    ["placement/dist/src/owner.js", "engine.noEvictionBefore = now + this.leaseMs;", "engine.noEvictionBefore = now;", "packages/placement/dist/test/owner.test.js"],
-    ["placement/dist/src/owner.js", "engine.mustReclaim = true;", "slot.isEvictionOpen = false;", "packages/gateway/dist/test/leases.test.js"],
-    ["placement/dist/src/leases.js", "if (lease.grantVersion < version) {", "if (false) {", "packages/gateway/dist/test/leases.test.js"],
-    ["placement/dist/src/leases.js", "use.paying + use.trial > 0", "false", "packages/gateway/dist/test/leases.test.js"],
-    ["gateway/dist/src/leases.js", "granted.fence > engine.fence", "granted.fence < engine.fence", "packages/gateway/dist/test/leases.test.js"],
+    [
+        "placement/dist/src/owner.js",
+        "engine.reportAskedAt >= slot.doubtAt + this.reportLagMs && slot.running === 0",
+        "true",
+        "packages/placement/dist/test/owner.test.js",
+    ],
+    [
+        "placement/dist/src/owner.js",
+        "engine.noEvictionBefore = now + this.leaseMs;",
+        "engine.noEvictionBefore = now;",
+        "packages/placement/dist/test/owner.test.js",
+    ],
+    [
+        "placement/dist/src/owner.js",
+        "engine.mustReclaim = true;",
+        "slot.isEvictionOpen = false;",
+        "packages/gateway/dist/test/leases.test.js",
+    ],
+    [
+        "placement/dist/src/leases.js",
+        "if (lease.grantVersion < version) {",
+        "if (false) {",
+        "packages/gateway/dist/test/leases.test.js",
+    ],
+    [
+        "placement/dist/src/leases.js",
+        "use.paying + use.trial > 0",
+        "false",
+        "packages/gateway/dist/test/leases.test.js",
+    ],
+    [
+        "gateway/dist/src/leases.js",
+        "granted.fence > engine.fence",
+        "granted.fence < engine.fence",
+        "packages/gateway/dist/test/leases.test.js",
+    ],
     ["gateway/dist/src/clock.js", "&& wallMs < ms && wallMs > -ms", "", "packages/gateway/dist/test/leases.test.js"],
-    ["gateway/dist/src/gateway.js", "this.draining ??= this.runDrain();", "if (this.draining) { return Promise.resolve(); } this.draining = this.runDrain();", "test/dist/failures.test.js"],
-    ["gateway/dist/src/tokens.js", "this.isSealed ? undefined : this.ledgers.get(token.issuer)", "this.ledgers.get(token.issuer) ?? this.ledgers.values().next().value", "test/dist/tokens.test.js"],
-    ["tokens/dist/src/ledger.js", "this.entries.set(sequence, { digest, expiresAt, outcome: undefined });", "", "packages/tokens/dist/test/tokens.test.js"],
-    ["tokens/dist/src/ledger.js", "entry.expiresAt + maxClockSkewMs", "entry.expiresAt", "packages/tokens/dist/test/tokens.test.js"],
+    [
+        "gateway/dist/src/gateway.js",
+        "this.draining ??= this.runDrain();",
+        "if (this.draining) { return Promise.resolve(); } this.draining = this.runDrain();",
+        "test/dist/failures.test.js",
+    ],
+    [
+        "gateway/dist/src/tokens.js",
+        "this.isSealed ? undefined : this.ledgers.get(token.issuer)",
+        "this.ledgers.get(token.issuer) ?? this.ledgers.values().next().value",
+        "test/dist/tokens.test.js",
+    ],
+    [
+        "tokens/dist/src/ledger.js",
+        "this.entries.set(sequence, { digest, expiresAt, outcome: undefined });",
+        "",
+        "packages/tokens/dist/test/tokens.test.js",
+    ],
+    [
+        "tokens/dist/src/ledger.js",
+        "entry.expiresAt + maxClockSkewMs",
+        "entry.expiresAt",
+        "packages/tokens/dist/test/tokens.test.js",
+    ],
     ["tokens/dist/src/ledger.js", "this.isSealed = true;", "", "packages/tokens/dist/test/tokens.test.js"],
-    ["offerings/dist/src/fold.js", "if (base !== this.currentVersion)", "if (false)", "packages/offerings/dist/test/fold.test.js"],
+    [
+        "offerings/dist/src/fold.js",
+        "if (base !== this.currentVersion)",
+        "if (false)",
+        "packages/offerings/dist/test/fold.test.js",
+    ],
     ["offerings/dist/src/fold.js", "|| gap.lastBroken >= whole.asOf", "", "packages/offerings/dist/test/fold.test.js"],
-    ["offerings/dist/src/fold.js", "Math.min(this.gap?.start ?? this.next", "Math.min(this.gap?.end ?? this.next", "packages/offerings/dist/test/fold.test.js"],
-    ["upstreams/dist/src/exchange.js", "phase === \"connecting\" ? createNotRun", "phase !== \"answering\" ? createNotRun", "packages/upstreams/dist/test/exchange.test.js"],
-    ["upstreams/dist/src/stream.js", "this.isVerified && endMark.test(this.tail.toString(\"latin1\"))", "true", "packages/upstreams/dist/test/exchange.test.js"],
-    ["upstreams/dist/src/stream.js", "if (model !== this.model) {", "if (false) {", "packages/upstreams/dist/test/exchange.test.js"],
-    ["upstreams/dist/src/exchange.js", "this.options.checkBeforeSend?.() === false", "false", "packages/upstreams/dist/test/exchange.test.js"],
-    ["membership/dist/src/upstreams.js", "known.listedLeaving || known.leavingInstance !== undefined", "known.listedLeaving", "packages/membership/dist/test/membership.test.js"],
-    ["dispatch/dist/src/engine.js", "return paying < room;", "return this.inFlight < room;", "packages/dispatch/dist/test/dispatcher.test.js"],
-    ["dispatch/dist/src/fair.js", "start + 1 / request.weight", "start", "packages/dispatch/dist/test/dispatcher.test.js"],
-    ["dispatch/dist/src/dispatcher.js", "request.deadlineAt - this.outlook.loadMs", "request.deadlineAt", "packages/dispatch/dist/test/dispatcher.test.js"],
-    ["wire/dist/src/greeting.js", "return mac.length === expected.length && timingSafeEqual(expected, mac);", "return true;", "packages/wire/dist/test/link.test.js"],
-    ["wire/dist/src/link.js", "if (now - this.lastReceived > silenceMs) {", "if (false) {", "packages/wire/dist/test/link.test.js"],
+    [
+        "offerings/dist/src/fold.js",
+        "Math.min(this.gap?.start ?? this.next",
+        "Math.min(this.gap?.end ?? this.next",
+        "packages/offerings/dist/test/fold.test.js",
+    ],
+    [
+        "upstreams/dist/src/exchange.js",
+        "phase === \"connecting\" ? createNotRun",
+        "phase !== \"answering\" ? createNotRun",
+        "packages/upstreams/dist/test/exchange.test.js",
+    ],
+    [
+        "upstreams/dist/src/stream.js",
+        "this.isVerified && endMark.test(this.tail.toString(\"latin1\"))",
+        "true",
+        "packages/upstreams/dist/test/exchange.test.js",
+    ],
+    [
+        "upstreams/dist/src/stream.js",
+        "if (model !== this.model) {",
+        "if (false) {",
+        "packages/upstreams/dist/test/exchange.test.js",
+    ],
+    [
+        "upstreams/dist/src/exchange.js",
+        "this.options.checkBeforeSend?.() === false",
+        "false",
+        "packages/upstreams/dist/test/exchange.test.js",
+    ],
+    [
+        "membership/dist/src/upstreams.js",
+        "known.listedLeaving || known.leavingInstance !== undefined",
+        "known.listedLeaving",
+        "packages/membership/dist/test/membership.test.js",
+    ],
+    [
+        "dispatch/dist/src/engine.js",
+        "return paying < room;",
+        "return this.inFlight < room;",
+        "packages/dispatch/dist/test/dispatcher.test.js",
+    ],
+    [
+        "dispatch/dist/src/fair.js",
+        "start + 1 / request.weight",
+        "start",
+        "packages/dispatch/dist/test/dispatcher.test.js",
+    ],
+    [
+        "dispatch/dist/src/dispatcher.js",
+        "request.deadlineAt - this.outlook.loadMs",
+        "request.deadlineAt",
+        "packages/dispatch/dist/test/dispatcher.test.js",
+    ],
+    [
+        "wire/dist/src/greeting.js",
+        "return mac.length === expected.length && timingSafeEqual(expected, mac);",
+        "return true;",
+        "packages/wire/dist/test/link.test.js",
+    ],
+    [
+        "wire/dist/src/link.js",
+        "if (now - this.lastReceived > silenceMs) {",
+        "if (false) {",
+        "packages/wire/dist/test/link.test.js",
+    ],
 ];
 
 const only = process.argv[2] ?? "";
@@ -52,7 +162,11 @@
     }
     writeFileSync(file, before.replace(from, () => to));
     try {
-        const { status } = spawnSync(process.execPath, [path.join(root, test)], { cwd: root, timeout: 100_000, killSignal: "SIGKILL" });
+        const { status } = spawnSync(process.execPath, [path.join(root, test)], {
+            cwd: root,
+            timeout: 100_000,
+            killSignal: "SIGKILL",
+        });
         if (status === 0) {
             survivors.push(`${name}: ${from}`);
         }
