Split the placer's demand and the owner's engines off, and bound their heaps

Cause: in an overload nobody waits for prefetches, so the heap of popular models grew by an entry an arrival without end, heaps of waiting models kept stale entries, and decayed counts were never forgotten. Found by reading. Change: a table of demand of its own; heaps drop stale entries beyond four a model; counts are forgotten each minute. Ruled out: a change of decisions.

--- /dev/null
+++ b/packages/placement/src/events.ts
@@ -0,0 +1,85 @@
+import type { LeaseUse } from "./leases.js";
+import type { LoadOutcome } from "./types.js";
+
+/** Options of an owner. */
+export interface OwnerOptions {
+    /** Identity that fencing tokens are made from: different for every agent's every start. */
+    readonly identity: string;
+    /** Length of a lease, in milliseconds. @default 3000 */
+    readonly leaseMs?: number;
+    /** Greatest age of the running counts that engines report, in milliseconds. @default 1000 */
+    readonly reportLagMs?: number;
+}
+
+/** What an engine said of itself. */
+export interface EngineReport {
+    readonly instance: string;
+    readonly isLeaving: boolean;
+    readonly fence: number;
+    readonly slots: number;
+    readonly batchRoom: number;
+    readonly adapters: readonly { readonly model: string; readonly running: number; }[];
+    /** When the report was asked for. */
+    readonly askedAt: number;
+}
+
+/** What an owner hears. */
+export type OwnerEvent =
+    | { readonly type: "own"; readonly engineId: string; readonly address: string; }
+    | { readonly type: "disown"; readonly engineId: string; }
+    | { readonly type: "report"; readonly engineId: string; readonly report: EngineReport; }
+    | { readonly type: "claimed"; readonly engineId: string; readonly fence: number; }
+    | { readonly type: "fenced"; readonly engineId: string; }
+    | { readonly type: "leaving"; readonly engineId: string; }
+    | {
+        readonly type: "renew";
+        readonly gateway: string;
+        readonly grantVersion: number;
+        readonly uses: readonly LeaseUse[];
+        readonly unsure: readonly LeaseUse[];
+    }
+    | { readonly type: "order"; readonly action: "load" | "evict"; readonly engineId: string; readonly model: string; }
+    | { readonly type: "loadEnded"; readonly engineId: string; readonly model: string; readonly outcome: LoadOutcome; }
+    | {
+        readonly type: "evictEnded";
+        readonly engineId: string;
+        readonly model: string;
+        readonly outcome: EvictOutcome;
+    }
+    | { readonly type: "tick"; };
+
+/** How an eviction ended. After `unknown` the order may still be on its way to the engine. */
+export type EvictOutcome = "done" | "failed" | "unknown";
+
+/** What an owner wants done. */
+export type OwnerCommand =
+    | { readonly type: "claim"; readonly engineId: string; readonly address: string; readonly fence: number; }
+    | {
+        readonly type: "load" | "evict";
+        readonly engineId: string;
+        readonly address: string;
+        readonly model: string;
+        readonly fence: number;
+    }
+    /** Tell the placer that an order came to nothing. */
+    | { readonly type: "refuse"; readonly engineId: string; readonly model: string; }
+    /** What gateways are granted has changed. */
+    | { readonly type: "publish"; };
+
+/** One engine as it is leased to every gateway. */
+export interface GrantedEngine {
+    readonly id: string;
+    readonly address: string;
+    readonly instance: string;
+    readonly fence: number;
+    readonly batchRoom: number;
+    readonly isLeaving: boolean;
+    readonly models: string[];
+}
+
+/** Requests on one engine, over all gateways. */
+export interface EngineCounts {
+    readonly id: string;
+    readonly paying: number;
+    readonly trial: number;
+}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,15 +1,16 @@
 /** Pure decisions about slots, leases, loads and evictions. */
+export type {
+    EngineCounts,
+    EngineReport,
+    EvictOutcome,
+    GrantedEngine,
+    OwnerCommand,
+    OwnerEvent,
+    OwnerOptions,
+} from "./events.js";
 export { createFence } from "./fence.js";
 export type { LeaseUse } from "./leases.js";
-export {
-    type EngineCounts,
-    type EngineReport,
-    type GrantedEngine,
-    Owner,
-    type OwnerCommand,
-    type OwnerEvent,
-    type OwnerOptions,
-} from "./owner.js";
+export { Owner } from "./owner.js";
 export {
     type LoadOutlook,
     type PlacementExplanation,
--- a/packages/placement/src/owner.ts
+++ b/packages/placement/src/owner.ts
@@ -1,126 +1,16 @@
+import type {
+    EngineCounts,
+    EngineReport,
+    EvictOutcome,
+    GrantedEngine,
+    OwnerCommand,
+    OwnerEvent,
+    OwnerOptions,
+} from "./events.js";
 import { createFence } from "./fence.js";
 import { LeaseBook, type LeaseUse } from "./leases.js";
-import type { EngineSummary, LoadOutcome, SlotState } from "./types.js";
-
-/** Options of {@link Owner}. */
-export interface OwnerOptions {
-    /** Identity that fencing tokens are made from: different for every agent's every start. */
-    readonly identity: string;
-    /** Length of a lease, in milliseconds. @default 3000 */
-    readonly leaseMs?: number;
-    /** Greatest age of the running counts that engines report, in milliseconds. @default 1000 */
-    readonly reportLagMs?: number;
-}
-
-/** What an engine said of itself. */
-export interface EngineReport {
-    readonly instance: string;
-    readonly isLeaving: boolean;
-    readonly fence: number;
-    readonly slots: number;
-    readonly batchRoom: number;
-    readonly adapters: readonly { readonly model: string; readonly running: number; }[];
-    /** When the report was asked for. */
-    readonly askedAt: number;
-}
-
-/** What an owner hears. */
-export type OwnerEvent =
-    | { readonly type: "own"; readonly engineId: string; readonly address: string; }
-    | { readonly type: "disown"; readonly engineId: string; }
-    | { readonly type: "report"; readonly engineId: string; readonly report: EngineReport; }
-    | { readonly type: "claimed"; readonly engineId: string; readonly fence: number; }
-    | { readonly type: "fenced"; readonly engineId: string; }
-    | { readonly type: "leaving"; readonly engineId: string; }
-    | {
-        readonly type: "renew";
-        readonly gateway: string;
-        readonly grantVersion: number;
-        readonly uses: readonly LeaseUse[];
-        readonly unsure: readonly LeaseUse[];
-    }
-    | { readonly type: "order"; readonly action: "load" | "evict"; readonly engineId: string; readonly model: string; }
-    | { readonly type: "loadEnded"; readonly engineId: string; readonly model: string; readonly outcome: LoadOutcome; }
-    | {
-        readonly type: "evictEnded";
-        readonly engineId: string;
-        readonly model: string;
-        readonly outcome: EvictOutcome;
-    }
-    | { readonly type: "tick"; };
-
-/** How an eviction ended. After `unknown` the order may still be on its way to the engine. */
-export type EvictOutcome = "done" | "failed" | "unknown";
-
-/** What an owner wants done. */
-export type OwnerCommand =
-    | { readonly type: "claim"; readonly engineId: string; readonly address: string; readonly fence: number; }
-    | {
-        readonly type: "load" | "evict";
-        readonly engineId: string;
-        readonly address: string;
-        readonly model: string;
-        readonly fence: number;
-    }
-    /** Tell the placer that an order came to nothing. */
-    | { readonly type: "refuse"; readonly engineId: string; readonly model: string; }
-    /** What gateways are granted has changed. */
-    | { readonly type: "publish"; };
-
-/** One engine as it is leased to every gateway. */
-export interface GrantedEngine {
-    readonly id: string;
-    readonly address: string;
-    readonly instance: string;
-    readonly fence: number;
-    readonly batchRoom: number;
-    readonly isLeaving: boolean;
-    readonly models: string[];
-}
-
-/** Requests on one engine, over all gateways. */
-export interface EngineCounts {
-    readonly id: string;
-    readonly paying: number;
-    readonly trial: number;
-}
-
-interface Slot {
-    state: SlotState;
-    /** Requests that the engine reported, and when that report was asked for. */
-    running: number;
-    /** Version of the grant that no longer holds the model. */
-    revokedVersion: number;
-    /** Until a report asked for after this time shows nothing running, the model may be in use. */
-    doubtAt: number;
-    /** A report that was asked for before this time does not tell whether the model is there. */
-    readonly since: number;
-    /** An order to evict the model may still reach the engine: it must not be leased. */
-    isEvictionOpen: boolean;
-}
-
-interface OwnedEngine {
-    readonly id: string;
-    readonly address: string;
-    instance: string | undefined;
-    /** Own fencing token; undefined until the engine took it. */
-    fence: number | undefined;
-    /** Highest token that the engine has reported. */
-    seenFence: number;
-    claimingFence: number | undefined;
-    nextClaimAt: number;
-    /** An order with the own token may be delayed on the network: a higher token makes it void. */
-    mustReclaim: boolean;
-    slots: number;
-    batchRoom: number;
-    isLeaving: boolean;
-    reportAskedAt: number;
-    /** After a change of owner, gateways may hold leases that this owner never gave. */
-    noEvictionBefore: number;
-    readonly models: Map<string, Slot>;
-    /** When models were evicted; a report that was asked for before may still list them. */
-    readonly evictedAt: Map<string, number>;
-}
+import { applyReportedModels, createEngine, type OwnedEngine, type Slot } from "./owned.js";
+import type { EngineSummary, LoadOutcome } from "./types.js";
 
 const defaultLeaseMs = 3000;
 const defaultReportLagMs = 1000;
@@ -267,23 +157,7 @@
         if (known?.address === address) {
             return;
         }
-        this.engines.set(engineId, {
-            id: engineId,
-            address,
-            instance: undefined,
-            fence: undefined,
-            seenFence: 0,
-            claimingFence: undefined,
-            nextClaimAt: 0,
-            mustReclaim: false,
-            slots: 0,
-            batchRoom: 0,
-            isLeaving: false,
-            reportAskedAt: -Infinity,
-            noEvictionBefore: Infinity,
-            models: new Map(),
-            evictedAt: new Map(),
-        });
+        this.engines.set(engineId, createEngine(engineId, address));
         this.version++;
     }
 
@@ -368,7 +242,9 @@
         engine.isLeaving = isLeaving;
         engine.slots = report.slots;
         engine.batchRoom = report.batchRoom;
-        this.receiveAdapters(engine, report);
+        if (applyReportedModels(engine, report)) {
+            this.version++;
+        }
     }
 
     /** A process that has just started runs nothing, so that no doubt about the one before it remains. */
@@ -386,40 +262,6 @@
         this.version++;
     }
 
-    private receiveAdapters(engine: OwnedEngine, report: EngineReport): void {
-        const reported = new Map(report.adapters.map(adapter => [adapter.model, adapter.running]));
-        for (const [model, slot] of engine.models) {
-            const running = reported.get(model);
-            slot.running = running ?? 0;
-            if (running === undefined && slot.state !== "loading" && report.askedAt >= slot.since) {
-                engine.models.delete(model);
-                this.version++;
-            }
-        }
-        for (const [model, running] of reported) {
-            const evictedAt = engine.evictedAt.get(model);
-            const isOutdated = evictedAt !== undefined && report.askedAt <= evictedAt;
-            if (!engine.models.has(model) && !isOutdated) {
-                // Before the claim there is no time to count from; the claim itself sets the doubt then.
-                const doubtAt = engine.fence === undefined ? -Infinity : engine.noEvictionBefore;
-                engine.models.set(model, {
-                    state: "loaded",
-                    running,
-                    revokedVersion: 0,
-                    doubtAt,
-                    since: report.askedAt,
-                    isEvictionOpen: false,
-                });
-                this.version++;
-            }
-        }
-        for (const [model, evictedAt] of engine.evictedAt) {
-            if (report.askedAt > evictedAt) {
-                engine.evictedAt.delete(model);
-            }
-        }
-    }
-
     private receiveLeaving(engineId: string): void {
         const engine = this.engines.get(engineId);
         if (engine !== undefined && !engine.isLeaving) {
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -1,6 +1,4 @@
-import TinyQueue from "tinyqueue";
-import { Popularity } from "./popularity.js";
-import { WaitRank } from "./rank.js";
+import { DemandTable } from "./demand.js";
 import type { EngineSummary, LoadOutcome, ModelDemand } from "./types.js";
 
 /** Options of {@link Placer}. */
@@ -57,25 +55,6 @@
     readonly outlook: LoadOutlook;
 }
 
-interface GatewayWaiting {
-    payingCount: number;
-    payingStart: number;
-    trialCount: number;
-    trialStart: number;
-}
-
-interface ModelState {
-    readonly gateways: Map<string, GatewayWaiting>;
-    payingCount: number;
-    payingStart: number;
-    trialCount: number;
-    trialStart: number;
-    /** Engines that hold the model, in any state. */
-    readonly engines: Set<string>;
-    /** Whether a paying customer has asked for it since it was last forgotten. */
-    isPaying: boolean;
-}
-
 interface Order {
     readonly engineId: string;
     readonly model: string;
@@ -113,16 +92,7 @@
  */
 export class Placer {
     private readonly engines = new Map<string, EngineSummary>();
-    private readonly models = new Map<string, ModelState>();
-    private readonly popularity: Popularity;
-    private readonly payingRank = new WaitRank();
-    private readonly trialRank = new WaitRank();
-    /** Models that are waited for although they are loaded, since no engine that holds them has room. */
-    private readonly replicaRank = new WaitRank();
-    private readonly hot = new TinyQueue<{ model: string; score: number; }>(
-        [],
-        (left, right) => right.score - left.score,
-    );
+    private readonly demand: DemandTable;
     private readonly backoffs = new Map<string, Backoff>();
     private readonly evictions = new Map<string, Order>();
     private load: Order | undefined;
@@ -130,7 +100,7 @@
     private meanLoadMs = firstLoadMs;
 
     constructor(private options: PlacerOptions = {}) {
-        this.popularity = new Popularity({ halfLifeMs: options.halfLifeMs });
+        this.demand = new DemandTable(options.halfLifeMs);
     }
 
     /** Takes new offerings. */
@@ -146,12 +116,12 @@
 
     /** Whether anybody waits for a load here. */
     get isWanting(): boolean {
-        return this.load !== undefined || this.payingRank.size > 0 || this.trialRank.size > 0;
+        return this.load !== undefined || this.demand.paying.size > 0 || this.demand.trial.size > 0;
     }
 
     /** What is known of a model, for operators. */
     explain(model: string, now: number): PlacementExplanation {
-        const state = this.models.get(model);
+        const state = this.demand.find(model);
         return {
             engines: [...state?.engines ?? []].map(engineId => ({
                 engineId,
@@ -159,10 +129,10 @@
             })),
             payingWaiting: state?.payingCount ?? 0,
             trialWaiting: state?.trialCount ?? 0,
-            decayedArrivals: this.popularity.readCount(model, now),
+            decayedArrivals: this.demand.popularity.readCount(model, now),
             isNext: this.findWanted(now)?.model === model,
             isLoading: this.load?.model === model,
-            modelsAhead: this.payingRank.size,
+            modelsAhead: this.demand.paying.size,
             outlook: this.readOutlook(now),
         };
     }
@@ -173,8 +143,8 @@
         const perLoadMs = Math.max(this.meanLoadMs, 1000 / rate);
         const running = this.load === undefined ? 0 : 1;
         return {
-            payingWaitMs: (running + this.payingRank.size) * perLoadMs,
-            trialWaitMs: (running + this.payingRank.size + this.trialRank.size) * perLoadMs,
+            payingWaitMs: (running + this.demand.paying.size) * perLoadMs,
+            trialWaitMs: (running + this.demand.paying.size + this.demand.trial.size) * perLoadMs,
             loadMs: this.meanLoadMs,
             loading: this.load?.model,
         };
@@ -190,11 +160,11 @@
                 return;
             case "demand":
                 for (const change of event.changes) {
-                    this.receiveDemand(event.gateway, change, now);
+                    this.demand.receive(event.gateway, change, now);
                 }
                 return;
             case "gatewayGone":
-                this.removeGateway(event.gateway);
+                this.demand.removeGateway(event.gateway);
                 return;
             case "loadEnded":
                 this.receiveLoadEnd(event.engineId, event.model, event.outcome, now);
@@ -214,23 +184,19 @@
         for (const { model } of before?.models ?? []) {
             if (!present.has(model)) {
                 this.evictions.delete(formatPlace(engine.id, model));
-                this.removePlace(engine.id, model);
+                this.demand.removePlace(engine.id, model);
             }
         }
         this.engines.set(engine.id, engine);
         for (const { model } of engine.models) {
-            const state = this.findModel(model);
-            if (!state.engines.has(engine.id)) {
-                state.engines.add(engine.id);
-                this.updateRanks(model, state);
-            }
+            this.demand.addPlace(engine.id, model);
         }
     }
 
     private removeEngine(engineId: string): void {
         for (const { model } of this.engines.get(engineId)?.models ?? []) {
             this.evictions.delete(formatPlace(engineId, model));
-            this.removePlace(engineId, model);
+            this.demand.removePlace(engineId, model);
         }
         this.engines.delete(engineId);
         if (this.load?.engineId === engineId) {
@@ -238,102 +204,6 @@
         }
     }
 
-    private removePlace(engineId: string, model: string): void {
-        const state = this.models.get(model);
-        if (state === undefined) {
-            return;
-        }
-        state.engines.delete(engineId);
-        this.updateRanks(model, state);
-        this.hot.push({ model, score: this.popularity.readScore(model) });
-        this.removeIfUnused(model, state);
-    }
-
-    // What gateways want.
-
-    private receiveDemand(gateway: string, change: ModelDemand, now: number): void {
-        const { model, paying, trial } = change;
-        const state = this.findModel(model);
-        this.removeGatewayWaiting(state, gateway);
-        if (paying.count > 0 || trial.count > 0) {
-            const waiting: GatewayWaiting = {
-                payingCount: paying.count,
-                payingStart: paying.count * now - paying.ageMs,
-                trialCount: trial.count,
-                trialStart: trial.count * now - trial.ageMs,
-            };
-            state.gateways.set(gateway, waiting);
-            this.addWaiting(state, waiting, 1);
-        }
-        state.isPaying ||= change.payingArrivals > 0;
-        const arrivals = change.payingArrivals + change.trialArrivals;
-        if (arrivals > 0) {
-            const score = this.popularity.recordArrivals(model, arrivals, now);
-            if (state.engines.size === 0) {
-                this.hot.push({ model, score });
-            }
-        }
-        this.updateRanks(model, state);
-        this.removeIfUnused(model, state);
-    }
-
-    private removeGateway(gateway: string): void {
-        for (const [model, state] of this.models) {
-            if (state.gateways.has(gateway)) {
-                this.removeGatewayWaiting(state, gateway);
-                this.updateRanks(model, state);
-                this.removeIfUnused(model, state);
-            }
-        }
-    }
-
-    private removeGatewayWaiting(state: ModelState, gateway: string): void {
-        const waiting = state.gateways.get(gateway);
-        if (waiting !== undefined) {
-            this.addWaiting(state, waiting, -1);
-            state.gateways.delete(gateway);
-        }
-    }
-
-    private addWaiting(state: ModelState, waiting: GatewayWaiting, sign: 1 | -1): void {
-        state.payingCount += sign * waiting.payingCount;
-        state.payingStart += sign * waiting.payingStart;
-        state.trialCount += sign * waiting.trialCount;
-        state.trialStart += sign * waiting.trialStart;
-    }
-
-    private updateRanks(model: string, state: ModelState): void {
-        const isPlaced = state.engines.size > 0;
-        this.payingRank.setWaiting(model, isPlaced ? 0 : state.payingCount, state.payingStart);
-        this.trialRank.setWaiting(model, isPlaced ? 0 : state.trialCount, state.trialStart);
-        this.replicaRank.setWaiting(model, isPlaced ? state.payingCount : 0, state.payingStart);
-    }
-
-    private findModel(model: string): ModelState {
-        const known = this.models.get(model);
-        if (known !== undefined) {
-            return known;
-        }
-        const state: ModelState = {
-            gateways: new Map(),
-            payingCount: 0,
-            payingStart: 0,
-            trialCount: 0,
-            trialStart: 0,
-            engines: new Set(),
-            isPaying: false,
-        };
-        this.models.set(model, state);
-        return state;
-    }
-
-    /** Memory is bounded by what is loaded or waited for; popularity alone is kept longer, and more compactly. */
-    private removeIfUnused(model: string, state: ModelState): void {
-        if (state.engines.size === 0 && state.gateways.size === 0) {
-            this.models.delete(model);
-        }
-    }
-
     // Loads.
 
     private receiveLoadEnd(engineId: string, model: string, outcome: LoadOutcome, now: number): void {
@@ -358,6 +228,7 @@
     }
 
     private expire(now: number): void {
+        this.demand.expire(now);
         if (this.load !== undefined && now - this.load.at > (this.options.loadTimeoutMs ?? 60_000)) {
             this.receiveLoadEnd(this.load.engineId, this.load.model, "failed", now);
         }
@@ -397,17 +268,17 @@
     /** The load that is worth most now. */
     private findWanted(now: number): Wanted | undefined {
         const isEligible = (model: string): boolean => this.load?.model !== model && this.hasPlace(model, now);
-        const paying = this.payingRank.findBest(now, isEligible);
-        const replica = this.replicaRank.findBest(now, model => this.isReplicaWanted(model) && isEligible(model));
+        const paying = this.demand.paying.findBest(now, isEligible);
+        const replica = this.demand.replica.findBest(now, model => this.isReplicaWanted(model) && isEligible(model));
         if (paying !== undefined || replica !== undefined) {
-            const payingTotal = paying === undefined ? -1 : this.payingRank.readTotal(paying, now);
+            const payingTotal = paying === undefined ? -1 : this.demand.paying.readTotal(paying, now);
             const replicaTotal = replica === undefined
                 ? -1
-                : replicaDiscount * this.replicaRank.readTotal(replica, now);
+                : replicaDiscount * this.demand.replica.readTotal(replica, now);
             const model = payingTotal >= replicaTotal ? paying! : replica!;
             return { model, isTrial: false, mayEvict: true };
         }
-        const trial = this.trialRank.findBest(now, isEligible);
+        const trial = this.demand.trial.findBest(now, isEligible);
         if (trial !== undefined) {
             return { model: trial, isTrial: true, mayEvict: true };
         }
@@ -426,7 +297,7 @@
     }
 
     private isCandidate(engine: EngineSummary, model: string, now: number): boolean {
-        if (engine.isLeaving || this.models.get(model)?.engines.has(engine.id)) {
+        if (engine.isLeaving || this.demand.isHeld(engine.id, model)) {
             return false;
         }
         return this.backoffs.size === 0 || now >= (this.backoffs.get(formatPlace(engine.id, model))?.until ?? 0);
@@ -434,7 +305,7 @@
 
     /** A replica is wanted where every engine that holds the model is full, and none is about to hold it. */
     private isReplicaWanted(model: string): boolean {
-        for (const engineId of this.models.get(model)?.engines ?? []) {
+        for (const engineId of this.demand.find(model)?.engines ?? []) {
             const engine = this.engines.get(engineId);
             const slot = engine?.models.find(entry => entry.model === model);
             const isFull = engine !== undefined && engine.inFlight >= engine.batchRoom;
@@ -450,16 +321,8 @@
         if (this.load !== undefined) {
             return undefined;
         }
-        while (this.hot.length > 0) {
-            const { model, score } = this.hot.peek()!;
-            const isStale = this.popularity.readScore(model) !== score
-                || (this.models.get(model)?.engines.size ?? 0) > 0;
-            if (!isStale && this.popularity.readCount(model, now) >= 1) {
-                return this.hasPlace(model, now) ? model : undefined;
-            }
-            this.hot.pop();
-        }
-        return undefined;
+        const hottest = this.demand.findHottest(now);
+        return hottest !== undefined && this.hasPlace(hottest, now) ? hottest : undefined;
     }
 
     private readFreeSlots(engine: EngineSummary): number {
@@ -543,9 +406,9 @@
 
     /** Expected stalls a second that an eviction causes. What is in use costs the wait for its end besides. */
     private readEvictCost(model: string, inUse: number, now: number): number {
-        const copies = this.models.get(model)?.engines.size ?? 1;
-        const waiting = this.models.get(model)?.payingCount ?? 0;
-        const rate = this.popularity.readRate(model, now) / copies;
+        const copies = this.demand.find(model)?.engines.size ?? 1;
+        const waiting = this.demand.find(model)?.payingCount ?? 0;
+        const rate = this.demand.popularity.readRate(model, now) / copies;
         return rate + (inUse > 0 ? inUseCost : 0) + waiting * inUseCost;
     }
 
@@ -559,7 +422,7 @@
         if (!wanted.isTrial) {
             return true;
         }
-        return this.models.get(victim)?.isPaying !== true
+        return this.demand.find(victim)?.isPaying !== true
             || this.readTrialSlotShare() < (this.options.trialSlotShare ?? 0.25);
     }
 
@@ -568,7 +431,7 @@
         let trial = 0;
         for (const engine of this.engines.values()) {
             slots += engine.slots;
-            trial += engine.models.filter(slot => this.models.get(slot.model)?.isPaying !== true).length;
+            trial += engine.models.filter(slot => this.demand.find(slot.model)?.isPaying !== true).length;
         }
         return slots === 0 ? 1 : trial / slots;
     }
--- a/packages/placement/src/rank.ts
+++ b/packages/placement/src/rank.ts
@@ -31,9 +31,13 @@
         const stamp = ++this.stamp;
         this.waiting.set(model, { count, startSum, stamp });
         const group = this.groups.get(count)
-            ?? new TinyQueue<RankEntry>([], (left, right) => left.startSum - right.startSum);
+            ?? new TinyQueue<RankEntry>([], compareEntries);
         this.groups.set(count, group);
         group.push({ model, startSum, stamp });
+        if (group.length > minGroupEntries + maxGroupEntries * this.waiting.size) {
+            const current = group.data.filter(entry => this.isCurrent(entry));
+            this.groups.set(count, new TinyQueue(current, compareEntries));
+        }
     }
 
     get size(): number {
@@ -69,7 +73,7 @@
         let head: RankEntry | undefined;
         while (head === undefined && group.length > 0) {
             const entry = group.pop()!;
-            if (this.waiting.get(entry.model)?.stamp !== entry.stamp) {
+            if (!this.isCurrent(entry)) {
                 continue;
             }
             passedOver.push(entry);
@@ -80,4 +84,17 @@
         }
         return head;
     }
+
+    /** Later words on a model leave its older entries behind in the heaps. */
+    private isCurrent(entry: RankEntry): boolean {
+        return this.waiting.get(entry.model)?.stamp === entry.stamp;
+    }
+}
+
+/** Entries that are tolerated in a heap for each model that waits, before the stale ones are dropped. */
+const maxGroupEntries = 4;
+const minGroupEntries = 100;
+
+function compareEntries(left: RankEntry, right: RankEntry): number {
+    return left.startSum - right.startSum;
 }
