--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -4,12 +4,14 @@
 import { AgentMetrics, type Logger, startMetricsServer } from "@radishreel/telemetry";
 import { HttpOrderClient } from "@radishreel/upstreams";
 import type { NodeIdentity } from "@radishreel/wire";
-import { randomUUID } from "node:crypto";
 import type { Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createMachine, interpret, state, transition } from "robot3";
-import { type ApplyRequest, ConfigurationTask } from "./configuration.js";
-import { type AgentStatus, type AppliedReport, OperatorListener } from "./operators.js";
+import { applyEverywhere } from "./applying.js";
+import { ConfigurationTask } from "./configuration.js";
+import { Explainer } from "./explaining.js";
+import { HeirTable } from "./heirs.js";
+import { type AgentStatus, OperatorListener } from "./operators.js";
 import { OwnerTask } from "./owning.js";
 import { formatIncarnation, type PeerLink, PeerTask } from "./peers.js";
 import { PlacerTask } from "./placing.js";
@@ -34,12 +36,6 @@
 /** Wait before a change of progress is told, so that nodes that follow each other closely are told as one. */
 const progressDelayMs = 100;
 
-/** Interval at which an apply looks whether every node has it, in milliseconds. */
-const applyPollMs = 25;
-
-/** Longest wait for the placer's explanation, in milliseconds. */
-const explainTimeoutMs = 1000;
-
 /** Time for the last words of a stopping agent to be sent, in milliseconds. */
 const farewellMs = 100;
 
@@ -60,10 +56,10 @@
     private readonly progress: ProgressTable;
     private readonly operators: OperatorListener;
     private readonly syncs = new Map<PeerLink, OfferingsSync>();
-    private readonly heirs = new Map<string, MessageOf<"heirs">["heirs"][number]>();
+    private readonly heirs = new HeirTable();
     /** Which agent told of an engine last: its owner. */
     private readonly engineOwners = new Map<string, string>();
-    private readonly explanations = new Map<string, (explanation: unknown) => void>();
+    private readonly explainer: Explainer;
     private peersAddress = "";
     private metricsServer: Server | undefined;
     private progressTimer: NodeJS.Timeout | undefined;
@@ -77,6 +73,13 @@
         this.upstreams = this.createUpstreams(orders);
         this.owner = this.createOwner(orders);
         this.placer = this.createPlacer();
+        this.explainer = new Explainer({
+            selfId: settings.id,
+            readOfferings: () => this.configuration.fold.offerings,
+            readPlacerId: () => this.placerId,
+            explainHere: model => this.placer.explain(model),
+            sendToAgent: (id, message) => this.peers.sendToAgent(id, message),
+        });
         this.operators = this.createOperators();
     }
 
@@ -225,8 +228,14 @@
                     const { version, offerings } = configuration.fold;
                     return { version, digest: offerings.digest, offerings: offerings.readOfferings() };
                 },
-                apply: request => this.apply(request),
-                explain: model => this.explain(model),
+                apply: request =>
+                    applyEverywhere(request, {
+                        configuration,
+                        progress: this.progress,
+                        listDataCentres: () => upstreams.listDataCentres(),
+                        waitMs: settings.applyWaitMs,
+                    }),
+                explain: model => this.explainer.explain(model),
                 drainUpstream: upstreamId => upstreams.receiveLeaving(upstreamId, undefined),
             },
         });
@@ -319,8 +328,9 @@
         const sync = new OfferingsSync(this.configuration.fold);
         this.syncs.set(link, sync);
         link.send(sync.createHave());
-        if (this.heirs.size > 0) {
-            link.send({ type: "heirs", heirs: [...this.heirs.values()] });
+        const heirs = this.heirs.list(Date.now());
+        if (heirs.length > 0) {
+            link.send({ type: "heirs", heirs });
         }
         if (link.peer.role === "agent") {
             this.progress.list().forEach(progress => link.send(progress));
@@ -381,7 +391,7 @@
                 });
                 return;
             case "explained":
-                this.explanations.get(message.requestId)?.(message.explanation);
+                this.explainer.receive(message);
                 return;
             case "bye":
                 link.close("peerClosed");
@@ -417,11 +427,10 @@
     }
 
     private receiveHeirs(link: PeerLink, heirs: MessageOf<"heirs">["heirs"]): void {
-        const news = heirs.filter(heir => this.heirs.get(heir.issuer)?.address !== heir.address);
+        const news = this.heirs.receive(heirs, Date.now());
         if (news.length === 0) {
             return;
         }
-        news.forEach(heir => this.heirs.set(heir.issuer, heir));
         const others = [...this.peers.listAgentLinks(), ...this.peers.listGatewayLinks()].filter(other =>
             other !== link
         );
@@ -493,21 +502,6 @@
 
     // Operators.
 
-    private async apply(request: ApplyRequest): Promise<AppliedReport> {
-        const result = await this.configuration.apply(request);
-        const dataCentres = this.upstreams.listDataCentres();
-        if (result.kind !== "accepted") {
-            return { result, progress: this.progress.list(), behind: [] };
-        }
-        const deadline = performance.now() + this.settings.applyWaitMs;
-        let behind = this.progress.listBehind(result.version, dataCentres);
-        while (behind.length > 0 && performance.now() < deadline) {
-            await sleep(applyPollMs);
-            behind = this.progress.listBehind(result.version, dataCentres);
-        }
-        return { result, progress: this.progress.list(), behind };
-    }
-
     private readStatus(): AgentStatus {
         const { fold } = this.configuration;
         return {
@@ -524,27 +518,4 @@
             progress: this.progress.list(),
         };
     }
-
-    private async explain(model: string): Promise<unknown> {
-        const { placerId } = this;
-        const [adapter = "", version = ""] = model.split("@");
-        const baseModel = this.configuration.fold.offerings.findBaseModel({ adapter, version });
-        const placement = placerId === this.settings.id
-            ? this.placer.explain(model)
-            : await this.askPlacer(placerId, model);
-        return { model, isOffered: baseModel !== undefined, baseModel, placer: placerId, placement };
-    }
-
-    private async askPlacer(placerId: string | undefined, model: string): Promise<unknown> {
-        const requestId = randomUUID();
-        if (placerId === undefined || !this.peers.sendToAgent(placerId, { type: "explain", requestId, model })) {
-            return undefined;
-        }
-        const explanation = await Promise.race([
-            new Promise<unknown>(resolve => this.explanations.set(requestId, resolve)),
-            sleep(explainTimeoutMs),
-        ]);
-        this.explanations.delete(requestId);
-        return explanation;
-    }
 }
--- a/packages/fakes/src/engine.ts
+++ b/packages/fakes/src/engine.ts
@@ -265,13 +265,15 @@
         }
         response.writeHead(200, { "content-type": "text/event-stream", "x-served-by": this.id });
         let budget = fault?.action === "truncate" || fault?.action === "cleanTruncate" ? fault.bytes : Infinity;
+        const closed = new Promise<void>(resolve => response.once("close", resolve));
         for (const event of listEvents(model, tokens)) {
             if (response.destroyed) {
                 return;
             }
             const part = budget === Infinity ? event : event.slice(0, budget);
             budget -= part.length;
-            await new Promise<void>(resolve => response.write(part, () => resolve()));
+            // The callback of a write never comes if the connection closes while bytes wait.
+            await Promise.race([new Promise<void>(resolve => response.write(part, () => resolve())), closed]);
             if (budget <= 0) {
                 if (fault?.action === "truncate") {
                     response.socket?.destroy();
@@ -281,7 +283,9 @@
                 }
                 return;
             }
-            await sleep(this.options.tokenMs ?? 5);
+            if (this.options.tokenMs !== 0) {
+                await sleep(this.options.tokenMs ?? 5);
+            }
         }
         response.end();
     }
--- a/packages/harness/src/soak.ts
+++ b/packages/harness/src/soak.ts
@@ -84,7 +84,7 @@
             }
             const id = `r${++this.count}`;
             const isOnce = this.random() < 0.3;
-            await (isOnce ? this.print(id, gateway) : this.complete(id, gateway)).catch(() =>
+            await (isOnce ? this.print(id, gateway) : this.sendCompletion(id, gateway)).catch(() =>
                 this.record(id, "noAnswer")
             );
         }
@@ -95,7 +95,7 @@
         return running[Math.floor(this.random() * running.length)];
     }
 
-    private async complete(id: string, gateway: GatewayProcess): Promise<void> {
+    private async sendCompletion(id: string, gateway: GatewayProcess): Promise<void> {
         const model = models[Math.floor(this.random() ** 2 * models.length)]!;
         const isStream = this.random() < 0.7;
         const result = await sendCompletion(gateway.callers, model, {
@@ -159,12 +159,12 @@
         const engine = engines[Math.floor(this.random() * engines.length)]!;
         const service = this.deployment.addresses.services["labels-1"]!;
         const failures: [string, () => Promise<void>][] = [
-            ["kill an agent", () => this.replaceAgent(false)],
-            ["stop an agent", () => this.replaceAgent(true)],
-            ["kill a gateway", () => this.replaceGateway(false)],
-            ["stop a gateway", () => this.replaceGateway(true)],
-            ["freeze an agent", () => this.freeze(this.deployment.agents)],
-            ["freeze a gateway", () => this.freeze(this.deployment.gateways)],
+            ["kill an agent", () => this.restartAgent(false)],
+            ["stop an agent", () => this.restartAgent(true)],
+            ["kill a gateway", () => this.restartGateway(false)],
+            ["stop a gateway", () => this.restartGateway(true)],
+            ["freeze an agent", () => this.pauseProcess(this.deployment.agents)],
+            ["freeze a gateway", () => this.pauseProcess(this.deployment.gateways)],
             ["engine starts cold", () => sendRequest(engine, "/restart", {}).then(() => undefined)],
             [
                 "engine loses answers",
@@ -221,7 +221,7 @@
         await run();
     }
 
-    private async replaceAgent(isPlanned: boolean): Promise<void> {
+    private async restartAgent(isPlanned: boolean): Promise<void> {
         const running = this.deployment.agents.filter(agent => agent.process.isRunning);
         const victim = running[Math.floor(this.random() * running.length)];
         if (victim === undefined || running.length < 2) {
@@ -231,7 +231,7 @@
         await this.deployment.startAgent(`agent-${this.deployment.agents.length + 1}`, dataCentre, quickAgent);
     }
 
-    private async replaceGateway(isPlanned: boolean): Promise<void> {
+    private async restartGateway(isPlanned: boolean): Promise<void> {
         const running = this.deployment.gateways.filter(gateway => gateway.process.isRunning);
         const victim = running[Math.floor(this.random() * running.length)];
         if (victim === undefined || running.length < 2) {
@@ -241,7 +241,7 @@
         await this.deployment.startGateway(`gateway-${this.deployment.gateways.length + 1}`, dataCentre, quickGateway);
     }
 
-    private async freeze(
+    private async pauseProcess(
         from: readonly { process: { isRunning: boolean; signal(signal: NodeJS.Signals): void; }; }[],
     ): Promise<void> {
         const running = from.filter(entry => entry.process.isRunning);
