--- a/packages/harness/src/soak.ts
+++ b/packages/harness/src/soak.ts
@@ -327,7 +327,7 @@
                 },
             },
             adapters: Object.fromEntries(
-                models.map(model => [model.split("@")[0], { baseModel: "base", versions: ["1"] }]),
+                models.map(model => [model.slice(0, -"@1".length), { baseModel: "base", versions: ["1"] }]),
             ),
             services: { labels: { nonIdempotent: [{ method: "POST", path: "/print" }], timeoutMs: 1000 } },
         });
