Let one kind of attempt serve exchanges, completions, calls and runs, and agents that have gone be forgotten

Cause: found by reading. The same four members stood in four interfaces, the stand-ins' settings in six places, and a gateway went on calling every agent it had ever heard of.

--- a/packages/experiment/src/control.ts
+++ b/packages/experiment/src/control.ts
@@ -50,18 +50,10 @@
     const deployment = await Deployment.create();
     try {
         await deployment.startFakes({
-            engines: Array.from({ length: size.engines }, (_, index) => ({
-                id: `engine-${index}`,
-                dataCentre,
-                port: 0,
-                slots: 8,
-                batchRoom: 16,
-                tokenMs: 1,
-                tokens: 8,
-                ignoresFence: false,
-                servesBaseModel: false,
-                reportLagMs: 0,
-            })),
+            engines: Array.from(
+                { length: size.engines },
+                (_, index) => ({ id: `engine-${index}`, dataCentre, slots: 8, batchRoom: 16 }),
+            ),
         });
         for (let index = 0; index < size.agents; index++) {
             await deployment.startAgent(`agent-${index}`, dataCentre);
--- a/packages/experiment/src/datapath.ts
+++ b/packages/experiment/src/datapath.ts
@@ -65,18 +65,7 @@
     const baselines: ManagedProcess[] = [];
     try {
         await deployment.startFakes({
-            engines: [{
-                id: "engine",
-                dataCentre,
-                port: 0,
-                slots: 2,
-                batchRoom: concurrency,
-                tokenMs: 2,
-                tokens,
-                ignoresFence: false,
-                servesBaseModel: false,
-                reportLagMs: 0,
-            }],
+            engines: [{ id: "engine", dataCentre, slots: 2, batchRoom: concurrency, tokenMs: 2, tokens }],
         });
         const agent = await deployment.startAgent("agent", dataCentre);
         await deployment.apply(agent, await deployment.writeFile("offerings.json", createBenchOfferings(1)));
--- a/packages/fakes/src/settings.ts
+++ b/packages/fakes/src/settings.ts
@@ -29,3 +29,5 @@
 
 /** See {@link fakesSettingsSchema}. */
 export type FakesSettings = z.infer<typeof fakesSettingsSchema>;
+/** {@link FakesSettings} in which what has a default may be left out. */
+export type FakesOptions = z.input<typeof fakesSettingsSchema>;
--- a/packages/gateway/src/control.ts
+++ b/packages/gateway/src/control.ts
@@ -44,6 +44,8 @@
     readonly renewals: { sequence: number; sentAt: Instant; own: ReadonlyMap<string, InFlight>; }[];
     /** Sequence of the last renewal that the agent has answered. */
     answered: number;
+    /** Addresses of agents that this one knows. */
+    listed: readonly string[];
     /** Own requests by engine, as that renewal told them: the agent's counts hold just these. */
     toldOwn: ReadonlyMap<string, InFlight>;
 }
@@ -174,6 +176,19 @@
         client.start();
     }
 
+    /** Follows what connected agents know: an agent that none of them knows any more is not called for ever. */
+    private updateAgents(): void {
+        const listed = [...this.peers.values()].flatMap(peer => [...peer.listed, peer.link.peer.address]);
+        const wanted = new Set([...this.options.settings.agents, ...listed]);
+        for (const [address, client] of this.clients) {
+            if (!wanted.has(address)) {
+                client.stop();
+                this.clients.delete(address);
+            }
+        }
+        wanted.forEach(address => this.openAgent(address));
+    }
+
     private receiveOpen(link: AgentLink): void {
         const key = formatAgent(link.peer);
         this.peers.set(key, {
@@ -181,6 +196,7 @@
             sync: new OfferingsSync(this.options.fold),
             renewals: [],
             answered: 0,
+            listed: [],
             toldOwn: new Map(),
         });
         this.options.logger.info("agent connected", { agent: link.peer.id });
@@ -288,7 +304,8 @@
                 this.receiveServices(key, message.upstreams);
                 return;
             case "agents":
-                message.addresses.forEach(address => this.openAgent(address));
+                peer.listed = message.addresses;
+                this.updateAgents();
                 return;
             case "gateways":
                 this.otherGateways = message.gateways;
--- a/packages/gateway/src/run.ts
+++ b/packages/gateway/src/run.ts
@@ -1,5 +1,6 @@
 import type { GatewayMetrics } from "@radishreel/telemetry";
-import { createRefused, type Reason, type Verdict } from "@radishreel/verdict";
+import type { Attempt } from "@radishreel/upstreams";
+import { createRefused, type Verdict } from "@radishreel/verdict";
 import type { CallerAnswer } from "./caller.js";
 import type { ControlTask } from "./control.js";
 import type { DispatchTask, Placement } from "./dispatching.js";
@@ -26,14 +27,6 @@
     readonly isSure?: boolean;
 }
 
-/** One attempt under way. */
-export interface UpstreamAttempt {
-    readonly end: Promise<UpstreamEnd>;
-    pause(): void;
-    resume(): void;
-    cancel(reason: Reason): void;
-}
-
 /** Options of {@link UpstreamRun}. */
 export interface UpstreamRunOptions {
     readonly context: RunContext;
@@ -53,7 +46,7 @@
     protected readonly answer: CallerAnswer;
     private readonly context: RunContext;
     private finishRun: (verdict: Verdict) => void = () => {};
-    private attempt: UpstreamAttempt | undefined;
+    private attempt: Attempt<UpstreamEnd> | undefined;
     private isCallerGone = false;
     private attempts = 0;
     private unreadTimer: NodeJS.Timeout | undefined;
@@ -72,7 +65,7 @@
     }
 
     /** Starts one attempt at the chosen upstream. */
-    protected abstract open(placement: Placement, callId: string): UpstreamAttempt;
+    protected abstract open(placement: Placement, callId: string): Attempt<UpstreamEnd>;
 
     /** Called at the end of each attempt. */
     protected recordEnd(_upstreamId: string, _end: UpstreamEnd): void {}
--- a/packages/harness/src/demo.ts
+++ b/packages/harness/src/demo.ts
@@ -15,33 +15,8 @@
     const deployment = await Deployment.create();
     try {
         await deployment.startFakes({
-            engines: [
-                {
-                    id: "engine-1",
-                    dataCentre: "depot",
-                    port: 0,
-                    slots: 2,
-                    batchRoom: 8,
-                    tokenMs: 5,
-                    tokens: 4,
-                    ignoresFence: false,
-                    servesBaseModel: false,
-                    reportLagMs: 0,
-                },
-                {
-                    id: "engine-2",
-                    dataCentre: "depot",
-                    port: 0,
-                    slots: 2,
-                    batchRoom: 8,
-                    tokenMs: 5,
-                    tokens: 4,
-                    ignoresFence: false,
-                    servesBaseModel: false,
-                    reportLagMs: 0,
-                },
-            ],
-            services: [{ id: "labels-1", dataCentre: "depot", service: "labels", port: 0 }],
+            engines: ["engine-1", "engine-2"].map(id => ({ id, dataCentre: "depot", slots: 2, tokens: 4 })),
+            services: [{ id: "labels-1", dataCentre: "depot", service: "labels" }],
         });
         const agent = await deployment.startAgent("agent-1", "depot");
         const gateway = await deployment.startGateway("gateway-1", "depot");
--- a/packages/harness/src/deployment.ts
+++ b/packages/harness/src/deployment.ts
@@ -1,4 +1,4 @@
-import { type FakesAddresses, type FakesSettings, fakesSettingsSchema, type FakeVm } from "@radishreel/fakes";
+import { type FakesAddresses, type FakesOptions, fakesSettingsSchema, type FakeVm } from "@radishreel/fakes";
 import { createHash } from "node:crypto";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
@@ -70,7 +70,7 @@
     }
 
     /** Starts the stand-ins. */
-    async startFakes(settings: Partial<FakesSettings>): Promise<FakesAddresses> {
+    async startFakes(settings: FakesOptions): Promise<FakesAddresses> {
         const whole = fakesSettingsSchema.parse(settings);
         const { process, ready } = await this.startProgram("fakes", "fakes", whole);
         this.fakes = process;
--- a/packages/harness/src/soak.ts
+++ b/packages/harness/src/soak.ts
@@ -299,20 +299,10 @@
 async function startSoak(): Promise<void> {
     const deployment = await Deployment.create();
     try {
-        const engine = {
-            dataCentre,
-            port: 0,
-            slots: 3,
-            batchRoom: 8,
-            tokenMs: 3,
-            tokens: 10,
-            ignoresFence: false,
-            servesBaseModel: true,
-            reportLagMs: 50,
-        };
+        const engine = { dataCentre, slots: 3, tokenMs: 3, tokens: 10, servesBaseModel: true, reportLagMs: 50 };
         await deployment.startFakes({
             engines: ["engine-1", "engine-2", "engine-3"].map(id => ({ ...engine, id })),
-            services: [{ id: "labels-1", dataCentre, service: "labels", port: 0 }],
+            services: [{ id: "labels-1", dataCentre, service: "labels" }],
         });
         for (const id of ["agent-1", "agent-2", "agent-3"]) {
             await deployment.startAgent(id, dataCentre, quickAgent);
--- a/packages/upstreams/src/call.ts
+++ b/packages/upstreams/src/call.ts
@@ -1,7 +1,13 @@
 import { createMayHaveRun, createNotRun, type Reason, type Verdict } from "@radishreel/verdict";
 import type { IncomingHttpHeaders } from "node:http";
 import { notRunHeader } from "./completion.js";
-import { createBreakVerdict, type Exchange, type ExchangeEnd, type UpstreamConnections } from "./exchange.js";
+import {
+    type Attempt,
+    createBreakVerdict,
+    type Exchange,
+    type ExchangeEnd,
+    type UpstreamConnections,
+} from "./exchange.js";
 
 /** Where the answer of a service's call goes. */
 export interface CallReceiver {
@@ -27,13 +33,7 @@
 }
 
 /** A call under way. */
-export interface Call {
-    /** Settles once, and never rejects. */
-    readonly end: Promise<CallEnd>;
-    pause(): void;
-    resume(): void;
-    cancel(reason: Reason): void;
-}
+export type Call = Attempt<CallEnd>;
 
 /** Calls plain services. */
 export interface ServiceClient {
--- a/packages/upstreams/src/completion.ts
+++ b/packages/upstreams/src/completion.ts
@@ -8,6 +8,7 @@
 } from "@radishreel/verdict";
 import type { IncomingHttpHeaders } from "node:http";
 import {
+    type Attempt,
     createBreakVerdict,
     type Exchange,
     type ExchangeEnd,
@@ -48,13 +49,7 @@
 }
 
 /** A completion under way. */
-export interface Completion {
-    /** Settles once, and never rejects. */
-    readonly end: Promise<CompletionEnd>;
-    pause(): void;
-    resume(): void;
-    cancel(reason: Reason): void;
-}
+export type Completion = Attempt<CompletionEnd>;
 
 /** How a completion ended. */
 export interface CompletionEnd {
--- a/packages/upstreams/src/exchange.ts
+++ b/packages/upstreams/src/exchange.ts
@@ -46,17 +46,20 @@
     readonly checkBeforeSend?: () => boolean;
 }
 
-/** A request under way. */
-export interface Exchange {
+/** A request under way, which ends in an `End`. */
+export interface Attempt<End> {
     /** Settles once, and never rejects. */
-    readonly end: Promise<ExchangeEnd>;
+    readonly end: Promise<End>;
     /** Stops reading from the upstream until `resume`. */
     pause(): void;
     resume(): void;
-    /** Breaks the exchange off; the upstream sees its connection close. */
+    /** Breaks it off; the upstream sees its connection close. */
     cancel(reason: Reason): void;
 }
 
+/** An attempt at the level of HTTP. */
+export type Exchange = Attempt<ExchangeEnd>;
+
 /** Options of {@link UpstreamConnections}. */
 export interface UpstreamConnectionsOptions {
     /** Longest wait for a connection, in milliseconds. @default 1000 */
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -17,6 +17,7 @@
     notRunHeader,
 } from "./completion.js";
 export {
+    type Attempt,
     createBreakVerdict,
     type Exchange,
     type ExchangeEnd,
--- a/test/support.ts
+++ b/test/support.ts
@@ -1,6 +1,10 @@
+import type { FakesOptions } from "@radishreel/fakes";
 import { createKeyDigest, Deployment, type GatewayProcess, sendRequest, waitFor } from "@radishreel/harness";
 import { request } from "undici";
 
+/** An engine of the stand-ins' settings. */
+type EngineOptions = NonNullable<FakesOptions["engines"]>[number];
+
 /** The data centre of tests that need one only. */
 export const dataCentre = "depot";
 
@@ -32,25 +36,13 @@
 export const quickGateway = { renewMs: 100, heartbeatMs: 100, peerSilenceMs: 600, silenceMs: 3000 };
 
 /** An engine of a test deployment. */
-export function createEngine(id: string, options: object = {}) {
-    return {
-        id,
-        dataCentre,
-        port: 0,
-        slots: 2,
-        batchRoom: 8,
-        tokenMs: 2,
-        tokens: 4,
-        ignoresFence: false,
-        servesBaseModel: false,
-        reportLagMs: 0,
-        ...options,
-    };
+export function createEngine(id: string, options: Partial<EngineOptions> = {}): EngineOptions {
+    return { id, dataCentre, slots: 2, tokenMs: 2, tokens: 4, ...options };
 }
 
 /** A service upstream of a test deployment. */
 export function createLabels(id: string) {
-    return { id, dataCentre, service: "labels", port: 0 };
+    return { id, dataCentre, service: "labels" };
 }
 
 /** Waits until a gateway serves the test offerings. */
@@ -79,7 +71,7 @@
 export async function startDeployment(
     deployment: Deployment,
     options: {
-        engines?: object[];
+        engines?: EngineOptions[];
         agents?: number;
         gateways?: number;
         agent?: object;
@@ -94,7 +86,7 @@
         services = ["labels-1"],
     } = options;
     await deployment.startFakes({
-        engines: engines as ReturnType<typeof createEngine>[],
+        engines,
         services: services.map(createLabels),
     });
     for (let index = 1; index <= agents; index++) {
