--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -1,4 +1,4 @@
-import { type Deployment, sendRequest, waitFor } from "@radishreel/harness";
+import { type Deployment, sendCompletion, sendRequest, waitFor } from "@radishreel/harness";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
@@ -140,6 +140,36 @@
         await waitForOfferings(gateway);
     }));
 
+test("check, diff, status and explain tell operators what is", () =>
+    runWithDeployment(async deployment => {
+        await startDeployment(deployment);
+        const [agent] = deployment.agents;
+        const ask = async (...args: string[]): Promise<{ code: number; value: Record<string, unknown>; }> => {
+            const { code, stdout } = await deployment.runCli("--json", "--agent", agent!.operators, ...args);
+            return { code, value: JSON.parse(stdout) as Record<string, unknown> };
+        };
+        const same = await deployment.writeFile("same.json", testOfferings);
+        const other = await deployment.writeFile("other.json", createOfferings("other"));
+        assert.equal(await ask("check", same), {
+            code: 0,
+            value: { valid: true, customers: 2, adapters: 4, services: 1 },
+        });
+        assert.equal(await ask("diff", same), { code: 0, value: { version: 0, change: { set: [], remove: [] } } });
+        const diff = await ask("diff", other);
+        assert.is(diff.code, 1);
+        assert.match(JSON.stringify(diff.value), "\"name\":\"other\"");
+        const status = await ask("status");
+        assert.equal([status.value.version, status.value.isLogReachable, status.value.placer], [0, true, agent!.id]);
+        await sendCompletion(deployment.gateways[0]!.callers, "manifest@1");
+        const explained = await waitFor("the placer to know where it is", async () => {
+            const { value } = await ask("explain", "manifest@1");
+            return JSON.stringify(value).includes("\"state\":\"loaded\"") && value;
+        });
+        assert.is(explained.isOffered, true);
+        const unreachable = await deployment.runCli("status", "--agent", "127.0.0.1:1");
+        assert.is(unreachable.code, 7);
+    }));
+
 test("an operator without a key is refused", () =>
     runWithDeployment(async deployment => {
         await deployment.startFakes({});
