--- a/packages/fakes/src/engine.ts
+++ b/packages/fakes/src/engine.ts
@@ -132,6 +132,11 @@
         return this.runCompletion(request, response, fault);
     }
 
+    /** A leaving engine says so with every answer. */
+    private createStateHeader(): Record<string, string> {
+        return this.isLeaving ? { "x-upstream-state": "leaving" } : {};
+    }
+
     private readStatus(): unknown {
         this.recordReport();
         const horizon = performance.now() - (this.options.reportLagMs ?? 0);
@@ -263,7 +268,11 @@
         if (fault?.action === "silent") {
             return;
         }
-        response.writeHead(200, { "content-type": "text/event-stream", "x-served-by": this.id });
+        response.writeHead(200, {
+            "content-type": "text/event-stream",
+            "x-served-by": this.id,
+            ...this.createStateHeader(),
+        });
         let budget = fault?.action === "truncate" || fault?.action === "cleanTruncate" ? fault.bytes : Infinity;
         const closed = new Promise<void>(resolve => response.once("close", resolve));
         for (const event of listEvents(model, tokens)) {
--- a/test/failures.test.ts
+++ b/test/failures.test.ts
@@ -115,10 +115,11 @@
     }));
 
 /** Who says first that an upstream leaves. */
-for (const source of ["the engine's status", "an operator"] as const) {
+for (const source of ["the engine's status", "the engine's answer", "an operator"] as const) {
     test(`a leaving engine gets nothing new within 3 s of the word of ${source}, while the list of VMs is out`, () =>
         runWithDeployment(async deployment => {
-            await startDeployment(deployment);
+            // Where the answer is to be first, the status is asked for too seldom to be.
+            await startDeployment(deployment, { agent: source === "the engine's answer" ? { statusMs: 5000 } : {} });
             const [gateway] = deployment.gateways;
             await sendCompletion(gateway!.callers, "manifest@1");
             const engines = Object.entries(deployment.addresses.engines);
