Let one function name an incarnation, and one end an answer with a failure

The name of an incarnation was put together in five places, the same ending of an answer stood in two files and the time to ask again in three, a model's name was split by hand beside its parser, and one getter was dead.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -3,7 +3,7 @@
 import { type Message, type MessageOf, OfferingsSync, type OutgoingMessage } from "@radishreel/protocol";
 import { AgentMetrics, type Logger, startMetricsServer } from "@radishreel/telemetry";
 import { HttpOrderClient } from "@radishreel/upstreams";
-import type { NodeIdentity } from "@radishreel/wire";
+import { formatIncarnation, type NodeIdentity } from "@radishreel/wire";
 import type { Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createMachine, interpret, state, transition } from "robot3";
@@ -13,7 +13,7 @@
 import { HeirTable } from "./heirs.js";
 import { type AgentStatus, OperatorListener } from "./operators.js";
 import { OwnerTask } from "./owning.js";
-import { formatIncarnation, type PeerLink, PeerTask } from "./peers.js";
+import { type PeerLink, PeerTask } from "./peers.js";
 import { PlacerTask } from "./placing.js";
 import { ProgressTable } from "./progress.js";
 import type { AgentSettings } from "./settings.js";
@@ -190,7 +190,7 @@
         const { settings, metrics, logger } = this;
         return new OwnerTask({
             settings,
-            identity: `${settings.id}#${this.incarnation}`,
+            identity: formatIncarnation(this.identity),
             orders,
             metrics,
             logger,
--- a/packages/agent/src/explaining.ts
+++ b/packages/agent/src/explaining.ts
@@ -1,4 +1,4 @@
-import type { OfferingsState } from "@radishreel/offerings";
+import { type OfferingsState, parseModelName } from "@radishreel/offerings";
 import type { MessageOf } from "@radishreel/protocol";
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -36,8 +36,8 @@
     async explain(model: string): Promise<Explanation> {
         const { selfId, readOfferings, readPlacerId, explainHere } = this.options;
         const placer = readPlacerId();
-        const [adapter = "", version = ""] = model.split("@");
-        const baseModel = readOfferings().findBaseModel({ adapter, version });
+        const name = parseModelName(model);
+        const baseModel = name && readOfferings().findBaseModel(name);
         const placement = placer === selfId ? explainHere(model) : await this.askPlacer(placer, model);
         return { model, isOffered: baseModel !== undefined, baseModel, placer, placement };
     }
--- a/packages/agent/src/owning.ts
+++ b/packages/agent/src/owning.ts
@@ -10,8 +10,9 @@
 import type { MessageOf, OutgoingMessage } from "@radishreel/protocol";
 import type { AgentMetrics, Logger } from "@radishreel/telemetry";
 import type { OrderClient, OrderError } from "@radishreel/upstreams";
+import { formatIncarnation } from "@radishreel/wire";
 import type { Result } from "neverthrow";
-import { formatIncarnation, type PeerLink } from "./peers.js";
+import type { PeerLink } from "./peers.js";
 import type { AgentSettings } from "./settings.js";
 
 /** Options of {@link OwnerTask}. */
--- a/packages/agent/src/peers.ts
+++ b/packages/agent/src/peers.ts
@@ -43,11 +43,6 @@
 /** Agents of each other data centre that this one keeps a link to. */
 const linksToOtherDataCentre = 2;
 
-/** Names one start of a process. */
-export function formatIncarnation(identity: NodeIdentity): string {
-    return `${identity.id}#${identity.incarnation}`;
-}
-
 /** Owns the agent's links: to every agent of its data centre, to a few of each other one, and from its gateways. */
 export class PeerTask {
     private readonly server: LinkServer<Message, OutgoingMessage>;
--- a/packages/gateway/src/caller.ts
+++ b/packages/gateway/src/caller.ts
@@ -4,6 +4,9 @@
 /** Content types that the gateway itself sends. */
 export const jsonMediaType = "application/json";
 
+/** Seconds after which a caller may ask what became of a request that may have run. */
+export const askAgainSeconds = 1;
+
 /** An answer that is kept aside while it is sent. */
 export interface CapturedAnswer {
     readonly status: number;
@@ -40,11 +43,6 @@
         return this.status !== 0;
     }
 
-    /** The caller's connection is gone. */
-    get isGone(): boolean {
-        return this.response.destroyed && !this.isEnded;
-    }
-
     /** Calls back once if the caller goes away, or is given up, before the end. */
     onGone(listener: () => void): void {
         this.response.once("close", () => {
@@ -89,17 +87,18 @@
         this.response.end(body);
     }
 
-    /** Tells the caller how its request ended; an answer that has begun is broken off. */
-    sendFailure(verdict: FailureVerdict): void {
+    /** Tells the caller how its request ended, and returns it; an answer that has begun is broken off. */
+    sendFailure(verdict: FailureVerdict): FailureVerdict {
         if (this.hasBegun || this.response.destroyed) {
             this.cancel();
-            return;
+            return verdict;
         }
         const problem = createProblem(verdict);
         if (problem.retryAfterSeconds !== undefined) {
             this.response.setHeader("retry-after", String(problem.retryAfterSeconds));
         }
         this.send(problem.status, problemMediaType, JSON.stringify(problem) + "\n");
+        return verdict;
     }
 
     /** Finishes the answer as `verdict` says. */
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -1,6 +1,12 @@
 import type { OfferingsFold } from "@radishreel/offerings";
 import type { GatewayMetrics } from "@radishreel/telemetry";
-import { createRefused, type FailureVerdict, type RefusedVerdict, type Verdict } from "@radishreel/verdict";
+import {
+    createMayHaveRun,
+    createRefused,
+    type FailureVerdict,
+    type RefusedVerdict,
+    type Verdict,
+} from "@radishreel/verdict";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { z } from "zod";
@@ -150,7 +156,7 @@
     ): Promise<Verdict> {
         const completion = parseCompletion(request, path);
         if (completion.isErr()) {
-            return finish(answer, completion.error);
+            return answer.sendFailure(completion.error);
         }
         const hasToken = request.headers[requestTokenHeader] !== undefined;
         const run = (): Promise<Verdict> =>
@@ -161,13 +167,13 @@
     private async handleCall(request: CallerRequest, answer: CallerAnswer): Promise<Verdict> {
         const call = parseCall(request);
         if (call.isErr()) {
-            return finish(answer, call.error);
+            return answer.sendFailure(call.error);
         }
         const hasToken = request.headers[requestTokenHeader] !== undefined;
         if (!call.value.isIdempotent && !hasToken) {
             const detail =
                 `this call must not run twice: ask POST /v1/request-tokens for a token and show it in ${requestTokenHeader}`;
-            return finish(answer, createRefused("requestTokenRequired", detail));
+            return answer.sendFailure(createRefused("requestTokenRequired", detail));
         }
         const run = (): Promise<Verdict> => runCall(this.context.calls, request, call.value, answer, hasToken);
         return this.runRequest(request, answer, hasToken, run);
@@ -200,7 +206,7 @@
     private async handleTokens(request: CallerRequest, answer: CallerAnswer): Promise<Verdict> {
         const count = parseTokenCount(request.body);
         if (count.isErr()) {
-            return finish(answer, count.error);
+            return answer.sendFailure(count.error);
         }
         const { tokens, expiresAt } = this.context.tokens().createTokens(request.customer.name, count.value);
         answer.send(
@@ -212,11 +218,6 @@
     }
 }
 
-function finish(answer: CallerAnswer, verdict: FailureVerdict): FailureVerdict {
-    answer.sendFailure(verdict);
-    return verdict;
-}
-
 function parseTokenCount(body: Buffer): Result<number, RefusedVerdict> {
     try {
         const parsed = tokensBodySchema.safeParse(body.length === 0 ? {} : JSON.parse(body.toString("utf8")));
--- a/packages/gateway/src/control.ts
+++ b/packages/gateway/src/control.ts
@@ -9,7 +9,14 @@
     type ServiceUpstream,
 } from "@radishreel/protocol";
 import type { GatewayMetrics, Logger } from "@radishreel/telemetry";
-import { type CloseReason, type Link, LinkClient, type NodeIdentity, resolveLinkLimits } from "@radishreel/wire";
+import {
+    type CloseReason,
+    formatIncarnation,
+    type Link,
+    LinkClient,
+    type NodeIdentity,
+    resolveLinkLimits,
+} from "@radishreel/wire";
 import { type Instant, readInstant } from "./clock.js";
 import { LeaseHolder } from "./leases.js";
 import type { GatewaySettings } from "./settings.js";
@@ -106,10 +113,10 @@
         if (peer === undefined || !peer.link.isOpen) {
             return false;
         }
-        const { id, incarnation } = this.options.self();
+        const gateway = formatIncarnation(this.options.self());
         return peer.link.send({
             type: "demand",
-            gateway: `${id}#${incarnation}`,
+            gateway,
             changes: changes.map(createSparseDemand),
         });
     }
@@ -190,7 +197,7 @@
     }
 
     private receiveOpen(link: AgentLink): void {
-        const key = formatAgent(link.peer);
+        const key = formatIncarnation(link.peer);
         this.peers.set(key, {
             link,
             sync: new OfferingsSync(this.options.fold),
@@ -288,7 +295,7 @@
     // Messages.
 
     private receive(link: AgentLink, message: Message): void {
-        const key = formatAgent(link.peer);
+        const key = formatIncarnation(link.peer);
         const peer = this.peers.get(key);
         if (peer === undefined) {
             return;
@@ -370,10 +377,6 @@
     }
 }
 
-function formatAgent(identity: NodeIdentity): string {
-    return `${identity.id}#${identity.incarnation}`;
-}
-
 /** Leaves out what is zero: most models are only counted. */
 function createSparseDemand(
     demand: MessageOf<"demand">["changes"][number],
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -1,13 +1,10 @@
 import { HttpServiceClient, type UpstreamConnections } from "@radishreel/upstreams";
 import { createMayHaveRun, type Verdict } from "@radishreel/verdict";
-import type { CallerAnswer } from "./caller.js";
+import { askAgainSeconds, type CallerAnswer } from "./caller.js";
 import { readPassedHeaders } from "./calls.js";
 import { createPeerProof, peerProofHeader } from "./peers.js";
 import { type CallerRequest, deadlineHeader, requestTokenHeader } from "./request.js";
 
-/** Seconds after which a caller may ask again whether the issuer is reachable. */
-const askAgainSeconds = 1;
-
 /** Headers that the issuer needs to judge the request as if it had come to it. */
 const forwardedHeaders = ["authorization", "content-type", "accept", requestTokenHeader];
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import { GatewayMetrics, type Logger, startMetricsServer } from "@radishreel/telemetry";
 import type { LedgerRecord } from "@radishreel/tokens";
 import { HttpEngineClient, HttpServiceClient, UpstreamConnections } from "@radishreel/upstreams";
-import type { NodeIdentity } from "@radishreel/wire";
+import { formatIncarnation, type NodeIdentity } from "@radishreel/wire";
 import type { Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createMachine, interpret, state, transition } from "robot3";
@@ -129,7 +129,7 @@
 
     /** Names this gateway's incarnation in request tokens. */
     private get issuer(): string {
-        return `${this.settings.id}#${this.incarnation}`;
+        return formatIncarnation(this.identity);
     }
 
     // Wiring.
--- a/packages/gateway/src/run.ts
+++ b/packages/gateway/src/run.ts
@@ -1,7 +1,7 @@
 import type { GatewayMetrics } from "@radishreel/telemetry";
 import type { Attempt } from "@radishreel/upstreams";
 import { createRefused, type Verdict } from "@radishreel/verdict";
-import type { CallerAnswer } from "./caller.js";
+import { askAgainSeconds, type CallerAnswer } from "./caller.js";
 import type { ControlTask } from "./control.js";
 import type { DispatchTask, Placement } from "./dispatching.js";
 import type { CallerRequest } from "./request.js";
@@ -36,9 +36,6 @@
     readonly survivesCaller: boolean;
 }
 
-/** Seconds after which a caller may ask what became of a request that may have run. */
-const askAgainSeconds = 1;
-
 /** One request, from its arrival to its verdict, over all its attempts. Only what was not run is tried again. */
 export abstract class UpstreamRun {
     readonly verdict: Promise<Verdict>;
--- a/packages/gateway/src/tokens.ts
+++ b/packages/gateway/src/tokens.ts
@@ -6,9 +6,9 @@
     TokenLedger,
     type TokenOutcome,
 } from "@radishreel/tokens";
-import { createMayHaveRun, createRefused, type FailureVerdict, type Verdict } from "@radishreel/verdict";
+import { createMayHaveRun, createRefused, type Verdict } from "@radishreel/verdict";
 import { createHash } from "node:crypto";
-import type { CallerAnswer } from "./caller.js";
+import { askAgainSeconds, type CallerAnswer } from "./caller.js";
 import { type CallerRequest, requestTokenHeader } from "./request.js";
 
 /** Options of {@link TokenDesk}. */
@@ -23,9 +23,6 @@
     readonly forward: (address: string, request: CallerRequest, answer: CallerAnswer) => Promise<Verdict>;
 }
 
-/** Seconds after which a caller may show a token again. */
-const askAgainSeconds = 1;
-
 /** Largest number of tokens issued at once. */
 export const maxTokensAtOnce = 1000;
 
@@ -57,12 +54,11 @@
         const text = request.headers[requestTokenHeader];
         const parsed = parseToken(this.options.secret, typeof text === "string" ? text : "");
         if (parsed.isErr()) {
-            return finish(answer, parsed.error);
+            return answer.sendFailure(parsed.error);
         }
         const token = parsed.value;
         if (token.customer !== request.customer.name) {
-            return finish(
-                answer,
+            return answer.sendFailure(
                 createRefused("requestTokenOfAnother", "the request token was issued to another customer"),
             );
         }
@@ -117,15 +113,14 @@
         const claim = ledger.claim(token.sequence, createDigest(request), token.expiresAt, Date.now());
         switch (claim.kind) {
             case "mismatch":
-                return finish(
-                    answer,
+                return answer.sendFailure(
                     createRefused("requestTokenMismatch", "the request token was used for another request"),
                 );
             case "expired":
-                return finish(answer, createMayHaveRun("requestTokenExpired", "the request token has expired"));
+                return answer.sendFailure(createMayHaveRun("requestTokenExpired", "the request token has expired"));
             case "inUse": {
                 const detail = "the request is running; show the token again for its answer";
-                return finish(answer, createMayHaveRun("requestTokenInUse", detail, askAgainSeconds));
+                return answer.sendFailure(createMayHaveRun("requestTokenInUse", detail, askAgainSeconds));
             }
             case "spent":
                 return sendOutcome(claim.outcome, answer);
@@ -141,20 +136,17 @@
     private async forward(token: RequestToken, request: CallerRequest, answer: CallerAnswer): Promise<Verdict> {
         const heir = this.heirs.get(token.issuer);
         if (request.isForwarded && heir === undefined) {
-            return finish(answer, createMayHaveRun("issuerGone", "the gateway that issued the request token is gone"));
+            return answer.sendFailure(
+                createMayHaveRun("issuerGone", "the gateway that issued the request token is gone"),
+            );
         }
         if (request.isForwarded && heir?.address === this.options.address) {
-            return finish(answer, createMayHaveRun("issuerGone", "the heir of the request token has stopped"));
+            return answer.sendFailure(createMayHaveRun("issuerGone", "the heir of the request token has stopped"));
         }
         return this.options.forward(heir?.address ?? token.address, request, answer);
     }
 }
 
-function finish(answer: CallerAnswer, verdict: FailureVerdict): FailureVerdict {
-    answer.sendFailure(verdict);
-    return verdict;
-}
-
 /** The request as the caller made it, so that a token serves no other. */
 function createDigest(request: CallerRequest): string {
     return createHash("sha256").update(JSON.stringify([request.method, request.path])).update(request.body).digest(
@@ -179,11 +171,10 @@
 /** Answers with the outcome of the one run. */
 function sendOutcome(outcome: TokenOutcome, answer: CallerAnswer): Verdict {
     if (outcome.kind === "mayHaveRun") {
-        return finish(answer, outcome.verdict);
+        return answer.sendFailure(outcome.verdict);
     }
     if (outcome.answer === undefined) {
-        return finish(
-            answer,
+        return answer.sendFailure(
             createMayHaveRun("requestTokenSpent", "the request has run; its answer was too large to keep"),
         );
     }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -6,6 +6,7 @@
 export { LinkServer, type LinkServerOptions } from "./server.js";
 export {
     type CloseReason,
+    formatIncarnation,
     type LinkLimits,
     type NodeIdentity,
     nodeIdentitySchema,
--- a/packages/wire/src/types.ts
+++ b/packages/wire/src/types.ts
@@ -20,6 +20,11 @@
 /** See {@link nodeIdentitySchema}. */
 export type NodeIdentity = z.infer<typeof nodeIdentitySchema>;
 
+/** Names one start of a process. */
+export function formatIncarnation(identity: NodeIdentity): string {
+    return `${identity.id}#${identity.incarnation}`;
+}
+
 /** Why a link ended. Each is a label of the frame counter. */
 export type CloseReason =
     | "asked"
