Tell not-run of a request with a token only once its ledger was asked

Cause: a gateway that did not know the offerings yet, or refused for any other reason before it looked at the request token, told not-run, although the token's request had run under an earlier attempt. Change: with a token, such refusals are told as may-have-run, with the same reason and time to come back.

--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -84,7 +84,7 @@
         metrics.openRequests.inc();
         const request = await this.readRequest(incoming, path, isPeer, arrivedAt);
         if (request.isErr()) {
-            this.refuse(answer, request.error);
+            this.refuse(answer, createRefusal(incoming.headers, request.error));
             metrics.openRequests.dec();
             return;
         }
@@ -100,7 +100,7 @@
         return new CallerAnswer({ response, captureBytes, closesConnection: this.context.isStopping() });
     }
 
-    private refuse(answer: CallerAnswer, verdict: RefusedVerdict): void {
+    private refuse(answer: CallerAnswer, verdict: FailureVerdict): void {
         this.context.metrics.recordRefusal(verdict.reason);
         answer.sendFailure(verdict);
     }
@@ -156,7 +156,7 @@
     ): Promise<Verdict> {
         const completion = parseCompletion(request, path);
         if (completion.isErr()) {
-            return answer.sendFailure(completion.error);
+            return answer.sendFailure(createRefusal(request.headers, completion.error));
         }
         const hasToken = request.headers[requestTokenHeader] !== undefined;
         const run = (): Promise<Verdict> =>
@@ -167,7 +167,7 @@
     private async handleCall(request: CallerRequest, answer: CallerAnswer): Promise<Verdict> {
         const call = parseCall(request);
         if (call.isErr()) {
-            return answer.sendFailure(call.error);
+            return answer.sendFailure(createRefusal(request.headers, call.error));
         }
         const hasToken = request.headers[requestTokenHeader] !== undefined;
         if (!call.value.isIdempotent && !hasToken) {
@@ -218,6 +218,16 @@
     }
 }
 
+/**
+ * A refusal before the request token was judged. With a token the request may have run under an earlier attempt, of which
+ * this gateway knows nothing yet: only the token's ledger can say `not-run`.
+ */
+function createRefusal(headers: IncomingMessage["headers"], verdict: RefusedVerdict): FailureVerdict {
+    return headers[requestTokenHeader] === undefined
+        ? verdict
+        : createMayHaveRun(verdict.reason, verdict.detail, verdict.retryAfterSeconds);
+}
+
 function parseTokenCount(body: Buffer): Result<number, RefusedVerdict> {
     try {
         const parsed = tokensBodySchema.safeParse(body.length === 0 ? {} : JSON.parse(body.toString("utf8")));
