--- /dev/null
+++ b/packages/fleet/src/choose.ts
@@ -0,0 +1,186 @@
+import type { EngineLimits, Service } from "@radishreel/routing";
+import { rankHomes } from "./rank.js";
+import { formatAdapterKey, type ModelDemand } from "./types.js";
+import type { FleetView, UpstreamState } from "./view.js";
+
+/** Prompt tokens that an engine reads in a millisecond, by the users' sheets for both of their engines. */
+export const prefillTokensPerMs = 38.4;
+
+/** Time to load an adapter from the weight store while few are on their way, by the users' sheets, in milliseconds. */
+export const coldLoadMs = 250;
+
+/** Time to load an adapter that the engine keeps in host memory: a tenth of a cold load. */
+export const warmLoadMs = coldLoadMs / 10;
+
+/** Time that each running request adds to the first token of another, in milliseconds: its share of a batch's steps. */
+const activeCostMs = 1.5;
+
+/** Cost of a request that would not fit into an engine's memory beside those that run: it would preempt another. */
+const overfullCostMs = 1500;
+
+/** Share of an engine's memory that is filled on purpose; kept prompt parts live in the rest. */
+const kvFillShare = 0.85;
+
+/** Cost of leaving the data centre: breaks ties between otherwise equal upstreams. */
+const otherDataCentreCostMs = 4;
+
+/** Cost of an upstream whose heartbeat is overdue, or to which connections fail: used only if nothing else is left. */
+const doubtfulCostMs = 3000;
+
+/** Cost of an upstream that fails every request; a share of failures costs its share of this. */
+const failingCostMs = 1200;
+
+/**
+ * Cost of each load that waits at an engine before one more. Adapters take 250 ms, some four at a time.
+ */
+const queuedLoadCostMs = 70;
+
+/** Cost of each step away from an adapter's first home when it must be loaded: the copy in host memory is lost. */
+const otherHomeCostMs = 110;
+
+/** Time that a version stays in use after a newer one was named, in milliseconds: half of the users' bound of 5 s. */
+export const oldVersionUseMs = 2500;
+
+/** An engine that loses its place this soon gets no new stream, in milliseconds: most streams end within it. */
+const minRemainingMs = 1500;
+
+/** A choice of an upstream for one request. */
+export interface UpstreamChoice {
+    readonly state: UpstreamState;
+    /** Expected time to the first byte of the answer, in milliseconds, with penalties for what is in doubt. */
+    readonly costMs: number;
+    /** Whether the request can be sent now; otherwise its adapter must be loaded first. */
+    readonly isReady: boolean;
+    /** Version of the adapter that answers; undefined for requests without an adapter. */
+    readonly version: number | undefined;
+    /** Prompt tokens that it has to read. */
+    readonly prefillTokens: number;
+}
+
+/** What a choice starts from. */
+export interface ChoiceOptions {
+    readonly view: FleetView;
+    readonly service: Service;
+    readonly dataCentre: string;
+    readonly now: number;
+    /** Upstreams not to be used again for this request. */
+    readonly excluded: ReadonlySet<string>;
+}
+
+/** What a choice among engines starts from. */
+export interface EngineChoiceOptions extends ChoiceOptions {
+    readonly demand: ModelDemand;
+    /** Prompt tokens that an engine keeps of the request, by engine id. */
+    readonly findKeptTokens: (engine: string) => number;
+}
+
+/** Costs that hold for every kind of upstream. */
+function readCommonCost(options: ChoiceOptions, state: UpstreamState): number {
+    const { view, dataCentre, now } = options;
+    const isDoubtful = state.health.isPaused(now) || view.isStale(state, now);
+    return (state.upstream.dataCentre === dataCentre ? 0 : otherDataCentreCostMs)
+        + (isDoubtful ? doubtfulCostMs : 0)
+        + state.health.readFailureShare(now) * failingCostMs;
+}
+
+/** Picks a server of a plain service: the least loaded and fastest one that answers. */
+export function chooseServer(options: ChoiceOptions): UpstreamChoice | undefined {
+    const { view, service, now, excluded } = options;
+    let best: UpstreamChoice | undefined;
+    for (const state of view.listUsable(service.name)) {
+        if (excluded.has(state.upstream.id)) {
+            continue;
+        }
+        const { active } = view.readLoad(state.upstream.id);
+        const slots = Math.max(1, state.upstream.slots);
+        // Work is in units of one request's usual time; a full server makes the next one wait.
+        const workMs = serverWorkMs * state.health.readPace(now) * (1 + (active / slots) ** 2 + active * serverShareCost);
+        const costMs = workMs + readCommonCost(options, state);
+        if (best === undefined || costMs < best.costMs) {
+            best = { state, costMs, isReady: true, version: undefined, prefillTokens: 0 };
+        }
+    }
+    return best;
+}
+
+/** Usual time of one request of a plain service, in milliseconds: between the users' 21 and 86 ms. */
+const serverWorkMs = 60;
+
+/** Cost of each request already on a server, as a share of its usual time: spreads requests over idle servers. */
+const serverShareCost = 0.15;
+
+/** Picks an engine for a model request, and says whether its adapter must be loaded there first. */
+export function chooseEngine(options: EngineChoiceOptions): UpstreamChoice | undefined {
+    const { view, service, demand, now, excluded } = options;
+    const limits = service.engine;
+    if (limits === undefined) {
+        return undefined;
+    }
+    const usable = view.listUsable(service.name).filter(state =>
+        !excluded.has(state.upstream.id)
+        && (state.goneAt === undefined || state.goneAt - now > minRemainingMs)
+    );
+    const key = demand.adapter === undefined ? undefined : formatAdapterKey(demand.model, demand.adapter);
+    const homes = key === undefined ? [] : rankHomes(key, usable.map(state => ({ id: state.upstream.id })));
+    let best: UpstreamChoice | undefined;
+    for (const state of usable) {
+        const homeRank = homes.findIndex(home => home.id === state.upstream.id);
+        const choice = createChoice(options, limits, state, key, homeRank);
+        if (choice !== undefined && (best === undefined || choice.costMs < best.costMs)) {
+            best = choice;
+        }
+    }
+    return best;
+}
+
+/** The choice of one engine; undefined if it cannot serve the request. */
+function createChoice(
+    options: EngineChoiceOptions,
+    limits: EngineLimits,
+    state: UpstreamState,
+    key: string | undefined,
+    homeRank: number,
+): UpstreamChoice | undefined {
+    const { view, demand, now } = options;
+    const load = view.readLoad(state.upstream.id);
+    const version = key === undefined ? undefined : findUsableVersion(view, state, key, now);
+    const isReady = key === undefined ? view.hasModel(state, demand.model) : version !== undefined;
+    const canLoad = state.news?.canOrder ?? false;
+    if (!isReady && !canLoad) {
+        return undefined;
+    }
+    const kept = isReady ? options.findKeptTokens(state.upstream.id) : 0;
+    const prefillTokens = Math.max(0, demand.promptTokens - kept);
+    const neededKv = load.kvTokens + demand.promptTokens + demand.maxOutputTokens;
+    const isOverfull = neededKv > limits.kvTokens * kvFillShare || load.active >= limits.batchSlots;
+    const engineMs = (load.backlogTokens + prefillTokens) / prefillTokensPerMs + load.active * activeCostMs;
+    const costMs = engineMs * state.health.readPace(now)
+        + (isOverfull ? overfullCostMs : 0)
+        + (isReady ? 0 : readLoadCost(state, key, homeRank))
+        + readCommonCost(options, state);
+    return { state, costMs, isReady, version, prefillTokens };
+}
+
+/** Expected wait for an adapter that has to be loaded first. */
+function readLoadCost(state: UpstreamState, key: string | undefined, homeRank: number): number {
+    const news = state.news;
+    if (key !== undefined && news?.coming.includes(key)) {
+        return coldLoadMs / 2;
+    }
+    return coldLoadMs + homeRank * otherHomeCostMs + (news?.queuedLoads ?? 0) * queuedLoadCostMs;
+}
+
+/** The version of an adapter that an engine may answer with: the newest, or for a short time the one before. */
+export function findUsableVersion(
+    view: FleetView,
+    state: UpstreamState,
+    key: string,
+    now: number,
+): number | undefined {
+    const held = view.findHeldVersion(state, key);
+    const newest = view.findNewestVersion(key);
+    if (held === undefined || newest === undefined || held >= newest.version) {
+        return held;
+    }
+    return now - newest.knownAt < oldVersionUseMs ? held : undefined;
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,39 @@
+/** What a VM knows of engines and services, and the decisions that rest on it. Pure: time is handed in. */
+export { RetryBudget, type RetryBudgetOptions } from "./budget.js";
+export {
+    chooseEngine,
+    chooseServer,
+    type ChoiceOptions,
+    type EngineChoiceOptions,
+    findUsableVersion,
+    prefillTokensPerMs,
+    type UpstreamChoice,
+} from "./choose.js";
+export { ClaimClock, type ClaimClockOptions, readShard } from "./claims.js";
+export { UpstreamHealth } from "./health.js";
+export { KeptParts } from "./kept.js";
+export { type LoadHandle, type LoadShare, OwnLoad } from "./load.js";
+export {
+    type EngineOrder,
+    EnginePlaces,
+    type EnginePlacesOptions,
+    type EngineReport,
+    type OrderAction,
+    type OrderAnswer,
+    type PlacesStep,
+} from "./places.js";
+export { rankHomes } from "./rank.js";
+export {
+    type EngineNews,
+    engineNewsSchema,
+    formatAdapterKey,
+    type HeldModel,
+    type ModelDemand,
+    parseAdapterKey,
+    type PromptPart,
+    type Upstream,
+    type UpstreamLoad,
+    upstreamLoadSchema,
+    upstreamSchema,
+} from "./types.js";
+export { FleetView, type FleetViewOptions, type UpstreamState } from "./view.js";
--- /dev/null
+++ b/packages/fleet/src/kept.ts
@@ -0,0 +1,53 @@
+import type { ModelDemand, PromptPart } from "./types.js";
+
+/** How long a part is believed to be kept after its last use, in milliseconds. Engines drop the least recently used. */
+const keptMs = 20_000;
+
+/** Most parts remembered for one engine: an engine's memory holds some hundred parts of 2,000 tokens. */
+const maxParts = 400;
+
+/** Remembers which prompt parts engines have read for requests of this VM. */
+export class KeptParts {
+    private readonly partsByEngine = new Map<string, Map<string, number>>();
+
+    /** Records that an engine has read a request's prompt. */
+    record(engine: string, demand: ModelDemand, now: number): void {
+        const parts = this.partsByEngine.get(engine) ?? new Map<string, number>();
+        this.partsByEngine.set(engine, parts);
+        for (const part of demand.parts) {
+            const key = formatPartKey(demand, part);
+            parts.delete(key);
+            parts.set(key, now);
+        }
+        for (const key of parts.keys()) {
+            if (parts.size <= maxParts) {
+                break;
+            }
+            parts.delete(key);
+        }
+    }
+
+    /** Tokens at the start of a prompt that an engine keeps for this model and adapter. */
+    countKeptTokens(engine: string, demand: ModelDemand, now: number): number {
+        const parts = this.partsByEngine.get(engine);
+        let tokens = 0;
+        for (const part of demand.parts) {
+            const usedAt = parts?.get(formatPartKey(demand, part));
+            if (usedAt === undefined || now - usedAt > keptMs) {
+                break;
+            }
+            tokens += part.tokens;
+        }
+        return tokens;
+    }
+
+    /** Forgets an engine that is gone. */
+    removeEngine(engine: string): void {
+        this.partsByEngine.delete(engine);
+    }
+}
+
+/** Parts are kept for one model and adapter only. */
+function formatPartKey(demand: ModelDemand, part: PromptPart): string {
+    return `${demand.model}/${demand.adapter ?? ""}/${part.id}`;
+}
--- /dev/null
+++ b/packages/fleet/src/load.ts
@@ -0,0 +1,77 @@
+import type { UpstreamLoad } from "./types.js";
+
+/** A request on an upstream, as its load counts it. */
+export interface LoadShare {
+    readonly upstream: string;
+    readonly backlogTokens: number;
+    readonly kvTokens: number;
+    readonly adapterKey: string | undefined;
+}
+
+/** Load that this VM puts on upstreams. */
+export class OwnLoad {
+    private readonly loads = new Map<string, UpstreamLoad>();
+    private revision = 0;
+
+    /** Rises with every change. */
+    get version(): number {
+        return this.revision;
+    }
+
+    /** Counts a request until the returned functions are called. */
+    add(share: LoadShare): LoadHandle {
+        this.update(share, 1, share.backlogTokens, share.kvTokens);
+        let hasBegun = false;
+        let hasEnded = false;
+        const begin = (): void => {
+            if (!hasBegun) {
+                hasBegun = true;
+                this.update(share, 0, -share.backlogTokens, 0);
+            }
+        };
+        const end = (): void => {
+            if (!hasEnded) {
+                hasEnded = true;
+                begin();
+                this.update(share, -1, 0, -share.kvTokens);
+            }
+        };
+        return { begin, end };
+    }
+
+    /** Load by upstream id; upstreams without load are left out. */
+    read(): Map<string, UpstreamLoad> {
+        return this.loads;
+    }
+
+    private update(share: LoadShare, active: number, backlogTokens: number, kvTokens: number): void {
+        const load = this.loads.get(share.upstream) ?? { active: 0, backlogTokens: 0, kvTokens: 0, uses: {} };
+        load.active += active;
+        load.backlogTokens += backlogTokens;
+        load.kvTokens += kvTokens;
+        if (share.adapterKey !== undefined && active !== 0) {
+            const uses = (load.uses[share.adapterKey] ?? 0) + active;
+            if (uses === 0) {
+                delete load.uses[share.adapterKey];
+            }
+            else {
+                load.uses[share.adapterKey] = uses;
+            }
+        }
+        if (load.active === 0) {
+            this.loads.delete(share.upstream);
+        }
+        else {
+            this.loads.set(share.upstream, load);
+        }
+        this.revision += 1;
+    }
+}
+
+/** Ends the parts of a request's load. */
+export interface LoadHandle {
+    /** The answer has begun: its prompt is read. */
+    begin(): void;
+    /** The request has left the upstream. */
+    end(): void;
+}
--- /dev/null
+++ b/packages/fleet/src/places.ts
@@ -0,0 +1,432 @@
+import type { EngineLimits } from "@radishreel/routing";
+import { coldLoadMs, warmLoadMs } from "./choose.js";
+import { formatAdapterKey, type HeldModel, parseAdapterKey } from "./types.js";
+
+/** Adapters that may be on their way to one engine at a time, by the engines' interface. */
+const maxComing = 4;
+
+/** An adapter used this recently is not evicted for another one, in milliseconds: its next request may be on its way. */
+const minIdleMs = 150;
+
+/** Half-life of an adapter's popularity, in milliseconds: demand moves to other adapters within seconds. */
+const popularityHalfLifeMs = 8000;
+
+/** Pause between two checks whether a load or an unload is complete, in milliseconds. */
+const checkPauseMs = 20;
+
+/** A want that nobody has renewed for this long is dropped, in milliseconds: requests renew theirs several times in it. */
+const wantLifeMs = 1500;
+
+/** Pause before an engine is asked for its state after an order that it did not take, in milliseconds: reports lag. */
+const syncPauseMs = 250;
+
+/** Pause after an order for an adapter that the engine rejected as wrong, in milliseconds. */
+const rejectedPauseMs = 2000;
+
+/** Adapters that an engine keeps in host memory, by the users' sheets; used only to guess how long a load takes. */
+const warmAdapters = 50;
+
+/** What an order does. */
+export type OrderAction = "load" | "unload";
+
+/** One order to an engine. */
+export interface EngineOrder {
+    readonly action: OrderAction;
+    readonly model: string;
+    /** Missing for a base model. */
+    readonly adapter: string | undefined;
+    /** Version to load; the newest one if missing. */
+    readonly version: number | undefined;
+    /** Orders that the engine must have accepted before, for this one to be accepted. */
+    readonly expectedSequence: number;
+}
+
+/** What an engine said to an order. */
+export type OrderAnswer =
+    /** It is being carried out. */
+    | "accepted"
+    /** What it asks for holds already. */
+    | "holds"
+    /** Another order is under way, or the sequence is not the expected one. */
+    | "conflict"
+    /** A newer owner has given orders. */
+    | "fenced"
+    /** Another incarnation has the address. */
+    | "gone"
+    /** The engine knows no such order, model or adapter. */
+    | "rejected"
+    /** Nothing was heard: it may be carried out, now or later. */
+    | "unknown";
+
+/** An engine's report of what it holds. */
+export interface EngineReport {
+    readonly models: readonly HeldModel[];
+    /** Adapter keys on their way. */
+    readonly coming: readonly string[];
+    readonly sequence: number;
+    /** Whether an order for a base model is under way. */
+    readonly isBusy: boolean;
+}
+
+/** What the owner of an engine should do next. */
+export type PlacesStep =
+    | { readonly kind: "order"; readonly order: EngineOrder; }
+    | { readonly kind: "report"; }
+    | { readonly kind: "wait"; readonly untilMs: number; };
+
+interface Place {
+    state: "loaded" | "loading" | "unloading" | "unknown";
+    version: number;
+    checkAt: number;
+    usedAt: number;
+    popularity: number;
+    decayedAt: number;
+}
+
+interface Want {
+    version: number | undefined;
+    readonly since: number;
+    renewedAt: number;
+    notBefore: number;
+}
+
+/** Options of {@link EnginePlaces}. */
+export interface EnginePlacesOptions {
+    readonly limits: EngineLimits;
+    readonly models: readonly HeldModel[];
+    readonly sequence: number;
+    readonly now: number;
+}
+
+/**
+ * The owner's plan for the adapter places of one engine. It never lets loaded, coming and doubtful adapters together
+ * exceed the places: a place counts as free only after the engine has said so.
+ */
+export class EnginePlaces {
+    private readonly places = new Map<string, Place>();
+    private readonly wants = new Map<string, Want>();
+    private readonly warm = new Set<string>();
+    private models: readonly HeldModel[];
+    private sequence: number;
+    private mustReport = true;
+    private reportAt: number;
+    private limits: EngineLimits;
+    private coldMs = coldLoadMs;
+
+    constructor(options: EnginePlacesOptions) {
+        this.limits = options.limits;
+        this.models = options.models;
+        this.sequence = options.sequence;
+        this.reportAt = options.now;
+    }
+
+    /** Versions by adapter key of what is loaded and not being unloaded. */
+    listHeld(): Record<string, number> {
+        const held: Record<string, number> = {};
+        for (const [key, place] of this.places) {
+            if (place.state === "loaded") {
+                held[key] = place.version;
+            }
+        }
+        return held;
+    }
+
+    listComing(): string[] {
+        return [...this.places].filter(([, place]) => place.state === "loading").map(([key]) => key);
+    }
+
+    countQueued(): number {
+        return this.wants.size;
+    }
+
+    setLimits(limits: EngineLimits): void {
+        this.limits = limits;
+    }
+
+    /** Asks for an adapter; a request that waits for it asks again from time to time. */
+    addWant(key: string, version: number | undefined, now: number): void {
+        const place = this.places.get(key);
+        if (place?.state === "loaded" && (version === undefined || place.version >= version)) {
+            return;
+        }
+        const want = this.wants.get(key);
+        if (want === undefined) {
+            this.wants.set(key, { version, since: now, renewedAt: now, notBefore: now });
+            return;
+        }
+        want.renewedAt = now;
+        want.version = version ?? want.version;
+    }
+
+    /** Counts a request for an adapter. */
+    recordUse(key: string, now: number): void {
+        const place = this.places.get(key);
+        if (place !== undefined) {
+            place.popularity = readPopularity(place, now) + 1;
+            place.decayedAt = now;
+            place.usedAt = now;
+        }
+    }
+
+    /** Takes word that the engine turned a request for an adapter away although it was believed to be loaded. */
+    recordMissing(key: string, now: number): void {
+        const place = this.places.get(key);
+        if (place?.state === "loaded") {
+            this.mustReport = true;
+            this.reportAt = Math.max(this.reportAt, now);
+        }
+    }
+
+    /**
+     * Decides the next step.
+     * @param countUses Requests under way with an adapter, over all VMs.
+     */
+    decide(now: number, countUses: (key: string) => number): PlacesStep {
+        if (this.mustReport) {
+            return now >= this.reportAt ? { kind: "report" } : { kind: "wait", untilMs: this.reportAt };
+        }
+        this.expireWants(now);
+        const check = this.findDueCheck(now);
+        if (check !== undefined) {
+            return { kind: "order", order: check };
+        }
+        const order = this.findNextOrder(now, countUses);
+        if (order !== undefined) {
+            return { kind: "order", order };
+        }
+        return { kind: "wait", untilMs: this.findNextTime(now) };
+    }
+
+    /** Takes the engine's answer to an order. */
+    applyAnswer(order: EngineOrder, answer: OrderAnswer, now: number): void {
+        if (answer === "conflict" || answer === "unknown") {
+            this.applyDoubt(order, answer, now);
+            return;
+        }
+        if (order.adapter === undefined) {
+            this.mustReport = true;
+            this.reportAt = now + syncPauseMs;
+            return;
+        }
+        const key = formatAdapterKey(order.model, order.adapter);
+        if (answer === "rejected") {
+            this.applyRejection(key, now);
+            return;
+        }
+        if (order.action === "load") {
+            this.applyLoad(key, order, answer, now);
+        }
+        else {
+            this.applyUnload(key, answer, now);
+        }
+    }
+
+    /** Takes the engine's report. @param askedAt When it was asked for. */
+    applyReport(report: EngineReport, askedAt: number, now: number): void {
+        this.mustReport = false;
+        this.models = report.models;
+        this.sequence = report.sequence;
+        const reported = new Map<string, number>();
+        for (const model of report.models) {
+            for (const adapter of model.adapters) {
+                reported.set(formatAdapterKey(model.name, adapter.name), adapter.version);
+            }
+        }
+        for (const [key, place] of this.places) {
+            if (!reported.has(key) && !report.coming.includes(key) && place.state !== "unknown") {
+                this.places.delete(key);
+            }
+        }
+        for (const [key, version] of reported) {
+            this.updatePlace(key, version, "loaded", now);
+        }
+        for (const key of report.coming) {
+            if (!reported.has(key)) {
+                this.updatePlace(key, this.wants.get(key)?.version ?? 0, "loading", now);
+            }
+        }
+        if (report.isBusy) {
+            this.mustReport = true;
+            this.reportAt = askedAt + syncPauseMs;
+        }
+    }
+
+    /** A report was asked for and did not come. */
+    recordReportFailure(now: number): void {
+        this.reportAt = now + syncPauseMs;
+    }
+
+    private updatePlace(key: string, version: number, state: Place["state"], now: number): void {
+        const known = this.places.get(key);
+        if (known === undefined) {
+            this.places.set(key, { state, version, checkAt: now, usedAt: now, popularity: 1, decayedAt: now });
+        }
+        else {
+            known.state = state;
+            known.version = version;
+            known.checkAt = now;
+        }
+        this.recordWarm(key);
+    }
+
+    private applyLoad(key: string, order: EngineOrder, answer: OrderAnswer, now: number): void {
+        const place = this.places.get(key);
+        const version = order.version ?? place?.version ?? 0;
+        if (answer === "holds") {
+            this.updatePlace(key, version, "loaded", now);
+            this.wants.delete(key);
+            return;
+        }
+        if (answer !== "accepted") {
+            return;
+        }
+        if (place?.state === "loading") {
+            // A check: it is still on its way, and the engine took the order as one more.
+            place.checkAt = now + checkPauseMs;
+            return;
+        }
+        this.sequence += 1;
+        const isWarm = this.warm.has(key) && place === undefined;
+        this.updatePlace(key, version, "loading", now);
+        this.places.get(key)!.checkAt = now + (isWarm ? warmLoadMs : this.coldMs);
+    }
+
+    private applyUnload(key: string, answer: OrderAnswer, now: number): void {
+        const place = this.places.get(key);
+        if (answer === "holds") {
+            if (place?.state !== "unloading") {
+                this.sequence += 1;
+            }
+            this.places.delete(key);
+            return;
+        }
+        if (answer !== "accepted" || place === undefined) {
+            return;
+        }
+        if (place.state !== "unloading") {
+            this.sequence += 1;
+            place.state = "unloading";
+        }
+        place.checkAt = now + checkPauseMs;
+    }
+
+    private applyDoubt(order: EngineOrder, answer: OrderAnswer, now: number): void {
+        this.mustReport = true;
+        this.reportAt = now + syncPauseMs;
+        if (answer === "unknown" && order.action === "load" && order.adapter !== undefined) {
+            const key = formatAdapterKey(order.model, order.adapter);
+            if (!this.places.has(key)) {
+                this.updatePlace(key, order.version ?? 0, "unknown", now);
+            }
+        }
+    }
+
+    private applyRejection(key: string, now: number): void {
+        const want = this.wants.get(key);
+        if (want !== undefined) {
+            want.notBefore = now + rejectedPauseMs;
+        }
+    }
+
+    private expireWants(now: number): void {
+        for (const [key, want] of this.wants) {
+            if (now - want.renewedAt > wantLifeMs) {
+                this.wants.delete(key);
+            }
+        }
+    }
+
+    /** A load or unload whose end is due to be asked for: the same order again says whether it holds. */
+    private findDueCheck(now: number): EngineOrder | undefined {
+        for (const [key, place] of this.places) {
+            if (place.state !== "loaded" && place.checkAt <= now) {
+                return this.createOrder(place.state === "unloading" ? "unload" : "load", key, place.version);
+            }
+        }
+        return undefined;
+    }
+
+    private findNextOrder(now: number, countUses: (key: string) => number): EngineOrder | undefined {
+        const due = [...this.wants]
+            .filter(([key, want]) => want.notBefore <= now && this.places.get(key)?.state !== "loading")
+            .sort(([, left], [, right]) => left.since - right.since);
+        const [first] = due;
+        if (first === undefined) {
+            return undefined;
+        }
+        const [key, want] = first;
+        const { model } = parseAdapterKey(key);
+        if (!this.models.some(held => held.name === model)) {
+            return this.createModelOrder(model);
+        }
+        if (this.listComing().length >= maxComing) {
+            return undefined;
+        }
+        if (this.places.has(key) || this.places.size < this.limits.adapterPlaces) {
+            return this.createOrder("load", key, want.version);
+        }
+        const victim = this.findVictim(now, countUses);
+        return victim === undefined ? undefined : this.createOrder("unload", victim, undefined);
+    }
+
+    /** The idle adapter whose next request is least likely to come soon. */
+    private findVictim(now: number, countUses: (key: string) => number): string | undefined {
+        if ([...this.places.values()].some(place => place.state === "unloading")) {
+            return undefined;
+        }
+        let victim: string | undefined;
+        let lowest = Infinity;
+        for (const [key, place] of this.places) {
+            const isIdle = place.state === "loaded" && countUses(key) === 0 && now - place.usedAt >= minIdleMs;
+            const popularity = readPopularity(place, now);
+            if (isIdle && !this.wants.has(key) && popularity < lowest) {
+                lowest = popularity;
+                victim = key;
+            }
+        }
+        return victim;
+    }
+
+    private findNextTime(now: number): number {
+        let next = now + wantLifeMs;
+        for (const place of this.places.values()) {
+            if (place.state !== "loaded") {
+                next = Math.min(next, place.checkAt);
+            }
+        }
+        if (this.wants.size > 0) {
+            next = Math.min(next, now + checkPauseMs);
+        }
+        return next;
+    }
+
+    private createOrder(action: OrderAction, key: string, version: number | undefined): EngineOrder {
+        const { model, adapter } = parseAdapterKey(key);
+        return {
+            action,
+            model,
+            adapter,
+            version: action === "load" && version !== 0 ? version : undefined,
+            expectedSequence: this.sequence,
+        };
+    }
+
+    private createModelOrder(model: string): EngineOrder {
+        return { action: "load", model, adapter: undefined, version: undefined, expectedSequence: this.sequence };
+    }
+
+    private recordWarm(key: string): void {
+        this.warm.delete(key);
+        this.warm.add(key);
+        for (const oldest of this.warm) {
+            if (this.warm.size <= warmAdapters) {
+                break;
+            }
+            this.warm.delete(oldest);
+        }
+    }
+}
+
+function readPopularity(place: Place, now: number): number {
+    return place.popularity * 0.5 ** (Math.max(0, now - place.decayedAt) / popularityHalfLifeMs);
+}
--- /dev/null
+++ b/packages/node/src/caller.ts
@@ -0,0 +1,163 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { RawHeaders } from "./ports.js";
+
+/** Why this program ends a request itself. Each is a label of the counters. */
+export type RefusalReason =
+    | "noConfiguration"
+    | "unknownRoute"
+    | "unknownService"
+    | "bodyTooLarge"
+    | "noUpstream"
+    | "noOwner"
+    | "upstreamsBusy"
+    | "retryBudgetSpent"
+    | "attemptsSpent"
+    | "timeout"
+    | "connectionLost"
+    | "upstreamSilent"
+    | "wrongAnswer"
+    | "truncatedAnswer";
+
+/** An answer of this program's own. */
+export interface OwnAnswer {
+    readonly status: number;
+    readonly reason: RefusalReason;
+    /** Seconds after which asking again may help. */
+    readonly retryAfterSeconds?: number;
+}
+
+/** One request of a caller: its body, its answer, and whether the caller is still there. */
+export class CallerExchange {
+    private readonly leftListeners: (() => void)[] = [];
+    private isLeft = false;
+    private hasEnded = false;
+
+    constructor(
+        readonly request: IncomingMessage,
+        private readonly response: ServerResponse,
+    ) {
+        response.on("close", () => this.receiveClose());
+        response.sendDate = false;
+    }
+
+    get method(): string {
+        return this.request.method ?? "GET";
+    }
+
+    get path(): string {
+        return this.request.url ?? "/";
+    }
+
+    get headers(): RawHeaders {
+        return this.request.rawHeaders;
+    }
+
+    get host(): string {
+        return this.request.headers.host ?? "";
+    }
+
+    /** Whether the caller closed its connection before its answer was complete. */
+    get hasLeft(): boolean {
+        return this.isLeft;
+    }
+
+    /** Whether a part of an answer has been written. */
+    get hasHead(): boolean {
+        return this.response.headersSent;
+    }
+
+    get isEnded(): boolean {
+        return this.hasEnded;
+    }
+
+    /** Called once when the caller leaves. */
+    onLeft(listener: () => void): void {
+        this.leftListeners.push(listener);
+    }
+
+    /** Reads the whole body; undefined if it is longer than allowed or the caller left. */
+    async readBody(maxBytes: number): Promise<Buffer | undefined> {
+        const chunks: Buffer[] = [];
+        let length = 0;
+        try {
+            for await (const chunk of this.request) {
+                length += (chunk as Buffer).length;
+                if (length > maxBytes) {
+                    return undefined;
+                }
+                chunks.push(chunk as Buffer);
+            }
+        }
+        catch {
+            // The caller broke off; its close is reported by itself.
+            return undefined;
+        }
+        return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+    }
+
+    /** Makes this the last answer on its connection. */
+    closeAfterAnswer(): void {
+        if (!this.response.headersSent) {
+            this.response.shouldKeepAlive = false;
+        }
+    }
+
+    /** Writes the head of an upstream's answer. */
+    startAnswer(status: number, headers: readonly string[]): void {
+        if (this.isLeft) {
+            return;
+        }
+        this.response.writeHead(status, headers as string[]);
+    }
+
+    /** Writes a part of an upstream's answer. @returns False if the caller reads too slowly for more. */
+    pass(bytes: Buffer): boolean {
+        return this.isLeft || this.response.write(bytes);
+    }
+
+    /** Calls back once the caller has read what was written. */
+    onDrain(listener: () => void): void {
+        this.response.once("drain", listener);
+    }
+
+    /** Completes an upstream's answer. */
+    endAnswer(bytes?: Buffer): void {
+        this.hasEnded = true;
+        this.response.end(bytes);
+    }
+
+    /** Breaks off an answer that has begun, so that it cannot look complete. */
+    breakOff(): void {
+        this.hasEnded = true;
+        this.response.destroy();
+    }
+
+    /** Answers by itself; breaks the answer off if one has begun. */
+    refuse(answer: OwnAnswer): void {
+        if (this.hasHead) {
+            this.breakOff();
+            return;
+        }
+        const text = JSON.stringify({ status: answer.status, reason: answer.reason });
+        const headers = ["Content-Type", "application/problem+json", "Content-Length", String(Buffer.byteLength(text))];
+        if (answer.retryAfterSeconds !== undefined) {
+            headers.push("Retry-After", answer.retryAfterSeconds.toFixed(2));
+        }
+        if (!this.request.complete) {
+            // The rest of the body is not read: the connection cannot carry another request.
+            this.response.shouldKeepAlive = false;
+        }
+        this.startAnswer(answer.status, headers);
+        this.endAnswer(Buffer.from(text));
+    }
+
+    private receiveClose(): void {
+        if (this.response.writableFinished || this.isLeft) {
+            return;
+        }
+        this.isLeft = true;
+        for (const listener of this.leftListeners) {
+            listener();
+        }
+    }
+}
--- /dev/null
+++ b/packages/node/src/cluster.ts
@@ -0,0 +1,175 @@
+import type { FleetView } from "@radishreel/fleet";
+import { RouteTable } from "@radishreel/routing";
+import type { DecisionLog } from "./decisions.js";
+import type { ClusterChange, Member } from "./ports.js";
+
+/**
+ * How long after the store is back an upstream whose entry lapsed meanwhile is kept, in milliseconds: living ones
+ * register again within about two seconds.
+ */
+const lapseGraceMs = 2100;
+
+/** Options of {@link ClusterState}. */
+export interface ClusterStateOptions {
+    readonly view: FleetView;
+    readonly log: DecisionLog;
+    readonly readTime: () => number;
+    /** Something that requests may wait for has changed. */
+    readonly onChange: () => void;
+    readonly onUpstreamGone: (id: string) => void;
+    readonly onMember: (member: Member) => void;
+}
+
+/**
+ * What the store said, in force on this VM. Changes come from the store and from peers, in any order and more than once;
+ * for each item only the one with the highest position counts, so that nothing ever goes back.
+ */
+export class ClusterState {
+    private table: RouteTable | undefined;
+    private routingPosition = -1;
+    private readonly positions = new Map<string, number>();
+    private readonly changes = new Map<string, ClusterChange>();
+    private readonly lapsed = new Map<string, number>();
+    private hasStore = false;
+    private storeBackAt = -Infinity;
+
+    constructor(private readonly options: ClusterStateOptions) {}
+
+    /** Routes in force; undefined until a configuration is known. */
+    get routes(): RouteTable | undefined {
+        return this.table;
+    }
+
+    /** Everything known, for a VM that has just connected. */
+    listChanges(): ClusterChange[] {
+        return [...this.changes.values()];
+    }
+
+    /** Takes changes, and returns those that were new. */
+    applyChanges(changes: readonly ClusterChange[]): ClusterChange[] {
+        const fresh = changes.filter(change => this.applyChange(change));
+        if (fresh.length > 0) {
+            this.options.onChange();
+        }
+        return fresh;
+    }
+
+    /** Takes the whole list of registered upstreams: those that are missing in it are gone. */
+    applyUpstreamList(ids: ReadonlySet<string>, position: number): void {
+        for (const { upstream } of this.options.view.listUpstreams()) {
+            const known = this.positions.get(formatUpstreamItem(upstream.id)) ?? -1;
+            if (!ids.has(upstream.id) && known < position) {
+                this.removeUpstream(upstream.id, position);
+            }
+        }
+        this.options.onChange();
+    }
+
+    /** Takes word whether this VM reaches the store. */
+    setReachable(isReachable: boolean): void {
+        if (isReachable && !this.hasStore) {
+            this.storeBackAt = this.options.readTime();
+        }
+        this.hasStore = isReachable;
+    }
+
+    get isStoreReachable(): boolean {
+        return this.hasStore;
+    }
+
+    /** Drops upstreams whose entries lapsed around an outage of the store and did not come back. */
+    expireLapsed(): void {
+        const now = this.options.readTime();
+        for (const [id, dueAt] of this.lapsed) {
+            if (now >= dueAt && this.hasStore) {
+                this.lapsed.delete(id);
+                this.dropUpstream(id, "entry lapsed and did not come back");
+            }
+        }
+    }
+
+    private applyChange(change: ClusterChange): boolean {
+        const item = formatItem(change);
+        if ((this.positions.get(item) ?? -1) >= change.position) {
+            return false;
+        }
+        this.positions.set(item, change.position);
+        this.changes.set(item, change);
+        switch (change.kind) {
+            case "routing":
+                this.applyRouting(change);
+                break;
+            case "upstream":
+                this.lapsed.delete(change.upstream.id);
+                this.options.view.updateUpstream(change.upstream, this.options.readTime());
+                break;
+            case "upstreamGone":
+                this.removeUpstream(change.id, change.position);
+                break;
+            case "version":
+                this.options.view.updateNewestVersion(change.key, change.version, this.options.readTime());
+                break;
+            case "member":
+                this.options.onMember(change.member);
+                break;
+        }
+        return true;
+    }
+
+    private applyRouting(change: Extract<ClusterChange, { kind: "routing"; }>): void {
+        if (change.routing.version < (this.table?.routing.version ?? -Infinity)) {
+            return;
+        }
+        this.routingPosition = change.position;
+        this.table = new RouteTable(change.routing);
+        this.options.log.recordImportant("routingInForce", {
+            version: change.routing.version,
+            position: this.routingPosition,
+            routes: change.routing.routes.length,
+        });
+    }
+
+    private removeUpstream(id: string, position: number): void {
+        this.positions.set(formatUpstreamItem(id), position);
+        const now = this.options.readTime();
+        const backForMs = now - this.storeBackAt;
+        const state = this.options.view.findUpstream(id);
+        const isAroundOutage = !this.hasStore || backForMs < lapseGraceMs;
+        // One that had said that it leaves is gone; one that fell silent while the store was away may still live.
+        if (isAroundOutage && state !== undefined && !state.upstream.isLeaving) {
+            this.lapsed.set(id, Math.max(now, this.storeBackAt) + lapseGraceMs);
+            return;
+        }
+        this.dropUpstream(id, "entry removed");
+    }
+
+    private dropUpstream(id: string, why: string): void {
+        const state = this.options.view.findUpstream(id);
+        if (state === undefined) {
+            return;
+        }
+        this.options.log.recordImportant("upstreamGone", { upstream: id, service: state.upstream.service, why });
+        this.options.view.removeUpstream(id);
+        this.options.onUpstreamGone(id);
+    }
+}
+
+function formatUpstreamItem(id: string): string {
+    return `upstream ${id}`;
+}
+
+/** Names what a change is about: later positions of the same item replace earlier ones. */
+function formatItem(change: ClusterChange): string {
+    switch (change.kind) {
+        case "routing":
+            return "routing";
+        case "upstream":
+            return formatUpstreamItem(change.upstream.id);
+        case "upstreamGone":
+            return formatUpstreamItem(change.id);
+        case "version":
+            return `version ${change.key}`;
+        case "member":
+            return `member ${change.member.id}`;
+    }
+}
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,19 @@
+/** radishreel-node: the data path and the control path of one VM in one process. */
+export { DecisionLog, type DecisionLogOptions, type LineSink } from "./decisions.js";
+export { EventSplitter, type StreamEvent } from "./events.js";
+export type {
+    AnswerHead,
+    CallerDemand,
+    ClusterChange,
+    ClusterReceiver,
+    ClusterStore,
+    EngineOrders,
+    Member,
+    OrderGuard,
+    RawHeaders,
+    RequestDialect,
+    SendOptions,
+    ShardClaims,
+    ShardDeal,
+} from "./ports.js";
+export { type ListenAddress, type NodeOptions, NodeProgram, type NodeSettings } from "./program.js";
--- /dev/null
+++ b/packages/node/src/messages.ts
@@ -0,0 +1,50 @@
+import { engineNewsSchema, upstreamLoadSchema, upstreamSchema } from "@radishreel/fleet";
+import { routingSchema } from "@radishreel/routing";
+import { z } from "zod";
+
+const memberSchema = z.object({ id: z.string(), address: z.string() });
+
+const position = z.number();
+
+/** See `ClusterChange` in ports.ts. */
+const changeSchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("routing"), routing: routingSchema, position }),
+    z.object({ kind: z.literal("upstream"), upstream: upstreamSchema, position }),
+    z.object({ kind: z.literal("upstreamGone"), id: z.string(), position }),
+    z.object({ kind: z.literal("version"), key: z.string(), version: z.number(), position }),
+    z.object({ kind: z.literal("member"), member: memberSchema, position }),
+]);
+
+/** What VMs tell each other. */
+export const peerMessageSchema = z.discriminatedUnion("type", [
+    /** VMs that the sender knows. Sent when a link opens. */
+    z.object({ type: z.literal("members"), members: z.array(memberSchema) }),
+    /** What the store said. The whole state when a link opens; after that only to VMs that asked for it. */
+    z.object({ type: z.literal("changes"), changes: z.array(changeSchema) }),
+    /** Whether the sender wants every change that others read, since it cannot read the store. */
+    z.object({ type: z.literal("follow"), isWanted: z.boolean() }),
+    /** The whole load that the sender puts on upstreams, and the requests that it began since the last such message. */
+    z.object({
+        type: z.literal("load"),
+        loads: z.record(z.string(), upstreamLoadSchema),
+        starts: z.array(z.object({ engine: z.string(), key: z.string(), count: z.number() })),
+    }),
+    /** The sender's word about engines that it owns. */
+    z.object({ type: z.literal("news"), news: z.array(engineNewsSchema) }),
+    /** To the owner of an engine: a request waits for this adapter. */
+    z.object({
+        type: z.literal("want"),
+        engine: z.string(),
+        key: z.string(),
+        version: z.number().optional(),
+    }),
+    /** To the owner of an engine: it turned a request for this adapter away. */
+    z.object({ type: z.literal("missing"), engine: z.string(), key: z.string() }),
+    /** The sender gives no more orders to the engines of these shards. */
+    z.object({ type: z.literal("release"), shards: z.array(z.number()), generation: z.number() }),
+    /** The sender is stopping and will take no part any more. */
+    z.object({ type: z.literal("leaving") }),
+]);
+
+/** See {@link peerMessageSchema}. */
+export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- /dev/null
+++ b/packages/node/src/metrics.ts
@@ -0,0 +1,36 @@
+import { Counter, Gauge, Registry } from "prom-client";
+import type { RefusalReason } from "./caller.js";
+
+/** Metrics of `radishreel-node`. */
+export class NodeMetrics {
+    readonly registry = new Registry();
+    private readonly refusals = new Counter({
+        name: "radishreel_node_refusals_total",
+        help: "Requests that this program ended itself, by reason",
+        labelNames: ["reason"] as const,
+        registers: [this.registry],
+    });
+    private readonly retries = new Counter({
+        name: "radishreel_node_retries_total",
+        help: "Attempts repeated inside the program, by what ended the one before",
+        labelNames: ["after"] as const,
+        registers: [this.registry],
+    });
+    private readonly version = new Gauge({
+        name: "radishreel_node_routing_version",
+        help: "Version of the configuration in force",
+        registers: [this.registry],
+    });
+
+    recordRefusal(reason: RefusalReason): void {
+        this.refusals.inc({ reason });
+    }
+
+    recordRetry(after: string): void {
+        this.retries.inc({ after });
+    }
+
+    setRoutingVersion(version: number): void {
+        this.version.set(version);
+    }
+}
--- /dev/null
+++ b/packages/node/src/owning.ts
@@ -0,0 +1,322 @@
+import {
+    ClaimClock,
+    type EngineNews,
+    type EngineOrder,
+    EnginePlaces,
+    type FleetView,
+    readShard,
+    type UpstreamState,
+} from "@radishreel/fleet";
+import type { Service } from "@radishreel/routing";
+import { readBootTime } from "./clock.js";
+import type { DecisionLog } from "./decisions.js";
+import type { EngineOrders, ShardClaims } from "./ports.js";
+
+/** How often claims are renewed, in milliseconds: two renewals may be lost before a claim lapses. */
+const renewMs = 700;
+
+/** How long one confirmed renewal lets its holder give orders, in milliseconds. */
+export const claimUseMs = 2600;
+
+/** A difference between steady time and boot time beyond this is a suspension of the VM, in milliseconds. */
+const suspensionMs = 300;
+
+/** Options of {@link Owning}. */
+export interface OwningOptions {
+    readonly vm: string;
+    readonly view: FleetView;
+    readonly claims: ShardClaims;
+    readonly orders: EngineOrders;
+    readonly log: DecisionLog;
+    readonly readTime: () => number;
+    /** Two holders of one engine must not give orders within this time of each other, in milliseconds. */
+    readonly turnMs: number;
+    readonly findService: (name: string) => Service | undefined;
+    readonly sendNews: (news: EngineNews[]) => void;
+    readonly sendRelease: (shards: number[], generation: number) => void;
+}
+
+interface OwnedEngine {
+    readonly id: string;
+    readonly places: EnginePlaces;
+    fence: number;
+    revision: number;
+    lastNews: string;
+    isWorking: boolean;
+    timer: NodeJS.Timeout | undefined;
+    canOrder: boolean;
+}
+
+/** The engines that this VM owns: it alone gives them orders, and tells all VMs what they hold. */
+export class Owning {
+    private readonly clock: ClaimClock;
+    private readonly engines = new Map<string, OwnedEngine>();
+    private readonly renewTimer: NodeJS.Timeout;
+    private isRenewing = false;
+    private isStopped = false;
+    private bootOffset = readBootTime() - performance.now();
+
+    constructor(private readonly options: OwningOptions) {
+        this.clock = new ClaimClock({ useMs: claimUseMs, turnMs: options.turnMs });
+        this.renewTimer = setInterval(() => void this.renew(), renewMs);
+        void this.renew();
+    }
+
+    /** Gives everything up and tells the others, so that they need not wait for the claims to lapse. */
+    async stop(): Promise<void> {
+        this.isStopped = true;
+        clearInterval(this.renewTimer);
+        const shards = this.clock.listShards();
+        const generation = this.clock.fence;
+        this.clock.suspend();
+        for (const id of [...this.engines.keys()]) {
+            this.removeEngine(id);
+        }
+        this.options.sendRelease(shards, generation);
+        await this.options.claims.release();
+    }
+
+    recordRelease(shards: readonly number[], generation: number): void {
+        for (const shard of shards) {
+            this.clock.recordRelease(shard, generation, readBootTime());
+        }
+        this.update();
+    }
+
+    /** Asks for an adapter on an engine of this VM. */
+    addWant(engine: string, key: string, version: number | undefined): void {
+        const owned = this.engines.get(engine);
+        if (owned !== undefined) {
+            owned.places.addWant(key, version, this.options.readTime());
+            this.advance(owned);
+        }
+    }
+
+    recordMissing(engine: string, key: string): void {
+        const owned = this.engines.get(engine);
+        owned?.places.recordMissing(key, this.options.readTime());
+        if (owned !== undefined) {
+            this.advance(owned);
+        }
+    }
+
+    recordUse(engine: string, key: string, count: number): void {
+        const places = this.engines.get(engine)?.places;
+        for (let index = 0; index < Math.min(count, 8); index++) {
+            places?.recordUse(key, this.options.readTime());
+        }
+    }
+
+    /** A newer version of an adapter exists: engines that hold an older one load it. */
+    updateVersion(key: string, version: number): void {
+        for (const owned of this.engines.values()) {
+            if (key in owned.places.listHeld()) {
+                owned.places.addWant(key, version, this.options.readTime());
+                this.advance(owned);
+            }
+        }
+    }
+
+    /** Looks again at which engines exist and which of them this VM owns. */
+    update(): void {
+        if (this.isStopped) {
+            return;
+        }
+        const shards = new Set(this.clock.listShards());
+        for (const state of this.options.view.listUpstreams()) {
+            const limits = this.options.findService(state.upstream.service)?.engine;
+            const shard = readShard(state.upstream.id, this.options.claims.shardCount);
+            if (limits !== undefined && shards.has(shard) && !this.engines.has(state.upstream.id)) {
+                this.addEngine(state);
+            }
+        }
+        for (const owned of [...this.engines.values()]) {
+            const isGone = this.options.view.findUpstream(owned.id) === undefined;
+            if (isGone || !shards.has(readShard(owned.id, this.options.claims.shardCount))) {
+                this.removeEngine(owned.id);
+                continue;
+            }
+            this.advance(owned);
+        }
+    }
+
+    /** Tells the whole state again, for a VM that has just connected. */
+    listNews(): EngineNews[] {
+        return [...this.engines.values()].map(owned => this.createNews(owned));
+    }
+
+    private addEngine(state: UpstreamState): void {
+        const service = this.options.findService(state.upstream.service);
+        const owned: OwnedEngine = {
+            id: state.upstream.id,
+            places: new EnginePlaces({
+                limits: service!.engine!,
+                models: state.upstream.models,
+                sequence: state.upstream.sequence,
+                now: this.options.readTime(),
+            }),
+            fence: this.clock.fence,
+            revision: 0,
+            lastNews: "",
+            isWorking: false,
+            timer: undefined,
+            canOrder: false,
+        };
+        this.engines.set(owned.id, owned);
+        this.options.log.recordImportant("engineClaimed", { engine: owned.id, fence: owned.fence });
+        this.advance(owned);
+    }
+
+    private removeEngine(id: string): void {
+        const owned = this.engines.get(id);
+        if (owned === undefined) {
+            return;
+        }
+        clearTimeout(owned.timer);
+        this.engines.delete(id);
+        this.options.log.recordImportant("engineGivenUp", { engine: id, fence: owned.fence });
+        owned.canOrder = false;
+        this.options.sendNews([{ ...this.createNews(owned), canOrder: false }]);
+    }
+
+    private canOrder(id: string): boolean {
+        this.checkSuspension();
+        return this.clock.canOrder(readShard(id, this.options.claims.shardCount), readBootTime());
+    }
+
+    /** Steady time stands still while the VM is suspended: the claim must be confirmed anew after that. */
+    private checkSuspension(): void {
+        const offset = readBootTime() - performance.now();
+        if (offset - this.bootOffset > suspensionMs) {
+            this.options.log.recordImportant("suspended", { ms: Math.round(offset - this.bootOffset) });
+            this.clock.suspend();
+        }
+        this.bootOffset = offset;
+    }
+
+    /** Takes the next step for one engine, unless one is under way. */
+    private advance(owned: OwnedEngine): void {
+        if (owned.isWorking || this.isStopped || this.engines.get(owned.id) !== owned) {
+            return;
+        }
+        clearTimeout(owned.timer);
+        const state = this.options.view.findUpstream(owned.id);
+        const canOrder = this.canOrder(owned.id);
+        if (canOrder !== owned.canOrder) {
+            owned.canOrder = canOrder;
+            this.options.log.recordImportant("ordersAllowed", { engine: owned.id, canOrder, fence: this.clock.fence });
+        }
+        this.publish(owned);
+        if (state === undefined || !canOrder) {
+            this.scheduleAdvance(owned, 200);
+            return;
+        }
+        const now = this.options.readTime();
+        const { uses } = this.options.view.readLoad(owned.id);
+        const step = owned.places.decide(now, key => uses[key] ?? 0);
+        switch (step.kind) {
+            case "wait":
+                this.scheduleAdvance(owned, Math.max(1, step.untilMs - now));
+                return;
+            case "report":
+                void this.runReport(owned, state);
+                return;
+            case "order":
+                void this.runOrder(owned, state, step.order);
+                return;
+        }
+    }
+
+    private scheduleAdvance(owned: OwnedEngine, waitMs: number): void {
+        owned.timer = setTimeout(() => this.advance(owned), waitMs);
+    }
+
+    private async runReport(owned: OwnedEngine, state: UpstreamState): Promise<void> {
+        owned.isWorking = true;
+        const askedAt = this.options.readTime();
+        const report = await this.options.orders.readReport(state.upstream);
+        const now = this.options.readTime();
+        if (report === undefined) {
+            owned.places.recordReportFailure(now);
+        }
+        else {
+            owned.places.applyReport(report, askedAt, now);
+        }
+        this.options.log.record("engineReport", {
+            engine: owned.id,
+            sequence: report?.sequence,
+            coming: report?.coming,
+            held: report?.models,
+        });
+        owned.isWorking = false;
+        this.advance(owned);
+    }
+
+    private async runOrder(owned: OwnedEngine, state: UpstreamState, order: EngineOrder): Promise<void> {
+        owned.isWorking = true;
+        owned.fence = Math.max(owned.fence, this.clock.fence);
+        const sentAt = this.options.readTime();
+        const answer = await this.options.orders.send(state.upstream, order, {
+            holder: this.options.vm,
+            fence: owned.fence,
+            checkBeforeSend: () => this.canOrder(owned.id),
+        });
+        const now = this.options.readTime();
+        owned.places.applyAnswer(order, answer, now);
+        this.options.log.record("order", {
+            engine: owned.id,
+            action: order.action,
+            adapter: order.adapter,
+            version: order.version,
+            sequence: order.expectedSequence,
+            fence: owned.fence,
+            answer,
+            ms: Math.round(now - sentAt),
+        });
+        owned.isWorking = false;
+        this.advance(owned);
+    }
+
+    private createNews(owned: OwnedEngine): EngineNews {
+        return {
+            engine: owned.id,
+            fence: owned.fence,
+            revision: owned.revision,
+            canOrder: owned.canOrder,
+            held: owned.places.listHeld(),
+            coming: owned.places.listComing(),
+            queuedLoads: owned.places.countQueued(),
+        };
+    }
+
+    /** Tells all VMs what has changed since the last time. */
+    private publish(owned: OwnedEngine): void {
+        const news = this.createNews(owned);
+        const text = JSON.stringify([news.canOrder, news.held, news.coming, news.queuedLoads]);
+        if (text === owned.lastNews) {
+            return;
+        }
+        owned.lastNews = text;
+        owned.revision += 1;
+        this.options.sendNews([{ ...news, revision: owned.revision }]);
+    }
+
+    private async renew(): Promise<void> {
+        if (this.isRenewing || this.isStopped) {
+            return;
+        }
+        this.isRenewing = true;
+        this.checkSuspension();
+        const sentAt = readBootTime();
+        const deal = await this.options.claims.renew(this.clock.fence);
+        this.isRenewing = false;
+        if (deal === undefined || this.isStopped) {
+            return;
+        }
+        if (deal.generation !== this.clock.fence) {
+            this.options.log.recordImportant("shardsDealt", deal);
+        }
+        this.clock.applyRenewal(deal.generation, deal.shards, sentAt, readBootTime());
+        this.update();
+    }
+}
--- /dev/null
+++ b/packages/node/src/peers.ts
@@ -0,0 +1,161 @@
+import { type Link, LinkClient, LinkServer, type NodeIdentity, resolveLinkLimits } from "@radishreel/wire";
+import type { DecisionLog } from "./decisions.js";
+import { type PeerMessage, peerMessageSchema } from "./messages.js";
+import type { Member } from "./ports.js";
+
+/** Heartbeats and the silence after which a link counts as dead, in milliseconds: faults last some seconds. */
+const linkLimits = resolveLinkLimits({ heartbeatMs: 400, silenceMs: 1500, maxFrameBytes: 8 * 1024 * 1024 });
+
+/** A VM that has been unreachable for this long is no longer tried, in milliseconds. */
+const forgetMs = 60_000;
+
+/** Options of {@link Peers}. */
+export interface PeersOptions {
+    readonly self: NodeIdentity;
+    /** Shared by all VMs of one deployment. */
+    readonly secret: string;
+    readonly host: string;
+    readonly port: number;
+    readonly log: DecisionLog;
+    readonly readTime: () => number;
+    /** Messages for a VM whose link has just opened. */
+    readonly createGreeting: () => PeerMessage[];
+    readonly onMessage: (vm: string, message: PeerMessage) => void;
+    readonly onClose: (vm: string) => void;
+}
+
+interface Peer {
+    readonly address: string;
+    readonly client: LinkClient<PeerMessage>;
+    link: Link<PeerMessage> | undefined;
+    lastOpenAt: number;
+}
+
+/**
+ * Links to all other VMs. Each VM opens one link to each other, sends on those it opened and receives on those opened to
+ * it, so that a path that is cut one way shows as a dead link of its own.
+ */
+export class Peers {
+    private readonly server: LinkServer<PeerMessage>;
+    private readonly peersByAddress = new Map<string, Peer>();
+
+    constructor(private readonly options: PeersOptions) {
+        this.server = new LinkServer<PeerMessage>({
+            host: options.host,
+            port: options.port,
+            self: () => options.self,
+            secret: options.secret,
+            schema: peerMessageSchema,
+            limits: linkLimits,
+            events: {
+                onOpen: link => this.addPeer({ id: link.peer.id, address: link.peer.address }),
+                onMessage: (link, message) => options.onMessage(link.peer.id, message),
+                onClose: () => {
+                    // Its own link to us tells when the VM is gone.
+                },
+            },
+        });
+    }
+
+    async start(): Promise<void> {
+        await this.server.start();
+    }
+
+    stop(): void {
+        for (const peer of this.peersByAddress.values()) {
+            peer.client.stop();
+        }
+        this.server.stop();
+    }
+
+    /** Opens a link to a VM, unless there is one. */
+    addPeer(member: { readonly id: string | undefined; readonly address: string; }): void {
+        const { self, secret } = this.options;
+        if (member.address === self.address || member.address === "" || this.peersByAddress.has(member.address)) {
+            return;
+        }
+        const client = new LinkClient<PeerMessage>({
+            address: member.address,
+            self: () => self,
+            secret,
+            schema: peerMessageSchema,
+            limits: linkLimits,
+            events: {
+                onOpen: link => this.receiveOpen(member.address, link),
+                onMessage: (link, message) => this.options.onMessage(link.peer.id, message),
+                onClose: link => this.receiveClose(member.address, link),
+            },
+        });
+        const peer: Peer = { address: member.address, client, link: undefined, lastOpenAt: this.options.readTime() };
+        this.peersByAddress.set(member.address, peer);
+        client.start();
+    }
+
+    /** VMs to which a link is open. */
+    listConnected(): string[] {
+        return [...this.peersByAddress.values()].flatMap(peer => peer.link === undefined ? [] : [peer.link.peer.id]);
+    }
+
+    /** VMs that are tried, this one left out. */
+    listMembers(): Member[] {
+        return [...this.peersByAddress.values()].flatMap(peer =>
+            peer.link === undefined ? [] : [{ id: peer.link.peer.id, address: peer.address }]
+        );
+    }
+
+    /** VMs that may be running: connected now, or lost a short time ago. */
+    countLikely(): number {
+        return this.peersByAddress.size;
+    }
+
+    broadcast(message: PeerMessage): void {
+        for (const peer of this.peersByAddress.values()) {
+            peer.link?.send(message);
+        }
+    }
+
+    /** Sends to one VM. @returns Whether there is a link to it. */
+    send(vm: string, message: PeerMessage): boolean {
+        for (const peer of this.peersByAddress.values()) {
+            if (peer.link?.peer.id === vm) {
+                return peer.link.send(message);
+            }
+        }
+        return false;
+    }
+
+    /** Stops trying VMs that have been gone for long. */
+    expireGone(): void {
+        const now = this.options.readTime();
+        for (const peer of this.peersByAddress.values()) {
+            if (peer.link === undefined && now - peer.lastOpenAt > forgetMs) {
+                peer.client.stop();
+                this.peersByAddress.delete(peer.address);
+            }
+        }
+    }
+
+    private receiveOpen(address: string, link: Link<PeerMessage>): void {
+        const peer = this.peersByAddress.get(address);
+        if (peer === undefined || link.peer.id === this.options.self.id) {
+            link.close("asked");
+            return;
+        }
+        peer.link = link;
+        this.options.log.recordImportant("peerLinked", { peer: link.peer.id, address });
+        for (const message of this.options.createGreeting()) {
+            link.send(message);
+        }
+    }
+
+    private receiveClose(address: string, link: Link<PeerMessage>): void {
+        const peer = this.peersByAddress.get(address);
+        if (peer?.link !== link) {
+            return;
+        }
+        peer.link = undefined;
+        peer.lastOpenAt = this.options.readTime();
+        this.options.log.recordImportant("peerLost", { peer: link.peer.id, address });
+        this.options.onClose(link.peer.id);
+    }
+}
--- /dev/null
+++ b/packages/node/src/ports.ts
@@ -0,0 +1,119 @@
+import type { EngineOrder, EngineReport, ModelDemand, OrderAnswer, Upstream } from "@radishreel/fleet";
+import type { Routing } from "@radishreel/routing";
+
+/**
+ * What this program needs of its platform. Another platform, or a stand-in, is another set of classes behind these
+ * interfaces.
+ */
+
+/** Header names and values in turn, as they were sent. */
+export type RawHeaders = readonly string[];
+
+/** What a caller's headers ask for. */
+export interface CallerDemand {
+    /** Names one attempt of the caller; upstreams echo it. */
+    readonly requestId: string | undefined;
+    /** How long the caller waits, in milliseconds. */
+    readonly budgetMs: number | undefined;
+    /** Set for requests to model engines. */
+    readonly model: ModelDemand | undefined;
+    /** Last event of a stream that the caller resumes. */
+    readonly lastEventId: string | undefined;
+}
+
+/** How one attempt is sent. */
+export interface SendOptions {
+    /** Incarnation that must answer; any other refuses. */
+    readonly upstreamId: string;
+    /** What is left of the caller's time, in milliseconds. */
+    readonly budgetMs: number;
+    /** Adapter version that must answer; undefined for any. */
+    readonly version: number | undefined;
+    /** Event after which a stream goes on. */
+    readonly lastEventId: string | undefined;
+    /** Urgency, 0 is first; undefined leaves the upstream's default. */
+    readonly priority: number | undefined;
+}
+
+/** What the head of an upstream's answer says. */
+export interface AnswerHead {
+    /** The request that it answers. */
+    readonly requestId: string | undefined;
+    /** The upstream says that it did not run the request. */
+    readonly isNotRun: boolean;
+    /** The upstream is not the incarnation, or lacks the adapter or the version, that the request names. */
+    readonly isMisdirected: boolean;
+    /** The upstream vouches for the answer. */
+    readonly isSigned: boolean;
+}
+
+/** Names of headers and statuses between callers, this program and upstreams. */
+export interface RequestDialect {
+    parseDemand(headers: RawHeaders): CallerDemand;
+    /** The caller's headers as an upstream gets them, with those that this program sets. */
+    createHeaders(headers: RawHeaders, options: SendOptions): string[];
+    parseAnswer(status: number, headers: RawHeaders): AnswerHead;
+    /** Headers of an answer as the caller gets them: without those that concern one connection only. */
+    listAnswerHeaders(headers: RawHeaders): string[];
+}
+
+/** Guards of an order. */
+export interface OrderGuard {
+    readonly holder: string;
+    readonly fence: number;
+    /** Asked in the same step as the write; if it says no, nothing is sent. */
+    readonly checkBeforeSend: () => boolean;
+}
+
+/** Orders to engines. */
+export interface EngineOrders {
+    send(upstream: Upstream, order: EngineOrder, guard: OrderGuard): Promise<OrderAnswer>;
+    /** Undefined if no report came. */
+    readReport(upstream: Upstream): Promise<EngineReport | undefined>;
+}
+
+/** One VM of the system. */
+export interface Member {
+    readonly id: string;
+    /** `host:port` of its listener for peers. */
+    readonly address: string;
+}
+
+/** A change of what the platform's store says, in this program's terms. */
+export type ClusterChange =
+    | { readonly kind: "routing"; readonly routing: Routing; readonly position: number; }
+    | { readonly kind: "upstream"; readonly upstream: Upstream; readonly position: number; }
+    | { readonly kind: "upstreamGone"; readonly id: string; readonly position: number; }
+    | { readonly kind: "version"; readonly key: string; readonly version: number; readonly position: number; }
+    | { readonly kind: "member"; readonly member: Member; readonly position: number; };
+
+/** Takes changes as they are read. */
+export interface ClusterReceiver {
+    receiveChanges(changes: readonly ClusterChange[]): void;
+    /** All upstreams that the store lists, at a position: those not among them are gone. */
+    receiveUpstreamList(ids: ReadonlySet<string>, position: number): void;
+    receiveReachable(isReachable: boolean, detail: string): void;
+}
+
+/** Reads the platform's store and goes on reading it. */
+export interface ClusterStore {
+    start(receiver: ClusterReceiver): void;
+    stop(): void;
+    /** Makes this VM known to others. Retried until it is done. */
+    register(member: Member): void;
+}
+
+/** The shards that a VM holds, and the generation of the deal. */
+export interface ShardDeal {
+    readonly generation: number;
+    readonly shards: readonly number[];
+}
+
+/** Deals shards of engines to VMs. */
+export interface ShardClaims {
+    readonly shardCount: number;
+    /** Joins, or renews; undefined if no answer came. */
+    renew(generation: number): Promise<ShardDeal | undefined>;
+    /** Gives all shards back. */
+    release(): Promise<void>;
+}
--- /dev/null
+++ b/packages/node/src/program.ts
@@ -0,0 +1,475 @@
+import { type EngineNews, FleetView, RetryBudget } from "@radishreel/fleet";
+import { createServer, type Server } from "node:http";
+import polka, { type Polka } from "polka";
+import { createMachine, interpret, state, transition } from "robot3";
+import { CallerExchange } from "./caller.js";
+import { readNow } from "./clock.js";
+import { ClusterState } from "./cluster.js";
+import { ConnectionPool } from "./connections.js";
+import { DecisionLog, type LineSink } from "./decisions.js";
+import type { PeerMessage } from "./messages.js";
+import { NodeMetrics } from "./metrics.js";
+import { Owning } from "./owning.js";
+import { Peers } from "./peers.js";
+import type { ClusterChange, ClusterReceiver, ClusterStore, EngineOrders, RequestDialect, ShardClaims } from "./ports.js";
+import { Serving } from "./serving.js";
+
+/** How often load is told to other VMs while it changes, in milliseconds: a fraction of a prompt's reading time. */
+const loadIntervalMs = 60;
+
+/** How often slow checks run, in milliseconds. */
+const housekeepingMs = 250;
+
+/** After this long in a planned stop no caller is sent here any more, in milliseconds: two checks of the balancer missed. */
+const balancerNoticeMs = 2600;
+
+/** Part of the grace time after which requests that still run are broken off: the platform kills soon after. */
+const graceShare = 0.93;
+
+/** Longest wait for the store in a planned stop, in milliseconds. */
+const releaseWaitMs = 800;
+
+/** VMs assumed before any is known: the retry budget is divided among them. */
+const minVms = 4;
+
+/** Life of the program. */
+const programMachine = createMachine("starting", {
+    starting: state(transition("ready", "serving"), transition("stop", "draining")),
+    serving: state(transition("stop", "draining")),
+    draining: state(transition("done", "stopped")),
+    stopped: state(),
+});
+
+/** `host:port` split. */
+export interface ListenAddress {
+    readonly host: string;
+    readonly port: number;
+}
+
+/** Settings of {@link NodeProgram}. */
+export interface NodeSettings {
+    /** Name of this VM; it stays over restarts. */
+    readonly vm: string;
+    readonly dataCentre: string;
+    readonly callers: ListenAddress;
+    readonly readiness: ListenAddress;
+    readonly readinessPath: string;
+    readonly peers: ListenAddress;
+    /** Addresses of some other VMs' listeners for peers. */
+    readonly seeds: readonly string[];
+    /** Shared by all VMs of one deployment. */
+    readonly secret: string;
+    readonly heartbeatMs: number;
+    readonly retryRatio: number;
+    readonly retrySlack: number;
+    readonly retryWindowMs: number;
+    readonly turnMs: number;
+    /** Time between the request to stop and the end of the process, in milliseconds. */
+    readonly graceMs: number;
+}
+
+/** What a {@link NodeProgram} is built from. */
+export interface NodeOptions {
+    readonly settings: NodeSettings;
+    readonly store: ClusterStore;
+    readonly claims: ShardClaims;
+    readonly orders: EngineOrders;
+    readonly dialect: RequestDialect;
+    readonly sink: LineSink;
+}
+
+/** One VM's data path and control path. */
+export class NodeProgram implements ClusterReceiver {
+    private readonly life = interpret(programMachine, () => {});
+    private readonly log: DecisionLog;
+    private readonly metrics = new NodeMetrics();
+    private readonly view: FleetView;
+    private readonly cluster: ClusterState;
+    private readonly pool = new ConnectionPool();
+    private readonly serving: Serving;
+    private readonly peers: Peers;
+    private readonly callerServer: Server;
+    private readonly readinessServer = createServer();
+    private readonly timers: NodeJS.Timeout[] = [];
+    private readonly budgets = new Map<string, RetryBudget>();
+    private readonly followers = new Set<string>();
+    private readonly starts = new Map<string, { engine: string; key: string; count: number; }>();
+    private owning: Owning | undefined;
+    private toldLoadVersion = -1;
+    private isFollowing = false;
+    private stopping: Promise<void> | undefined;
+
+    constructor(private readonly options: NodeOptions) {
+        const { settings, sink } = options;
+        this.log = new DecisionLog({ program: "radishreel-node", vm: settings.vm, sink, readTime: readNow });
+        this.view = new FleetView({ heartbeatMs: settings.heartbeatMs });
+        this.cluster = new ClusterState({
+            view: this.view,
+            log: this.log,
+            readTime: readNow,
+            onChange: () => this.receiveClusterChange(),
+            onUpstreamGone: id => this.serving.removeUpstream(id),
+            onMember: member => this.peers.addPeer(member),
+        });
+        this.serving = this.createServing();
+        this.peers = this.createPeers();
+        this.callerServer = createServer({ keepAlive: true, noDelay: true });
+    }
+
+    /** Whether the balancer may send callers here. */
+    get isReady(): boolean {
+        return this.life.machine.current === "serving";
+    }
+
+    async start(): Promise<void> {
+        const { settings, store } = this.options;
+        this.log.recordImportant("start", { dataCentre: settings.dataCentre, pid: process.pid });
+        await listen(this.createCallerApp(), settings.callers);
+        await listen(this.createReadinessApp(), settings.readiness);
+        await this.peers.start();
+        this.setSeeds(settings.seeds);
+        store.start(this);
+        store.register({ id: settings.vm, address: formatAddress(settings.peers) });
+        this.owning = this.createOwning();
+        this.timers.push(
+            setInterval(() => this.sendLoad(), loadIntervalMs),
+            setInterval(() => this.runHousekeeping(), housekeepingMs),
+        );
+    }
+
+    /** Takes the addresses of other VMs, at start and when settings change. */
+    setSeeds(seeds: readonly string[]): void {
+        for (const address of seeds) {
+            this.peers.addPeer({ id: undefined, address });
+        }
+    }
+
+    /** Records a change of the settings file. */
+    recordReload(detail: object): void {
+        this.log.recordImportant("reload", detail);
+    }
+
+    /** Stops without cutting anything off. Asked again, it waits for the same stop. */
+    stop(): Promise<void> {
+        this.stopping ??= this.runStop();
+        return this.stopping;
+    }
+
+    receiveChanges(changes: readonly ClusterChange[]): void {
+        const fresh = this.cluster.applyChanges(changes);
+        if (fresh.length === 0) {
+            return;
+        }
+        for (const vm of this.followers) {
+            this.peers.send(vm, { type: "changes", changes: fresh });
+        }
+        this.receiveVersions(fresh);
+    }
+
+    receiveUpstreamList(ids: ReadonlySet<string>, position: number): void {
+        this.cluster.applyUpstreamList(ids, position);
+    }
+
+    receiveReachable(isReachable: boolean, detail: string): void {
+        if (isReachable !== this.cluster.isStoreReachable) {
+            this.log.recordImportant(isReachable ? "storeRegained" : "storeLost", { detail });
+        }
+        this.cluster.setReachable(isReachable);
+        this.setFollowing(!isReachable);
+    }
+
+    /** Asks the peers for every change while the store cannot be read. */
+    private setFollowing(isWanted: boolean): void {
+        if (this.isFollowing !== isWanted) {
+            this.isFollowing = isWanted;
+            this.peers.broadcast({ type: "follow", isWanted });
+        }
+    }
+
+    private receiveVersions(changes: readonly ClusterChange[]): void {
+        for (const change of changes) {
+            if (change.kind === "version") {
+                this.log.recordImportant("adapterVersion", { key: change.key, version: change.version });
+                this.owning?.updateVersion(change.key, change.version);
+            }
+        }
+    }
+
+    private receiveClusterChange(): void {
+        const table = this.cluster.routes;
+        if (table === undefined) {
+            return;
+        }
+        this.metrics.setRoutingVersion(table.routing.version);
+        this.callerServer.keepAliveTimeout = table.routing.limits.idleTimeoutMs;
+        this.callerServer.headersTimeout = table.routing.limits.headerTimeoutMs + 1000;
+        if (this.life.machine.current === "starting") {
+            this.life.send("ready");
+            this.log.recordImportant("ready", { version: table.routing.version });
+        }
+        this.owning?.update();
+        this.serving.notifyChange();
+    }
+
+    private createServing(): Serving {
+        const { settings, dialect } = this.options;
+        return new Serving({
+            dataCentre: settings.dataCentre,
+            view: this.view,
+            cluster: this.cluster,
+            budgets: service => this.findBudget(service),
+            countVms: () => Math.max(minVms, this.peers.countLikely() + 1),
+            dialect,
+            pool: this.pool,
+            log: this.log,
+            readTime: readNow,
+            askLoad: (engine, key, version) => this.askLoad(engine, key, version),
+            reportMissing: (engine, key) => this.reportMissing(engine, key),
+            recordStart: (engine, key) => this.recordStart(engine, key),
+            onRefusal: reason => this.metrics.recordRefusal(reason),
+            onRetry: after => this.metrics.recordRetry(after),
+        });
+    }
+
+    private createPeers(): Peers {
+        const { settings } = this.options;
+        return new Peers({
+            self: {
+                id: settings.vm,
+                role: "node",
+                dataCentre: settings.dataCentre,
+                incarnation: Date.now(),
+                address: formatAddress(settings.peers),
+            },
+            secret: settings.secret,
+            host: settings.peers.host,
+            port: settings.peers.port,
+            log: this.log,
+            readTime: readNow,
+            createGreeting: () => this.createGreeting(),
+            onMessage: (vm, message) => this.receivePeerMessage(vm, message),
+            onClose: vm => this.receivePeerClose(vm),
+        });
+    }
+
+    private createOwning(): Owning {
+        const { settings, claims, orders } = this.options;
+        return new Owning({
+            vm: settings.vm,
+            view: this.view,
+            claims,
+            orders,
+            log: this.log,
+            readTime: readNow,
+            turnMs: settings.turnMs,
+            findService: name => this.cluster.routes?.findService(name),
+            sendNews: news => this.sendNews(news),
+            sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
+        });
+    }
+
+    private createCallerApp(): Polka {
+        // Bodies may come slowly; the request's own time bounds them.
+        this.callerServer.requestTimeout = 0;
+        return polka({
+            server: this.callerServer,
+            onNoMatch: (request, response) => {
+                const caller = new CallerExchange(request, response);
+                if (this.stopping !== undefined) {
+                    caller.closeAfterAnswer();
+                }
+                void this.serving.handle(caller);
+            },
+        });
+    }
+
+    private createReadinessApp(): Polka {
+        const app = polka({ server: this.readinessServer });
+        app.get(this.options.settings.readinessPath, (_request, response) => {
+            response.statusCode = this.isReady ? 200 : 503;
+            response.end();
+        });
+        app.get("/metrics", (_request, response) => {
+            void this.metrics.registry.metrics().then(text => response.end(text));
+        });
+        return app;
+    }
+
+    private createGreeting(): PeerMessage[] {
+        const changes = this.cluster.listChanges();
+        return [
+            { type: "members", members: this.peers.listMembers() },
+            { type: "changes", changes },
+            { type: "news", news: this.owning?.listNews() ?? [] },
+            { type: "follow", isWanted: this.isFollowing },
+            this.createLoadMessage(),
+        ];
+    }
+
+    private receivePeerMessage(vm: string, message: PeerMessage): void {
+        switch (message.type) {
+            case "members":
+                for (const member of message.members) {
+                    this.peers.addPeer(member);
+                }
+                return;
+            case "changes":
+                this.receiveChanges(message.changes);
+                return;
+            case "follow":
+                if (message.isWanted) {
+                    this.followers.add(vm);
+                    this.peers.send(vm, { type: "changes", changes: this.cluster.listChanges() });
+                }
+                else {
+                    this.followers.delete(vm);
+                }
+                return;
+            case "load":
+                this.receiveLoad(vm, message);
+                return;
+            case "news":
+                this.receiveNews(vm, message.news);
+                return;
+            case "want":
+                this.owning?.addWant(message.engine, message.key, message.version);
+                return;
+            case "missing":
+                this.owning?.recordMissing(message.engine, message.key);
+                return;
+            case "release":
+                this.owning?.recordRelease(message.shards, message.generation);
+                return;
+            case "leaving":
+                this.receivePeerClose(vm);
+                return;
+        }
+    }
+
+    private receiveLoad(vm: string, message: Extract<PeerMessage, { type: "load"; }>): void {
+        this.view.updateLoads(vm, new Map(Object.entries(message.loads)));
+        for (const { engine, key, count } of message.starts) {
+            this.owning?.recordUse(engine, key, count);
+        }
+    }
+
+    private receiveNews(vm: string, news: readonly EngineNews[]): void {
+        let isFresh = false;
+        for (const item of news) {
+            isFresh = this.view.updateNews(vm, item) || isFresh;
+        }
+        if (isFresh) {
+            this.serving.notifyChange();
+        }
+    }
+
+    private receivePeerClose(vm: string): void {
+        this.followers.delete(vm);
+        this.view.removeVm(vm);
+        this.serving.notifyChange();
+    }
+
+    private sendNews(news: EngineNews[]): void {
+        this.receiveNews(this.options.settings.vm, news);
+        this.peers.broadcast({ type: "news", news });
+    }
+
+    private askLoad(engine: string, key: string, version: number | undefined): void {
+        const owner = this.view.findUpstream(engine)?.owner;
+        if (owner === this.options.settings.vm) {
+            this.owning?.addWant(engine, key, version);
+        }
+        else if (owner !== undefined) {
+            this.peers.send(owner, { type: "want", engine, key, version });
+        }
+    }
+
+    private reportMissing(engine: string, key: string): void {
+        const owner = this.view.findUpstream(engine)?.owner;
+        if (owner === this.options.settings.vm) {
+            this.owning?.recordMissing(engine, key);
+        }
+        else if (owner !== undefined) {
+            this.peers.send(owner, { type: "missing", engine, key });
+        }
+    }
+
+    private recordStart(engine: string, key: string): void {
+        this.owning?.recordUse(engine, key, 1);
+        const item = `${engine} ${key}`;
+        const start = this.starts.get(item) ?? { engine, key, count: 0 };
+        start.count += 1;
+        this.starts.set(item, start);
+    }
+
+    private createLoadMessage(): PeerMessage {
+        return {
+            type: "load",
+            loads: Object.fromEntries(this.view.ownLoad.read()),
+            starts: [...this.starts.values()],
+        };
+    }
+
+    private sendLoad(): void {
+        if (this.toldLoadVersion === this.view.ownLoad.version) {
+            return;
+        }
+        this.toldLoadVersion = this.view.ownLoad.version;
+        this.peers.broadcast(this.createLoadMessage());
+        this.starts.clear();
+    }
+
+    private runHousekeeping(): void {
+        this.cluster.expireLapsed();
+        this.peers.expireGone();
+        this.owning?.update();
+    }
+
+    private findBudget(service: string): RetryBudget {
+        const { settings } = this.options;
+        const budget = this.budgets.get(service) ?? new RetryBudget({
+            ratio: settings.retryRatio,
+            slack: settings.retrySlack,
+            windowMs: settings.retryWindowMs,
+        });
+        this.budgets.set(service, budget);
+        return budget;
+    }
+
+    private async runStop(): Promise<void> {
+        const stoppedAt = readNow();
+        const { graceMs } = this.options.settings;
+        this.life.send("stop");
+        this.log.recordImportant("stop", { openRequests: this.serving.openCount });
+        const released = this.owning?.stop() ?? Promise.resolve();
+        this.peers.broadcast({ type: "leaving" });
+        await Promise.race([released, sleep(releaseWaitMs)]);
+        await sleep(Math.max(0, stoppedAt + balancerNoticeMs - readNow()));
+        this.callerServer.close();
+        while (this.serving.openCount > 0 && readNow() - stoppedAt < graceMs * graceShare) {
+            await sleep(20);
+        }
+        this.log.recordImportant("stopped", { openRequests: this.serving.openCount });
+        this.callerServer.closeAllConnections();
+        this.readinessServer.close();
+        for (const timer of this.timers) {
+            clearInterval(timer);
+        }
+        this.options.store.stop();
+        this.peers.stop();
+        this.pool.close();
+        this.life.send("done");
+    }
+}
+
+function formatAddress(address: ListenAddress): string {
+    return `${address.host}:${address.port}`;
+}
+
+async function listen(app: Polka, address: ListenAddress): Promise<void> {
+    await new Promise<void>(resolve => app.listen(address.port, address.host, () => resolve()));
+}
+
+async function sleep(ms: number): Promise<void> {
+    await new Promise<void>(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/node/src/serving.ts
@@ -0,0 +1,482 @@
+import {
+    chooseEngine,
+    chooseServer,
+    type FleetView,
+    formatAdapterKey,
+    KeptParts,
+    type LoadHandle,
+    type RetryBudget,
+    type UpstreamChoice,
+} from "@radishreel/fleet";
+import { chooseTarget, isIdempotent, type Route, type Service } from "@radishreel/routing";
+import { Attempt, type AttemptEnd, createBodyHeaders, type StreamProgress } from "./attempt.js";
+import type { CallerExchange, OwnAnswer, RefusalReason } from "./caller.js";
+import type { ClusterState } from "./cluster.js";
+import type { ConnectionPool } from "./connections.js";
+import type { DecisionLog } from "./decisions.js";
+import type { CallerDemand, RequestDialect } from "./ports.js";
+
+/** Upstreams that may turn one request away before it is refused: each has said that it did not run it. */
+const maxRejections = 6;
+
+/** A request that waits for its adapter looks again at least this often, in milliseconds. */
+const lookAgainMs = 100;
+
+/** An adapter that was asked for is asked for elsewhere after this long, in milliseconds: three cold loads. */
+const askElsewhereMs = 750;
+
+/** How soon a refused caller may come back, in seconds: an owner or an upstream is replaced within some seconds. */
+const retryAfterSeconds = 0.5;
+
+/** How long an upstream that turned a request away is not asked again for it, in milliseconds: its owner's word arrives. */
+const rejectedPauseMs = 60;
+
+/** Time that a request must have left to be worth another attempt, in milliseconds. */
+const minAttemptMs = 60;
+
+/**
+ * How long past the expected time an upstream may take for its first byte before an idempotent request goes elsewhere:
+ * a factor, and at least so many milliseconds.
+ */
+const firstByteFactor = 4;
+const minFirstByteMs = 700;
+
+/** Pause after which a stream that may be resumed goes elsewhere, as a factor of the pause that is still on time. */
+const pauseFactor = 1.5;
+
+/** Options of {@link Serving}. */
+export interface ServingOptions {
+    readonly dataCentre: string;
+    readonly view: FleetView;
+    readonly cluster: ClusterState;
+    readonly budgets: (service: string) => RetryBudget;
+    readonly countVms: () => number;
+    readonly dialect: RequestDialect;
+    readonly pool: ConnectionPool;
+    readonly log: DecisionLog;
+    readonly readTime: () => number;
+    readonly askLoad: (engine: string, key: string, version: number | undefined) => void;
+    readonly reportMissing: (engine: string, key: string) => void;
+    readonly recordStart: (engine: string, key: string) => void;
+    readonly onRefusal: (reason: RefusalReason) => void;
+    readonly onRetry: (reason: string) => void;
+}
+
+/** One request while it is being served. */
+interface Job {
+    readonly caller: CallerExchange;
+    readonly demand: CallerDemand;
+    readonly route: Route;
+    readonly service: Service;
+    readonly body: Buffer | undefined;
+    readonly startedAt: number;
+    readonly deadlineAt: number;
+    /** Upstreams that are not chosen again, with the time until which that holds. */
+    readonly excluded: Map<string, number>;
+    readonly progress: StreamProgress;
+    /** Upstreams that may have run it. */
+    runs: number;
+    rejections: number;
+    attempts: number;
+    waitedMs: number;
+    asked: { engine: string; at: number; } | undefined;
+}
+
+/** Serves callers' requests: finds the route, chooses upstreams, and repeats what may be repeated. */
+export class Serving {
+    private readonly kept = new KeptParts();
+    private readonly waiters = new Set<() => void>();
+    private openRequests = 0;
+
+    constructor(private readonly options: ServingOptions) {}
+
+    /** Requests that have no whole answer yet. */
+    get openCount(): number {
+        return this.openRequests;
+    }
+
+    /** Lets requests that wait for an adapter or an upstream look again. */
+    notifyChange(): void {
+        const waiters = [...this.waiters];
+        this.waiters.clear();
+        for (const wake of waiters) {
+            wake();
+        }
+    }
+
+    removeUpstream(id: string): void {
+        this.kept.removeEngine(id);
+        this.options.pool.removeUpstream(id);
+    }
+
+    async handle(caller: CallerExchange): Promise<void> {
+        this.openRequests += 1;
+        try {
+            await this.serve(caller);
+        }
+        finally {
+            this.openRequests -= 1;
+        }
+    }
+
+    private async serve(caller: CallerExchange): Promise<void> {
+        const { cluster, dialect } = this.options;
+        const startedAt = this.options.readTime();
+        const demand = dialect.parseDemand(caller.headers);
+        const table = cluster.routes;
+        if (table === undefined) {
+            this.refuse(caller, demand, { status: 503, reason: "noConfiguration", retryAfterSeconds });
+            return;
+        }
+        const route = table.findRoute(caller.host, caller.path);
+        if (route === undefined) {
+            this.refuse(caller, demand, { status: 404, reason: "unknownRoute" });
+            return;
+        }
+        const service = table.findService(chooseTarget(route, Math.random()));
+        if (service === undefined) {
+            this.refuse(caller, demand, { status: 503, reason: "unknownService", retryAfterSeconds });
+            return;
+        }
+        const body = await caller.readBody(table.routing.limits.maxBodyBytes);
+        if (body === undefined) {
+            if (!caller.hasLeft) {
+                this.refuse(caller, demand, { status: 413, reason: "bodyTooLarge" });
+            }
+            return;
+        }
+        this.options.budgets(service.name).recordRequest(startedAt);
+        const timeMs = Math.min(demand.budgetMs ?? Infinity, route.timeoutMs);
+        await this.runJob({
+            caller,
+            demand,
+            route,
+            service,
+            body: body.length === 0 ? undefined : body,
+            startedAt,
+            deadlineAt: startedAt + timeMs,
+            excluded: new Map(),
+            progress: { lastEventId: demand.lastEventId, events: 0 },
+            runs: 0,
+            rejections: 0,
+            attempts: 0,
+            waitedMs: 0,
+            asked: undefined,
+        });
+    }
+
+    private async runJob(job: Job): Promise<void> {
+        let last: AttemptEnd | undefined;
+        for (;;) {
+            const choice = await this.chooseReady(job);
+            if (job.caller.hasLeft) {
+                return;
+            }
+            if (choice === undefined) {
+                this.finishWithout(job, last);
+                return;
+            }
+            const isRepeat = job.attempts > 0 && !(last?.kind === "notRun" && !last.wasSent);
+            if (isRepeat && !this.claimRepeat(job)) {
+                this.finishWithout(job, last, "retryBudgetSpent");
+                return;
+            }
+            last = await this.runAttempt(job, choice);
+            if (last.kind === "complete" || last.kind === "callerLeft") {
+                this.recordEnd(job, last.kind, choice);
+                return;
+            }
+            if (!this.mayRepeat(job, last)) {
+                this.finishWithout(job, last);
+                return;
+            }
+            this.options.onRetry(last.kind);
+            this.options.log.recordImportant("retry", {
+                request: job.demand.requestId,
+                upstream: choice.state.upstream.id,
+                why: last.kind,
+                detail: last.kind === "failed" ? last.status : last.detail,
+                events: job.progress.events,
+            });
+        }
+    }
+
+    private claimRepeat(job: Job): boolean {
+        const { budgets, readTime, countVms } = this.options;
+        return budgets(job.service.name).claimRepeat(readTime(), countVms());
+    }
+
+    /** Whether another attempt is allowed and may still help. */
+    private mayRepeat(job: Job, end: AttemptEnd): boolean {
+        if (job.deadlineAt - this.options.readTime() < minAttemptMs) {
+            return false;
+        }
+        if (end.kind === "notRun") {
+            return job.rejections < maxRejections;
+        }
+        return isIdempotent(job.route) && job.runs < job.route.maxAttempts;
+    }
+
+    /** Waits until an upstream can be sent the request; undefined if there is none, or its time is over. */
+    private async chooseReady(job: Job): Promise<UpstreamChoice | undefined> {
+        const { readTime } = this.options;
+        for (;;) {
+            const now = readTime();
+            if (job.caller.hasLeft || job.deadlineAt - now < minAttemptMs) {
+                return undefined;
+            }
+            const choice = this.choose(job, now);
+            if (choice === undefined && !this.mayWait(job, now)) {
+                return undefined;
+            }
+            if (choice?.isReady === true) {
+                return choice;
+            }
+            if (choice !== undefined) {
+                this.askForAdapter(job, choice, now);
+            }
+            await this.waitForChange(Math.min(lookAgainMs, job.deadlineAt - now));
+            job.waitedMs += readTime() - now;
+        }
+    }
+
+    /**
+     * Whether waiting may bring an upstream: engines are there, and their owners are expected back. A plain service
+     * without any server is refused at once.
+     */
+    private mayWait(job: Job, now: number): boolean {
+        if (job.service.engine === undefined) {
+            return false;
+        }
+        const half = job.startedAt + (job.deadlineAt - job.startedAt) / 2;
+        return now < half && this.options.view.listUsable(job.service.name).length > 0;
+    }
+
+    private choose(job: Job, now: number): UpstreamChoice | undefined {
+        const { view, dataCentre } = this.options;
+        const excluded = new Set([...job.excluded].filter(([, until]) => until > now).map(([id]) => id));
+        const base = { view, service: job.service, dataCentre, now, excluded };
+        const { model } = job.demand;
+        if (job.service.engine === undefined || model === undefined) {
+            return chooseServer(base);
+        }
+        return chooseEngine({
+            ...base,
+            demand: model,
+            findKeptTokens: engine => this.kept.countKeptTokens(engine, model, now),
+        });
+    }
+
+    private askForAdapter(job: Job, choice: UpstreamChoice, now: number): void {
+        const { model } = job.demand;
+        if (model?.adapter === undefined) {
+            return;
+        }
+        const engine = choice.state.upstream.id;
+        const isWaiting = job.asked !== undefined && now - job.asked.at < askElsewhereMs;
+        if (isWaiting && job.asked?.engine !== engine && this.options.view.findUpstream(job.asked!.engine) !== undefined) {
+            // Its load is under way on the engine that was asked first.
+            return;
+        }
+        if (!isWaiting || job.asked?.engine !== engine) {
+            job.asked = { engine, at: now };
+        }
+        const key = formatAdapterKey(model.model, model.adapter);
+        this.options.askLoad(engine, key, this.options.view.findNewestVersion(key)?.version);
+    }
+
+    private async waitForChange(ms: number): Promise<void> {
+        await new Promise<void>(resolve => {
+            const wake = (): void => {
+                clearTimeout(timer);
+                this.waiters.delete(wake);
+                resolve();
+            };
+            const timer = setTimeout(wake, Math.max(1, ms));
+            this.waiters.add(wake);
+        });
+    }
+
+    private async runAttempt(job: Job, choice: UpstreamChoice): Promise<AttemptEnd> {
+        const { readTime, log } = this.options;
+        const sentAt = readTime();
+        const { upstream, health } = choice.state;
+        const load = this.addLoad(job, choice);
+        job.attempts += 1;
+        const attempt = new Attempt({
+            ...this.createAttemptTimes(job, choice, sentAt),
+            caller: job.caller,
+            requestId: job.demand.requestId,
+            route: job.route,
+            body: job.body,
+            dialect: this.options.dialect,
+            pool: this.options.pool,
+            address: upstream.address,
+            send: {
+                upstreamId: upstream.id,
+                budgetMs: Math.max(1, Math.floor(job.deadlineAt - sentAt)),
+                version: choice.version === 0 ? undefined : choice.version,
+                lastEventId: job.progress.lastEventId,
+                priority: job.service.engine === undefined ? undefined : Math.min(9, job.route.priority),
+            },
+            isFresh: !isIdempotent(job.route),
+            progress: job.progress,
+            readTime,
+            checkBeforeSend: () => !job.caller.hasLeft && readTime() < job.deadlineAt,
+            onBegin: () => {
+                load.begin();
+                health.recordPace((readTime() - sentAt) / Math.max(30, choice.costMs));
+            },
+        });
+        const end = await attempt.end;
+        load.end();
+        this.recordAttempt(job, choice, end, sentAt);
+        log.record("attempt", {
+            request: job.demand.requestId,
+            upstream: upstream.id,
+            adapter: job.demand.model?.adapter,
+            version: choice.version,
+            costMs: Math.round(choice.costMs),
+            prefill: choice.prefillTokens,
+            waitedMs: Math.round(job.waitedMs),
+            ms: Math.round(readTime() - sentAt),
+            end: end.kind,
+            detail: "detail" in end ? end.detail : undefined,
+            status: "status" in end ? end.status : undefined,
+        });
+        return end;
+    }
+
+    private createAttemptTimes(
+        job: Job,
+        choice: UpstreamChoice,
+        now: number,
+    ): { firstByteMs: number; pauseMs: number; timeLeftMs: number; } {
+        const timeLeftMs = job.deadlineAt - now;
+        const canRepeat = isIdempotent(job.route) && job.runs + 1 < job.route.maxAttempts;
+        if (!canRepeat) {
+            return { firstByteMs: timeLeftMs + 1000, pauseMs: timeLeftMs + 1000, timeLeftMs };
+        }
+        const expectedMs = choice.costMs * firstByteFactor;
+        const gapMs = (job.route.gapAimMs ?? job.route.aimMs) * pauseFactor;
+        return {
+            firstByteMs: Math.max(minFirstByteMs, Math.min(expectedMs, timeLeftMs / 2)),
+            pauseMs: gapMs,
+            timeLeftMs,
+        };
+    }
+
+    private addLoad(job: Job, choice: UpstreamChoice): LoadHandle {
+        const { model } = job.demand;
+        const key = model?.adapter === undefined ? undefined : formatAdapterKey(model.model, model.adapter);
+        if (key !== undefined) {
+            this.options.recordStart(choice.state.upstream.id, key);
+        }
+        return this.options.view.ownLoad.add({
+            upstream: choice.state.upstream.id,
+            backlogTokens: choice.prefillTokens,
+            kvTokens: (model?.promptTokens ?? 0) + (model?.maxOutputTokens ?? 0),
+            adapterKey: key,
+        });
+    }
+
+    /** Learns from the end of an attempt. */
+    private recordAttempt(job: Job, choice: UpstreamChoice, end: AttemptEnd, sentAt: number): void {
+        const { readTime, reportMissing } = this.options;
+        const now = readTime();
+        const { upstream, health } = choice.state;
+        const { model } = job.demand;
+        switch (end.kind) {
+            case "complete":
+                health.recordAnswer(now, this.readAnswerPace(job, now - sentAt));
+                if (model !== undefined) {
+                    this.kept.record(upstream.id, model, now);
+                }
+                return;
+            case "failed":
+                job.runs += 1;
+                job.excluded.set(upstream.id, Infinity);
+                health.recordFailure(now);
+                return;
+            case "broken":
+                job.runs += 1;
+                job.excluded.set(upstream.id, Infinity);
+                health.recordFailure(now);
+                return;
+            case "notRun":
+                job.rejections += 1;
+                if (!end.wasSent) {
+                    if (end.detail !== "connection closed") {
+                        health.recordUnreachable(now);
+                    }
+                    return;
+                }
+                if (model?.adapter !== undefined) {
+                    reportMissing(upstream.id, formatAdapterKey(model.model, model.adapter));
+                }
+                job.excluded.set(upstream.id, now + rejectedPauseMs);
+                return;
+            case "callerLeft":
+                return;
+        }
+    }
+
+    /** Streams tell their pace by their first event; plain answers by their whole time. */
+    private readAnswerPace(job: Job, ms: number): number {
+        return job.service.engine === undefined ? ms / Math.max(30, job.route.aimMs / 4) : 1;
+    }
+
+    /** Ends a request that no upstream has answered well: the last failure decides what the caller is told. */
+    private finishWithout(job: Job, last: AttemptEnd | undefined, reason?: RefusalReason): void {
+        if (job.caller.hasLeft) {
+            return;
+        }
+        if (last?.kind === "failed") {
+            const headers = this.options.dialect.listAnswerHeaders(last.headers);
+            if (job.caller.hasHead) {
+                job.caller.breakOff();
+                return;
+            }
+            job.caller.startAnswer(last.status, createBodyHeaders(headers, last.body));
+            job.caller.endAnswer(last.body);
+            return;
+        }
+        this.refuse(job.caller, job.demand, this.createRefusal(job, last, reason));
+    }
+
+    private createRefusal(job: Job, last: AttemptEnd | undefined, reason?: RefusalReason): OwnAnswer {
+        if (last?.kind === "broken") {
+            return { status: last.reason === "timeout" ? 504 : 502, reason: last.reason };
+        }
+        if (job.runs > 0) {
+            return { status: 502, reason: reason ?? "attemptsSpent" };
+        }
+        const isLate = job.deadlineAt - this.options.readTime() < minAttemptMs;
+        const fallback = isLate ? "timeout" : last === undefined ? "noUpstream" : "upstreamsBusy";
+        return { status: 503, reason: reason ?? fallback, retryAfterSeconds };
+    }
+
+    private refuse(caller: CallerExchange, demand: CallerDemand, answer: OwnAnswer): void {
+        this.options.onRefusal(answer.reason);
+        this.options.log.recordImportant("refused", {
+            request: demand.requestId,
+            status: answer.status,
+            reason: answer.reason,
+            path: caller.path,
+            routing: this.options.cluster.routes?.routing.version,
+        });
+        caller.refuse(answer);
+    }
+
+    private recordEnd(job: Job, kind: string, choice: UpstreamChoice): void {
+        this.options.log.record("served", {
+            request: job.demand.requestId,
+            route: job.route.name,
+            upstream: choice.state.upstream.id,
+            end: kind,
+            ms: Math.round(this.options.readTime() - job.startedAt),
+            attempts: job.attempts,
+            events: job.progress.events,
+        });
+    }
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,15 @@
+/** Routes, services and limits: which requests go where, and what they were promised. */
+export { chooseTarget, parseHostName, RouteTable } from "./table.js";
+export {
+    type CallerLimits,
+    type EngineLimits,
+    engineLimitsSchema,
+    isIdempotent,
+    type RequestKind,
+    type Route,
+    routeSchema,
+    type Routing,
+    routingSchema,
+    type Service,
+    serviceSchema,
+} from "./types.js";
--- /dev/null
+++ b/packages/routing/src/table.ts
@@ -0,0 +1,60 @@
+import type { Route, Routing, Service } from "./types.js";
+
+/** Finds the route of a request: among the routes of its host, the one with the longest prefix of its path. */
+export class RouteTable {
+    private readonly routesByHost = new Map<string, Route[]>();
+    private readonly services = new Map<string, Service>();
+
+    constructor(readonly routing: Routing) {
+        for (const route of routing.routes) {
+            const routes = this.routesByHost.get(route.host) ?? [];
+            routes.push(route);
+            this.routesByHost.set(route.host, routes);
+        }
+        for (const routes of this.routesByHost.values()) {
+            routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+        }
+        for (const service of routing.services) {
+            this.services.set(service.name, service);
+        }
+    }
+
+    /** @param host The `Host` header as sent. @param path The request target, with or without a query. */
+    findRoute(host: string, path: string): Route | undefined {
+        const routes = this.routesByHost.get(parseHostName(host));
+        const queryAt = path.indexOf("?");
+        const bare = queryAt < 0 ? path : path.slice(0, queryAt);
+        return routes?.find(route => bare.startsWith(route.pathPrefix));
+    }
+
+    findService(name: string): Service | undefined {
+        return this.services.get(name);
+    }
+
+    /** Every service that is a group of model engines. */
+    listEngineServices(): Service[] {
+        return [...this.services.values()].filter(service => service.engine !== undefined);
+    }
+}
+
+/** The name in a `Host` header: lower case, without its port. */
+export function parseHostName(host: string): string {
+    const portAt = host.lastIndexOf(":");
+    return (portAt < 0 ? host : host.slice(0, portAt)).toLowerCase();
+}
+
+/**
+ * Picks the service of one request from its route's targets.
+ * @param share A number from 0 to 1 that is spread evenly over requests.
+ */
+export function chooseTarget(route: Route, share: number): string {
+    const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+    let rest = share * total;
+    for (const target of route.targets) {
+        rest -= target.weight;
+        if (rest < 0) {
+            return target.service;
+        }
+    }
+    return route.targets[0]!.service;
+}
--- a/packages/wire/src/types.ts
+++ b/packages/wire/src/types.ts
@@ -4,7 +4,7 @@
 export const protocolVersion = 1;
 
 /** Roles of the processes that talk to each other. */
-export const roleSchema = z.enum(["gateway", "agent"]);
+export const roleSchema = z.enum(["gateway", "agent", "node"]);
 
 /** Who a process is. The incarnation tells a restarted process from the one before it. */
 export const nodeIdentitySchema = z.strictObject({
