Tell suspensions from jumps of the time of day, since the machine's uptime is read from a file

Cause: os.uptime() does not follow this VM's clocks, so claims lapsed all the time and requests found no owner. Ruled out: the store's answers (generation stood still). Change: boot time is steady time plus forward jumps of the time of day. Entries are not renewed in the log, so that their age says nothing: staleness is gone.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -24,7 +24,7 @@
 /** Cost of leaving the data centre: breaks ties between otherwise equal upstreams. */
 const otherDataCentreCostMs = 4;
 
-/** Cost of an upstream whose heartbeat is overdue, or to which connections fail: used only if nothing else is left. */
+/** Cost of an upstream to which connections fail: used only if nothing else is left. */
 const doubtfulCostMs = 3000;
 
 /** Cost of an upstream that fails every request; a share of failures costs its share of this. */
@@ -76,8 +76,8 @@
 
 /** Costs that hold for every kind of upstream. */
 function readCommonCost(options: ChoiceOptions, state: UpstreamState): number {
-    const { view, dataCentre, now } = options;
-    const isDoubtful = state.health.isPaused(now) || view.isStale(state, now);
+    const { dataCentre, now } = options;
+    const isDoubtful = state.health.isPaused(now);
     return (state.upstream.dataCentre === dataCentre ? 0 : otherDataCentreCostMs)
         + (isDoubtful ? doubtfulCostMs : 0)
         + state.health.readFailureShare(now) * failingCostMs;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -36,4 +36,4 @@
     upstreamLoadSchema,
     upstreamSchema,
 } from "./types.js";
-export { FleetView, type FleetViewOptions, type UpstreamState } from "./view.js";
+export { FleetView, type UpstreamState } from "./view.js";
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -2,14 +2,9 @@
 import { OwnLoad } from "./load.js";
 import { type EngineNews, formatAdapterKey, type Upstream, type UpstreamLoad } from "./types.js";
 
-/** An upstream whose entry has not been renewed for this many heartbeats is used only if there is no other. */
-const staleHeartbeats = 2.5;
-
 /** What one VM knows of one upstream. */
 export interface UpstreamState {
     upstream: Upstream;
-    /** When its entry was last renewed, on this VM's clock. */
-    heardAt: number;
     /** When it will be gone, if it is taken away at short notice. */
     goneAt: number | undefined;
     /** The newest word of its owner; missing for plain services, and until an owner has spoken. */
@@ -19,12 +14,6 @@
     readonly health: UpstreamHealth;
 }
 
-/** Options of {@link FleetView}. */
-export interface FleetViewOptions {
-    /** How often upstreams renew their entries, in milliseconds. */
-    readonly heartbeatMs: number;
-}
-
 /** What one VM knows of all upstreams: their entries, what engines hold, and the load that all VMs put on them. */
 export class FleetView {
     readonly ownLoad = new OwnLoad();
@@ -32,8 +21,6 @@
     private readonly loadsByVm = new Map<string, Map<string, UpstreamLoad>>();
     private readonly newestVersions = new Map<string, { version: number; knownAt: number; }>();
 
-    constructor(private readonly options: FleetViewOptions) {}
-
     /** Takes an upstream's entry. */
     updateUpstream(upstream: Upstream, now: number): void {
         const goneAt = upstream.remainingMs === undefined ? undefined : now + upstream.remainingMs;
@@ -41,7 +28,6 @@
         if (state === undefined) {
             this.states.set(upstream.id, {
                 upstream,
-                heardAt: now,
                 goneAt,
                 news: undefined,
                 owner: undefined,
@@ -50,7 +36,6 @@
             return;
         }
         state.upstream = upstream;
-        state.heardAt = now;
         state.goneAt = goneAt === undefined ? undefined : Math.min(goneAt, state.goneAt ?? goneAt);
     }
 
@@ -71,11 +56,6 @@
         return this.listUpstreams().filter(state => state.upstream.service === service && !state.upstream.isLeaving);
     }
 
-    /** Whether its entry is overdue. */
-    isStale(state: UpstreamState, now: number): boolean {
-        return now - state.heardAt > staleHeartbeats * this.options.heartbeatMs;
-    }
-
     /**
      * Takes an owner's word about its engine. News of an earlier owner, or older news of the same one, change nothing.
      * @returns Whether it was newer than what was known.
--- a/packages/node/src/clock.ts
+++ b/packages/node/src/clock.ts
@@ -1,14 +1,51 @@
-import { uptime } from "node:os";
-
 /** Steady time of this process, in milliseconds. It stands still while the VM is suspended. */
 export function readNow(): number {
     return performance.now();
 }
 
 /**
- * Steady time in milliseconds that goes on while the VM is suspended. Claims are judged by it, since others count that
- * time too. Its resolution is 10 ms.
+ * A difference between steps of the time of day and of steady time beyond this counts as a suspension, in milliseconds.
+ * Clocks are corrected by less than that at a time.
  */
-export function readBootTime(): number {
-    return uptime() * 1000;
+const suspensionMs = 120;
+
+/** Options of {@link BootClock}. */
+export interface BootClockOptions {
+    /** @default steady time of this process */
+    readonly readSteady?: () => number;
+    /** @default time of day */
+    readonly readWall?: () => number;
+}
+
+/**
+ * Time in milliseconds that goes on while the VM is suspended, as far as it can be told: steady time plus each forward
+ * jump of the time of day against it. A clock that is set forward looks the same and counts too, which is on the safe
+ * side for all that lapses. Node.js offers no clock that counts suspended time itself: `os.uptime` reads a file.
+ */
+export class BootClock {
+    private readonly readSteady: () => number;
+    private readonly readWall: () => number;
+    private offset: number;
+    private suspended = 0;
+
+    constructor(options: BootClockOptions = {}) {
+        this.readSteady = options.readSteady ?? readNow;
+        this.readWall = options.readWall ?? Date.now;
+        this.offset = this.readWall() - this.readSteady();
+    }
+
+    read(): number {
+        const steady = this.readSteady();
+        const offset = this.readWall() - steady;
+        if (offset - this.offset > suspensionMs) {
+            this.suspended += offset - this.offset;
+        }
+        this.offset = offset;
+        return steady + this.suspended;
+    }
+
+    /** Time counted as suspended so far, in milliseconds. */
+    get suspendedMs(): number {
+        return this.suspended;
+    }
 }
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -8,7 +8,7 @@
     type UpstreamState,
 } from "@radishreel/fleet";
 import type { Service } from "@radishreel/routing";
-import { readBootTime } from "./clock.js";
+import { BootClock } from "./clock.js";
 import type { DecisionLog } from "./decisions.js";
 import type { EngineOrders, ShardClaims } from "./ports.js";
 
@@ -18,9 +18,6 @@
 /** How long one confirmed renewal lets its holder give orders, in milliseconds. */
 export const claimUseMs = 2600;
 
-/** A difference between steady time and boot time beyond this is a suspension of the VM, in milliseconds. */
-const suspensionMs = 300;
-
 /** Options of {@link Owning}. */
 export interface OwningOptions {
     readonly vm: string;
@@ -54,7 +51,8 @@
     private readonly renewTimer: NodeJS.Timeout;
     private isRenewing = false;
     private isStopped = false;
-    private bootOffset = readBootTime() - performance.now();
+    private readonly bootClock = new BootClock();
+    private suspendedMs = 0;
 
     constructor(private readonly options: OwningOptions) {
         this.clock = new ClaimClock({ useMs: claimUseMs, turnMs: options.turnMs });
@@ -78,7 +76,7 @@
 
     recordRelease(shards: readonly number[], generation: number): void {
         for (const shard of shards) {
-            this.clock.recordRelease(shard, generation, readBootTime());
+            this.clock.recordRelease(shard, generation, this.bootClock.read());
         }
         this.update();
     }
@@ -181,17 +179,19 @@
 
     private canOrder(id: string): boolean {
         this.checkSuspension();
-        return this.clock.canOrder(readShard(id, this.options.claims.shardCount), readBootTime());
+        return this.clock.canOrder(readShard(id, this.options.claims.shardCount), this.bootClock.read());
     }
 
-    /** Steady time stands still while the VM is suspended: the claim must be confirmed anew after that. */
+    /** A claim must be confirmed anew after a suspension, whatever is left of it. */
     private checkSuspension(): void {
-        const offset = readBootTime() - performance.now();
-        if (offset - this.bootOffset > suspensionMs) {
-            this.options.log.recordImportant("suspended", { ms: Math.round(offset - this.bootOffset) });
+        this.bootClock.read();
+        const { suspendedMs } = this.bootClock;
+        if (suspendedMs > this.suspendedMs) {
+            this.options.log.recordImportant("suspended", { ms: Math.round(suspendedMs - this.suspendedMs) });
+            this.suspendedMs = suspendedMs;
             this.clock.suspend();
+            void this.renew();
         }
-        this.bootOffset = offset;
     }
 
     /** Takes the next step for one engine, unless one is under way. */
@@ -306,8 +306,7 @@
             return;
         }
         this.isRenewing = true;
-        this.checkSuspension();
-        const sentAt = readBootTime();
+        const sentAt = this.bootClock.read();
         const deal = await this.options.claims.renew(this.clock.fence);
         this.isRenewing = false;
         if (deal === undefined || this.isStopped) {
@@ -316,7 +315,7 @@
         if (deal.generation !== this.clock.fence) {
             this.options.log.recordImportant("shardsDealt", deal);
         }
-        this.clock.applyRenewal(deal.generation, deal.shards, sentAt, readBootTime());
+        this.clock.applyRenewal(deal.generation, deal.shards, sentAt, this.bootClock.read());
         this.update();
     }
 }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -59,7 +59,6 @@
     readonly seeds: readonly string[];
     /** Shared by all VMs of one deployment. */
     readonly secret: string;
-    readonly heartbeatMs: number;
     readonly retryRatio: number;
     readonly retrySlack: number;
     readonly retryWindowMs: number;
@@ -102,7 +101,7 @@
     constructor(private readonly options: NodeOptions) {
         const { settings, sink } = options;
         this.log = new DecisionLog({ program: "radishreel-node", vm: settings.vm, sink, readTime: readNow });
-        this.view = new FleetView({ heartbeatMs: settings.heartbeatMs });
+        this.view = new FleetView();
         this.cluster = new ClusterState({
             view: this.view,
             log: this.log,
