Make room before it is needed, announce evictions, and witness claims through peers

Cause: loads waited for evictions, freshly loaded adapters were evicted before their first request, and a failed run waited for the ask of its first engine.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -63,8 +63,8 @@
     readonly service: Service;
     readonly dataCentre: string;
     readonly now: number;
-    /** Upstreams not to be used again for this request. */
-    readonly excluded: ReadonlySet<string>;
+    /** Cost added to upstreams that this request has tried, in milliseconds by id; Infinity rules one out. */
+    readonly penalties: ReadonlyMap<string, number>;
 }
 
 /** What a choice among engines starts from. */
@@ -76,19 +76,20 @@
 
 /** Costs that hold for every kind of upstream. */
 function readCommonCost(options: ChoiceOptions, state: UpstreamState): number {
-    const { dataCentre, now } = options;
+    const { dataCentre, now, penalties } = options;
     const isDoubtful = state.health.isPaused(now);
-    return (state.upstream.dataCentre === dataCentre ? 0 : otherDataCentreCostMs)
+    return (penalties.get(state.upstream.id) ?? 0)
+        + (state.upstream.dataCentre === dataCentre ? 0 : otherDataCentreCostMs)
         + (isDoubtful ? doubtfulCostMs : 0)
         + state.health.readFailureShare(now) * failingCostMs;
 }
 
 /** Picks a server of a plain service: the least loaded and fastest one that answers. */
 export function chooseServer(options: ChoiceOptions): UpstreamChoice | undefined {
-    const { view, service, now, excluded } = options;
+    const { view, service, now, penalties } = options;
     let best: UpstreamChoice | undefined;
     for (const state of view.listUsable(service.name)) {
-        if (excluded.has(state.upstream.id)) {
+        if (penalties.get(state.upstream.id) === Infinity) {
             continue;
         }
         const { active } = view.readLoad(state.upstream.id);
@@ -111,13 +112,13 @@
 
 /** Picks an engine for a model request, and says whether its adapter must be loaded there first. */
 export function chooseEngine(options: EngineChoiceOptions): UpstreamChoice | undefined {
-    const { view, service, demand, now, excluded } = options;
+    const { view, service, demand, now, penalties } = options;
     const limits = service.engine;
     if (limits === undefined) {
         return undefined;
     }
     const usable = view.listUsable(service.name).filter(state =>
-        !excluded.has(state.upstream.id)
+        penalties.get(state.upstream.id) !== Infinity
         && (state.goneAt === undefined || state.goneAt - now > minRemainingMs)
     );
     const key = demand.adapter === undefined ? undefined : formatAdapterKey(demand.model, demand.adapter);
--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -8,7 +8,8 @@
 
 /** A claim of one shard of the engines. */
 interface Claim {
-    readonly since: number;
+    /** The deal in which this VM first held it. */
+    readonly generation: number;
     readonly mayOrderAt: number;
 }
 
@@ -21,7 +22,8 @@
  */
 export class ClaimClock {
     private readonly claims = new Map<number, Claim>();
-    private readonly released = new Map<number, number>();
+    private readonly released = new Map<number, { generation: number; at: number; }>();
+    private recordedGeneration: number | undefined;
     private validUntil = 0;
     private generation = 0;
 
@@ -43,7 +45,7 @@
         // Without a change of generation nobody else can have held a shard, however long ago the last renewal was.
         const mayHaveMoved = now >= this.validUntil && generation !== this.generation;
         this.generation = generation;
-        this.validUntil = Math.max(this.validUntil, sentAt + this.options.useMs);
+        this.renewUntil(sentAt);
         const held = new Set(shards);
         for (const shard of this.claims.keys()) {
             if (!held.has(shard)) {
@@ -52,23 +54,81 @@
         }
         for (const shard of held) {
             if (!this.claims.has(shard) || mayHaveMoved) {
-                const releasedAt = this.released.get(shard);
-                const waitMs = releasedAt === undefined
-                    ? this.options.useMs + this.options.turnMs
-                    : Math.max(0, releasedAt + this.options.turnMs - now);
-                this.claims.set(shard, { since: now, mayOrderAt: now + waitMs });
+                this.claims.set(shard, { generation, mayOrderAt: now + this.readWaitMs(shard, generation, now) });
             }
         }
+        this.applyRecorded(now);
     }
 
-    /** Takes word of the last holder that it gives no more orders to a shard. */
-    recordRelease(shard: number, generation: number, now: number): void {
-        if (generation < this.generation && this.claims.has(shard)) {
-            const claim = this.claims.get(shard)!;
-            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, now + this.options.turnMs) });
+    /**
+     * Takes the generation under which this VM, before it started anew, last held its shards. If it is still the same
+     * one, nobody else can have held them since, and there is nothing to wait for.
+     */
+    setRecordedGeneration(generation: number, now: number): void {
+        this.recordedGeneration = generation;
+        this.applyRecorded(now);
+    }
+
+    /**
+     * Takes word from another VM that a renewal of its own, sent at `sentAt`, was answered with this generation: if it
+     * is the one of this VM's claims, they held then.
+     */
+    applyWitness(generation: number, sentAt: number): void {
+        if (generation === this.generation && this.claims.size > 0) {
+            this.renewUntil(sentAt);
+        }
+    }
+
+    /**
+     * Takes word that all other VMs, asked at `askedAt` while none of them reaches the store, hold none of this VM's
+     * shards: whoever is dealt one later waits longer than `useMs` before its first order.
+     */
+    applyAllClear(askedAt: number): void {
+        this.renewUntil(askedAt);
+    }
+
+    /** Gives up shards that another VM has been dealt, and returns them. */
+    dropShards(shards: readonly number[], generation: number): number[] {
+        if (generation <= this.generation) {
+            return [];
+        }
+        return shards.filter(shard => this.claims.delete(shard));
+    }
+
+    private renewUntil(sentAt: number): void {
+        this.validUntil = Math.max(this.validUntil, sentAt + this.options.useMs);
+    }
+
+    private applyRecorded(now: number): void {
+        if (this.recordedGeneration !== this.generation) {
             return;
         }
-        this.released.set(shard, now);
+        for (const [shard, claim] of this.claims) {
+            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, now) });
+        }
+    }
+
+    /** Only the very next deal after a release is known to have had no holder in between. */
+    private readWaitMs(shard: number, generation: number, now: number): number {
+        const release = this.released.get(shard);
+        return release?.generation === generation - 1
+            ? Math.max(0, release.at + this.options.turnMs - now)
+            : this.options.useMs + this.options.turnMs;
+    }
+
+    /** Takes word of the holder in a deal that it gives no more orders to a shard. */
+    recordRelease(shard: number, generation: number, now: number): void {
+        this.released.set(shard, { generation, at: now });
+        const claim = this.claims.get(shard);
+        if (claim !== undefined && claim.generation === generation + 1) {
+            const mayOrderAt = Math.min(claim.mayOrderAt, now + this.options.turnMs);
+            this.claims.set(shard, { ...claim, mayOrderAt });
+        }
+    }
+
+    /** Whether this VM may give orders to all shards that it holds. */
+    isSettled(now: number): boolean {
+        return this.claims.size > 0 && [...this.claims.keys()].every(shard => this.canOrder(shard, now));
     }
 
     /** Gives everything up, as after a suspension: nothing may be ordered before the next confirmed renewal. */
--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -8,6 +8,24 @@
 /** An adapter used this recently is not evicted for another one, in milliseconds: its next request may be on its way. */
 const minIdleMs = 150;
 
+/**
+ * An adapter that was just loaded stays at least this long for the requests that waited for it, in milliseconds. Without
+ * it one in four loads was evicted before its first request arrived when places were short.
+ */
+const minStayMs = 400;
+
+/**
+ * Pause between telling all VMs that an adapter goes and ordering it, in milliseconds: word of requests that other VMs
+ * have just sent arrives in it.
+ */
+const retireMs = 25;
+
+/** Places kept free, so that a load need not wait for an eviction. */
+const freePlaces = 1;
+
+/** Longest pause between two checks of a load or an unload that takes long, in milliseconds. */
+const maxCheckPauseMs = 120;
+
 /** Half-life of an adapter's popularity, in milliseconds: demand moves to other adapters within seconds. */
 const popularityHalfLifeMs = 8000;
 
@@ -75,9 +93,13 @@
     | { readonly kind: "wait"; readonly untilMs: number; };
 
 interface Place {
-    state: "loaded" | "loading" | "unloading" | "unknown";
+    /** `retiring`: all VMs are told that it goes, and it will be ordered to. */
+    state: "loaded" | "loading" | "retiring" | "unloading" | "unknown";
     version: number;
     checkAt: number;
+    checkPauseMs: number;
+    /** When its state last changed. */
+    changedAt: number;
     usedAt: number;
     popularity: number;
     decayedAt: number;
@@ -109,6 +131,9 @@
     private models: readonly HeldModel[];
     private sequence: number;
     private mustReport = true;
+    /** Whether the sequence itself is in doubt, so that only a report made after a pause says what it is. */
+    private isSequenceInDoubt = false;
+    private lastOrderAt = -Infinity;
     private reportAt: number;
     private limits: EngineLimits;
     private coldMs = coldLoadMs;
@@ -132,7 +157,7 @@
     }
 
     listComing(): string[] {
-        return [...this.places].filter(([, place]) => place.state === "loading").map(([key]) => key);
+        return [...this.places].filter(([, place]) => isComing(place)).map(([key]) => key);
     }
 
     countQueued(): number {
@@ -186,11 +211,12 @@
             return now >= this.reportAt ? { kind: "report" } : { kind: "wait", untilMs: this.reportAt };
         }
         this.expireWants(now);
-        const check = this.findDueCheck(now);
+        this.retireIdle(now, countUses);
+        const check = this.findDueCheck(now, countUses);
         if (check !== undefined) {
             return { kind: "order", order: check };
         }
-        const order = this.findNextOrder(now, countUses);
+        const order = this.findNextOrder(now);
         if (order !== undefined) {
             return { kind: "order", order };
         }
@@ -225,29 +251,35 @@
     applyReport(report: EngineReport, askedAt: number, now: number): void {
         this.mustReport = false;
         this.models = report.models;
-        this.sequence = report.sequence;
+        // Reports lag: one that may be older than the last order must not take the sequence back.
+        const isCurrent = askedAt - this.lastOrderAt >= syncPauseMs;
+        this.sequence = isCurrent || this.isSequenceInDoubt ? report.sequence : Math.max(this.sequence, report.sequence);
+        this.isSequenceInDoubt = false;
         const reported = new Map<string, number>();
         for (const model of report.models) {
             for (const adapter of model.adapters) {
                 reported.set(formatAdapterKey(model.name, adapter.name), adapter.version);
             }
         }
-        for (const [key, place] of this.places) {
-            if (!reported.has(key) && !report.coming.includes(key) && place.state !== "unknown") {
+        const hasSettled = (key: string): boolean => askedAt - (this.places.get(key)?.changedAt ?? 0) >= syncPauseMs;
+        for (const key of [...this.places.keys()]) {
+            if (!reported.has(key) && !report.coming.includes(key) && hasSettled(key)) {
                 this.places.delete(key);
             }
         }
         for (const [key, version] of reported) {
-            this.updatePlace(key, version, "loaded", now);
+            if (hasSettled(key)) {
+                this.updatePlace(key, version, "loaded", now);
+            }
         }
         for (const key of report.coming) {
-            if (!reported.has(key)) {
+            if (!reported.has(key) && hasSettled(key)) {
                 this.updatePlace(key, this.wants.get(key)?.version ?? 0, "loading", now);
             }
         }
         if (report.isBusy) {
             this.mustReport = true;
-            this.reportAt = askedAt + syncPauseMs;
+            this.reportAt = now + syncPauseMs;
         }
     }
 
@@ -259,16 +291,33 @@
     private updatePlace(key: string, version: number, state: Place["state"], now: number): void {
         const known = this.places.get(key);
         if (known === undefined) {
-            this.places.set(key, { state, version, checkAt: now, usedAt: now, popularity: 1, decayedAt: now });
-        }
-        else {
+            this.places.set(key, {
+                state,
+                version,
+                checkAt: now,
+                checkPauseMs,
+                changedAt: now,
+                usedAt: now,
+                popularity: 1,
+                decayedAt: now,
+            });
+        }
+        else if (known.state !== state || known.version !== version) {
             known.state = state;
             known.version = version;
             known.checkAt = now;
+            known.checkPauseMs = checkPauseMs;
+            known.changedAt = now;
         }
         this.recordWarm(key);
     }
 
+    /** Looks again after a pause that grows while an order takes long. */
+    private scheduleCheck(place: Place, now: number): void {
+        place.checkAt = now + place.checkPauseMs;
+        place.checkPauseMs = Math.min(place.checkPauseMs * 1.5, maxCheckPauseMs);
+    }
+
     private applyLoad(key: string, order: EngineOrder, answer: OrderAnswer, now: number): void {
         const place = this.places.get(key);
         const version = order.version ?? place?.version ?? 0;
@@ -281,11 +330,12 @@
             return;
         }
         if (place?.state === "loading") {
-            // A check: it is still on its way, and the engine took the order as one more.
-            place.checkAt = now + checkPauseMs;
+            // A check: it is still on its way, and the engine has not counted the order.
+            this.scheduleCheck(place, now);
             return;
         }
         this.sequence += 1;
+        this.lastOrderAt = now;
         const isWarm = this.warm.has(key) && place === undefined;
         this.updatePlace(key, version, "loading", now);
         this.places.get(key)!.checkAt = now + (isWarm ? warmLoadMs : this.coldMs);
@@ -296,6 +346,7 @@
         if (answer === "holds") {
             if (place?.state !== "unloading") {
                 this.sequence += 1;
+                this.lastOrderAt = now;
             }
             this.places.delete(key);
             return;
@@ -305,15 +356,26 @@
         }
         if (place.state !== "unloading") {
             this.sequence += 1;
+            this.lastOrderAt = now;
             place.state = "unloading";
+            place.changedAt = now;
+            place.checkPauseMs = checkPauseMs;
         }
-        place.checkAt = now + checkPauseMs;
+        this.scheduleCheck(place, now);
     }
 
+    /**
+     * After an order without an answer the same one is sent again, with the same expected sequence: at most one of the
+     * two is carried out, whenever they arrive. A conflict means that the sequence is another one.
+     */
     private applyDoubt(order: EngineOrder, answer: OrderAnswer, now: number): void {
-        this.mustReport = true;
-        this.reportAt = now + syncPauseMs;
-        if (answer === "unknown" && order.action === "load" && order.adapter !== undefined) {
+        if (answer === "conflict") {
+            this.mustReport = true;
+            this.isSequenceInDoubt = true;
+            this.reportAt = now + syncPauseMs;
+            return;
+        }
+        if (order.action === "load" && order.adapter !== undefined) {
             const key = formatAdapterKey(order.model, order.adapter);
             if (!this.places.has(key)) {
                 this.updatePlace(key, order.version ?? 0, "unknown", now);
@@ -336,19 +398,42 @@
         }
     }
 
+    /** Begins to make room, so that the next loads find free places. */
+    private retireIdle(now: number, countUses: (key: string) => number): void {
+        const coming = [...this.wants.keys()].filter(key => !this.places.has(key)).length;
+        const going = [...this.places.values()].filter(({ state }) => state === "retiring" || state === "unloading");
+        let missing = coming + freePlaces - (this.limits.adapterPlaces - this.places.size) - going.length;
+        while (missing > 0) {
+            const victim = this.findVictim(now, countUses);
+            if (victim === undefined) {
+                return;
+            }
+            this.updatePlace(victim, this.places.get(victim)!.version, "retiring", now);
+            this.places.get(victim)!.checkAt = now + retireMs;
+            missing -= 1;
+        }
+    }
+
     /** A load or unload whose end is due to be asked for: the same order again says whether it holds. */
-    private findDueCheck(now: number): EngineOrder | undefined {
+    private findDueCheck(now: number, countUses: (key: string) => number): EngineOrder | undefined {
         for (const [key, place] of this.places) {
-            if (place.state !== "loaded" && place.checkAt <= now) {
-                return this.createOrder(place.state === "unloading" ? "unload" : "load", key, place.version);
+            if (place.state === "loaded" || place.checkAt > now) {
+                continue;
             }
+            if (place.state === "retiring" && (countUses(key) > 0 || this.wants.has(key))) {
+                // A request came in between: it stays.
+                this.updatePlace(key, place.version, "loaded", now);
+                continue;
+            }
+            const isGoing = place.state === "unloading" || place.state === "retiring";
+            return this.createOrder(isGoing ? "unload" : "load", key, place.version);
         }
         return undefined;
     }
 
-    private findNextOrder(now: number, countUses: (key: string) => number): EngineOrder | undefined {
+    private findNextOrder(now: number): EngineOrder | undefined {
         const due = [...this.wants]
-            .filter(([key, want]) => want.notBefore <= now && this.places.get(key)?.state !== "loading")
+            .filter(([key, want]) => want.notBefore <= now && this.canLoad(key))
             .sort(([, left], [, right]) => left.since - right.since);
         const [first] = due;
         if (first === undefined) {
@@ -362,22 +447,25 @@
         if (this.listComing().length >= maxComing) {
             return undefined;
         }
-        if (this.places.has(key) || this.places.size < this.limits.adapterPlaces) {
-            return this.createOrder("load", key, want.version);
-        }
-        const victim = this.findVictim(now, countUses);
-        return victim === undefined ? undefined : this.createOrder("unload", victim, undefined);
+        const hasRoom = this.places.has(key) || this.places.size < this.limits.adapterPlaces;
+        return hasRoom ? this.createOrder("load", key, want.version) : undefined;
+    }
+
+    /** Whether an adapter is not on its way in or out already. */
+    private canLoad(key: string): boolean {
+        const state = this.places.get(key)?.state;
+        return state === undefined || state === "loaded";
     }
 
     /** The idle adapter whose next request is least likely to come soon. */
     private findVictim(now: number, countUses: (key: string) => number): string | undefined {
-        if ([...this.places.values()].some(place => place.state === "unloading")) {
-            return undefined;
-        }
         let victim: string | undefined;
         let lowest = Infinity;
         for (const [key, place] of this.places) {
-            const isIdle = place.state === "loaded" && countUses(key) === 0 && now - place.usedAt >= minIdleMs;
+            const isIdle = place.state === "loaded"
+                && countUses(key) === 0
+                && now - place.usedAt >= minIdleMs
+                && now - place.changedAt >= minStayMs;
             const popularity = readPopularity(place, now);
             if (isIdle && !this.wants.has(key) && popularity < lowest) {
                 lowest = popularity;
@@ -427,6 +515,10 @@
     }
 }
 
+function isComing(place: Place): boolean {
+    return place.state === "loading" || place.state === "unknown";
+}
+
 function readPopularity(place: Place, now: number): number {
     return place.popularity * 0.5 ** (Math.max(0, now - place.decayedAt) / popularityHalfLifeMs);
 }
--- a/packages/node/src/caller.ts
+++ b/packages/node/src/caller.ts
@@ -95,11 +95,14 @@
         return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
     }
 
-    /** Makes this the last answer on its connection. */
+    /** Makes this the last answer on its connection, also where its head has been written already. */
     closeAfterAnswer(): void {
         if (!this.response.headersSent) {
             this.response.shouldKeepAlive = false;
+            return;
         }
+        const { socket } = this.request;
+        this.response.once("finish", () => socket.end());
     }
 
     /** Writes the head of an upstream's answer. */
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -2,7 +2,7 @@
 import { routingSchema } from "@radishreel/routing";
 import { z } from "zod";
 
-const memberSchema = z.object({ id: z.string(), address: z.string() });
+const memberSchema = z.object({ id: z.string(), address: z.string(), generation: z.number().optional() });
 
 const position = z.number();
 
@@ -42,6 +42,17 @@
     z.object({ type: z.literal("missing"), engine: z.string(), key: z.string() }),
     /** The sender gives no more orders to the engines of these shards. */
     z.object({ type: z.literal("release"), shards: z.array(z.number()), generation: z.number() }),
+    /** The sender cannot renew its claims and asks what others know. */
+    z.object({ type: z.literal("claimQuery"), query: z.number() }),
+    /** Answer to a query: the deal that the sender last saw, and how long ago it asked for it. */
+    z.object({
+        type: z.literal("claimState"),
+        query: z.number(),
+        generation: z.number(),
+        shards: z.array(z.number()),
+        /** Age of the last renewal that was answered, counted from its sending, in milliseconds. */
+        renewalAgeMs: z.number(),
+    }),
     /** The sender is stopping and will take no part any more. */
     z.object({ type: z.literal("leaving") }),
 ]);
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -13,10 +13,16 @@
 import type { EngineOrders, ShardClaims } from "./ports.js";
 
 /** How often claims are renewed, in milliseconds: two renewals may be lost before a claim lapses. */
-const renewMs = 700;
+const renewMs = 600;
+
+/** Other VMs are asked about claims once the last answered renewal is this old, in milliseconds. */
+const askPeersAfterMs = 900;
 
 /** How long one confirmed renewal lets its holder give orders, in milliseconds. */
-export const claimUseMs = 2600;
+export const claimUseMs = 2200;
+
+/** Age told for a renewal that is older or never was, in milliseconds. */
+const maxRenewalAgeMs = 1_000_000;
 
 /** Options of {@link Owning}. */
 export interface OwningOptions {
@@ -31,6 +37,26 @@
     readonly findService: (name: string) => Service | undefined;
     readonly sendNews: (news: EngineNews[]) => void;
     readonly sendRelease: (shards: number[], generation: number) => void;
+    readonly sendQuery: (query: number) => void;
+    /** Other VMs that may be running, connected or not. */
+    readonly countOthers: () => number;
+    /** Keeps for this VM's next start in which deal it gave orders. */
+    readonly recordGeneration: (generation: number) => void;
+}
+
+/** What another VM knows of the claims. */
+export interface ClaimState {
+    readonly query: number;
+    readonly generation: number;
+    readonly shards: number[];
+    readonly renewalAgeMs: number;
+}
+
+/** A question to all other VMs, and who has said that it holds none of this VM's shards. */
+interface OpenQuery {
+    readonly query: number;
+    readonly askedAt: number;
+    readonly clear: Set<string>;
 }
 
 interface OwnedEngine {
@@ -53,10 +79,13 @@
     private isStopped = false;
     private readonly bootClock = new BootClock();
     private suspendedMs = 0;
+    private renewedAt = -Infinity;
+    private openQuery: OpenQuery = { query: 0, askedAt: 0, clear: new Set() };
+    private recordedGeneration = -1;
 
     constructor(private readonly options: OwningOptions) {
         this.clock = new ClaimClock({ useMs: claimUseMs, turnMs: options.turnMs });
-        this.renewTimer = setInterval(() => void this.renew(), renewMs);
+        this.renewTimer = setInterval(() => this.keepClaims(), renewMs);
         void this.renew();
     }
 
@@ -301,6 +330,58 @@
         this.options.sendNews([{ ...news, revision: owned.revision }]);
     }
 
+    /** What this VM knows of the claims, for one that asks. */
+    readClaimState(query: number): ClaimState {
+        return {
+            query,
+            generation: this.clock.fence,
+            shards: this.clock.listShards(),
+            renewalAgeMs: Math.min(this.bootClock.read() - this.renewedAt, maxRenewalAgeMs),
+        };
+    }
+
+    /** Takes another VM's answer to a query. */
+    receiveClaimState(vm: string, state: ClaimState): void {
+        const { openQuery } = this;
+        const dropped = this.clock.dropShards(state.shards, state.generation);
+        if (dropped.length > 0) {
+            this.options.log.recordImportant("shardsLost", { to: vm, shards: dropped, generation: state.generation });
+            this.update();
+            this.options.sendRelease(dropped, this.clock.fence);
+        }
+        if (state.query !== openQuery.query) {
+            return;
+        }
+        this.clock.applyWitness(state.generation, openQuery.askedAt - state.renewalAgeMs);
+        const isCutOff = state.renewalAgeMs > askPeersAfterMs;
+        const held = this.clock.listShards();
+        if (isCutOff && !state.shards.some(shard => held.includes(shard))) {
+            openQuery.clear.add(vm);
+        }
+        if (openQuery.clear.size >= this.options.countOthers()) {
+            this.clock.applyAllClear(openQuery.askedAt);
+        }
+    }
+
+    /** Takes the deal in which this VM gave orders before it was started anew. */
+    setRecordedGeneration(generation: number): void {
+        this.clock.setRecordedGeneration(generation, this.bootClock.read());
+    }
+
+    /** Renews, and asks the other VMs when the store does not answer. */
+    private keepClaims(): void {
+        void this.renew();
+        const now = this.bootClock.read();
+        if (now - this.renewedAt > askPeersAfterMs && this.clock.listShards().length > 0) {
+            this.openQuery = { query: this.openQuery.query + 1, askedAt: now, clear: new Set() };
+            this.options.sendQuery(this.openQuery.query);
+        }
+        if (this.clock.isSettled(now) && this.clock.fence !== this.recordedGeneration) {
+            this.recordedGeneration = this.clock.fence;
+            this.options.recordGeneration(this.clock.fence);
+        }
+    }
+
     private async renew(): Promise<void> {
         if (this.isRenewing || this.isStopped) {
             return;
@@ -315,7 +396,14 @@
         if (deal.generation !== this.clock.fence) {
             this.options.log.recordImportant("shardsDealt", deal);
         }
+        const held = this.clock.listShards();
+        const generation = this.clock.fence;
+        this.renewedAt = sentAt;
         this.clock.applyRenewal(deal.generation, deal.shards, sentAt, this.bootClock.read());
         this.update();
+        const lost = held.filter(shard => !deal.shards.includes(shard));
+        if (lost.length > 0) {
+            this.options.sendRelease(lost, generation);
+        }
     }
 }
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -77,6 +77,8 @@
     readonly id: string;
     /** `host:port` of its listener for peers. */
     readonly address: string;
+    /** The deal of shards in which it has given orders; undefined while it has not. */
+    readonly generation?: number | undefined;
 }
 
 /** A change of what the platform's store says, in this program's terms. */
@@ -99,7 +101,10 @@
 export interface ClusterStore {
     start(receiver: ClusterReceiver): void;
     stop(): void;
-    /** Makes this VM known to others. Retried until it is done. */
+    /**
+     * Makes this VM known to others, in place of what it said before. Retried until it is done. Nothing is written before
+     * the members' entries were read, so that this VM learns what it wrote before it was started anew.
+     */
     register(member: Member): void;
 }
 
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -11,17 +11,25 @@
 import { NodeMetrics } from "./metrics.js";
 import { Owning } from "./owning.js";
 import { Peers } from "./peers.js";
-import type { ClusterChange, ClusterReceiver, ClusterStore, EngineOrders, RequestDialect, ShardClaims } from "./ports.js";
+import type {
+    ClusterChange,
+    ClusterReceiver,
+    ClusterStore,
+    EngineOrders,
+    Member,
+    RequestDialect,
+    ShardClaims,
+} from "./ports.js";
 import { Serving } from "./serving.js";
 
 /** How often load is told to other VMs while it changes, in milliseconds: a fraction of a prompt's reading time. */
-const loadIntervalMs = 60;
+const loadIntervalMs = 15;
 
 /** How often slow checks run, in milliseconds. */
 const housekeepingMs = 250;
 
 /** After this long in a planned stop no caller is sent here any more, in milliseconds: two checks of the balancer missed. */
-const balancerNoticeMs = 2600;
+const balancerNoticeMs = 2300;
 
 /** Part of the grace time after which requests that still run are broken off: the platform kills soon after. */
 const graceShare = 0.93;
@@ -108,7 +116,7 @@
             readTime: readNow,
             onChange: () => this.receiveClusterChange(),
             onUpstreamGone: id => this.serving.removeUpstream(id),
-            onMember: member => this.peers.addPeer(member),
+            onMember: member => this.receiveMember(member),
         });
         this.serving = this.createServing();
         this.peers = this.createPeers();
@@ -128,8 +136,8 @@
         await this.peers.start();
         this.setSeeds(settings.seeds);
         store.start(this);
-        store.register({ id: settings.vm, address: formatAddress(settings.peers) });
         this.owning = this.createOwning();
+        this.register(undefined);
         this.timers.push(
             setInterval(() => this.sendLoad(), loadIntervalMs),
             setInterval(() => this.runHousekeeping(), housekeepingMs),
@@ -264,9 +272,27 @@
             findService: name => this.cluster.routes?.findService(name),
             sendNews: news => this.sendNews(news),
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
+            sendQuery: query => this.peers.broadcast({ type: "claimQuery", query }),
+            countOthers: () => this.peers.countLikely(),
+            recordGeneration: generation => this.register(generation),
         });
     }
 
+    private register(generation: number | undefined): void {
+        const { settings, store } = this.options;
+        store.register({ id: settings.vm, address: formatAddress(settings.peers), generation });
+    }
+
+    private receiveMember(member: Member): void {
+        if (member.id !== this.options.settings.vm) {
+            this.peers.addPeer(member);
+            return;
+        }
+        if (member.generation !== undefined) {
+            this.owning?.setRecordedGeneration(member.generation);
+        }
+    }
+
     private createCallerApp(): Polka {
         // Bodies may come slowly; the request's own time bounds them.
         this.callerServer.requestTimeout = 0;
@@ -339,6 +365,14 @@
             case "release":
                 this.owning?.recordRelease(message.shards, message.generation);
                 return;
+            case "claimQuery":
+                if (this.owning !== undefined) {
+                    this.peers.send(vm, { type: "claimState", ...this.owning.readClaimState(message.query) });
+                }
+                return;
+            case "claimState":
+                this.owning?.receiveClaimState(vm, message);
+                return;
             case "leaving":
                 this.receivePeerClose(vm);
                 return;
@@ -440,6 +474,7 @@
         const { graceMs } = this.options.settings;
         this.life.send("stop");
         this.log.recordImportant("stop", { openRequests: this.serving.openCount });
+        this.serving.closeAfterAnswers();
         const released = this.owning?.stop() ?? Promise.resolve();
         this.peers.broadcast({ type: "leaving" });
         await Promise.race([released, sleep(releaseWaitMs)]);
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -28,6 +28,12 @@
 /** How soon a refused caller may come back, in seconds: an owner or an upstream is replaced within some seconds. */
 const retryAfterSeconds = 0.5;
 
+/**
+ * Cost added to an upstream that answered this request with a failure, in milliseconds. Failures often belong to one run:
+ * an engine that holds the adapter is worth another try before a load of 250 ms elsewhere.
+ */
+const failedCostMs = 150;
+
 /** How long an upstream that turned a request away is not asked again for it, in milliseconds: its owner's word arrives. */
 const rejectedPauseMs = 60;
 
@@ -71,8 +77,8 @@
     readonly body: Buffer | undefined;
     readonly startedAt: number;
     readonly deadlineAt: number;
-    /** Upstreams that are not chosen again, with the time until which that holds. */
-    readonly excluded: Map<string, number>;
+    /** Upstreams that were tried, with the cost that this adds to them and the time until which it does. */
+    readonly tried: Map<string, TriedUpstream>;
     readonly progress: StreamProgress;
     /** Upstreams that may have run it. */
     runs: number;
@@ -82,17 +88,30 @@
     asked: { engine: string; at: number; } | undefined;
 }
 
+/** An upstream that a request has tried. */
+interface TriedUpstream {
+    readonly costMs: number;
+    readonly until: number;
+}
+
 /** Serves callers' requests: finds the route, chooses upstreams, and repeats what may be repeated. */
 export class Serving {
     private readonly kept = new KeptParts();
     private readonly waiters = new Set<() => void>();
-    private openRequests = 0;
+    private readonly open = new Set<CallerExchange>();
 
     constructor(private readonly options: ServingOptions) {}
 
     /** Requests that have no whole answer yet. */
     get openCount(): number {
-        return this.openRequests;
+        return this.open.size;
+    }
+
+    /** Lets no connection that carries a request now carry another one after it. */
+    closeAfterAnswers(): void {
+        for (const caller of this.open) {
+            caller.closeAfterAnswer();
+        }
     }
 
     /** Lets requests that wait for an adapter or an upstream look again. */
@@ -110,12 +129,12 @@
     }
 
     async handle(caller: CallerExchange): Promise<void> {
-        this.openRequests += 1;
+        this.open.add(caller);
         try {
             await this.serve(caller);
         }
         finally {
-            this.openRequests -= 1;
+            this.open.delete(caller);
         }
     }
 
@@ -155,7 +174,7 @@
             body: body.length === 0 ? undefined : body,
             startedAt,
             deadlineAt: startedAt + timeMs,
-            excluded: new Map(),
+            tried: new Map(),
             progress: { lastEventId: demand.lastEventId, events: 0 },
             runs: 0,
             rejections: 0,
@@ -254,8 +273,9 @@
 
     private choose(job: Job, now: number): UpstreamChoice | undefined {
         const { view, dataCentre } = this.options;
-        const excluded = new Set([...job.excluded].filter(([, until]) => until > now).map(([id]) => id));
-        const base = { view, service: job.service, dataCentre, now, excluded };
+        const inForce = [...job.tried].filter(([, { until }]) => until > now);
+        const penalties = new Map(inForce.map(([id, { costMs }]) => [id, costMs]));
+        const base = { view, service: job.service, dataCentre, now, penalties };
         const { model } = job.demand;
         if (job.service.engine === undefined || model === undefined) {
             return chooseServer(base);
@@ -303,6 +323,7 @@
         const { upstream, health } = choice.state;
         const load = this.addLoad(job, choice);
         job.attempts += 1;
+        job.asked = undefined;
         const attempt = new Attempt({
             ...this.createAttemptTimes(job, choice, sentAt),
             caller: job.caller,
@@ -395,12 +416,12 @@
                 return;
             case "failed":
                 job.runs += 1;
-                job.excluded.set(upstream.id, Infinity);
+                job.tried.set(upstream.id, { costMs: failedCostMs, until: Infinity });
                 health.recordFailure(now);
                 return;
             case "broken":
                 job.runs += 1;
-                job.excluded.set(upstream.id, Infinity);
+                job.tried.set(upstream.id, { costMs: Infinity, until: Infinity });
                 health.recordFailure(now);
                 return;
             case "notRun":
@@ -414,7 +435,7 @@
                 if (model?.adapter !== undefined) {
                     reportMissing(upstream.id, formatAdapterKey(model.model, model.adapter));
                 }
-                job.excluded.set(upstream.id, now + rejectedPauseMs);
+                job.tried.set(upstream.id, { costMs: Infinity, until: now + rejectedPauseMs });
                 return;
             case "callerLeft":
                 return;
