Pass an answer that ends with its connection on in that form

Ruled out: a reset that was not seen (the socket had no error). Change: such answers go to the caller without length, ended by the connection; a resumed stream that ends so is broken off.

--- a/packages/node/src/attempt.ts
+++ b/packages/node/src/attempt.ts
@@ -85,6 +85,7 @@
     private held: Buffer[] = [];
     private heldBytes = 0;
     private hasBegun = false;
+    private isUnframed = false;
     private isPassing = false;
     private isDone = false;
 
@@ -123,6 +124,7 @@
         this.status = status;
         this.headers = headers;
         this.head = head;
+        this.isUnframed = !hasFrame(headers);
         if (head.requestId !== undefined && head.requestId !== this.options.requestId) {
             this.finishBroken("wrongAnswer", `the answer belongs to request ${head.requestId}`);
             return;
@@ -216,7 +218,7 @@
             return;
         }
         if (!caller.hasHead) {
-            caller.startAnswer(this.status, dialect.listAnswerHeaders(this.headers));
+            caller.startAnswer(this.status, dialect.listAnswerHeaders(this.headers), this.isUnframed);
         }
         progress.events += fresh.length;
         progress.lastEventId = fresh.at(-1)!.id ?? progress.lastEventId;
@@ -245,7 +247,7 @@
         const { caller, dialect } = this.options;
         this.isPassing = true;
         this.options.onBegin();
-        caller.startAnswer(this.status, dialect.listAnswerHeaders(this.headers));
+        caller.startAnswer(this.status, dialect.listAnswerHeaders(this.headers), this.isUnframed);
         for (const chunk of this.held) {
             this.pass(chunk);
         }
@@ -258,6 +260,10 @@
             this.finishBroken("truncatedAnswer", "the stream ended within an event");
             return;
         }
+        if (this.isUnframed && !caller.hasNoFrame) {
+            this.finishBroken("truncatedAnswer", "the rest of a stream ended with its connection");
+            return;
+        }
         caller.endAnswer();
         this.finish({ kind: "complete", status: this.status });
     }
@@ -272,6 +278,10 @@
         if (this.isPassing) {
             caller.endAnswer();
         }
+        else if (this.isUnframed) {
+            caller.startAnswer(this.status, dialect.listAnswerHeaders(this.headers), true);
+            caller.endAnswer(body);
+        }
         else {
             caller.startAnswer(this.status, createBodyHeaders(dialect.listAnswerHeaders(this.headers), body));
             caller.endAnswer(body);
@@ -305,6 +315,13 @@
     }
 }
 
+/** Whether an answer says by itself where it ends. */
+function hasFrame(headers: RawHeaders): boolean {
+    return headers.some((name, index) =>
+        index % 2 === 0 && (name.toLowerCase() === "content-length" || name.toLowerCase() === "transfer-encoding")
+    );
+}
+
 /** Headers of an answer whose body is sent in one piece. */
 export function createBodyHeaders(headers: readonly string[], body: Buffer): string[] {
     const kept = [...headers];
--- a/packages/node/src/caller.ts
+++ b/packages/node/src/caller.ts
@@ -30,6 +30,7 @@
 export class CallerExchange {
     private readonly leftListeners: (() => void)[] = [];
     private isLeft = false;
+    private isUnframed = false;
     private hasEnded = false;
 
     constructor(
@@ -70,6 +71,11 @@
         return this.hasEnded;
     }
 
+    /** Whether the answer ends with its connection. */
+    get hasNoFrame(): boolean {
+        return this.isUnframed;
+    }
+
     /** Called once when the caller leaves. */
     onLeft(listener: () => void): void {
         this.leftListeners.push(listener);
@@ -105,11 +111,20 @@
         this.response.once("finish", () => socket.end());
     }
 
-    /** Writes the head of an upstream's answer. */
-    startAnswer(status: number, headers: readonly string[]): void {
+    /**
+     * Writes the head of an upstream's answer.
+     * @param isUnframed Whether the answer has no length and ends with its connection. Nobody can tell a whole one from
+     * one that was cut short, so the caller gets it in the same form: this program must not vouch for its end.
+     */
+    startAnswer(status: number, headers: readonly string[], isUnframed = false): void {
         if (this.isLeft) {
             return;
         }
+        if (isUnframed) {
+            this.response.shouldKeepAlive = false;
+            this.response.removeHeader("Transfer-Encoding");
+        }
+        this.isUnframed = isUnframed;
         this.response.writeHead(status, headers as string[]);
     }
 
