Load an adapter on one engine, keep popular ones, and tell all VMs what waits

Cause: each request asked a new engine every 750 ms, each of which loaded the adapter: 1,087 loads where an LRU of the same size needs 590; queues of 10 to 14 loads an engine.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -38,6 +38,12 @@
 /** Cost of each step away from an adapter's first home when it must be loaded: the copy in host memory is lost. */
 const otherHomeCostMs = 110;
 
+/**
+ * Cost of loading an adapter on one more engine, in milliseconds: it takes a place from another adapter and reads the
+ * shared parts of its prompts again. A busy adapter gets a second engine once the first is behind by this and a load.
+ */
+const secondCopyCostMs = 250;
+
 /** Time that a version stays in use after a newer one was named, in milliseconds: half of the users' bound of 5 s. */
 export const oldVersionUseMs = 2500;
 
@@ -122,11 +128,13 @@
         && (state.goneAt === undefined || state.goneAt - now > minRemainingMs)
     );
     const key = demand.adapter === undefined ? undefined : formatAdapterKey(demand.model, demand.adapter);
+    const hasCopy = key !== undefined && usable.some(state => hasAdapter(view, state, key));
     const homes = key === undefined ? [] : rankHomes(key, usable.map(state => ({ id: state.upstream.id })));
     let best: UpstreamChoice | undefined;
     for (const state of usable) {
         const homeRank = homes.findIndex(home => home.id === state.upstream.id);
-        const choice = createChoice(options, limits, state, key, homeRank);
+        const isSecondCopy = hasCopy && key !== undefined && !hasAdapter(view, state, key);
+        const choice = createChoice({ options, limits, state, key, homeRank, isSecondCopy });
         if (choice !== undefined && (best === undefined || choice.costMs < best.costMs)) {
             best = choice;
         }
@@ -134,14 +142,29 @@
     return best;
 }
 
+/** Whether an engine has an adapter, or will have it soon. */
+function hasAdapter(view: FleetView, state: UpstreamState, key: string): boolean {
+    const { news } = state;
+    return view.findHeldVersion(state, key) !== undefined
+        || news?.coming.includes(key) === true
+        || news?.queued.includes(key) === true;
+}
+
+/** One engine as a candidate for a request. */
+interface EngineCandidate {
+    readonly options: EngineChoiceOptions;
+    readonly limits: EngineLimits;
+    readonly state: UpstreamState;
+    readonly key: string | undefined;
+    /** Place among the adapter's homes. */
+    readonly homeRank: number;
+    /** Whether another engine has the adapter and this one has not. */
+    readonly isSecondCopy: boolean;
+}
+
 /** The choice of one engine; undefined if it cannot serve the request. */
-function createChoice(
-    options: EngineChoiceOptions,
-    limits: EngineLimits,
-    state: UpstreamState,
-    key: string | undefined,
-    homeRank: number,
-): UpstreamChoice | undefined {
+function createChoice(candidate: EngineCandidate): UpstreamChoice | undefined {
+    const { options, limits, state, key, homeRank, isSecondCopy } = candidate;
     const { view, demand, now } = options;
     const load = view.readLoad(state.upstream.id);
     const version = key === undefined ? undefined : findUsableVersion(view, state, key, now);
@@ -158,17 +181,23 @@
     const costMs = engineMs * state.health.readPace(now)
         + (isOverfull ? overfullCostMs : 0)
         + (isReady ? 0 : readLoadCost(state, key, homeRank))
+        + (isSecondCopy ? secondCopyCostMs : 0)
         + readCommonCost(options, state);
     return { state, costMs, isReady, version, prefillTokens };
 }
 
 /** Expected wait for an adapter that has to be loaded first. */
 function readLoadCost(state: UpstreamState, key: string | undefined, homeRank: number): number {
-    const news = state.news;
-    if (key !== undefined && news?.coming.includes(key)) {
+    const coming = state.news?.coming ?? [];
+    const queued = state.news?.queued ?? [];
+    if (key !== undefined && coming.includes(key)) {
         return coldLoadMs / 2;
     }
-    return coldLoadMs + homeRank * otherHomeCostMs + (news?.queuedLoads ?? 0) * queuedLoadCostMs;
+    const position = key === undefined ? -1 : queued.indexOf(key);
+    if (position >= 0) {
+        return coldLoadMs + position * queuedLoadCostMs;
+    }
+    return coldLoadMs + homeRank * otherHomeCostMs + queued.length * queuedLoadCostMs;
 }
 
 /** The version of an adapter that an engine may answer with: the newest, or for a short time the one before. */
--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -2,6 +2,15 @@
 import { coldLoadMs, warmLoadMs } from "./choose.js";
 import { formatAdapterKey, type HeldModel, parseAdapterKey } from "./types.js";
 
+/**
+ * An adapter with this many recent uses is not evicted for one that nobody has waited long for: its next request is
+ * sooner than the other's second one. Without it half of the loads were repeated ones under heavy load.
+ */
+const popularUses = 2.5;
+
+/** A request that has waited this long may take a popular adapter's place, in milliseconds. */
+const longWaitMs = 600;
+
 /** Adapters that may be on their way to one engine at a time, by the engines' interface. */
 const maxComing = 4;
 
@@ -33,11 +42,14 @@
 const checkPauseMs = 20;
 
 /** A want that nobody has renewed for this long is dropped, in milliseconds: requests renew theirs several times in it. */
-const wantLifeMs = 1500;
+const wantLifeMs = 350;
 
 /** Pause before an engine is asked for its state after an order that it did not take, in milliseconds: reports lag. */
 const syncPauseMs = 250;
 
+/** Pause after an order without an answer, in milliseconds: an engine that is gone refuses connections at once. */
+const repeatPauseMs = 60;
+
 /** Pause after an order for an adapter that the engine rejected as wrong, in milliseconds. */
 const rejectedPauseMs = 2000;
 
@@ -134,6 +146,7 @@
     /** Whether the sequence itself is in doubt, so that only a report made after a pause says what it is. */
     private isSequenceInDoubt = false;
     private lastOrderAt = -Infinity;
+    private orderNotBefore = -Infinity;
     private reportAt: number;
     private limits: EngineLimits;
     private coldMs = coldLoadMs;
@@ -160,8 +173,12 @@
         return [...this.places].filter(([, place]) => isComing(place)).map(([key]) => key);
     }
 
-    countQueued(): number {
-        return this.wants.size;
+    /** Adapter keys that wait for a place, in the order in which they will be loaded. */
+    listQueued(): string[] {
+        return [...this.wants]
+            .filter(([key]) => !this.places.has(key))
+            .sort(([, left], [, right]) => left.since - right.since)
+            .map(([key]) => key);
     }
 
     setLimits(limits: EngineLimits): void {
@@ -210,6 +227,9 @@
         if (this.mustReport) {
             return now >= this.reportAt ? { kind: "report" } : { kind: "wait", untilMs: this.reportAt };
         }
+        if (now < this.orderNotBefore) {
+            return { kind: "wait", untilMs: this.orderNotBefore };
+        }
         this.expireWants(now);
         this.retireIdle(now, countUses);
         const check = this.findDueCheck(now, countUses);
@@ -375,6 +395,7 @@
             this.reportAt = now + syncPauseMs;
             return;
         }
+        this.orderNotBefore = now + repeatPauseMs;
         if (order.action === "load" && order.adapter !== undefined) {
             const key = formatAdapterKey(order.model, order.adapter);
             if (!this.places.has(key)) {
@@ -400,11 +421,14 @@
 
     /** Begins to make room, so that the next loads find free places. */
     private retireIdle(now: number, countUses: (key: string) => number): void {
-        const coming = [...this.wants.keys()].filter(key => !this.places.has(key)).length;
+        const waiting = [...this.wants].filter(([key]) => !this.places.has(key));
+        const oldest = Math.min(...waiting.map(([, want]) => want.since));
         const going = [...this.places.values()].filter(({ state }) => state === "retiring" || state === "unloading");
-        let missing = coming + freePlaces - (this.limits.adapterPlaces - this.places.size) - going.length;
+        const free = this.limits.adapterPlaces - this.places.size + going.length;
+        let missing = Math.min(waiting.length, maxComing) + freePlaces - free;
         while (missing > 0) {
-            const victim = this.findVictim(now, countUses);
+            const maxPopularity = now - oldest > longWaitMs ? Infinity : popularUses;
+            const victim = this.findVictim(now, countUses, maxPopularity);
             if (victim === undefined) {
                 return;
             }
@@ -458,14 +482,18 @@
     }
 
     /** The idle adapter whose next request is least likely to come soon. */
-    private findVictim(now: number, countUses: (key: string) => number): string | undefined {
+    private findVictim(
+        now: number,
+        countUses: (key: string) => number,
+        maxPopularity: number,
+    ): string | undefined {
         let victim: string | undefined;
-        let lowest = Infinity;
+        let lowest = maxPopularity;
         for (const [key, place] of this.places) {
             const isIdle = place.state === "loaded"
                 && countUses(key) === 0
                 && now - place.usedAt >= minIdleMs
-                && now - place.changedAt >= minStayMs;
+                && (place.usedAt > place.changedAt || now - place.changedAt >= minStayMs);
             const popularity = readPopularity(place, now);
             if (isIdle && !this.wants.has(key) && popularity < lowest) {
                 lowest = popularity;
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -88,8 +88,8 @@
     held: z.record(z.string(), z.number()),
     /** Adapter keys on their way. */
     coming: z.array(z.string()),
-    /** Loads that wait for a place or for others. */
-    queuedLoads: z.number(),
+    /** Adapter keys that wait for a place, first first. */
+    queued: z.array(z.string()),
 });
 
 /** See {@link engineNewsSchema}. */
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -314,14 +314,14 @@
             canOrder: owned.canOrder,
             held: owned.places.listHeld(),
             coming: owned.places.listComing(),
-            queuedLoads: owned.places.countQueued(),
+            queued: owned.places.listQueued(),
         };
     }
 
     /** Tells all VMs what has changed since the last time. */
     private publish(owned: OwnedEngine): void {
         const news = this.createNews(owned);
-        const text = JSON.stringify([news.canOrder, news.held, news.coming, news.queuedLoads]);
+        const text = JSON.stringify([news.canOrder, news.held, news.coming, news.queued]);
         if (text === owned.lastNews) {
             return;
         }
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -22,8 +22,11 @@
 /** A request that waits for its adapter looks again at least this often, in milliseconds. */
 const lookAgainMs = 100;
 
-/** An adapter that was asked for is asked for elsewhere after this long, in milliseconds: three cold loads. */
-const askElsewhereMs = 750;
+/**
+ * An adapter that was asked for is asked for elsewhere only after this long, in milliseconds: each further engine that
+ * loads it takes a place from another request. Loads that take longer than this have failed.
+ */
+const askElsewhereMs = 2000;
 
 /** How soon a refused caller may come back, in seconds: an owner or an upstream is replaced within some seconds. */
 const retryAfterSeconds = 0.5;
@@ -298,10 +301,18 @@
             // Its load is under way on the engine that was asked first.
             return;
         }
+        const key = formatAdapterKey(model.model, model.adapter);
         if (!isWaiting || job.asked?.engine !== engine) {
             job.asked = { engine, at: now };
+            this.options.log.record("loadAsked", {
+                request: job.demand.requestId,
+                engine,
+                key,
+                costMs: Math.round(choice.costMs),
+                waitedMs: Math.round(job.waitedMs),
+                queued: choice.state.news?.queued.length,
+            });
         }
-        const key = formatAdapterKey(model.model, model.adapter);
         this.options.askLoad(engine, key, this.options.view.findNewestVersion(key)?.version);
     }
 
