--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -4,6 +4,8 @@
     readonly useMs: number;
     /** Two holders of one engine must not give orders within this time of each other, in milliseconds. */
     readonly turnMs: number;
+    /** When this VM's process started: the one before it may have given orders until then. */
+    readonly startedAt: number;
 }
 
 /** A claim of one shard of the engines. */
@@ -18,16 +20,22 @@
  * the time in which the VM was suspended.
  *
  * The platform may deal shards anew at any moment without telling the holder before its next renewal. So a holder stops
- * `useMs` after it sent the last renewal that was confirmed, and a new holder begins only after `useMs + turnMs`.
+ * `useMs` after it sent the last renewal that was confirmed, and a new holder begins only `useMs` after it learned of
+ * its claim.
  */
 export class ClaimClock {
     private readonly claims = new Map<number, Claim>();
     private readonly released = new Map<number, { generation: number; at: number; }>();
+    private readonly heldUntil = new Map<number, number>();
     private recordedGeneration: number | undefined;
     private validUntil = 0;
     private generation = 0;
 
-    constructor(private readonly options: ClaimClockOptions) {}
+    private startedAt: number;
+
+    constructor(private readonly options: ClaimClockOptions) {
+        this.startedAt = options.startedAt;
+    }
 
     /** Token of all claims: it rises with every change of any shard's holder. */
     get fence(): number {
@@ -49,7 +57,7 @@
         const held = new Set(shards);
         for (const shard of this.claims.keys()) {
             if (!held.has(shard)) {
-                this.claims.delete(shard);
+                this.endClaim(shard, now);
             }
         }
         for (const shard of held) {
@@ -88,11 +96,16 @@
     }
 
     /** Gives up shards that another VM has been dealt, and returns them. */
-    dropShards(shards: readonly number[], generation: number): number[] {
+    dropShards(shards: readonly number[], generation: number, now: number): number[] {
         if (generation <= this.generation) {
             return [];
         }
-        return shards.filter(shard => this.claims.delete(shard));
+        return shards.filter(shard => this.endClaim(shard, now));
+    }
+
+    private endClaim(shard: number, now: number): boolean {
+        this.heldUntil.set(shard, now);
+        return this.claims.delete(shard);
     }
 
     private renewUntil(sentAt: number): void {
@@ -108,12 +121,17 @@
         }
     }
 
-    /** Only the very next deal after a release is known to have had no holder in between. */
+    /**
+     * How long a new holder waits. The last one stops `useMs` after its last renewal, or has said that it has stopped: only
+     * the very next deal after a release is known to have had no holder in between. A shard that comes back to a VM
+     * which held it lately waits `turnMs` as well, so that no two holders alternate.
+     */
     private readWaitMs(shard: number, generation: number, now: number): number {
         const release = this.released.get(shard);
-        return release?.generation === generation - 1
-            ? Math.max(0, release.at + this.options.turnMs - now)
-            : this.options.useMs + this.options.turnMs;
+        const lapseMs = release?.generation === generation - 1 ? 0 : this.options.useMs;
+        const heldUntil = this.heldUntil.get(shard) ?? this.startedAt;
+        const alternateMs = Math.max(0, heldUntil + this.options.turnMs - now);
+        return Math.max(lapseMs, alternateMs);
     }
 
     /** Takes word of the holder in a deal that it gives no more orders to a shard. */
@@ -121,11 +139,16 @@
         this.released.set(shard, { generation, at: now });
         const claim = this.claims.get(shard);
         if (claim !== undefined && claim.generation === generation + 1) {
-            const mayOrderAt = Math.min(claim.mayOrderAt, now + this.options.turnMs);
-            this.claims.set(shard, { ...claim, mayOrderAt });
+            const mayOrderAt = now + this.readWaitMs(shard, claim.generation, now);
+            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, mayOrderAt) });
         }
     }
 
+    /** No process of this VM ran before this one: no shard can come back to it. */
+    setFirstLife(): void {
+        this.startedAt = -Infinity;
+    }
+
     /** Whether this VM may give orders to all shards that it holds. */
     isSettled(now: number): boolean {
         return this.claims.size > 0 && [...this.claims.keys()].every(shard => this.canOrder(shard, now));
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -2,7 +2,12 @@
 import { routingSchema } from "@radishreel/routing";
 import { z } from "zod";
 
-const memberSchema = z.object({ id: z.string(), address: z.string(), generation: z.number().optional() });
+const memberSchema = z.object({
+    id: z.string(),
+    address: z.string(),
+    generation: z.number().optional(),
+    hasLeft: z.boolean().optional(),
+});
 
 const position = z.number();
 
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -10,7 +10,7 @@
 import type { Service } from "@radishreel/routing";
 import { BootClock } from "./clock.js";
 import type { DecisionLog } from "./decisions.js";
-import type { EngineOrders, ShardClaims } from "./ports.js";
+import type { EngineOrders, Member, ShardClaims } from "./ports.js";
 
 /** How often claims are renewed, in milliseconds: two renewals may be lost before a claim lapses. */
 const renewMs = 400;
@@ -74,7 +74,7 @@
 export class Owning {
     private readonly clock: ClaimClock;
     private readonly engines = new Map<string, OwnedEngine>();
-    private readonly renewTimer: NodeJS.Timeout;
+    private renewTimer: NodeJS.Timeout | undefined;
     private isRenewing = false;
     private isStopped = false;
     private readonly bootClock = new BootClock();
@@ -84,9 +84,30 @@
     private recordedGeneration = -1;
 
     constructor(private readonly options: OwningOptions) {
-        this.clock = new ClaimClock({ useMs: claimUseMs, turnMs: options.turnMs });
-        this.renewTimer = setInterval(() => this.keepClaims(), renewMs);
-        void this.renew();
+        this.clock = new ClaimClock({
+            useMs: claimUseMs,
+            turnMs: options.turnMs,
+            startedAt: this.bootClock.read(),
+        });
+    }
+
+    /**
+     * Begins to claim shards.
+     * @param past This VM's entry from before its start; undefined if it never ran. After a planned stop its shards went
+     * to other VMs: it claims some again only when it may use them, so that they stay in use meanwhile.
+     */
+    start(past: Member | undefined): void {
+        if (past === undefined) {
+            this.clock.setFirstLife();
+        }
+        if (past?.generation !== undefined) {
+            this.clock.setRecordedGeneration(past.generation, this.bootClock.read());
+        }
+        const waitMs = past?.hasLeft === true ? this.options.turnMs : 0;
+        this.renewTimer = setTimeout(() => {
+            void this.renew();
+            this.renewTimer = setInterval(() => this.keepClaims(), renewMs);
+        }, waitMs);
     }
 
     /** Gives everything up and tells the others, so that they need not wait for the claims to lapse. */
@@ -343,7 +364,7 @@
     /** Takes another VM's answer to a query. */
     receiveClaimState(vm: string, state: ClaimState): void {
         const { openQuery } = this;
-        const dropped = this.clock.dropShards(state.shards, state.generation);
+        const dropped = this.clock.dropShards(state.shards, state.generation, this.bootClock.read());
         if (dropped.length > 0) {
             this.options.log.recordImportant("shardsLost", { to: vm, shards: dropped, generation: state.generation });
             this.update();
@@ -363,11 +384,6 @@
         }
     }
 
-    /** Takes the deal in which this VM gave orders before it was started anew. */
-    setRecordedGeneration(generation: number): void {
-        this.clock.setRecordedGeneration(generation, this.bootClock.read());
-    }
-
     /** Renews, and asks the other VMs when the store does not answer. */
     private keepClaims(): void {
         void this.renew();
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -79,6 +79,8 @@
     readonly address: string;
     /** The deal of shards in which it has given orders; undefined while it has not. */
     readonly generation?: number | undefined;
+    /** Whether its process stopped as planned and gave up what it owned. */
+    readonly hasLeft?: boolean | undefined;
 }
 
 /** A change of what the platform's store says, in this program's terms. */
@@ -94,6 +96,8 @@
     receiveChanges(changes: readonly ClusterChange[]): void;
     /** All upstreams that the store lists, at a position: those not among them are gone. */
     receiveUpstreamList(ids: ReadonlySet<string>, position: number): void;
+    /** All members that the store lists have been passed on. Called once. */
+    receiveMembersRead(): void;
     receiveReachable(isReachable: boolean, detail: string): void;
 }
 
@@ -101,10 +105,7 @@
 export interface ClusterStore {
     start(receiver: ClusterReceiver): void;
     stop(): void;
-    /**
-     * Makes this VM known to others, in place of what it said before. Retried until it is done. Nothing is written before
-     * the members' entries were read, so that this VM learns what it wrote before it was started anew.
-     */
+    /** Makes this VM known to others, in place of what it said before. Retried until it is done. */
     register(member: Member): void;
 }
 
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -104,6 +104,8 @@
     private owning: Owning | undefined;
     private toldLoadVersion = -1;
     private isFollowing = false;
+    private past: Member | undefined;
+    private hasReadMembers = false;
     private stopping: Promise<void> | undefined;
 
     constructor(private readonly options: NodeOptions) {
@@ -135,9 +137,8 @@
         await listen(this.createReadinessApp(), settings.readiness);
         await this.peers.start();
         this.setSeeds(settings.seeds);
-        store.start(this);
         this.owning = this.createOwning();
-        this.register(undefined);
+        store.start(this);
         this.timers.push(
             setInterval(() => this.sendLoad(), loadIntervalMs),
             setInterval(() => this.runHousekeeping(), housekeepingMs),
@@ -177,6 +178,13 @@
         this.cluster.applyUpstreamList(ids, position);
     }
 
+    receiveMembersRead(): void {
+        this.hasReadMembers = true;
+        this.log.recordImportant("past", { ...this.past });
+        this.owning?.start(this.past);
+        this.register({});
+    }
+
     receiveReachable(isReachable: boolean, detail: string): void {
         if (isReachable !== this.cluster.isStoreReachable) {
             this.log.recordImportant(isReachable ? "storeRegained" : "storeLost", { detail });
@@ -274,22 +282,22 @@
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
             sendQuery: query => this.peers.broadcast({ type: "claimQuery", query }),
             countOthers: () => this.peers.countLikely(),
-            recordGeneration: generation => this.register(generation),
+            recordGeneration: generation => this.register({ generation }),
         });
     }
 
-    private register(generation: number | undefined): void {
+    /** Writes this VM's entry, in place of what it said before. */
+    private register(state: { readonly generation?: number; readonly hasLeft?: boolean; }): void {
         const { settings, store } = this.options;
-        store.register({ id: settings.vm, address: formatAddress(settings.peers), generation });
+        store.register({ id: settings.vm, address: formatAddress(settings.peers), ...state });
     }
 
     private receiveMember(member: Member): void {
         if (member.id !== this.options.settings.vm) {
             this.peers.addPeer(member);
-            return;
         }
-        if (member.generation !== undefined) {
-            this.owning?.setRecordedGeneration(member.generation);
+        else if (!this.hasReadMembers) {
+            this.past = member;
         }
     }
 
@@ -477,6 +485,7 @@
         this.serving.closeAfterAnswers();
         const released = this.owning?.stop() ?? Promise.resolve();
         this.peers.broadcast({ type: "leaving" });
+        this.register({ hasLeft: true });
         await Promise.race([released, sleep(releaseWaitMs)]);
         await sleep(Math.max(0, stoppedAt + balancerNoticeMs - readNow()));
         this.callerServer.close();
