--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -13,8 +13,16 @@
     /** The deal in which this VM first held it. */
     readonly generation: number;
     readonly mayOrderAt: number;
+    /** How often it was handed over within the deal: 0 for the VM to which it was dealt. */
+    readonly depth: number;
 }
 
+/** Most handovers within one deal: fencing tokens leave room for so many. */
+const maxDepth = 15;
+
+/** Pause after the start of a process before a recorded deal lets it order, in milliseconds: VMs that took over hear of it. */
+const recordedPauseMs = 500;
+
 /**
  * Which shards this VM owns, and when it may give orders to their engines. Times are handed in by a clock that counts
  * the time in which the VM was suspended.
@@ -37,11 +45,20 @@
         this.startedAt = options.startedAt;
     }
 
-    /** Token of all claims: it rises with every change of any shard's holder. */
-    get fence(): number {
+    /** The deal that this VM saw last: it rises with every change of any shard's holder. */
+    get deal(): number {
         return this.generation;
     }
 
+    /** Fencing token for the engines of a shard: higher than that of every holder before. */
+    readFence(shard: number): number {
+        return this.generation * (maxDepth + 1) + (this.claims.get(shard)?.depth ?? 0);
+    }
+
+    readDepth(shard: number): number {
+        return this.claims.get(shard)?.depth ?? 0;
+    }
+
     /**
      * Takes the answer to a renewal.
      * @param sentAt When the renewal was sent.
@@ -55,14 +72,15 @@
         this.generation = generation;
         this.renewUntil(sentAt);
         const held = new Set(shards);
-        for (const shard of this.claims.keys()) {
-            if (!held.has(shard)) {
+        for (const [shard, claim] of this.claims) {
+            const isHandedOver = claim.depth > 0 && claim.generation === generation;
+            if (!held.has(shard) && !isHandedOver) {
                 this.endClaim(shard, now);
             }
         }
         for (const shard of held) {
             if (!this.claims.has(shard) || mayHaveMoved) {
-                this.claims.set(shard, { generation, mayOrderAt: now + this.readWaitMs(shard, generation, now) });
+                this.claims.set(shard, { generation, mayOrderAt: now + this.readWaitMs(shard, generation, now), depth: 0 });
             }
         }
         this.applyRecorded(now);
@@ -88,13 +106,35 @@
     }
 
     /**
-     * Takes word that all other VMs, asked at `askedAt` while none of them reaches the store, hold none of this VM's
-     * shards: whoever is dealt one later waits longer than `useMs` before its first order.
+     * Takes word that most VMs, asked at `askedAt`, do not reach the store either and hold none of this VM's shards.
+     * Whoever of them is dealt one later waits `useMs` before its first order. What stays open: a VM that none of them
+     * reaches, and that alone reaches the store.
      */
     applyAllClear(askedAt: number): void {
         this.renewUntil(askedAt);
     }
 
+    /**
+     * Takes shards over from a VM that stops while the store is away. They are held under the same deal, and only as long
+     * as it lasts.
+     */
+    applyHandover(shards: readonly number[], deal: number, depth: number, now: number): void {
+        if (deal !== this.generation || depth > maxDepth) {
+            return;
+        }
+        for (const shard of shards) {
+            const mayOrderAt = Math.max(now, (this.heldUntil.get(shard) ?? this.startedAt) + this.options.turnMs);
+            this.claims.set(shard, { generation: deal, mayOrderAt, depth });
+        }
+    }
+
+    /** Gives back what was taken over, since the VM to which it was dealt runs again. */
+    dropHandovers(now: number): number[] {
+        return [...this.claims].filter(([, claim]) => claim.depth > 0)
+            .map(([shard]) => shard)
+            .filter(shard => this.endClaim(shard, now));
+    }
+
     /** Gives up shards that another VM has been dealt, and returns them. */
     dropShards(shards: readonly number[], generation: number, now: number): number[] {
         if (generation <= this.generation) {
@@ -117,7 +157,8 @@
             return;
         }
         for (const [shard, claim] of this.claims) {
-            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, now) });
+            const mayOrderAt = Math.max(now, this.startedAt + recordedPauseMs);
+            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, mayOrderAt) });
         }
     }
 
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -49,6 +49,8 @@
     z.object({ type: z.literal("missing"), engine: z.string(), key: z.string() }),
     /** The sender gives no more orders to the engines of these shards. */
     z.object({ type: z.literal("release"), shards: z.array(z.number()), generation: z.number() }),
+    /** The sender stops while the store is away and hands these shards to the receiver alone. */
+    z.object({ type: z.literal("handover"), shards: z.array(z.number()), deal: z.number(), depth: z.number() }),
     /** The sender cannot renew its claims and asks what others know. */
     z.object({ type: z.literal("claimQuery"), query: z.number() }),
     /** Answer to a query: the deal that the sender last saw, and how long ago it asked for it. */
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -38,12 +38,21 @@
     readonly sendNews: (news: EngineNews[]) => void;
     readonly sendRelease: (shards: number[], generation: number) => void;
     readonly sendQuery: (query: number) => void;
+    /** Hands shards to one other VM. @returns Whether there is one. */
+    readonly sendHandover: (handover: Handover) => boolean;
     /** Other VMs that may be running, connected or not. */
     readonly countOthers: () => number;
     /** Keeps for this VM's next start in which deal it gave orders. */
     readonly recordGeneration: (generation: number) => void;
 }
 
+/** Shards that a VM hands over while the store is away. */
+export interface Handover {
+    readonly shards: number[];
+    readonly deal: number;
+    readonly depth: number;
+}
+
 /** What another VM knows of the claims. */
 export interface ClaimState {
     readonly query: number;
@@ -110,20 +119,46 @@
         }, waitMs);
     }
 
-    /** Gives everything up and tells the others, so that they need not wait for the claims to lapse. */
+    /**
+     * Gives everything up and tells the others, so that they need not wait for the claims to lapse. While the store is
+     * away one of them takes the shards over.
+     */
     async stop(): Promise<void> {
         this.isStopped = true;
         clearInterval(this.renewTimer);
         const shards = this.clock.listShards();
-        const generation = this.clock.fence;
+        const deal = this.clock.deal;
+        const depth = 1 + Math.max(0, ...shards.map(shard => this.clock.readDepth(shard)));
+        const canOrder = this.clock.isSettled(this.bootClock.read());
+        const isCutOff = this.bootClock.read() - this.renewedAt > askPeersAfterMs;
         this.clock.suspend();
         for (const id of [...this.engines.keys()]) {
             this.removeEngine(id);
         }
-        this.options.sendRelease(shards, generation);
+        if (isCutOff && canOrder && this.options.sendHandover({ shards, deal, depth })) {
+            this.options.log.recordImportant("handedOver", { shards, deal, depth });
+            return;
+        }
+        this.options.sendRelease(shards, deal);
         await this.options.claims.release();
     }
 
+    /** Takes shards over from a VM that stops. */
+    receiveHandover(handover: Handover): void {
+        this.clock.applyHandover(handover.shards, handover.deal, handover.depth, this.bootClock.read());
+        this.options.log.recordImportant("handoverReceived", { ...handover, ownDeal: this.clock.deal });
+        this.update();
+    }
+
+    /** A VM has started: what was taken over from it, or from any other, goes back. */
+    receiveStart(): void {
+        const dropped = this.clock.dropHandovers(this.bootClock.read());
+        if (dropped.length > 0) {
+            this.options.log.recordImportant("handoverEnded", { shards: dropped });
+            this.update();
+        }
+    }
+
     recordRelease(shards: readonly number[], generation: number): void {
         for (const shard of shards) {
             this.clock.recordRelease(shard, generation, this.bootClock.read());
@@ -203,7 +238,7 @@
                 sequence: state.upstream.sequence,
                 now: this.options.readTime(),
             }),
-            fence: this.clock.fence,
+            fence: this.readFence(state.upstream.id),
             revision: 0,
             lastNews: "",
             isWorking: false,
@@ -227,6 +262,10 @@
         this.options.sendNews([{ ...this.createNews(owned), canOrder: false }]);
     }
 
+    private readFence(id: string): number {
+        return this.clock.readFence(readShard(id, this.options.claims.shardCount));
+    }
+
     private canOrder(id: string): boolean {
         this.checkSuspension();
         return this.clock.canOrder(readShard(id, this.options.claims.shardCount), this.bootClock.read());
@@ -254,7 +293,7 @@
         const canOrder = this.canOrder(owned.id);
         if (canOrder !== owned.canOrder) {
             owned.canOrder = canOrder;
-            this.options.log.recordImportant("ordersAllowed", { engine: owned.id, canOrder, fence: this.clock.fence });
+            this.options.log.recordImportant("ordersAllowed", { engine: owned.id, canOrder, fence: owned.fence });
         }
         this.publish(owned);
         if (state === undefined || !canOrder) {
@@ -304,7 +343,7 @@
 
     private async runOrder(owned: OwnedEngine, state: UpstreamState, order: EngineOrder): Promise<void> {
         owned.isWorking = true;
-        owned.fence = Math.max(owned.fence, this.clock.fence);
+        owned.fence = Math.max(owned.fence, this.readFence(owned.id));
         const sentAt = this.options.readTime();
         const answer = await this.options.orders.send(state.upstream, order, {
             holder: this.options.vm,
@@ -355,7 +394,7 @@
     readClaimState(query: number): ClaimState {
         return {
             query,
-            generation: this.clock.fence,
+            generation: this.clock.deal,
             shards: this.clock.listShards(),
             renewalAgeMs: Math.min(this.bootClock.read() - this.renewedAt, maxRenewalAgeMs),
         };
@@ -368,7 +407,7 @@
         if (dropped.length > 0) {
             this.options.log.recordImportant("shardsLost", { to: vm, shards: dropped, generation: state.generation });
             this.update();
-            this.options.sendRelease(dropped, this.clock.fence);
+            this.options.sendRelease(dropped, this.clock.deal);
         }
         if (state.query !== openQuery.query) {
             return;
@@ -379,7 +418,9 @@
         if (isCutOff && !state.shards.some(shard => held.includes(shard))) {
             openQuery.clear.add(vm);
         }
-        if (openQuery.clear.size >= this.options.countOthers()) {
+        // With most VMs cut off from the store it is the store that is away, and deals nothing anew.
+        const isMajority = (openQuery.clear.size + 1) * 2 > this.options.countOthers() + 1;
+        if (isMajority) {
             this.clock.applyAllClear(openQuery.askedAt);
         }
     }
@@ -392,9 +433,9 @@
             this.openQuery = { query: this.openQuery.query + 1, askedAt: now, clear: new Set() };
             this.options.sendQuery(this.openQuery.query);
         }
-        if (this.clock.isSettled(now) && this.clock.fence !== this.recordedGeneration) {
-            this.recordedGeneration = this.clock.fence;
-            this.options.recordGeneration(this.clock.fence);
+        if (this.clock.isSettled(now) && this.clock.deal !== this.recordedGeneration) {
+            this.recordedGeneration = this.clock.deal;
+            this.options.recordGeneration(this.clock.deal);
         }
     }
 
@@ -404,16 +445,16 @@
         }
         this.isRenewing = true;
         const sentAt = this.bootClock.read();
-        const deal = await this.options.claims.renew(this.clock.fence);
+        const deal = await this.options.claims.renew(this.clock.deal);
         this.isRenewing = false;
         if (deal === undefined || this.isStopped) {
             return;
         }
-        if (deal.generation !== this.clock.fence) {
+        if (deal.generation !== this.clock.deal) {
             this.options.log.recordImportant("shardsDealt", deal);
         }
         const held = this.clock.listShards();
-        const generation = this.clock.fence;
+        const generation = this.clock.deal;
         this.renewedAt = sentAt;
         this.clock.applyRenewal(deal.generation, deal.shards, sentAt, this.bootClock.read());
         this.update();
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -21,6 +21,8 @@
     /** Messages for a VM whose link has just opened. */
     readonly createGreeting: () => PeerMessage[];
     readonly onMessage: (vm: string, message: PeerMessage) => void;
+    /** A process of a VM that was not known before has opened a link. */
+    readonly onStart: () => void;
     readonly onClose: (vm: string) => void;
 }
 
@@ -37,6 +39,7 @@
  */
 export class Peers {
     private readonly server: LinkServer<PeerMessage>;
+    private readonly incarnations = new Map<string, number>();
     private readonly peersByAddress = new Map<string, Peer>();
 
     constructor(private readonly options: PeersOptions) {
@@ -48,7 +51,7 @@
             schema: peerMessageSchema,
             limits: linkLimits,
             events: {
-                onOpen: link => this.addPeer({ id: link.peer.id, address: link.peer.address }),
+                onOpen: link => this.receiveCaller(link.peer),
                 onMessage: (link, message) => options.onMessage(link.peer.id, message),
                 onClose: () => {
                     // Its own link to us tells when the VM is gone.
@@ -135,6 +138,14 @@
         }
     }
 
+    private receiveCaller(peer: NodeIdentity): void {
+        this.addPeer({ id: peer.id, address: peer.address });
+        if ((this.incarnations.get(peer.id) ?? -1) !== peer.incarnation) {
+            this.incarnations.set(peer.id, peer.incarnation);
+            this.options.onStart();
+        }
+    }
+
     private receiveOpen(address: string, link: Link<PeerMessage>): void {
         const peer = this.peersByAddress.get(address);
         if (peer === undefined || link.peer.id === this.options.self.id) {
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -9,7 +9,7 @@
 import { DecisionLog, type LineSink } from "./decisions.js";
 import type { PeerMessage } from "./messages.js";
 import { NodeMetrics } from "./metrics.js";
-import { Owning } from "./owning.js";
+import { type Handover, Owning } from "./owning.js";
 import { Peers } from "./peers.js";
 import type {
     ClusterChange,
@@ -263,6 +263,7 @@
             readTime: readNow,
             createGreeting: () => this.createGreeting(),
             onMessage: (vm, message) => this.receivePeerMessage(vm, message),
+            onStart: () => this.owning?.receiveStart(),
             onClose: vm => this.receivePeerClose(vm),
         });
     }
@@ -281,6 +282,7 @@
             sendNews: news => this.sendNews(news),
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
             sendQuery: query => this.peers.broadcast({ type: "claimQuery", query }),
+            sendHandover: handover => this.sendHandover(handover),
             countOthers: () => this.peers.countLikely(),
             recordGeneration: generation => this.register({ generation }),
         });
@@ -373,6 +375,9 @@
             case "release":
                 this.owning?.recordRelease(message.shards, message.generation);
                 return;
+            case "handover":
+                this.owning?.receiveHandover(message);
+                return;
             case "claimQuery":
                 if (this.owning !== undefined) {
                     this.peers.send(vm, { type: "claimState", ...this.owning.readClaimState(message.query) });
@@ -425,6 +430,11 @@
         }
     }
 
+    private sendHandover(handover: Handover): boolean {
+        const [heir] = this.peers.listConnected();
+        return heir !== undefined && this.peers.send(heir, { type: "handover", ...handover });
+    }
+
     private reportMissing(engine: string, key: string): void {
         const owner = this.view.findUpstream(engine)?.owner;
         if (owner === this.options.settings.vm) {
