--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -9,9 +9,9 @@
 const verbPattern = `^(${verbs.join("|")})([A-Z0-9].*)?$`;
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "out/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "out/**", "target/**"] },
     {
-        files: ["packages/**/*.ts", "test/**/*.ts"],
+        files: ["packages/**/*.ts", "platform/**/*.ts", "test/**/*.ts"],
         extends: [tseslint.configs.recommendedTypeChecked],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         rules: {
@@ -54,7 +54,7 @@
         },
     },
     {
-        files: ["packages/*/test/**/*.ts", "test/**/*.ts"],
+        files: ["packages/*/test/**/*.ts", "platform/test/**/*.ts", "test/**/*.ts"],
         rules: { "max-lines-per-function": "off" },
     },
 );
--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -101,7 +101,8 @@
         const { active } = view.readLoad(state.upstream.id);
         const slots = Math.max(1, state.upstream.slots);
         // Work is in units of one request's usual time; a full server makes the next one wait.
-        const workMs = serverWorkMs * state.health.readPace(now) * (1 + (active / slots) ** 2 + active * serverShareCost);
+        const workMs = serverWorkMs * state.health.readPace(now)
+            * (1 + (active / slots) ** 2 + active * serverShareCost);
         const costMs = workMs + readCommonCost(options, state);
         if (best === undefined || costMs < best.costMs) {
             best = { state, costMs, isReady: true, version: undefined, prefillTokens: 0 };
--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -80,7 +80,11 @@
         }
         for (const shard of held) {
             if (!this.claims.has(shard) || mayHaveMoved) {
-                this.claims.set(shard, { generation, mayOrderAt: now + this.readWaitMs(shard, generation, now), depth: 0 });
+                this.claims.set(shard, {
+                    generation,
+                    mayOrderAt: now + this.readWaitMs(shard, generation, now),
+                    depth: 0,
+                });
             }
         }
         this.applyRecorded(now);
@@ -129,14 +133,14 @@
     }
 
     /** Gives back what was taken over, since the VM to which it was dealt runs again. */
-    dropHandovers(now: number): number[] {
+    revokeHandovers(now: number): number[] {
         return [...this.claims].filter(([, claim]) => claim.depth > 0)
             .map(([shard]) => shard)
             .filter(shard => this.endClaim(shard, now));
     }
 
     /** Gives up shards that another VM has been dealt, and returns them. */
-    dropShards(shards: readonly number[], generation: number, now: number): number[] {
+    revokeShards(shards: readonly number[], generation: number, now: number): number[] {
         if (generation <= this.generation) {
             return [];
         }
@@ -196,10 +200,18 @@
     }
 
     /** Gives everything up, as after a suspension: nothing may be ordered before the next confirmed renewal. */
-    suspend(): void {
+    pause(): void {
         this.validUntil = 0;
     }
 
+    /** Gives all shards up, in a planned stop. */
+    releaseAll(now: number): void {
+        this.pause();
+        for (const shard of this.listShards()) {
+            this.endClaim(shard, now);
+        }
+    }
+
     /** Whether orders to the engines of a shard may be given at this moment. */
     canOrder(shard: number, now: number): boolean {
         const claim = this.claims.get(shard);
--- a/packages/fleet/src/health.ts
+++ b/packages/fleet/src/health.ts
@@ -25,7 +25,7 @@
 
     /** A whole answer. @param pace Time it took as a factor of what was expected. */
     recordAnswer(now: number, pace: number): void {
-        this.decay(now);
+        this.advance(now);
         this.answers += 1;
         this.pauseMs = minPauseMs;
         this.pausedUntil = 0;
@@ -40,7 +40,7 @@
 
     /** An answer that says that the upstream failed, or a broken connection. */
     recordFailure(now: number): void {
-        this.decay(now);
+        this.advance(now);
         this.failures += 1;
     }
 
@@ -58,17 +58,17 @@
 
     /** Share of failed answers, towards 0 where little has been seen lately. */
     readFailureShare(now: number): number {
-        this.decay(now);
+        this.advance(now);
         return this.failures / (this.failures + this.answers + 2);
     }
 
     /** Time of answers as a factor of what was expected; 1 is as expected. */
     readPace(now: number): number {
-        this.decay(now);
+        this.advance(now);
         return this.pace;
     }
 
-    private decay(now: number): void {
+    private advance(now: number): void {
         const factor = 0.5 ** (Math.max(0, now - this.decayedAt) / halfLifeMs);
         this.decayedAt = now;
         this.failures *= factor;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,9 +1,9 @@
 /** What a VM knows of engines and services, and the decisions that rest on it. Pure: time is handed in. */
 export { RetryBudget, type RetryBudgetOptions } from "./budget.js";
 export {
+    type ChoiceOptions,
     chooseEngine,
     chooseServer,
-    type ChoiceOptions,
     type EngineChoiceOptions,
     findUsableVersion,
     prefillTokensPerMs,
--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -243,7 +243,7 @@
             return { kind: "wait", untilMs: this.orderNotBefore };
         }
         this.expireWants(now);
-        this.retireIdle(now, countUses);
+        this.planEvictions(now, countUses);
         const check = this.findDueCheck(now, countUses);
         if (check !== undefined) {
             return { kind: "order", order: check };
@@ -289,7 +289,9 @@
         this.models = report.models;
         // Reports lag: one that may be older than the last order must not take the sequence back.
         const isCurrent = askedAt - this.lastOrderAt >= syncPauseMs;
-        this.sequence = isCurrent || this.isSequenceInDoubt ? report.sequence : Math.max(this.sequence, report.sequence);
+        this.sequence = isCurrent || this.isSequenceInDoubt
+            ? report.sequence
+            : Math.max(this.sequence, report.sequence);
         this.isSequenceInDoubt = false;
         const reported = new Map<string, number>();
         for (const model of report.models) {
@@ -436,7 +438,7 @@
     }
 
     /** Begins to make room, so that the next loads find free places. */
-    private retireIdle(now: number, countUses: (key: string) => number): void {
+    private planEvictions(now: number, countUses: (key: string) => number): void {
         const waiting = [...this.wants].filter(([key]) => !this.places.has(key));
         const oldest = Math.min(...waiting.map(([, want]) => want.since));
         const going = [...this.places.values()].filter(({ state }) => state === "retiring" || state === "unloading");
--- a/packages/node/src/attempt.ts
+++ b/packages/node/src/attempt.ts
@@ -104,7 +104,10 @@
             receiver: this,
             checkBeforeSend: options.checkBeforeSend,
         });
-        this.deadline = setTimeout(() => this.finishBroken("timeout", "the request's time is over"), options.timeLeftMs);
+        this.deadline = setTimeout(
+            () => this.finishBroken("timeout", "the request's time is over"),
+            options.timeLeftMs,
+        );
         this.startSilenceTimer(options.firstByteMs);
         caller.onLeft(() => this.finish({ kind: "callerLeft" }));
         if (caller.hasLeft) {
--- a/packages/node/src/caller.ts
+++ b/packages/node/src/caller.ts
@@ -145,7 +145,7 @@
     }
 
     /** Breaks off an answer that has begun, so that it cannot look complete. */
-    breakOff(): void {
+    cancelAnswer(): void {
         this.hasEnded = true;
         this.response.destroy();
     }
@@ -153,7 +153,7 @@
     /** Answers by itself; breaks the answer off if one has begun. */
     refuse(answer: OwnAnswer): void {
         if (this.hasHead) {
-            this.breakOff();
+            this.cancelAnswer();
             return;
         }
         const text = JSON.stringify({ status: answer.status, reason: answer.reason });
--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -83,7 +83,7 @@
         for (const [id, dueAt] of this.lapsed) {
             if (now >= dueAt && this.hasStore) {
                 this.lapsed.delete(id);
-                this.dropUpstream(id, "entry lapsed and did not come back");
+                this.removeGoneUpstream(id, "entry lapsed and did not come back");
             }
         }
     }
@@ -140,10 +140,10 @@
             this.lapsed.set(id, Math.max(now, this.storeBackAt) + lapseGraceMs);
             return;
         }
-        this.dropUpstream(id, "entry removed");
+        this.removeGoneUpstream(id, "entry removed");
     }
 
-    private dropUpstream(id: string, why: string): void {
+    private removeGoneUpstream(id: string, why: string): void {
         const state = this.options.view.findUpstream(id);
         if (state === undefined) {
             return;
--- a/packages/node/src/connections.ts
+++ b/packages/node/src/connections.ts
@@ -52,7 +52,7 @@
     }
 
     /** Marks the end of a request. */
-    rest(now: number): void {
+    finishUse(now: number): void {
         this.restingSince = now;
     }
 
@@ -111,7 +111,7 @@
         if (!connection.isUsable) {
             return;
         }
-        connection.rest(now);
+        connection.finishUse(now);
         const connections = this.idle.get(upstreamId) ?? [];
         connections.push(connection);
         this.idle.set(upstreamId, connections);
--- a/packages/node/src/decisions.ts
+++ b/packages/node/src/decisions.ts
@@ -52,7 +52,7 @@
 
     private write(level: DecisionLevel, event: string, fields: object): void {
         const now = this.options.readTime();
-        this.refill(now);
+        this.advanceBudget(now);
         const isOverBudget = level === "info" && this.tokens < 1;
         if (isOverBudget || this.options.sink.writableLength > maxBufferedBytes) {
             this.dropped.set(event, (this.dropped.get(event) ?? 0) + 1);
@@ -72,7 +72,7 @@
         sink.write(JSON.stringify({ at: new Date().toISOString(), program, vm, event, ...fields }) + "\n");
     }
 
-    private refill(now: number): void {
+    private advanceBudget(now: number): void {
         const seconds = Math.max(0, now - this.refilledAt) / 1000;
         this.tokens = Math.min(maxBurst, this.tokens + seconds * linesPerSecond);
         this.refilledAt = now;
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -115,7 +115,7 @@
         const waitMs = past?.hasLeft === true ? this.options.turnMs : 0;
         this.renewTimer = setTimeout(() => {
             void this.renew();
-            this.renewTimer = setInterval(() => this.keepClaims(), renewMs);
+            this.renewTimer = setInterval(() => this.renewClaims(), renewMs);
         }, waitMs);
     }
 
@@ -131,7 +131,7 @@
         const depth = 1 + Math.max(0, ...shards.map(shard => this.clock.readDepth(shard)));
         const canOrder = this.clock.isSettled(this.bootClock.read());
         const isCutOff = this.bootClock.read() - this.renewedAt > askPeersAfterMs;
-        this.clock.suspend();
+        this.clock.releaseAll(this.bootClock.read());
         for (const id of [...this.engines.keys()]) {
             this.removeEngine(id);
         }
@@ -152,7 +152,7 @@
 
     /** A VM has started: what was taken over from it, or from any other, goes back. */
     receiveStart(): void {
-        const dropped = this.clock.dropHandovers(this.bootClock.read());
+        const dropped = this.clock.revokeHandovers(this.bootClock.read());
         if (dropped.length > 0) {
             this.options.log.recordImportant("handoverEnded", { shards: dropped });
             this.update();
@@ -278,7 +278,7 @@
         if (suspendedMs > this.suspendedMs) {
             this.options.log.recordImportant("suspended", { ms: Math.round(suspendedMs - this.suspendedMs) });
             this.suspendedMs = suspendedMs;
-            this.clock.suspend();
+            this.clock.pause();
             void this.renew();
         }
     }
@@ -295,7 +295,7 @@
             owned.canOrder = canOrder;
             this.options.log.recordImportant("ordersAllowed", { engine: owned.id, canOrder, fence: owned.fence });
         }
-        this.publish(owned);
+        this.sendChanges(owned);
         if (state === undefined || !canOrder) {
             this.scheduleAdvance(owned, 200);
             return;
@@ -379,7 +379,7 @@
     }
 
     /** Tells all VMs what has changed since the last time. */
-    private publish(owned: OwnedEngine): void {
+    private sendChanges(owned: OwnedEngine): void {
         const news = this.createNews(owned);
         const text = JSON.stringify([news.canOrder, news.held, news.coming, news.queued]);
         if (text === owned.lastNews) {
@@ -403,7 +403,7 @@
     /** Takes another VM's answer to a query. */
     receiveClaimState(vm: string, state: ClaimState): void {
         const { openQuery } = this;
-        const dropped = this.clock.dropShards(state.shards, state.generation, this.bootClock.read());
+        const dropped = this.clock.revokeShards(state.shards, state.generation, this.bootClock.read());
         if (dropped.length > 0) {
             this.options.log.recordImportant("shardsLost", { to: vm, shards: dropped, generation: state.generation });
             this.update();
@@ -426,10 +426,15 @@
     }
 
     /** Renews, and asks the other VMs when the store does not answer. */
-    private keepClaims(): void {
+    private renewClaims(): void {
         void this.renew();
         const now = this.bootClock.read();
         if (now - this.renewedAt > askPeersAfterMs && this.clock.listShards().length > 0) {
+            this.options.log.record("claimsInDoubt", {
+                renewalAgeMs: Math.min(Math.round(now - this.renewedAt), maxRenewalAgeMs),
+                clear: [...this.openQuery.clear],
+                others: this.options.countOthers(),
+            });
             this.openQuery = { query: this.openQuery.query + 1, askedAt: now, clear: new Set() };
             this.options.sendQuery(this.openQuery.query);
         }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -133,8 +133,8 @@
     async start(): Promise<void> {
         const { settings, store } = this.options;
         this.log.recordImportant("start", { dataCentre: settings.dataCentre, pid: process.pid });
-        await listen(this.createCallerApp(), settings.callers);
-        await listen(this.createReadinessApp(), settings.readiness);
+        await startListening(this.createCallerApp(), settings.callers);
+        await startListening(this.createReadinessApp(), settings.readiness);
         await this.peers.start();
         this.setSeeds(settings.seeds);
         this.owning = this.createOwning();
@@ -182,7 +182,7 @@
         this.hasReadMembers = true;
         this.log.recordImportant("past", { ...this.past });
         this.owning?.start(this.past);
-        this.register({});
+        this.appendMember({});
     }
 
     receiveReachable(isReachable: boolean, detail: string): void {
@@ -223,7 +223,7 @@
             this.log.recordImportant("ready", { version: table.routing.version });
         }
         this.owning?.update();
-        this.serving.notifyChange();
+        this.serving.receiveChange();
     }
 
     private createServing(): Serving {
@@ -239,7 +239,7 @@
             log: this.log,
             readTime: readNow,
             askLoad: (engine, want) => this.askLoad(engine, want),
-            reportMissing: (engine, key) => this.reportMissing(engine, key),
+            sendMissing: (engine, key) => this.sendMissing(engine, key),
             recordStart: (engine, key) => this.recordStart(engine, key),
             onRefusal: reason => this.metrics.recordRefusal(reason),
             onRetry: after => this.metrics.recordRetry(after),
@@ -284,12 +284,12 @@
             sendQuery: query => this.peers.broadcast({ type: "claimQuery", query }),
             sendHandover: handover => this.sendHandover(handover),
             countOthers: () => this.peers.countLikely(),
-            recordGeneration: generation => this.register({ generation }),
+            recordGeneration: generation => this.appendMember({ generation }),
         });
     }
 
     /** Writes this VM's entry, in place of what it said before. */
-    private register(state: { readonly generation?: number; readonly hasLeft?: boolean; }): void {
+    private appendMember(state: { readonly generation?: number; readonly hasLeft?: boolean; }): void {
         const { settings, store } = this.options;
         store.register({ id: settings.vm, address: formatAddress(settings.peers), ...state });
     }
@@ -405,14 +405,14 @@
             isFresh = this.view.updateNews(vm, item) || isFresh;
         }
         if (isFresh) {
-            this.serving.notifyChange();
+            this.serving.receiveChange();
         }
     }
 
     private receivePeerClose(vm: string): void {
         this.followers.delete(vm);
         this.view.removeVm(vm);
-        this.serving.notifyChange();
+        this.serving.receiveChange();
     }
 
     private sendNews(news: EngineNews[]): void {
@@ -435,7 +435,7 @@
         return heir !== undefined && this.peers.send(heir, { type: "handover", ...handover });
     }
 
-    private reportMissing(engine: string, key: string): void {
+    private sendMissing(engine: string, key: string): void {
         const owner = this.view.findUpstream(engine)?.owner;
         if (owner === this.options.settings.vm) {
             this.owning?.recordMissing(engine, key);
@@ -495,12 +495,12 @@
         this.serving.closeAfterAnswers();
         const released = this.owning?.stop() ?? Promise.resolve();
         this.peers.broadcast({ type: "leaving" });
-        this.register({ hasLeft: true });
-        await Promise.race([released, sleep(releaseWaitMs)]);
-        await sleep(Math.max(0, stoppedAt + balancerNoticeMs - readNow()));
+        this.appendMember({ hasLeft: true });
+        await Promise.race([released, wait(releaseWaitMs)]);
+        await wait(Math.max(0, stoppedAt + balancerNoticeMs - readNow()));
         this.callerServer.close();
         while (this.serving.openCount > 0 && readNow() - stoppedAt < graceMs * graceShare) {
-            await sleep(20);
+            await wait(20);
         }
         this.log.recordImportant("stopped", { openRequests: this.serving.openCount });
         this.callerServer.closeAllConnections();
@@ -519,10 +519,10 @@
     return `${address.host}:${address.port}`;
 }
 
-async function listen(app: Polka, address: ListenAddress): Promise<void> {
+async function startListening(app: Polka, address: ListenAddress): Promise<void> {
     await new Promise<void>(resolve => app.listen(address.port, address.host, () => resolve()));
 }
 
-async function sleep(ms: number): Promise<void> {
+async function wait(ms: number): Promise<void> {
     await new Promise<void>(resolve => setTimeout(resolve, ms));
 }
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -77,7 +77,7 @@
     readonly log: DecisionLog;
     readonly readTime: () => number;
     readonly askLoad: (engine: string, want: AdapterWant) => void;
-    readonly reportMissing: (engine: string, key: string) => void;
+    readonly sendMissing: (engine: string, key: string) => void;
     readonly recordStart: (engine: string, key: string) => void;
     readonly onRefusal: (reason: RefusalReason) => void;
     readonly onRetry: (reason: string) => void;
@@ -130,7 +130,7 @@
     }
 
     /** Lets requests that wait for an adapter or an upstream look again. */
-    notifyChange(): void {
+    receiveChange(): void {
         const waiters = [...this.waiters];
         this.waiters.clear();
         for (const wake of waiters) {
@@ -309,7 +309,9 @@
         }
         const engine = choice.state.upstream.id;
         const isWaiting = job.asked !== undefined && now - job.asked.at < askElsewhereMs;
-        if (isWaiting && job.asked?.engine !== engine && this.options.view.findUpstream(job.asked!.engine) !== undefined) {
+        if (
+            isWaiting && job.asked?.engine !== engine && this.options.view.findUpstream(job.asked!.engine) !== undefined
+        ) {
             // Its load is under way on the engine that was asked first.
             return;
         }
@@ -428,7 +430,7 @@
 
     /** Learns from the end of an attempt. */
     private recordAttempt(job: Job, choice: UpstreamChoice, end: AttemptEnd, sentAt: number): void {
-        const { readTime, reportMissing } = this.options;
+        const { readTime, sendMissing } = this.options;
         const now = readTime();
         const { upstream, health } = choice.state;
         const { model } = job.demand;
@@ -458,7 +460,7 @@
                     return;
                 }
                 if (model?.adapter !== undefined) {
-                    reportMissing(upstream.id, formatAdapterKey(model.model, model.adapter));
+                    sendMissing(upstream.id, formatAdapterKey(model.model, model.adapter));
                 }
                 job.tried.set(upstream.id, { costMs: Infinity, until: now + rejectedPauseMs });
                 return;
@@ -480,7 +482,7 @@
         if (last?.kind === "failed") {
             const headers = this.options.dialect.listAnswerHeaders(last.headers);
             if (job.caller.hasHead) {
-                job.caller.breakOff();
+                job.caller.cancelAnswer();
                 return;
             }
             job.caller.startAnswer(last.status, createBodyHeaders(headers, last.body));
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -19,6 +19,7 @@
 const only = process.argv.slice(2);
 const files = [
     "test/dist",
+    "platform/dist/test",
     ...readdirSync(path.join(root, "packages")).sort().map(name => path.join("packages", name, "dist/test")),
 ].filter(directory => existsSync(path.join(root, directory)))
     .flatMap(directory => readdirSync(path.join(root, directory)).sort().map(name => path.join(directory, name)))
