--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -113,6 +113,17 @@
     | { readonly kind: "report"; }
     | { readonly kind: "wait"; readonly untilMs: number; };
 
+/** Places of an engine by what they are used for. */
+export interface PlaceCounts {
+    inUse: number;
+    popular: number;
+    idle: number;
+    moving: number;
+    free: number;
+    /** Adapters that wait for one. */
+    queued: number;
+}
+
 interface Place {
     /** `retiring`: all VMs are told that it goes, and it will be ordered to. */
     state: "loaded" | "loading" | "retiring" | "unloading" | "unknown";
@@ -192,6 +203,34 @@
             .map(([key]) => key);
     }
 
+    /** How the places are used, for what is told to people. */
+    countPlaces(now: number, countUses: (key: string) => number): PlaceCounts {
+        const counts: PlaceCounts = {
+            inUse: 0,
+            popular: 0,
+            idle: 0,
+            moving: 0,
+            free: 0,
+            queued: this.listQueued().length,
+        };
+        for (const [key, place] of this.places) {
+            if (place.state !== "loaded") {
+                counts.moving += 1;
+            }
+            else if (countUses(key) > 0) {
+                counts.inUse += 1;
+            }
+            else if (readPopularity(place, now) >= popularUses) {
+                counts.popular += 1;
+            }
+            else {
+                counts.idle += 1;
+            }
+        }
+        counts.free = this.limits.adapterPlaces - this.places.size;
+        return counts;
+    }
+
     setLimits(limits: EngineLimits): void {
         this.limits = limits;
     }
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -360,6 +360,7 @@
             sequence: order.expectedSequence,
             fence: owned.fence,
             answer,
+            places: owned.places.countPlaces(now, key => this.options.view.readLoad(owned.id).uses[key] ?? 0),
             ms: Math.round(now - sentAt),
         });
         owned.isWorking = false;
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -106,7 +106,7 @@
     start(receiver: ClusterReceiver): void;
     stop(): void;
     /** Makes this VM known to others, in place of what it said before. Retried until it is done. */
-    register(member: Member): void;
+    appendMember(member: Member): void;
 }
 
 /** The shards that a VM holds, and the generation of the deal. */
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -291,7 +291,7 @@
     /** Writes this VM's entry, in place of what it said before. */
     private appendMember(state: { readonly generation?: number; readonly hasLeft?: boolean; }): void {
         const { settings, store } = this.options;
-        store.register({ id: settings.vm, address: formatAddress(settings.peers), ...state });
+        store.appendMember({ id: settings.vm, address: formatAddress(settings.peers), ...state });
     }
 
     private receiveMember(member: Member): void {
