--- a/packages/node/src/attempt.ts
+++ b/packages/node/src/attempt.ts
@@ -34,6 +34,11 @@
     lastEventId: string | undefined;
     /** Events that the caller got. */
     events: number;
+    /** When the first one went to the caller; undefined before that. */
+    firstEventAt: number | undefined;
+    lastEventAt: number;
+    /** Longest pause between two events, in milliseconds. */
+    longestPauseMs: number;
 }
 
 /** Options of {@link Attempt}. */
@@ -223,7 +228,7 @@
         if (!caller.hasHead) {
             caller.startAnswer(this.status, dialect.listAnswerHeaders(this.headers), this.isUnframed);
         }
-        progress.events += fresh.length;
+        recordProgress(progress, fresh.length, this.options.readTime());
         progress.lastEventId = fresh.at(-1)!.id ?? progress.lastEventId;
         this.pass(Buffer.concat(fresh.map(event => event.bytes)));
     }
@@ -318,6 +323,17 @@
     }
 }
 
+function recordProgress(progress: StreamProgress, events: number, now: number): void {
+    if (progress.firstEventAt === undefined) {
+        progress.firstEventAt = now;
+    }
+    else {
+        progress.longestPauseMs = Math.max(progress.longestPauseMs, now - progress.lastEventAt);
+    }
+    progress.lastEventAt = now;
+    progress.events += events;
+}
+
 /** Whether an answer says by itself where it ends. */
 function hasFrame(headers: RawHeaders): boolean {
     return headers.some((name, index) =>
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -190,7 +190,13 @@
             startedAt,
             deadlineAt: startedAt + timeMs,
             tried: new Map(),
-            progress: { lastEventId: demand.lastEventId, events: 0 },
+            progress: {
+                lastEventId: demand.lastEventId,
+                events: 0,
+                firstEventAt: undefined,
+                lastEventAt: 0,
+                longestPauseMs: 0,
+            },
             runs: 0,
             rejections: 0,
             attempts: 0,
@@ -517,6 +523,7 @@
     }
 
     private recordEnd(job: Job, kind: string, choice: UpstreamChoice): void {
+        const { firstEventAt } = job.progress;
         this.options.log.record("served", {
             request: job.demand.requestId,
             route: job.route.name,
@@ -525,6 +532,8 @@
             ms: Math.round(this.options.readTime() - job.startedAt),
             attempts: job.attempts,
             events: job.progress.events,
+            firstEventMs: firstEventAt === undefined ? undefined : Math.round(firstEventAt - job.startedAt),
+            longestPauseMs: Math.round(job.progress.longestPauseMs),
         });
     }
 }
