--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -67,19 +67,19 @@
         if (generation < this.generation) {
             return;
         }
-        // Without a change of generation nobody else can have held a shard, however long ago the last renewal was.
-        const mayHaveMoved = now >= this.validUntil && generation !== this.generation;
+        // A shard held in two deals in a row had no other holder. Over deals that this VM did not see it may have had one.
+        const mayHaveMoved = generation - this.generation > 1;
         this.generation = generation;
         this.renewUntil(sentAt);
         const held = new Set(shards);
         for (const [shard, claim] of this.claims) {
             const isHandedOver = claim.depth > 0 && claim.generation === generation;
-            if (!held.has(shard) && !isHandedOver) {
+            if (mayHaveMoved || (!held.has(shard) && !isHandedOver)) {
                 this.endClaim(shard, now);
             }
         }
         for (const shard of held) {
-            if (!this.claims.has(shard) || mayHaveMoved) {
+            if (!this.claims.has(shard)) {
                 this.claims.set(shard, {
                     generation,
                     mayOrderAt: now + this.readWaitMs(shard, generation, now),
@@ -218,6 +218,14 @@
         return claim !== undefined && now < this.validUntil && now >= claim.mayOrderAt;
     }
 
+    /**
+     * Shards whose release may be told: those whose earlier holders have all stopped. One that this VM was still waiting
+     * for may be in use by the holder before it.
+     */
+    listReleasable(now: number): number[] {
+        return [...this.claims].filter(([, claim]) => now >= claim.mayOrderAt).map(([shard]) => shard);
+    }
+
     listShards(): number[] {
         return [...this.claims.keys()];
     }
--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -1,6 +1,7 @@
 import type { FleetView } from "@radishreel/fleet";
 import { RouteTable } from "@radishreel/routing";
 import type { DecisionLog } from "./decisions.js";
+import type { ReadPositions } from "./messages.js";
 import type { ClusterChange, Member } from "./ports.js";
 
 /**
@@ -27,6 +28,8 @@
 export class ClusterState {
     private table: RouteTable | undefined;
     private routingPosition = -1;
+    private operatorPosition = -1;
+    private upstreamPosition = -1;
     private readonly positions = new Map<string, number>();
     private readonly changes = new Map<string, ClusterChange>();
     private readonly lapsed = new Map<string, number>();
@@ -45,6 +48,16 @@
         return [...this.changes.values()];
     }
 
+    /** How far has been read, from the store or from peers. */
+    get readPositions(): ReadPositions {
+        return { operator: this.operatorPosition, upstreams: this.upstreamPosition };
+    }
+
+    /** What a VM that has read so far lacks. */
+    listChangesAfter(positions: ReadPositions): ClusterChange[] {
+        return this.listChanges().filter(change => change.position > readKindPosition(positions, change));
+    }
+
     /** Takes changes, and returns those that were new. */
     applyChanges(changes: readonly ClusterChange[]): ClusterChange[] {
         const fresh = changes.filter(change => this.applyChange(change));
@@ -95,6 +108,7 @@
         }
         this.positions.set(item, change.position);
         this.changes.set(item, change);
+        this.recordPosition(change);
         switch (change.kind) {
             case "routing":
                 this.applyRouting(change);
@@ -116,6 +130,15 @@
         return true;
     }
 
+    private recordPosition(change: ClusterChange): void {
+        if (isOperatorChange(change)) {
+            this.operatorPosition = Math.max(this.operatorPosition, change.position);
+        }
+        else if (change.kind !== "member") {
+            this.upstreamPosition = Math.max(this.upstreamPosition, change.position);
+        }
+    }
+
     private applyRouting(change: Extract<ClusterChange, { kind: "routing"; }>): void {
         if (change.routing.version < (this.table?.routing.version ?? -Infinity)) {
             return;
@@ -154,6 +177,14 @@
     }
 }
 
+function isOperatorChange(change: ClusterChange): boolean {
+    return change.kind === "routing" || change.kind === "version";
+}
+
+function readKindPosition(positions: ReadPositions, change: ClusterChange): number {
+    return isOperatorChange(change) ? positions.operator : positions.upstreams;
+}
+
 function formatUpstreamItem(id: string): string {
     return `upstream ${id}`;
 }
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -11,6 +11,12 @@
 
 const position = z.number();
 
+/** Highest positions read: of routes and versions, and of upstreams. */
+const positionsSchema = z.object({ operator: position, upstreams: position });
+
+/** See {@link positionsSchema}. */
+export type ReadPositions = z.infer<typeof positionsSchema>;
+
 /** See `ClusterChange` in ports.ts. */
 const changeSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("routing"), routing: routingSchema, position }),
@@ -26,6 +32,10 @@
     z.object({ type: z.literal("members"), members: z.array(memberSchema) }),
     /** What the store said. The whole state when a link opens; after that only to VMs that asked for it. */
     z.object({ type: z.literal("changes"), changes: z.array(changeSchema) }),
+    /** How far the sender has read. */
+    z.object({ type: z.literal("positions"), positions: positionsSchema }),
+    /** The sender lacks changes that the receiver has read, and how far it has read itself. */
+    z.object({ type: z.literal("pull"), positions: positionsSchema }),
     /** Whether the sender wants every change that others read, since it cannot read the store. */
     z.object({ type: z.literal("follow"), isWanted: z.boolean() }),
     /** The whole load that the sender puts on upstreams, and the requests that it began since the last such message. */
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -126,7 +126,7 @@
     async stop(): Promise<void> {
         this.isStopped = true;
         clearInterval(this.renewTimer);
-        const shards = this.clock.listShards();
+        const shards = this.clock.listReleasable(this.bootClock.read());
         const deal = this.clock.deal;
         const depth = 1 + Math.max(0, ...shards.map(shard => this.clock.readDepth(shard)));
         const canOrder = this.clock.isSettled(this.bootClock.read());
@@ -404,11 +404,12 @@
     /** Takes another VM's answer to a query. */
     receiveClaimState(vm: string, state: ClaimState): void {
         const { openQuery } = this;
+        const releasable = this.clock.listReleasable(this.bootClock.read());
         const dropped = this.clock.revokeShards(state.shards, state.generation, this.bootClock.read());
         if (dropped.length > 0) {
             this.options.log.recordImportant("shardsLost", { to: vm, shards: dropped, generation: state.generation });
             this.update();
-            this.options.sendRelease(dropped, this.clock.deal);
+            this.options.sendRelease(dropped.filter(shard => releasable.includes(shard)), this.clock.deal);
         }
         if (state.query !== openQuery.query) {
             return;
@@ -459,7 +460,7 @@
         if (deal.generation !== this.clock.deal) {
             this.options.log.recordImportant("shardsDealt", deal);
         }
-        const held = this.clock.listShards();
+        const held = this.clock.listReleasable(this.bootClock.read());
         const generation = this.clock.deal;
         this.renewedAt = sentAt;
         this.clock.applyRenewal(deal.generation, deal.shards, sentAt, this.bootClock.read());
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -7,7 +7,7 @@
 import { ClusterState } from "./cluster.js";
 import { ConnectionPool } from "./connections.js";
 import { DecisionLog, type LineSink } from "./decisions.js";
-import type { PeerMessage } from "./messages.js";
+import type { PeerMessage, ReadPositions } from "./messages.js";
 import { NodeMetrics } from "./metrics.js";
 import { type Handover, Owning } from "./owning.js";
 import { Peers } from "./peers.js";
@@ -25,6 +25,9 @@
 /** How often load is told to other VMs while it changes, in milliseconds: a fraction of a prompt's reading time. */
 const loadIntervalMs = 15;
 
+/** Time in which this VM reads by itself what another one has read, in milliseconds: usual reads differ by some 10 ms. */
+const ownReadMs = 300;
+
 /** How often slow checks run, in milliseconds. */
 const housekeepingMs = 250;
 
@@ -171,6 +174,7 @@
         for (const vm of this.followers) {
             this.peers.send(vm, { type: "changes", changes: fresh });
         }
+        this.peers.broadcast({ type: "positions", positions: this.cluster.readPositions });
         this.receiveVersions(fresh);
     }
 
@@ -351,6 +355,12 @@
             case "changes":
                 this.receiveChanges(message.changes);
                 return;
+            case "positions":
+                this.receivePositions(vm, message.positions);
+                return;
+            case "pull":
+                this.peers.send(vm, { type: "changes", changes: this.cluster.listChangesAfter(message.positions) });
+                return;
             case "follow":
                 if (message.isWanted) {
                     this.followers.add(vm);
@@ -392,6 +402,26 @@
         }
     }
 
+    /**
+     * Another VM has read further. If this VM does not follow by itself, its connection to the store may have gone silent:
+     * then the other one tells what it has.
+     */
+    private receivePositions(vm: string, told: ReadPositions): void {
+        const isBehind = (): boolean => {
+            const own = this.cluster.readPositions;
+            return own.operator < told.operator || own.upstreams < told.upstreams;
+        };
+        if (!isBehind()) {
+            return;
+        }
+        setTimeout(() => {
+            if (isBehind()) {
+                this.log.recordImportant("behindPeer", { peer: vm, told, own: this.cluster.readPositions });
+                this.peers.send(vm, { type: "pull", positions: this.cluster.readPositions });
+            }
+        }, ownReadMs);
+    }
+
     private receiveLoad(vm: string, message: Extract<PeerMessage, { type: "load"; }>): void {
         this.view.updateLoads(vm, new Map(Object.entries(message.loads)));
         for (const { engine, key, count } of message.starts) {
