Leave a shard in use over several deals at once where its holder was confirmed at short intervals

Cause: the strict rule for deals that a VM did not see stopped all loads for 3 s whenever two VMs lapsed together.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -2,6 +2,12 @@
 export interface ClaimClockOptions {
     /** How long a renewed claim lets its holder give orders, in milliseconds, counted from sending the renewal. */
     readonly useMs: number;
+    /**
+     * How long a new holder waits beyond `useMs`, in milliseconds. It must have been confirmed for longer than this before
+     * it orders, so that a holder that is confirmed at shorter intervals knows that nobody ordered in between, although the
+     * shards were dealt several times.
+     */
+    readonly settleMs: number;
     /** Two holders of one engine must not give orders within this time of each other, in milliseconds. */
     readonly turnMs: number;
     /** When this VM's process started: the one before it may have given orders until then. */
@@ -28,8 +34,8 @@
  * the time in which the VM was suspended.
  *
  * The platform may deal shards anew at any moment without telling the holder before its next renewal. So a holder stops
- * `useMs` after it sent the last renewal that was confirmed, and a new holder begins only `useMs` after it learned of
- * its claim.
+ * `useMs` after it sent the last renewal that was confirmed, and a new holder begins only `useMs + settleMs` after
+ * it learned of its claim.
  */
 export class ClaimClock {
     private readonly claims = new Map<number, Claim>();
@@ -67,8 +73,10 @@
         if (generation < this.generation) {
             return;
         }
-        // A shard held in two deals in a row had no other holder. Over deals that this VM did not see it may have had one.
-        const mayHaveMoved = generation - this.generation > 1;
+        // A shard held in two deals in a row had no other holder. Over deals that this VM did not see it may have had one,
+        // which has ordered only if it was confirmed for longer than `settleMs`.
+        const provenAt = this.validUntil - this.options.useMs;
+        const mayHaveMoved = generation - this.generation > 1 && now - provenAt > this.options.settleMs;
         this.generation = generation;
         this.renewUntil(sentAt);
         const held = new Set(shards);
@@ -173,7 +181,7 @@
      */
     private readWaitMs(shard: number, generation: number, now: number): number {
         const release = this.released.get(shard);
-        const lapseMs = release?.generation === generation - 1 ? 0 : this.options.useMs;
+        const lapseMs = release?.generation === generation - 1 ? 0 : this.options.useMs + this.options.settleMs;
         const heldUntil = this.heldUntil.get(shard) ?? this.startedAt;
         const alternateMs = Math.max(0, heldUntil + this.options.turnMs - now);
         return Math.max(lapseMs, alternateMs);
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -15,6 +15,9 @@
 /** How often claims are renewed, in milliseconds: two renewals may be lost before a claim lapses. */
 const renewMs = 400;
 
+/** How long a new holder is confirmed before it orders, beyond the time of use, in milliseconds: two renewals. */
+const claimSettleMs = 2 * renewMs;
+
 /** Other VMs are asked about claims once the last answered renewal is this old, in milliseconds. */
 const askPeersAfterMs = 550;
 
@@ -95,6 +98,7 @@
     constructor(private readonly options: OwningOptions) {
         this.clock = new ClaimClock({
             useMs: claimUseMs,
+            settleMs: claimSettleMs,
             turnMs: options.turnMs,
             startedAt: this.bootClock.read(),
         });
