--- /dev/null
+++ b/packages/fleet/test/choose.test.ts
@@ -0,0 +1,161 @@
+import type { Service } from "@radishreel/routing";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+    chooseEngine,
+    chooseServer,
+    type EngineNews,
+    FleetView,
+    KeptParts,
+    type ModelDemand,
+    rankHomes,
+    type Upstream,
+} from "../src/index.js";
+
+const engines: Service = {
+    name: "llm",
+    maxConnections: 100,
+    engine: { batchSlots: 64, kvTokens: 200_000, adapterPlaces: 9, weightsMb: 44_000, loadsPerSecond: 2, models: [] },
+};
+const desk: Service = { name: "desk", maxConnections: 100 };
+
+function createUpstream(id: string, upstream: Partial<Upstream> = {}): Upstream {
+    return {
+        id,
+        service: "llm",
+        address: "127.0.0.1:1",
+        dataCentre: "depot",
+        isLeaving: false,
+        slots: 64,
+        models: [{ name: "base", version: 1, adapters: [] }],
+        sequence: 0,
+        ...upstream,
+    };
+}
+
+function createNews(engine: string, news: Partial<EngineNews> = {}): EngineNews {
+    return { engine, fence: 1, revision: 1, canOrder: true, held: {}, coming: [], queued: [], ...news };
+}
+
+function createDemand(demand: Partial<ModelDemand> = {}): ModelDemand {
+    return { model: "base", adapter: "a1", promptTokens: 1000, maxOutputTokens: 100, parts: [], ...demand };
+}
+
+function createView(ids: string[]): FleetView {
+    const view = new FleetView();
+    for (const id of ids) {
+        view.updateUpstream(createUpstream(id), 0);
+        view.updateNews("vm", createNews(id));
+    }
+    return view;
+}
+
+function choose(view: FleetView, demand = createDemand(), now = 10, penalties = new Map<string, number>()) {
+    return chooseEngine({
+        view,
+        service: engines,
+        dataCentre: "depot",
+        now,
+        penalties,
+        demand,
+        findKeptTokens: () => 0,
+    });
+}
+
+test("an engine that holds the adapter is chosen before one that would have to load it", () => {
+    const view = createView(["e1", "e2", "e3"]);
+    view.updateNews("vm", createNews("e2", { revision: 2, held: { "base/a1": 1 } }));
+    const choice = choose(view);
+    assert.is(choice?.state.upstream.id, "e2");
+    assert.is(choice?.isReady, true);
+    assert.is(choice?.version, 1);
+});
+
+test("an adapter that nobody holds is loaded on its home, the same on every VM", () => {
+    const first = choose(createView(["e1", "e2", "e3"]));
+    const second = choose(createView(["e3", "e2", "e1"]));
+    assert.is(first?.isReady, false);
+    assert.is(first?.state.upstream.id, second?.state.upstream.id);
+});
+
+test("a second copy is loaded only once the first engine is far behind", () => {
+    const view = createView(["e1", "e2"]);
+    view.updateNews("vm", createNews("e1", { revision: 2, held: { "base/a1": 1 } }));
+    const addBacklog = (tokens: number) =>
+        view.ownLoad.add({ upstream: "e1", backlogTokens: tokens, kvTokens: 0, adapterKey: undefined });
+    addBacklog(9000);
+    assert.is(choose(view)?.state.upstream.id, "e1");
+    addBacklog(40_000);
+    assert.is(choose(view)?.state.upstream.id, "e2");
+});
+
+test("an old version answers for a short time after a newer one is named, and then no more", () => {
+    const view = createView(["e1"]);
+    view.updateNews("vm", createNews("e1", { revision: 2, held: { "base/a1": 1 } }));
+    view.updateNewestVersion("base/a1", 2, 1000);
+    assert.is(choose(view, createDemand(), 2000)?.version, 1);
+    assert.is(choose(view, createDemand(), 3600)?.isReady, false);
+    view.updateNews("vm", createNews("e1", { revision: 3, held: { "base/a1": 2 } }));
+    assert.is(choose(view, createDemand(), 3600)?.version, 2);
+});
+
+test("no engine is chosen for a load that nobody may order", () => {
+    const view = createView(["e1"]);
+    view.removeVm("vm");
+    assert.is(choose(view), undefined);
+});
+
+test("an engine that leaves, or is gone soon, gets nothing new", () => {
+    const view = createView(["e1", "e2"]);
+    const demand = createDemand({ adapter: undefined });
+    view.updateUpstream(createUpstream("e1", { isLeaving: true }), 10);
+    view.updateUpstream(createUpstream("e2", { remainingMs: 1000 }), 10);
+    assert.is(choose(view, demand), undefined);
+});
+
+test("an engine without room for a request's tokens is the last choice", () => {
+    const view = createView(["e1", "e2"]);
+    view.ownLoad.add({ upstream: "e1", backlogTokens: 0, kvTokens: 190_000, adapterKey: undefined });
+    view.ownLoad.add({ upstream: "e2", backlogTokens: 20_000, kvTokens: 20_000, adapterKey: undefined });
+    assert.is(choose(view, createDemand({ adapter: undefined }))?.state.upstream.id, "e2");
+});
+
+test("a server that cannot be reached, or fails, is avoided, and used if there is no other", () => {
+    const view = new FleetView();
+    view.updateUpstream(createUpstream("s1", { service: "desk", slots: 6 }), 0);
+    view.updateUpstream(createUpstream("s2", { service: "desk", slots: 6 }), 0);
+    const options = { view, service: desk, dataCentre: "depot", now: 100 };
+    view.findUpstream("s1")!.health.recordUnreachable(90);
+    assert.is(chooseServer({ ...options, penalties: new Map() })?.state.upstream.id, "s2");
+    assert.is(chooseServer({ ...options, penalties: new Map([["s2", Infinity]]) })?.state.upstream.id, "s1");
+});
+
+test("news of an earlier owner, or older news of the same one, change nothing", () => {
+    const view = createView(["e1"]);
+    assert.is(view.updateNews("b", createNews("e1", { fence: 3, revision: 0, held: { "base/a1": 1 } })), true);
+    assert.is(view.updateNews("a", createNews("e1", { fence: 2, revision: 9 })), false);
+    assert.is(view.updateNews("b", createNews("e1", { fence: 3, revision: 0 })), false);
+    assert.is(view.findUpstream("e1")?.owner, "b");
+});
+
+test("homes move only for keys of an engine that goes", () => {
+    const items = ["e1", "e2", "e3", "e4"].map(id => ({ id }));
+    for (let index = 0; index < 50; index++) {
+        const before = rankHomes(`k${index}`, items)[0]!.id;
+        const after = rankHomes(`k${index}`, items.filter(({ id }) => id !== "e4"))[0]!.id;
+        assert.ok(before === "e4" || before === after);
+    }
+});
+
+test("kept parts count from the start of the prompt, for the same adapter, as long as they are fresh", () => {
+    const kept = new KeptParts();
+    const demand = createDemand({ parts: [{ id: "p", tokens: 100 }, { id: "q", tokens: 50 }, { id: "r", tokens: 9 }] });
+    kept.record("e1", demand, 0);
+    const other = { ...demand, parts: [{ id: "p", tokens: 100 }, { id: "x", tokens: 5 }, { id: "r", tokens: 9 }] };
+    assert.is(kept.countKeptTokens("e1", other, 10), 100);
+    assert.is(kept.countKeptTokens("e1", { ...other, adapter: "a2" }, 10), 0);
+    assert.is(kept.countKeptTokens("e2", other, 10), 0);
+    assert.is(kept.countKeptTokens("e1", other, 60_000), 0);
+});
+
+test.run();
--- /dev/null
+++ b/packages/fleet/test/places.test.ts
@@ -0,0 +1,246 @@
+import type { EngineLimits } from "@radishreel/routing";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type EngineOrder, EnginePlaces, type EngineReport, formatAdapterKey, type OrderAnswer } from "../src/index.js";
+
+const model = "base";
+const limits: EngineLimits = {
+    batchSlots: 64,
+    kvTokens: 200_000,
+    adapterPlaces: 4,
+    weightsMb: 44_000,
+    loadsPerSecond: 2,
+    models: [],
+};
+
+/** What becomes of an order on its way. */
+type Fate = "answered" | "answerLost" | "late";
+
+interface LateOrder {
+    readonly order: EngineOrder;
+    readonly at: number;
+}
+
+/** An engine as its interface tells it: places, a sequence, loads that take time, unloads that wait for runs. */
+class ModelEngine {
+    now = 0;
+    sequence = 0;
+    readonly held = new Map<string, number>();
+    readonly coming = new Map<string, number>();
+    readonly going = new Set<string>();
+    readonly runs = new Map<string, number>();
+    readonly late: LateOrder[] = [];
+    overLimit = 0;
+
+    apply(order: EngineOrder): OrderAnswer {
+        if (order.expectedSequence !== this.sequence) {
+            return this.findHeld(order) ?? "conflict";
+        }
+        const known = this.findHeld(order);
+        if (known !== undefined) {
+            return known;
+        }
+        const key = formatAdapterKey(order.model, order.adapter!);
+        if (order.action === "unload") {
+            this.sequence += 1;
+            if ((this.runs.get(key) ?? 0) > 0) {
+                this.going.add(key);
+                return "accepted";
+            }
+            this.held.delete(key);
+            return "holds";
+        }
+        this.sequence += 1;
+        this.coming.set(key, this.now + 250);
+        if (new Set([...this.held.keys(), ...this.coming.keys()]).size > limits.adapterPlaces) {
+            this.overLimit += 1;
+        }
+        return "accepted";
+    }
+
+    advance(ms: number): void {
+        this.now += ms;
+        for (const [key, at] of this.coming) {
+            if (at <= this.now) {
+                this.coming.delete(key);
+                this.held.set(key, 1);
+            }
+        }
+        for (const key of this.going) {
+            if ((this.runs.get(key) ?? 0) === 0) {
+                this.going.delete(key);
+                this.held.delete(key);
+            }
+        }
+        for (const entry of this.late.splice(0)) {
+            if (entry.at > this.now) {
+                this.late.push(entry);
+            }
+            else {
+                this.apply(entry.order);
+            }
+        }
+    }
+
+    readReport(): EngineReport {
+        const adapters = [...this.held].map(([key, version]) => ({ name: key.split("/")[1]!, version }));
+        return {
+            models: [{ name: model, version: 1, adapters }],
+            coming: [...this.coming.keys()],
+            sequence: this.sequence,
+            isBusy: false,
+        };
+    }
+
+    private findHeld(order: EngineOrder): OrderAnswer | undefined {
+        const key = formatAdapterKey(order.model, order.adapter!);
+        if (order.action === "load") {
+            return this.held.has(key) ? "holds" : this.coming.has(key) ? "accepted" : undefined;
+        }
+        return this.going.has(key) ? "accepted" : this.held.has(key) ? undefined : "holds";
+    }
+}
+
+function createPlaces(engine: ModelEngine): EnginePlaces {
+    return new EnginePlaces({ limits, models: engine.readReport().models, sequence: 0, now: 0 });
+}
+
+/** Carries out what the plan says until it waits. */
+function runPlan(engine: ModelEngine, places: EnginePlaces, readFate: () => Fate): void {
+    for (let steps = 0; steps < 20; steps++) {
+        const step = places.decide(engine.now, key => engine.runs.get(key) ?? 0);
+        if (step.kind === "wait") {
+            return;
+        }
+        if (step.kind === "report") {
+            places.applyReport(engine.readReport(), engine.now, engine.now);
+            continue;
+        }
+        const fate = readFate();
+        if (fate === "late") {
+            engine.late.push({ order: step.order, at: engine.now + 5000 });
+            places.applyAnswer(step.order, "unknown", engine.now);
+            continue;
+        }
+        const answer = engine.apply(step.order);
+        places.applyAnswer(step.order, fate === "answered" ? answer : "unknown", engine.now);
+    }
+}
+
+function runFor(engine: ModelEngine, places: EnginePlaces, ms: number): void {
+    for (let elapsed = 0; elapsed < ms; elapsed += 10) {
+        engine.advance(10);
+        runPlan(engine, places, () => "answered");
+    }
+}
+
+test("a wanted adapter is loaded, told to be on its way, and told as held once the engine says so", () => {
+    const engine = new ModelEngine();
+    const places = createPlaces(engine);
+    runPlan(engine, places, () => "answered");
+    places.addWant("base/a1", undefined, 500, 0);
+    runPlan(engine, places, () => "answered");
+    assert.equal(places.listComing(), ["base/a1"]);
+    assert.equal(places.listHeld(), {});
+    runFor(engine, places, 300);
+    assert.equal(places.listComing(), []);
+    assert.equal(Object.keys(places.listHeld()), ["base/a1"]);
+});
+
+test("a popular adapter keeps its place against one that nobody has waited long for", () => {
+    const engine = new ModelEngine();
+    const places = createPlaces(engine);
+    for (const name of ["a1", "a2", "a3"]) {
+        places.addWant(`base/${name}`, undefined, 500, engine.now);
+        runFor(engine, places, 300);
+    }
+    for (let uses = 0; uses < 6; uses++) {
+        places.recordUse("base/a1", engine.now);
+        places.recordUse("base/a2", engine.now);
+    }
+    runFor(engine, places, 600);
+    places.addWant("base/a4", undefined, 500, engine.now);
+    runFor(engine, places, 320);
+    const held = Object.keys(places.listHeld());
+    assert.ok(held.includes("base/a1") && held.includes("base/a2") && held.includes("base/a4"), held.join());
+});
+
+test("an adapter in use is not evicted, and one that is just loaded stays for the request that waited for it", () => {
+    const engine = new ModelEngine();
+    const places = createPlaces(engine);
+    for (const name of ["a1", "a2", "a3", "a4"]) {
+        places.addWant(`base/${name}`, undefined, 500, engine.now);
+        runFor(engine, places, 300);
+        engine.runs.set(`base/${name}`, 1);
+        places.recordUse(`base/${name}`, engine.now);
+    }
+    runFor(engine, places, 1000);
+    places.addWant("base/a5", undefined, 500, engine.now);
+    runFor(engine, places, 300);
+    assert.is(Object.keys(places.listHeld()).length, 4);
+    engine.runs.set("base/a2", 0);
+    for (let again = 0; again < 6; again++) {
+        places.addWant("base/a5", undefined, 500, engine.now);
+        runFor(engine, places, 100);
+    }
+    assert.ok("base/a5" in places.listHeld());
+    assert.ok(!("base/a2" in places.listHeld()));
+});
+
+test("shorter runs are loaded first, and age wins in the end", () => {
+    const engine = new ModelEngine();
+    const places = createPlaces(engine);
+    runPlan(engine, places, () => "answered");
+    places.addWant("base/long", undefined, 3000, 0);
+    places.addWant("base/short", undefined, 300, 100);
+    assert.equal(places.listQueued(), ["base/short", "base/long"]);
+    const aged = createPlaces(engine);
+    aged.addWant("base/long", undefined, 3000, 0);
+    aged.addWant("base/short", undefined, 300, 1200);
+    assert.equal(aged.listQueued(), ["base/long", "base/short"]);
+});
+
+test("a newer version replaces the one that is held", () => {
+    const engine = new ModelEngine();
+    const places = createPlaces(engine);
+    places.addWant("base/a1", undefined, 500, 0);
+    runFor(engine, places, 300);
+    places.addWant("base/a1", 2, 500, engine.now);
+    const step = places.decide(engine.now, () => 0);
+    assert.is(step.kind === "order" ? step.order.version : undefined, 2);
+});
+
+test("an engine without its base model gets it before any adapter", () => {
+    const places = new EnginePlaces({ limits, models: [], sequence: 0, now: 0 });
+    places.applyReport({ models: [], coming: [], sequence: 0, isBusy: false }, 0, 0);
+    places.addWant("base/a1", undefined, 500, 0);
+    const step = places.decide(0, () => 0);
+    assert.equal(step.kind === "order" ? [step.order.action, step.order.adapter] : [], ["load", undefined]);
+});
+
+test("no order asks for more adapters than there are places, whatever answers are lost or come late", () => {
+    const step = fc.record({
+        name: fc.nat(9),
+        waitMs: fc.nat(200),
+        run: fc.nat(9),
+        runs: fc.nat(2),
+        fate: fc.constantFrom<Fate>("answered", "answered", "answered", "answerLost", "late"),
+    });
+    fc.assert(
+        fc.property(fc.array(step, { minLength: 50, maxLength: 300 }), steps => {
+            const engine = new ModelEngine();
+            const places = createPlaces(engine);
+            for (const { name, waitMs, run, runs, fate } of steps) {
+                engine.advance(waitMs);
+                engine.runs.set(`base/a${run}`, engine.held.has(`base/a${run}`) ? runs : 0);
+                places.addWant(`base/a${name}`, undefined, 500, engine.now);
+                runPlan(engine, places, () => fate);
+                assert.is(engine.overLimit, 0);
+            }
+        }),
+        { seed: 3, numRuns: 300 },
+    );
+});
+
+test.run();
--- /dev/null
+++ b/packages/node/test/units.test.ts
@@ -0,0 +1,211 @@
+import { FleetView, type Upstream } from "@radishreel/fleet";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { BootClock } from "../src/clock.js";
+import { ClusterState } from "../src/cluster.js";
+import { DecisionLog } from "../src/decisions.js";
+import { EventSplitter } from "../src/events.js";
+import type { ClusterChange } from "../src/ports.js";
+
+test("events come out whole and in order, however the bytes are cut", () => {
+    const text = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: comment\n\nid: 3\r\ndata: d\r\n\r\n";
+    fc.assert(
+        fc.property(fc.array(fc.integer({ min: 1, max: 12 }), { minLength: 1, maxLength: 80 }), sizes => {
+            const splitter = new EventSplitter();
+            const bytes = Buffer.from(text);
+            const events = [];
+            let at = 0;
+            for (let index = 0; at < bytes.length; index++) {
+                const size = sizes[index % sizes.length]!;
+                events.push(...splitter.receive(bytes.subarray(at, at + size)));
+                at += size;
+            }
+            assert.is(Buffer.concat(events.map(event => event.bytes)).toString(), text);
+            assert.equal(events.map(event => event.id), ["1", "2", undefined, "3"]);
+            assert.is(splitter.isAtBoundary, true);
+        }),
+        { seed: 5, numRuns: 200 },
+    );
+});
+
+test("an unfinished event is held back", () => {
+    const splitter = new EventSplitter();
+    assert.is(splitter.receive(Buffer.from("id: 1\ndata: a\n\nid: 2\nda")).length, 1);
+    assert.is(splitter.isAtBoundary, false);
+});
+
+test("a suspension counts in boot time, a correction of the clock and a step back do not", () => {
+    let steady = 0;
+    let wall = 1_000_000;
+    const clock = new BootClock({ readSteady: () => steady, readWall: () => wall });
+    steady += 100;
+    wall += 100;
+    assert.is(clock.read(), 100);
+    wall += 3000;
+    assert.is(clock.read(), 3100);
+    assert.is(clock.suspendedMs, 3000);
+    wall -= 5000;
+    assert.is(clock.read(), 3100);
+    wall += 50;
+    assert.is(clock.read(), 3100);
+    steady += 10;
+    wall += 10;
+    assert.is(clock.read(), 3110);
+});
+
+function createLog(writableLength: () => number) {
+    const lines: { event: string; counts?: Record<string, number>; }[] = [];
+    let now = 0;
+    const log = new DecisionLog({
+        program: "p",
+        vm: "v",
+        sink: {
+            get writableLength() {
+                return writableLength();
+            },
+            write: text => {
+                lines.push(JSON.parse(text) as { event: string; });
+                return true;
+            },
+        },
+        readTime: () => now,
+    });
+    return {
+        log,
+        lines,
+        advance: (ms: number) => {
+            now += ms;
+        },
+    };
+}
+
+test("lines are bounded under load, the important ones last, and what was dropped is told", () => {
+    const { log, lines, advance } = createLog(() => 0);
+    for (let index = 0; index < 1000; index++) {
+        log.record("attempt", { index });
+    }
+    log.recordImportant("refused", {});
+    assert.is(lines.length, 241);
+    assert.is(lines.at(-1)?.event, "refused");
+    advance(6000);
+    log.record("attempt", {});
+    const told = lines.find(line => line.event === "linesDropped");
+    assert.equal(told?.counts, { attempt: 760 });
+});
+
+test("a reader that does not read makes lines drop and never waits", () => {
+    let waiting = 1_000_000;
+    const { log, lines } = createLog(() => waiting);
+    log.recordImportant("refused", {});
+    assert.is(lines.length, 0);
+    waiting = 0;
+    log.recordImportant("refused", {});
+    assert.is(lines.length, 1);
+});
+
+function createCluster() {
+    const view = new FleetView();
+    let now = 0;
+    const gone: string[] = [];
+    const cluster = new ClusterState({
+        view,
+        log: createLog(() => 0).log,
+        readTime: () => now,
+        onChange: () => {},
+        onUpstreamGone: id => gone.push(id),
+        onMember: () => {},
+    });
+    return {
+        cluster,
+        view,
+        gone,
+        advance: (ms: number) => {
+            now += ms;
+        },
+    };
+}
+
+function createRouting(version: number, position: number): ClusterChange {
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    return { kind: "routing", routing: { version, routes: [], services: [], limits }, position };
+}
+
+const engine: Upstream = {
+    id: "e1",
+    service: "s",
+    address: "127.0.0.1:1",
+    dataCentre: "d",
+    isLeaving: false,
+    slots: 1,
+    models: [],
+    sequence: 0,
+};
+
+test("configuration never goes back, whatever order changes come in", () => {
+    const changes = [1, 2, 3, 4, 5].map(version => createRouting(version * 3, version));
+    fc.assert(
+        fc.property(fc.array(fc.constantFrom(...changes), { minLength: 1, maxLength: 30 }), order => {
+            const { cluster } = createCluster();
+            let highest = 0;
+            for (const change of order) {
+                cluster.applyChanges([change]);
+                const version = cluster.routes!.routing.version;
+                assert.ok(version >= highest);
+                highest = version;
+            }
+        }),
+        { seed: 9, numRuns: 200 },
+    );
+});
+
+test("an entry that is removed is gone at once while the store is well", () => {
+    const { cluster, gone, advance } = createCluster();
+    cluster.setReachable(true);
+    advance(10_000);
+    cluster.applyChanges([{ kind: "upstream", upstream: engine, position: 1 }]);
+    cluster.applyChanges([{ kind: "upstreamGone", id: "e1", position: 2 }]);
+    assert.equal(gone, ["e1"]);
+});
+
+test("an entry that lapsed around an outage is kept for two seconds after it, and gone if it does not come back", () => {
+    const { cluster, gone, advance, view } = createCluster();
+    cluster.setReachable(true);
+    advance(10_000);
+    cluster.applyChanges([{ kind: "upstream", upstream: engine, position: 1 }]);
+    cluster.setReachable(false);
+    advance(5000);
+    cluster.setReachable(true);
+    cluster.applyChanges([{ kind: "upstreamGone", id: "e1", position: 2 }]);
+    cluster.expireLapsed();
+    assert.equal(gone, []);
+    assert.is(view.listUsable("s").length, 1);
+    advance(2200);
+    cluster.expireLapsed();
+    assert.equal(gone, ["e1"]);
+});
+
+test("an entry that comes back in time stays, and a leaving one is gone at once even around an outage", () => {
+    const { cluster, gone, advance } = createCluster();
+    cluster.setReachable(true);
+    cluster.applyChanges([{ kind: "upstream", upstream: engine, position: 1 }]);
+    cluster.applyChanges([{ kind: "upstreamGone", id: "e1", position: 2 }]);
+    cluster.applyChanges([{ kind: "upstream", upstream: engine, position: 3 }]);
+    advance(5000);
+    cluster.expireLapsed();
+    assert.equal(gone, []);
+    cluster.setReachable(false);
+    cluster.applyChanges([{ kind: "upstream", upstream: { ...engine, isLeaving: true }, position: 4 }]);
+    cluster.applyChanges([{ kind: "upstreamGone", id: "e1", position: 5 }]);
+    assert.equal(gone, ["e1"]);
+});
+
+test("a peer gets just what it lacks", () => {
+    const { cluster } = createCluster();
+    cluster.applyChanges([createRouting(3, 7), { kind: "upstream", upstream: engine, position: 40 }]);
+    assert.equal(cluster.readPositions, { operator: 7, upstreams: 40 });
+    assert.equal(cluster.listChangesAfter({ operator: 7, upstreams: 39 }).map(change => change.kind), ["upstream"]);
+    assert.equal(cluster.listChangesAfter({ operator: 6, upstreams: 40 }).map(change => change.kind), ["routing"]);
+});
+
+test.run();
--- a/packages/routing/test/table.test.ts
+++ b/packages/routing/test/table.test.ts
@@ -42,7 +42,9 @@
 });
 
 test("a split sends each target its share, and nothing to a weight of 0", () => {
-    const route = createRoute({ targets: [{ service: "a", weight: 0 }, { service: "b", weight: 9 }, { service: "c", weight: 1 }] });
+    const route = createRoute({
+        targets: [{ service: "a", weight: 0 }, { service: "b", weight: 9 }, { service: "c", weight: 1 }],
+    });
     assert.is(chooseTarget(route, 0), "b");
     assert.is(chooseTarget(route, 0.89), "b");
     assert.is(chooseTarget(route, 0.91), "c");
