Let a new owner start from what the one before it told

Cause: a new owner told that its engine holds nothing until its first report, up to 2.1 s later: requests for loaded adapters waited or went elsewhere.

--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -150,6 +150,8 @@
 export interface EnginePlacesOptions {
     readonly limits: EngineLimits;
     readonly models: readonly HeldModel[];
+    /** Versions by adapter key that the engine is believed to hold, until it reports. @default {} */
+    readonly held?: Readonly<Record<string, number>>;
     readonly sequence: number;
     readonly now: number;
 }
@@ -178,6 +180,14 @@
         this.models = options.models;
         this.sequence = options.sequence;
         this.reportAt = options.now;
+        for (const [key, version] of Object.entries(options.held ?? {})) {
+            this.updatePlace(key, version, "loaded", options.now - syncPauseMs);
+        }
+    }
+
+    /** Whether the engine has to be asked for its state before anything else. */
+    get needsReport(): boolean {
+        return this.mustReport;
     }
 
     /** Versions by adapter key of what is loaded and not being unloaded. */
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -239,6 +239,7 @@
             places: new EnginePlaces({
                 limits: service!.engine!,
                 models: state.upstream.models,
+                held: state.news?.held ?? {},
                 sequence: state.upstream.sequence,
                 now: this.options.readTime(),
             }),
@@ -300,7 +301,8 @@
             this.options.log.recordImportant("ordersAllowed", { engine: owned.id, canOrder, fence: owned.fence });
         }
         this.sendChanges(owned);
-        if (state === undefined || !canOrder) {
+        // A report may be asked for before orders may be given: what the engine holds stays in use meanwhile.
+        if (state === undefined || (!canOrder && !owned.places.needsReport)) {
             this.scheduleAdvance(owned, 200);
             return;
         }
