--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,5 +1,6 @@
 import { type EngineNews, FleetView, RetryBudget } from "@radishreel/fleet";
 import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
 import polka, { type Polka } from "polka";
 import { createMachine, interpret, state, transition } from "robot3";
 import { CallerExchange } from "./caller.js";
@@ -128,6 +129,22 @@
         this.callerServer = createServer({ keepAlive: true, noDelay: true });
     }
 
+    /** `host:port` of the listener for callers, once it listens. */
+    get callerAddress(): string {
+        const { port } = this.callerServer.address() as AddressInfo;
+        return `${this.options.settings.callers.host}:${port}`;
+    }
+
+    /** Upstreams that are registered as far as this VM knows. */
+    countUpstreams(): number {
+        return this.view.listUpstreams().length;
+    }
+
+    /** Upstreams of a service that may get new requests. */
+    countUsable(service: string): number {
+        return this.view.listUsable(service).length;
+    }
+
     /** Whether the balancer may send callers here. */
     get isReady(): boolean {
         return this.life.machine.current === "serving";
