--- a/packages/fleet/test/claims.test.ts
+++ b/packages/fleet/test/claims.test.ts
@@ -143,7 +143,7 @@
         const sentAt = this.now;
         if (!vm.isMember) {
             vm.isMember = true;
-            this.deal(index);
+            this.planDeal(index);
         }
         vm.joinedAt = this.now;
         const shards = [...this.owners].filter(([, owner]) => owner === index).map(([shard]) => shard);
@@ -155,7 +155,7 @@
     }
 
     /** Deals all shards anew, as joins, lapses and the store's own choice do. */
-    deal(first: number): void {
+    planDeal(first: number): void {
         this.generation += 1;
         const members = this.vms.flatMap((vm, index) => vm.isMember ? [index] : []);
         this.owners.clear();
@@ -172,14 +172,14 @@
         }
     }
 
-    leave(index: number): void {
+    release(index: number): void {
         const vm = this.vms[index]!;
         const shards = vm.clock.listReleasable(this.now);
         const deal = vm.clock.deal;
         vm.clock.releaseAll(this.now);
         vm.isMember = false;
         vm.recorded = undefined;
-        this.deal(0);
+        this.planDeal(0);
         for (const other of this.vms) {
             for (const shard of shards) {
                 other.clock.recordRelease(shard, deal, this.now);
@@ -187,7 +187,7 @@
         }
     }
 
-    order(index: number): void {
+    recordOrders(index: number): void {
         const { clock } = this.vms[index]!;
         for (const shard of clock.listShards()) {
             if (clock.canOrder(shard, this.now)) {
@@ -203,7 +203,7 @@
         for (const [index, vm] of this.vms.entries()) {
             if (vm.isMember && this.now - vm.joinedAt > lifeMs) {
                 vm.isMember = false;
-                this.deal(index);
+                this.planDeal(index);
             }
         }
     }
@@ -264,20 +264,22 @@
                         model.renew(vm, false, delayMs);
                         break;
                     case "deal":
-                        model.deal(vm);
+                        model.planDeal(vm);
                         break;
                     case "restart":
                         model.restart(vm);
                         break;
                     case "leave":
-                        model.leave(vm);
+                        model.release(vm);
                         break;
                     case "pause":
                         model.now += 3000;
                         break;
+                    case "quiet":
+                        break;
                 }
                 for (const index of model.vms.keys()) {
-                    model.order(index);
+                    model.recordOrders(index);
                 }
             }
             checkOrders(model);
