--- a/packages/fleet/test/places.test.ts
+++ b/packages/fleet/test/places.test.ts
@@ -148,6 +148,17 @@
     assert.equal(Object.keys(places.listHeld()), ["base/a1"]);
 });
 
+test("a new owner tells what the one before it told until the engine reports", () => {
+    const engine = new ModelEngine();
+    engine.held.set("base/a1", 1);
+    const held = { "base/a1": 1, "base/a2": 1 };
+    const places = new EnginePlaces({ limits, models: engine.readReport().models, held, sequence: 0, now: 0 });
+    assert.equal(Object.keys(places.listHeld()), ["base/a1", "base/a2"]);
+    assert.is(places.needsReport, true);
+    runPlan(engine, places, () => "answered");
+    assert.equal(Object.keys(places.listHeld()), ["base/a1"]);
+});
+
 test("a popular adapter keeps its place against one that nobody has waited long for", () => {
     const engine = new ModelEngine();
     const places = createPlaces(engine);
