Go on after a handover with a token above the heir's

Ruled out: two holders at the same time (the heir gave up when the VM started). Change: a claim that goes on by the recorded deal has the highest token of the deal; it begins 0.8 s after the start.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -19,15 +19,20 @@
     /** The deal in which this VM first held it. */
     readonly generation: number;
     readonly mayOrderAt: number;
-    /** How often it was handed over within the deal: 0 for the VM to which it was dealt. */
+    /** How often it has changed hands within the deal: part of its fencing token. */
     readonly depth: number;
+    /** Whether it was handed over by the VM to which it was dealt. */
+    readonly isHandover: boolean;
 }
 
 /** Most handovers within one deal: fencing tokens leave room for so many. */
 const maxDepth = 15;
 
-/** Pause after the start of a process before a recorded deal lets it order, in milliseconds: VMs that took over hear of it. */
-const recordedPauseMs = 500;
+/**
+ * Pause after the start of a process before a recorded deal lets it order, in milliseconds: a VM that took over hears of
+ * the start, and with the 2.3 s that a planned stop takes no two holders alternate within a turn.
+ */
+const recordedPauseMs = 800;
 
 /**
  * Which shards this VM owns, and when it may give orders to their engines. Times are handed in by a clock that counts
@@ -81,7 +86,7 @@
         this.renewUntil(sentAt);
         const held = new Set(shards);
         for (const [shard, claim] of this.claims) {
-            const isHandedOver = claim.depth > 0 && claim.generation === generation;
+            const isHandedOver = claim.isHandover && claim.generation === generation;
             if (mayHaveMoved || (!held.has(shard) && !isHandedOver)) {
                 this.endClaim(shard, now);
             }
@@ -92,6 +97,7 @@
                     generation,
                     mayOrderAt: now + this.readWaitMs(shard, generation, now),
                     depth: 0,
+                    isHandover: false,
                 });
             }
         }
@@ -136,13 +142,13 @@
         }
         for (const shard of shards) {
             const mayOrderAt = Math.max(now, (this.heldUntil.get(shard) ?? this.startedAt) + this.options.turnMs);
-            this.claims.set(shard, { generation: deal, mayOrderAt, depth });
+            this.claims.set(shard, { generation: deal, mayOrderAt, depth, isHandover: true });
         }
     }
 
     /** Gives back what was taken over, since the VM to which it was dealt runs again. */
     revokeHandovers(now: number): number[] {
-        return [...this.claims].filter(([, claim]) => claim.depth > 0)
+        return [...this.claims].filter(([, claim]) => claim.isHandover)
             .map(([shard]) => shard)
             .filter(shard => this.endClaim(shard, now));
     }
@@ -168,9 +174,11 @@
         if (this.recordedGeneration !== this.generation) {
             return;
         }
+        const mayOrderAt = Math.max(now, this.startedAt + recordedPauseMs);
         for (const [shard, claim] of this.claims) {
-            const mayOrderAt = Math.max(now, this.startedAt + recordedPauseMs);
-            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, mayOrderAt) });
+            // Before it was started anew this VM may have handed the shard over: its token must be above any heir's.
+            const depth = claim.isHandover ? claim.depth : maxDepth;
+            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, mayOrderAt), depth });
         }
     }
 
