--- a/packages/fleet/test/claims.test.ts
+++ b/packages/fleet/test/claims.test.ts
@@ -105,6 +105,25 @@
     assert.ok(clock.readFence(1) > before + 1);
 });
 
+test("a VM that comes back within the deal goes on with a higher token than the one it handed over to", () => {
+    const heir = createClock(-10_000);
+    heir.applyRenewal(5, [1], 0, 0);
+    heir.applyHandover([2], 5, 1, 100);
+    assert.is(heir.canOrder(2, 110), true);
+    const before = heir.readFence(2);
+    const restarted = createClock(2500);
+    restarted.setRecordedGeneration(5, 2500);
+    restarted.applyRenewal(5, [2], 2550, 2560);
+    assert.equal(heir.revokeHandovers(2600), [2]);
+    assert.is(heir.canOrder(2, 2600), false);
+    assert.is(heir.canOrder(1, 2600), false);
+    heir.applyRenewal(5, [1], 2700, 2700);
+    assert.equal(heir.listShards(), [1]);
+    assert.is(restarted.canOrder(2, 3301), true);
+    assert.ok(restarted.readFence(2) > before);
+    assert.equal(restarted.revokeHandovers(3400), []);
+});
+
 test("an engine has the same shard on every VM", () => {
     assert.is(readShard("i-7f3a91c2", 12), readShard("i-7f3a91c2", 12));
     const shards = new Set(Array.from({ length: 200 }, (_, index) => readShard(`i-${index}`, 12)));
