Give engines 1.5 s for a first event, and cut no attempt too late for another one

Cause: under heavy load one attempt in 25 was cut at 700 ms while its engine was at work, with half of the time left.

--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -45,11 +45,16 @@
 const minAttemptMs = 60;
 
 /**
- * How long past the expected time an upstream may take for its first byte before an idempotent request goes elsewhere:
- * a factor, and at least so many milliseconds.
+ * How long an upstream may take for its first byte before an idempotent request goes elsewhere: a factor of the expected
+ * time, and at least so many milliseconds. Engines under heavy load often take 0.9 s, and what they have read of a prompt
+ * is lost with the attempt; servers answer in 0.1 s.
  */
 const firstByteFactor = 4;
 const minFirstByteMs = 700;
+const minFirstEventMs = 1500;
+
+/** Part of the time left after which going elsewhere cannot help any more. */
+const lastTryShare = 0.6;
 
 /** Pause after which a stream that may be resumed goes elsewhere, as a factor of the pause that is still on time. */
 const pauseFactor = 1.5;
@@ -413,11 +418,11 @@
         }
         const expectedMs = choice.costMs * firstByteFactor;
         const gapMs = (job.route.gapAimMs ?? job.route.aimMs) * pauseFactor;
-        return {
-            firstByteMs: Math.max(minFirstByteMs, Math.min(expectedMs, timeLeftMs / 2)),
-            pauseMs: gapMs,
-            timeLeftMs,
-        };
+        const minMs = job.service.engine === undefined ? minFirstByteMs : minFirstEventMs;
+        const firstByteMs = Math.max(minMs, expectedMs);
+        // An attempt that is cut too late for another one only loses what was done.
+        const isWorthCutting = firstByteMs < timeLeftMs * lastTryShare;
+        return { firstByteMs: isWorthCutting ? firstByteMs : timeLeftMs + 1000, pauseMs: gapMs, timeLeftMs };
     }
 
     private addLoad(job: Job, choice: UpstreamChoice): LoadHandle {
