Take the highest token of a deal that the process before may have used

Change: a process that is not its VM's first takes the highest token of the first deal that it meets.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -47,6 +47,7 @@
     private readonly released = new Map<number, { generation: number; at: number; }>();
     private readonly heldUntil = new Map<number, number>();
     private recordedGeneration: number | undefined;
+    private firstDeal: number | undefined;
     private validUntil = 0;
     private generation = 0;
 
@@ -83,6 +84,7 @@
         const provenAt = this.validUntil - this.options.useMs;
         const mayHaveMoved = generation - this.generation > 1 && now - provenAt > this.options.settleMs;
         this.generation = generation;
+        this.firstDeal ??= generation;
         this.renewUntil(sentAt);
         const held = new Set(shards);
         for (const [shard, claim] of this.claims) {
@@ -96,7 +98,7 @@
                 this.claims.set(shard, {
                     generation,
                     mayOrderAt: now + this.readWaitMs(shard, generation, now),
-                    depth: 0,
+                    depth: this.readFirstDepth(generation),
                     isHandover: false,
                 });
             }
@@ -176,9 +178,7 @@
         }
         const mayOrderAt = Math.max(now, this.startedAt + recordedPauseMs);
         for (const [shard, claim] of this.claims) {
-            // Before it was started anew this VM may have handed the shard over: its token must be above any heir's.
-            const depth = claim.isHandover ? claim.depth : maxDepth;
-            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, mayOrderAt), depth });
+            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, mayOrderAt) });
         }
     }
 
@@ -205,6 +205,14 @@
         }
     }
 
+    /**
+     * The process before this one may have given orders in the deal that this one meets first, with any token of that deal:
+     * this one takes the highest.
+     */
+    private readFirstDepth(generation: number): number {
+        return this.startedAt !== -Infinity && generation === this.firstDeal ? maxDepth : 0;
+    }
+
     /** No process of this VM ran before this one: no shard can come back to it. */
     setFirstLife(): void {
         this.startedAt = -Infinity;
