Remove what nothing uses, and count an engine's uses apart from its load

Dead: RouteTable.listEngineServices, EnginePlaces.setLimits and its load time that never changed, CallerExchange.isEnded, Attempt.cancel, a refusal reason, a copy of the routing's position. Done twice: the loads of all VMs were summed again for each adapter that a place count asked about, and every choice of an engine merged uses by adapter that it does not read; the key of a request's adapter was formed in four places.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -1,6 +1,6 @@
 import type { EngineLimits, Service } from "@radishreel/routing";
 import { rankHomes } from "./rank.js";
-import { formatAdapterKey, type ModelDemand } from "./types.js";
+import { findAdapterKey, type ModelDemand } from "./types.js";
 import type { FleetView, UpstreamState } from "./view.js";
 
 /** Prompt tokens that an engine reads in a millisecond, by the users' sheets for both of their engines. */
@@ -128,7 +128,7 @@
         penalties.get(state.upstream.id) !== Infinity
         && (state.goneAt === undefined || state.goneAt - now > minRemainingMs)
     );
-    const key = demand.adapter === undefined ? undefined : formatAdapterKey(demand.model, demand.adapter);
+    const key = findAdapterKey(demand);
     const hasCopy = key !== undefined && usable.some(state => hasAdapter(view, state, key));
     const homes = key === undefined ? [] : rankHomes(key, usable.map(state => ({ id: state.upstream.id })));
     let best: UpstreamChoice | undefined;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -26,6 +26,7 @@
 export {
     type EngineNews,
     engineNewsSchema,
+    findAdapterKey,
     formatAdapterKey,
     type HeldModel,
     type ModelDemand,
--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -172,8 +172,7 @@
     private lastOrderAt = -Infinity;
     private orderNotBefore = -Infinity;
     private reportAt: number;
-    private limits: EngineLimits;
-    private coldMs = coldLoadMs;
+    private readonly limits: EngineLimits;
 
     constructor(options: EnginePlacesOptions) {
         this.limits = options.limits;
@@ -241,10 +240,6 @@
         return counts;
     }
 
-    setLimits(limits: EngineLimits): void {
-        this.limits = limits;
-    }
-
     /** Asks for an adapter; a request that waits for it asks again from time to time. */
     addWant(key: string, version: number | undefined, runMs: number, now: number): void {
         const place = this.places.get(key);
@@ -425,7 +420,7 @@
         this.lastOrderAt = now;
         const isWarm = this.warm.has(key) && place === undefined;
         this.updatePlace(key, version, "loading", now);
-        this.places.get(key)!.checkAt = now + (isWarm ? warmLoadMs : this.coldMs);
+        this.places.get(key)!.checkAt = now + (isWarm ? warmLoadMs : coldLoadMs);
     }
 
     private applyUnload(key: string, answer: OrderAnswer, now: number): void {
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -54,6 +54,11 @@
     return `${model}/${adapter}`;
 }
 
+/** Key of the adapter that a request asks for; undefined for the base model. */
+export function findAdapterKey(demand: ModelDemand | undefined): string | undefined {
+    return demand?.adapter === undefined ? undefined : formatAdapterKey(demand.model, demand.adapter);
+}
+
 /** The model and the adapter of a key. */
 export function parseAdapterKey(key: string): { model: string; adapter: string; } {
     const slash = key.indexOf("/");
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -94,8 +94,8 @@
     }
 
     /** Load of one upstream, summed over all VMs. */
-    readLoad(id: string): UpstreamLoad {
-        const sum: UpstreamLoad = { active: 0, backlogTokens: 0, kvTokens: 0, uses: {} };
+    readLoad(id: string): Omit<UpstreamLoad, "uses"> {
+        const sum = { active: 0, backlogTokens: 0, kvTokens: 0 };
         for (const loads of [this.ownLoad.read(), ...this.loadsByVm.values()]) {
             const load = loads.get(id);
             if (load === undefined) {
@@ -104,8 +104,16 @@
             sum.active += load.active;
             sum.backlogTokens += load.backlogTokens;
             sum.kvTokens += load.kvTokens;
-            for (const [key, uses] of Object.entries(load.uses)) {
-                sum.uses[key] = (sum.uses[key] ?? 0) + uses;
+        }
+        return sum;
+    }
+
+    /** Requests under way on one upstream by adapter key, summed over all VMs. */
+    countUses(id: string): Map<string, number> {
+        const sum = new Map<string, number>();
+        for (const loads of [this.ownLoad.read(), ...this.loadsByVm.values()]) {
+            for (const [key, uses] of Object.entries(loads.get(id)?.uses ?? {})) {
+                sum.set(key, (sum.get(key) ?? 0) + uses);
             }
         }
         return sum;
--- a/packages/node/src/attempt.ts
+++ b/packages/node/src/attempt.ts
@@ -122,11 +122,6 @@
         this.exchange.start();
     }
 
-    /** Breaks it off, for a stream that goes on elsewhere. */
-    cancel(reason: BreakReason, detail: string): void {
-        this.finishBroken(reason, detail);
-    }
-
     receiveHead(status: number, headers: RawHeaders): void {
         const head = this.options.dialect.parseAnswer(status, headers);
         this.status = status;
--- a/packages/node/src/caller.ts
+++ b/packages/node/src/caller.ts
@@ -8,7 +8,6 @@
     | "unknownService"
     | "bodyTooLarge"
     | "noUpstream"
-    | "noOwner"
     | "upstreamsBusy"
     | "retryBudgetSpent"
     | "attemptsSpent"
@@ -31,7 +30,6 @@
     private readonly leftListeners: (() => void)[] = [];
     private isLeft = false;
     private isUnframed = false;
-    private hasEnded = false;
 
     constructor(
         readonly request: IncomingMessage,
@@ -67,10 +65,6 @@
         return this.response.headersSent;
     }
 
-    get isEnded(): boolean {
-        return this.hasEnded;
-    }
-
     /** Whether the answer ends with its connection. */
     get hasNoFrame(): boolean {
         return this.isUnframed;
@@ -140,13 +134,11 @@
 
     /** Completes an upstream's answer. */
     endAnswer(bytes?: Buffer): void {
-        this.hasEnded = true;
         this.response.end(bytes);
     }
 
     /** Breaks off an answer that has begun, so that it cannot look complete. */
     cancelAnswer(): void {
-        this.hasEnded = true;
         this.response.destroy();
     }
 
--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -27,7 +27,6 @@
  */
 export class ClusterState {
     private table: RouteTable | undefined;
-    private routingPosition = -1;
     private operatorPosition = -1;
     private upstreamPosition = -1;
     private readonly positions = new Map<string, number>();
@@ -143,11 +142,10 @@
         if (change.routing.version < (this.table?.routing.version ?? -Infinity)) {
             return;
         }
-        this.routingPosition = change.position;
         this.table = new RouteTable(change.routing);
         this.options.log.recordImportant("routingInForce", {
             version: change.routing.version,
-            position: this.routingPosition,
+            position: change.position,
             routes: change.routing.routes.length,
         });
     }
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -22,7 +22,7 @@
 const askPeersAfterMs = 550;
 
 /** How long one confirmed renewal lets its holder give orders, in milliseconds. */
-export const claimUseMs = 1300;
+const claimUseMs = 1300;
 
 /** Age told for a renewal that is older or never was, in milliseconds. */
 const maxRenewalAgeMs = 1_000_000;
@@ -307,8 +307,8 @@
             return;
         }
         const now = this.options.readTime();
-        const { uses } = this.options.view.readLoad(owned.id);
-        const step = owned.places.decide(now, key => uses[key] ?? 0);
+        const uses = this.options.view.countUses(owned.id);
+        const step = owned.places.decide(now, key => uses.get(key) ?? 0);
         switch (step.kind) {
             case "wait":
                 this.scheduleAdvance(owned, Math.max(1, step.untilMs - now));
@@ -358,6 +358,7 @@
         });
         const now = this.options.readTime();
         owned.places.applyAnswer(order, answer, now);
+        const uses = this.options.view.countUses(owned.id);
         this.options.log.record("order", {
             engine: owned.id,
             action: order.action,
@@ -366,7 +367,7 @@
             sequence: order.expectedSequence,
             fence: owned.fence,
             answer,
-            places: owned.places.countPlaces(now, key => this.options.view.readLoad(owned.id).uses[key] ?? 0),
+            places: owned.places.countPlaces(now, key => uses.get(key) ?? 0),
             ms: Math.round(now - sentAt),
         });
         owned.isWorking = false;
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,6 +1,7 @@
 import { type EngineNews, FleetView, RetryBudget } from "@radishreel/fleet";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as wait } from "node:timers/promises";
 import polka, { type Polka } from "polka";
 import { createMachine, interpret, state, transition } from "robot3";
 import { CallerExchange } from "./caller.js";
@@ -569,7 +570,3 @@
 async function startListening(app: Polka, address: ListenAddress): Promise<void> {
     await new Promise<void>(resolve => app.listen(address.port, address.host, () => resolve()));
 }
-
-async function wait(ms: number): Promise<void> {
-    await new Promise<void>(resolve => setTimeout(resolve, ms));
-}
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -1,8 +1,8 @@
 import {
     chooseEngine,
     chooseServer,
+    findAdapterKey,
     type FleetView,
-    formatAdapterKey,
     KeptParts,
     type LoadHandle,
     prefillTokensPerMs,
@@ -315,7 +315,8 @@
 
     private askForAdapter(job: Job, choice: UpstreamChoice, now: number): void {
         const { model } = job.demand;
-        if (model?.adapter === undefined) {
+        const key = findAdapterKey(model);
+        if (model === undefined || key === undefined) {
             return;
         }
         const engine = choice.state.upstream.id;
@@ -326,7 +327,6 @@
             // Its load is under way on the engine that was asked first.
             return;
         }
-        const key = formatAdapterKey(model.model, model.adapter);
         if (!isWaiting || job.asked?.engine !== engine) {
             job.asked = { engine, at: now };
             this.options.log.record("loadAsked", {
@@ -427,7 +427,7 @@
 
     private addLoad(job: Job, choice: UpstreamChoice): LoadHandle {
         const { model } = job.demand;
-        const key = model?.adapter === undefined ? undefined : formatAdapterKey(model.model, model.adapter);
+        const key = findAdapterKey(model);
         if (key !== undefined) {
             this.options.recordStart(choice.state.upstream.id, key);
         }
@@ -445,6 +445,7 @@
         const now = readTime();
         const { upstream, health } = choice.state;
         const { model } = job.demand;
+        const key = findAdapterKey(model);
         switch (end.kind) {
             case "complete":
                 health.recordAnswer(now, this.readAnswerPace(job, now - sentAt));
@@ -470,8 +471,8 @@
                     }
                     return;
                 }
-                if (model?.adapter !== undefined) {
-                    sendMissing(upstream.id, formatAdapterKey(model.model, model.adapter));
+                if (key !== undefined) {
+                    sendMissing(upstream.id, key);
                 }
                 job.tried.set(upstream.id, { costMs: Infinity, until: now + rejectedPauseMs });
                 return;
--- a/packages/routing/src/table.ts
+++ b/packages/routing/src/table.ts
@@ -30,11 +30,6 @@
     findService(name: string): Service | undefined {
         return this.services.get(name);
     }
-
-    /** Every service that is a group of model engines. */
-    listEngineServices(): Service[] {
-        return [...this.services.values()].filter(service => service.engine !== undefined);
-    }
 }
 
 /** The name in a `Host` header: lower case, without its port. */
