Let one listener serve the fakes and the adapter's stand-ins, and one function split host:port

The stand-ins had written the fakes' start, stop and body reading again; three places split an address.

--- a/packages/fakes/src/engine.ts
+++ b/packages/fakes/src/engine.ts
@@ -2,7 +2,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request as sendRequest } from "undici";
 import type { FaultRule } from "./faults.js";
-import { type FakeAnswer, type FakeOptions, type FakeRequest, FakeServer } from "./server.js";
+import type { FakeOptions } from "./listener.js";
+import { type FakeAnswer, type FakeRequest, FakeServer } from "./server.js";
 
 /** Options of {@link FakeEngine}. */
 export interface FakeEngineOptions extends FakeOptions {
--- a/packages/fakes/src/server.ts
+++ b/packages/fakes/src/server.ts
@@ -1,16 +1,8 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
 import { type FaultRule, faultRuleSchema, FaultTable } from "./faults.js";
-
-/** Options that every fake has. */
-export interface FakeOptions {
-    /** @default "127.0.0.1" */
-    readonly host?: string;
-    /** 0 lets the system choose. @default 0 */
-    readonly port?: number;
-}
+import { FakeListener, readBody } from "./listener.js";
 
 /** One request at a fake, read whole. */
 export interface FakeRequest {
@@ -28,48 +20,9 @@
     readonly body: unknown;
 }
 
-async function readBody(request: IncomingMessage): Promise<string> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) {
-        chunks.push(chunk as Buffer);
-    }
-    return Buffer.concat(chunks).toString("utf8");
-}
-
-/** Base of the fakes: an HTTP listener with a fault table that `PUT /faults` replaces. */
-export abstract class FakeServer {
+/** Base of the fakes: a listener with a fault table that `PUT /faults` replaces. */
+export abstract class FakeServer extends FakeListener {
     readonly faults = new FaultTable();
-    private readonly server: Server = createServer((request, response) => void this.receive(request, response));
-    private readonly sockets = new Set<Socket>();
-    private currentPort = 0;
-
-    constructor(private readonly fakeOptions: FakeOptions = {}) {
-        this.server.on("connection", socket => {
-            this.sockets.add(socket);
-            socket.on("close", () => this.sockets.delete(socket));
-        });
-    }
-
-    get address(): string {
-        return `${this.fakeOptions.host ?? "127.0.0.1"}:${this.currentPort}`;
-    }
-
-    /** Starts to listen. A second start after a stop takes the same port. */
-    async start(): Promise<string> {
-        const port = this.currentPort === 0 ? this.fakeOptions.port ?? 0 : this.currentPort;
-        await new Promise<void>(resolve => this.server.listen(port, this.fakeOptions.host ?? "127.0.0.1", resolve));
-        this.currentPort = (this.server.address() as AddressInfo).port;
-        return this.address;
-    }
-
-    /** Stops at once, as a VM that fails does. */
-    async stop(): Promise<void> {
-        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
-        for (const socket of this.sockets) {
-            socket.destroy();
-        }
-        await closed;
-    }
 
     /** Names the operation of a request for the fault table. */
     protected abstract findOperation(request: FakeRequest): string;
@@ -81,14 +34,14 @@
         fault: FaultRule | undefined,
     ): Promise<FakeAnswer | undefined>;
 
-    private async receive(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+    protected override async receive(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const url = new URL(incoming.url ?? "/", "http://fake");
         const request: FakeRequest = {
             method: incoming.method ?? "GET",
             path: url.pathname,
             query: url.searchParams,
             headers: incoming.headers,
-            body: await readBody(incoming).catch(() => ""),
+            body: await readBody(incoming).then(bytes => bytes.toString("utf8")).catch(() => ""),
         };
         if (request.method === "PUT" && request.path === "/faults") {
             this.faults.setRules(z.array(faultRuleSchema).parse(JSON.parse(request.body)));
--- a/packages/fakes/src/service.ts
+++ b/packages/fakes/src/service.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { FaultRule } from "./faults.js";
-import { type FakeAnswer, type FakeOptions, type FakeRequest, FakeServer } from "./server.js";
+import type { FakeOptions } from "./listener.js";
+import { type FakeAnswer, type FakeRequest, FakeServer } from "./server.js";
 
 /** Options of {@link FakeService}. */
 export interface FakeServiceOptions extends FakeOptions {
--- a/packages/fakes/src/vms.ts
+++ b/packages/fakes/src/vms.ts
@@ -1,4 +1,5 @@
-import { type FakeAnswer, type FakeOptions, type FakeRequest, FakeServer } from "./server.js";
+import type { FakeOptions } from "./listener.js";
+import { type FakeAnswer, type FakeRequest, FakeServer } from "./server.js";
 
 /** One VM as the fake lists it. */
 export interface FakeVm {
--- a/packages/node/src/connections.ts
+++ b/packages/node/src/connections.ts
@@ -1,3 +1,4 @@
+import { parseAddress } from "@radishreel/wire";
 import type { Socket } from "node:net";
 import { connect } from "node:net";
 import { Client } from "undici";
@@ -25,9 +26,7 @@
     private restingSince = 0;
 
     constructor(address: string) {
-        const separator = address.lastIndexOf(":");
-        const host = address.slice(0, separator);
-        const port = Number(address.slice(separator + 1));
+        const { host, port } = parseAddress(address);
         this.client = new Client(`http://${address}`, {
             pipelining: 1,
             headersTimeout: 0,
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -16,4 +16,4 @@
     ShardClaims,
     ShardDeal,
 } from "./ports.js";
-export { type ListenAddress, type NodeOptions, NodeProgram, type NodeSettings } from "./program.js";
+export { type NodeOptions, NodeProgram, type NodeSettings } from "./program.js";
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,4 +1,5 @@
 import { type EngineNews, FleetView, RetryBudget } from "@radishreel/fleet";
+import type { ListenAddress } from "@radishreel/wire";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
@@ -53,12 +54,6 @@
     stopped: state(),
 });
 
-/** `host:port` split. */
-export interface ListenAddress {
-    readonly host: string;
-    readonly port: number;
-}
-
 /** Settings of {@link NodeProgram}. */
 export interface NodeSettings {
     /** Name of this VM; it stays over restarts. */
--- a/packages/wire/src/client.ts
+++ b/packages/wire/src/client.ts
@@ -1,5 +1,6 @@
 import { connect } from "node:net";
 import type { z } from "zod";
+import { parseAddress } from "./address.js";
 import { Link, type LinkEvents } from "./link.js";
 import type { CloseReason, LinkLimits, NodeIdentity } from "./types.js";
 
@@ -40,8 +41,7 @@
 
     private open(): void {
         const { address, events, limits } = this.options;
-        const separator = address.lastIndexOf(":");
-        const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
+        const socket = connect(parseAddress(address));
         this.link = new Link<Message, Outgoing>({
             ...this.options,
             socket,
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,4 +1,5 @@
 /** Authenticated, schema-checked, size-bounded cbor-x frames over TCP. */
+export { type ListenAddress, parseAddress } from "./address.js";
 export { LinkClient, type LinkClientOptions } from "./client.js";
 export { encodeFrame, frameHeaderBytes, FrameReader } from "./frame.js";
 export { checkProof, createHello, createProof, type Hello } from "./greeting.js";
