Hand shards only to VMs that are not stopping themselves

Ruled out: claims that lapse in the outage (the other VMs kept theirs, ordersAllowed and orders show). Change: VMs remember who has said that it stops, until its next incarnation, and choose another heir; a VM that gets a handover while it stops passes it on.

--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -149,6 +149,12 @@
 
     /** Takes shards over from a VM that stops. */
     receiveHandover(handover: Handover): void {
+        if (this.isStopped) {
+            // The sender did not know yet that this VM stops as well.
+            const isPassedOn = this.options.sendHandover(handover);
+            this.options.log.recordImportant("handoverPassedOn", { ...handover, isPassedOn });
+            return;
+        }
         this.clock.applyHandover(handover.shards, handover.deal, handover.depth, this.bootClock.read());
         this.options.log.recordImportant("handoverReceived", { ...handover, ownDeal: this.clock.deal });
         this.update();
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -40,6 +40,7 @@
 export class Peers {
     private readonly server: LinkServer<PeerMessage>;
     private readonly incarnations = new Map<string, number>();
+    private readonly leaving = new Set<string>();
     private readonly peersByAddress = new Map<string, Peer>();
 
     constructor(private readonly options: PeersOptions) {
@@ -60,8 +61,9 @@
         });
     }
 
-    async start(): Promise<void> {
-        await this.server.start();
+    /** Starts to listen and returns the port. */
+    start(): Promise<number> {
+        return this.server.start();
     }
 
     stop(): void {
@@ -99,6 +101,16 @@
         return [...this.peersByAddress.values()].flatMap(peer => peer.link === undefined ? [] : [peer.link.peer.id]);
     }
 
+    /** Takes word of a VM that it is stopping. */
+    recordLeaving(vm: string): void {
+        this.leaving.add(vm);
+    }
+
+    /** Connected VMs that can take over what this one gives up: those that are not stopping themselves. */
+    listHeirs(): string[] {
+        return this.listConnected().filter(vm => !this.leaving.has(vm));
+    }
+
     /** VMs that are tried, this one left out. */
     listMembers(): Member[] {
         return [...this.peersByAddress.values()].flatMap(peer =>
@@ -142,6 +154,7 @@
         this.addPeer({ id: peer.id, address: peer.address });
         if ((this.incarnations.get(peer.id) ?? -1) !== peer.incarnation) {
             this.incarnations.set(peer.id, peer.incarnation);
+            this.leaving.delete(peer.id);
             this.options.onStart();
         }
     }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -355,6 +355,7 @@
             { type: "news", news: this.owning?.listNews() ?? [] },
             { type: "follow", isWanted: this.isFollowing },
             this.createLoadMessage(),
+            ...(this.stopping === undefined ? [] : [{ type: "leaving" } as const]),
         ];
     }
 
@@ -410,6 +411,7 @@
                 this.owning?.receiveClaimState(vm, message);
                 return;
             case "leaving":
+                this.peers.recordLeaving(vm);
                 this.receivePeerClose(vm);
                 return;
         }
@@ -474,7 +476,7 @@
     }
 
     private sendHandover(handover: Handover): boolean {
-        const [heir] = this.peers.listConnected();
+        const [heir] = this.peers.listHeirs();
         return heir !== undefined && this.peers.send(heir, { type: "handover", ...handover });
     }
 
--- a/packages/node/test/units.test.ts
+++ b/packages/node/test/units.test.ts
@@ -1,11 +1,14 @@
 import { FleetView, type Upstream } from "@radishreel/fleet";
 import fc from "fast-check";
+import { err } from "neverthrow";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { BootClock } from "../src/clock.js";
 import { ClusterState } from "../src/cluster.js";
 import { DecisionLog } from "../src/decisions.js";
 import { EventSplitter } from "../src/events.js";
+import { type Handover, Owning } from "../src/owning.js";
+import { Peers } from "../src/peers.js";
 import type { ClusterChange } from "../src/ports.js";
 
 test("events come out whole and in order, however the bytes are cut", () => {
@@ -208,4 +211,67 @@
     assert.equal(cluster.listChangesAfter({ operator: 6, upstreams: 40 }).map(change => change.kind), ["routing"]);
 });
 
+/** A task that owns engines, on a platform that deals nothing. */
+function createOwning(handedOver: Handover[]): Owning {
+    const view = new FleetView();
+    return new Owning({
+        vm: "a",
+        view,
+        claims: { shardCount: 4, renew: () => Promise.resolve(undefined), release: () => Promise.resolve() },
+        orders: { send: () => Promise.resolve("unknown"), readReport: () => Promise.resolve(err("unknown")) },
+        log: createLog(() => 0).log,
+        readTime: () => 0,
+        turnMs: 100,
+        findService: () => undefined,
+        sendNews: () => {},
+        sendRelease: () => {},
+        sendQuery: () => {},
+        sendHandover: handover => handedOver.push(handover) > 0,
+        countOthers: () => 2,
+        recordGeneration: () => {},
+    });
+}
+
+test("shards that are handed to a VM which stops itself go on to another one", async () => {
+    const handedOver: Handover[] = [];
+    const owning = createOwning(handedOver);
+    await owning.stop();
+    owning.receiveHandover({ shards: [1, 2], deal: 11, depth: 1 });
+    assert.equal(handedOver, [{ shards: [1, 2], deal: 11, depth: 1 }]);
+});
+
+function createPeers(id: string, onOpen: () => void): Peers {
+    return new Peers({
+        self: { id, role: "node", dataCentre: "z", incarnation: 1, address: "" },
+        secret: "test",
+        host: "127.0.0.1",
+        port: 0,
+        log: createLog(() => 0).log,
+        readTime: () => 0,
+        createGreeting: () => {
+            onOpen();
+            return [];
+        },
+        onMessage: () => {},
+        onStart: () => {},
+        onClose: () => {},
+    });
+}
+
+test("a VM that has said that it stops is no heir, and stays connected", async () => {
+    const other = createPeers("b", () => {});
+    const port = await other.start();
+    const opened = new Promise<Peers>(resolve => {
+        const peers = createPeers("a", () => resolve(peers));
+        peers.addPeer({ id: "b", address: `127.0.0.1:${port}` });
+    });
+    const peers = await opened;
+    assert.equal(peers.listHeirs(), ["b"]);
+    peers.recordLeaving("b");
+    assert.equal(peers.listHeirs(), []);
+    assert.equal(peers.listConnected(), ["b"]);
+    peers.stop();
+    other.stop();
+});
+
 test.run();
