Ask for an adapter on the engine that held it lately

Ruled out: telling each engine's list (it would double the bytes between data centres); every VM hears the same news of what engines hold and can remember it by itself.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -41,7 +41,10 @@
  */
 const queuedLoadCostMs = 70;
 
-/** Cost of each step away from an adapter's first home when it must be loaded: the copy in host memory is lost. */
+/**
+ * Cost of each step away from an adapter's first home when it must be loaded from the weight store: where nobody knows
+ * which engine held it lately, its home is the likely one.
+ */
 const otherHomeCostMs = 110;
 
 /**
@@ -206,11 +209,13 @@
     if (key !== undefined && coming.includes(key)) {
         return coldLoadMs / 2;
     }
+    const isWarm = key !== undefined && state.warm.has(key);
+    const loadMs = isWarm ? warmLoadMs : coldLoadMs;
     const position = key === undefined ? -1 : queued.indexOf(key);
     if (position >= 0) {
-        return coldLoadMs + position * queuedLoadCostMs;
+        return loadMs + position * queuedLoadCostMs;
     }
-    return coldLoadMs + homeRank * otherHomeCostMs + queued.length * queuedLoadCostMs;
+    return loadMs + (isWarm ? 0 : homeRank * otherHomeCostMs) + queued.length * queuedLoadCostMs;
 }
 
 /** The version of an adapter that an engine may answer with: the newest, or for a short time the one before. */
--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -1,6 +1,7 @@
 import type { EngineLimits } from "@radishreel/routing";
 import { coldLoadMs, warmLoadMs } from "./choose.js";
 import { formatAdapterKey, type HeldModel, parseAdapterKey } from "./types.js";
+import { WarmAdapters } from "./warm.js";
 
 /**
  * An adapter with this many recent uses is not evicted for one that nobody has waited long for: its next request is
@@ -66,9 +67,6 @@
 /** Pause after an order for an adapter that the engine rejected as wrong, in milliseconds. */
 const rejectedPauseMs = 2000;
 
-/** Adapters that an engine keeps in host memory, by the users' sheets; used only to guess how long a load takes. */
-const warmAdapters = 50;
-
 /** What an order does. */
 export type OrderAction = "load" | "unload";
 
@@ -158,6 +156,8 @@
     readonly models: readonly HeldModel[];
     /** Versions by adapter key that the engine is believed to hold, until it reports. @default {} */
     readonly held?: Readonly<Record<string, number>>;
+    /** Adapter keys that the engine is believed to have held lately, least recently first. @default [] */
+    readonly warm?: readonly string[];
     readonly sequence: number;
     readonly now: number;
 }
@@ -169,7 +169,7 @@
 export class EnginePlaces {
     private readonly places = new Map<string, Place>();
     private readonly wants = new Map<string, Want>();
-    private readonly warm = new Set<string>();
+    private readonly warm: WarmAdapters;
     private models: readonly HeldModel[];
     private sequence: number;
     private mustReport = true;
@@ -187,6 +187,7 @@
         this.models = options.models;
         this.sequence = options.sequence;
         this.reportAt = options.now;
+        this.warm = new WarmAdapters(options.warm);
         for (const [key, version] of Object.entries(options.held ?? {})) {
             this.updatePlace(key, version, "loaded", options.now - syncPauseMs);
         }
@@ -432,7 +433,7 @@
             known.checkPauseMs = checkPauseMs;
             known.changedAt = now;
         }
-        this.recordWarm(key);
+        this.warm.record(key);
     }
 
     /** Looks again after a pause that grows while an order takes long. */
@@ -633,17 +634,6 @@
     private createModelOrder(model: string): EngineOrder {
         return { action: "load", model, adapter: undefined, version: undefined, expectedSequence: this.sequence };
     }
-
-    private recordWarm(key: string): void {
-        this.warm.delete(key);
-        this.warm.add(key);
-        for (const oldest of this.warm) {
-            if (this.warm.size <= warmAdapters) {
-                break;
-            }
-            this.warm.delete(oldest);
-        }
-    }
 }
 
 /** Orders loads: by age, and shorter runs first, so that long ones cannot hold all places; age wins in the end. */
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -1,6 +1,7 @@
 import { UpstreamHealth } from "./health.js";
 import { OwnLoad } from "./load.js";
 import { type EngineNews, formatAdapterKey, type Upstream, type UpstreamLoad } from "./types.js";
+import { WarmAdapters } from "./warm.js";
 
 /** What one VM knows of one upstream. */
 export interface UpstreamState {
@@ -12,6 +13,8 @@
     /** The VM that sent `news`. */
     owner: string | undefined;
     readonly health: UpstreamHealth;
+    /** Adapters that it has held lately, as far as its owners have told. */
+    readonly warm: WarmAdapters;
 }
 
 /** What one VM knows of all upstreams: their entries, what engines hold, and the load that all VMs put on them. */
@@ -32,6 +35,7 @@
                 news: undefined,
                 owner: undefined,
                 health: new UpstreamHealth(),
+                warm: new WarmAdapters(),
             });
             return;
         }
@@ -71,6 +75,11 @@
         if (isOlder) {
             return false;
         }
+        for (const key of [...Object.keys(news.held), ...news.coming]) {
+            if (known === undefined || !(key in known.held)) {
+                state.warm.record(key);
+            }
+        }
         state.news = news;
         state.owner = vm;
         return true;
--- a/packages/fleet/test/choose.test.ts
+++ b/packages/fleet/test/choose.test.ts
@@ -88,6 +88,18 @@
     assert.is(first?.state.upstream.id, second?.state.upstream.id);
 });
 
+test("an adapter goes back to the engine that held it lately, wherever its home is", () => {
+    const ids = ["e1", "e2", "e3"];
+    const home = choose(createView(ids))!.state.upstream.id;
+    const other = ids.find(id => id !== home)!;
+    const view = createView(ids);
+    view.updateNews("vm", createNews(other, { revision: 2, held: { "base/a1": 1 } }));
+    view.updateNews("vm", createNews(other, { revision: 3 }));
+    const choice = choose(view);
+    assert.is(choice?.state.upstream.id, other);
+    assert.is(choice?.isReady, false);
+});
+
 test("a second copy is loaded only once the first engine is far behind", () => {
     const view = createView(["e1", "e2"]);
     view.updateNews("vm", createNews("e1", { revision: 2, held: { "base/a1": 1 } }));
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -246,6 +246,7 @@
                 limits: service!.engine!,
                 models: state.upstream.models,
                 held: state.news?.held ?? {},
+                warm: state.warm.list(),
                 sequence: state.upstream.sequence,
                 now: this.options.readTime(),
             }),
