Keep long prompts together, away from long answers, and read how long answers will be

Cause: on Armor a fifth of clause-check answers paused for more than 400 ms. An engine reads prompts in pieces between the tokens of its other requests, each piece slower the further on in its prompt: of streams beside a prompt of 14,000 tokens a third paused too long, beside one of 20,000 nearly all, beside smaller ones none (840 streams, attempt and served lines). Ruled out: two prompts at a time (streams beside many small prompts do not pause over 400 ms). Change: a prompt of that size goes where few long answers run, and long answers leave an engine that has just read one; the size is learned from streams by each VM, since engines differ (Altan Zam: about 25,000). Answers' lengths are the callers' estimates; the most tokens are one figure for a whole kind of request. Long prompts are still spread over all engines: an adapter's home weighs more.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -53,6 +53,24 @@
  */
 const secondCopyCostMs = 250;
 
+/** An answer of more tokens than this lasts long enough to be held up by other requests' prompts: half a second or more. */
+export const longAnswerTokens = 100;
+
+/**
+ * Cost of each long answer on an engine to a prompt that would hold them up, in milliseconds. One answer that is late
+ * loses what about 700 ms do to a draft; most of them have been held up once, or end before.
+ */
+const heldUpCostMs = 150;
+
+/**
+ * Cost of an engine that has just read such a prompt to a long answer, in milliseconds: more than a load elsewhere. Once
+ * one engine reads them, answers leave it, so that the next one goes there too.
+ */
+const longPromptNearMs = 500;
+
+/** How long ago it may have read one, in milliseconds: under load the next one is there by then. */
+const longPromptRecentMs = 1500;
+
 /** Time that a version stays in use after a newer one was named, in milliseconds: half of the users' bound of 5 s. */
 export const oldVersionUseMs = 2500;
 
@@ -64,6 +82,8 @@
     readonly state: UpstreamState;
     /** Expected time to the first byte of the answer, in milliseconds, with penalties for what is in doubt. */
     readonly costMs: number;
+    /** What the choice is made by, in milliseconds: the cost, and what others on the upstream would lose or make it lose. */
+    readonly rankMs: number;
     /** Whether the request can be sent now; otherwise its adapter must be loaded first. */
     readonly isReady: boolean;
     /** Version of the adapter that answers; undefined for requests without an adapter. */
@@ -85,6 +105,8 @@
 /** What a choice among engines starts from. */
 export interface EngineChoiceOptions extends ChoiceOptions {
     readonly demand: ModelDemand;
+    /** Prompt tokens from which on streams beside a prompt are held up. */
+    readonly longPromptTokens: number;
     /** Prompt tokens that an engine keeps of the request, by engine id. */
     readonly findKeptTokens: (engine: string) => number;
 }
@@ -115,7 +137,7 @@
             * (1 + (active / slots) ** 2 + active * serverShareCost);
         const costMs = workMs + readCommonCost(options, state);
         if (best === undefined || costMs < best.costMs) {
-            best = { state, costMs, isReady: true, version: undefined, prefillTokens: 0 };
+            best = { state, costMs, rankMs: costMs, isReady: true, version: undefined, prefillTokens: 0 };
         }
     }
     return best;
@@ -146,7 +168,7 @@
         const homeRank = homes.findIndex(home => home.id === state.upstream.id);
         const isSecondCopy = hasCopy && key !== undefined && !hasAdapter(view, state, key);
         const choice = createChoice({ options, limits, state, key, homeRank, isSecondCopy });
-        if (choice !== undefined && (best === undefined || choice.costMs < best.costMs)) {
+        if (choice !== undefined && (best === undefined || choice.rankMs < best.rankMs)) {
             best = choice;
         }
     }
@@ -191,7 +213,7 @@
     }
     const kept = isReady ? options.findKeptTokens(state.upstream.id) : 0;
     const prefillTokens = Math.max(0, demand.promptTokens - kept);
-    const neededKv = load.kvTokens + demand.promptTokens + demand.maxOutputTokens;
+    const neededKv = load.kvTokens + demand.promptTokens + demand.outputTokens;
     const isOverfull = neededKv > limits.kvTokens * kvFillShare || load.active >= limits.batchSlots;
     const engineMs = (load.backlogTokens + prefillTokens) / prefillTokensPerMs + load.active * activeCostMs;
     const costMs = engineMs * state.health.readPace(now)
@@ -199,7 +221,19 @@
         + (isReady ? 0 : readLoadCost(state, key, homeRank))
         + (isSecondCopy ? secondCopyCostMs : 0)
         + readCommonCost(options, state);
-    return { state, costMs, isReady, version, prefillTokens };
+    const rankMs = costMs + readHeldUpCost(options, state, prefillTokens);
+    return { state, costMs, rankMs, isReady, version, prefillTokens };
+}
+
+/** What a long prompt does to the long answers on an engine, and those that read there to a new one. */
+function readHeldUpCost(options: EngineChoiceOptions, state: UpstreamState, prefillTokens: number): number {
+    const { view, demand, now, longPromptTokens } = options;
+    if (prefillTokens >= longPromptTokens) {
+        return view.readLoad(state.upstream.id).longAnswers * heldUpCostMs;
+    }
+    const isNear = demand.outputTokens > longAnswerTokens
+        && state.prompts.findLargest(now - longPromptRecentMs) >= longPromptTokens;
+    return isNear ? longPromptNearMs : 0;
 }
 
 /** Expected wait for an adapter that has to be loaded first. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -6,6 +6,7 @@
     chooseServer,
     type EngineChoiceOptions,
     findUsableVersion,
+    longAnswerTokens,
     prefillTokensPerMs,
     type UpstreamChoice,
 } from "./choose.js";
@@ -13,6 +14,7 @@
 export { UpstreamHealth } from "./health.js";
 export { KeptParts } from "./kept.js";
 export { type LoadHandle, type LoadShare, OwnLoad } from "./load.js";
+export { PauseThreshold, PromptHistory } from "./pauses.js";
 export {
     type EngineOrder,
     EnginePlaces,
--- a/packages/fleet/src/load.ts
+++ b/packages/fleet/src/load.ts
@@ -6,11 +6,13 @@
     readonly backlogTokens: number;
     readonly kvTokens: number;
     readonly adapterKey: string | undefined;
+    readonly hasLongAnswer: boolean;
 }
 
 /** Load that this VM puts on upstreams. */
 export class OwnLoad {
     private readonly loads = new Map<string, UpstreamLoad>();
+    private readonly reading = new Map<string, Set<LoadShare>>();
     private revision = 0;
 
     /** Rises with every change. */
@@ -20,12 +22,15 @@
 
     /** Counts a request until the returned functions are called. */
     add(share: LoadShare): LoadHandle {
+        const reading = this.reading.get(share.upstream) ?? new Set();
+        this.reading.set(share.upstream, reading.add(share));
         this.update(share, 1, share.backlogTokens, share.kvTokens);
         let hasBegun = false;
         let hasEnded = false;
         const begin = (): void => {
             if (!hasBegun) {
                 hasBegun = true;
+                reading.delete(share);
                 this.update(share, 0, -share.backlogTokens, 0);
             }
         };
@@ -45,10 +50,12 @@
     }
 
     private update(share: LoadShare, active: number, backlogTokens: number, kvTokens: number): void {
-        const load = this.loads.get(share.upstream) ?? { active: 0, backlogTokens: 0, kvTokens: 0, uses: {} };
+        const load = this.loads.get(share.upstream) ?? createLoad();
         load.active += active;
         load.backlogTokens += backlogTokens;
         load.kvTokens += kvTokens;
+        load.longAnswers += share.hasLongAnswer ? active : 0;
+        load.largestPrompt = Math.max(0, ...[...this.reading.get(share.upstream)!].map(other => other.backlogTokens));
         if (share.adapterKey !== undefined && active !== 0) {
             const uses = (load.uses[share.adapterKey] ?? 0) + active;
             if (uses === 0) {
@@ -60,6 +67,7 @@
         }
         if (load.active === 0) {
             this.loads.delete(share.upstream);
+            this.reading.delete(share.upstream);
         }
         else {
             this.loads.set(share.upstream, load);
@@ -68,6 +76,10 @@
     }
 }
 
+function createLoad(): UpstreamLoad {
+    return { active: 0, backlogTokens: 0, kvTokens: 0, longAnswers: 0, largestPrompt: 0, uses: {} };
+}
+
 /** Ends the parts of a request's load. */
 export interface LoadHandle {
     /** The answer has begun: its prompt is read. */
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -45,7 +45,8 @@
     /** Missing for the base model itself. */
     readonly adapter: string | undefined;
     readonly promptTokens: number;
-    readonly maxOutputTokens: number;
+    /** Tokens that the answer will have, as the caller estimates; the most that it may have, without an estimate. */
+    readonly outputTokens: number;
     readonly parts: readonly PromptPart[];
 }
 
@@ -73,6 +74,10 @@
     backlogTokens: z.number(),
     /** Memory that its requests take, in tokens. */
     kvTokens: z.number(),
+    /** Requests with long answers that have not ended. */
+    longAnswers: z.number(),
+    /** Largest prompt among those that have not begun to answer, kept parts left out, in tokens. */
+    largestPrompt: z.number(),
     /** Requests under way by adapter key. */
     uses: z.record(z.string(), z.number()),
 });
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -1,5 +1,6 @@
 import { UpstreamHealth } from "./health.js";
-import { OwnLoad } from "./load.js";
+import { type LoadHandle, type LoadShare, OwnLoad } from "./load.js";
+import { PromptHistory } from "./pauses.js";
 import { type EngineNews, formatAdapterKey, type Upstream, type UpstreamLoad } from "./types.js";
 import { WarmAdapters } from "./warm.js";
 
@@ -15,6 +16,8 @@
     readonly health: UpstreamHealth;
     /** Adapters that it has held lately, as far as its owners have told. */
     readonly warm: WarmAdapters;
+    /** Prompts that it has read lately, for all VMs. */
+    readonly prompts: PromptHistory;
 }
 
 /** What one VM knows of all upstreams: their entries, what engines hold, and the load that all VMs put on them. */
@@ -36,6 +39,7 @@
                 owner: undefined,
                 health: new UpstreamHealth(),
                 warm: new WarmAdapters(),
+                prompts: new PromptHistory(),
             });
             return;
         }
@@ -98,13 +102,22 @@
     }
 
     /** Takes the whole load that another VM puts on upstreams. */
-    updateLoads(vm: string, loads: Map<string, UpstreamLoad>): void {
+    updateLoads(vm: string, loads: Map<string, UpstreamLoad>, now: number): void {
         this.loadsByVm.set(vm, loads);
+        for (const [id, { largestPrompt }] of loads) {
+            this.states.get(id)?.prompts.record(largestPrompt, now);
+        }
+    }
+
+    /** Counts a request of this VM until it has ended. */
+    addOwnLoad(share: LoadShare, now: number): LoadHandle {
+        this.states.get(share.upstream)?.prompts.record(share.backlogTokens, now);
+        return this.ownLoad.add(share);
     }
 
-    /** Load of one upstream, summed over all VMs. */
+    /** Load of one upstream, summed over all VMs; of the prompts only the largest. */
     readLoad(id: string): Omit<UpstreamLoad, "uses"> {
-        const sum = { active: 0, backlogTokens: 0, kvTokens: 0 };
+        const sum = { active: 0, backlogTokens: 0, kvTokens: 0, longAnswers: 0, largestPrompt: 0 };
         for (const loads of [this.ownLoad.read(), ...this.loadsByVm.values()]) {
             const load = loads.get(id);
             if (load === undefined) {
@@ -113,6 +126,8 @@
             sum.active += load.active;
             sum.backlogTokens += load.backlogTokens;
             sum.kvTokens += load.kvTokens;
+            sum.longAnswers += load.longAnswers;
+            sum.largestPrompt = Math.max(sum.largestPrompt, load.largestPrompt);
         }
         return sum;
     }
--- a/packages/fleet/test/choose.test.ts
+++ b/packages/fleet/test/choose.test.ts
@@ -7,7 +7,10 @@
     type EngineNews,
     FleetView,
     KeptParts,
+    type LoadShare,
     type ModelDemand,
+    PauseThreshold,
+    PromptHistory,
     rankHomes,
     type Upstream,
 } from "../src/index.js";
@@ -48,7 +51,7 @@
 }
 
 function createDemand(demand: Partial<ModelDemand> = {}): ModelDemand {
-    return { model: "base", adapter: "a1", promptTokens: 1000, maxOutputTokens: 100, parts: [], ...demand };
+    return { model: "base", adapter: "a1", promptTokens: 1000, outputTokens: 100, parts: [], ...demand };
 }
 
 function createView(ids: string[]): FleetView {
@@ -60,6 +63,10 @@
     return view;
 }
 
+function addLoad(view: FleetView, share: Partial<LoadShare> & { readonly upstream: string; }): void {
+    view.addOwnLoad({ backlogTokens: 0, kvTokens: 0, adapterKey: undefined, hasLongAnswer: false, ...share }, 0);
+}
+
 function choose(view: FleetView, demand = createDemand(), now = 10, penalties = new Map<string, number>()) {
     return chooseEngine({
         view,
@@ -68,6 +75,7 @@
         now,
         penalties,
         demand,
+        longPromptTokens: 14_000,
         findKeptTokens: () => 0,
     });
 }
@@ -103,8 +111,7 @@
 test("a second copy is loaded only once the first engine is far behind", () => {
     const view = createView(["e1", "e2"]);
     view.updateNews("vm", createNews("e1", { revision: 2, held: { "base/a1": 1 } }));
-    const addBacklog = (tokens: number) =>
-        view.ownLoad.add({ upstream: "e1", backlogTokens: tokens, kvTokens: 0, adapterKey: undefined });
+    const addBacklog = (tokens: number) => addLoad(view, { upstream: "e1", backlogTokens: tokens });
     addBacklog(9000);
     assert.is(choose(view)?.state.upstream.id, "e1");
     addBacklog(40_000);
@@ -137,8 +144,8 @@
 
 test("an engine without room for a request's tokens is the last choice", () => {
     const view = createView(["e1", "e2"]);
-    view.ownLoad.add({ upstream: "e1", backlogTokens: 0, kvTokens: 190_000, adapterKey: undefined });
-    view.ownLoad.add({ upstream: "e2", backlogTokens: 20_000, kvTokens: 20_000, adapterKey: undefined });
+    addLoad(view, { upstream: "e1", kvTokens: 190_000 });
+    addLoad(view, { upstream: "e2", backlogTokens: 20_000, kvTokens: 20_000 });
     assert.is(choose(view, createDemand({ adapter: undefined }))?.state.upstream.id, "e2");
 });
 
@@ -177,6 +184,46 @@
     }
 });
 
+test("a long prompt goes where it holds up few long answers, and long answers leave that engine", () => {
+    const view = createView(["e1", "e2", "e3"]);
+    for (const upstream of ["e1", "e3"]) {
+        for (let answers = 0; answers < 4; answers++) {
+            addLoad(view, { upstream, hasLongAnswer: true });
+        }
+    }
+    const longPrompt = createDemand({ adapter: undefined, promptTokens: 18_000 });
+    assert.is(choose(view, longPrompt)?.state.upstream.id, "e2");
+    addLoad(view, { upstream: "e2", backlogTokens: 18_000 });
+    const longAnswer = createDemand({ adapter: undefined, outputTokens: 300 });
+    assert.is.not(choose(view, longAnswer, 400)?.state.upstream.id, "e2");
+    assert.is(choose(view, longPrompt, 400)?.state.upstream.id, "e2");
+});
+
+test("the size from which on a prompt holds up others is learned from streams", () => {
+    const threshold = new PauseThreshold();
+    const start = threshold.tokens;
+    for (let streams = 0; streams < 30; streams++) {
+        threshold.record(start * 2, false);
+        threshold.record(0, false);
+    }
+    assert.ok(threshold.tokens > start * 1.9 && threshold.tokens < start * 2.3);
+    for (let streams = 0; streams < 60; streams++) {
+        threshold.record(start * 1.4, true);
+        threshold.record(1000, true);
+    }
+    assert.ok(threshold.tokens < start * 1.5 && threshold.tokens > start * 1.2);
+});
+
+test("the largest prompt of a time is remembered", () => {
+    const history = new PromptHistory();
+    history.record(9000, 100);
+    history.record(20_000, 200);
+    history.record(3000, 300);
+    assert.is(history.findLargest(150), 20_000);
+    assert.is(history.findLargest(250), 3000);
+    assert.is(history.findLargest(350), 0);
+});
+
 test("kept parts count from the start of the prompt, for the same adapter, as long as they are fresh", () => {
     const kept = new KeptParts();
     const demand = createDemand({ parts: [{ id: "p", tokens: 100 }, { id: "q", tokens: 50 }, { id: "r", tokens: 9 }] });
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -438,7 +438,7 @@
     }
 
     private receiveLoad(vm: string, message: Extract<PeerMessage, { type: "load"; }>): void {
-        this.view.updateLoads(vm, new Map(Object.entries(message.loads)));
+        this.view.updateLoads(vm, new Map(Object.entries(message.loads)), readNow());
         for (const { engine, key, count } of message.starts) {
             this.owning?.recordUse(engine, key, count);
         }
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -5,9 +5,13 @@
     type FleetView,
     KeptParts,
     type LoadHandle,
+    longAnswerTokens,
+    type ModelDemand,
+    PauseThreshold,
     prefillTokensPerMs,
     type RetryBudget,
     type UpstreamChoice,
+    type UpstreamState,
 } from "@radishreel/fleet";
 import { chooseTarget, isIdempotent, type Route, type Service } from "@radishreel/routing";
 import { Attempt, type AttemptEnd, createBodyHeaders, type StreamProgress } from "./attempt.js";
@@ -117,6 +121,7 @@
 /** Serves callers' requests: finds the route, chooses upstreams, and repeats what may be repeated. */
 export class Serving {
     private readonly kept = new KeptParts();
+    private readonly longPrompts = new PauseThreshold();
     private readonly waiters = new Set<() => void>();
     private readonly open = new Set<CallerExchange>();
 
@@ -309,6 +314,7 @@
         return chooseEngine({
             ...base,
             demand: model,
+            longPromptTokens: this.longPrompts.tokens,
             findKeptTokens: engine => this.kept.countKeptTokens(engine, model, now),
         });
     }
@@ -337,7 +343,7 @@
             });
         }
         const version = this.options.view.findNewestVersion(key)?.version;
-        const runMs = model.promptTokens / prefillTokensPerMs + model.maxOutputTokens * tokenMs;
+        const runMs = model.promptTokens / prefillTokensPerMs + model.outputTokens * tokenMs;
         this.options.askLoad(engine, { key, version, runMs });
     }
 
@@ -435,12 +441,13 @@
         if (key !== undefined) {
             this.options.recordStart(choice.state.upstream.id, key);
         }
-        return this.options.view.ownLoad.add({
+        return this.options.view.addOwnLoad({
             upstream: choice.state.upstream.id,
             backlogTokens: choice.prefillTokens,
-            kvTokens: (model?.promptTokens ?? 0) + (model?.maxOutputTokens ?? 0),
+            kvTokens: (model?.promptTokens ?? 0) + (model?.outputTokens ?? 0),
             adapterKey: key,
-        });
+            hasLongAnswer: hasLongAnswer(model),
+        }, this.options.readTime());
     }
 
     /** Learns from the end of an attempt. */
@@ -455,6 +462,7 @@
                 health.recordAnswer(now, this.readAnswerPace(job, now - sentAt));
                 if (model !== undefined) {
                     this.kept.record(upstream.id, model, now);
+                    this.recordPauses(job, choice.state, sentAt);
                 }
                 return;
             case "failed":
@@ -485,6 +493,14 @@
         }
     }
 
+    /** Learns from a long answer whether a prompt beside it held it up. */
+    private recordPauses(job: Job, state: UpstreamState, sentAt: number): void {
+        const { gapAimMs } = job.route;
+        if (gapAimMs !== undefined && job.attempts === 1 && hasLongAnswer(job.demand.model)) {
+            this.longPrompts.record(state.prompts.findLargest(sentAt), job.progress.longestPauseMs > gapAimMs);
+        }
+    }
+
     /** Streams tell their pace by their first event; plain answers by their whole time. */
     private readAnswerPace(job: Job, ms: number): number {
         return job.service.engine === undefined ? ms / Math.max(30, job.route.aimMs / 4) : 1;
@@ -544,6 +560,12 @@
             events: job.progress.events,
             firstEventMs: firstEventAt === undefined ? undefined : Math.round(firstEventAt - job.startedAt),
             longestPauseMs: Math.round(job.progress.longestPauseMs),
+            outputTokens: job.demand.model?.outputTokens,
+            longPromptTokens: Math.round(this.longPrompts.tokens),
         });
     }
 }
+
+function hasLongAnswer(model: ModelDemand | undefined): boolean {
+    return model !== undefined && model.outputTokens > longAnswerTokens;
+}
