Load first for requests that can still be answered in time, and for short runs

Ruled out: engines for long answers alone (hold times of 292 / (182 - 165 u) ms at a share u of reading fit what is seen, 3.9 s at 0.65; setting one engine of six apart gives the same number of served runs); duplicates (2.6 of 43 places). Change: requests that can still be sent in time lead those that are late by 2 s, runs count fully, up to 3 s.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -16,6 +16,7 @@
 export { type LoadHandle, type LoadShare, OwnLoad } from "./load.js";
 export { PauseThreshold, PromptHistory } from "./pauses.js";
 export {
+    type AdapterWant,
     type EngineOrder,
     EnginePlaces,
     type EnginePlacesOptions,
--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -50,9 +50,19 @@
 
 /**
  * Head start of shorter runs in the order of loads, as a share of the difference. A run of 50 tokens holds a place for
- * 0.5 s, one of 300 tokens for 3 s: places are what binds under heavy load.
+ * 0.5 s, one of 300 tokens for 3 s: places are what binds under heavy load, and in the time of one long run six short
+ * ones are served.
  */
-const runShare = 0.4;
+const runShare = 1;
+
+/** Longest handicap of a long run, in milliseconds: the largest requests must not be left to the end of their time. */
+const maxHandicapMs = 3000;
+
+/**
+ * Head start of requests that can still be answered in time over those that are late already, in milliseconds. With eight
+ * loads waiting at each engine every request was late when served in the order of arrival.
+ */
+const onTimeLeadMs = 2000;
 
 /** Pause after an order without an answer, in milliseconds: the wait for the answer was the pause already. */
 const repeatPauseMs = 5;
@@ -128,6 +138,17 @@
     queued: number;
 }
 
+/** An adapter that requests wait for. */
+export interface AdapterWant {
+    readonly key: string;
+    /** Oldest version that may answer; undefined for any. */
+    readonly version: number | undefined;
+    /** Time for which the request will use it, in milliseconds. */
+    readonly runMs: number;
+    /** Time in which the request must be sent to be answered in time, in milliseconds; negative once it is late. */
+    readonly onTimeMs: number;
+}
+
 interface Place {
     /** `retiring`: all VMs are told that it goes, and it will be ordered to. */
     state: "loaded" | "loading" | "retiring" | "unloading" | "unknown";
@@ -145,6 +166,8 @@
     version: number | undefined;
     /** Time for which the shortest waiting run will hold the place, in milliseconds. */
     runMs: number;
+    /** Until when a request that waits for it can be sent and still be answered in time. */
+    onTimeUntil: number;
     readonly since: number;
     renewedAt: number;
     notBefore: number;
@@ -219,10 +242,10 @@
     }
 
     /** Adapter keys that wait for a place, in the order in which they will be loaded. */
-    listQueued(): string[] {
+    listQueued(now: number): string[] {
         return [...this.wants]
             .filter(([key]) => !this.places.has(key))
-            .sort(([, left], [, right]) => readTurn(left) - readTurn(right))
+            .sort(([, left], [, right]) => readTurn(left, now) - readTurn(right, now))
             .map(([key]) => key);
     }
 
@@ -234,7 +257,7 @@
             idle: 0,
             moving: 0,
             free: 0,
-            queued: this.listQueued().length,
+            queued: this.listQueued(now).length,
         };
         for (const [key, place] of this.places) {
             if (place.state !== "loaded") {
@@ -255,18 +278,21 @@
     }
 
     /** Asks for an adapter; a request that waits for it asks again from time to time. */
-    addWant(key: string, version: number | undefined, runMs: number, now: number): void {
+    addWant(wanted: AdapterWant, now: number): void {
+        const { key, version, runMs } = wanted;
         const place = this.places.get(key);
         if (place?.state === "loaded" && (version === undefined || place.version >= version)) {
             return;
         }
+        const onTimeUntil = now + wanted.onTimeMs;
         const want = this.wants.get(key);
         if (want === undefined) {
-            this.wants.set(key, { version, runMs, since: now, renewedAt: now, notBefore: now });
+            this.wants.set(key, { version, runMs, onTimeUntil, since: now, renewedAt: now, notBefore: now });
             return;
         }
         want.renewedAt = now;
         want.runMs = Math.min(want.runMs, runMs);
+        want.onTimeUntil = Math.max(want.onTimeUntil, onTimeUntil);
         want.version = version ?? want.version;
     }
 
@@ -562,7 +588,7 @@
     private findNextOrder(now: number): EngineOrder | undefined {
         const due = [...this.wants]
             .filter(([key, want]) => want.notBefore <= now && this.canLoad(key))
-            .sort(([, left], [, right]) => readTurn(left) - readTurn(right));
+            .sort(([, left], [, right]) => readTurn(left, now) - readTurn(right, now));
         const [first] = due;
         if (first === undefined) {
             return undefined;
@@ -636,9 +662,13 @@
     }
 }
 
-/** Orders loads: by age, and shorter runs first, so that long ones cannot hold all places; age wins in the end. */
-function readTurn(want: Want): number {
-    return want.since + want.runMs * runShare;
+/**
+ * Orders loads: by age, with a lead for requests that can still be answered in time, and for shorter runs, so that long
+ * ones cannot hold all places. Age wins in the end.
+ */
+function readTurn(want: Want, now: number): number {
+    const isOnTime = now + coldLoadMs <= want.onTimeUntil;
+    return want.since + Math.min(want.runMs * runShare, maxHandicapMs) - (isOnTime ? onTimeLeadMs : 0);
 }
 
 function isComing(place: Place): boolean {
--- a/packages/fleet/test/places.test.ts
+++ b/packages/fleet/test/places.test.ts
@@ -2,7 +2,14 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type EngineOrder, EnginePlaces, type EngineReport, formatAdapterKey, type OrderAnswer } from "../src/index.js";
+import {
+    type AdapterWant,
+    type EngineOrder,
+    EnginePlaces,
+    type EngineReport,
+    formatAdapterKey,
+    type OrderAnswer,
+} from "../src/index.js";
 
 const model = "base";
 const limits: EngineLimits = {
@@ -106,6 +113,10 @@
     return new EnginePlaces({ limits, models: engine.readReport().models, sequence: 0, now: 0 });
 }
 
+function addWant(places: EnginePlaces, want: Partial<AdapterWant> & { readonly key: string; }, now: number): void {
+    places.addWant({ version: undefined, runMs: 500, onTimeMs: 0, ...want }, now);
+}
+
 /** Carries out what the plan says until it waits. */
 function runPlan(engine: ModelEngine, places: EnginePlaces, readFate: () => Fate): void {
     for (let steps = 0; steps < 20; steps++) {
@@ -139,7 +150,7 @@
     const engine = new ModelEngine();
     const places = createPlaces(engine);
     runPlan(engine, places, () => "answered");
-    places.addWant("base/a1", undefined, 500, 0);
+    addWant(places, { key: "base/a1", version: undefined, runMs: 500 }, 0);
     runPlan(engine, places, () => "answered");
     assert.equal(places.listComing(), ["base/a1"]);
     assert.equal(places.listHeld(), {});
@@ -163,7 +174,7 @@
     const engine = new ModelEngine();
     const places = createPlaces(engine);
     for (const name of ["a1", "a2", "a3"]) {
-        places.addWant(`base/${name}`, undefined, 500, engine.now);
+        addWant(places, { key: `base/${name}`, version: undefined, runMs: 500 }, engine.now);
         runFor(engine, places, 300);
     }
     for (let uses = 0; uses < 6; uses++) {
@@ -171,7 +182,7 @@
         places.recordUse("base/a2", engine.now);
     }
     runFor(engine, places, 600);
-    places.addWant("base/a4", undefined, 500, engine.now);
+    addWant(places, { key: "base/a4", version: undefined, runMs: 500 }, engine.now);
     runFor(engine, places, 320);
     const held = Object.keys(places.listHeld());
     assert.ok(held.includes("base/a1") && held.includes("base/a2") && held.includes("base/a4"), held.join());
@@ -181,18 +192,18 @@
     const engine = new ModelEngine();
     const places = createPlaces(engine);
     for (const name of ["a1", "a2", "a3", "a4"]) {
-        places.addWant(`base/${name}`, undefined, 500, engine.now);
+        addWant(places, { key: `base/${name}`, version: undefined, runMs: 500 }, engine.now);
         runFor(engine, places, 300);
         engine.runs.set(`base/${name}`, 1);
         places.recordUse(`base/${name}`, engine.now);
     }
     runFor(engine, places, 1000);
-    places.addWant("base/a5", undefined, 500, engine.now);
+    addWant(places, { key: "base/a5", version: undefined, runMs: 500 }, engine.now);
     runFor(engine, places, 300);
     assert.is(Object.keys(places.listHeld()).length, 4);
     engine.runs.set("base/a2", 0);
     for (let again = 0; again < 6; again++) {
-        places.addWant("base/a5", undefined, 500, engine.now);
+        addWant(places, { key: "base/a5", version: undefined, runMs: 500 }, engine.now);
         runFor(engine, places, 100);
     }
     assert.ok("base/a5" in places.listHeld());
@@ -203,21 +214,31 @@
     const engine = new ModelEngine();
     const places = createPlaces(engine);
     runPlan(engine, places, () => "answered");
-    places.addWant("base/long", undefined, 3000, 0);
-    places.addWant("base/short", undefined, 300, 100);
-    assert.equal(places.listQueued(), ["base/short", "base/long"]);
+    addWant(places, { key: "base/long", version: undefined, runMs: 3000 }, 0);
+    addWant(places, { key: "base/short", version: undefined, runMs: 300 }, 100);
+    assert.equal(places.listQueued(0), ["base/short", "base/long"]);
     const aged = createPlaces(engine);
-    aged.addWant("base/long", undefined, 3000, 0);
-    aged.addWant("base/short", undefined, 300, 1200);
-    assert.equal(aged.listQueued(), ["base/long", "base/short"]);
+    addWant(aged, { key: "base/long", version: undefined, runMs: 3000 }, 0);
+    addWant(aged, { key: "base/short", version: undefined, runMs: 300 }, 2800);
+    assert.equal(aged.listQueued(2800), ["base/long", "base/short"]);
+});
+
+test("a request that can still be answered in time is loaded before one that is late, for a while", () => {
+    const places = createPlaces(new ModelEngine());
+    addWant(places, { key: "base/late", onTimeMs: -10 }, 0);
+    addWant(places, { key: "base/fresh", onTimeMs: 700 }, 1500);
+    assert.equal(places.listQueued(1500), ["base/fresh", "base/late"]);
+    assert.equal(places.listQueued(2300), ["base/late", "base/fresh"]);
+    addWant(places, { key: "base/later", onTimeMs: 700 }, 2500);
+    assert.equal(places.listQueued(2500), ["base/late", "base/later", "base/fresh"]);
 });
 
 test("a newer version replaces the one that is held", () => {
     const engine = new ModelEngine();
     const places = createPlaces(engine);
-    places.addWant("base/a1", undefined, 500, 0);
+    addWant(places, { key: "base/a1", version: undefined, runMs: 500 }, 0);
     runFor(engine, places, 300);
-    places.addWant("base/a1", 2, 500, engine.now);
+    addWant(places, { key: "base/a1", version: 2, runMs: 500 }, engine.now);
     const step = places.decide(engine.now, () => 0);
     assert.is(step.kind === "order" ? step.order.version : undefined, 2);
 });
@@ -225,7 +246,7 @@
 test("an engine without its base model gets it before any adapter", () => {
     const places = new EnginePlaces({ limits, models: [], sequence: 0, now: 0 });
     places.applyReport({ models: [], coming: [], sequence: 0, isBusy: false }, 0, 0);
-    places.addWant("base/a1", undefined, 500, 0);
+    addWant(places, { key: "base/a1", version: undefined, runMs: 500 }, 0);
     const step = places.decide(0, () => 0);
     assert.equal(step.kind === "order" ? [step.order.action, step.order.adapter] : [], ["load", undefined]);
 });
@@ -234,12 +255,12 @@
     const engine = new ModelEngine();
     const places = createPlaces(engine);
     runPlan(engine, places, () => "answered");
-    places.addWant("base/a1", undefined, 500, 0);
+    addWant(places, { key: "base/a1", version: undefined, runMs: 500 }, 0);
     const step = places.decide(0, () => 0);
     assert.is(step.kind, "order");
     places.applyAnswer((step as { order: EngineOrder; }).order, "unreachable", 0);
     assert.is(places.isReachable, false);
-    assert.equal(places.listQueued(), []);
+    assert.equal(places.listQueued(0), []);
     assert.is(places.decide(10, () => 0).kind, "wait");
     assert.is(places.decide(100, () => 0).kind, "report");
     places.recordReportFailure(false, 100);
@@ -263,7 +284,7 @@
             for (const { name, waitMs, run, runs, fate } of steps) {
                 engine.advance(waitMs);
                 engine.runs.set(`base/a${run}`, engine.held.has(`base/a${run}`) ? runs : 0);
-                places.addWant(`base/a${name}`, undefined, 500, engine.now);
+                addWant(places, { key: `base/a${name}`, version: undefined, runMs: 500 }, engine.now);
                 runPlan(engine, places, () => fate);
                 assert.is(engine.overLimit, 0);
             }
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -50,10 +50,14 @@
     z.object({
         type: z.literal("want"),
         engine: z.string(),
-        key: z.string(),
-        version: z.number().optional(),
-        /** Time for which the request will use it, in milliseconds. */
-        runMs: z.number(),
+        want: z.object({
+            key: z.string(),
+            version: z.number().optional(),
+            /** Time for which the request will use it, in milliseconds. */
+            runMs: z.number(),
+            /** Time in which it must be sent to be answered in time, in milliseconds. */
+            onTimeMs: z.number(),
+        }),
     }),
     /** To the owner of an engine: it turned a request for this adapter away. */
     z.object({ type: z.literal("missing"), engine: z.string(), key: z.string() }),
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -1,4 +1,5 @@
 import {
+    type AdapterWant,
     ClaimClock,
     type EngineNews,
     type EngineOrder,
@@ -177,10 +178,10 @@
     }
 
     /** Asks for an adapter on an engine of this VM. */
-    addWant(engine: string, key: string, version: number | undefined, runMs: number): void {
+    addWant(engine: string, want: AdapterWant): void {
         const owned = this.engines.get(engine);
         if (owned !== undefined) {
-            owned.places.addWant(key, version, runMs, this.options.readTime());
+            owned.places.addWant(want, this.options.readTime());
             this.advance(owned);
         }
     }
@@ -204,7 +205,7 @@
     updateVersion(key: string, version: number): void {
         for (const owned of this.engines.values()) {
             if (key in owned.places.listHeld()) {
-                owned.places.addWant(key, version, 0, this.options.readTime());
+                owned.places.addWant({ key, version, runMs: 0, onTimeMs: 0 }, this.options.readTime());
                 this.advance(owned);
             }
         }
@@ -387,7 +388,7 @@
             isReachable: owned.places.isReachable,
             held: owned.places.listHeld(),
             coming: owned.places.listComing(),
-            queued: owned.places.listQueued(),
+            queued: owned.places.listQueued(this.options.readTime()),
         };
     }
 
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,4 +1,4 @@
-import { type EngineNews, FleetView, RetryBudget } from "@radishreel/fleet";
+import { type AdapterWant, type EngineNews, FleetView, RetryBudget } from "@radishreel/fleet";
 import type { ListenAddress } from "@radishreel/wire";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -23,7 +23,7 @@
     RequestDialect,
     ShardClaims,
 } from "./ports.js";
-import { type AdapterWant, Serving } from "./serving.js";
+import { Serving } from "./serving.js";
 
 /** How often load is told to other VMs while it changes, in milliseconds: a fraction of a prompt's reading time. */
 const loadIntervalMs = 15;
@@ -391,7 +391,7 @@
                 this.receiveNews(vm, message.news);
                 return;
             case "want":
-                this.owning?.addWant(message.engine, message.key, message.version, message.runMs);
+                this.owning?.addWant(message.engine, { ...message.want, version: message.want.version });
                 return;
             case "missing":
                 this.owning?.recordMissing(message.engine, message.key);
@@ -468,10 +468,10 @@
     private askLoad(engine: string, want: AdapterWant): void {
         const owner = this.view.findUpstream(engine)?.owner;
         if (owner === this.options.settings.vm) {
-            this.owning?.addWant(engine, want.key, want.version, want.runMs);
+            this.owning?.addWant(engine, want);
         }
         else if (owner !== undefined) {
-            this.peers.send(owner, { type: "want", engine, ...want });
+            this.peers.send(owner, { type: "want", engine, want });
         }
     }
 
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -1,4 +1,5 @@
 import {
+    type AdapterWant,
     chooseEngine,
     chooseServer,
     findAdapterKey,
@@ -66,14 +67,6 @@
 /** Time that an engine takes for one token of an answer while it reads others' prompts as well, in milliseconds. */
 const tokenMs = 10;
 
-/** An adapter that a request waits for. */
-export interface AdapterWant {
-    readonly key: string;
-    readonly version: number | undefined;
-    /** Time for which the request will use it, in milliseconds. */
-    readonly runMs: number;
-}
-
 /** Options of {@link Serving}. */
 export interface ServingOptions {
     readonly dataCentre: string;
@@ -343,8 +336,10 @@
             });
         }
         const version = this.options.view.findNewestVersion(key)?.version;
-        const runMs = model.promptTokens / prefillTokensPerMs + model.outputTokens * tokenMs;
-        this.options.askLoad(engine, { key, version, runMs });
+        const readMs = model.promptTokens / prefillTokensPerMs;
+        const runMs = readMs + model.outputTokens * tokenMs;
+        const onTimeMs = job.startedAt + job.route.aimMs - now - readMs;
+        this.options.askLoad(engine, { key, version, runMs, onTimeMs });
     }
 
     /** Whether an engine that was asked for an adapter may still load it. */
