Refuse a stream without an upstream while its caller still waits

Ruled out: refusing on arrival (half of those that wait 2 s are still served). Change: a request is refused as not run 150 ms before its caller would leave, less the time to read its prompt. The handicap of long runs is 2 s at most, so that they get a place within that time.

--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -56,7 +56,7 @@
 const runShare = 1;
 
 /** Longest handicap of a long run, in milliseconds: the largest requests must not be left to the end of their time. */
-const maxHandicapMs = 3000;
+const maxHandicapMs = 2000;
 
 /**
  * Head start of requests that can still be answered in time over those that are late already, in milliseconds. With eight
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -20,6 +20,7 @@
 import type { ClusterState } from "./cluster.js";
 import type { ConnectionPool } from "./connections.js";
 import type { DecisionLog } from "./decisions.js";
+import { minAttemptMs, readLastSendAt } from "./patience.js";
 import type { CallerDemand, RequestDialect } from "./ports.js";
 
 /** Upstreams that may turn one request away before it is refused: each has said that it did not run it. */
@@ -46,9 +47,6 @@
 /** How long an upstream that turned a request away is not asked again for it, in milliseconds: its owner's word arrives. */
 const rejectedPauseMs = 60;
 
-/** Time that a request must have left to be worth another attempt, in milliseconds. */
-const minAttemptMs = 60;
-
 /**
  * How long an upstream may take for its first byte before an idempotent request goes elsewhere: a factor of the expected
  * time, and at least so many milliseconds. Engines under heavy load often take 0.9 s, and what they have read of a prompt
@@ -265,7 +263,7 @@
         const { readTime } = this.options;
         for (;;) {
             const now = readTime();
-            if (job.caller.hasLeft || job.deadlineAt - now < minAttemptMs) {
+            if (job.caller.hasLeft || now > readLastSendAt(job)) {
                 return undefined;
             }
             const choice = this.choose(job, now);
@@ -278,7 +276,7 @@
             if (choice !== undefined) {
                 this.askForAdapter(job, choice, now);
             }
-            await this.waitForChange(Math.min(lookAgainMs, job.deadlineAt - now));
+            await this.waitForChange(Math.min(lookAgainMs, readLastSendAt(job) - now));
             job.waitedMs += readTime() - now;
         }
     }
@@ -526,7 +524,7 @@
         if (job.runs > 0) {
             return { status: 502, reason: reason ?? "attemptsSpent" };
         }
-        const isLate = job.deadlineAt - this.options.readTime() < minAttemptMs;
+        const isLate = this.options.readTime() > readLastSendAt(job);
         const fallback = isLate ? "timeout" : last === undefined ? "noUpstream" : "upstreamsBusy";
         return { status: 503, reason: reason ?? fallback, retryAfterSeconds };
     }
--- a/packages/node/test/units.test.ts
+++ b/packages/node/test/units.test.ts
@@ -1,4 +1,5 @@
 import { FleetView, type Upstream } from "@radishreel/fleet";
+import type { Route } from "@radishreel/routing";
 import fc from "fast-check";
 import { err } from "neverthrow";
 import { test } from "uvu";
@@ -8,6 +9,7 @@
 import { DecisionLog } from "../src/decisions.js";
 import { EventSplitter } from "../src/events.js";
 import { type Handover, Owning } from "../src/owning.js";
+import { readLastSendAt } from "../src/patience.js";
 import { Peers } from "../src/peers.js";
 import type { ClusterChange } from "../src/ports.js";
 
@@ -274,4 +276,29 @@
     other.stop();
 });
 
+test("a request without an upstream is refused while its caller still waits, whatever time it has left", () => {
+    const route: Route = {
+        name: "r",
+        host: "h",
+        pathPrefix: "/",
+        kind: "stream",
+        targets: [{ service: "llm", weight: 1 }],
+        timeoutMs: 15_000,
+        aimMs: 1000,
+        gapAimMs: 400,
+        priority: 0,
+        maxAttempts: 2,
+        isResumable: true,
+    };
+    const model = { model: "m", adapter: "a", promptTokens: 3840, outputTokens: 10, parts: [] };
+    const demand = { requestId: "q", budgetMs: undefined, model, lastEventId: undefined };
+    const progress = { lastEventId: undefined, events: 0, firstEventAt: undefined, lastEventAt: 0, longestPauseMs: 0 };
+    const request = { route, demand, startedAt: 1000, deadlineAt: 16_000, progress };
+    assert.is(readLastSendAt(request), 1000 + 4000 - 100 - 150);
+    assert.is(readLastSendAt({ ...request, deadlineAt: 3000 }), 2940);
+    assert.is(readLastSendAt({ ...request, route: { ...route, kind: "unsafe" } }), 15_940);
+    const begun = { ...progress, events: 3, lastEventAt: 9000 };
+    assert.is(readLastSendAt({ ...request, progress: begun }), 9000 + 4000 - 100 - 150);
+});
+
 test.run();
