--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -16,7 +16,6 @@
 export { type LoadHandle, type LoadShare, OwnLoad } from "./load.js";
 export { PauseThreshold, PromptHistory } from "./pauses.js";
 export {
-    type AdapterWant,
     type EngineOrder,
     EnginePlaces,
     type EnginePlacesOptions,
@@ -41,3 +40,4 @@
     upstreamSchema,
 } from "./types.js";
 export { FleetView, type UpstreamState } from "./view.js";
+export { type AdapterWant } from "./wants.js";
--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -1,6 +1,7 @@
 import type { EngineLimits } from "@radishreel/routing";
 import { coldLoadMs, warmLoadMs } from "./choose.js";
 import { formatAdapterKey, type HeldModel, parseAdapterKey } from "./types.js";
+import { AdapterQueue, type AdapterWant, wantLifeMs } from "./wants.js";
 import { WarmAdapters } from "./warm.js";
 
 /**
@@ -42,28 +43,9 @@
 /** Pause between two checks whether a load or an unload is complete, in milliseconds. */
 const checkPauseMs = 20;
 
-/** A want that nobody has renewed for this long is dropped, in milliseconds: requests renew theirs several times in it. */
-const wantLifeMs = 350;
-
 /** Pause before an engine is asked for its state after an order that it did not take, in milliseconds: reports lag. */
 const syncPauseMs = 250;
 
-/**
- * Head start of shorter runs in the order of loads, as a share of the difference. A run of 50 tokens holds a place for
- * 0.5 s, one of 300 tokens for 3 s: places are what binds under heavy load, and in the time of one long run six short
- * ones are served.
- */
-const runShare = 1;
-
-/** Longest handicap of a long run, in milliseconds: the largest requests must not be left to the end of their time. */
-const maxHandicapMs = 2000;
-
-/**
- * Head start of requests that can still be answered in time over those that are late already, in milliseconds. With eight
- * loads waiting at each engine every request was late when served in the order of arrival.
- */
-const onTimeLeadMs = 2000;
-
 /** Pause after an order without an answer, in milliseconds: the wait for the answer was the pause already. */
 const repeatPauseMs = 5;
 
@@ -138,17 +120,6 @@
     queued: number;
 }
 
-/** An adapter that requests wait for. */
-export interface AdapterWant {
-    readonly key: string;
-    /** Oldest version that may answer; undefined for any. */
-    readonly version: number | undefined;
-    /** Time for which the request will use it, in milliseconds. */
-    readonly runMs: number;
-    /** Time in which the request must be sent to be answered in time, in milliseconds; negative once it is late. */
-    readonly onTimeMs: number;
-}
-
 interface Place {
     /** `retiring`: all VMs are told that it goes, and it will be ordered to. */
     state: "loaded" | "loading" | "retiring" | "unloading" | "unknown";
@@ -162,17 +133,6 @@
     decayedAt: number;
 }
 
-interface Want {
-    version: number | undefined;
-    /** Time for which the shortest waiting run will hold the place, in milliseconds. */
-    runMs: number;
-    /** Until when a request that waits for it can be sent and still be answered in time. */
-    onTimeUntil: number;
-    readonly since: number;
-    renewedAt: number;
-    notBefore: number;
-}
-
 /** Options of {@link EnginePlaces}. */
 export interface EnginePlacesOptions {
     readonly limits: EngineLimits;
@@ -191,7 +151,7 @@
  */
 export class EnginePlaces {
     private readonly places = new Map<string, Place>();
-    private readonly wants = new Map<string, Want>();
+    private readonly wants = new AdapterQueue();
     private readonly warm: WarmAdapters;
     private models: readonly HeldModel[];
     private sequence: number;
@@ -243,10 +203,7 @@
 
     /** Adapter keys that wait for a place, in the order in which they will be loaded. */
     listQueued(now: number): string[] {
-        return [...this.wants]
-            .filter(([key]) => !this.places.has(key))
-            .sort(([, left], [, right]) => readTurn(left, now) - readTurn(right, now))
-            .map(([key]) => key);
+        return this.wants.list(now).filter(key => !this.places.has(key));
     }
 
     /** How the places are used, for what is told to people. */
@@ -279,21 +236,10 @@
 
     /** Asks for an adapter; a request that waits for it asks again from time to time. */
     addWant(wanted: AdapterWant, now: number): void {
-        const { key, version, runMs } = wanted;
-        const place = this.places.get(key);
-        if (place?.state === "loaded" && (version === undefined || place.version >= version)) {
-            return;
-        }
-        const onTimeUntil = now + wanted.onTimeMs;
-        const want = this.wants.get(key);
-        if (want === undefined) {
-            this.wants.set(key, { version, runMs, onTimeUntil, since: now, renewedAt: now, notBefore: now });
-            return;
+        const place = this.places.get(wanted.key);
+        if (place?.state !== "loaded" || place.version < (wanted.version ?? 0)) {
+            this.wants.add(wanted, now);
         }
-        want.renewedAt = now;
-        want.runMs = Math.min(want.runMs, runMs);
-        want.onTimeUntil = Math.max(want.onTimeUntil, onTimeUntil);
-        want.version = version ?? want.version;
     }
 
     /** Counts a request for an adapter. */
@@ -329,7 +275,7 @@
         if (now < this.orderNotBefore) {
             return { kind: "wait", untilMs: this.orderNotBefore };
         }
-        this.expireWants(now);
+        this.wants.expire(now);
         this.planEvictions(now, countUses);
         const check = this.findDueCheck(now, countUses);
         if (check !== undefined) {
@@ -405,7 +351,7 @@
         }
         for (const key of report.coming) {
             if (!reported.has(key) && hasSettled(key)) {
-                this.updatePlace(key, this.wants.get(key)?.version ?? 0, "loading", now);
+                this.updatePlace(key, this.wants.find(key)?.version ?? 0, "loading", now);
             }
         }
         if (report.isBusy) {
@@ -428,7 +374,7 @@
      */
     private recordUnreachable(now: number): void {
         this.isConnected = false;
-        this.wants.clear();
+        this.wants.removeAll();
         this.orderNotBefore = now + this.reachPauseMs;
         this.reachPauseMs = Math.min(this.reachPauseMs * 2, maxReachPauseMs);
     }
@@ -473,7 +419,7 @@
         const version = order.version ?? place?.version ?? 0;
         if (answer === "holds") {
             this.updatePlace(key, version, "loaded", now);
-            this.wants.delete(key);
+            this.wants.remove(key);
             return;
         }
         if (answer !== "accepted") {
@@ -535,24 +481,13 @@
     }
 
     private applyRejection(key: string, now: number): void {
-        const want = this.wants.get(key);
-        if (want !== undefined) {
-            want.notBefore = now + rejectedPauseMs;
-        }
-    }
-
-    private expireWants(now: number): void {
-        for (const [key, want] of this.wants) {
-            if (now - want.renewedAt > wantLifeMs) {
-                this.wants.delete(key);
-            }
-        }
+        this.wants.pause(key, now + rejectedPauseMs);
     }
 
     /** Begins to make room, so that the next loads find free places. */
     private planEvictions(now: number, countUses: (key: string) => number): void {
-        const waiting = [...this.wants].filter(([key]) => !this.places.has(key));
-        const oldest = Math.min(...waiting.map(([, want]) => want.since));
+        const waiting = this.listQueued(now);
+        const oldest = Math.min(...waiting.map(key => this.wants.find(key)!.since));
         const going = [...this.places.values()].filter(({ state }) => state === "retiring" || state === "unloading");
         const free = this.limits.adapterPlaces - this.places.size + going.length;
         let missing = Math.min(waiting.length, maxComing) + freePlaces - free;
@@ -586,14 +521,10 @@
     }
 
     private findNextOrder(now: number): EngineOrder | undefined {
-        const due = [...this.wants]
-            .filter(([key, want]) => want.notBefore <= now && this.canLoad(key))
-            .sort(([, left], [, right]) => readTurn(left, now) - readTurn(right, now));
-        const [first] = due;
-        if (first === undefined) {
+        const key = this.wants.list(now).find(name => this.canLoad(name) && this.wants.find(name)!.notBefore <= now);
+        if (key === undefined) {
             return undefined;
         }
-        const [key, want] = first;
         const { model } = parseAdapterKey(key);
         if (!this.models.some(held => held.name === model)) {
             return this.createModelOrder(model);
@@ -602,7 +533,7 @@
             return undefined;
         }
         const hasRoom = this.places.has(key) || this.places.size < this.limits.adapterPlaces;
-        return hasRoom ? this.createOrder("load", key, want.version) : undefined;
+        return hasRoom ? this.createOrder("load", key, this.wants.find(key)!.version) : undefined;
     }
 
     /** Whether an adapter is not on its way in or out already. */
@@ -662,15 +593,6 @@
     }
 }
 
-/**
- * Orders loads: by age, with a lead for requests that can still be answered in time, and for shorter runs, so that long
- * ones cannot hold all places. Age wins in the end.
- */
-function readTurn(want: Want, now: number): number {
-    const isOnTime = now + coldLoadMs <= want.onTimeUntil;
-    return want.since + Math.min(want.runMs * runShare, maxHandicapMs) - (isOnTime ? onTimeLeadMs : 0);
-}
-
 function isComing(place: Place): boolean {
     return place.state === "loading" || place.state === "unknown";
 }
--- a/packages/node/src/attempt.ts
+++ b/packages/node/src/attempt.ts
@@ -312,7 +312,7 @@
         clearTimeout(this.silence);
         if (end.kind === "broken" || end.kind === "callerLeft") {
             this.exchange.cancel();
-            this.connection.reset();
+            this.connection.cancel();
         }
         this.finishAttempt(end);
     }
--- a/packages/node/src/connections.ts
+++ b/packages/node/src/connections.ts
@@ -64,7 +64,7 @@
      * Breaks off what is under way. A reset takes back bytes that a cut path holds up; with a mere close they arrive when
      * it heals: orders came 3 s after they were given up, below their giver's own newer token.
      */
-    reset(): void {
+    cancel(): void {
         if (this.socket !== undefined && !this.socket.connecting && !this.socket.destroyed) {
             this.socket.resetAndDestroy();
         }
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -56,7 +56,7 @@
             return;
         }
         this.hasEnded = true;
-        this.options.connection.reset();
+        this.options.connection.cancel();
     }
 
     pause(): void {
@@ -111,7 +111,7 @@
             return;
         }
         this.hasEnded = true;
-        this.options.connection.reset();
+        this.options.connection.cancel();
         this.options.receiver.receiveBreak(this.phase, detail);
     }
 }
