--- a/packages/cli/src/exit.ts
+++ b/packages/cli/src/exit.ts
@@ -14,6 +14,8 @@
     behind: 6,
     /** No agent answered. */
     unreachable: 7,
+    /** No line of the logs names the request. */
+    notFound: 8,
 } as const;
 
 /** One of {@link exitCodes}. */
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -5,6 +5,7 @@
 import { AgentClient } from "./agent.js";
 import { type Output, runApply, runCheck, runDiff, runDrain, runExplain, runStatus } from "./commands.js";
 import { type ExitCode, exitCodes } from "./exit.js";
+import { runTrace } from "./trace.js";
 
 interface CommonArguments {
     readonly agent: string[];
@@ -100,6 +101,24 @@
         command => command.positional("upstream", { type: "string", demandOption: true }),
         async args => finish(await runDrain(args.upstream, createClient(args), createOutput(args.json))),
     )
+    .command(
+        "trace <request> [files..]",
+        "Show the story of one request from decision lines",
+        command =>
+            command
+                .positional("request", {
+                    type: "string",
+                    demandOption: true,
+                    describe: "Id of one attempt of a caller",
+                })
+                .positional("files", {
+                    type: "string",
+                    array: true,
+                    default: [],
+                    describe: "Logs; none: standard input",
+                }),
+        async args => finish(await runTrace(args.request, args.files, createOutput(args.json))),
+    )
     .completion("completion", "Print a script for shell completion")
     .demandCommand(1)
     .strict()
