Load a newer version where the older one is not in use

Ruled out: a sequence out of step (the reports gave the expected one); a lost order. Change: a version that is too old for what waits is taken out first, and only once no request uses it; VMs have a newer version loaded on another engine while the older one may still answer, and use the newest where it is there.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -41,6 +41,12 @@
  */
 const queuedLoadCostMs = 70;
 
+/**
+ * Cost of loading a newer version of an adapter where an older one is in use, in milliseconds: the load comes after its
+ * runs, which take seconds.
+ */
+const replacedInUseCostMs = 2000;
+
 /**
  * Cost of each step away from an adapter's first home when it must be loaded from the weight store: where nobody knows
  * which engine held it lately, its home is the likely one, and VMs that ask at the same time ask there. At 110 ms a step a
@@ -106,6 +112,8 @@
 /** What a choice among engines starts from. */
 export interface EngineChoiceOptions extends ChoiceOptions {
     readonly demand: ModelDemand;
+    /** Whether only the newest version of the adapter will do. @default false */
+    readonly needsNewest?: boolean;
     /** Prompt tokens from which on streams beside a prompt are held up. */
     readonly longPromptTokens: number;
     /** Prompt tokens that an engine keeps of the request, by engine id. */
@@ -162,12 +170,12 @@
         && (state.goneAt === undefined || state.goneAt - now > minRemainingMs)
     );
     const key = findAdapterKey(demand);
-    const hasCopy = key !== undefined && usable.some(state => isTrusted(state, now) && hasAdapter(view, state, key));
+    const hasCopy = key !== undefined && usable.some(state => isTrusted(state, now) && hasAdapter(options, state, key));
     const homes = key === undefined ? [] : rankHomes(key, usable.map(state => ({ id: state.upstream.id })));
     let best: UpstreamChoice | undefined;
     for (const state of usable) {
         const homeRank = homes.findIndex(home => home.id === state.upstream.id);
-        const isSecondCopy = hasCopy && key !== undefined && !hasAdapter(view, state, key);
+        const isSecondCopy = hasCopy && key !== undefined && !hasAdapter(options, state, key);
         const choice = createChoice({ options, limits, state, key, homeRank, isSecondCopy });
         if (choice !== undefined && (best === undefined || choice.rankMs < best.rankMs)) {
             best = choice;
@@ -182,9 +190,9 @@
 }
 
 /** Whether an engine has an adapter, or will have it soon. */
-function hasAdapter(view: FleetView, state: UpstreamState, key: string): boolean {
+function hasAdapter(options: EngineChoiceOptions, state: UpstreamState, key: string): boolean {
     const { news } = state;
-    return view.findHeldVersion(state, key) !== undefined
+    return findUsableVersion(options, state, key) !== undefined
         || news?.coming.includes(key) === true
         || news?.queued.includes(key) === true;
 }
@@ -206,7 +214,7 @@
     const { options, limits, state, key, homeRank, isSecondCopy } = candidate;
     const { view, demand, now } = options;
     const load = view.readLoad(state.upstream.id);
-    const version = key === undefined ? undefined : findUsableVersion(view, state, key, now);
+    const version = key === undefined ? undefined : findUsableVersion(options, state, key);
     const isReady = key === undefined ? view.hasModel(state, demand.model) : version !== undefined;
     const canLoad = state.news?.canOrder ?? false;
     if (!isReady && !canLoad) {
@@ -219,7 +227,7 @@
     const engineMs = (load.backlogTokens + prefillTokens) / prefillTokensPerMs + load.active * activeCostMs;
     const costMs = engineMs * state.health.readPace(now)
         + (isOverfull ? overfullCostMs : 0)
-        + (isReady ? 0 : readLoadCost(state, key, homeRank))
+        + (isReady ? 0 : readLoadCost(view, state, key, homeRank))
         + (isSecondCopy ? secondCopyCostMs : 0)
         + readCommonCost(options, state);
     const rankMs = costMs + readHeldUpCost(options, state, prefillTokens);
@@ -238,7 +246,11 @@
 }
 
 /** Expected wait for an adapter that has to be loaded first. */
-function readLoadCost(state: UpstreamState, key: string | undefined, homeRank: number): number {
+function readLoadCost(view: FleetView, state: UpstreamState, key: string | undefined, homeRank: number): number {
+    if (key !== undefined && view.findHeldVersion(state, key) !== undefined) {
+        const isInUse = view.countUses(state.upstream.id).has(key);
+        return coldLoadMs + (isInUse ? replacedInUseCostMs : 0);
+    }
     const coming = state.news?.coming ?? [];
     const queued = state.news?.queued ?? [];
     if (key !== undefined && coming.includes(key)) {
@@ -255,15 +267,15 @@
 
 /** The version of an adapter that an engine may answer with: the newest, or for a short time the one before. */
 export function findUsableVersion(
-    view: FleetView,
+    options: Pick<EngineChoiceOptions, "view" | "now" | "needsNewest">,
     state: UpstreamState,
     key: string,
-    now: number,
 ): number | undefined {
+    const { view, now, needsNewest = false } = options;
     const held = view.findHeldVersion(state, key);
     const newest = view.findNewestVersion(key);
     if (held === undefined || newest === undefined || held >= newest.version) {
         return held;
     }
-    return now - newest.knownAt < oldVersionUseMs ? held : undefined;
+    return !needsNewest && now - newest.knownAt < oldVersionUseMs ? held : undefined;
 }
--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -486,6 +486,7 @@
 
     /** Begins to make room, so that the next loads find free places. */
     private planEvictions(now: number, countUses: (key: string) => number): void {
+        this.planReplacements(now, countUses);
         const waiting = this.listQueued(now);
         const oldest = Math.min(...waiting.map(key => this.wants.find(key)!.since));
         const going = [...this.places.values()].filter(({ state }) => state === "retiring" || state === "unloading");
@@ -497,19 +498,43 @@
             if (victim === undefined) {
                 return;
             }
-            this.updatePlace(victim, this.places.get(victim)!.version, "retiring", now);
-            this.places.get(victim)!.checkAt = now + retireMs;
+            this.beginEviction(victim, now);
             missing -= 1;
         }
     }
 
+    /**
+     * Begins to take out versions that are too old for what waits, once no request uses them. An order to replace one that
+     * is in use is carried out after its runs, and the engine takes no other order until then: it locked an engine for
+     * 3.4 s with 19 loads waiting.
+     */
+    private planReplacements(now: number, countUses: (key: string) => number): void {
+        for (const [key, place] of this.places) {
+            if (place.state === "loaded" && this.isTooOld(key, place) && countUses(key) === 0) {
+                this.beginEviction(key, now);
+            }
+        }
+    }
+
+    /** Whether what waits for an adapter wants a newer version of it. */
+    private isTooOld(key: string, place: Place): boolean {
+        return (this.wants.find(key)?.version ?? 0) > place.version;
+    }
+
+    private beginEviction(key: string, now: number): void {
+        const place = this.places.get(key)!;
+        this.updatePlace(key, place.version, "retiring", now);
+        place.checkAt = now + retireMs;
+    }
+
     /** A load or unload whose end is due to be asked for: the same order again says whether it holds. */
     private findDueCheck(now: number, countUses: (key: string) => number): EngineOrder | undefined {
         for (const [key, place] of this.places) {
             if (place.state === "loaded" || place.checkAt > now) {
                 continue;
             }
-            if (place.state === "retiring" && (countUses(key) > 0 || this.wants.has(key))) {
+            const isWanted = this.wants.has(key) && !this.isTooOld(key, place);
+            if (place.state === "retiring" && (countUses(key) > 0 || isWanted)) {
                 // A request came in between: it stays.
                 this.updatePlace(key, place.version, "loaded", now);
                 continue;
@@ -521,7 +546,7 @@
     }
 
     private findNextOrder(now: number): EngineOrder | undefined {
-        const key = this.wants.list(now).find(name => this.canLoad(name) && this.wants.find(name)!.notBefore <= now);
+        const key = this.listQueued(now).find(name => this.wants.find(name)!.notBefore <= now);
         if (key === undefined) {
             return undefined;
         }
@@ -532,16 +557,10 @@
         if (this.listComing().length >= maxComing) {
             return undefined;
         }
-        const hasRoom = this.places.has(key) || this.places.size < this.limits.adapterPlaces;
+        const hasRoom = this.places.size < this.limits.adapterPlaces;
         return hasRoom ? this.createOrder("load", key, this.wants.find(key)!.version) : undefined;
     }
 
-    /** Whether an adapter is not on its way in or out already. */
-    private canLoad(key: string): boolean {
-        const state = this.places.get(key)?.state;
-        return state === undefined || state === "loaded";
-    }
-
     /** The idle adapter whose next request is least likely to come soon. */
     private findVictim(
         now: number,
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -2,6 +2,7 @@
     type AdapterWant,
     chooseEngine,
     chooseServer,
+    type EngineChoiceOptions,
     findAdapterKey,
     type FleetView,
     KeptParts,
@@ -62,6 +63,9 @@
 /** Pause after which a stream that may be resumed goes elsewhere, as a factor of the pause that is still on time. */
 const pauseFactor = 1.5;
 
+/** How much longer a request may take with the newest version while an older one may still answer, in milliseconds. */
+const newestDelayMs = 300;
+
 /** Time that an engine takes for one token of an answer while it reads others' prompts as well, in milliseconds. */
 const tokenMs = 10;
 
@@ -302,12 +306,34 @@
         if (job.service.engine === undefined || model === undefined) {
             return chooseServer(base);
         }
-        return chooseEngine({
+        const options: EngineChoiceOptions = {
             ...base,
             demand: model,
             longPromptTokens: this.longPrompts.tokens,
             findKeptTokens: engine => this.kept.countKeptTokens(engine, model, now),
-        });
+        };
+        const choice = chooseEngine(options);
+        return choice === undefined ? undefined : this.chooseNewest(job, options, choice);
+    }
+
+    /**
+     * The engine with the newest version, if an older one was chosen and it can be sent there without much delay; otherwise
+     * has the newest loaded somewhere, so that it is there before the older one may no longer answer.
+     */
+    private chooseNewest(job: Job, options: EngineChoiceOptions, choice: UpstreamChoice): UpstreamChoice {
+        const key = findAdapterKey(options.demand);
+        const newest = key === undefined ? undefined : this.options.view.findNewestVersion(key);
+        if (key === undefined || !choice.isReady || (choice.version ?? 0) >= (newest?.version ?? 0)) {
+            return choice;
+        }
+        const next = chooseEngine({ ...options, needsNewest: true });
+        if (next?.isReady === true && next.rankMs < choice.rankMs + newestDelayMs) {
+            return next;
+        }
+        if (next?.isReady === false) {
+            this.options.askLoad(next.state.upstream.id, this.createWant(job, options.demand, key, options.now));
+        }
+        return choice;
     }
 
     private askForAdapter(job: Job, choice: UpstreamChoice, now: number): void {
@@ -333,11 +359,14 @@
                 queued: choice.state.news?.queued.length,
             });
         }
+        this.options.askLoad(engine, this.createWant(job, model, key, now));
+    }
+
+    private createWant(job: Job, model: ModelDemand, key: string, now: number): AdapterWant {
         const version = this.options.view.findNewestVersion(key)?.version;
         const readMs = model.promptTokens / prefillTokensPerMs;
         const runMs = readMs + model.outputTokens * tokenMs;
-        const onTimeMs = job.startedAt + job.route.aimMs - now - readMs;
-        this.options.askLoad(engine, { key, version, runMs, onTimeMs });
+        return { key, version, runMs, onTimeMs: job.startedAt + job.route.aimMs - now - readMs };
     }
 
     /** Whether an engine that was asked for an adapter may still load it. */
