--- /dev/null
+++ b/packages/fleet/test/engine.ts
@@ -0,0 +1,137 @@
+import type { EngineLimits } from "@radishreel/routing";
+import { type EngineOrder, EnginePlaces, type EngineReport, formatAdapterKey, type OrderAnswer } from "../src/index.js";
+
+/** The base model that it holds. */
+export const model = "base";
+
+/** Limits of an engine with few places. */
+export const limits: EngineLimits = {
+    batchSlots: 64,
+    kvTokens: 200_000,
+    adapterPlaces: 4,
+    weightsMb: 44_000,
+    loadsPerSecond: 2,
+    models: [],
+};
+
+/** What becomes of an order on its way. */
+export type Fate = "answered" | "answerLost" | "late";
+
+interface LateOrder {
+    readonly order: EngineOrder;
+    readonly at: number;
+}
+
+/** An engine as its interface tells it: places, a sequence, loads that take time, unloads that wait for runs. */
+export class ModelEngine {
+    constructor(private readonly places = limits.adapterPlaces) {}
+
+    now = 0;
+    sequence = 0;
+    readonly held = new Map<string, number>();
+    readonly coming = new Map<string, number>();
+    readonly going = new Set<string>();
+    readonly runs = new Map<string, number>();
+    readonly late: LateOrder[] = [];
+    overLimit = 0;
+
+    apply(order: EngineOrder): OrderAnswer {
+        if (order.expectedSequence !== this.sequence) {
+            return this.findHeld(order) ?? "conflict";
+        }
+        const known = this.findHeld(order);
+        if (known !== undefined) {
+            return known;
+        }
+        const key = formatAdapterKey(order.model, order.adapter!);
+        if (order.action === "unload") {
+            this.sequence += 1;
+            if ((this.runs.get(key) ?? 0) > 0) {
+                this.going.add(key);
+                return "accepted";
+            }
+            this.held.delete(key);
+            return "holds";
+        }
+        this.sequence += 1;
+        this.coming.set(key, this.now + 250);
+        if (new Set([...this.held.keys(), ...this.coming.keys()]).size > this.places) {
+            this.overLimit += 1;
+        }
+        return "accepted";
+    }
+
+    advance(ms: number): void {
+        this.now += ms;
+        for (const [key, at] of this.coming) {
+            if (at <= this.now) {
+                this.coming.delete(key);
+                this.held.set(key, 1);
+            }
+        }
+        for (const key of this.going) {
+            if ((this.runs.get(key) ?? 0) === 0) {
+                this.going.delete(key);
+                this.held.delete(key);
+            }
+        }
+        for (const entry of this.late.splice(0)) {
+            if (entry.at > this.now) {
+                this.late.push(entry);
+            }
+            else {
+                this.apply(entry.order);
+            }
+        }
+    }
+
+    readReport(): EngineReport {
+        const adapters = [...this.held].map(([key, version]) => ({ name: key.split("/")[1]!, version }));
+        return {
+            models: [{ name: model, version: 1, adapters }],
+            coming: [...this.coming.keys()],
+            sequence: this.sequence,
+            isBusy: false,
+        };
+    }
+
+    private findHeld(order: EngineOrder): OrderAnswer | undefined {
+        const key = formatAdapterKey(order.model, order.adapter!);
+        if (order.action === "load") {
+            return this.held.has(key) ? "holds" : this.coming.has(key) ? "accepted" : undefined;
+        }
+        return this.going.has(key) ? "accepted" : this.held.has(key) ? undefined : "holds";
+    }
+}
+
+/** A plan for an engine, by what the engine reports. */
+export function createPlaces(engine: ModelEngine, places = limits.adapterPlaces): EnginePlaces {
+    return new EnginePlaces({
+        limits: { ...limits, adapterPlaces: places },
+        models: engine.readReport().models,
+        sequence: 0,
+        now: 0,
+    });
+}
+
+/** Carries out what the plan says until it waits. */
+export function runPlan(engine: ModelEngine, places: EnginePlaces, readFate: () => Fate): void {
+    for (let steps = 0; steps < 20; steps++) {
+        const step = places.decide(engine.now, key => engine.runs.get(key) ?? 0);
+        if (step.kind === "wait") {
+            return;
+        }
+        if (step.kind === "report") {
+            places.applyReport(engine.readReport(), engine.now, engine.now);
+            continue;
+        }
+        const fate = readFate();
+        if (fate === "late") {
+            engine.late.push({ order: step.order, at: engine.now + 5000 });
+            places.applyAnswer(step.order, "unknown", engine.now);
+            continue;
+        }
+        const answer = engine.apply(step.order);
+        places.applyAnswer(step.order, fate === "answered" ? answer : "unknown", engine.now);
+    }
+}
