--- /dev/null
+++ b/packages/fleet/src/admission.ts
@@ -0,0 +1,279 @@
+import { LoadCounter, type LoadHandle } from "./load.js";
+import { type EnginePlaces } from "./places.js";
+import type { AdmissionAnswer, AdmissionRequest, UpstreamLoad } from "./types.js";
+
+/**
+ * Part of the expected wait that a request must outlast to be let wait at all. Expected ends of runs are off by half either
+ * way, so that a wait often turns out shorter.
+ */
+const hopefulShare = 0.6;
+
+/** Bounds of how much longer runs take than callers estimate, as a factor. */
+const minRunPace = 0.2;
+const maxRunPace = 5;
+
+/** Weight of one run against what is known of how long runs take. */
+const runPaceWeight = 0.05;
+
+/** A run that has outlasted its estimate is expected to end after this further part of it. */
+const overdueShare = 0.25;
+
+/** Shortest time that a run is expected to go on, in milliseconds. */
+const minRestMs = 20;
+
+/** How long a request whose VM is gone is taken to run beyond its own end, in milliseconds: clocks and queues differ. */
+const endMarginMs = 500;
+
+/** Time after which an engine without its base model may have it, in milliseconds: a model takes 0.3 to 1 s. */
+const modelLoadMs = 1000;
+
+/** How often the expected wait of a request that waits is worked out anew, in milliseconds: a tenth of most callers' time. */
+const reviewMs = 150;
+
+/** A request that waits at the engine or runs on it. */
+interface Ticket {
+    readonly vm: string;
+    readonly request: AdmissionRequest;
+    readonly askedAt: number;
+    reviewedAt: number;
+    /** Undefined while it waits. */
+    admittedAt: number | undefined;
+    load: LoadHandle | undefined;
+}
+
+/** An answer for one VM. */
+export interface AddressedAnswer {
+    readonly vm: string;
+    readonly answer: AdmissionAnswer;
+}
+
+/** Options of {@link EngineAdmission}. */
+export interface EngineAdmissionOptions {
+    readonly engine: string;
+    readonly places: EnginePlaces;
+    /** Whether a held version may answer a request that asks for an adapter now. */
+    readonly mayUse: (key: string, held: number, oldest: number | undefined) => boolean;
+}
+
+/**
+ * The one queue of an engine: each request asks its owner to be let in, so that what is in use, what waits and what can
+ * still be met are known in one place. A request whose adapter is loaded is let in at once; any other waits for the load,
+ * in the order of the plan for the places, or is declined as soon as it is known that it cannot be met while its caller
+ * waits.
+ */
+export class EngineAdmission {
+    private readonly tickets = new Map<string, Ticket>();
+    private readonly uses = new Map<string, number>();
+    private readonly counter = new LoadCounter();
+    private runPace = 1;
+
+    constructor(private readonly options: EngineAdmissionOptions) {}
+
+    /** Requests that were let in and have not ended, as load. */
+    get load(): Readonly<UpstreamLoad> {
+        return this.counter.read(this.options.engine);
+    }
+
+    /** Requests that wait. */
+    get waitingCount(): number {
+        return [...this.tickets.values()].filter(isWaiting).length;
+    }
+
+    /** Requests under way with an adapter. */
+    countUses(key: string): number {
+        return this.uses.get(key) ?? 0;
+    }
+
+    /** Takes a request. */
+    ask(vm: string, request: AdmissionRequest, now: number): AdmissionAnswer {
+        const { ticket, key, version, runMs, onTimeMs, patienceMs } = request;
+        const held = this.findUsableVersion(request);
+        const { places } = this.options;
+        if (key === undefined && !places.hasModel(request.model)) {
+            return { kind: "declined", ticket, expectedMs: modelLoadMs };
+        }
+        if (key === undefined || held !== undefined) {
+            this.start(vm, request, now);
+            return { kind: "admitted", ticket, version: held };
+        }
+        const expectedMs = places.readWaitMs(key, now, this.listReleases(now));
+        if (expectedMs * hopefulShare > patienceMs) {
+            return { kind: "declined", ticket, expectedMs };
+        }
+        this.tickets.set(formatId(vm, ticket), {
+            vm,
+            request,
+            askedAt: now,
+            reviewedAt: now,
+            admittedAt: undefined,
+            load: undefined,
+        });
+        places.addWant({ key, version, runMs, onTimeMs, lifeMs: patienceMs }, now);
+        return { kind: "queued", ticket, expectedMs };
+    }
+
+    /** Lets in what can be let in, and declines what cannot be met any more. */
+    advance(now: number): AddressedAnswer[] {
+        const answers: AddressedAnswer[] = [];
+        for (const [id, ticket] of this.tickets) {
+            if (!isWaiting(ticket)) {
+                this.expireRun(id, ticket, now);
+                continue;
+            }
+            const answer = this.checkWaiting(ticket, now);
+            if (answer !== undefined) {
+                answers.push({ vm: ticket.vm, answer });
+            }
+        }
+        return answers;
+    }
+
+    /** Takes word that a request's prompt is read. */
+    begin(vm: string, ticket: number): void {
+        this.tickets.get(formatId(vm, ticket))?.load?.begin();
+    }
+
+    /** Takes word that a request has ended, or waits no longer. */
+    end(vm: string, ticket: number, now: number): void {
+        const found = this.tickets.get(formatId(vm, ticket));
+        if (found !== undefined) {
+            this.recordRun(found, now);
+            this.remove(found);
+        }
+    }
+
+    /** Takes all requests of a VM that were let in, in place of what was known of them. */
+    setRuns(vm: string, requests: readonly AdmissionRequest[], now: number): void {
+        for (const ticket of [...this.tickets.values()]) {
+            if (ticket.vm === vm) {
+                this.remove(ticket);
+            }
+        }
+        for (const request of requests) {
+            this.start(vm, request, now);
+        }
+    }
+
+    /** Declines all that wait: the engine cannot be reached, or is owned no longer. */
+    refuseAll(expectedMs: number): AddressedAnswer[] {
+        const waiting = [...this.tickets.values()].filter(isWaiting);
+        return waiting.map(ticket => {
+            this.remove(ticket);
+            return { vm: ticket.vm, answer: { kind: "declined", ticket: ticket.request.ticket, expectedMs } };
+        });
+    }
+
+    /** How long one more adapter would wait until its load begins, in milliseconds. */
+    readNextTurnMs(now: number): number {
+        return this.options.places.readNextTurnMs(now, this.listReleases(now));
+    }
+
+    private checkWaiting(ticket: Ticket, now: number): AdmissionAnswer | undefined {
+        const { request, vm, askedAt } = ticket;
+        const held = this.findUsableVersion(request);
+        if (held !== undefined) {
+            this.remove(ticket);
+            this.start(vm, request, now);
+            return { kind: "admitted", ticket: request.ticket, version: held };
+        }
+        const restMs = askedAt + request.patienceMs - now;
+        // No load is quicker than one from host memory.
+        const isOver = restMs <= this.options.places.readLoadMs(true);
+        if (!isOver && now - ticket.reviewedAt < reviewMs) {
+            return undefined;
+        }
+        ticket.reviewedAt = now;
+        const expectedMs = this.options.places.readWaitMs(request.key!, now, this.listReleases(now));
+        if (!isOver && expectedMs * hopefulShare <= restMs) {
+            return undefined;
+        }
+        this.remove(ticket);
+        return { kind: "declined", ticket: request.ticket, expectedMs };
+    }
+
+    private findUsableVersion(request: AdmissionRequest): number | undefined {
+        const { key, version } = request;
+        const held = key === undefined ? undefined : this.options.places.findLoadedVersion(key);
+        return held !== undefined && this.options.mayUse(key!, held, version) ? held : undefined;
+    }
+
+    private start(vm: string, request: AdmissionRequest, now: number): void {
+        const { ticket, key, prefillTokens, kvTokens, hasLongAnswer } = request;
+        const load = this.counter.add({
+            upstream: this.options.engine,
+            backlogTokens: prefillTokens,
+            kvTokens,
+            hasLongAnswer,
+        });
+        this.tickets.set(formatId(vm, ticket), { vm, request, askedAt: now, reviewedAt: now, admittedAt: now, load });
+        if (key !== undefined) {
+            this.uses.set(key, this.countUses(key) + 1);
+            this.options.places.recordUse(key, now);
+        }
+    }
+
+    private remove(ticket: Ticket): void {
+        const { vm, request, load } = ticket;
+        this.tickets.delete(formatId(vm, request.ticket));
+        const { key } = request;
+        load?.end();
+        if (key === undefined) {
+            return;
+        }
+        if (!isWaiting(ticket)) {
+            this.removeUse(key);
+        }
+        else if (![...this.tickets.values()].some(other => isWaiting(other) && other.request.key === key)) {
+            this.options.places.removeWant(key);
+        }
+    }
+
+    private removeUse(key: string): void {
+        const uses = this.countUses(key) - 1;
+        if (uses > 0) {
+            this.uses.set(key, uses);
+        }
+        else {
+            this.uses.delete(key);
+        }
+    }
+
+    /** Forgets a run whose VM has not told its end. */
+    private expireRun(id: string, ticket: Ticket, now: number): void {
+        if (now > ticket.admittedAt! + ticket.request.endMs + endMarginMs) {
+            this.remove(ticket);
+            this.tickets.delete(id);
+        }
+    }
+
+    private recordRun(ticket: Ticket, now: number): void {
+        if (ticket.admittedAt === undefined || ticket.request.runMs <= 0) {
+            return;
+        }
+        const pace = (now - ticket.admittedAt) / ticket.request.runMs;
+        const bounded = Math.min(Math.max(pace, minRunPace), maxRunPace);
+        this.runPace += (bounded - this.runPace) * runPaceWeight;
+    }
+
+    /** Times until adapters that are in use are expected to be idle, in milliseconds, soonest first. */
+    private listReleases(now: number): number[] {
+        const releases = new Map<string, number>();
+        for (const { request, admittedAt } of this.tickets.values()) {
+            if (admittedAt === undefined || request.key === undefined) {
+                continue;
+            }
+            const expectedMs = request.runMs * this.runPace;
+            const restMs = Math.max(admittedAt + expectedMs - now, expectedMs * overdueShare, minRestMs);
+            releases.set(request.key, Math.max(releases.get(request.key) ?? 0, restMs));
+        }
+        return [...releases.values()].sort((left, right) => left - right);
+    }
+}
+
+function isWaiting(ticket: Ticket): boolean {
+    return ticket.admittedAt === undefined;
+}
+
+function formatId(vm: string, ticket: number): string {
+    return `${vm} ${ticket}`;
+}
--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -6,12 +6,6 @@
 /** Prompt tokens that an engine reads in a millisecond, by the users' sheets for both of their engines. */
 export const prefillTokensPerMs = 38.4;
 
-/** Time to load an adapter from the weight store while few are on their way, by the users' sheets, in milliseconds. */
-export const coldLoadMs = 250;
-
-/** Time to load an adapter that the engine keeps in host memory: a tenth of a cold load. */
-export const warmLoadMs = coldLoadMs / 10;
-
 /** Time that each running request adds to the first token of another, in milliseconds: its share of a batch's steps. */
 const activeCostMs = 1.5;
 
@@ -36,11 +30,6 @@
 /** Cost of an upstream that fails every request; a share of failures costs its share of this. */
 const failingCostMs = 1200;
 
-/**
- * Cost of each load that waits at an engine before one more. Adapters take 250 ms, some four at a time.
- */
-const queuedLoadCostMs = 70;
-
 /**
  * Cost of loading a newer version of an adapter where an older one is in use, in milliseconds: the load comes after its
  * runs, which take seconds.
@@ -60,8 +49,13 @@
  */
 const secondCopyCostMs = 250;
 
+/** Whether an answer lasts long enough to be held up by other requests' prompts. */
+export function hasLongAnswer(model: ModelDemand | undefined): boolean {
+    return model !== undefined && model.outputTokens > longAnswerTokens;
+}
+
 /** An answer of more tokens than this lasts long enough to be held up by other requests' prompts: half a second or more. */
-export const longAnswerTokens = 100;
+const longAnswerTokens = 100;
 
 /**
  * Cost of each long answer on an engine to a prompt that would hold them up, in milliseconds. One answer that is late
@@ -78,9 +72,6 @@
 /** How long ago it may have read one, in milliseconds: under load the next one is there by then. */
 const longPromptRecentMs = 1500;
 
-/** Time that a version stays in use after a newer one was named, in milliseconds: half of the users' bound of 5 s. */
-export const oldVersionUseMs = 2500;
-
 /** An engine that loses its place this soon gets no new stream, in milliseconds: most streams end within it. */
 const minRemainingMs = 1500;
 
@@ -118,6 +109,8 @@
     readonly longPromptTokens: number;
     /** Prompt tokens that an engine keeps of the request, by engine id. */
     readonly findKeptTokens: (engine: string) => number;
+    /** Whether an engine's owner can be asked. */
+    readonly canAsk: (state: UpstreamState) => boolean;
 }
 
 /** Costs that hold for every kind of upstream. */
@@ -193,8 +186,7 @@
 function hasAdapter(options: EngineChoiceOptions, state: UpstreamState, key: string): boolean {
     const { news } = state;
     return findUsableVersion(options, state, key) !== undefined
-        || news?.coming.includes(key) === true
-        || news?.queued.includes(key) === true;
+        || news?.coming.includes(key) === true;
 }
 
 /** One engine as a candidate for a request. */
@@ -216,7 +208,7 @@
     const load = view.readLoad(state.upstream.id);
     const version = key === undefined ? undefined : findUsableVersion(options, state, key);
     const isReady = key === undefined ? view.hasModel(state, demand.model) : version !== undefined;
-    const canLoad = state.news?.canOrder ?? false;
+    const canLoad = (state.news?.canOrder ?? false) && options.canAsk(state);
     if (!isReady && !canLoad) {
         return undefined;
     }
@@ -245,24 +237,20 @@
     return isNear ? longPromptNearMs : 0;
 }
 
-/** Expected wait for an adapter that has to be loaded first. */
+/** Expected wait for an adapter that has to be loaded first, in milliseconds. */
 function readLoadCost(view: FleetView, state: UpstreamState, key: string | undefined, homeRank: number): number {
-    if (key !== undefined && view.findHeldVersion(state, key) !== undefined) {
-        const isInUse = view.countUses(state.upstream.id).has(key);
-        return coldLoadMs + (isInUse ? replacedInUseCostMs : 0);
+    const { news } = state;
+    if (news === undefined || key === undefined) {
+        return 0;
     }
-    const coming = state.news?.coming ?? [];
-    const queued = state.news?.queued ?? [];
-    if (key !== undefined && coming.includes(key)) {
-        return coldLoadMs / 2;
+    if (view.findHeldVersion(state, key) !== undefined) {
+        // One that is not in use has been replaced by its owner already.
+        return news.coldLoadMs + replacedInUseCostMs;
     }
-    const isWarm = key !== undefined && state.warm.has(key);
-    const loadMs = isWarm ? warmLoadMs : coldLoadMs;
-    const position = key === undefined ? -1 : queued.indexOf(key);
-    if (position >= 0) {
-        return loadMs + position * queuedLoadCostMs;
+    if (news.coming.includes(key)) {
+        return news.coldLoadMs / 2;
     }
-    return loadMs + (isWarm ? 0 : homeRank * otherHomeCostMs) + queued.length * queuedLoadCostMs;
+    return news.waitMs + (state.warm.has(key) ? news.warmLoadMs : news.coldLoadMs + homeRank * otherHomeCostMs);
 }
 
 /** The version of an adapter that an engine may answer with: the newest, or for a short time the one before. */
@@ -273,9 +261,11 @@
 ): number | undefined {
     const { view, now, needsNewest = false } = options;
     const held = view.findHeldVersion(state, key);
-    const newest = view.findNewestVersion(key);
-    if (held === undefined || newest === undefined || held >= newest.version) {
-        return held;
+    if (held === undefined) {
+        return undefined;
     }
-    return !needsNewest && now - newest.knownAt < oldVersionUseMs ? held : undefined;
+    const isAllowed = needsNewest
+        ? held >= (view.findNewestVersion(key)?.version ?? held)
+        : view.mayUseVersion(key, held, now);
+    return isAllowed ? held : undefined;
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,5 @@
 /** What a VM knows of engines and services, and the decisions that rest on it. Pure: time is handed in. */
+export { type AddressedAnswer, EngineAdmission, type EngineAdmissionOptions } from "./admission.js";
 export { RetryBudget, type RetryBudgetOptions } from "./budget.js";
 export {
     type ChoiceOptions,
@@ -6,26 +7,24 @@
     chooseServer,
     type EngineChoiceOptions,
     findUsableVersion,
-    longAnswerTokens,
+    hasLongAnswer,
     prefillTokensPerMs,
     type UpstreamChoice,
 } from "./choose.js";
 export { ClaimClock, type ClaimClockOptions, readShard } from "./claims.js";
 export { UpstreamHealth } from "./health.js";
 export { KeptParts } from "./kept.js";
-export { type LoadHandle, type LoadShare, OwnLoad } from "./load.js";
+export { LoadCounter, type LoadHandle, type LoadShare, noLoad } from "./load.js";
+export { LoadTimes } from "./loadtimes.js";
+export type { EngineOrder, EngineReport, OrderAction, OrderAnswer, PlacesStep } from "./orders.js";
 export { PauseThreshold, PromptHistory } from "./pauses.js";
-export {
-    type EngineOrder,
-    EnginePlaces,
-    type EnginePlacesOptions,
-    type EngineReport,
-    type OrderAction,
-    type OrderAnswer,
-    type PlacesStep,
-} from "./places.js";
+export { EnginePlaces, type EnginePlacesOptions } from "./places.js";
 export { rankHomes } from "./rank.js";
 export {
+    type AdmissionAnswer,
+    admissionAnswerSchema,
+    type AdmissionRequest,
+    admissionRequestSchema,
     type EngineNews,
     engineNewsSchema,
     findAdapterKey,
@@ -39,5 +38,5 @@
     upstreamLoadSchema,
     upstreamSchema,
 } from "./types.js";
-export { FleetView, type UpstreamState } from "./view.js";
+export { FleetView, oldVersionUseMs, type UpstreamState } from "./view.js";
 export { type AdapterWant } from "./wants.js";
--- a/packages/fleet/src/load.ts
+++ b/packages/fleet/src/load.ts
@@ -5,20 +5,21 @@
     readonly upstream: string;
     readonly backlogTokens: number;
     readonly kvTokens: number;
-    readonly adapterKey: string | undefined;
     readonly hasLongAnswer: boolean;
 }
 
-/** Load that this VM puts on upstreams. */
-export class OwnLoad {
+/** Ends the parts of a request's load. */
+export interface LoadHandle {
+    /** The answer has begun: its prompt is read. */
+    begin(): void;
+    /** The request has left the upstream. */
+    end(): void;
+}
+
+/** Load on upstreams, counted by the requests that make it. */
+export class LoadCounter {
     private readonly loads = new Map<string, UpstreamLoad>();
     private readonly reading = new Map<string, Set<LoadShare>>();
-    private revision = 0;
-
-    /** Rises with every change. */
-    get version(): number {
-        return this.revision;
-    }
 
     /** Counts a request until the returned functions are called. */
     add(share: LoadShare): LoadHandle {
@@ -36,35 +37,26 @@
         };
         const end = (): void => {
             if (!hasEnded) {
-                hasEnded = true;
                 begin();
+                hasEnded = true;
                 this.update(share, -1, 0, -share.kvTokens);
             }
         };
         return { begin, end };
     }
 
-    /** Load by upstream id; upstreams without load are left out. */
-    read(): Map<string, UpstreamLoad> {
-        return this.loads;
+    /** Load of one upstream. */
+    read(upstream: string): Readonly<UpstreamLoad> {
+        return this.loads.get(upstream) ?? noLoad;
     }
 
     private update(share: LoadShare, active: number, backlogTokens: number, kvTokens: number): void {
-        const load = this.loads.get(share.upstream) ?? createLoad();
+        const load = this.loads.get(share.upstream) ?? { ...noLoad };
         load.active += active;
         load.backlogTokens += backlogTokens;
         load.kvTokens += kvTokens;
         load.longAnswers += share.hasLongAnswer ? active : 0;
         load.largestPrompt = Math.max(0, ...[...this.reading.get(share.upstream)!].map(other => other.backlogTokens));
-        if (share.adapterKey !== undefined && active !== 0) {
-            const uses = (load.uses[share.adapterKey] ?? 0) + active;
-            if (uses === 0) {
-                delete load.uses[share.adapterKey];
-            }
-            else {
-                load.uses[share.adapterKey] = uses;
-            }
-        }
         if (load.active === 0) {
             this.loads.delete(share.upstream);
             this.reading.delete(share.upstream);
@@ -72,18 +64,14 @@
         else {
             this.loads.set(share.upstream, load);
         }
-        this.revision += 1;
     }
 }
 
-function createLoad(): UpstreamLoad {
-    return { active: 0, backlogTokens: 0, kvTokens: 0, longAnswers: 0, largestPrompt: 0, uses: {} };
-}
-
-/** Ends the parts of a request's load. */
-export interface LoadHandle {
-    /** The answer has begun: its prompt is read. */
-    begin(): void;
-    /** The request has left the upstream. */
-    end(): void;
-}
+/** Load of an upstream without any request. */
+export const noLoad: Readonly<UpstreamLoad> = {
+    active: 0,
+    backlogTokens: 0,
+    kvTokens: 0,
+    longAnswers: 0,
+    largestPrompt: 0,
+};
--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -1,5 +1,6 @@
 import type { EngineLimits } from "@radishreel/routing";
-import { coldLoadMs, warmLoadMs } from "./choose.js";
+import { LoadTimes } from "./loadtimes.js";
+import type { EngineOrder, EngineReport, OrderAction, OrderAnswer, PlacesStep } from "./orders.js";
 import { formatAdapterKey, type HeldModel, parseAdapterKey } from "./types.js";
 import { AdapterQueue, type AdapterWant, wantLifeMs } from "./wants.js";
 import { WarmAdapters } from "./warm.js";
@@ -25,12 +26,6 @@
  */
 const minStayMs = 400;
 
-/**
- * Pause between telling all VMs that an adapter goes and ordering it, in milliseconds: word of requests that other VMs
- * have just sent arrives in it.
- */
-const retireMs = 25;
-
 /** Places kept free, so that a load need not wait for an eviction. */
 const freePlaces = 1;
 
@@ -59,56 +54,6 @@
 /** Pause after an order for an adapter that the engine rejected as wrong, in milliseconds. */
 const rejectedPauseMs = 2000;
 
-/** What an order does. */
-export type OrderAction = "load" | "unload";
-
-/** One order to an engine. */
-export interface EngineOrder {
-    readonly action: OrderAction;
-    readonly model: string;
-    /** Missing for a base model. */
-    readonly adapter: string | undefined;
-    /** Version to load; the newest one if missing. */
-    readonly version: number | undefined;
-    /** Orders that the engine must have accepted before, for this one to be accepted. */
-    readonly expectedSequence: number;
-}
-
-/** What an engine said to an order. */
-export type OrderAnswer =
-    /** It is being carried out. */
-    | "accepted"
-    /** What it asks for holds already. */
-    | "holds"
-    /** Another order is under way, or the sequence is not the expected one. */
-    | "conflict"
-    /** A newer owner has given orders. */
-    | "fenced"
-    /** Another incarnation has the address. */
-    | "gone"
-    /** The engine knows no such order, model or adapter. */
-    | "rejected"
-    /** No connection could be opened: it was not sent. */
-    | "unreachable"
-    /** Nothing was heard: it may be carried out, now or later. */
-    | "unknown";
-
-/** An engine's report of what it holds. */
-export interface EngineReport {
-    readonly models: readonly HeldModel[];
-    /** Adapter keys on their way. */
-    readonly coming: readonly string[];
-    readonly sequence: number;
-    /** Whether an order for a base model is under way. */
-    readonly isBusy: boolean;
-}
-
-/** What the owner of an engine should do next. */
-export type PlacesStep =
-    | { readonly kind: "order"; readonly order: EngineOrder; }
-    | { readonly kind: "report"; }
-    | { readonly kind: "wait"; readonly untilMs: number; };
-
 /** Places of an engine by what they are used for. */
 export interface PlaceCounts {
     inUse: number;
@@ -121,13 +66,19 @@
 }
 
 interface Place {
-    /** `retiring`: all VMs are told that it goes, and it will be ordered to. */
+    /** `retiring`: nobody is let in any more, and it will be ordered to go. */
     state: "loaded" | "loading" | "retiring" | "unloading" | "unknown";
     version: number;
     checkAt: number;
     checkPauseMs: number;
     /** When its state last changed. */
     changedAt: number;
+    /** How long its load is expected to take, in milliseconds. */
+    expectedMs: number;
+    /** When its load was first asked about and not complete, in milliseconds since its order; undefined until then. */
+    incompleteMs: number | undefined;
+    /** Whether the engine was taken to keep it in host memory when its load began. */
+    isWarm: boolean;
     usedAt: number;
     popularity: number;
     decayedAt: number;
@@ -164,13 +115,14 @@
     private orderNotBefore = -Infinity;
     private reportAt: number;
     private readonly limits: EngineLimits;
+    private readonly loadTimes = new LoadTimes();
 
     constructor(options: EnginePlacesOptions) {
         this.limits = options.limits;
         this.models = options.models;
         this.sequence = options.sequence;
         this.reportAt = options.now;
-        this.warm = new WarmAdapters(options.warm);
+        this.warm = new WarmAdapters(options.warm, options.limits.adapterPlaces);
         for (const [key, version] of Object.entries(options.held ?? {})) {
             this.updatePlace(key, version, "loaded", options.now - syncPauseMs);
         }
@@ -203,7 +155,7 @@
 
     /** Adapter keys that wait for a place, in the order in which they will be loaded. */
     listQueued(now: number): string[] {
-        return this.wants.list(now).filter(key => !this.places.has(key));
+        return this.wants.list(now, this.loadTimes.read(false)).filter(key => !this.places.has(key));
     }
 
     /** How the places are used, for what is told to people. */
@@ -234,7 +186,58 @@
         return counts;
     }
 
-    /** Asks for an adapter; a request that waits for it asks again from time to time. */
+    /** Expected time of a load, in milliseconds. */
+    readLoadMs(isWarm: boolean): number {
+        return this.loadTimes.read(isWarm);
+    }
+
+    /** Version of an adapter that requests may use now; undefined if it is not loaded. */
+    findLoadedVersion(key: string): number | undefined {
+        const place = this.places.get(key);
+        return place?.state === "loaded" ? place.version : undefined;
+    }
+
+    /** Whether the engine holds a base model, as far as it has reported. */
+    hasModel(name: string): boolean {
+        return this.models.some(held => held.name === name);
+    }
+
+    /**
+     * Expected time until a request for an adapter can be let in, in milliseconds.
+     * @param releases Times until places that are in use are expected to come free, in milliseconds, soonest first.
+     */
+    readWaitMs(key: string, now: number, releases: readonly number[]): number {
+        const place = this.places.get(key);
+        if (place !== undefined && isComing(place)) {
+            return Math.max(0, place.changedAt + place.expectedMs - now);
+        }
+        const queued = this.listQueued(now);
+        const found = queued.indexOf(key);
+        const position = found < 0 ? queued.length : found;
+        return this.readTurnMs(position, releases) + this.loadTimes.read(this.warm.has(key));
+    }
+
+    /** Expected time until the load of one more adapter would begin, in milliseconds. */
+    readNextTurnMs(now: number, releases: readonly number[]): number {
+        return this.readTurnMs(this.listQueued(now).length, releases);
+    }
+
+    /** Expected time until the load at a position of the queue begins, in milliseconds. */
+    private readTurnMs(position: number, releases: readonly number[]): number {
+        const coldMs = this.loadTimes.read(false);
+        const coming = this.listComing().length;
+        const missing = position + 1 - Math.max(0, this.limits.adapterPlaces - releases.length - coming);
+        const roomMs = missing <= 0 ? 0 : releases[Math.min(missing, releases.length) - 1] ?? coldMs;
+        const turnMs = Math.floor((position + coming) / maxComing) * coldMs;
+        return Math.max(roomMs, turnMs);
+    }
+
+    /** Takes a want back, since nobody waits for the adapter any more. */
+    removeWant(key: string): void {
+        this.wants.remove(key);
+    }
+
+    /** Asks for an adapter; a request that does not say how long it waits asks again from time to time. */
     addWant(wanted: AdapterWant, now: number): void {
         const place = this.places.get(wanted.key);
         if (place?.state !== "loaded" || place.version < (wanted.version ?? 0)) {
@@ -393,6 +396,9 @@
                 checkAt: now,
                 checkPauseMs,
                 changedAt: now,
+                expectedMs: this.loadTimes.read(false),
+                incompleteMs: undefined,
+                isWarm: false,
                 usedAt: now,
                 popularity: 1,
                 decayedAt: now,
@@ -418,6 +424,7 @@
         const place = this.places.get(key);
         const version = order.version ?? place?.version ?? 0;
         if (answer === "holds") {
+            this.recordLoaded(place, now);
             this.updatePlace(key, version, "loaded", now);
             this.wants.remove(key);
             return;
@@ -427,6 +434,7 @@
         }
         if (place?.state === "loading") {
             // A check: it is still on its way, and the engine has not counted the order.
+            place.incompleteMs ??= now - place.changedAt;
             this.scheduleCheck(place, now);
             return;
         }
@@ -434,7 +442,18 @@
         this.lastOrderAt = now;
         const isWarm = this.warm.has(key) && place === undefined;
         this.updatePlace(key, version, "loading", now);
-        this.places.get(key)!.checkAt = now + (isWarm ? warmLoadMs : coldLoadMs);
+        const coming = this.places.get(key)!;
+        coming.expectedMs = this.loadTimes.read(isWarm);
+        coming.isWarm = isWarm;
+        coming.incompleteMs = undefined;
+        coming.checkAt = now + coming.expectedMs;
+    }
+
+    /** Learns from a load that is complete. */
+    private recordLoaded(place: Place | undefined, now: number): void {
+        if (place?.state === "loading") {
+            this.loadTimes.record(place.isWarm, now - place.changedAt, place.incompleteMs);
+        }
     }
 
     private applyUnload(key: string, answer: OrderAnswer, now: number): void {
@@ -524,7 +543,6 @@
     private beginEviction(key: string, now: number): void {
         const place = this.places.get(key)!;
         this.updatePlace(key, place.version, "retiring", now);
-        place.checkAt = now + retireMs;
     }
 
     /** A load or unload whose end is due to be asked for: the same order again says whether it holds. */
@@ -551,7 +569,7 @@
             return undefined;
         }
         const { model } = parseAdapterKey(key);
-        if (!this.models.some(held => held.name === model)) {
+        if (!this.hasModel(model)) {
             return this.createModelOrder(model);
         }
         if (this.listComing().length >= maxComing) {
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -15,8 +15,12 @@
 
 /** One incarnation of an engine or of a server of a plain service, as it registered itself. */
 export const upstreamSchema = z.object({
-    /** New with every start. */
+    /** Names the incarnation: whatever is learned, asked or ordered under it never counts for another one. */
     id: z.string(),
+    /** The name that it registered under, which it may have had in an earlier incarnation. */
+    name: z.string(),
+    /** When this incarnation started, by its own time of day, in milliseconds. */
+    bornAt: z.number(),
     service: z.string(),
     /** `host:port`. Another upstream may get it after this one is gone. */
     address: z.string(),
@@ -66,9 +70,9 @@
     return { model: key.slice(0, slash), adapter: key.slice(slash + 1) };
 }
 
-/** Load that one VM has put on one upstream. Sums over VMs give the upstream's load. */
+/** Requests on one upstream, as far as its owner or one VM counts them. */
 export const upstreamLoadSchema = z.object({
-    /** Requests sent and not ended. */
+    /** Requests that were let in and have not ended. */
     active: z.number(),
     /** Prompt tokens of requests that have not begun to answer, kept parts left out. */
     backlogTokens: z.number(),
@@ -78,8 +82,6 @@
     longAnswers: z.number(),
     /** Largest prompt among those that have not begun to answer, kept parts left out, in tokens. */
     largestPrompt: z.number(),
-    /** Requests under way by adapter key. */
-    uses: z.record(z.string(), z.number()),
 });
 
 /** See {@link upstreamLoadSchema}. */
@@ -92,6 +94,8 @@
     fence: z.number(),
     /** Rises with each message of one owner about one engine. */
     revision: z.number(),
+    /** Whether the sender still owns it. */
+    isOwned: z.boolean(),
     /** Whether the owner may give orders now. */
     canOrder: z.boolean(),
     /** Whether the owner can open connections to it. */
@@ -100,9 +104,56 @@
     held: z.record(z.string(), z.number()),
     /** Adapter keys on their way. */
     coming: z.array(z.string()),
-    /** Adapter keys that wait for a place, first first. */
-    queued: z.array(z.string()),
+    /** How long one more adapter would wait until its load begins, in milliseconds. */
+    waitMs: z.number(),
+    /** How long a load takes from the weight store and from the engine's memory, as learned, in milliseconds. */
+    coldLoadMs: z.number(),
+    warmLoadMs: z.number(),
+    load: upstreamLoadSchema,
 });
 
 /** See {@link engineNewsSchema}. */
 export type EngineNews = z.infer<typeof engineNewsSchema>;
+
+/** A request that asks an engine's owner to be let in. Times count from when it is sent. */
+export const admissionRequestSchema = z.object({
+    /** Names the request among those of one VM. */
+    ticket: z.number(),
+    /** Base model. */
+    model: z.string(),
+    /** Key of its adapter; missing for the base model. */
+    key: z.string().optional(),
+    /** Oldest version that may answer; missing for any. */
+    version: z.number().optional(),
+    /** Prompt tokens that the engine must read. */
+    prefillTokens: z.number(),
+    /** Memory that it will take, in tokens. */
+    kvTokens: z.number(),
+    hasLongAnswer: z.boolean(),
+    /** Time for which it will run, as expected, in milliseconds. */
+    runMs: z.number(),
+    /** Time in which it must be sent to be answered in time, in milliseconds; negative once it is late. */
+    onTimeMs: z.number(),
+    /** Time in which it must be sent for its caller to be there still, in milliseconds. */
+    patienceMs: z.number(),
+    /** Time after which it has ended in any case, in milliseconds. */
+    endMs: z.number(),
+});
+
+/** See {@link admissionRequestSchema}. */
+export type AdmissionRequest = z.infer<typeof admissionRequestSchema>;
+
+/** What an owner says to a request that asked. */
+export const admissionAnswerSchema = z.discriminatedUnion("kind", [
+    /** It may be sent now. `version` is that of its adapter, missing for the base model. */
+    z.object({ kind: z.literal("admitted"), ticket: z.number(), version: z.number().optional() }),
+    /** It waits, and is expected to be let in after this time, in milliseconds. */
+    z.object({ kind: z.literal("queued"), ticket: z.number(), expectedMs: z.number() }),
+    /** It cannot be let in while its caller waits; after this time it could be, in milliseconds. */
+    z.object({ kind: z.literal("declined"), ticket: z.number(), expectedMs: z.number() }),
+    /** The VM that was asked does not own the engine. */
+    z.object({ kind: z.literal("notOwned"), ticket: z.number() }),
+]);
+
+/** See {@link admissionAnswerSchema}. */
+export type AdmissionAnswer = z.infer<typeof admissionAnswerSchema>;
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -1,9 +1,12 @@
 import { UpstreamHealth } from "./health.js";
-import { type LoadHandle, type LoadShare, OwnLoad } from "./load.js";
+import { LoadCounter, type LoadHandle, type LoadShare, noLoad } from "./load.js";
 import { PromptHistory } from "./pauses.js";
 import { type EngineNews, formatAdapterKey, type Upstream, type UpstreamLoad } from "./types.js";
 import { WarmAdapters } from "./warm.js";
 
+/** Time that a version stays in use after a newer one was named, in milliseconds: half of the users' bound of 5 s. */
+export const oldVersionUseMs = 2500;
+
 /** What one VM knows of one upstream. */
 export interface UpstreamState {
     upstream: Upstream;
@@ -13,6 +16,8 @@
     news: EngineNews | undefined;
     /** The VM that sent `news`. */
     owner: string | undefined;
+    /** What this VM itself had on the engine when `news` came: its owner has counted that. */
+    ownLoadAtNews: Readonly<UpstreamLoad>;
     readonly health: UpstreamHealth;
     /** Adapters that it has held lately, as far as its owners have told. */
     readonly warm: WarmAdapters;
@@ -20,11 +25,10 @@
     readonly prompts: PromptHistory;
 }
 
-/** What one VM knows of all upstreams: their entries, what engines hold, and the load that all VMs put on them. */
+/** What one VM knows of all upstreams: their entries, what engines hold, and how loaded they are. */
 export class FleetView {
-    readonly ownLoad = new OwnLoad();
+    private readonly ownLoad = new LoadCounter();
     private readonly states = new Map<string, UpstreamState>();
-    private readonly loadsByVm = new Map<string, Map<string, UpstreamLoad>>();
     private readonly newestVersions = new Map<string, { version: number; knownAt: number; }>();
 
     /** Takes an upstream's entry. */
@@ -37,6 +41,7 @@
                 goneAt,
                 news: undefined,
                 owner: undefined,
+                ownLoadAtNews: noLoad,
                 health: new UpstreamHealth(),
                 warm: new WarmAdapters(),
                 prompts: new PromptHistory(),
@@ -68,7 +73,7 @@
      * Takes an owner's word about its engine. News of an earlier owner, or older news of the same one, change nothing.
      * @returns Whether it was newer than what was known.
      */
-    updateNews(vm: string, news: EngineNews): boolean {
+    updateNews(vm: string, news: EngineNews, now: number): boolean {
         const state = this.states.get(news.engine);
         if (state === undefined) {
             return false;
@@ -85,15 +90,14 @@
             }
         }
         state.news = news;
-        state.owner = vm;
+        state.owner = news.isOwned ? vm : undefined;
+        state.ownLoadAtNews = { ...this.ownLoad.read(news.engine) };
+        state.prompts.record(news.load.largestPrompt, now);
         return true;
     }
 
-    /**
-     * Forgets a VM that is gone: its load, and that it may give orders. Its next incarnation counts its messages anew.
-     */
+    /** Forgets that a VM that is gone may give orders. Its next incarnation counts its messages anew. */
     removeVm(vm: string): void {
-        this.loadsByVm.delete(vm);
         for (const state of this.states.values()) {
             if (state.owner === vm && state.news !== undefined) {
                 state.news = { ...state.news, canOrder: false, revision: -1 };
@@ -101,46 +105,33 @@
         }
     }
 
-    /** Takes the whole load that another VM puts on upstreams. */
-    updateLoads(vm: string, loads: Map<string, UpstreamLoad>, now: number): void {
-        this.loadsByVm.set(vm, loads);
-        for (const [id, { largestPrompt }] of loads) {
-            this.states.get(id)?.prompts.record(largestPrompt, now);
-        }
-    }
-
     /** Counts a request of this VM until it has ended. */
     addOwnLoad(share: LoadShare, now: number): LoadHandle {
         this.states.get(share.upstream)?.prompts.record(share.backlogTokens, now);
         return this.ownLoad.add(share);
     }
 
-    /** Load of one upstream, summed over all VMs; of the prompts only the largest. */
-    readLoad(id: string): Omit<UpstreamLoad, "uses"> {
-        const sum = { active: 0, backlogTokens: 0, kvTokens: 0, longAnswers: 0, largestPrompt: 0 };
-        for (const loads of [this.ownLoad.read(), ...this.loadsByVm.values()]) {
-            const load = loads.get(id);
-            if (load === undefined) {
-                continue;
-            }
-            sum.active += load.active;
-            sum.backlogTokens += load.backlogTokens;
-            sum.kvTokens += load.kvTokens;
-            sum.longAnswers += load.longAnswers;
-            sum.largestPrompt = Math.max(sum.largestPrompt, load.largestPrompt);
-        }
-        return sum;
-    }
-
-    /** Requests under way on one upstream by adapter key, summed over all VMs. */
-    countUses(id: string): Map<string, number> {
-        const sum = new Map<string, number>();
-        for (const loads of [this.ownLoad.read(), ...this.loadsByVm.values()]) {
-            for (const [key, uses] of Object.entries(loads.get(id)?.uses ?? {})) {
-                sum.set(key, (sum.get(key) ?? 0) + uses);
-            }
+    /**
+     * Load of one upstream: what its owner last told, and what this VM has changed since. Of a plain server, which has no
+     * owner, only this VM's own requests are known.
+     */
+    readLoad(id: string): UpstreamLoad {
+        const own = this.ownLoad.read(id);
+        const state = this.states.get(id);
+        if (state?.news === undefined) {
+            return own;
         }
-        return sum;
+        const { load } = state.news;
+        const before = state.ownLoadAtNews;
+        const sum = (field: keyof UpstreamLoad): number =>
+            Math.max(own[field], load[field] + own[field] - before[field]);
+        return {
+            active: sum("active"),
+            backlogTokens: sum("backlogTokens"),
+            kvTokens: sum("kvTokens"),
+            longAnswers: sum("longAnswers"),
+            largestPrompt: Math.max(own.largestPrompt, load.largestPrompt),
+        };
     }
 
     /** Version of an adapter that an engine holds; undefined if it does not hold it as far as is known. */
@@ -169,6 +160,12 @@
         }
     }
 
+    /** Whether a version of an adapter may answer: it is the newest, or the newest has not been known for long. */
+    mayUseVersion(key: string, version: number, now: number): boolean {
+        const newest = this.newestVersions.get(key);
+        return newest === undefined || version >= newest.version || now - newest.knownAt < oldVersionUseMs;
+    }
+
     /** Newest version of an adapter, and since when it is known; undefined for adapters that never had another one. */
     findNewestVersion(key: string): { version: number; knownAt: number; } | undefined {
         return this.newestVersions.get(key);
--- a/packages/fleet/src/wants.ts
+++ b/packages/fleet/src/wants.ts
@@ -1,6 +1,4 @@
-import { coldLoadMs } from "./choose.js";
-
-/** A want that nobody has renewed for this long is dropped, in milliseconds: requests renew theirs several times in it. */
+/** A want that nobody has renewed for this long is dropped, in milliseconds, unless it says how long it lasts. */
 export const wantLifeMs = 350;
 
 /**
@@ -28,6 +26,8 @@
     readonly runMs: number;
     /** Time in which the request must be sent to be answered in time, in milliseconds; negative once it is late. */
     readonly onTimeMs: number;
+    /** How long the request can wait, in milliseconds. @default wantLifeMs */
+    readonly lifeMs?: number;
 }
 
 /** What waits for one adapter. */
@@ -38,7 +38,7 @@
     /** Until when a request that waits for it can be sent and still be answered in time. */
     onTimeUntil: number;
     readonly since: number;
-    renewedAt: number;
+    expiresAt: number;
     notBefore: number;
 }
 
@@ -50,16 +50,17 @@
         return this.wants.size;
     }
 
-    /** Asks for an adapter; a request that waits for it asks again from time to time. */
+    /** Asks for an adapter; a request that does not say how long it waits asks again from time to time. */
     add(wanted: AdapterWant, now: number): void {
-        const { key, version, runMs } = wanted;
+        const { key, version, runMs, lifeMs = wantLifeMs } = wanted;
         const onTimeUntil = now + wanted.onTimeMs;
+        const expiresAt = now + lifeMs;
         const want = this.wants.get(key);
         if (want === undefined) {
-            this.wants.set(key, { version, runMs, onTimeUntil, since: now, renewedAt: now, notBefore: now });
+            this.wants.set(key, { version, runMs, onTimeUntil, since: now, expiresAt, notBefore: now });
             return;
         }
-        want.renewedAt = now;
+        want.expiresAt = Math.max(want.expiresAt, expiresAt);
         want.runMs = Math.min(want.runMs, runMs);
         want.onTimeUntil = Math.max(want.onTimeUntil, onTimeUntil);
         want.version = version ?? want.version;
@@ -73,10 +74,13 @@
         return this.wants.has(key);
     }
 
-    /** Adapter keys, first first. */
-    list(now: number): string[] {
+    /**
+     * Adapter keys, first first.
+     * @param loadMs Time that a load takes, in milliseconds: what can still be in time depends on it.
+     */
+    list(now: number, loadMs: number): string[] {
         return [...this.wants]
-            .sort(([, left], [, right]) => readTurn(left, now) - readTurn(right, now))
+            .sort(([, left], [, right]) => readTurn(left, now, loadMs) - readTurn(right, now, loadMs))
             .map(([key]) => key);
     }
 
@@ -96,10 +100,10 @@
         this.wants.clear();
     }
 
-    /** Drops what nobody has asked for lately. */
+    /** Drops what nobody waits for any more. */
     expire(now: number): void {
         for (const [key, want] of this.wants) {
-            if (now - want.renewedAt > wantLifeMs) {
+            if (now > want.expiresAt) {
                 this.wants.delete(key);
             }
         }
@@ -110,7 +114,7 @@
  * Orders loads: by age, with a lead for requests that can still be answered in time, and for shorter runs, so that long
  * ones cannot hold all places. Age wins in the end.
  */
-function readTurn(want: Want, now: number): number {
-    const isOnTime = now + coldLoadMs <= want.onTimeUntil;
+function readTurn(want: Want, now: number, loadMs: number): number {
+    const isOnTime = now + loadMs <= want.onTimeUntil;
     return want.since + Math.min(want.runMs * runShare, maxHandicapMs) - (isOnTime ? onTimeLeadMs : 0);
 }
--- a/packages/node/src/attempt.ts
+++ b/packages/node/src/attempt.ts
@@ -49,6 +49,8 @@
     readonly body: Buffer | undefined;
     readonly dialect: RequestDialect;
     readonly pool: ConnectionPool;
+    /** Incarnation that the request is sent to. */
+    readonly upstreamId: string;
     readonly address: string;
     readonly send: SendOptions;
     /** Whether it must use a new connection. */
@@ -98,8 +100,8 @@
         this.end = new Promise(resolve => {
             this.finishAttempt = resolve;
         });
-        const { pool, send, address, caller, dialect } = options;
-        this.connection = pool.claim(send.upstreamId, address, options.isFresh, options.readTime());
+        const { pool, send, upstreamId, address, caller, dialect } = options;
+        this.connection = pool.claim(upstreamId, address, options.isFresh, options.readTime());
         this.exchange = new Exchange({
             connection: this.connection,
             method: caller.method,
@@ -163,7 +165,7 @@
             return;
         }
         const head = this.head!;
-        this.options.pool.release(this.options.send.upstreamId, this.connection, this.options.readTime());
+        this.options.pool.release(this.options.upstreamId, this.connection, this.options.readTime());
         if (head.isNotRun || head.isMisdirected) {
             this.finish({
                 kind: "notRun",
--- a/packages/node/src/caller.ts
+++ b/packages/node/src/caller.ts
@@ -9,6 +9,7 @@
     | "bodyTooLarge"
     | "noUpstream"
     | "upstreamsBusy"
+    | "enginesFull"
     | "retryBudgetSpent"
     | "attemptsSpent"
     | "timeout"
@@ -27,6 +28,8 @@
 
 /** One request of a caller: its body, its answer, and whether the caller is still there. */
 export class CallerExchange {
+    /** Resolves when the caller leaves. */
+    readonly left: Promise<undefined>;
     private readonly leftListeners: (() => void)[] = [];
     private isLeft = false;
     private isUnframed = false;
@@ -35,6 +38,7 @@
         readonly request: IncomingMessage,
         private readonly response: ServerResponse,
     ) {
+        this.left = new Promise(resolve => this.leftListeners.push(() => resolve(undefined)));
         response.on("close", () => this.receiveClose());
         response.sendDate = false;
     }
--- /dev/null
+++ b/packages/node/src/choosing.ts
@@ -0,0 +1,310 @@
+import {
+    chooseEngine,
+    chooseServer,
+    type EngineChoiceOptions,
+    findAdapterKey,
+    type FleetView,
+    hasLongAnswer,
+    type KeptParts,
+    type ModelDemand,
+    oldVersionUseMs,
+    type PauseThreshold,
+    prefillTokensPerMs,
+    type UpstreamChoice,
+    type UpstreamState,
+} from "@radishreel/fleet";
+import { setTimeout as wait } from "node:timers/promises";
+import type { Admission, AdmissionDetails, AdmissionOutcome, Admissions } from "./admissions.js";
+import type { DecisionLog } from "./decisions.js";
+import type { Job, Preparation, ReadyUpstream } from "./job.js";
+import { readLastSendAt } from "./patience.js";
+
+/** A request that waits for an upstream to come looks again at least this often, in milliseconds. */
+const lookAgainMs = 100;
+
+/** A request that waits at one engine looks this often whether another one would serve it sooner, in milliseconds. */
+const reviewMs = 300;
+
+/**
+ * How much sooner another engine must be expected for a request to move there, in milliseconds: it gives up its turn, and
+ * the other one loads an adapter that the first may be loading already.
+ */
+const moveGainMs = 250;
+
+/** Most moves of one request between engines: each may have begun a load for nothing. */
+const maxMoves = 3;
+
+/** Rest of a wait that has lasted longer than expected, in milliseconds: about one load. */
+const overdueMs = 250;
+
+/** How long an engine whose owner was lost is not asked again by the same request, in milliseconds: news arrive in it. */
+const lostPauseMs = 60;
+
+/** Cost of that engine meanwhile, in milliseconds: less than that of a load elsewhere. */
+const lostCostMs = 200;
+
+/** Shortest time between two questions of one request, in milliseconds: news of an owner that is gone arrive in it. */
+const minAskMs = 5;
+
+/** How long an owner's word that it cannot serve a request holds, in milliseconds. */
+const declinedMs = 400;
+
+/** How much longer a request may take with the newest version while an older one may still answer, in milliseconds. */
+const newestDelayMs = 300;
+
+/** How long a newer version is wanted on an engine that was chosen for it, in milliseconds: as an older one may answer. */
+const preparationMs = oldVersionUseMs;
+
+/** Time that an engine takes for one token of an answer while it reads others' prompts as well, in milliseconds. */
+const tokenMs = 10;
+
+/** Options of {@link UpstreamChooser}. */
+export interface UpstreamChooserOptions {
+    readonly dataCentre: string;
+    readonly view: FleetView;
+    readonly admissions: Admissions;
+    readonly kept: KeptParts;
+    readonly longPrompts: PauseThreshold;
+    readonly log: DecisionLog;
+    readonly readTime: () => number;
+    /** Whether messages reach a VM. */
+    readonly isLinked: (vm: string) => boolean;
+    readonly sendPreparation: (preparation: Preparation) => void;
+}
+
+/** Finds the upstream for a request and waits until it can be sent there. */
+export class UpstreamChooser {
+    private readonly waiters = new Set<() => void>();
+
+    constructor(private readonly options: UpstreamChooserOptions) {}
+
+    /** Lets requests that wait for an upstream to come look again. */
+    receiveChange(): void {
+        const waiters = [...this.waiters];
+        this.waiters.clear();
+        for (const wake of waiters) {
+            wake();
+        }
+    }
+
+    /** Waits until an upstream can be sent the request; undefined if none can be in its time, as far as is known now. */
+    async chooseReady(job: Job): Promise<ReadyUpstream | undefined> {
+        const { readTime } = this.options;
+        const startedAt = readTime();
+        for (let now = startedAt; !job.caller.hasLeft && now <= readLastSendAt(job); now = readTime()) {
+            const choice = this.choose(job, now);
+            if (choice === undefined && !this.mayWait(job, now)) {
+                return undefined;
+            }
+            if (choice === undefined) {
+                await this.waitForChange(Math.min(lookAgainMs, readLastSendAt(job) - now));
+                continue;
+            }
+            if (hasDeclined(job, choice, now)) {
+                return undefined;
+            }
+            const ready = await this.askOwner(job, choice, now);
+            if (ready === undefined && readTime() - now < minAskMs) {
+                // Owners that say no at once must not be asked in a loop that lets nothing else run.
+                await this.waitForChange(minAskMs);
+            }
+            job.waitedMs += readTime() - now;
+            if (ready !== undefined) {
+                return ready;
+            }
+        }
+        return undefined;
+    }
+
+    /** Whether the owner of an engine can be asked. */
+    private canAsk(state: UpstreamState): boolean {
+        const { owner } = state;
+        return owner !== undefined && this.options.isLinked(owner) && this.options.admissions.isResponsive(owner);
+    }
+
+    /**
+     * Whether waiting may bring an upstream: engines are there, and their owners are expected back. A plain service
+     * without any server is refused at once.
+     */
+    private mayWait(job: Job, now: number): boolean {
+        if (job.service.engine === undefined) {
+            return false;
+        }
+        const half = job.startedAt + (job.deadlineAt - job.startedAt) / 2;
+        return now < half && this.options.view.listUsable(job.service.name).length > 0;
+    }
+
+    /** @param without An engine that is left out. */
+    private choose(job: Job, now: number, without?: string): UpstreamChoice | undefined {
+        const { view, dataCentre, longPrompts, kept } = this.options;
+        const inForce = [...job.tried].filter(([, { until }]) => until > now);
+        const penalties = new Map(inForce.map(([id, { costMs }]) => [id, costMs]));
+        if (without !== undefined) {
+            penalties.set(without, Infinity);
+        }
+        const base = { view, service: job.service, dataCentre, now, penalties };
+        const { model } = job.demand;
+        if (job.service.engine === undefined || model === undefined) {
+            return chooseServer(base);
+        }
+        const options: EngineChoiceOptions = {
+            ...base,
+            demand: model,
+            longPromptTokens: longPrompts.tokens,
+            findKeptTokens: engine => kept.countKeptTokens(engine, model, now),
+            canAsk: state => this.canAsk(state),
+        };
+        const choice = chooseEngine(options);
+        return choice === undefined ? undefined : this.chooseNewest(job, options, choice);
+    }
+
+    /**
+     * The engine with the newest version, if an older one was chosen and it can be sent there without much delay; otherwise
+     * has the newest loaded somewhere, so that it is there before the older one may no longer answer.
+     */
+    private chooseNewest(job: Job, options: EngineChoiceOptions, choice: UpstreamChoice): UpstreamChoice {
+        const key = findAdapterKey(options.demand);
+        const newest = key === undefined ? undefined : this.options.view.findNewestVersion(key);
+        if (key === undefined || !choice.isReady || (choice.version ?? 0) >= (newest?.version ?? 0)) {
+            return choice;
+        }
+        const next = chooseEngine({ ...options, needsNewest: true });
+        if (next?.isReady === true && next.rankMs < choice.rankMs + newestDelayMs) {
+            return next;
+        }
+        if (next?.isReady === false) {
+            const { runMs, onTimeMs } = this.createDetails(job, options.demand, options.now);
+            const want = { key, version: newest!.version, runMs, onTimeMs, lifeMs: preparationMs };
+            this.options.sendPreparation({ engine: next.state.upstream.id, want });
+        }
+        return choice;
+    }
+
+    /** Asks the owner of the chosen engine to let the request in, and waits for it; undefined to look again. */
+    private async askOwner(job: Job, choice: UpstreamChoice, now: number): Promise<ReadyUpstream | undefined> {
+        const { model } = job.demand;
+        const { state } = choice;
+        if (job.service.engine === undefined || model === undefined) {
+            return { choice, admission: undefined };
+        }
+        const { admissions } = this.options;
+        const engine = state.upstream.id;
+        const details = { ...this.createDetails(job, model, now), prefillTokens: choice.prefillTokens };
+        if (!this.canAsk(state)) {
+            const run = admissions.addRun(engine, { ...details, version: choice.version });
+            return { choice, admission: run };
+        }
+        this.recordAsked(job, choice, details);
+        const admission = admissions.ask(state.owner!, engine, details);
+        const outcome = await this.waitForOutcome(job, admission);
+        if (outcome?.kind === "admitted" && (outcome.version ?? Infinity) >= this.findOldestVersion(model)) {
+            return { choice: { ...choice, version: outcome.version }, admission };
+        }
+        admission.end();
+        if (outcome !== undefined) {
+            this.recordFailure(job, engine, outcome);
+        }
+        return undefined;
+    }
+
+    private recordAsked(job: Job, choice: UpstreamChoice, details: AdmissionDetails): void {
+        if (!choice.isReady) {
+            this.options.log.record("loadAsked", {
+                request: job.demand.requestId,
+                engine: choice.state.upstream.id,
+                key: details.key,
+                costMs: Math.round(choice.costMs),
+                waitedMs: Math.round(job.waitedMs),
+                patienceMs: Math.round(details.patienceMs),
+            });
+        }
+    }
+
+    /** Waits for an owner's word; undefined if the caller left, its time is over, or another engine will be sooner. */
+    private async waitForOutcome(job: Job, admission: Admission): Promise<AdmissionOutcome | undefined> {
+        const { readTime } = this.options;
+        for (;;) {
+            const leftMs = readLastSendAt(job) - readTime();
+            if (job.caller.hasLeft || leftMs <= 0) {
+                return undefined;
+            }
+            const outcome = await this.waitAtMost(job, admission.outcome, Math.min(reviewMs, leftMs));
+            if (outcome !== undefined) {
+                return outcome;
+            }
+            if (job.moves < maxMoves && this.isSoonerElsewhere(job, admission)) {
+                job.moves += 1;
+                return undefined;
+            }
+        }
+    }
+
+    private async waitAtMost<Value>(job: Job, value: Promise<Value>, ms: number): Promise<Value | undefined> {
+        const timer = new AbortController();
+        const timeout = wait(Math.max(1, ms), undefined, { signal: timer.signal }).catch(() => undefined);
+        const result = await Promise.race([value, timeout, job.caller.left]);
+        timer.abort();
+        return result;
+    }
+
+    /** Whether another engine is expected to serve a request clearly sooner than the one at which it waits. */
+    private isSoonerElsewhere(job: Job, admission: Admission): boolean {
+        const now = this.options.readTime();
+        const other = this.choose(job, now, admission.engine);
+        const restMs = admission.expectedAt > now ? admission.expectedAt - now : overdueMs;
+        return other !== undefined && !hasDeclined(job, other, now) && other.costMs + moveGainMs < restMs;
+    }
+
+    private recordFailure(job: Job, engine: string, outcome: AdmissionOutcome): void {
+        const now = this.options.readTime();
+        if (outcome.kind === "declined") {
+            job.tried.set(engine, { costMs: outcome.expectedMs, until: now + declinedMs, hasDeclined: true });
+            job.expectedAt = Math.min(job.expectedAt ?? Infinity, now + outcome.expectedMs);
+            return;
+        }
+        job.tried.set(engine, { costMs: lostCostMs, until: now + lostPauseMs, hasDeclined: false });
+    }
+
+    /** Oldest version of its adapter that may answer a request now. */
+    private findOldestVersion(model: ModelDemand): number {
+        const key = findAdapterKey(model);
+        const newest = key === undefined ? undefined : this.options.view.findNewestVersion(key);
+        const isOldAllowed = newest !== undefined && this.options.readTime() - newest.knownAt < oldVersionUseMs;
+        return newest === undefined || isOldAllowed ? 0 : newest.version;
+    }
+
+    private createDetails(job: Job, model: ModelDemand, now: number): AdmissionDetails {
+        const readMs = model.promptTokens / prefillTokensPerMs;
+        const oldest = this.findOldestVersion(model);
+        return {
+            model: model.model,
+            key: findAdapterKey(model),
+            version: oldest === 0 ? undefined : oldest,
+            prefillTokens: model.promptTokens,
+            kvTokens: model.promptTokens + model.outputTokens,
+            hasLongAnswer: hasLongAnswer(model),
+            runMs: readMs + model.outputTokens * tokenMs,
+            onTimeMs: job.startedAt + job.route.aimMs - now - readMs,
+            patienceMs: Math.max(0, readLastSendAt(job) - now),
+            endMs: Math.max(0, job.deadlineAt - now),
+        };
+    }
+
+    private async waitForChange(ms: number): Promise<void> {
+        await new Promise<void>(resolve => {
+            const wake = (): void => {
+                clearTimeout(timer);
+                this.waiters.delete(wake);
+                resolve();
+            };
+            const timer = setTimeout(wake, Math.max(1, ms));
+            this.waiters.add(wake);
+        });
+    }
+}
+
+/** Whether the best engine for a request has just said that it cannot serve it: then no other one can. */
+function hasDeclined(job: Job, choice: UpstreamChoice, now: number): boolean {
+    const tried = job.tried.get(choice.state.upstream.id);
+    return tried !== undefined && tried.hasDeclined && tried.until > now;
+}
--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -1,8 +1,9 @@
-import type { FleetView } from "@radishreel/fleet";
+import type { FleetView, Upstream } from "@radishreel/fleet";
 import { RouteTable } from "@radishreel/routing";
 import type { DecisionLog } from "./decisions.js";
 import type { ReadPositions } from "./messages.js";
 import type { ClusterChange, Member } from "./ports.js";
+import { Registry } from "./registry.js";
 
 /**
  * How long after the store is back an upstream whose entry lapsed meanwhile is kept, in milliseconds: living ones
@@ -23,7 +24,8 @@
 
 /**
  * What the store said, in force on this VM. Changes come from the store and from peers, in any order and more than once;
- * for each item only the one with the highest position counts, so that nothing ever goes back.
+ * for each item only the one with the highest position counts, so that nothing ever goes back. Which incarnation of an
+ * upstream counts is for the {@link Registry} to say.
  */
 export class ClusterState {
     private table: RouteTable | undefined;
@@ -31,6 +33,7 @@
     private upstreamPosition = -1;
     private readonly positions = new Map<string, number>();
     private readonly changes = new Map<string, ClusterChange>();
+    private readonly registry = new Registry();
     private readonly lapsed = new Map<string, number>();
     private hasStore = false;
     private storeBackAt = -Infinity;
@@ -67,11 +70,11 @@
     }
 
     /** Takes the whole list of registered upstreams: those that are missing in it are gone. */
-    applyUpstreamList(ids: ReadonlySet<string>, position: number): void {
+    applyUpstreamList(names: ReadonlySet<string>, position: number): void {
         for (const { upstream } of this.options.view.listUpstreams()) {
-            const known = this.positions.get(formatUpstreamItem(upstream.id)) ?? -1;
-            if (!ids.has(upstream.id) && known < position) {
-                this.removeUpstream(upstream.id, position);
+            const isOlder = this.registry.readEntryPosition(upstream.name) < position;
+            if (!names.has(upstream.name) && isOlder) {
+                this.applyRemoval(upstream.name, position);
             }
         }
         this.options.onChange();
@@ -92,15 +95,18 @@
     /** Drops upstreams whose entries lapsed around an outage of the store and did not come back. */
     expireLapsed(): void {
         const now = this.options.readTime();
-        for (const [id, dueAt] of this.lapsed) {
+        for (const [name, dueAt] of this.lapsed) {
             if (now >= dueAt && this.hasStore) {
-                this.lapsed.delete(id);
-                this.removeGoneUpstream(id, "entry lapsed and did not come back");
+                this.lapsed.delete(name);
+                this.removeGoneUpstream(name, "entry lapsed and did not come back");
             }
         }
     }
 
     private applyChange(change: ClusterChange): boolean {
+        if (change.kind === "upstream" || change.kind === "upstreamGone") {
+            return this.applyRegistration(change);
+        }
         const item = formatItem(change);
         if ((this.positions.get(item) ?? -1) >= change.position) {
             return false;
@@ -112,13 +118,6 @@
             case "routing":
                 this.applyRouting(change);
                 break;
-            case "upstream":
-                this.lapsed.delete(change.upstream.id);
-                this.options.view.updateUpstream(change.upstream, this.options.readTime());
-                break;
-            case "upstreamGone":
-                this.removeUpstream(change.id, change.position);
-                break;
             case "version":
                 this.options.view.updateNewestVersion(change.key, change.version, this.options.readTime());
                 break;
@@ -129,6 +128,17 @@
         return true;
     }
 
+    private applyRegistration(change: Extract<ClusterChange, { kind: "upstream" | "upstreamGone"; }>): boolean {
+        this.recordPosition(change);
+        const isNew = change.kind === "upstream"
+            ? this.applyEntry(change.upstream, change.position)
+            : this.applyRemoval(change.name, change.position);
+        if (isNew) {
+            this.changes.set(formatItem(change), change);
+        }
+        return isNew;
+    }
+
     private recordPosition(change: ClusterChange): void {
         if (isOperatorChange(change)) {
             this.operatorPosition = Math.max(this.operatorPosition, change.position);
@@ -150,28 +160,59 @@
         });
     }
 
-    private removeUpstream(id: string, position: number): void {
-        this.positions.set(formatUpstreamItem(id), position);
+    /** An upstream that has started again is another one: nothing that is known of the one before holds for it. */
+    private applyEntry(upstream: Upstream, position: number): boolean {
+        const verdict = this.registry.applyEntry(upstream, position);
+        const known = this.findByName(upstream.name);
+        if (verdict === "earlier") {
+            this.options.log.recordImportant("entryOfEarlierLife", { upstream: upstream.id, known: known?.id });
+        }
+        if (verdict === "known" || verdict === "earlier") {
+            return false;
+        }
+        if (known !== undefined && (known.id !== upstream.id || verdict === "gone")) {
+            this.removeGoneUpstream(known.name, verdict === "gone" ? "entry removed" : "started again");
+        }
+        if (verdict === "present") {
+            this.lapsed.delete(upstream.name);
+            this.options.view.updateUpstream(upstream, this.options.readTime());
+        }
+        return true;
+    }
+
+    private findByName(name: string): Upstream | undefined {
+        return this.options.view.listUpstreams().find(({ upstream }) => upstream.name === name)?.upstream;
+    }
+
+    private applyRemoval(name: string, position: number): boolean {
+        const verdict = this.registry.applyRemoval(name, position);
+        if (verdict === "gone") {
+            this.removeUpstream(name);
+        }
+        return verdict === "gone";
+    }
+
+    private removeUpstream(name: string): void {
         const now = this.options.readTime();
         const backForMs = now - this.storeBackAt;
-        const state = this.options.view.findUpstream(id);
+        const upstream = this.findByName(name);
         const isAroundOutage = !this.hasStore || backForMs < lapseGraceMs;
         // One that had said that it leaves is gone; one that fell silent while the store was away may still live.
-        if (isAroundOutage && state !== undefined && !state.upstream.isLeaving) {
-            this.lapsed.set(id, Math.max(now, this.storeBackAt) + lapseGraceMs);
+        if (isAroundOutage && upstream !== undefined && !upstream.isLeaving) {
+            this.lapsed.set(name, Math.max(now, this.storeBackAt) + lapseGraceMs);
             return;
         }
-        this.removeGoneUpstream(id, "entry removed");
+        this.removeGoneUpstream(name, "entry removed");
     }
 
-    private removeGoneUpstream(id: string, why: string): void {
-        const state = this.options.view.findUpstream(id);
-        if (state === undefined) {
+    private removeGoneUpstream(name: string, why: string): void {
+        const upstream = this.findByName(name);
+        if (upstream === undefined) {
             return;
         }
-        this.options.log.recordImportant("upstreamGone", { upstream: id, service: state.upstream.service, why });
-        this.options.view.removeUpstream(id);
-        this.options.onUpstreamGone(id);
+        this.options.log.recordImportant("upstreamGone", { upstream: upstream.id, service: upstream.service, why });
+        this.options.view.removeUpstream(upstream.id);
+        this.options.onUpstreamGone(upstream.id);
     }
 }
 
@@ -183,19 +224,15 @@
     return isOperatorChange(change) ? positions.operator : positions.upstreams;
 }
 
-function formatUpstreamItem(id: string): string {
-    return `upstream ${id}`;
-}
-
 /** Names what a change is about: later positions of the same item replace earlier ones. */
 function formatItem(change: ClusterChange): string {
     switch (change.kind) {
         case "routing":
             return "routing";
         case "upstream":
-            return formatUpstreamItem(change.upstream.id);
+            return `upstream ${change.upstream.name}`;
         case "upstreamGone":
-            return formatUpstreamItem(change.id);
+            return `upstreamGone ${change.name}`;
         case "version":
             return `version ${change.key}`;
         case "member":
--- /dev/null
+++ b/packages/node/src/engines.ts
@@ -0,0 +1,357 @@
+import {
+    type AdapterWant,
+    type AddressedAnswer,
+    type AdmissionAnswer,
+    EngineAdmission,
+    type EngineNews,
+    type EngineOrder,
+    EnginePlaces,
+    type FleetView,
+    type UpstreamState,
+} from "@radishreel/fleet";
+import type { Service } from "@radishreel/routing";
+import type { AdmissionMessage } from "./admissions.js";
+import type { DecisionLog } from "./decisions.js";
+import type { EngineOrders } from "./ports.js";
+
+/**
+ * How often load and adapters of owned engines are told while they change, in milliseconds. Whether an engine takes orders
+ * and can be reached is told at once.
+ */
+const newsIntervalMs = 100;
+
+/** How often an engine is looked at that may not be given orders now, in milliseconds. */
+const idleCheckMs = 200;
+
+/** When a request that an engine cannot take may find it usable again, in milliseconds: a new owner needs some 2 s. */
+const unusableMs = 1000;
+
+/** Options of {@link OwnedEngines}. */
+export interface OwnedEnginesOptions {
+    readonly vm: string;
+    readonly view: FleetView;
+    readonly orders: EngineOrders;
+    readonly log: DecisionLog;
+    readonly readTime: () => number;
+    readonly findService: (name: string) => Service | undefined;
+    /** Whether orders may be given to an engine now. */
+    readonly mayOrder: (name: string) => boolean;
+    /** Fencing token for the orders to an engine. */
+    readonly readFence: (name: string) => number;
+    readonly sendNews: (news: EngineNews[]) => void;
+    readonly sendAnswer: (vm: string, answer: AdmissionAnswer) => void;
+}
+
+interface OwnedEngine {
+    readonly id: string;
+    readonly name: string;
+    readonly places: EnginePlaces;
+    readonly admission: EngineAdmission;
+    fence: number;
+    revision: number;
+    lastNews: string;
+    isWorking: boolean;
+    timer: NodeJS.Timeout | undefined;
+    canOrder: boolean;
+}
+
+/** The engines that this VM owns: it alone gives them orders, lets requests in, and tells all VMs what they hold. */
+export class OwnedEngines {
+    private readonly engines = new Map<string, OwnedEngine>();
+    private readonly newsTimer: NodeJS.Timeout;
+    private isStopped = false;
+
+    constructor(private readonly options: OwnedEnginesOptions) {
+        this.newsTimer = setInterval(() => this.sendChanges([...this.engines.values()]), newsIntervalMs);
+        this.newsTimer.unref();
+    }
+
+    stop(): void {
+        this.isStopped = true;
+        clearInterval(this.newsTimer);
+        for (const id of [...this.engines.keys()]) {
+            this.remove(id);
+        }
+    }
+
+    /** Looks again at which engines exist and which of them this VM owns. */
+    update(isOwned: (name: string) => boolean): void {
+        for (const state of this.options.view.listUpstreams()) {
+            const { id, name, service } = state.upstream;
+            const isEngine = this.options.findService(service)?.engine !== undefined;
+            if (isEngine && isOwned(name) && !this.engines.has(id)) {
+                this.add(state);
+            }
+        }
+        for (const owned of [...this.engines.values()]) {
+            if (this.options.view.findUpstream(owned.id) === undefined || !isOwned(owned.name)) {
+                this.remove(owned.id);
+                continue;
+            }
+            this.advance(owned);
+        }
+    }
+
+    /** Takes word of a request from its VM. */
+    receiveRequest(vm: string, message: AdmissionMessage): void {
+        const owned = this.engines.get(message.engine);
+        if (owned === undefined) {
+            if (message.type === "admit") {
+                this.options.sendAnswer(vm, { kind: "notOwned", ticket: message.request.ticket });
+            }
+            return;
+        }
+        const now = this.options.readTime();
+        switch (message.type) {
+            case "admit":
+                this.options.sendAnswer(vm, this.ask(owned, vm, message.request, now));
+                break;
+            case "begun":
+                owned.admission.begin(vm, message.ticket);
+                return;
+            case "ended":
+                owned.admission.end(vm, message.ticket, now);
+                break;
+            case "runs":
+                owned.admission.setRuns(vm, message.requests, now);
+                break;
+        }
+        this.advance(owned);
+    }
+
+    /** Loads an adapter on an engine for requests to come. */
+    prepare(engine: string, want: AdapterWant): void {
+        const owned = this.engines.get(engine);
+        if (owned !== undefined) {
+            owned.places.addWant(want, this.options.readTime());
+            this.advance(owned);
+        }
+    }
+
+    recordMissing(engine: string, key: string): void {
+        const owned = this.engines.get(engine);
+        if (owned !== undefined) {
+            owned.places.recordMissing(key, this.options.readTime());
+            this.advance(owned);
+        }
+    }
+
+    /** A newer version of an adapter exists: engines that hold an older one load it. */
+    updateVersion(key: string, version: number): void {
+        for (const owned of this.engines.values()) {
+            if (key in owned.places.listHeld()) {
+                owned.places.addWant({ key, version, runMs: 0, onTimeMs: 0 }, this.options.readTime());
+                this.advance(owned);
+            }
+        }
+    }
+
+    /** Tells the whole state again, for a VM that has just connected. */
+    listNews(): EngineNews[] {
+        return [...this.engines.values()].map(owned => this.createNews(owned));
+    }
+
+    private ask(
+        owned: OwnedEngine,
+        vm: string,
+        request: Extract<AdmissionMessage, { type: "admit"; }>["request"],
+        now: number,
+    ): AdmissionAnswer {
+        const isUsable = owned.places.isReachable && this.options.view.findUpstream(owned.id) !== undefined;
+        return isUsable
+            ? owned.admission.ask(vm, request, now)
+            : { kind: "declined", ticket: request.ticket, expectedMs: unusableMs };
+    }
+
+    private add(state: UpstreamState): void {
+        const { id, name, models, sequence } = state.upstream;
+        const places = new EnginePlaces({
+            limits: this.options.findService(state.upstream.service)!.engine!,
+            models,
+            held: state.news?.held ?? {},
+            warm: state.warm.list(),
+            sequence,
+            now: this.options.readTime(),
+        });
+        const owned: OwnedEngine = {
+            id,
+            name,
+            places,
+            admission: new EngineAdmission({
+                engine: id,
+                places,
+                mayUse: (key, held, oldest) => this.mayUse(key, held, oldest),
+            }),
+            fence: this.options.readFence(name),
+            revision: 0,
+            lastNews: "",
+            isWorking: false,
+            timer: undefined,
+            canOrder: false,
+        };
+        this.engines.set(id, owned);
+        this.options.log.recordImportant("engineClaimed", { engine: id, fence: owned.fence });
+        this.advance(owned);
+        this.sendChanges([owned]);
+    }
+
+    /** Whether a held version of an adapter may answer, by what the request asks for and what this VM knows. */
+    private mayUse(key: string, held: number, oldest: number | undefined): boolean {
+        return held >= (oldest ?? -Infinity) && this.options.view.mayUseVersion(key, held, this.options.readTime());
+    }
+
+    private remove(id: string): void {
+        const owned = this.engines.get(id);
+        if (owned === undefined) {
+            return;
+        }
+        clearTimeout(owned.timer);
+        this.engines.delete(id);
+        this.options.log.recordImportant("engineGivenUp", { engine: id, fence: owned.fence });
+        owned.canOrder = false;
+        this.sendAnswers(owned.admission.refuseAll(unusableMs));
+        owned.revision += 1;
+        this.options.sendNews([{ ...this.createNews(owned), isOwned: false, canOrder: false }]);
+    }
+
+    private sendAnswers(answers: readonly AddressedAnswer[]): void {
+        for (const { vm, answer } of answers) {
+            this.options.sendAnswer(vm, answer);
+        }
+    }
+
+    /** Lets in what can be let in, and takes the next step for the engine, unless one is under way. */
+    private advance(owned: OwnedEngine): void {
+        if (this.isStopped || this.engines.get(owned.id) !== owned) {
+            return;
+        }
+        const now = this.options.readTime();
+        this.sendAnswers(owned.admission.advance(now));
+        if (owned.isWorking) {
+            return;
+        }
+        clearTimeout(owned.timer);
+        const state = this.options.view.findUpstream(owned.id);
+        this.updateCanOrder(owned);
+        // A report may be asked for before orders may be given: what the engine holds stays in use meanwhile.
+        if (state === undefined || (!owned.canOrder && !owned.places.needsReport)) {
+            this.scheduleAdvance(owned, idleCheckMs);
+            return;
+        }
+        const step = owned.places.decide(now, key => owned.admission.countUses(key));
+        switch (step.kind) {
+            case "wait":
+                this.scheduleAdvance(owned, Math.max(1, step.untilMs - now));
+                return;
+            case "report":
+                void this.runReport(owned, state);
+                return;
+            case "order":
+                void this.runOrder(owned, state, step.order);
+                return;
+        }
+    }
+
+    private updateCanOrder(owned: OwnedEngine): void {
+        const canOrder = this.options.mayOrder(owned.name);
+        if (canOrder !== owned.canOrder) {
+            owned.canOrder = canOrder;
+            this.options.log.recordImportant("ordersAllowed", { engine: owned.id, canOrder, fence: owned.fence });
+            this.sendChanges([owned]);
+        }
+    }
+
+    private scheduleAdvance(owned: OwnedEngine, waitMs: number): void {
+        owned.timer = setTimeout(() => this.advance(owned), waitMs);
+    }
+
+    private async runReport(owned: OwnedEngine, state: UpstreamState): Promise<void> {
+        owned.isWorking = true;
+        const askedAt = this.options.readTime();
+        const wasReachable = owned.places.isReachable;
+        const report = await this.options.orders.readReport(state.upstream);
+        const now = this.options.readTime();
+        if (report.isErr()) {
+            owned.places.recordReportFailure(report.error === "unknown", now);
+            this.options.log.record("engineReport", { engine: owned.id, failure: report.error });
+        }
+        else {
+            const { sequence, coming, models } = report.value;
+            owned.places.applyReport(report.value, askedAt, now);
+            this.options.log.record("engineReport", { engine: owned.id, sequence, coming, held: models });
+        }
+        this.finishStep(owned, wasReachable || report.isOk());
+    }
+
+    private async runOrder(owned: OwnedEngine, state: UpstreamState, order: EngineOrder): Promise<void> {
+        owned.isWorking = true;
+        owned.fence = Math.max(owned.fence, this.options.readFence(owned.name));
+        const sentAt = this.options.readTime();
+        const wasReachable = owned.places.isReachable;
+        const answer = await this.options.orders.send(state.upstream, order, {
+            holder: this.options.vm,
+            fence: owned.fence,
+            checkBeforeSend: () => this.options.mayOrder(owned.name),
+        });
+        const now = this.options.readTime();
+        owned.places.applyAnswer(order, answer, now);
+        this.options.log.record("order", {
+            engine: owned.id,
+            action: order.action,
+            adapter: order.adapter,
+            version: order.version,
+            sequence: order.expectedSequence,
+            fence: owned.fence,
+            answer,
+            places: owned.places.countPlaces(now, key => owned.admission.countUses(key)),
+            waiting: owned.admission.waitingCount,
+            ms: Math.round(now - sentAt),
+        });
+        this.finishStep(owned, wasReachable);
+    }
+
+    /** @param wasReachable Whether the engine could be reached before the step, or has been now. */
+    private finishStep(owned: OwnedEngine, wasReachable: boolean): void {
+        owned.isWorking = false;
+        if (wasReachable && !owned.places.isReachable) {
+            this.sendAnswers(owned.admission.refuseAll(unusableMs));
+            this.sendChanges([owned]);
+        }
+        this.advance(owned);
+    }
+
+    private createNews(owned: OwnedEngine): EngineNews {
+        const { places, admission } = owned;
+        return {
+            engine: owned.id,
+            fence: owned.fence,
+            revision: owned.revision,
+            isOwned: true,
+            canOrder: owned.canOrder && places.isReachable,
+            isReachable: places.isReachable,
+            held: places.listHeld(),
+            coming: places.listComing(),
+            waitMs: Math.round(admission.readNextTurnMs(this.options.readTime())),
+            coldLoadMs: Math.round(places.readLoadMs(false)),
+            warmLoadMs: Math.round(places.readLoadMs(true)),
+            load: admission.load,
+        };
+    }
+
+    /** Tells all VMs what has changed since the last time. */
+    private sendChanges(engines: readonly OwnedEngine[]): void {
+        const changed: EngineNews[] = [];
+        for (const owned of engines) {
+            const news = this.createNews(owned);
+            const text = JSON.stringify({ ...news, revision: 0 });
+            if (text !== owned.lastNews) {
+                owned.lastNews = text;
+                owned.revision += 1;
+                changed.push({ ...news, revision: owned.revision });
+            }
+        }
+        if (changed.length > 0) {
+            this.options.sendNews(changed);
+        }
+    }
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -17,5 +17,6 @@
     SendOptions,
     ShardClaims,
     ShardDeal,
+    UnreadableRecord,
 } from "./ports.js";
 export { type NodeOptions, NodeProgram, type NodeSettings } from "./program.js";
--- /dev/null
+++ b/packages/node/src/job.ts
@@ -0,0 +1,76 @@
+import type { AdapterWant, UpstreamChoice } from "@radishreel/fleet";
+import type { Route, Service } from "@radishreel/routing";
+import type { Admission } from "./admissions.js";
+import type { StreamProgress } from "./attempt.js";
+import type { CallerExchange } from "./caller.js";
+import type { CallerDemand } from "./ports.js";
+
+/** One request while it is being served. */
+export interface Job {
+    readonly caller: CallerExchange;
+    readonly demand: CallerDemand;
+    readonly route: Route;
+    readonly service: Service;
+    readonly body: Buffer | undefined;
+    readonly startedAt: number;
+    readonly deadlineAt: number;
+    /** Upstreams that were tried, with the cost that this adds to them and the time until which it does. */
+    readonly tried: Map<string, TriedUpstream>;
+    readonly progress: StreamProgress;
+    /** Upstreams that may have run it. */
+    runs: number;
+    rejections: number;
+    attempts: number;
+    waitedMs: number;
+    /** How often it left an engine's queue for another one's. */
+    moves: number;
+    /** When an engine that declined it could have let it in, as that one expects; undefined while none has. */
+    expectedAt: number | undefined;
+}
+
+/** An upstream that a request has tried. */
+export interface TriedUpstream {
+    readonly costMs: number;
+    readonly until: number;
+    /** Whether its owner said that it cannot serve the request while its caller waits. */
+    readonly hasDeclined: boolean;
+}
+
+/** An upstream that can be sent a request now. */
+export interface ReadyUpstream {
+    readonly choice: UpstreamChoice;
+    /** Set for engines: the request's place there. */
+    readonly admission: Admission | undefined;
+}
+
+/** What a new job starts from. */
+export type JobStart = Pick<
+    Job,
+    "caller" | "demand" | "route" | "service" | "body" | "startedAt" | "deadlineAt"
+>;
+
+export function createJob(start: JobStart): Job {
+    return {
+        ...start,
+        tried: new Map(),
+        progress: {
+            lastEventId: start.demand.lastEventId,
+            events: 0,
+            firstEventAt: undefined,
+            lastEventAt: 0,
+            longestPauseMs: 0,
+        },
+        runs: 0,
+        rejections: 0,
+        attempts: 0,
+        waitedMs: 0,
+        moves: 0,
+        expectedAt: undefined,
+    };
+}
+
+/** Asks for a newer version of an adapter to be loaded, for nobody in particular. */
+export interface Preparation {
+    readonly engine: string;
+    readonly want: AdapterWant & { readonly version: number; readonly lifeMs: number; };
+}
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -1,4 +1,4 @@
-import { engineNewsSchema, upstreamLoadSchema, upstreamSchema } from "@radishreel/fleet";
+import { admissionAnswerSchema, admissionRequestSchema, engineNewsSchema, upstreamSchema } from "@radishreel/fleet";
 import { routingSchema } from "@radishreel/routing";
 import { z } from "zod";
 
@@ -21,7 +21,7 @@
 const changeSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("routing"), routing: routingSchema, position }),
     z.object({ kind: z.literal("upstream"), upstream: upstreamSchema, position }),
-    z.object({ kind: z.literal("upstreamGone"), id: z.string(), position }),
+    z.object({ kind: z.literal("upstreamGone"), name: z.string(), position }),
     z.object({ kind: z.literal("version"), key: z.string(), version: z.number(), position }),
     z.object({ kind: z.literal("member"), member: memberSchema, position }),
 ]);
@@ -38,25 +38,31 @@
     z.object({ type: z.literal("pull"), positions: positionsSchema }),
     /** Whether the sender wants every change that others read, since it cannot read the store. */
     z.object({ type: z.literal("follow"), isWanted: z.boolean() }),
-    /** The whole load that the sender puts on upstreams, and the requests that it began since the last such message. */
-    z.object({
-        type: z.literal("load"),
-        loads: z.record(z.string(), upstreamLoadSchema),
-        starts: z.array(z.object({ engine: z.string(), key: z.string(), count: z.number() })),
-    }),
     /** The sender's word about engines that it owns. */
     z.object({ type: z.literal("news"), news: z.array(engineNewsSchema) }),
-    /** To the owner of an engine: a request waits for this adapter. */
+    /** To the owner of an engine: a request of the sender asks to be let in. */
+    z.object({ type: z.literal("admit"), engine: z.string(), request: admissionRequestSchema }),
+    /** From the owner of an engine, to a request that asked. */
+    z.object({ type: z.literal("admission"), answer: admissionAnswerSchema }),
+    /** To the owner of an engine: the prompt of a request is read. */
+    z.object({ type: z.literal("begun"), engine: z.string(), ticket: z.number() }),
+    /** To the owner of an engine: a request has ended, or waits no longer. */
+    z.object({ type: z.literal("ended"), engine: z.string(), ticket: z.number() }),
+    /** To a new owner of an engine: all requests of the sender that run there. */
+    z.object({ type: z.literal("runs"), engine: z.string(), requests: z.array(admissionRequestSchema) }),
+    /** To the owner of an engine: this adapter will be asked for. */
     z.object({
-        type: z.literal("want"),
+        type: z.literal("prepare"),
         engine: z.string(),
         want: z.object({
             key: z.string(),
-            version: z.number().optional(),
-            /** Time for which the request will use it, in milliseconds. */
+            version: z.number(),
+            /** Time for which a request will use it, in milliseconds. */
             runMs: z.number(),
-            /** Time in which it must be sent to be answered in time, in milliseconds. */
+            /** Time in which a request must be sent to be answered in time, in milliseconds. */
             onTimeMs: z.number(),
+            /** How long it is wanted, in milliseconds. */
+            lifeMs: z.number(),
         }),
     }),
     /** To the owner of an engine: it turned a request for this adapter away. */
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -16,6 +16,12 @@
         labelNames: ["after"] as const,
         registers: [this.registry],
     });
+    private readonly unreadable = new Counter({
+        name: "radishreel_node_unreadable_records_total",
+        help: "Records of the store that cannot be read, by topic",
+        labelNames: ["topic"] as const,
+        registers: [this.registry],
+    });
     private readonly version = new Gauge({
         name: "radishreel_node_routing_version",
         help: "Version of the configuration in force",
@@ -30,6 +36,10 @@
         this.retries.inc({ after });
     }
 
+    recordUnreadable(topic: string): void {
+        this.unreadable.inc({ topic });
+    }
+
     setRoutingVersion(version: number): void {
         this.version.set(version);
     }
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -1,17 +1,7 @@
-import {
-    type AdapterWant,
-    ClaimClock,
-    type EngineNews,
-    type EngineOrder,
-    EnginePlaces,
-    type FleetView,
-    readShard,
-    type UpstreamState,
-} from "@radishreel/fleet";
-import type { Service } from "@radishreel/routing";
+import { ClaimClock, readShard } from "@radishreel/fleet";
 import { BootClock } from "./clock.js";
-import type { DecisionLog } from "./decisions.js";
-import type { EngineOrders, Member, ShardClaims } from "./ports.js";
+import { OwnedEngines, type OwnedEnginesOptions } from "./engines.js";
+import type { Member, ShardClaims } from "./ports.js";
 
 /** How often claims are renewed, in milliseconds: two renewals may be lost before a claim lapses. */
 const renewMs = 400;
@@ -29,17 +19,10 @@
 const maxRenewalAgeMs = 1_000_000;
 
 /** Options of {@link Owning}. */
-export interface OwningOptions {
-    readonly vm: string;
-    readonly view: FleetView;
+export interface OwningOptions extends Omit<OwnedEnginesOptions, "mayOrder" | "readFence"> {
     readonly claims: ShardClaims;
-    readonly orders: EngineOrders;
-    readonly log: DecisionLog;
-    readonly readTime: () => number;
     /** Two holders of one engine must not give orders within this time of each other, in milliseconds. */
     readonly turnMs: number;
-    readonly findService: (name: string) => Service | undefined;
-    readonly sendNews: (news: EngineNews[]) => void;
     readonly sendRelease: (shards: number[], generation: number) => void;
     readonly sendQuery: (query: number) => void;
     /** Hands shards to one other VM. @returns Whether there is one. */
@@ -72,21 +55,10 @@
     readonly clear: Set<string>;
 }
 
-interface OwnedEngine {
-    readonly id: string;
-    readonly places: EnginePlaces;
-    fence: number;
-    revision: number;
-    lastNews: string;
-    isWorking: boolean;
-    timer: NodeJS.Timeout | undefined;
-    canOrder: boolean;
-}
-
-/** The engines that this VM owns: it alone gives them orders, and tells all VMs what they hold. */
+/** Which engines this VM owns: it claims shards of them, keeps the claims through outages, and hands them over. */
 export class Owning {
+    readonly engines: OwnedEngines;
     private readonly clock: ClaimClock;
-    private readonly engines = new Map<string, OwnedEngine>();
     private renewTimer: NodeJS.Timeout | undefined;
     private isRenewing = false;
     private isStopped = false;
@@ -103,6 +75,11 @@
             turnMs: options.turnMs,
             startedAt: this.bootClock.read(),
         });
+        this.engines = new OwnedEngines({
+            ...options,
+            mayOrder: name => this.mayOrder(name),
+            readFence: name => this.clock.readFence(this.findShard(name)),
+        });
     }
 
     /**
@@ -137,9 +114,7 @@
         const canOrder = this.clock.isSettled(this.bootClock.read());
         const isCutOff = this.bootClock.read() - this.renewedAt > askPeersAfterMs;
         this.clock.releaseAll(this.bootClock.read());
-        for (const id of [...this.engines.keys()]) {
-            this.removeEngine(id);
-        }
+        this.engines.stop();
         if (isCutOff && canOrder && this.options.sendHandover({ shards, deal, depth })) {
             this.options.log.recordImportant("handedOver", { shards, deal, depth });
             return;
@@ -177,111 +152,22 @@
         this.update();
     }
 
-    /** Asks for an adapter on an engine of this VM. */
-    addWant(engine: string, want: AdapterWant): void {
-        const owned = this.engines.get(engine);
-        if (owned !== undefined) {
-            owned.places.addWant(want, this.options.readTime());
-            this.advance(owned);
-        }
-    }
-
-    recordMissing(engine: string, key: string): void {
-        const owned = this.engines.get(engine);
-        owned?.places.recordMissing(key, this.options.readTime());
-        if (owned !== undefined) {
-            this.advance(owned);
-        }
-    }
-
-    recordUse(engine: string, key: string, count: number): void {
-        const places = this.engines.get(engine)?.places;
-        for (let index = 0; index < Math.min(count, 8); index++) {
-            places?.recordUse(key, this.options.readTime());
-        }
-    }
-
-    /** A newer version of an adapter exists: engines that hold an older one load it. */
-    updateVersion(key: string, version: number): void {
-        for (const owned of this.engines.values()) {
-            if (key in owned.places.listHeld()) {
-                owned.places.addWant({ key, version, runMs: 0, onTimeMs: 0 }, this.options.readTime());
-                this.advance(owned);
-            }
-        }
-    }
-
     /** Looks again at which engines exist and which of them this VM owns. */
     update(): void {
         if (this.isStopped) {
             return;
         }
         const shards = new Set(this.clock.listShards());
-        for (const state of this.options.view.listUpstreams()) {
-            const limits = this.options.findService(state.upstream.service)?.engine;
-            const shard = readShard(state.upstream.id, this.options.claims.shardCount);
-            if (limits !== undefined && shards.has(shard) && !this.engines.has(state.upstream.id)) {
-                this.addEngine(state);
-            }
-        }
-        for (const owned of [...this.engines.values()]) {
-            const isGone = this.options.view.findUpstream(owned.id) === undefined;
-            if (isGone || !shards.has(readShard(owned.id, this.options.claims.shardCount))) {
-                this.removeEngine(owned.id);
-                continue;
-            }
-            this.advance(owned);
-        }
-    }
-
-    /** Tells the whole state again, for a VM that has just connected. */
-    listNews(): EngineNews[] {
-        return [...this.engines.values()].map(owned => this.createNews(owned));
-    }
-
-    private addEngine(state: UpstreamState): void {
-        const service = this.options.findService(state.upstream.service);
-        const owned: OwnedEngine = {
-            id: state.upstream.id,
-            places: new EnginePlaces({
-                limits: service!.engine!,
-                models: state.upstream.models,
-                held: state.news?.held ?? {},
-                warm: state.warm.list(),
-                sequence: state.upstream.sequence,
-                now: this.options.readTime(),
-            }),
-            fence: this.readFence(state.upstream.id),
-            revision: 0,
-            lastNews: "",
-            isWorking: false,
-            timer: undefined,
-            canOrder: false,
-        };
-        this.engines.set(owned.id, owned);
-        this.options.log.recordImportant("engineClaimed", { engine: owned.id, fence: owned.fence });
-        this.advance(owned);
-    }
-
-    private removeEngine(id: string): void {
-        const owned = this.engines.get(id);
-        if (owned === undefined) {
-            return;
-        }
-        clearTimeout(owned.timer);
-        this.engines.delete(id);
-        this.options.log.recordImportant("engineGivenUp", { engine: id, fence: owned.fence });
-        owned.canOrder = false;
-        this.options.sendNews([{ ...this.createNews(owned), canOrder: false }]);
+        this.engines.update(name => shards.has(this.findShard(name)));
     }
 
-    private readFence(id: string): number {
-        return this.clock.readFence(readShard(id, this.options.claims.shardCount));
+    private findShard(name: string): number {
+        return readShard(name, this.options.claims.shardCount);
     }
 
-    private canOrder(id: string): boolean {
+    private mayOrder(name: string): boolean {
         this.checkSuspension();
-        return this.clock.canOrder(readShard(id, this.options.claims.shardCount), this.bootClock.read());
+        return this.clock.canOrder(this.findShard(name), this.bootClock.read());
     }
 
     /** A claim must be confirmed anew after a suspension, whatever is left of it. */
@@ -296,114 +182,6 @@
         }
     }
 
-    /** Takes the next step for one engine, unless one is under way. */
-    private advance(owned: OwnedEngine): void {
-        if (owned.isWorking || this.isStopped || this.engines.get(owned.id) !== owned) {
-            return;
-        }
-        clearTimeout(owned.timer);
-        const state = this.options.view.findUpstream(owned.id);
-        const canOrder = this.canOrder(owned.id);
-        if (canOrder !== owned.canOrder) {
-            owned.canOrder = canOrder;
-            this.options.log.recordImportant("ordersAllowed", { engine: owned.id, canOrder, fence: owned.fence });
-        }
-        this.sendChanges(owned);
-        // A report may be asked for before orders may be given: what the engine holds stays in use meanwhile.
-        if (state === undefined || (!canOrder && !owned.places.needsReport)) {
-            this.scheduleAdvance(owned, 200);
-            return;
-        }
-        const now = this.options.readTime();
-        const uses = this.options.view.countUses(owned.id);
-        const step = owned.places.decide(now, key => uses.get(key) ?? 0);
-        switch (step.kind) {
-            case "wait":
-                this.scheduleAdvance(owned, Math.max(1, step.untilMs - now));
-                return;
-            case "report":
-                void this.runReport(owned, state);
-                return;
-            case "order":
-                void this.runOrder(owned, state, step.order);
-                return;
-        }
-    }
-
-    private scheduleAdvance(owned: OwnedEngine, waitMs: number): void {
-        owned.timer = setTimeout(() => this.advance(owned), waitMs);
-    }
-
-    private async runReport(owned: OwnedEngine, state: UpstreamState): Promise<void> {
-        owned.isWorking = true;
-        const askedAt = this.options.readTime();
-        const report = await this.options.orders.readReport(state.upstream);
-        const now = this.options.readTime();
-        if (report.isErr()) {
-            owned.places.recordReportFailure(report.error !== "unreachable", now);
-            this.options.log.record("engineReport", { engine: owned.id, failure: report.error });
-        }
-        else {
-            const { sequence, coming, models } = report.value;
-            owned.places.applyReport(report.value, askedAt, now);
-            this.options.log.record("engineReport", { engine: owned.id, sequence, coming, held: models });
-        }
-        owned.isWorking = false;
-        this.advance(owned);
-    }
-
-    private async runOrder(owned: OwnedEngine, state: UpstreamState, order: EngineOrder): Promise<void> {
-        owned.isWorking = true;
-        owned.fence = Math.max(owned.fence, this.readFence(owned.id));
-        const sentAt = this.options.readTime();
-        const answer = await this.options.orders.send(state.upstream, order, {
-            holder: this.options.vm,
-            fence: owned.fence,
-            checkBeforeSend: () => this.canOrder(owned.id),
-        });
-        const now = this.options.readTime();
-        owned.places.applyAnswer(order, answer, now);
-        const uses = this.options.view.countUses(owned.id);
-        this.options.log.record("order", {
-            engine: owned.id,
-            action: order.action,
-            adapter: order.adapter,
-            version: order.version,
-            sequence: order.expectedSequence,
-            fence: owned.fence,
-            answer,
-            places: owned.places.countPlaces(now, key => uses.get(key) ?? 0),
-            ms: Math.round(now - sentAt),
-        });
-        owned.isWorking = false;
-        this.advance(owned);
-    }
-
-    private createNews(owned: OwnedEngine): EngineNews {
-        return {
-            engine: owned.id,
-            fence: owned.fence,
-            revision: owned.revision,
-            canOrder: owned.canOrder && owned.places.isReachable,
-            isReachable: owned.places.isReachable,
-            held: owned.places.listHeld(),
-            coming: owned.places.listComing(),
-            queued: owned.places.listQueued(this.options.readTime()),
-        };
-    }
-
-    /** Tells all VMs what has changed since the last time. */
-    private sendChanges(owned: OwnedEngine): void {
-        const news = this.createNews(owned);
-        const text = JSON.stringify([news.canOrder, news.isReachable, news.held, news.coming, news.queued]);
-        if (text === owned.lastNews) {
-            return;
-        }
-        owned.lastNews = text;
-        owned.revision += 1;
-        this.options.sendNews([{ ...news, revision: owned.revision }]);
-    }
-
     /** What this VM knows of the claims, for one that asks. */
     readClaimState(query: number): ClaimState {
         return {
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -19,7 +19,7 @@
     readonly log: DecisionLog;
     readonly readTime: () => number;
     /** Messages for a VM whose link has just opened. */
-    readonly createGreeting: () => PeerMessage[];
+    readonly createGreeting: (vm: string) => PeerMessage[];
     readonly onMessage: (vm: string, message: PeerMessage) => void;
     /** A process of a VM that was not known before has opened a link. */
     readonly onStart: () => void;
@@ -42,6 +42,7 @@
     private readonly incarnations = new Map<string, number>();
     private readonly leaving = new Set<string>();
     private readonly peersByAddress = new Map<string, Peer>();
+    private readonly linksByVm = new Map<string, Link<PeerMessage>>();
 
     constructor(private readonly options: PeersOptions) {
         this.server = new LinkServer<PeerMessage>({
@@ -101,6 +102,11 @@
         return [...this.peersByAddress.values()].flatMap(peer => peer.link === undefined ? [] : [peer.link.peer.id]);
     }
 
+    /** Whether a link to a VM is open. */
+    isConnected(vm: string): boolean {
+        return this.linksByVm.has(vm);
+    }
+
     /** Takes word of a VM that it is stopping. */
     recordLeaving(vm: string): void {
         this.leaving.add(vm);
@@ -131,12 +137,7 @@
 
     /** Sends to one VM. @returns Whether there is a link to it. */
     send(vm: string, message: PeerMessage): boolean {
-        for (const peer of this.peersByAddress.values()) {
-            if (peer.link?.peer.id === vm) {
-                return peer.link.send(message);
-            }
-        }
-        return false;
+        return this.linksByVm.get(vm)?.send(message) ?? false;
     }
 
     /** Stops trying VMs that have been gone for long. */
@@ -166,8 +167,9 @@
             return;
         }
         peer.link = link;
+        this.linksByVm.set(link.peer.id, link);
         this.options.log.recordImportant("peerLinked", { peer: link.peer.id, address });
-        for (const message of this.options.createGreeting()) {
+        for (const message of this.options.createGreeting(link.peer.id)) {
             link.send(message);
         }
     }
@@ -178,6 +180,9 @@
             return;
         }
         peer.link = undefined;
+        if (this.linksByVm.get(link.peer.id) === link) {
+            this.linksByVm.delete(link.peer.id);
+        }
         peer.lastOpenAt = this.options.readTime();
         this.options.log.recordImportant("peerLost", { peer: link.peer.id, address });
         this.options.onClose(link.peer.id);
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -24,8 +24,8 @@
 
 /** How one attempt is sent. */
 export interface SendOptions {
-    /** Incarnation that must answer; any other refuses. */
-    readonly upstreamId: string;
+    /** Name of the upstream that must answer; any other refuses. */
+    readonly upstreamName: string;
     /** What is left of the caller's time, in milliseconds. */
     readonly budgetMs: number;
     /** Adapter version that must answer; undefined for any. */
@@ -66,8 +66,8 @@
     readonly checkBeforeSend: () => boolean;
 }
 
-/** Why there is no report: no connection could be opened, or nothing came that can be read. */
-export type ReportFailure = "unreachable" | "unknown";
+/** Why there is no report: no connection could be opened, nothing came that can be read, or another incarnation is there. */
+export type ReportFailure = "unreachable" | "unknown" | "replaced";
 
 /** Orders to engines. */
 export interface EngineOrders {
@@ -90,15 +90,26 @@
 export type ClusterChange =
     | { readonly kind: "routing"; readonly routing: Routing; readonly position: number; }
     | { readonly kind: "upstream"; readonly upstream: Upstream; readonly position: number; }
-    | { readonly kind: "upstreamGone"; readonly id: string; readonly position: number; }
+    /** No upstream of this name is registered any more, or its entry cannot be read. */
+    | { readonly kind: "upstreamGone"; readonly name: string; readonly position: number; }
     | { readonly kind: "version"; readonly key: string; readonly version: number; readonly position: number; }
     | { readonly kind: "member"; readonly member: Member; readonly position: number; };
 
+/** A record of the store that cannot be read: something else has written it, or a part of it is wrong. */
+export interface UnreadableRecord {
+    readonly topic: string;
+    readonly key: string;
+    readonly position: number;
+    /** What is wrong with it. */
+    readonly why: string;
+}
+
 /** Takes changes as they are read. */
 export interface ClusterReceiver {
+    receiveUnreadable(record: UnreadableRecord): void;
     receiveChanges(changes: readonly ClusterChange[]): void;
     /** All upstreams that the store lists, at a position: those not among them are gone. */
-    receiveUpstreamList(ids: ReadonlySet<string>, position: number): void;
+    receiveUpstreamList(names: ReadonlySet<string>, position: number): void;
     /** All members that the store lists have been passed on. Called once. */
     receiveMembersRead(): void;
     receiveReachable(isReachable: boolean, detail: string): void;
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,10 +1,11 @@
-import { type AdapterWant, type EngineNews, FleetView, RetryBudget } from "@radishreel/fleet";
+import { type AdmissionAnswer, type EngineNews, FleetView, RetryBudget } from "@radishreel/fleet";
 import type { ListenAddress } from "@radishreel/wire";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import polka, { type Polka } from "polka";
 import { createMachine, interpret, state, transition } from "robot3";
+import { type AdmissionMessage, Admissions } from "./admissions.js";
 import { CallerExchange } from "./caller.js";
 import { readNow } from "./clock.js";
 import { ClusterState } from "./cluster.js";
@@ -22,12 +23,10 @@
     Member,
     RequestDialect,
     ShardClaims,
+    UnreadableRecord,
 } from "./ports.js";
 import { Serving } from "./serving.js";
 
-/** How often load is told to other VMs while it changes, in milliseconds: a fraction of a prompt's reading time. */
-const loadIntervalMs = 15;
-
 /** Time in which this VM reads by itself what another one has read, in milliseconds: usual reads differ by some 10 ms. */
 const ownReadMs = 300;
 
@@ -43,6 +42,9 @@
 /** Longest wait for the store in a planned stop, in milliseconds. */
 const releaseWaitMs = 800;
 
+/** Most of what is wrong with a record that is written to the log, in characters: another writer decides its length. */
+const maxReasonLength = 300;
+
 /** VMs assumed before any is known: the retry budget is divided among them. */
 const minVms = 4;
 
@@ -100,9 +102,9 @@
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly budgets = new Map<string, RetryBudget>();
     private readonly followers = new Set<string>();
-    private readonly starts = new Map<string, { engine: string; key: string; count: number; }>();
+    private readonly admissions: Admissions;
     private owning: Owning | undefined;
-    private toldLoadVersion = -1;
+    private toldPositions = "";
     private isFollowing = false;
     private past: Member | undefined;
     private hasReadMembers = false;
@@ -120,6 +122,7 @@
             onUpstreamGone: id => this.serving.removeUpstream(id),
             onMember: member => this.receiveMember(member),
         });
+        this.admissions = new Admissions({ readTime: readNow, send: (vm, message) => this.sendAdmission(vm, message) });
         this.serving = this.createServing();
         this.peers = this.createPeers();
         this.callerServer = createServer({ keepAlive: true, noDelay: true });
@@ -156,7 +159,6 @@
         this.owning = this.createOwning();
         store.start(this);
         this.timers.push(
-            setInterval(() => this.sendLoad(), loadIntervalMs),
             setInterval(() => this.runHousekeeping(), housekeepingMs),
         );
     }
@@ -187,12 +189,16 @@
         for (const vm of this.followers) {
             this.peers.send(vm, { type: "changes", changes: fresh });
         }
-        this.peers.broadcast({ type: "positions", positions: this.cluster.readPositions });
         this.receiveVersions(fresh);
     }
 
-    receiveUpstreamList(ids: ReadonlySet<string>, position: number): void {
-        this.cluster.applyUpstreamList(ids, position);
+    receiveUpstreamList(names: ReadonlySet<string>, position: number): void {
+        this.cluster.applyUpstreamList(names, position);
+    }
+
+    receiveUnreadable(record: UnreadableRecord): void {
+        this.metrics.recordUnreadable(record.topic);
+        this.log.recordImportant("recordUnreadable", { ...record, why: record.why.slice(0, maxReasonLength) });
     }
 
     receiveMembersRead(): void {
@@ -222,7 +228,7 @@
         for (const change of changes) {
             if (change.kind === "version") {
                 this.log.recordImportant("adapterVersion", { key: change.key, version: change.version });
-                this.owning?.updateVersion(change.key, change.version);
+                this.owning?.engines.updateVersion(change.key, change.version);
             }
         }
     }
@@ -255,9 +261,10 @@
             pool: this.pool,
             log: this.log,
             readTime: readNow,
-            askLoad: (engine, want) => this.askLoad(engine, want),
-            sendMissing: (engine, key) => this.sendMissing(engine, key),
-            recordStart: (engine, key) => this.recordStart(engine, key),
+            admissions: this.admissions,
+            isLinked: vm => vm === settings.vm || this.peers.isConnected(vm),
+            sendPreparation: ({ engine, want }) => this.sendToOwner(engine, { type: "prepare", engine, want }),
+            sendMissing: (engine, key) => this.sendToOwner(engine, { type: "missing", engine, key }),
             onRefusal: reason => this.metrics.recordRefusal(reason),
             onRetry: after => this.metrics.recordRetry(after),
         });
@@ -278,7 +285,7 @@
             port: settings.peers.port,
             log: this.log,
             readTime: readNow,
-            createGreeting: () => this.createGreeting(),
+            createGreeting: vm => this.createGreeting(vm),
             onMessage: (vm, message) => this.receivePeerMessage(vm, message),
             onStart: () => this.owning?.receiveStart(),
             onClose: vm => this.receivePeerClose(vm),
@@ -297,6 +304,7 @@
             turnMs: settings.turnMs,
             findService: name => this.cluster.routes?.findService(name),
             sendNews: news => this.sendNews(news),
+            sendAnswer: (vm, answer) => this.sendAnswer(vm, answer),
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
             sendQuery: query => this.peers.broadcast({ type: "claimQuery", query }),
             sendHandover: handover => this.sendHandover(handover),
@@ -347,19 +355,25 @@
         return app;
     }
 
-    private createGreeting(): PeerMessage[] {
+    private createGreeting(vm: string): PeerMessage[] {
         const changes = this.cluster.listChanges();
         return [
             { type: "members", members: this.peers.listMembers() },
             { type: "changes", changes },
-            { type: "news", news: this.owning?.listNews() ?? [] },
+            { type: "news", news: this.owning?.engines.listNews() ?? [] },
             { type: "follow", isWanted: this.isFollowing },
-            this.createLoadMessage(),
+            ...this.listEnginesOf(vm).map(engine => this.admissions.createRuns(engine, vm)),
             ...(this.stopping === undefined ? [] : [{ type: "leaving" } as const]),
         ];
     }
 
+    /** Engines that a VM owns, as far as is known. */
+    private listEnginesOf(vm: string): string[] {
+        return this.view.listUpstreams().filter(({ owner }) => owner === vm).map(({ upstream }) => upstream.id);
+    }
+
     private receivePeerMessage(vm: string, message: PeerMessage): void {
+        this.admissions.recordHeard(vm);
         switch (message.type) {
             case "members":
                 for (const member of message.members) {
@@ -384,17 +398,23 @@
                     this.followers.delete(vm);
                 }
                 return;
-            case "load":
-                this.receiveLoad(vm, message);
-                return;
             case "news":
                 this.receiveNews(vm, message.news);
                 return;
-            case "want":
-                this.owning?.addWant(message.engine, { ...message.want, version: message.want.version });
+            case "admission":
+                this.admissions.receiveAnswer(vm, message.answer);
+                return;
+            case "admit":
+            case "begun":
+            case "ended":
+            case "runs":
+                this.receiveAdmission(vm, message);
+                return;
+            case "prepare":
+                this.owning?.engines.prepare(message.engine, message.want);
                 return;
             case "missing":
-                this.owning?.recordMissing(message.engine, message.key);
+                this.owning?.engines.recordMissing(message.engine, message.key);
                 return;
             case "release":
                 this.owning?.recordRelease(message.shards, message.generation);
@@ -437,26 +457,24 @@
         }, ownReadMs);
     }
 
-    private receiveLoad(vm: string, message: Extract<PeerMessage, { type: "load"; }>): void {
-        this.view.updateLoads(vm, new Map(Object.entries(message.loads)), readNow());
-        for (const { engine, key, count } of message.starts) {
-            this.owning?.recordUse(engine, key, count);
-        }
-    }
-
     private receiveNews(vm: string, news: readonly EngineNews[]): void {
-        let isFresh = false;
         for (const item of news) {
-            isFresh = this.view.updateNews(vm, item) || isFresh;
-        }
-        if (isFresh) {
-            this.serving.receiveChange();
+            const before = this.view.findUpstream(item.engine);
+            const known = { owner: before?.owner, fence: before?.news?.fence };
+            if (this.view.updateNews(vm, item, readNow()) && item.isOwned) {
+                const isNewOwner = known.owner !== vm || known.fence !== item.fence;
+                if (isNewOwner) {
+                    this.admissions.updateOwner(item.engine, vm);
+                }
+            }
         }
+        this.serving.receiveChange();
     }
 
     private receivePeerClose(vm: string): void {
         this.followers.delete(vm);
         this.view.removeVm(vm);
+        this.admissions.removeOwner(vm);
         this.serving.receiveChange();
     }
 
@@ -465,60 +483,62 @@
         this.peers.broadcast({ type: "news", news });
     }
 
-    private askLoad(engine: string, want: AdapterWant): void {
-        const owner = this.view.findUpstream(engine)?.owner;
-        if (owner === this.options.settings.vm) {
-            this.owning?.addWant(engine, want);
+    /** Sends word of a request of this VM to the owner of an engine. */
+    private sendAdmission(vm: string, message: AdmissionMessage): boolean {
+        if (vm === this.options.settings.vm) {
+            this.receiveAdmission(vm, message);
+            return true;
         }
-        else if (owner !== undefined) {
-            this.peers.send(owner, { type: "want", engine, want });
+        return this.peers.send(vm, message);
+    }
+
+    private receiveAdmission(vm: string, message: AdmissionMessage): void {
+        if (this.owning !== undefined) {
+            this.owning.engines.receiveRequest(vm, message);
         }
     }
 
-    private sendHandover(handover: Handover): boolean {
-        const [heir] = this.peers.listHeirs();
-        return heir !== undefined && this.peers.send(heir, { type: "handover", ...handover });
+    /** Answers a request that asked to be let in on an engine of this VM. */
+    private sendAnswer(vm: string, answer: AdmissionAnswer): void {
+        if (vm === this.options.settings.vm) {
+            this.admissions.receiveAnswer(vm, answer);
+        }
+        else {
+            this.peers.send(vm, { type: "admission", answer });
+        }
     }
 
-    private sendMissing(engine: string, key: string): void {
+    /** Sends to the owner of an engine, which may be this VM. */
+    private sendToOwner(engine: string, message: PeerMessage): void {
         const owner = this.view.findUpstream(engine)?.owner;
         if (owner === this.options.settings.vm) {
-            this.owning?.recordMissing(engine, key);
+            this.receivePeerMessage(owner, message);
         }
         else if (owner !== undefined) {
-            this.peers.send(owner, { type: "missing", engine, key });
+            this.peers.send(owner, message);
         }
     }
 
-    private recordStart(engine: string, key: string): void {
-        this.owning?.recordUse(engine, key, 1);
-        const item = `${engine} ${key}`;
-        const start = this.starts.get(item) ?? { engine, key, count: 0 };
-        start.count += 1;
-        this.starts.set(item, start);
-    }
-
-    private createLoadMessage(): PeerMessage {
-        return {
-            type: "load",
-            loads: Object.fromEntries(this.view.ownLoad.read()),
-            starts: [...this.starts.values()],
-        };
-    }
-
-    private sendLoad(): void {
-        if (this.toldLoadVersion === this.view.ownLoad.version) {
-            return;
-        }
-        this.toldLoadVersion = this.view.ownLoad.version;
-        this.peers.broadcast(this.createLoadMessage());
-        this.starts.clear();
+    private sendHandover(handover: Handover): boolean {
+        const [heir] = this.peers.listHeirs();
+        return heir !== undefined && this.peers.send(heir, { type: "handover", ...handover });
     }
 
     private runHousekeeping(): void {
         this.cluster.expireLapsed();
         this.peers.expireGone();
         this.owning?.update();
+        this.sendPositions();
+    }
+
+    /** Tells how far this VM has read, so that one whose connection to the store is silent asks for the rest. */
+    private sendPositions(): void {
+        const positions = this.cluster.readPositions;
+        const text = JSON.stringify(positions);
+        if (text !== this.toldPositions) {
+            this.toldPositions = text;
+            this.peers.broadcast({ type: "positions", positions });
+        }
     }
 
     private findBudget(service: string): RetryBudget {
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -1,43 +1,38 @@
 import {
-    type AdapterWant,
-    chooseEngine,
-    chooseServer,
-    type EngineChoiceOptions,
     findAdapterKey,
     type FleetView,
+    hasLongAnswer,
     KeptParts,
     type LoadHandle,
-    longAnswerTokens,
-    type ModelDemand,
     PauseThreshold,
-    prefillTokensPerMs,
     type RetryBudget,
     type UpstreamChoice,
     type UpstreamState,
 } from "@radishreel/fleet";
-import { chooseTarget, isIdempotent, type Route, type Service } from "@radishreel/routing";
-import { Attempt, type AttemptEnd, createBodyHeaders, type StreamProgress } from "./attempt.js";
+import { chooseTarget, isIdempotent } from "@radishreel/routing";
+import type { Admissions } from "./admissions.js";
+import { Attempt, type AttemptEnd, createBodyHeaders } from "./attempt.js";
 import type { CallerExchange, OwnAnswer, RefusalReason } from "./caller.js";
+import { UpstreamChooser } from "./choosing.js";
 import type { ClusterState } from "./cluster.js";
 import type { ConnectionPool } from "./connections.js";
 import type { DecisionLog } from "./decisions.js";
+import { createJob, type Job, type Preparation, type ReadyUpstream } from "./job.js";
 import { minAttemptMs, readLastSendAt } from "./patience.js";
 import type { CallerDemand, RequestDialect } from "./ports.js";
 
 /** Upstreams that may turn one request away before it is refused: each has said that it did not run it. */
 const maxRejections = 6;
 
-/** A request that waits for its adapter looks again at least this often, in milliseconds. */
-const lookAgainMs = 100;
+/** How soon a refused caller may come back, in seconds: an owner or an upstream is replaced within some seconds. */
+const retryAfterSeconds = 0.5;
 
 /**
- * An adapter that was asked for is asked for elsewhere only after this long, in milliseconds: each further engine that
- * loads it takes a place from another request. Loads that take longer than this have failed.
+ * Shortest and longest time after which a caller is told to come back to engines that are full, in seconds. Half of the
+ * time that its request would wait now has then passed, so that it would wait no longer than callers do.
  */
-const askElsewhereMs = 2000;
-
-/** How soon a refused caller may come back, in seconds: an owner or an upstream is replaced within some seconds. */
-const retryAfterSeconds = 0.5;
+const minFullRetrySeconds = 0.25;
+const maxFullRetrySeconds = 2;
 
 /**
  * Cost added to an upstream that answered this request with a failure, in milliseconds. Failures often belong to one run:
@@ -63,12 +58,6 @@
 /** Pause after which a stream that may be resumed goes elsewhere, as a factor of the pause that is still on time. */
 const pauseFactor = 1.5;
 
-/** How much longer a request may take with the newest version while an older one may still answer, in milliseconds. */
-const newestDelayMs = 300;
-
-/** Time that an engine takes for one token of an answer while it reads others' prompts as well, in milliseconds. */
-const tokenMs = 10;
-
 /** Options of {@link Serving}. */
 export interface ServingOptions {
     readonly dataCentre: string;
@@ -80,47 +69,25 @@
     readonly pool: ConnectionPool;
     readonly log: DecisionLog;
     readonly readTime: () => number;
-    readonly askLoad: (engine: string, want: AdapterWant) => void;
+    readonly admissions: Admissions;
+    /** Whether messages reach a VM. */
+    readonly isLinked: (vm: string) => boolean;
+    readonly sendPreparation: (preparation: Preparation) => void;
     readonly sendMissing: (engine: string, key: string) => void;
-    readonly recordStart: (engine: string, key: string) => void;
     readonly onRefusal: (reason: RefusalReason) => void;
     readonly onRetry: (reason: string) => void;
 }
 
-/** One request while it is being served. */
-interface Job {
-    readonly caller: CallerExchange;
-    readonly demand: CallerDemand;
-    readonly route: Route;
-    readonly service: Service;
-    readonly body: Buffer | undefined;
-    readonly startedAt: number;
-    readonly deadlineAt: number;
-    /** Upstreams that were tried, with the cost that this adds to them and the time until which it does. */
-    readonly tried: Map<string, TriedUpstream>;
-    readonly progress: StreamProgress;
-    /** Upstreams that may have run it. */
-    runs: number;
-    rejections: number;
-    attempts: number;
-    waitedMs: number;
-    asked: { engine: string; at: number; } | undefined;
-}
-
-/** An upstream that a request has tried. */
-interface TriedUpstream {
-    readonly costMs: number;
-    readonly until: number;
-}
-
 /** Serves callers' requests: finds the route, chooses upstreams, and repeats what may be repeated. */
 export class Serving {
     private readonly kept = new KeptParts();
     private readonly longPrompts = new PauseThreshold();
-    private readonly waiters = new Set<() => void>();
     private readonly open = new Set<CallerExchange>();
+    private readonly chooser: UpstreamChooser;
 
-    constructor(private readonly options: ServingOptions) {}
+    constructor(private readonly options: ServingOptions) {
+        this.chooser = new UpstreamChooser({ ...options, kept: this.kept, longPrompts: this.longPrompts });
+    }
 
     /** Requests that have no whole answer yet. */
     get openCount(): number {
@@ -134,17 +101,14 @@
         }
     }
 
-    /** Lets requests that wait for an adapter or an upstream look again. */
+    /** Lets requests that wait for an upstream look again. */
     receiveChange(): void {
-        const waiters = [...this.waiters];
-        this.waiters.clear();
-        for (const wake of waiters) {
-            wake();
-        }
+        this.chooser.receiveChange();
     }
 
     removeUpstream(id: string): void {
         this.kept.removeEngine(id);
+        this.options.admissions.removeEngine(id);
         this.options.pool.removeUpstream(id);
     }
 
@@ -186,7 +150,7 @@
         }
         this.options.budgets(service.name).recordRequest(startedAt);
         const timeMs = Math.min(demand.budgetMs ?? Infinity, route.timeoutMs);
-        await this.runJob({
+        await this.runJob(createJob({
             caller,
             demand,
             route,
@@ -194,39 +158,26 @@
             body: body.length === 0 ? undefined : body,
             startedAt,
             deadlineAt: startedAt + timeMs,
-            tried: new Map(),
-            progress: {
-                lastEventId: demand.lastEventId,
-                events: 0,
-                firstEventAt: undefined,
-                lastEventAt: 0,
-                longestPauseMs: 0,
-            },
-            runs: 0,
-            rejections: 0,
-            attempts: 0,
-            waitedMs: 0,
-            asked: undefined,
-        });
+        }));
     }
 
     private async runJob(job: Job): Promise<void> {
         let last: AttemptEnd | undefined;
         for (;;) {
-            const choice = await this.chooseReady(job);
-            if (job.caller.hasLeft) {
-                return;
-            }
-            if (choice === undefined) {
+            const ready = await this.chooser.chooseReady(job);
+            if (job.caller.hasLeft || ready === undefined) {
+                ready?.admission?.end();
                 this.finishWithout(job, last);
                 return;
             }
+            const { choice } = ready;
             const isRepeat = job.attempts > 0 && !(last?.kind === "notRun" && !last.wasSent);
             if (isRepeat && !this.claimRepeat(job)) {
+                ready.admission?.end();
                 this.finishWithout(job, last, "retryBudgetSpent");
                 return;
             }
-            last = await this.runAttempt(job, choice);
+            last = await this.runAttempt(job, ready);
             if (last.kind === "complete" || last.kind === "callerLeft") {
                 this.recordEnd(job, last.kind, choice);
                 return;
@@ -262,138 +213,12 @@
         return isIdempotent(job.route) && job.runs < job.route.maxAttempts;
     }
 
-    /** Waits until an upstream can be sent the request; undefined if there is none, or its time is over. */
-    private async chooseReady(job: Job): Promise<UpstreamChoice | undefined> {
-        const { readTime } = this.options;
-        for (;;) {
-            const now = readTime();
-            if (job.caller.hasLeft || now > readLastSendAt(job)) {
-                return undefined;
-            }
-            const choice = this.choose(job, now);
-            if (choice === undefined && !this.mayWait(job, now)) {
-                return undefined;
-            }
-            if (choice?.isReady === true) {
-                return choice;
-            }
-            if (choice !== undefined) {
-                this.askForAdapter(job, choice, now);
-            }
-            await this.waitForChange(Math.min(lookAgainMs, readLastSendAt(job) - now));
-            job.waitedMs += readTime() - now;
-        }
-    }
-
-    /**
-     * Whether waiting may bring an upstream: engines are there, and their owners are expected back. A plain service
-     * without any server is refused at once.
-     */
-    private mayWait(job: Job, now: number): boolean {
-        if (job.service.engine === undefined) {
-            return false;
-        }
-        const half = job.startedAt + (job.deadlineAt - job.startedAt) / 2;
-        return now < half && this.options.view.listUsable(job.service.name).length > 0;
-    }
-
-    private choose(job: Job, now: number): UpstreamChoice | undefined {
-        const { view, dataCentre } = this.options;
-        const inForce = [...job.tried].filter(([, { until }]) => until > now);
-        const penalties = new Map(inForce.map(([id, { costMs }]) => [id, costMs]));
-        const base = { view, service: job.service, dataCentre, now, penalties };
-        const { model } = job.demand;
-        if (job.service.engine === undefined || model === undefined) {
-            return chooseServer(base);
-        }
-        const options: EngineChoiceOptions = {
-            ...base,
-            demand: model,
-            longPromptTokens: this.longPrompts.tokens,
-            findKeptTokens: engine => this.kept.countKeptTokens(engine, model, now),
-        };
-        const choice = chooseEngine(options);
-        return choice === undefined ? undefined : this.chooseNewest(job, options, choice);
-    }
-
-    /**
-     * The engine with the newest version, if an older one was chosen and it can be sent there without much delay; otherwise
-     * has the newest loaded somewhere, so that it is there before the older one may no longer answer.
-     */
-    private chooseNewest(job: Job, options: EngineChoiceOptions, choice: UpstreamChoice): UpstreamChoice {
-        const key = findAdapterKey(options.demand);
-        const newest = key === undefined ? undefined : this.options.view.findNewestVersion(key);
-        if (key === undefined || !choice.isReady || (choice.version ?? 0) >= (newest?.version ?? 0)) {
-            return choice;
-        }
-        const next = chooseEngine({ ...options, needsNewest: true });
-        if (next?.isReady === true && next.rankMs < choice.rankMs + newestDelayMs) {
-            return next;
-        }
-        if (next?.isReady === false) {
-            this.options.askLoad(next.state.upstream.id, this.createWant(job, options.demand, key, options.now));
-        }
-        return choice;
-    }
-
-    private askForAdapter(job: Job, choice: UpstreamChoice, now: number): void {
-        const { model } = job.demand;
-        const key = findAdapterKey(model);
-        if (model === undefined || key === undefined) {
-            return;
-        }
-        const engine = choice.state.upstream.id;
-        const isWaiting = job.asked !== undefined && now - job.asked.at < askElsewhereMs;
-        if (isWaiting && job.asked?.engine !== engine && this.mayLoad(job.asked!.engine)) {
-            // Its load is under way on the engine that was asked first.
-            return;
-        }
-        if (!isWaiting || job.asked?.engine !== engine) {
-            job.asked = { engine, at: now };
-            this.options.log.record("loadAsked", {
-                request: job.demand.requestId,
-                engine,
-                key,
-                costMs: Math.round(choice.costMs),
-                waitedMs: Math.round(job.waitedMs),
-                queued: choice.state.news?.queued.length,
-            });
-        }
-        this.options.askLoad(engine, this.createWant(job, model, key, now));
-    }
-
-    private createWant(job: Job, model: ModelDemand, key: string, now: number): AdapterWant {
-        const version = this.options.view.findNewestVersion(key)?.version;
-        const readMs = model.promptTokens / prefillTokensPerMs;
-        const runMs = readMs + model.outputTokens * tokenMs;
-        return { key, version, runMs, onTimeMs: job.startedAt + job.route.aimMs - now - readMs };
-    }
-
-    /** Whether an engine that was asked for an adapter may still load it. */
-    private mayLoad(engine: string): boolean {
-        const state = this.options.view.findUpstream(engine);
-        return state !== undefined && !state.upstream.isLeaving && state.news?.canOrder !== false;
-    }
-
-    private async waitForChange(ms: number): Promise<void> {
-        await new Promise<void>(resolve => {
-            const wake = (): void => {
-                clearTimeout(timer);
-                this.waiters.delete(wake);
-                resolve();
-            };
-            const timer = setTimeout(wake, Math.max(1, ms));
-            this.waiters.add(wake);
-        });
-    }
-
-    private async runAttempt(job: Job, choice: UpstreamChoice): Promise<AttemptEnd> {
+    private async runAttempt(job: Job, { choice, admission }: ReadyUpstream): Promise<AttemptEnd> {
         const { readTime, log } = this.options;
         const sentAt = readTime();
         const { upstream, health } = choice.state;
         const load = this.addLoad(job, choice);
         job.attempts += 1;
-        job.asked = undefined;
         const attempt = new Attempt({
             ...this.createAttemptTimes(job, choice, sentAt),
             caller: job.caller,
@@ -402,9 +227,10 @@
             body: job.body,
             dialect: this.options.dialect,
             pool: this.options.pool,
+            upstreamId: upstream.id,
             address: upstream.address,
             send: {
-                upstreamId: upstream.id,
+                upstreamName: upstream.name,
                 budgetMs: Math.max(1, Math.floor(job.deadlineAt - sentAt)),
                 version: choice.version === 0 ? undefined : choice.version,
                 lastEventId: job.progress.lastEventId,
@@ -416,11 +242,13 @@
             checkBeforeSend: () => !job.caller.hasLeft && readTime() < job.deadlineAt,
             onBegin: () => {
                 load.begin();
+                admission?.begin();
                 health.recordPace((readTime() - sentAt) / Math.max(30, choice.costMs));
             },
         });
         const end = await attempt.end;
         load.end();
+        admission?.end();
         this.recordAttempt(job, choice, end, sentAt);
         log.record("attempt", {
             request: job.demand.requestId,
@@ -459,15 +287,10 @@
 
     private addLoad(job: Job, choice: UpstreamChoice): LoadHandle {
         const { model } = job.demand;
-        const key = findAdapterKey(model);
-        if (key !== undefined) {
-            this.options.recordStart(choice.state.upstream.id, key);
-        }
         return this.options.view.addOwnLoad({
             upstream: choice.state.upstream.id,
             backlogTokens: choice.prefillTokens,
             kvTokens: (model?.promptTokens ?? 0) + (model?.outputTokens ?? 0),
-            adapterKey: key,
             hasLongAnswer: hasLongAnswer(model),
         }, this.options.readTime());
     }
@@ -489,12 +312,12 @@
                 return;
             case "failed":
                 job.runs += 1;
-                job.tried.set(upstream.id, { costMs: failedCostMs, until: Infinity });
+                job.tried.set(upstream.id, { costMs: failedCostMs, until: Infinity, hasDeclined: false });
                 health.recordFailure(now);
                 return;
             case "broken":
                 job.runs += 1;
-                job.tried.set(upstream.id, { costMs: Infinity, until: Infinity });
+                job.tried.set(upstream.id, { costMs: Infinity, until: Infinity, hasDeclined: false });
                 health.recordFailure(now);
                 return;
             case "notRun":
@@ -508,7 +331,7 @@
                 if (key !== undefined) {
                     sendMissing(upstream.id, key);
                 }
-                job.tried.set(upstream.id, { costMs: Infinity, until: now + rejectedPauseMs });
+                job.tried.set(upstream.id, { costMs: Infinity, until: now + rejectedPauseMs, hasDeclined: false });
                 return;
             case "callerLeft":
                 return;
@@ -553,7 +376,13 @@
         if (job.runs > 0) {
             return { status: 502, reason: reason ?? "attemptsSpent" };
         }
-        const isLate = this.options.readTime() > readLastSendAt(job);
+        const now = this.options.readTime();
+        if (reason === undefined && job.expectedAt !== undefined) {
+            const halfSeconds = (job.expectedAt - now) / 2 / 1000;
+            const bounded = Math.min(Math.max(halfSeconds, minFullRetrySeconds), maxFullRetrySeconds);
+            return { status: 503, reason: "enginesFull", retryAfterSeconds: bounded };
+        }
+        const isLate = now > readLastSendAt(job);
         const fallback = isLate ? "timeout" : last === undefined ? "noUpstream" : "upstreamsBusy";
         return { status: 503, reason: reason ?? fallback, retryAfterSeconds };
     }
@@ -587,7 +416,3 @@
         });
     }
 }
-
-function hasLongAnswer(model: ModelDemand | undefined): boolean {
-    return model !== undefined && model.outputTokens > longAnswerTokens;
-}
--- /dev/null
+++ b/packages/node/test/choosing.test.ts
@@ -0,0 +1,146 @@
+import { FleetView, KeptParts, noLoad, PauseThreshold } from "@radishreel/fleet";
+import type { Route, Service } from "@radishreel/routing";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type AdmissionMessage, Admissions } from "../src/admissions.js";
+import type { CallerExchange } from "../src/caller.js";
+import { UpstreamChooser } from "../src/choosing.js";
+import { DecisionLog } from "../src/decisions.js";
+import { createJob, type Job } from "../src/job.js";
+
+const service: Service = {
+    name: "llm",
+    maxConnections: 100,
+    engine: { batchSlots: 64, kvTokens: 200_000, adapterPlaces: 9, weightsMb: 44_000, loadsPerSecond: 2, models: [] },
+};
+
+const route: Route = {
+    name: "r",
+    host: "h",
+    pathPrefix: "/",
+    kind: "stream",
+    targets: [{ service: "llm", weight: 1 }],
+    timeoutMs: 6000,
+    aimMs: 500,
+    gapAimMs: 300,
+    priority: 0,
+    maxAttempts: 1,
+    isResumable: false,
+};
+
+/** A chooser with engines that one other VM owns, which answers as it is told to. */
+function createChooser(engines: string[], onMessage: (message: AdmissionMessage, admissions: Admissions) => void) {
+    const readTime = () => performance.now();
+    const view = new FleetView();
+    for (const id of engines) {
+        const models = [{ name: "base", version: 1, adapters: [] }];
+        const upstream = {
+            id,
+            name: id,
+            bornAt: 0,
+            service: "llm",
+            address: "127.0.0.1:1",
+            dataCentre: "z",
+            slots: 64,
+        };
+        view.updateUpstream({ ...upstream, isLeaving: false, models, sequence: 0 }, readTime());
+        const flags = { isOwned: true, canOrder: true, isReachable: true };
+        const times = { waitMs: 0, coldLoadMs: 250, warmLoadMs: 25 };
+        const news = { engine: id, fence: 1, revision: 1, held: {}, coming: [], load: noLoad, ...flags, ...times };
+        view.updateNews("owner", news, readTime());
+    }
+    const messages: AdmissionMessage[] = [];
+    const admissions: Admissions = new Admissions({
+        readTime,
+        send: (_vm, message) => {
+            messages.push(message);
+            onMessage(message, admissions);
+            return true;
+        },
+    });
+    const chooser = new UpstreamChooser({
+        dataCentre: "z",
+        view,
+        admissions,
+        kept: new KeptParts(),
+        longPrompts: new PauseThreshold(),
+        log: new DecisionLog({ program: "p", vm: "v", sink: { writableLength: 0, write: () => true }, readTime }),
+        readTime,
+        isLinked: () => true,
+        sendPreparation: () => {},
+    });
+    return { chooser, messages, view };
+}
+
+function createRequest(timeMs: number): Job {
+    const caller = { hasLeft: false, left: new Promise<undefined>(() => {}) } as CallerExchange;
+    const model = { model: "base", adapter: "a1", promptTokens: 100, outputTokens: 10, parts: [] };
+    const startedAt = performance.now();
+    return createJob({
+        caller,
+        demand: { requestId: "q", budgetMs: timeMs, model, lastEventId: undefined },
+        route,
+        service,
+        body: undefined,
+        startedAt,
+        deadlineAt: startedAt + timeMs,
+    });
+}
+
+test("an owner that always says at once that it owns nothing lets other work run meanwhile", async () => {
+    const { chooser } = createChooser(["e1", "e2"], (message, admissions) => {
+        if (message.type === "admit") {
+            admissions.receiveAnswer("owner", { kind: "notOwned", ticket: message.request.ticket });
+        }
+    });
+    let turns = 0;
+    const timer = setInterval(() => turns += 1, 5);
+    const ready = await chooser.chooseReady(createRequest(400));
+    clearInterval(timer);
+    assert.is(ready, undefined);
+    assert.ok(turns > 0);
+});
+
+test("a request that one engine declines is let in by another one, and refused only once the best has declined", async () => {
+    const asked: string[] = [];
+    const { chooser } = createChooser(["e1", "e2"], (message, admissions) => {
+        if (message.type !== "admit") {
+            return;
+        }
+        asked.push(message.engine);
+        const { ticket } = message.request;
+        admissions.receiveAnswer(
+            "owner",
+            asked.length === 1
+                ? { kind: "declined", ticket, expectedMs: 9000 }
+                : { kind: "admitted", ticket, version: 3 },
+        );
+    });
+    const ready = await chooser.chooseReady(createRequest(6000));
+    assert.is(asked.length, 2);
+    assert.is.not(asked[0], asked[1]);
+    assert.is(ready?.choice.version, 3);
+    const declined: string[] = [];
+    const full = createChooser(["e1", "e2"], (message, admissions) => {
+        if (message.type === "admit") {
+            declined.push(message.engine);
+            const { ticket } = message.request;
+            admissions.receiveAnswer("owner", { kind: "declined", ticket, expectedMs: 9000 });
+        }
+    });
+    const job = createRequest(6000);
+    assert.is(await full.chooser.chooseReady(job), undefined);
+    assert.equal(declined.sort(), ["e1", "e2"]);
+    assert.ok(job.expectedAt! - job.startedAt > 8000);
+});
+
+test("an owner that does not answer is left for an engine that holds the adapter", async () => {
+    const { chooser, messages, view } = createChooser(["e1"], () => {});
+    const news = view.findUpstream("e1")!.news!;
+    view.updateNews("owner", { ...news, revision: 2, held: { "base/a1": 4 } }, performance.now());
+    const ready = await chooser.chooseReady(createRequest(6000));
+    assert.is(ready?.choice.version, 4);
+    assert.equal(messages.map(message => message.type), ["admit", "ended"]);
+});
+
+test.run();
--- /dev/null
+++ b/packages/node/test/rebirth.test.ts
@@ -0,0 +1,137 @@
+import { type EngineNews, FleetView, noLoad, type Upstream } from "@radishreel/fleet";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ClusterState } from "../src/cluster.js";
+import { DecisionLog } from "../src/decisions.js";
+import type { ClusterChange } from "../src/ports.js";
+
+function createUpstream(bornAt: number, sequence: number): Upstream {
+    return {
+        id: `e1@${bornAt}`,
+        name: "e1",
+        bornAt,
+        service: "s",
+        address: "127.0.0.1:1",
+        dataCentre: "d",
+        isLeaving: false,
+        slots: 1,
+        models: [],
+        sequence,
+    };
+}
+
+function createNews(engine: string, revision: number, held: Record<string, number>): EngineNews {
+    const flags = { isOwned: true, canOrder: true, isReachable: true };
+    return {
+        engine,
+        fence: 1,
+        revision,
+        held,
+        coming: [],
+        waitMs: 0,
+        coldLoadMs: 250,
+        warmLoadMs: 25,
+        load: noLoad,
+        ...flags,
+    };
+}
+
+function createVm() {
+    const view = new FleetView();
+    const gone: string[] = [];
+    let now = 0;
+    const log = new DecisionLog({
+        program: "p",
+        vm: "v",
+        sink: { writableLength: 0, write: () => true },
+        readTime: () => 0,
+    });
+    const cluster = new ClusterState({
+        view,
+        log,
+        readTime: () => now,
+        onChange: () => {},
+        onUpstreamGone: id => gone.push(id),
+        onMember: () => {},
+    });
+    cluster.setReachable(true);
+    // Long after the store came back: an entry that is removed now is gone at once.
+    now = 60_000;
+    return { view, cluster, gone };
+}
+
+test("an upstream that starts again under its name is another one, and nothing of the one before holds for it", () => {
+    const { view, cluster, gone } = createVm();
+    cluster.applyChanges([{ kind: "upstream", upstream: createUpstream(1000, 9), position: 1 }]);
+    view.updateNews("owner", createNews("e1@1000", 5, { "m/a1": 1 }), 0);
+    view.findUpstream("e1@1000")!.health.recordUnreachable(0);
+    cluster.applyChanges([{ kind: "upstream", upstream: createUpstream(2000, 0), position: 2 }]);
+    assert.equal(gone, ["e1@1000"]);
+    assert.equal(view.listUpstreams().map(({ upstream }) => upstream.id), ["e1@2000"]);
+    const fresh = view.findUpstream("e1@2000")!;
+    assert.is(fresh.news, undefined);
+    assert.is(fresh.owner, undefined);
+    assert.is(fresh.warm.has("m/a1"), false);
+    assert.is(fresh.health.isPaused(0), false);
+    assert.is(view.updateNews("owner", createNews("e1@1000", 6, { "m/a2": 1 }), 0), false);
+    assert.is(fresh.news, undefined);
+});
+
+/** What may happen to one VM that follows an engine: entries and removals in any order, and word of owners. */
+type Step =
+    | { readonly kind: "entry"; readonly life: number; }
+    | { readonly kind: "removal"; }
+    | { readonly kind: "news"; readonly life: number; };
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+    fc.record({ kind: fc.constant("entry" as const), life: fc.integer({ min: 1, max: 4 }) }),
+    fc.record({ kind: fc.constant("removal" as const) }),
+    fc.record({ kind: fc.constant("news" as const), life: fc.integer({ min: 1, max: 4 }) }),
+);
+
+test("over random histories two VMs agree on the incarnation that they use, and news count for their own one only", () => {
+    fc.assert(
+        fc.property(
+            fc.array(stepArbitrary, { minLength: 1, maxLength: 25 }),
+            fc.array(fc.nat(1000), { minLength: 25, maxLength: 25 }),
+            (steps, shuffle) => {
+                const changes = steps.flatMap((step, position): ClusterChange[] => {
+                    switch (step.kind) {
+                        case "entry":
+                            return [{ kind: "upstream", upstream: createUpstream(step.life * 1000, 0), position }];
+                        case "removal":
+                            return [{ kind: "upstreamGone", name: "e1", position }];
+                        case "news":
+                            return [];
+                    }
+                });
+                const inOrder = createVm();
+                const outOfOrder = createVm();
+                for (const [index, step] of steps.entries()) {
+                    if (step.kind === "news") {
+                        const news = createNews(`e1@${step.life * 1000}`, index, { [`m/a${step.life}`]: 1 });
+                        inOrder.view.updateNews("owner", news, 0);
+                    }
+                    inOrder.cluster.applyChanges(changes.filter(({ position }) => position === index));
+                    for (const { upstream, news } of inOrder.view.listUpstreams()) {
+                        assert.ok(news === undefined || news.engine === upstream.id);
+                    }
+                }
+                const shuffled = [...changes].sort((left, right) =>
+                    shuffle[left.position]! - shuffle[right.position]! || left.position - right.position
+                );
+                for (const change of shuffled) {
+                    outOfOrder.cluster.applyChanges([change]);
+                    assert.ok(outOfOrder.view.listUpstreams().length <= 1);
+                }
+                outOfOrder.cluster.applyChanges(changes);
+                const list = (vm: typeof inOrder) => vm.view.listUpstreams().map(({ upstream }) => upstream.id);
+                assert.equal(list(inOrder), list(outOfOrder));
+            },
+        ),
+        { seed: 17, numRuns: 500 },
+    );
+});
+
+test.run();
