Let one VM of a data centre read the store, and only owners link to all VMs

In a cut of a data centre its VMs served 35 of 168 model requests, since nobody may load adapters there, and their links opened anew up to 2 s after it.

Ruled out: fewer reads by longer pauses (a VM must know within 2 s what leaves); loads in a data centre that is cut off (its claims may be dealt to others, and two holders would give orders by turns when it heals).

Change: - The first VM of each data centre that reaches the store reads for the others, which follow it; whoever does not hear of a reader for 0.7 s reads by itself. Whoever is behind for 0.6 s asks the one that is ahead. - Beyond 12 VMs only owners of engines are linked to all, and each VM to two of its data centre. - A VM that holds no shard renews its membership every 1.2 s; news of engines go out less often the more VMs hear them. - A VM that hears for 1 s neither of other data centres nor of the store takes itself out of the balancer and lets connected callers go after their answers; links are tried every 0.5 s. - Waiting for a load and for the prompts in front overlap in the choice of an engine.

Property tests: changes reach every VM that is up within 2 s, whatever is lost in whatever order.

--- a/packages/fleet/src/admission.ts
+++ b/packages/fleet/src/admission.ts
@@ -27,6 +27,9 @@
 /** Time after which an engine without its base model may have it, in milliseconds: a model takes 0.3 to 1 s. */
 const modelLoadMs = 1000;
 
+/** Time in which an answer has reached its VM, in milliseconds: one that takes longer finds its link closed. */
+const answerTravelMs = 500;
+
 /** How often the expected wait of a request that waits is worked out anew, in milliseconds: a tenth of most callers' time. */
 const reviewMs = 150;
 
@@ -142,15 +145,22 @@
         }
     }
 
-    /** Takes all requests of a VM that were let in, in place of what was known of them. */
+    /**
+     * Takes all requests of a VM that run, in place of what was known of them. What waits goes on waiting, and what has
+     * been let in just now may not be known there yet.
+     */
     setRuns(vm: string, requests: readonly AdmissionRequest[], now: number): void {
+        const told = new Set(requests.map(({ ticket }) => ticket));
         for (const ticket of [...this.tickets.values()]) {
-            if (ticket.vm === vm) {
+            const isOther = ticket.vm !== vm || isWaiting(ticket);
+            if (!isOther && !told.has(ticket.request.ticket) && now - ticket.admittedAt! > answerTravelMs) {
                 this.remove(ticket);
             }
         }
         for (const request of requests) {
-            this.start(vm, request, now);
+            if (!this.tickets.has(formatId(vm, request.ticket))) {
+                this.start(vm, request, now);
+            }
         }
     }
 
--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -216,10 +216,12 @@
     const prefillTokens = Math.max(0, demand.promptTokens - kept);
     const neededKv = load.kvTokens + demand.promptTokens + demand.outputTokens;
     const isOverfull = neededKv > limits.kvTokens * kvFillShare || load.active >= limits.batchSlots;
-    const engineMs = (load.backlogTokens + prefillTokens) / prefillTokensPerMs + load.active * activeCostMs;
-    const costMs = engineMs * state.health.readPace(now)
+    const queueMs = load.backlogTokens / prefillTokensPerMs + load.active * activeCostMs;
+    const readMs = prefillTokens / prefillTokensPerMs;
+    // While an adapter is loaded the engine reads the prompts in front.
+    const waitMs = isReady ? queueMs : Math.max(queueMs, readLoadCost(view, state, key, homeRank));
+    const costMs = (waitMs + readMs) * state.health.readPace(now)
         + (isOverfull ? overfullCostMs : 0)
-        + (isReady ? 0 : readLoadCost(view, state, key, homeRank))
         + (isSecondCopy ? secondCopyCostMs : 0)
         + readCommonCost(options, state);
     const rankMs = costMs + readHeldUpCost(options, state, prefillTokens);
--- a/packages/node/src/choosing.ts
+++ b/packages/node/src/choosing.ts
@@ -13,7 +13,6 @@
     type UpstreamChoice,
     type UpstreamState,
 } from "@radishreel/fleet";
-import { setTimeout as wait } from "node:timers/promises";
 import type { Admission, AdmissionDetails, AdmissionOutcome, Admissions } from "./admissions.js";
 import type { DecisionLog } from "./decisions.js";
 import type { Job, Preparation, ReadyUpstream } from "./job.js";
@@ -239,11 +238,14 @@
         }
     }
 
+    /** Waits for a value until the time is over or the caller leaves: it is undefined then. */
     private async waitAtMost<Value>(job: Job, value: Promise<Value>, ms: number): Promise<Value | undefined> {
-        const timer = new AbortController();
-        const timeout = wait(Math.max(1, ms), undefined, { signal: timer.signal }).catch(() => undefined);
+        let timer: NodeJS.Timeout | undefined;
+        const timeout = new Promise<undefined>(resolve => {
+            timer = setTimeout(() => resolve(undefined), Math.max(1, ms));
+        });
         const result = await Promise.race([value, timeout, job.caller.left]);
-        timer.abort();
+        clearTimeout(timer);
         return result;
     }
 
--- a/packages/node/src/engines.ts
+++ b/packages/node/src/engines.ts
@@ -20,6 +20,12 @@
  */
 const newsIntervalMs = 100;
 
+/**
+ * How much longer the pause between two such tellings is for each VM that is told, in milliseconds: what one VM hears then
+ * grows with the engines only. 42 engines tell 70 VMs some 20 KB a second each.
+ */
+const newsPausePerVmMs = 12;
+
 /** How often an engine is looked at that may not be given orders now, in milliseconds. */
 const idleCheckMs = 200;
 
@@ -40,6 +46,8 @@
     readonly readFence: (name: string) => number;
     readonly sendNews: (news: EngineNews[]) => void;
     readonly sendAnswer: (vm: string, answer: AdmissionAnswer) => void;
+    /** Other VMs that may be running, connected or not. */
+    readonly countOthers: () => number;
 }
 
 interface OwnedEngine {
@@ -59,13 +67,18 @@
 export class OwnedEngines {
     private readonly engines = new Map<string, OwnedEngine>();
     private readonly newsTimer: NodeJS.Timeout;
+    private toldAt = -Infinity;
     private isStopped = false;
 
     constructor(private readonly options: OwnedEnginesOptions) {
-        this.newsTimer = setInterval(() => this.sendChanges([...this.engines.values()]), newsIntervalMs);
+        this.newsTimer = setInterval(() => this.sendDueChanges(), newsIntervalMs);
         this.newsTimer.unref();
     }
 
+    get hasAny(): boolean {
+        return this.engines.size > 0;
+    }
+
     stop(): void {
         this.isStopped = true;
         clearInterval(this.newsTimer);
@@ -338,6 +351,14 @@
         };
     }
 
+    private sendDueChanges(): void {
+        const now = this.options.readTime();
+        if (now - this.toldAt >= this.options.countOthers() * newsPausePerVmMs) {
+            this.toldAt = now;
+            this.sendChanges([...this.engines.values()]);
+        }
+    }
+
     /** Tells all VMs what has changed since the last time. */
     private sendChanges(engines: readonly OwnedEngine[]): void {
         const changed: EngineNews[] = [];
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -5,6 +5,7 @@
 const memberSchema = z.object({
     id: z.string(),
     address: z.string(),
+    dataCentre: z.string().optional(),
     generation: z.number().optional(),
     hasLeft: z.boolean().optional(),
 });
@@ -32,12 +33,12 @@
     z.object({ type: z.literal("members"), members: z.array(memberSchema) }),
     /** What the store said. The whole state when a link opens; after that only to VMs that asked for it. */
     z.object({ type: z.literal("changes"), changes: z.array(changeSchema) }),
-    /** How far the sender has read. */
-    z.object({ type: z.literal("positions"), positions: positionsSchema }),
+    /** How far the sender has read, and whether it reads the store by itself and reaches it. */
+    z.object({ type: z.literal("positions"), positions: positionsSchema, canRead: z.boolean() }),
     /** The sender lacks changes that the receiver has read, and how far it has read itself. */
     z.object({ type: z.literal("pull"), positions: positionsSchema }),
-    /** Whether the sender wants every change that others read, since it cannot read the store. */
-    z.object({ type: z.literal("follow"), isWanted: z.boolean() }),
+    /** Whether the sender wants every change that the receiver learns, and how far it has read itself. */
+    z.object({ type: z.literal("follow"), isWanted: z.boolean(), positions: positionsSchema }),
     /** The sender's word about engines that it owns. */
     z.object({ type: z.literal("news"), news: z.array(engineNewsSchema) }),
     /** To the owner of an engine: a request of the sender asks to be let in. */
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -9,6 +9,9 @@
 /** How long a new holder is confirmed before it orders, beyond the time of use, in milliseconds: two renewals. */
 const claimSettleMs = 2 * renewMs;
 
+/** A VM that holds no shard renews once in so many times: it only waits to be dealt one, and may be silent for 2.8 s. */
+const idleRenewals = 3;
+
 /** Other VMs are asked about claims once the last answered renewal is this old, in milliseconds. */
 const askPeersAfterMs = 550;
 
@@ -27,8 +30,6 @@
     readonly sendQuery: (query: number) => void;
     /** Hands shards to one other VM. @returns Whether there is one. */
     readonly sendHandover: (handover: Handover) => boolean;
-    /** Other VMs that may be running, connected or not. */
-    readonly countOthers: () => number;
     /** Keeps for this VM's next start in which deal it gave orders. */
     readonly recordGeneration: (generation: number) => void;
 }
@@ -67,6 +68,7 @@
     private renewedAt = -Infinity;
     private openQuery: OpenQuery = { query: 0, askedAt: 0, clear: new Set() };
     private recordedGeneration = -1;
+    private renewals = 0;
 
     constructor(private readonly options: OwningOptions) {
         this.clock = new ClaimClock({
@@ -182,13 +184,18 @@
         }
     }
 
+    /** Age of the last renewal that was answered, counted from its sending, in milliseconds. */
+    get renewalAgeMs(): number {
+        return Math.min(this.bootClock.read() - this.renewedAt, maxRenewalAgeMs);
+    }
+
     /** What this VM knows of the claims, for one that asks. */
     readClaimState(query: number): ClaimState {
         return {
             query,
             generation: this.clock.deal,
             shards: this.clock.listShards(),
-            renewalAgeMs: Math.min(this.bootClock.read() - this.renewedAt, maxRenewalAgeMs),
+            renewalAgeMs: this.renewalAgeMs,
         };
     }
 
@@ -220,7 +227,10 @@
 
     /** Renews, and asks the other VMs when the store does not answer. */
     private renewClaims(): void {
-        void this.renew();
+        this.renewals += 1;
+        if (this.clock.listShards().length > 0 || this.renewals % idleRenewals === 0) {
+            void this.renew();
+        }
         const now = this.bootClock.read();
         if (now - this.renewedAt > askPeersAfterMs && this.clock.listShards().length > 0) {
             this.options.log.record("claimsInDoubt", {
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -6,6 +6,22 @@
 /** Heartbeats and the silence after which a link counts as dead, in milliseconds: faults last some seconds. */
 const linkLimits = resolveLinkLimits({ heartbeatMs: 400, silenceMs: 1500, maxFrameBytes: 8 * 1024 * 1024 });
 
+/**
+ * Longest pause between two tries to reach a VM, in milliseconds. After a cut of 6 s nothing could be loaded on the engines
+ * beyond it until links were open again, up to 2 s later.
+ */
+const maxBackoffMs = 500;
+
+/**
+ * Up to so many other VMs, each is linked to each. Beyond that only owners of engines are linked to all, since requests are
+ * let in there, and each VM to the first ones of its data centre, which read the store for it: links then grow with the
+ * owners and not with the square of the VMs. At 70 VMs a full mesh cost 0.34 GB between data centres in 25 s.
+ */
+const meshVms = 12;
+
+/** VMs of the own data centre to which each one is linked: the one that reads the store, and the next one. */
+const neighbourVms = 2;
+
 /** A VM that has been unreachable for this long is no longer tried, in milliseconds. */
 const forgetMs = 60_000;
 
@@ -26,22 +42,34 @@
     readonly onClose: (vm: string) => void;
 }
 
+/** A VM as others have told of it; seeds have an address only. */
+export interface KnownMember {
+    readonly id: string | undefined;
+    readonly address: string;
+    readonly dataCentre?: string | undefined;
+}
+
 interface Peer {
     readonly address: string;
     readonly client: LinkClient<PeerMessage>;
     link: Link<PeerMessage> | undefined;
+    /** Known once a link has been open. */
+    dataCentre: string | undefined;
     lastOpenAt: number;
 }
 
 /**
- * Links to all other VMs. Each VM opens one link to each other, sends on those it opened and receives on those opened to
+ * Links to other VMs. Each VM opens one link to each other, sends on those it opened and receives on those opened to
  * it, so that a path that is cut one way shows as a dead link of its own.
  */
 export class Peers {
     private readonly server: LinkServer<PeerMessage>;
     private readonly incarnations = new Map<string, number>();
     private readonly leaving = new Set<string>();
+    /** VMs that are known, by address. */
+    private readonly members = new Map<string, KnownMember>();
     private readonly peersByAddress = new Map<string, Peer>();
+    private isHub = false;
     private readonly linksByVm = new Map<string, Link<PeerMessage>>();
 
     constructor(private readonly options: PeersOptions) {
@@ -74,26 +102,61 @@
         this.server.stop();
     }
 
-    /** Opens a link to a VM, unless there is one. */
-    addPeer(member: { readonly id: string | undefined; readonly address: string; }): void {
+    /** Takes word of a VM, and opens a link to it if one is wanted. */
+    addPeer(member: KnownMember): void {
+        if (member.address === this.options.self.address || member.address === "") {
+            return;
+        }
+        this.members.set(member.address, { ...this.members.get(member.address), ...member });
+        this.openWanted();
+    }
+
+    /** Whether this VM owns engines: then it is linked to all others. */
+    setHub(isHub: boolean): void {
+        if (this.isHub !== isHub) {
+            this.isHub = isHub;
+            this.openWanted();
+        }
+    }
+
+    private openWanted(): void {
+        const isMesh = this.isHub || this.members.size <= meshVms;
+        const neighbours = this.listNeighbours();
+        for (const { address, id } of this.members.values()) {
+            if (isMesh || id === undefined || neighbours.has(address)) {
+                this.openLink(address);
+            }
+        }
+    }
+
+    /** Addresses of the first VMs, by name, of the own data centre. */
+    private listNeighbours(): Set<string> {
+        const { dataCentre } = this.options.self;
+        const near = [...this.members.values()].filter(member => member.dataCentre === dataCentre);
+        const first = near.sort((left, right) => (left.id ?? "") < (right.id ?? "") ? -1 : 1).slice(0, neighbourVms);
+        return new Set(first.map(({ address }) => address));
+    }
+
+    private openLink(address: string): void {
         const { self, secret } = this.options;
-        if (member.address === self.address || member.address === "" || this.peersByAddress.has(member.address)) {
+        if (this.peersByAddress.has(address)) {
             return;
         }
         const client = new LinkClient<PeerMessage>({
-            address: member.address,
+            address,
             self: () => self,
             secret,
             schema: peerMessageSchema,
             limits: linkLimits,
+            maxBackoffMs,
             events: {
-                onOpen: link => this.receiveOpen(member.address, link),
+                onOpen: link => this.receiveOpen(address, link),
                 onMessage: (link, message) => this.options.onMessage(link.peer.id, message),
-                onClose: link => this.receiveClose(member.address, link),
+                onClose: link => this.receiveClose(address, link),
             },
         });
-        const peer: Peer = { address: member.address, client, link: undefined, lastOpenAt: this.options.readTime() };
-        this.peersByAddress.set(member.address, peer);
+        const lastOpenAt = this.options.readTime();
+        this.peersByAddress.set(address, { address, client, link: undefined, dataCentre: undefined, lastOpenAt });
         client.start();
     }
 
@@ -107,6 +170,24 @@
         return this.linksByVm.has(vm);
     }
 
+    /** Data centre of a connected VM. */
+    findDataCentre(vm: string): string | undefined {
+        return this.linksByVm.get(vm)?.peer.dataCentre;
+    }
+
+    /**
+     * Time since any VM of another data centre was heard, in milliseconds; undefined if none was ever linked. A link that
+     * is closed has been quiet since then.
+     */
+    readOthersQuietMs(): number | undefined {
+        const others = [...this.peersByAddress.values()].filter(({ dataCentre }) =>
+            dataCentre !== undefined && dataCentre !== this.options.self.dataCentre
+        );
+        const now = this.options.readTime();
+        const quiet = others.map(({ link, lastOpenAt }) => link?.quietMs ?? now - lastOpenAt);
+        return others.length === 0 ? undefined : Math.min(...quiet);
+    }
+
     /** Takes word of a VM that it is stopping. */
     recordLeaving(vm: string): void {
         this.leaving.add(vm);
@@ -117,16 +198,16 @@
         return this.listConnected().filter(vm => !this.leaving.has(vm));
     }
 
-    /** VMs that are tried, this one left out. */
+    /** VMs that are known by name, this one left out. */
     listMembers(): Member[] {
-        return [...this.peersByAddress.values()].flatMap(peer =>
-            peer.link === undefined ? [] : [{ id: peer.link.peer.id, address: peer.address }]
+        return [...this.members.values()].flatMap(({ id, address, dataCentre }) =>
+            id === undefined ? [] : [{ id, address, dataCentre }]
         );
     }
 
-    /** VMs that may be running: connected now, or lost a short time ago. */
+    /** VMs that may be running, this one left out. */
     countLikely(): number {
-        return this.peersByAddress.size;
+        return this.members.size;
     }
 
     broadcast(message: PeerMessage): void {
@@ -147,12 +228,14 @@
             if (peer.link === undefined && now - peer.lastOpenAt > forgetMs) {
                 peer.client.stop();
                 this.peersByAddress.delete(peer.address);
+                this.members.delete(peer.address);
             }
         }
     }
 
     private receiveCaller(peer: NodeIdentity): void {
-        this.addPeer({ id: peer.id, address: peer.address });
+        this.addPeer({ id: peer.id, address: peer.address, dataCentre: peer.dataCentre });
+        this.openLink(peer.address);
         if ((this.incarnations.get(peer.id) ?? -1) !== peer.incarnation) {
             this.incarnations.set(peer.id, peer.incarnation);
             this.leaving.delete(peer.id);
@@ -167,6 +250,7 @@
             return;
         }
         peer.link = link;
+        peer.dataCentre = link.peer.dataCentre;
         this.linksByVm.set(link.peer.id, link);
         this.options.log.recordImportant("peerLinked", { peer: link.peer.id, address });
         for (const message of this.options.createGreeting(link.peer.id)) {
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -80,6 +80,7 @@
     readonly id: string;
     /** `host:port` of its listener for peers. */
     readonly address: string;
+    readonly dataCentre?: string | undefined;
     /** The deal of shards in which it has given orders; undefined while it has not. */
     readonly generation?: number | undefined;
     /** Whether its process stopped as planned and gave up what it owned. */
@@ -119,6 +120,9 @@
 export interface ClusterStore {
     start(receiver: ClusterReceiver): void;
     stop(): void;
+    /** Whether it goes on reading; the newest records of all are read in any case, once. */
+    readonly isReading: boolean;
+    setReading(isReading: boolean): void;
     /** Makes this VM known to others, in place of what it said before. Retried until it is done. */
     appendMember(member: Member): void;
 }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -11,7 +11,8 @@
 import { ClusterState } from "./cluster.js";
 import { ConnectionPool } from "./connections.js";
 import { DecisionLog, type LineSink } from "./decisions.js";
-import type { PeerMessage, ReadPositions } from "./messages.js";
+import { IsolationWatch } from "./isolation.js";
+import type { PeerMessage } from "./messages.js";
 import { NodeMetrics } from "./metrics.js";
 import { type Handover, Owning } from "./owning.js";
 import { Peers } from "./peers.js";
@@ -26,9 +27,7 @@
     UnreadableRecord,
 } from "./ports.js";
 import { Serving } from "./serving.js";
-
-/** Time in which this VM reads by itself what another one has read, in milliseconds: usual reads differ by some 10 ms. */
-const ownReadMs = 300;
+import { ChangeSharing } from "./sharing.js";
 
 /** How often slow checks run, in milliseconds. */
 const housekeepingMs = 250;
@@ -101,11 +100,10 @@
     private readonly readinessServer = createServer();
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly budgets = new Map<string, RetryBudget>();
-    private readonly followers = new Set<string>();
+    private readonly sharing: ChangeSharing;
+    private readonly isolation = new IsolationWatch();
     private readonly admissions: Admissions;
     private owning: Owning | undefined;
-    private toldPositions = "";
-    private isFollowing = false;
     private past: Member | undefined;
     private hasReadMembers = false;
     private stopping: Promise<void> | undefined;
@@ -125,6 +123,17 @@
         this.admissions = new Admissions({ readTime: readNow, send: (vm, message) => this.sendAdmission(vm, message) });
         this.serving = this.createServing();
         this.peers = this.createPeers();
+        this.sharing = new ChangeSharing({
+            vm: settings.vm,
+            dataCentre: settings.dataCentre,
+            cluster: this.cluster,
+            store: options.store,
+            log: this.log,
+            readTime: readNow,
+            send: (vm, message) => this.peers.send(vm, message),
+            broadcast: message => this.peers.broadcast(message),
+            listLinked: () => this.peers.listConnected(),
+        });
         this.callerServer = createServer({ keepAlive: true, noDelay: true });
     }
 
@@ -146,7 +155,7 @@
 
     /** Whether the balancer may send callers here. */
     get isReady(): boolean {
-        return this.life.machine.current === "serving";
+        return this.life.machine.current === "serving" && !this.isolation.isIsolated;
     }
 
     async start(): Promise<void> {
@@ -186,9 +195,7 @@
         if (fresh.length === 0) {
             return;
         }
-        for (const vm of this.followers) {
-            this.peers.send(vm, { type: "changes", changes: fresh });
-        }
+        this.sharing.passChanges(fresh);
         this.receiveVersions(fresh);
     }
 
@@ -213,15 +220,7 @@
             this.log.recordImportant(isReachable ? "storeRegained" : "storeLost", { detail });
         }
         this.cluster.setReachable(isReachable);
-        this.setFollowing(!isReachable);
-    }
-
-    /** Asks the peers for every change while the store cannot be read. */
-    private setFollowing(isWanted: boolean): void {
-        if (this.isFollowing !== isWanted) {
-            this.isFollowing = isWanted;
-            this.peers.broadcast({ type: "follow", isWanted });
-        }
+        this.sharing.update();
     }
 
     private receiveVersions(changes: readonly ClusterChange[]): void {
@@ -316,7 +315,8 @@
     /** Writes this VM's entry, in place of what it said before. */
     private appendMember(state: { readonly generation?: number; readonly hasLeft?: boolean; }): void {
         const { settings, store } = this.options;
-        store.appendMember({ id: settings.vm, address: formatAddress(settings.peers), ...state });
+        const { vm: id, dataCentre, peers } = settings;
+        store.appendMember({ id, dataCentre, address: formatAddress(peers), ...state });
     }
 
     private receiveMember(member: Member): void {
@@ -335,7 +335,7 @@
             server: this.callerServer,
             onNoMatch: (request, response) => {
                 const caller = new CallerExchange(request, response);
-                if (this.stopping !== undefined) {
+                if (this.stopping !== undefined || this.isolation.isIsolated) {
                     caller.closeAfterAnswer();
                 }
                 void this.serving.handle(caller);
@@ -356,12 +356,9 @@
     }
 
     private createGreeting(vm: string): PeerMessage[] {
-        const changes = this.cluster.listChanges();
         return [
-            { type: "members", members: this.peers.listMembers() },
-            { type: "changes", changes },
+            ...this.sharing.createGreeting(vm),
             { type: "news", news: this.owning?.engines.listNews() ?? [] },
-            { type: "follow", isWanted: this.isFollowing },
             ...this.listEnginesOf(vm).map(engine => this.admissions.createRuns(engine, vm)),
             ...(this.stopping === undefined ? [] : [{ type: "leaving" } as const]),
         ];
@@ -384,19 +381,19 @@
                 this.receiveChanges(message.changes);
                 return;
             case "positions":
-                this.receivePositions(vm, message.positions);
+                this.sharing.receivePositions(
+                    vm,
+                    this.peers.findDataCentre(vm) ?? "",
+                    message.positions,
+                    message.canRead,
+                );
                 return;
             case "pull":
-                this.peers.send(vm, { type: "changes", changes: this.cluster.listChangesAfter(message.positions) });
+                this.sharing.receivePull(vm, message.positions);
                 return;
             case "follow":
-                if (message.isWanted) {
-                    this.followers.add(vm);
-                    this.peers.send(vm, { type: "changes", changes: this.cluster.listChanges() });
-                }
-                else {
-                    this.followers.delete(vm);
-                }
+                this.sendMembers(vm, message.isWanted);
+                this.sharing.receiveFollow(vm, message.isWanted, message.positions);
                 return;
             case "news":
                 this.receiveNews(vm, message.news);
@@ -437,24 +434,11 @@
         }
     }
 
-    /**
-     * Another VM has read further. If this VM does not follow by itself, its connection to the store may have gone silent:
-     * then the other one tells what it has.
-     */
-    private receivePositions(vm: string, told: ReadPositions): void {
-        const isBehind = (): boolean => {
-            const own = this.cluster.readPositions;
-            return own.operator < told.operator || own.upstreams < told.upstreams;
-        };
-        if (!isBehind()) {
-            return;
+    /** A VM that cannot read the store by itself needs to know the others. */
+    private sendMembers(vm: string, isWanted: boolean): void {
+        if (isWanted) {
+            this.peers.send(vm, { type: "members", members: this.peers.listMembers() });
         }
-        setTimeout(() => {
-            if (isBehind()) {
-                this.log.recordImportant("behindPeer", { peer: vm, told, own: this.cluster.readPositions });
-                this.peers.send(vm, { type: "pull", positions: this.cluster.readPositions });
-            }
-        }, ownReadMs);
     }
 
     private receiveNews(vm: string, news: readonly EngineNews[]): void {
@@ -472,7 +456,7 @@
     }
 
     private receivePeerClose(vm: string): void {
-        this.followers.delete(vm);
+        this.sharing.removeVm(vm);
         this.view.removeVm(vm);
         this.admissions.removeOwner(vm);
         this.serving.receiveChange();
@@ -528,16 +512,22 @@
         this.cluster.expireLapsed();
         this.peers.expireGone();
         this.owning?.update();
-        this.sendPositions();
-    }
-
-    /** Tells how far this VM has read, so that one whose connection to the store is silent asks for the rest. */
-    private sendPositions(): void {
-        const positions = this.cluster.readPositions;
-        const text = JSON.stringify(positions);
-        if (text !== this.toldPositions) {
-            this.toldPositions = text;
-            this.peers.broadcast({ type: "positions", positions });
+        this.peers.setHub(this.owning?.engines.hasAny ?? false);
+        this.sharing.update();
+        this.updateIsolation();
+    }
+
+    private updateIsolation(): void {
+        const quietMs = this.peers.readOthersQuietMs();
+        const wasIsolated = this.isolation.isIsolated;
+        const signs = {
+            hasOthers: quietMs !== undefined,
+            othersQuietMs: quietMs ?? 0,
+            storeQuietMs: this.owning?.renewalAgeMs ?? 0,
+        };
+        this.isolation.update(signs);
+        if (this.isolation.isIsolated !== wasIsolated) {
+            this.log.recordImportant(wasIsolated ? "isolationEnded" : "isolated", signs);
         }
     }
 
--- /dev/null
+++ b/packages/node/src/sharing.ts
@@ -0,0 +1,165 @@
+import type { ClusterState } from "./cluster.js";
+import type { DecisionLog } from "./decisions.js";
+import type { PeerMessage, ReadPositions } from "./messages.js";
+import type { ClusterChange, ClusterStore } from "./ports.js";
+import { StoreReaders } from "./readers.js";
+
+/**
+ * Time in which this VM should learn by itself what another one has read, in milliseconds: readers read entries of upstreams
+ * every 300 ms, and tell how far they are every 250 ms.
+ */
+const ownReadMs = 600;
+
+/** Options of {@link ChangeSharing}. */
+export interface ChangeSharingOptions {
+    readonly vm: string;
+    readonly dataCentre: string;
+    readonly cluster: ClusterState;
+    readonly store: ClusterStore;
+    readonly log: DecisionLog;
+    readonly readTime: () => number;
+    readonly send: (vm: string, message: PeerMessage) => void;
+    readonly broadcast: (message: PeerMessage) => void;
+    readonly listLinked: () => string[];
+}
+
+/** A VM that has read further than this one. */
+interface AheadReader {
+    readonly told: ReadPositions;
+    readonly since: number;
+}
+
+/**
+ * How what one VM reads of the store comes to the others. One VM of each data centre reads, the others follow it; a VM whose
+ * reading fails follows everybody; and one that has fallen behind what a reader tells asks that one for what it lacks.
+ */
+export class ChangeSharing {
+    private readonly readers: StoreReaders;
+    private readonly followers = new Set<string>();
+    private readonly followed = new Set<string>();
+    /** VMs that have read what this one has not, and since when. */
+    private readonly ahead = new Map<string, AheadReader>();
+    private couldRead = false;
+
+    constructor(private readonly options: ChangeSharingOptions) {
+        this.readers = new StoreReaders(options);
+    }
+
+    /** Passes on what has been learned just now. */
+    passChanges(changes: readonly ClusterChange[]): void {
+        for (const vm of this.followers) {
+            this.options.send(vm, { type: "changes", changes: [...changes] });
+        }
+    }
+
+    /** What a VM is told whose link has just opened. */
+    createGreeting(vm: string): PeerMessage[] {
+        const isWanted = this.followed.has(vm);
+        return [
+            ...(isWanted ? [this.createFollow(true)] : []),
+            this.createPositions(),
+        ];
+    }
+
+    receivePositions(vm: string, dataCentre: string, told: ReadPositions, canRead: boolean): void {
+        this.readers.update(vm, dataCentre, canRead, this.options.readTime());
+        if (this.isBehind(told)) {
+            const since = this.ahead.get(vm)?.since ?? this.options.readTime();
+            this.ahead.set(vm, { told, since });
+        }
+        else {
+            this.ahead.delete(vm);
+        }
+    }
+
+    receivePull(vm: string, positions: ReadPositions): void {
+        this.options.send(vm, { type: "changes", changes: this.options.cluster.listChangesAfter(positions) });
+    }
+
+    receiveFollow(vm: string, isWanted: boolean, positions: ReadPositions): void {
+        if (!isWanted) {
+            this.followers.delete(vm);
+            return;
+        }
+        this.followers.add(vm);
+        this.receivePull(vm, positions);
+    }
+
+    removeVm(vm: string): void {
+        this.followers.delete(vm);
+        this.followed.delete(vm);
+        this.readers.removeVm(vm);
+        this.ahead.delete(vm);
+        this.update();
+    }
+
+    /** Looks again at who reads, and tells how far this VM has read if it does. */
+    update(): void {
+        const { cluster, store } = this.options;
+        const reader = this.readers.findReader(this.options.readTime());
+        store.setReading(reader === undefined);
+        if (reader !== undefined) {
+            cluster.setReachable(true);
+            this.setFollowed([reader]);
+        }
+        else {
+            this.setFollowed(cluster.isStoreReachable ? [] : this.options.listLinked());
+        }
+        this.askAhead();
+        const canRead = this.canRead();
+        if (canRead || this.couldRead) {
+            this.options.broadcast(this.createPositions());
+        }
+        this.couldRead = canRead;
+    }
+
+    /** Asks those that have been ahead for long: this VM's own connection, or its place among their followers, is lost. */
+    private askAhead(): void {
+        const now = this.options.readTime();
+        const own = this.options.cluster.readPositions;
+        for (const [vm, { told, since }] of this.ahead) {
+            if (!this.isBehind(told)) {
+                this.ahead.delete(vm);
+                continue;
+            }
+            if (now - since < ownReadMs) {
+                continue;
+            }
+            this.ahead.set(vm, { told, since: now });
+            this.options.log.recordImportant("behindPeer", { peer: vm, told, own });
+            this.options.send(vm, this.followed.has(vm) ? this.createFollow(true) : { type: "pull", positions: own });
+        }
+    }
+
+    private canRead(): boolean {
+        return this.options.store.isReading && this.options.cluster.isStoreReachable;
+    }
+
+    private isBehind(told: ReadPositions): boolean {
+        const own = this.options.cluster.readPositions;
+        return own.operator < told.operator || own.upstreams < told.upstreams;
+    }
+
+    private createPositions(): PeerMessage {
+        return { type: "positions", positions: this.options.cluster.readPositions, canRead: this.canRead() };
+    }
+
+    private createFollow(isWanted: boolean): PeerMessage {
+        return { type: "follow", isWanted, positions: this.options.cluster.readPositions };
+    }
+
+    private setFollowed(vms: readonly string[]): void {
+        for (const vm of this.followed) {
+            if (!vms.includes(vm)) {
+                this.followed.delete(vm);
+                this.options.send(vm, this.createFollow(false));
+            }
+        }
+        for (const vm of vms) {
+            if (!this.followed.has(vm)) {
+                this.followed.add(vm);
+                this.options.send(vm, this.createFollow(true));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/node/test/isolation.test.ts
@@ -0,0 +1,29 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { IsolationWatch } from "../src/isolation.js";
+
+function runChecks(...signs: [hasOthers: boolean, othersQuietMs: number, storeQuietMs: number][]): boolean[] {
+    const watch = new IsolationWatch();
+    return signs.map(([hasOthers, othersQuietMs, storeQuietMs]) => {
+        watch.update({ hasOthers, othersQuietMs, storeQuietMs });
+        return watch.isIsolated;
+    });
+}
+
+test("a VM that hears neither of other data centres nor of the store takes itself out, and comes back at the first sign", () => {
+    const cut: [boolean, number, number] = [true, 1200, 1200];
+    assert.equal(runChecks([true, 50, 300], cut, [true, 1450, 1450], [true, 1700, 10]), [false, false, true, false]);
+    assert.equal(runChecks(cut, cut, [true, 30, 5000]), [false, true, false]);
+});
+
+test("an outage of the store alone, a cut between VMs alone, or a single data centre take nobody out", () => {
+    assert.equal(runChecks([true, 100, 5000], [true, 100, 5250]), [false, false]);
+    assert.equal(runChecks([true, 5000, 100], [true, 5250, 100]), [false, false]);
+    assert.equal(runChecks([false, 0, 5000], [false, 0, 5250]), [false, false]);
+});
+
+test("a VM that was paused does not take itself out for what it has not read yet", () => {
+    assert.equal(runChecks([true, 5000, 5000], [true, 5, 300]), [false, false]);
+});
+
+test.run();
--- /dev/null
+++ b/packages/node/test/sharing.test.ts
@@ -0,0 +1,194 @@
+import { FleetView } from "@radishreel/fleet";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ClusterState } from "../src/cluster.js";
+import { DecisionLog } from "../src/decisions.js";
+import type { PeerMessage } from "../src/messages.js";
+import type { ClusterChange, ClusterStore } from "../src/ports.js";
+import { StoreReaders } from "../src/readers.js";
+import { ChangeSharing } from "../src/sharing.js";
+
+test("the first VM of a data centre that reaches the store reads for the others, and nobody for itself", () => {
+    const readers = new StoreReaders({ vm: "b", dataCentre: "x" });
+    assert.is(readers.findReader(0), undefined);
+    readers.update("c", "x", true, 0);
+    readers.update("a", "y", true, 0);
+    assert.is(readers.findReader(0), undefined);
+    readers.update("a", "x", false, 0);
+    assert.is(readers.findReader(0), undefined);
+    readers.update("a", "x", true, 0);
+    assert.is(readers.findReader(600), "a");
+    assert.is(readers.findReader(800), undefined);
+});
+
+/** VMs of two data centres with links that may be down, each with the store's records or cut off from it. */
+class Fleet {
+    now = 0;
+    readonly vms = ["a", "b", "c", "d"].map(name => this.createVm(name, name < "c" ? "x" : "y"));
+    private position = 0;
+
+    /** The store takes a change; VMs that read it learn of it at once. */
+    append(): void {
+        this.position += 1;
+        const change: ClusterChange = { kind: "version", key: "m/a1", version: this.position, position: this.position };
+        for (const vm of this.vms) {
+            vm.unread.push(change);
+        }
+        this.readAll();
+    }
+
+    readAll(): void {
+        for (const vm of this.vms) {
+            if (vm.store.isReading && vm.reachesStore) {
+                this.receive(vm, vm.unread.splice(0));
+            }
+        }
+    }
+
+    advance(ms: number): void {
+        for (let elapsed = 0; elapsed < ms; elapsed += 250) {
+            this.now += 250;
+            for (const vm of this.vms) {
+                if (vm.store.isReading) {
+                    vm.cluster.setReachable(vm.reachesStore);
+                }
+                vm.sharing.update();
+            }
+            this.readAll();
+        }
+    }
+
+    readVersions(): (number | undefined)[] {
+        return this.vms.map(vm => vm.view.findNewestVersion("m/a1")?.version);
+    }
+
+    private receive(vm: Vm, changes: readonly ClusterChange[]): void {
+        const fresh = vm.cluster.applyChanges(changes);
+        if (fresh.length > 0) {
+            vm.sharing.passChanges(fresh);
+        }
+    }
+
+    private send(from: string, to: string, message: PeerMessage): void {
+        const [sender, receiver] = [from, to].map(name => this.vms.find(vm => vm.name === name)!) as [Vm, Vm];
+        if (!sender.isUp || !receiver.isUp) {
+            return;
+        }
+        switch (message.type) {
+            case "changes":
+                this.receive(receiver, message.changes);
+                return;
+            case "positions":
+                receiver.sharing.receivePositions(from, sender.dataCentre, message.positions, message.canRead);
+                return;
+            case "follow":
+                receiver.sharing.receiveFollow(from, message.isWanted, message.positions);
+                return;
+            case "pull":
+                receiver.sharing.receivePull(from, message.positions);
+                return;
+            default:
+                return;
+        }
+    }
+
+    private createVm(name: string, dataCentre: string): Vm {
+        const view = new FleetView();
+        const readTime = () => this.now;
+        const log = new DecisionLog({
+            program: "p",
+            vm: name,
+            sink: { writableLength: 0, write: () => true },
+            readTime,
+        });
+        const cluster = new ClusterState({
+            view,
+            log,
+            readTime,
+            onChange: () => {},
+            onUpstreamGone: () => {},
+            onMember: () => {},
+        });
+        const store = {
+            isReading: true,
+            start: () => {},
+            stop: () => {},
+            appendMember: () => {},
+            setReading: (isReading: boolean) => {
+                store.isReading = isReading;
+            },
+        };
+        const others = () => this.vms.filter(vm => vm.name !== name && vm.isUp).map(vm => vm.name);
+        const sharing = new ChangeSharing({
+            vm: name,
+            dataCentre,
+            cluster,
+            store,
+            log,
+            readTime,
+            send: (to, message) => this.send(name, to, message),
+            broadcast: message => others().forEach(to => this.send(name, to, message)),
+            listLinked: others,
+        });
+        return { name, dataCentre, view, cluster, store, sharing, unread: [], reachesStore: true, isUp: true };
+    }
+}
+
+interface Vm {
+    readonly name: string;
+    readonly dataCentre: string;
+    readonly view: FleetView;
+    readonly cluster: ClusterState;
+    readonly store: ClusterStore;
+    readonly sharing: ChangeSharing;
+    readonly unread: ClusterChange[];
+    reachesStore: boolean;
+    isUp: boolean;
+}
+
+test("one VM of each data centre reads, and all learn each change", () => {
+    const fleet = new Fleet();
+    fleet.append();
+    fleet.advance(1000);
+    assert.equal(fleet.vms.map(vm => vm.store.isReading), [true, false, true, false]);
+    fleet.append();
+    assert.equal(fleet.readVersions(), [2, 2, 2, 2]);
+});
+
+test("whoever loses the store or falls silent, in any order, all that are up learn each change within 2 s", () => {
+    const step = fc.record({
+        vm: fc.nat(3),
+        what: fc.constantFrom("loseStore", "reachStore", "stop", "start"),
+        waitMs: fc.integer({ min: 0, max: 4 }).map(quarters => quarters * 250),
+    });
+    fc.assert(
+        fc.property(fc.array(step, { minLength: 1, maxLength: 20 }), steps => {
+            const fleet = new Fleet();
+            fleet.advance(500);
+            for (const { vm, what, waitMs } of steps) {
+                const chosen = fleet.vms[vm]!;
+                chosen.reachesStore = what === "loseStore" ? false : what === "reachStore" ? true : chosen.reachesStore;
+                chosen.isUp = what === "stop" ? false : what === "start" ? true : chosen.isUp;
+                if (what === "stop") {
+                    fleet.vms.forEach(other => other.sharing.removeVm(chosen.name));
+                }
+                fleet.append();
+                fleet.advance(waitMs);
+            }
+            fleet.append();
+            fleet.advance(2000);
+            const newest = Math.max(...fleet.readVersions().map(version => version ?? 0));
+            const up = fleet.vms.filter(vm => vm.isUp);
+            if (!up.some(vm => vm.reachesStore)) {
+                return;
+            }
+            for (const vm of up) {
+                assert.is(vm.view.findNewestVersion("m/a1")?.version, newest);
+            }
+        }),
+        { seed: 31, numRuns: 300 },
+    );
+});
+
+test.run();
--- a/packages/wire/src/client.ts
+++ b/packages/wire/src/client.ts
@@ -4,9 +4,11 @@
 import { Link, type LinkEvents } from "./link.js";
 import type { CloseReason, LinkLimits, NodeIdentity } from "./types.js";
 
-/** Shortest and longest wait before another try to connect, in milliseconds. */
+/** Shortest wait before another try to connect, in milliseconds. */
 const minBackoffMs = 50;
-const maxBackoffMs = 2000;
+
+/** Longest wait before another try unless the options say otherwise, in milliseconds. */
+const usualMaxBackoffMs = 2000;
 
 /** Options of {@link LinkClient}. */
 export interface LinkClientOptions<Message, Outgoing = Message> {
@@ -17,6 +19,8 @@
     readonly schema: z.ZodType<Message, Outgoing>;
     readonly limits: LinkLimits;
     readonly events: LinkEvents<Message, Outgoing>;
+    /** Longest wait before another try to connect, in milliseconds. @default 2000 */
+    readonly maxBackoffMs?: number;
 }
 
 /** Keeps one link to an address, and opens it anew whenever it ends. At most one attempt is under way. */
@@ -66,7 +70,7 @@
         }
         // Jitter keeps peers that lost the same VM from coming back in step.
         const waitMs = this.backoffMs * (0.5 + Math.random() / 2);
-        this.backoffMs = Math.min(this.backoffMs * 2, maxBackoffMs);
+        this.backoffMs = Math.min(this.backoffMs * 2, this.options.maxBackoffMs ?? usualMaxBackoffMs);
         this.retryTimer = setTimeout(() => this.open(), waitMs);
         this.retryTimer.unref();
     }
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -68,6 +68,11 @@
         return this.peerHello.node;
     }
 
+    /** Time since anything was received, in milliseconds. */
+    get quietMs(): number {
+        return performance.now() - this.lastReceived;
+    }
+
     get isOpen(): boolean {
         return this.service.machine.current === "open";
     }
