Count what overtakes late requests, and ask early whether a load came from memory

Cause: at twice the load that an engine can take, requests that could not be met waited 1.9 s before they were told so, since their expected wait left out those that go before them. And an owner that starts anew knows nothing of what its engine has in host memory: it asked about each load after 250 ms, though such a load takes 25.

Change: `LoadForecast` predicts when a load begins; a request that will be late gets the share of the loads that fresh ones leave, a quarter at least. Where the engine's memory is not known a load is asked about after 25 ms too.

--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -1,40 +1,27 @@
 import type { EngineLimits } from "@radishreel/routing";
+import { LoadForecast, maxComing } from "./forecast.js";
 import { LoadTimes } from "./loadtimes.js";
 import type { EngineOrder, EngineReport, OrderAction, OrderAnswer, PlacesStep } from "./orders.js";
+import {
+    chooseVictim,
+    countPlacesByUse,
+    isComing,
+    type Place,
+    type PlaceCounts,
+    popularUses,
+    readReplaceable,
+    recordPlaceUse,
+} from "./place.js";
 import { formatAdapterKey, type HeldModel, parseAdapterKey } from "./types.js";
 import { AdapterQueue, type AdapterWant, wantLifeMs } from "./wants.js";
 import { WarmAdapters } from "./warm.js";
 
-/**
- * An adapter with this many recent uses is not evicted only to keep a place free: at a half-life of 8 s it is asked for
- * about once in 5 s.
- */
-const popularUses = 2.5;
-
-/** Adapters that may be on their way to one engine at a time, by the engines' interface. */
-const maxComing = 4;
-
-/** An adapter used this recently is not evicted for another one, in milliseconds: its next request may be on its way. */
-const minIdleMs = 150;
-
-/**
- * An adapter that was just loaded stays at least this long for the requests that waited for it, in milliseconds. Without
- * it one in four loads was evicted before its first request arrived when places were short.
- */
-const minStayMs = 400;
-
 /** Places kept free, so that a load need not wait for an eviction. */
 const freePlaces = 1;
 
 /** Longest pause between two checks of a load or an unload that takes long, in milliseconds. */
 const maxCheckPauseMs = 120;
 
-/** Half-life of an adapter's popularity, in milliseconds: demand moves to other adapters within seconds. */
-const popularityHalfLifeMs = 8000;
-
-/** Shortest time for which a request that waits is taken to occupy a place, in milliseconds. */
-const minBusyMs = 200;
-
 /** Pause between two checks whether a load or an unload is complete, in milliseconds. */
 const checkPauseMs = 20;
 
@@ -54,36 +41,6 @@
 /** Pause after an order for an adapter that the engine rejected as wrong, in milliseconds. */
 const rejectedPauseMs = 2000;
 
-/** Places of an engine by what they are used for. */
-export interface PlaceCounts {
-    inUse: number;
-    popular: number;
-    idle: number;
-    moving: number;
-    free: number;
-    /** Adapters that wait for one. */
-    queued: number;
-}
-
-interface Place {
-    /** `retiring`: nobody is let in any more, and it will be ordered to go. */
-    state: "loaded" | "loading" | "retiring" | "unloading" | "unknown";
-    version: number;
-    checkAt: number;
-    checkPauseMs: number;
-    /** When its state last changed. */
-    changedAt: number;
-    /** How long its load is expected to take, in milliseconds. */
-    expectedMs: number;
-    /** When its load was first asked about and not complete, in milliseconds since its order; undefined until then. */
-    incompleteMs: number | undefined;
-    /** Whether the engine was taken to keep it in host memory when its load began. */
-    isWarm: boolean;
-    usedAt: number;
-    popularity: number;
-    decayedAt: number;
-}
-
 /** Options of {@link EnginePlaces}. */
 export interface EnginePlacesOptions {
     readonly limits: EngineLimits;
@@ -114,13 +71,20 @@
     private isConnected = true;
     private orderNotBefore = -Infinity;
     private reportAt: number;
+    /**
+     * Whether all that the engine may keep in host memory is known. An owner that starts anew is not told: its loads are
+     * asked about early too, or each would take the time of one from the weight store.
+     */
+    private readonly knowsMemory: boolean;
     private readonly limits: EngineLimits;
     private readonly loadTimes = new LoadTimes();
+    private readonly forecast = new LoadForecast();
 
     constructor(options: EnginePlacesOptions) {
         this.limits = options.limits;
         this.models = options.models;
         this.sequence = options.sequence;
+        this.knowsMemory = options.sequence === 0 || (options.warm ?? []).length > 0;
         this.reportAt = options.now;
         this.warm = new WarmAdapters(options.warm, options.limits.adapterPlaces);
         for (const [key, version] of Object.entries(options.held ?? {})) {
@@ -158,32 +122,10 @@
         return this.wants.list(now, this.loadTimes.read(false)).filter(key => !this.places.has(key));
     }
 
-    /** How the places are used, for what is told to people. */
-    countPlaces(now: number, countUses: (key: string) => number): PlaceCounts {
-        const counts: PlaceCounts = {
-            inUse: 0,
-            popular: 0,
-            idle: 0,
-            moving: 0,
-            free: 0,
-            queued: this.listQueued(now).length,
-        };
-        for (const [key, place] of this.places) {
-            if (place.state !== "loaded") {
-                counts.moving += 1;
-            }
-            else if (countUses(key) > 0) {
-                counts.inUse += 1;
-            }
-            else if (readPopularity(place, now) >= popularUses) {
-                counts.popular += 1;
-            }
-            else {
-                counts.idle += 1;
-            }
-        }
-        counts.free = this.limits.adapterPlaces - this.places.size;
-        return counts;
+    /** How the places are used, and how many adapters wait for one, for what is told to people. */
+    countPlaces(now: number, countUses: (key: string) => number): PlaceCounts & { queued: number; } {
+        const counts = countPlacesByUse(this.places, this.limits.adapterPlaces, now, countUses);
+        return { ...counts, queued: this.listQueued(now).length };
     }
 
     /** Expected time of a load, in milliseconds. */
@@ -214,22 +156,34 @@
         const queued = this.listQueued(now);
         const found = queued.indexOf(key);
         const position = found < 0 ? queued.length : found;
-        return this.readTurnMs(position, releases) + this.loadTimes.read(this.warm.has(key));
+        const onTimeUntil = this.wants.find(key)?.onTimeUntil ?? Infinity;
+        const turnMs = this.readTurnMs(position, queued.length, onTimeUntil, now, releases);
+        return turnMs + this.loadTimes.read(this.warm.has(key));
     }
 
     /** Expected time until the load of one more adapter would begin, in milliseconds. */
     readNextTurnMs(now: number, releases: readonly number[]): number {
-        return this.readTurnMs(this.listQueued(now).length, releases);
+        const queued = this.listQueued(now).length;
+        return this.readTurnMs(queued, queued, Infinity, now, releases);
     }
 
-    /** Expected time until the load at a position of the queue begins, in milliseconds. */
-    private readTurnMs(position: number, releases: readonly number[]): number {
-        const coldMs = this.loadTimes.read(false);
-        const coming = this.listComing().length;
-        const missing = position + 1 - Math.max(0, this.limits.adapterPlaces - releases.length - coming);
-        const roomMs = missing <= 0 ? 0 : releases[Math.min(missing, releases.length) - 1] ?? coldMs;
-        const turnMs = Math.floor((position + coming) / maxComing) * coldMs;
-        return Math.max(roomMs, turnMs);
+    private readTurnMs(
+        position: number,
+        queued: number,
+        onTimeUntil: number,
+        now: number,
+        releases: readonly number[],
+    ): number {
+        const load = {
+            position,
+            queued,
+            coming: this.listComing().length,
+            adapterPlaces: this.limits.adapterPlaces,
+            releases,
+            coldMs: this.loadTimes.read(false),
+            onTimeUntil,
+        };
+        return this.forecast.readTurnMs(load, now);
     }
 
     /** Takes a want back, since nobody waits for the adapter any more. */
@@ -241,6 +195,9 @@
     addWant(wanted: AdapterWant, now: number): void {
         const place = this.places.get(wanted.key);
         if (place?.state !== "loaded" || place.version < (wanted.version ?? 0)) {
+            if (!this.wants.has(wanted.key)) {
+                this.forecast.recordArrival(now);
+            }
             this.wants.add(wanted, now);
         }
     }
@@ -249,9 +206,7 @@
     recordUse(key: string, now: number): void {
         const place = this.places.get(key);
         if (place !== undefined) {
-            place.popularity = readPopularity(place, now) + 1;
-            place.decayedAt = now;
-            place.usedAt = now;
+            recordPlaceUse(place, now);
         }
     }
 
@@ -434,26 +389,41 @@
         }
         if (place?.state === "loading") {
             // A check: it is still on its way, and the engine has not counted the order.
-            place.incompleteMs ??= now - place.changedAt;
-            this.scheduleCheck(place, now);
+            this.applyIncomplete(place, now);
             return;
         }
         this.sequence += 1;
         this.lastOrderAt = now;
+        this.forecast.recordLoad(now);
         const isWarm = this.warm.has(key) && place === undefined;
         this.updatePlace(key, version, "loading", now);
         const coming = this.places.get(key)!;
         coming.expectedMs = this.loadTimes.read(isWarm);
         coming.isWarm = isWarm;
         coming.incompleteMs = undefined;
-        coming.checkAt = now + coming.expectedMs;
+        coming.checkAt = now + this.loadTimes.read(isWarm || !this.knowsMemory);
+    }
+
+    /** A load was asked about and is still on its way. */
+    private applyIncomplete(place: Place, now: number): void {
+        const dueAt = place.changedAt + place.expectedMs;
+        if (now < dueAt) {
+            // It was asked about early, in case that the engine had it in memory.
+            place.checkAt = dueAt;
+            return;
+        }
+        place.incompleteMs ??= now - place.changedAt;
+        this.scheduleCheck(place, now);
     }
 
     /** Learns from a load that is complete. */
     private recordLoaded(place: Place | undefined, now: number): void {
-        if (place?.state === "loading") {
-            this.loadTimes.record(place.isWarm, now - place.changedAt, place.incompleteMs);
+        if (place?.state !== "loading") {
+            return;
         }
+        const loadMs = now - place.changedAt;
+        const wasWarm = place.isWarm || loadMs < place.expectedMs;
+        this.loadTimes.record(wasWarm, loadMs, place.incompleteMs);
     }
 
     private applyUnload(key: string, answer: OrderAnswer, now: number): void {
@@ -510,22 +480,12 @@
         const free = this.limits.adapterPlaces - this.places.size + going.length;
         const wanted = this.listQueued(now).slice(0, maxComing);
         for (const key of wanted.slice(free)) {
-            this.evictIdle(1, this.readReplaceable(key), now, countUses);
+            const loadMs = this.loadTimes.read(this.warm.has(key));
+            this.evictIdle(1, readReplaceable(loadMs, this.wants.find(key)!.runMs), now, countUses);
         }
         this.evictIdle(wanted.length + freePlaces - Math.max(free, wanted.length), popularUses, now, countUses);
     }
 
-    /**
-     * Popularity up to which an idle adapter yields to one that waits. A place serves the waiting one once in the time of a
-     * load and a run; an adapter that is asked for more often than that serves more requests in it. When popular ones kept
-     * their places until a request had waited 600 ms, 0.900 of the requests at an engine under heavy load were in time, and
-     * 0.922 now (`test/hotset.test.ts`).
-     */
-    private readReplaceable(wanted: string): number {
-        const busyMs = this.loadTimes.read(this.warm.has(wanted)) + this.wants.find(wanted)!.runMs;
-        return popularityHalfLifeMs / Math.LN2 / Math.max(busyMs, minBusyMs);
-    }
-
     /** Begins to evict up to so many idle adapters with less popularity than that. */
     private evictIdle(
         count: number,
@@ -534,7 +494,8 @@
         countUses: (key: string) => number,
     ): void {
         for (let evicted = 0; evicted < count; evicted++) {
-            const victim = this.findVictim(now, countUses, maxPopularity);
+            const isWanted = (key: string): boolean => this.wants.has(key);
+            const victim = chooseVictim({ places: this.places, now, countUses, isWanted, maxPopularity });
             if (victim === undefined) {
                 return;
             }
@@ -599,28 +560,6 @@
         return hasRoom ? this.createOrder("load", key, this.wants.find(key)!.version) : undefined;
     }
 
-    /** The idle adapter whose next request is least likely to come soon. */
-    private findVictim(
-        now: number,
-        countUses: (key: string) => number,
-        maxPopularity: number,
-    ): string | undefined {
-        let victim: string | undefined;
-        let lowest = maxPopularity;
-        for (const [key, place] of this.places) {
-            const isIdle = place.state === "loaded"
-                && countUses(key) === 0
-                && now - place.usedAt >= minIdleMs
-                && (place.usedAt > place.changedAt || now - place.changedAt >= minStayMs);
-            const popularity = readPopularity(place, now);
-            if (isIdle && !this.wants.has(key) && popularity < lowest) {
-                lowest = popularity;
-                victim = key;
-            }
-        }
-        return victim;
-    }
-
     private findNextTime(now: number): number {
         let next = now + wantLifeMs;
         for (const place of this.places.values()) {
@@ -649,11 +588,3 @@
         return { action: "load", model, adapter: undefined, version: undefined, expectedSequence: this.sequence };
     }
 }
-
-function isComing(place: Place): boolean {
-    return place.state === "loading" || place.state === "unknown";
-}
-
-function readPopularity(place: Place, now: number): number {
-    return place.popularity * 0.5 ** (Math.max(0, now - place.decayedAt) / popularityHalfLifeMs);
-}
--- /dev/null
+++ b/packages/fleet/src/rates.ts
@@ -0,0 +1,17 @@
+/** Half-life of what is counted, in milliseconds: load changes within seconds. */
+const halfLifeMs = 2000;
+
+/** Counts events, recent ones more. */
+export class RecentCount {
+    private count = 0;
+    private decayedAt = 0;
+
+    record(now: number): void {
+        this.count = this.read(now) + 1;
+        this.decayedAt = now;
+    }
+
+    read(now: number): number {
+        return this.count * 0.5 ** (Math.max(0, now - this.decayedAt) / halfLifeMs);
+    }
+}
--- a/packages/fleet/test/places.test.ts
+++ b/packages/fleet/test/places.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type AdapterWant, type EngineOrder, EnginePlaces } from "../src/index.js";
+import { type AdapterWant, type EngineOrder, EnginePlaces, OrderWait } from "../src/index.js";
 import { createPlaces, type Fate, limits, ModelEngine, runPlan } from "./engine.js";
 
 function addWant(places: EnginePlaces, want: Partial<AdapterWant> & { readonly key: string; }, now: number): void {
@@ -39,6 +39,42 @@
     assert.equal(Object.keys(places.listHeld()), ["base/a1"]);
 });
 
+test("an owner that starts anew finds out in the time of such a load what the engine has in memory", () => {
+    const engine = new ModelEngine();
+    engine.warmLoadMs = 25;
+    const before = createPlaces(engine);
+    runPlan(engine, before, () => "answered");
+    addWant(before, { key: "base/a1" }, engine.now);
+    runFor(engine, before, 300);
+    engine.held.delete("base/a1");
+    const models = engine.readReport().models;
+    const places = new EnginePlaces({ limits, models, sequence: engine.sequence, now: engine.now });
+    runPlan(engine, places, () => "answered");
+    addWant(places, { key: "base/a1" }, engine.now);
+    addWant(places, { key: "base/a2" }, engine.now);
+    runFor(engine, places, 60);
+    assert.equal(Object.keys(places.listHeld()), ["base/a1"]);
+    runFor(engine, places, 240);
+    assert.equal(Object.keys(places.listHeld()), ["base/a1", "base/a2"]);
+});
+
+test("the wait for an answer follows how soon an engine answers, within bounds", () => {
+    const wait = new OrderWait();
+    assert.is(wait.read(), 90);
+    for (let orders = 0; orders < 50; orders++) {
+        wait.record(5);
+    }
+    assert.ok(wait.read() > 49 && wait.read() < 55);
+    for (let orders = 0; orders < 50; orders++) {
+        wait.record(1);
+    }
+    assert.is(wait.read(), 40);
+    for (let orders = 0; orders < 50; orders++) {
+        wait.record(40);
+    }
+    assert.is(wait.read(), 90);
+});
+
 test("a popular adapter keeps its place against one that nobody has waited long for", () => {
     const engine = new ModelEngine();
     const places = createPlaces(engine);
