--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -129,12 +129,25 @@
         }
     }
 
-    /** Addresses of the first VMs, by name, of the own data centre. */
+    /**
+     * Addresses of the first VMs, by name, of the own data centre; for one of these also those of all other data centres, so
+     * that the VMs which read the store hear of each other.
+     */
     private listNeighbours(): Set<string> {
-        const { dataCentre } = this.options.self;
-        const near = [...this.members.values()].filter(member => member.dataCentre === dataCentre);
-        const first = near.sort((left, right) => (left.id ?? "") < (right.id ?? "") ? -1 : 1).slice(0, neighbourVms);
-        return new Set(first.map(({ address }) => address));
+        const { id, dataCentre } = this.options.self;
+        const near = this.listFirst(dataCentre, [id]);
+        const isFirst = near.some(member => member.id === id);
+        const centres = isFirst ? new Set([...this.members.values()].map(member => member.dataCentre)) : [dataCentre];
+        return new Set([...centres].flatMap(centre => this.listFirst(centre, [])).map(({ address }) => address));
+    }
+
+    /** The first VMs of a data centre, by name. @param others Names that count beside those of the members. */
+    private listFirst(dataCentre: string | undefined, others: readonly string[]): KnownMember[] {
+        const added = others.map(id => ({ id, address: "", dataCentre }));
+        return [...this.members.values(), ...added]
+            .filter(member => member.dataCentre === dataCentre && member.id !== undefined)
+            .sort((left, right) => left.id! < right.id! ? -1 : 1)
+            .slice(0, neighbourVms);
     }
 
     private openLink(address: string): void {
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -133,6 +133,7 @@
             send: (vm, message) => this.peers.send(vm, message),
             broadcast: message => this.peers.broadcast(message),
             listLinked: () => this.peers.listConnected(),
+            readStoreQuietMs: () => this.owning?.renewalAgeMs ?? 0,
         });
         this.callerServer = createServer({ keepAlive: true, noDelay: true });
     }
@@ -211,6 +212,10 @@
     receiveMembersRead(): void {
         this.hasReadMembers = true;
         this.log.recordImportant("past", { ...this.past });
+        if (this.past?.generation !== undefined) {
+            // Whoever took over what this VM owned must hear that it runs again.
+            this.peers.setHub(true);
+        }
         this.owning?.start(this.past);
         this.appendMember({});
     }
--- a/packages/node/src/sharing.ts
+++ b/packages/node/src/sharing.ts
@@ -10,6 +10,12 @@
  */
 const ownReadMs = 600;
 
+/**
+ * A VM whose last call to the store was answered longer ago than this reads for nobody, in milliseconds: a waiting read that
+ * has gone silent shows only after 2.7 s, and calls that renew claims are made every 0.4 or 1.2 s.
+ */
+const maxStoreQuietMs = 1600;
+
 /** Options of {@link ChangeSharing}. */
 export interface ChangeSharingOptions {
     readonly vm: string;
@@ -21,6 +27,8 @@
     readonly send: (vm: string, message: PeerMessage) => void;
     readonly broadcast: (message: PeerMessage) => void;
     readonly listLinked: () => string[];
+    /** Age of the last call to the store that was answered, in milliseconds. */
+    readonly readStoreQuietMs: () => number;
 }
 
 /** A VM that has read further than this one. */
@@ -132,7 +140,8 @@
     }
 
     private canRead(): boolean {
-        return this.options.store.isReading && this.options.cluster.isStoreReachable;
+        const { store, cluster, readStoreQuietMs } = this.options;
+        return store.isReading && cluster.isStoreReachable && readStoreQuietMs() <= maxStoreQuietMs;
     }
 
     private isBehind(told: ReadPositions): boolean {
--- /dev/null
+++ b/packages/node/test/engines.test.ts
@@ -0,0 +1,86 @@
+import { type AdmissionAnswer, type EngineNews, FleetView } from "@radishreel/fleet";
+import type { Service } from "@radishreel/routing";
+import { err } from "neverthrow";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { DecisionLog } from "../src/decisions.js";
+import { OwnedEngines } from "../src/engines.js";
+
+const service: Service = {
+    name: "llm",
+    maxConnections: 100,
+    engine: { batchSlots: 64, kvTokens: 200_000, adapterPlaces: 9, weightsMb: 44_000, loadsPerSecond: 2, models: [] },
+};
+
+function createEngines() {
+    const view = new FleetView();
+    const upstream = { id: "e1@1", name: "e1", bornAt: 1, service: "llm", address: "127.0.0.1:1", dataCentre: "z", slots: 64 };
+    const models = [{ name: "base", version: 1, adapters: [] }];
+    view.updateUpstream({ ...upstream, isLeaving: false, models, sequence: 0 }, 0);
+    const news: EngineNews[] = [];
+    const answers: AdmissionAnswer[] = [];
+    const readTime = () => 0;
+    const engines = new OwnedEngines({
+        vm: "a",
+        view,
+        orders: { send: () => Promise.resolve("unknown"), readReport: () => Promise.resolve(err("unknown")) },
+        log: new DecisionLog({ program: "p", vm: "a", sink: { writableLength: 0, write: () => true }, readTime }),
+        readTime,
+        findService: () => service,
+        mayOrder: () => true,
+        readFence: () => 7,
+        sendNews: told => news.push(...told),
+        sendAnswer: (_vm, answer) => answers.push(answer),
+        countOthers: () => 2,
+    });
+    return { engines, news, answers, view };
+}
+
+const request = {
+    ticket: 1,
+    model: "base",
+    key: "base/a1",
+    prefillTokens: 10,
+    kvTokens: 20,
+    hasLongAnswer: false,
+    runMs: 100,
+    onTimeMs: 400,
+    patienceMs: 2000,
+    endMs: 5000,
+};
+
+test("an engine that is given up is told as newer than all that was told of it before, and what waits is declined", () => {
+    const { engines, news, answers, view } = createEngines();
+    engines.update(() => true);
+    engines.receiveRequest("b", { type: "admit", engine: "e1@1", request });
+    engines.update(() => false);
+    engines.stop();
+    assert.equal(answers.map(({ kind }) => kind), ["queued", "declined"]);
+    const last = news.at(-1)!;
+    assert.equal([last.isOwned, last.canOrder], [false, false]);
+    for (const told of news) {
+        assert.is(view.updateNews("a", told, 0), true);
+    }
+    assert.is(view.findUpstream("e1@1")?.owner, undefined);
+});
+
+test("a VM that does not own an engine says so to a request that asks", () => {
+    const { engines, answers } = createEngines();
+    engines.receiveRequest("b", { type: "admit", engine: "e1@1", request });
+    engines.stop();
+    assert.equal(answers, [{ kind: "notOwned", ticket: 1 }]);
+});
+
+test("an engine that started again is another one: its owner begins anew with it", () => {
+    const { engines, news, view } = createEngines();
+    engines.update(() => true);
+    const before = view.findUpstream("e1@1")!.upstream;
+    view.removeUpstream("e1@1");
+    view.updateUpstream({ ...before, id: "e1@2", bornAt: 2 }, 0);
+    engines.update(() => true);
+    engines.stop();
+    assert.equal(news.filter(({ isOwned }) => !isOwned).map(({ engine }) => engine), ["e1@1", "e1@2"]);
+    assert.is(news.find(({ engine }) => engine === "e1@2")?.revision, 1);
+});
+
+test.run();
--- a/packages/node/test/sharing.test.ts
+++ b/packages/node/test/sharing.test.ts
@@ -130,6 +130,7 @@
             send: (to, message) => this.send(name, to, message),
             broadcast: message => others().forEach(to => this.send(name, to, message)),
             listLinked: others,
+            readStoreQuietMs: () => 0,
         });
         return { name, dataCentre, view, cluster, store, sharing, unread: [], reachesStore: true, isUp: true };
     }
