--- a/packages/node/test/choosing.test.ts
+++ b/packages/node/test/choosing.test.ts
@@ -1,18 +1,12 @@
-import { FleetView, KeptParts, noLoad, PauseThreshold } from "@radishreel/fleet";
-import type { Route, Service } from "@radishreel/routing";
+import { FleetView, KeptParts, PauseThreshold } from "@radishreel/fleet";
+import type { Route } from "@radishreel/routing";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { type AdmissionMessage, Admissions } from "../src/admissions.js";
 import type { CallerExchange } from "../src/caller.js";
 import { UpstreamChooser } from "../src/choosing.js";
-import { DecisionLog } from "../src/decisions.js";
 import { createJob, type Job } from "../src/job.js";
-
-const service: Service = {
-    name: "llm",
-    maxConnections: 100,
-    engine: { batchSlots: 64, kvTokens: 200_000, adapterPlaces: 9, weightsMb: 44_000, loadsPerSecond: 2, models: [] },
-};
+import { createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
 
 const route: Route = {
     name: "r",
@@ -33,21 +27,8 @@
     const readTime = () => performance.now();
     const view = new FleetView();
     for (const id of engines) {
-        const models = [{ name: "base", version: 1, adapters: [] }];
-        const upstream = {
-            id,
-            name: id,
-            bornAt: 0,
-            service: "llm",
-            address: "127.0.0.1:1",
-            dataCentre: "z",
-            slots: 64,
-        };
-        view.updateUpstream({ ...upstream, isLeaving: false, models, sequence: 0 }, readTime());
-        const flags = { isOwned: true, canOrder: true, isReachable: true };
-        const times = { waitMs: 0, coldLoadMs: 250, warmLoadMs: 25 };
-        const news = { engine: id, fence: 1, revision: 1, held: {}, coming: [], load: noLoad, ...flags, ...times };
-        view.updateNews("owner", news, readTime());
+        view.updateUpstream(createUpstream(id), readTime());
+        view.updateNews("owner", createNews(id), readTime());
     }
     const messages: AdmissionMessage[] = [];
     const admissions: Admissions = new Admissions({
@@ -64,7 +45,7 @@
         admissions,
         kept: new KeptParts(),
         longPrompts: new PauseThreshold(),
-        log: new DecisionLog({ program: "p", vm: "v", sink: { writableLength: 0, write: () => true }, readTime }),
+        log: createSilentLog(readTime),
         readTime,
         isLinked: () => true,
         sendPreparation: () => {},
@@ -80,7 +61,7 @@
         caller,
         demand: { requestId: "q", budgetMs: timeMs, model, lastEventId: undefined },
         route,
-        service,
+        service: engineService,
         body: undefined,
         startedAt,
         deadlineAt: startedAt + timeMs,
--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -1,30 +1,13 @@
 import { type AdmissionAnswer, type EngineNews, FleetView } from "@radishreel/fleet";
-import type { Service } from "@radishreel/routing";
 import { err } from "neverthrow";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { DecisionLog } from "../src/decisions.js";
 import { OwnedEngines } from "../src/engines.js";
-
-const service: Service = {
-    name: "llm",
-    maxConnections: 100,
-    engine: { batchSlots: 64, kvTokens: 200_000, adapterPlaces: 9, weightsMb: 44_000, loadsPerSecond: 2, models: [] },
-};
+import { createSilentLog, createUpstream, engineService } from "./fixtures.js";
 
 function createEngines() {
     const view = new FleetView();
-    const upstream = {
-        id: "e1@1",
-        name: "e1",
-        bornAt: 1,
-        service: "llm",
-        address: "127.0.0.1:1",
-        dataCentre: "z",
-        slots: 64,
-    };
-    const models = [{ name: "base", version: 1, adapters: [] }];
-    view.updateUpstream({ ...upstream, isLeaving: false, models, sequence: 0 }, 0);
+    view.updateUpstream(createUpstream("e1@1", { name: "e1", bornAt: 1 }), 0);
     const news: EngineNews[] = [];
     const answers: AdmissionAnswer[] = [];
     const readTime = () => 0;
@@ -32,9 +15,9 @@
         vm: "a",
         view,
         orders: { send: () => Promise.resolve("unknown"), readReport: () => Promise.resolve(err("unknown")) },
-        log: new DecisionLog({ program: "p", vm: "a", sink: { writableLength: 0, write: () => true }, readTime }),
+        log: createSilentLog(readTime),
         readTime,
-        findService: () => service,
+        findService: () => engineService,
         mayOrder: () => true,
         readFence: () => 7,
         sendNews: told => news.push(...told),
--- /dev/null
+++ b/packages/node/test/fixtures.ts
@@ -0,0 +1,51 @@
+import { type EngineNews, noLoad, type Upstream } from "@radishreel/fleet";
+import type { Service } from "@radishreel/routing";
+import { DecisionLog } from "../src/decisions.js";
+
+/** A log that nobody reads. */
+export function createSilentLog(readTime: () => number): DecisionLog {
+    return new DecisionLog({ program: "p", vm: "v", sink: { writableLength: 0, write: () => true }, readTime });
+}
+
+/** An engine's entry. */
+export function createUpstream(id: string, upstream: Partial<Upstream> = {}): Upstream {
+    return {
+        id,
+        name: id,
+        bornAt: 0,
+        service: "llm",
+        address: "127.0.0.1:1",
+        dataCentre: "z",
+        isLeaving: false,
+        slots: 64,
+        models: [{ name: "base", version: 1, adapters: [] }],
+        sequence: 0,
+        ...upstream,
+    };
+}
+
+/** An owner's word about an engine that it may give orders. */
+export function createNews(engine: string, news: Partial<EngineNews> = {}): EngineNews {
+    return {
+        engine,
+        fence: 1,
+        revision: 1,
+        isOwned: true,
+        canOrder: true,
+        isReachable: true,
+        held: {},
+        coming: [],
+        waitMs: 0,
+        coldLoadMs: 250,
+        warmLoadMs: 25,
+        load: noLoad,
+        ...news,
+    };
+}
+
+/** The service of these engines. */
+export const engineService: Service = {
+    name: "llm",
+    maxConnections: 100,
+    engine: { batchSlots: 64, kvTokens: 200_000, adapterPlaces: 9, weightsMb: 44_000, loadsPerSecond: 2, models: [] },
+};
--- a/packages/node/test/rebirth.test.ts
+++ b/packages/node/test/rebirth.test.ts
@@ -1,55 +1,23 @@
-import { type EngineNews, FleetView, noLoad, type Upstream } from "@radishreel/fleet";
+import { FleetView, type Upstream } from "@radishreel/fleet";
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { ClusterState } from "../src/cluster.js";
-import { DecisionLog } from "../src/decisions.js";
 import type { ClusterChange } from "../src/ports.js";
+import { createNews, createSilentLog, createUpstream } from "./fixtures.js";
 
-function createUpstream(bornAt: number, sequence: number): Upstream {
-    return {
-        id: `e1@${bornAt}`,
-        name: "e1",
-        bornAt,
-        service: "s",
-        address: "127.0.0.1:1",
-        dataCentre: "d",
-        isLeaving: false,
-        slots: 1,
-        models: [],
-        sequence,
-    };
-}
-
-function createNews(engine: string, revision: number, held: Record<string, number>): EngineNews {
-    const flags = { isOwned: true, canOrder: true, isReachable: true };
-    return {
-        engine,
-        fence: 1,
-        revision,
-        held,
-        coming: [],
-        waitMs: 0,
-        coldLoadMs: 250,
-        warmLoadMs: 25,
-        load: noLoad,
-        ...flags,
-    };
+/** The engine's entry in one of its lives. */
+function createLife(bornAt: number, sequence: number): Upstream {
+    return createUpstream(`e1@${bornAt}`, { name: "e1", bornAt, service: "s", sequence });
 }
 
 function createVm() {
     const view = new FleetView();
     const gone: string[] = [];
     let now = 0;
-    const log = new DecisionLog({
-        program: "p",
-        vm: "v",
-        sink: { writableLength: 0, write: () => true },
-        readTime: () => 0,
-    });
     const cluster = new ClusterState({
         view,
-        log,
+        log: createSilentLog(() => now),
         readTime: () => now,
         onChange: () => {},
         onUpstreamGone: id => gone.push(id),
@@ -63,10 +31,10 @@
 
 test("an upstream that starts again under its name is another one, and nothing of the one before holds for it", () => {
     const { view, cluster, gone } = createVm();
-    cluster.applyChanges([{ kind: "upstream", upstream: createUpstream(1000, 9), position: 1 }]);
-    view.updateNews("owner", createNews("e1@1000", 5, { "m/a1": 1 }), 0);
+    cluster.applyChanges([{ kind: "upstream", upstream: createLife(1000, 9), position: 1 }]);
+    view.updateNews("owner", createNews("e1@1000", { revision: 5, held: { "m/a1": 1 } }), 0);
     view.findUpstream("e1@1000")!.health.recordUnreachable(0);
-    cluster.applyChanges([{ kind: "upstream", upstream: createUpstream(2000, 0), position: 2 }]);
+    cluster.applyChanges([{ kind: "upstream", upstream: createLife(2000, 0), position: 2 }]);
     assert.equal(gone, ["e1@1000"]);
     assert.equal(view.listUpstreams().map(({ upstream }) => upstream.id), ["e1@2000"]);
     const fresh = view.findUpstream("e1@2000")!;
@@ -74,7 +42,7 @@
     assert.is(fresh.owner, undefined);
     assert.is(fresh.warm.has("m/a1"), false);
     assert.is(fresh.health.isPaused(0), false);
-    assert.is(view.updateNews("owner", createNews("e1@1000", 6, { "m/a2": 1 }), 0), false);
+    assert.is(view.updateNews("owner", createNews("e1@1000", { revision: 6, held: { "m/a2": 1 } }), 0), false);
     assert.is(fresh.news, undefined);
 });
 
@@ -99,7 +67,7 @@
                 const changes = steps.flatMap((step, position): ClusterChange[] => {
                     switch (step.kind) {
                         case "entry":
-                            return [{ kind: "upstream", upstream: createUpstream(step.life * 1000, 0), position }];
+                            return [{ kind: "upstream", upstream: createLife(step.life * 1000, 0), position }];
                         case "removal":
                             return [{ kind: "upstreamGone", name: "e1", position }];
                         case "news":
@@ -110,7 +78,10 @@
                 const outOfOrder = createVm();
                 for (const [index, step] of steps.entries()) {
                     if (step.kind === "news") {
-                        const news = createNews(`e1@${step.life * 1000}`, index, { [`m/a${step.life}`]: 1 });
+                        const news = createNews(`e1@${step.life * 1000}`, {
+                            revision: index,
+                            held: { [`m/a${step.life}`]: 1 },
+                        });
                         inOrder.view.updateNews("owner", news, 0);
                     }
                     inOrder.cluster.applyChanges(changes.filter(({ position }) => position === index));
--- a/packages/node/test/sharing.test.ts
+++ b/packages/node/test/sharing.test.ts
@@ -3,11 +3,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { ClusterState } from "../src/cluster.js";
-import { DecisionLog } from "../src/decisions.js";
 import type { PeerMessage } from "../src/messages.js";
 import type { ClusterChange, ClusterStore } from "../src/ports.js";
 import { StoreReaders } from "../src/readers.js";
 import { ChangeSharing } from "../src/sharing.js";
+import { createSilentLog } from "./fixtures.js";
 
 test("the first VM of a data centre that reaches the store reads for the others, and nobody for itself", () => {
     const readers = new StoreReaders({ vm: "b", dataCentre: "x" });
@@ -96,12 +96,7 @@
     private createVm(name: string, dataCentre: string): Vm {
         const view = new FleetView();
         const readTime = () => this.now;
-        const log = new DecisionLog({
-            program: "p",
-            vm: name,
-            sink: { writableLength: 0, write: () => true },
-            readTime,
-        });
+        const log = createSilentLog(readTime);
         const cluster = new ClusterState({
             view,
             log,
