Count an entry that lapsed around an outage from the store's return, not from its removal

Played again with all logs: front-dk-east-b-1 had been cut from the store until 13.07 s; the entry was removed at 15.12 s, 2.05 s later, and counted as lapsed in the outage, so that the engine was kept until 17.24 s.

Ruled out: a VM that was behind (it had read the removal at once; its peers had it at 15.1 s, it itself at 15.12 s).

Change: such entries are dropped 2.1 s after the store's return, whenever they were removed. The bound of 2 s holds for VMs that have reached the store for 3 s.

Test first seen failing by its arithmetic: 15,118 + 2,100 against 15,178.

--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -34,7 +34,7 @@
     private readonly positions = new Map<string, number>();
     private readonly changes = new Map<string, ClusterChange>();
     private readonly registry = new Registry();
-    private readonly lapsed = new Map<string, number>();
+    private readonly lapsed = new Set<string>();
     private hasUpstreams = false;
     private hasStore = false;
     private storeBackAt = -Infinity;
@@ -99,15 +99,19 @@
         return this.hasStore;
     }
 
-    /** Drops upstreams whose entries lapsed around an outage of the store and did not come back. */
+    /**
+     * Drops upstreams whose entries lapsed around an outage of the store and did not come back. The time counts from its
+     * return: an entry that is removed soon after it must not be kept for as long again, since its upstream leaves.
+     */
     expireLapsed(): void {
         const now = this.options.readTime();
-        for (const [name, dueAt] of this.lapsed) {
-            if (now >= dueAt && this.hasStore) {
-                this.lapsed.delete(name);
-                this.removeGoneUpstream(name, "entry lapsed and did not come back");
-            }
+        if (!this.hasStore || now < this.storeBackAt + lapseGraceMs) {
+            return;
+        }
+        for (const name of this.lapsed) {
+            this.removeGoneUpstream(name, "entry lapsed and did not come back");
         }
+        this.lapsed.clear();
     }
 
     private applyChange(change: ClusterChange): boolean {
@@ -208,7 +212,7 @@
         const isAroundOutage = !this.hasStore || backForMs < lapseGraceMs;
         // One that had said that it leaves is gone; one that fell silent while the store was away may still live.
         if (isAroundOutage && upstream !== undefined && !upstream.isLeaving) {
-            this.lapsed.set(name, Math.max(now, this.storeBackAt) + lapseGraceMs);
+            this.lapsed.add(name);
             return;
         }
         this.removeGoneUpstream(name, "entry removed");
--- a/packages/node/test/units.test.ts
+++ b/packages/node/test/units.test.ts
@@ -192,6 +192,18 @@
     assert.equal(gone, ["e1"]);
 });
 
+test("an entry that is removed two seconds after the store came back is not kept for two seconds more", () => {
+    const { cluster, gone, advance } = createCluster();
+    cluster.applyChanges([{ kind: "upstream", upstream: engine, position: 1 }]);
+    advance(13_070);
+    cluster.setReachable(true);
+    advance(2048);
+    cluster.applyChanges([{ kind: "upstreamGone", name: "e1", position: 2 }]);
+    advance(60);
+    cluster.expireLapsed();
+    assert.equal(gone, ["e1"]);
+});
+
 test("an entry that comes back in time stays, and a leaving one is gone at once even around an outage", () => {
     const { cluster, gone, advance } = createCluster();
     cluster.setReachable(true);
