Write down what decides who may order: releases sent and taken, what prolongs a claim, why orders begin

Cause: with two VMs as holders of one engine, the lines did not tell a release that was no longer true from a claim that went on without the store, nor whether an order was under way when a shard was given up.

Change: lines releaseSent, releaseTaken and claimsProlonged with their inputs; ordersAllowed names its reason, engineGivenUp whether an order is on its way; one counter of these events. Clock and timers of Owning and OwnedEngines can be handed in. No decision changes.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -14,8 +14,13 @@
     readonly startedAt: number;
 }
 
+/** What lets a VM give orders to a shard: the claims before it have lapsed, or one of the other three. */
+export type ClaimReason = "waited" | "released" | "recorded" | "handover";
+
 /** A claim of one shard of the engines. */
 interface Claim {
+    /** What set `mayOrderAt`. */
+    readonly reason: ClaimReason;
     /** The deal in which this VM first held it. */
     readonly generation: number;
     readonly mayOrderAt: number;
@@ -67,6 +72,12 @@
         return this.generation * (maxDepth + 1) + (this.claims.get(shard)?.depth ?? 0);
     }
 
+    /** What lets this VM give orders to a shard, and the deal in which it first held it. */
+    explainClaim(shard: number): { readonly reason: ClaimReason; readonly generation: number; } | undefined {
+        const claim = this.claims.get(shard);
+        return claim === undefined ? undefined : { reason: claim.reason, generation: claim.generation };
+    }
+
     readDepth(shard: number): number {
         return this.claims.get(shard)?.depth ?? 0;
     }
@@ -95,7 +106,9 @@
         }
         for (const shard of held) {
             if (!this.claims.has(shard)) {
+                const isReleased = this.released.get(shard)?.generation === generation - 1;
                 this.claims.set(shard, {
+                    reason: isReleased ? "released" : "waited",
                     generation,
                     mayOrderAt: now + this.readWaitMs(shard, generation, now),
                     depth: this.readFirstDepth(generation),
@@ -118,20 +131,20 @@
     /**
      * Takes word from another VM that a renewal of its own, sent at `sentAt`, was answered with this generation: if it
      * is the one of this VM's claims, they held then.
+     * @returns How much longer that lets it give orders, in milliseconds.
      */
-    applyWitness(generation: number, sentAt: number): void {
-        if (generation === this.generation && this.claims.size > 0) {
-            this.renewUntil(sentAt);
-        }
+    applyWitness(generation: number, sentAt: number): number {
+        return generation === this.generation && this.claims.size > 0 ? this.renewUntil(sentAt) : 0;
     }
 
     /**
      * Takes word that most VMs, asked at `askedAt`, do not reach the store either and hold none of this VM's shards.
      * Whoever of them is dealt one later waits `useMs` before its first order. What stays open: a VM that none of them
      * reaches, and that alone reaches the store.
+     * @returns How much longer that lets it give orders, in milliseconds.
      */
-    applyAllClear(askedAt: number): void {
-        this.renewUntil(askedAt);
+    applyAllClear(askedAt: number): number {
+        return this.renewUntil(askedAt);
     }
 
     /**
@@ -144,7 +157,7 @@
         }
         for (const shard of shards) {
             const mayOrderAt = Math.max(now, (this.heldUntil.get(shard) ?? this.startedAt) + this.options.turnMs);
-            this.claims.set(shard, { generation: deal, mayOrderAt, depth, isHandover: true });
+            this.claims.set(shard, { reason: "handover", generation: deal, mayOrderAt, depth, isHandover: true });
         }
     }
 
@@ -168,8 +181,10 @@
         return this.claims.delete(shard);
     }
 
-    private renewUntil(sentAt: number): void {
-        this.validUntil = Math.max(this.validUntil, sentAt + this.options.useMs);
+    private renewUntil(sentAt: number): number {
+        const before = this.validUntil;
+        this.validUntil = Math.max(before, sentAt + this.options.useMs);
+        return this.validUntil - before;
     }
 
     private applyRecorded(now: number): void {
@@ -178,7 +193,9 @@
         }
         const mayOrderAt = Math.max(now, this.startedAt + recordedPauseMs);
         for (const [shard, claim] of this.claims) {
-            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, mayOrderAt) });
+            if (mayOrderAt < claim.mayOrderAt) {
+                this.claims.set(shard, { ...claim, mayOrderAt, reason: "recorded" });
+            }
         }
     }
 
@@ -195,14 +212,21 @@
         return Math.max(lapseMs, alternateMs);
     }
 
-    /** Takes word of the holder in a deal that it gives no more orders to a shard. */
-    recordRelease(shard: number, generation: number, now: number): void {
+    /**
+     * Takes word of the holder in a deal that it gives no more orders to a shard.
+     * @returns Whether this VM waits less for it.
+     */
+    recordRelease(shard: number, generation: number, now: number): boolean {
         this.released.set(shard, { generation, at: now });
         const claim = this.claims.get(shard);
         if (claim !== undefined && claim.generation === generation + 1) {
             const mayOrderAt = now + this.readWaitMs(shard, claim.generation, now);
-            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, mayOrderAt) });
+            if (mayOrderAt < claim.mayOrderAt) {
+                this.claims.set(shard, { ...claim, mayOrderAt, reason: "released" });
+                return true;
+            }
         }
+        return false;
     }
 
     /**
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -11,7 +11,7 @@
     prefillTokensPerMs,
     type UpstreamChoice,
 } from "./choose.js";
-export { ClaimClock, type ClaimClockOptions, readShard } from "./claims.js";
+export { ClaimClock, type ClaimClockOptions, type ClaimReason, readShard } from "./claims.js";
 export { UpstreamHealth } from "./health.js";
 export { KeptParts } from "./kept.js";
 export { LoadCounter, type LoadHandle, type LoadShare, noLoad } from "./load.js";
--- a/packages/node/src/clock.ts
+++ b/packages/node/src/clock.ts
@@ -49,3 +49,27 @@
         return this.suspended;
     }
 }
+
+/** Something that will run later. */
+export interface ScheduledRun {
+    cancel(): void;
+}
+
+/** Runs things later. Tests hand in one of simulated time. */
+export interface Timers {
+    scheduleOnce(run: () => void, waitMs: number): ScheduledRun;
+    /** Does not keep the process alive. */
+    scheduleEvery(run: () => void, intervalMs: number): ScheduledRun;
+}
+
+/** Timers of this process. */
+export const processTimers: Timers = {
+    scheduleOnce: (run, waitMs) => {
+        const timer = setTimeout(run, waitMs);
+        return { cancel: () => clearTimeout(timer) };
+    },
+    scheduleEvery: (run, intervalMs) => {
+        const timer = setInterval(run, intervalMs).unref();
+        return { cancel: () => clearInterval(timer) };
+    },
+};
--- a/packages/node/src/engines.ts
+++ b/packages/node/src/engines.ts
@@ -11,6 +11,7 @@
 } from "@radishreel/fleet";
 import type { Service } from "@radishreel/routing";
 import type { AdmissionMessage } from "./admissions.js";
+import { processTimers, type ScheduledRun, type Timers } from "./clock.js";
 import type { DecisionLog } from "./decisions.js";
 import type { EngineOrders } from "./ports.js";
 
@@ -44,6 +45,10 @@
     readonly mayOrder: (name: string) => boolean;
     /** Fencing token for the orders to an engine. */
     readonly readFence: (name: string) => number;
+    /** Why orders to an engine may be given from now on: fields of its decision line. */
+    readonly explainOrders?: (name: string) => object;
+    /** @default timers of this process */
+    readonly timers?: Timers;
     readonly sendNews: (news: EngineNews[]) => void;
     readonly sendAnswer: (vm: string, answer: AdmissionAnswer) => void;
     /** Other VMs that may be running, connected or not. */
@@ -59,20 +64,23 @@
     revision: number;
     lastNews: string;
     isWorking: boolean;
-    timer: NodeJS.Timeout | undefined;
+    /** An order is on its way: sent or about to be, and not answered. */
+    isOrdering: boolean;
+    timer: ScheduledRun | undefined;
     canOrder: boolean;
 }
 
 /** The engines that this VM owns: it alone gives them orders, lets requests in, and tells all VMs what they hold. */
 export class OwnedEngines {
     private readonly engines = new Map<string, OwnedEngine>();
-    private readonly newsTimer: NodeJS.Timeout;
+    private readonly timers: Timers;
+    private readonly newsTimer: ScheduledRun;
     private toldAt = -Infinity;
     private isStopped = false;
 
     constructor(private readonly options: OwnedEnginesOptions) {
-        this.newsTimer = setInterval(() => this.sendDueChanges(), newsIntervalMs);
-        this.newsTimer.unref();
+        this.timers = options.timers ?? processTimers;
+        this.newsTimer = this.timers.scheduleEvery(() => this.sendDueChanges(), newsIntervalMs);
     }
 
     get hasAny(): boolean {
@@ -81,7 +89,7 @@
 
     stop(): void {
         this.isStopped = true;
-        clearInterval(this.newsTimer);
+        this.newsTimer.cancel();
         for (const id of [...this.engines.keys()]) {
             this.remove(id);
         }
@@ -199,6 +207,7 @@
             revision: 0,
             lastNews: "",
             isWorking: false,
+            isOrdering: false,
             timer: undefined,
             canOrder: false,
         };
@@ -218,9 +227,10 @@
         if (owned === undefined) {
             return;
         }
-        clearTimeout(owned.timer);
+        owned.timer?.cancel();
         this.engines.delete(id);
-        this.options.log.recordImportant("engineGivenUp", { engine: id, fence: owned.fence });
+        const { fence, isOrdering } = owned;
+        this.options.log.recordImportant("engineGivenUp", { engine: id, fence, isOrdering });
         owned.canOrder = false;
         this.sendAnswers(owned.admission.refuseAll(unusableMs));
         owned.revision += 1;
@@ -243,7 +253,7 @@
         if (owned.isWorking) {
             return;
         }
-        clearTimeout(owned.timer);
+        owned.timer?.cancel();
         const state = this.options.view.findUpstream(owned.id);
         this.updateCanOrder(owned);
         // A report may be asked for before orders may be given: what the engine holds stays in use meanwhile.
@@ -269,13 +279,19 @@
         const canOrder = this.options.mayOrder(owned.name);
         if (canOrder !== owned.canOrder) {
             owned.canOrder = canOrder;
-            this.options.log.recordImportant("ordersAllowed", { engine: owned.id, canOrder, fence: owned.fence });
+            const why = canOrder ? this.options.explainOrders?.(owned.name) : undefined;
+            this.options.log.recordImportant("ordersAllowed", {
+                engine: owned.id,
+                canOrder,
+                fence: owned.fence,
+                ...why,
+            });
             this.sendChanges([owned]);
         }
     }
 
     private scheduleAdvance(owned: OwnedEngine, waitMs: number): void {
-        owned.timer = setTimeout(() => this.advance(owned), waitMs);
+        owned.timer = this.timers.scheduleOnce(() => this.advance(owned), waitMs);
     }
 
     private async runReport(owned: OwnedEngine, state: UpstreamState): Promise<void> {
@@ -298,6 +314,7 @@
 
     private async runOrder(owned: OwnedEngine, state: UpstreamState, order: EngineOrder): Promise<void> {
         owned.isWorking = true;
+        owned.isOrdering = true;
         owned.fence = Math.max(owned.fence, this.options.readFence(owned.name));
         const sentAt = this.options.readTime();
         const wasReachable = owned.places.isReachable;
@@ -306,6 +323,7 @@
             fence: owned.fence,
             checkBeforeSend: () => this.options.mayOrder(owned.name),
         });
+        owned.isOrdering = false;
         const now = this.options.readTime();
         owned.places.applyAnswer(order, answer, now);
         this.options.log.record("order", {
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Registry } from "prom-client";
 import type { RefusalReason } from "./caller.js";
+import type { ClaimEvent } from "./owning.js";
 
 /** Metrics of `radishreel-node`. */
 export class NodeMetrics {
@@ -22,6 +23,12 @@
         labelNames: ["topic"] as const,
         registers: [this.registry],
     });
+    private readonly claims = new Counter({
+        name: "radishreel_node_claims_total",
+        help: "What happened to claims of engines, by event",
+        labelNames: ["event"] as const,
+        registers: [this.registry],
+    });
     private readonly version = new Gauge({
         name: "radishreel_node_routing_version",
         help: "Version of the configuration in force",
@@ -40,6 +47,10 @@
         this.unreadable.inc({ topic });
     }
 
+    recordClaimEvent(event: ClaimEvent): void {
+        this.claims.inc({ event });
+    }
+
     setRoutingVersion(version: number): void {
         this.version.set(version);
     }
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -1,5 +1,5 @@
-import { ClaimClock, readShard } from "@radishreel/fleet";
-import { BootClock } from "./clock.js";
+import { ClaimClock, type ClaimReason, readShard } from "@radishreel/fleet";
+import { BootClock, processTimers, type ScheduledRun, type Timers } from "./clock.js";
 import { OwnedEngines, type OwnedEnginesOptions } from "./engines.js";
 import type { Member, ShardClaims } from "./ports.js";
 
@@ -21,8 +21,17 @@
 /** Age told for a renewal that is older or never was, in milliseconds. */
 const maxRenewalAgeMs = 1_000_000;
 
+/** What happens to claims, as it is counted. */
+export type ClaimEvent =
+    | "releaseSent"
+    | "releaseUsed"
+    | "releaseUnused"
+    | "prolongedByWitness"
+    | "prolongedByAllClear"
+    | `${ClaimReason}Claim`;
+
 /** Options of {@link Owning}. */
-export interface OwningOptions extends Omit<OwnedEnginesOptions, "mayOrder" | "readFence"> {
+export interface OwningOptions extends Omit<OwnedEnginesOptions, "mayOrder" | "readFence" | "explainOrders"> {
     readonly claims: ShardClaims;
     /** Two holders of one engine must not give orders within this time of each other, in milliseconds. */
     readonly turnMs: number;
@@ -32,6 +41,10 @@
     readonly sendHandover: (handover: Handover) => boolean;
     /** Keeps for this VM's next start in which deal it gave orders. */
     readonly recordGeneration: (generation: number) => void;
+    /** Counts what happens to claims. */
+    readonly onClaimEvent?: (event: ClaimEvent) => void;
+    /** @default a clock of this process */
+    readonly bootClock?: BootClock;
 }
 
 /** Shards that a VM hands over while the store is away. */
@@ -60,10 +73,11 @@
 export class Owning {
     readonly engines: OwnedEngines;
     private readonly clock: ClaimClock;
-    private renewTimer: NodeJS.Timeout | undefined;
+    private readonly timers: Timers;
+    private renewTimer: ScheduledRun | undefined;
     private isRenewing = false;
     private isStopped = false;
-    private readonly bootClock = new BootClock();
+    private readonly bootClock: BootClock;
     private suspendedMs = 0;
     private renewedAt = -Infinity;
     private openQuery: OpenQuery = { query: 0, askedAt: 0, clear: new Set() };
@@ -71,6 +85,8 @@
     private renewals = 0;
 
     constructor(private readonly options: OwningOptions) {
+        this.bootClock = options.bootClock ?? new BootClock();
+        this.timers = options.timers ?? processTimers;
         this.clock = new ClaimClock({
             useMs: claimUseMs,
             settleMs: claimSettleMs,
@@ -81,6 +97,7 @@
             ...options,
             mayOrder: name => this.mayOrder(name),
             readFence: name => this.clock.readFence(this.findShard(name)),
+            explainOrders: name => this.explainOrders(name),
         });
     }
 
@@ -97,9 +114,9 @@
             this.clock.setRecordedGeneration(past.generation, this.bootClock.read());
         }
         const waitMs = past?.hasLeft === true ? this.options.turnMs : 0;
-        this.renewTimer = setTimeout(() => {
+        this.renewTimer = this.timers.scheduleOnce(() => {
             void this.renew();
-            this.renewTimer = setInterval(() => this.renewClaims(), renewMs);
+            this.renewTimer = this.timers.scheduleEvery(() => this.renewClaims(), renewMs);
         }, waitMs);
     }
 
@@ -109,7 +126,7 @@
      */
     async stop(): Promise<void> {
         this.isStopped = true;
-        clearInterval(this.renewTimer);
+        this.renewTimer?.cancel();
         const shards = this.clock.listReleasable(this.bootClock.read());
         const deal = this.clock.deal;
         const depth = 1 + Math.max(0, ...shards.map(shard => this.clock.readDepth(shard)));
@@ -121,7 +138,7 @@
             this.options.log.recordImportant("handedOver", { shards, deal, depth });
             return;
         }
-        this.options.sendRelease(shards, deal);
+        this.sendRelease(shards, deal, "stop");
         await this.options.claims.release();
     }
 
@@ -147,10 +164,17 @@
         }
     }
 
-    recordRelease(shards: readonly number[], generation: number): void {
-        for (const shard of shards) {
-            this.clock.recordRelease(shard, generation, this.bootClock.read());
-        }
+    recordRelease(vm: string, shards: readonly number[], generation: number): void {
+        const now = this.bootClock.read();
+        const shortened = shards.filter(shard => this.clock.recordRelease(shard, generation, now));
+        this.options.onClaimEvent?.(shortened.length > 0 ? "releaseUsed" : "releaseUnused");
+        this.options.log.recordImportant("releaseTaken", {
+            vm,
+            shards,
+            generation,
+            ownDeal: this.clock.deal,
+            shortened,
+        });
         this.update();
     }
 
@@ -167,6 +191,20 @@
         return readShard(name, this.options.claims.shardCount);
     }
 
+    private explainOrders(name: string): object {
+        const claim = this.clock.explainClaim(this.findShard(name));
+        if (claim !== undefined) {
+            this.options.onClaimEvent?.(`${claim.reason}Claim`);
+        }
+        return { ...claim, renewalAgeMs: Math.round(this.renewalAgeMs) };
+    }
+
+    private sendRelease(shards: number[], generation: number, why: "stop" | "renewal" | "toldByPeer"): void {
+        this.options.onClaimEvent?.("releaseSent");
+        this.options.log.recordImportant("releaseSent", { shards, generation, why });
+        this.options.sendRelease(shards, generation);
+    }
+
     private mayOrder(name: string): boolean {
         this.checkSuspension();
         return this.clock.canOrder(this.findShard(name), this.bootClock.read());
@@ -207,12 +245,13 @@
         if (dropped.length > 0) {
             this.options.log.recordImportant("shardsLost", { to: vm, shards: dropped, generation: state.generation });
             this.update();
-            this.options.sendRelease(dropped.filter(shard => releasable.includes(shard)), this.clock.deal);
+            this.sendRelease(dropped.filter(shard => releasable.includes(shard)), this.clock.deal, "toldByPeer");
         }
         if (state.query !== openQuery.query) {
             return;
         }
-        this.clock.applyWitness(state.generation, openQuery.askedAt - state.renewalAgeMs);
+        const witnessMs = this.clock.applyWitness(state.generation, openQuery.askedAt - state.renewalAgeMs);
+        this.recordProlonged("prolongedByWitness", witnessMs, { vm, renewalAgeMs: state.renewalAgeMs });
         const isCutOff = state.renewalAgeMs > askPeersAfterMs;
         const held = this.clock.listShards();
         if (isCutOff && !state.shards.some(shard => held.includes(shard))) {
@@ -221,7 +260,15 @@
         // With most VMs cut off from the store it is the store that is away, and deals nothing anew.
         const isMajority = (openQuery.clear.size + 1) * 2 > this.options.countOthers() + 1;
         if (isMajority) {
-            this.clock.applyAllClear(openQuery.askedAt);
+            const allClearMs = this.clock.applyAllClear(openQuery.askedAt);
+            this.recordProlonged("prolongedByAllClear", allClearMs, { clear: [...openQuery.clear] });
+        }
+    }
+
+    private recordProlonged(by: "prolongedByWitness" | "prolongedByAllClear", ms: number, detail: object): void {
+        if (ms > 0) {
+            this.options.onClaimEvent?.(by);
+            this.options.log.record("claimsProlonged", { by, ms: Math.round(ms), deal: this.clock.deal, ...detail });
         }
     }
 
@@ -268,7 +315,7 @@
         this.update();
         const lost = held.filter(shard => !deal.shards.includes(shard));
         if (lost.length > 0) {
-            this.options.sendRelease(lost, generation);
+            this.sendRelease(lost, generation, "renewal");
         }
     }
 }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -327,6 +327,7 @@
             sendHandover: handover => this.sendHandover(handover),
             countOthers: () => this.peers.countLikely(),
             recordGeneration: generation => this.appendMember({ generation }),
+            onClaimEvent: event => this.metrics.recordClaimEvent(event),
         });
     }
 
@@ -432,7 +433,7 @@
                 this.owning?.engines.recordMissing(message.engine, message.key);
                 return;
             case "release":
-                this.owning?.recordRelease(message.shards, message.generation);
+                this.owning?.recordRelease(vm, message.shards, message.generation);
                 return;
             case "handover":
                 this.owning?.receiveHandover(message);
