--- a/packages/node/src/engines.ts
+++ b/packages/node/src/engines.ts
@@ -7,6 +7,7 @@
     type EngineOrder,
     EnginePlaces,
     type FleetView,
+    type OrderAnswer,
     type UpstreamState,
 } from "@radishreel/fleet";
 import type { Service } from "@radishreel/routing";
@@ -75,6 +76,8 @@
     private readonly engines = new Map<string, OwnedEngine>();
     private readonly timers: Timers;
     private readonly newsTimer: ScheduledRun;
+    /** Orders on their way, and the names of their engines. They outlast the ownership. */
+    private readonly underWay = new Map<Promise<OrderAnswer>, string>();
     private toldAt = -Infinity;
     private isStopped = false;
 
@@ -113,6 +116,11 @@
         }
     }
 
+    /** Waits until no order to these engines is on its way any more: some 100 ms at most. */
+    async waitOrders(isMeant: (name: string) => boolean): Promise<void> {
+        await Promise.all([...this.underWay].filter(([, name]) => isMeant(name)).map(([answer]) => answer));
+    }
+
     /** Takes word of a request from its VM. */
     receiveRequest(vm: string, message: AdmissionMessage): void {
         const owned = this.engines.get(message.engine);
@@ -318,11 +326,14 @@
         owned.fence = Math.max(owned.fence, this.options.readFence(owned.name));
         const sentAt = this.options.readTime();
         const wasReachable = owned.places.isReachable;
-        const answer = await this.options.orders.send(state.upstream, order, {
+        const sending = this.options.orders.send(state.upstream, order, {
             holder: this.options.vm,
             fence: owned.fence,
             checkBeforeSend: () => this.options.mayOrder(owned.name),
         });
+        this.underWay.set(sending, owned.name);
+        const answer = await sending;
+        this.underWay.delete(sending);
         owned.isOrdering = false;
         const now = this.options.readTime();
         owned.places.applyAnswer(order, answer, now);
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -21,6 +21,9 @@
 /** Age told for a renewal that is older or never was, in milliseconds. */
 const maxRenewalAgeMs = 1_000_000;
 
+/** What made a VM give shards up. */
+type ReleaseReason = "stop" | "renewal" | "toldByPeer";
+
 /** What happens to claims, as it is counted. */
 export type ClaimEvent =
     | "releaseSent"
@@ -134,11 +137,12 @@
         const isCutOff = this.bootClock.read() - this.renewedAt > askPeersAfterMs;
         this.clock.releaseAll(this.bootClock.read());
         this.engines.stop();
+        await this.waitOrders(shards);
         if (isCutOff && canOrder && this.options.sendHandover({ shards, deal, depth })) {
             this.options.log.recordImportant("handedOver", { shards, deal, depth });
             return;
         }
-        this.sendRelease(shards, deal, "stop");
+        void this.sendRelease(shards, deal, "stop");
         await this.options.claims.release();
     }
 
@@ -199,12 +203,24 @@
         return { ...claim, renewalAgeMs: Math.round(this.renewalAgeMs) };
     }
 
-    private sendRelease(shards: number[], generation: number, why: "stop" | "renewal" | "toldByPeer"): void {
+    /**
+     * Tells the others of shards given up in a deal, once their last orders have come to their end: the next holder begins
+     * at once, and its first order overtook one that was on its way.
+     */
+    private async sendRelease(shards: number[], generation: number, why: ReleaseReason): Promise<void> {
+        if (shards.length === 0) {
+            return;
+        }
+        await this.waitOrders(shards);
         this.options.onClaimEvent?.("releaseSent");
         this.options.log.recordImportant("releaseSent", { shards, generation, why });
         this.options.sendRelease(shards, generation);
     }
 
+    private async waitOrders(shards: readonly number[]): Promise<void> {
+        await this.engines.waitOrders(name => shards.includes(this.findShard(name)));
+    }
+
     private mayOrder(name: string): boolean {
         this.checkSuspension();
         return this.clock.canOrder(this.findShard(name), this.bootClock.read());
@@ -245,7 +261,7 @@
         if (dropped.length > 0) {
             this.options.log.recordImportant("shardsLost", { to: vm, shards: dropped, generation: state.generation });
             this.update();
-            this.sendRelease(dropped.filter(shard => releasable.includes(shard)), this.clock.deal, "toldByPeer");
+            void this.sendRelease(dropped.filter(shard => releasable.includes(shard)), this.clock.deal, "toldByPeer");
         }
         if (state.query !== openQuery.query) {
             return;
@@ -314,8 +330,6 @@
         this.clock.applyRenewal(deal.generation, deal.shards, sentAt, this.bootClock.read());
         this.update();
         const lost = held.filter(shard => !deal.shards.includes(shard));
-        if (lost.length > 0) {
-            this.sendRelease(lost, generation, "renewal");
-        }
+        void this.sendRelease(lost, generation, "renewal");
     }
 }
