Release shards in a planned stop only once the store has ended the deal

Cause: a VM told in a planned stop that it gave no more orders in its deal, while its leave did not reach the store. Killed and started again within the deal it went on ordering, as its entry of before allows.

Ruled out: dropping releases of a VM that is heard to have started again: the one that must hear may be cut off from it; an age limit: bytes may be held up on the way, and the VMs share no clock.

Change: the release follows the store's answer to the leave. It is then true for good, since a start after it gets a later deal. Without an answer none is sent, and the next holder waits for the claim to lapse. An older release no longer replaces a newer one.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -49,7 +49,8 @@
  */
 export class ClaimClock {
     private readonly claims = new Map<number, Claim>();
-    private readonly released = new Map<number, { generation: number; at: number; }>();
+    /** Newest deal whose holder has said that it gives no more orders, by shard. */
+    private readonly released = new Map<number, number>();
     private readonly heldUntil = new Map<number, number>();
     private recordedGeneration: number | undefined;
     private firstDeal: number | undefined;
@@ -106,7 +107,7 @@
         }
         for (const shard of held) {
             if (!this.claims.has(shard)) {
-                const isReleased = this.released.get(shard)?.generation === generation - 1;
+                const isReleased = this.released.get(shard) === generation - 1;
                 this.claims.set(shard, {
                     reason: isReleased ? "released" : "waited",
                     generation,
@@ -205,19 +206,21 @@
      * which held it lately waits `turnMs` as well, so that no two holders alternate.
      */
     private readWaitMs(shard: number, generation: number, now: number): number {
-        const release = this.released.get(shard);
-        const lapseMs = release?.generation === generation - 1 ? 0 : this.options.useMs + this.options.settleMs;
+        const lapseMs = this.released.get(shard) === generation - 1 ? 0 : this.options.useMs + this.options.settleMs;
         const heldUntil = this.heldUntil.get(shard) ?? this.startedAt;
         const alternateMs = Math.max(0, heldUntil + this.options.turnMs - now);
         return Math.max(lapseMs, alternateMs);
     }
 
     /**
-     * Takes word of the holder in a deal that it gives no more orders to a shard.
+     * Takes word of the holder in a deal that it gives no more orders to a shard. It holds for good, since it is sent only
+     * when the store has ended that deal: neither the holder nor a start of it gives orders in the deal after that.
      * @returns Whether this VM waits less for it.
      */
     recordRelease(shard: number, generation: number, now: number): boolean {
-        this.released.set(shard, { generation, at: now });
+        if (generation >= (this.released.get(shard) ?? -Infinity)) {
+            this.released.set(shard, generation);
+        }
         const claim = this.claims.get(shard);
         if (claim !== undefined && claim.generation === generation + 1) {
             const mayOrderAt = now + this.readWaitMs(shard, claim.generation, now);
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -142,8 +142,11 @@
             this.options.log.recordImportant("handedOver", { shards, deal, depth });
             return;
         }
-        void this.sendRelease(shards, deal, "stop");
-        await this.options.claims.release();
+        // Until the store has ended the deal this VM may start again and go on in it: a release that was told before stayed
+        // in force, and the next holder did not wait for the orders of that start.
+        if (await this.options.claims.release()) {
+            await this.sendRelease(shards, deal, "stop");
+        }
     }
 
     /** Takes shards over from a VM that stops. */
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -138,6 +138,6 @@
     readonly shardCount: number;
     /** Joins, or renews; undefined if no answer came. */
     renew(generation: number): Promise<ShardDeal | undefined>;
-    /** Gives all shards back. */
-    release(): Promise<void>;
+    /** Gives all shards back. @returns Whether the store has said so: then the deal is over. */
+    release(): Promise<boolean>;
 }
--- a/packages/node/test/group.ts
+++ b/packages/node/test/group.ts
@@ -348,16 +348,17 @@
         return deal;
     }
 
-    async releaseAll(life: Life): Promise<void> {
+    async releaseAll(life: Life): Promise<boolean> {
         await this.wait(life, 2);
         if (this.cutOff.has(life.vm)) {
             await this.wait(life, answerTimeoutMs);
-            return;
+            return false;
         }
         if (this.members.delete(life.vm)) {
             this.planEvenDeal();
         }
         await this.wait(life, 2);
+        return true;
     }
 
     /** The store goes away for all. */
--- a/packages/node/test/units.test.ts
+++ b/packages/node/test/units.test.ts
@@ -245,7 +245,7 @@
     return new Owning({
         vm: "a",
         view,
-        claims: { shardCount: 4, renew: () => Promise.resolve(undefined), release: () => Promise.resolve() },
+        claims: { shardCount: 4, renew: () => Promise.resolve(undefined), release: () => Promise.resolve(true) },
         orders: { send: () => Promise.resolve("unknown"), readReport: () => Promise.resolve(err("unknown")) },
         log: createLog(() => 0).log,
         readTime: () => 0,
