Count only VMs that tried to renew and failed as cut off from the store

Cause: while renewals are not answered, a holder goes on if a majority of VMs is cut off as well and holds none of its shards. A VM counted as cut off once its last answered renewal was older than 550 ms. VMs without shards renew every 1.2 s only, and one that has just started never has; so with few holders among many VMs the store could be well and deal the shard to another VM, and the old holder went on for seconds beside it. A VM that had seen a later deal before an outage also bore the old one out.

Ruled out: letting idle VMs renew every 0.4 s: at 91 VMs three times the calls, all the time.

Change: each VM says itself whether it has tried of late (1.6 s) and waited 300 ms in vain; one that is asked and has not heard of the store for 550 ms tries it at once, and is a witness 0.4 s later if the store answers. Word of a later deal ends the prolonging, and answers of the store from before that deal are old.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -56,6 +56,8 @@
     private firstDeal: number | undefined;
     private validUntil = 0;
     private generation = 0;
+    /** Newest deal that another VM has told of. */
+    private toldGeneration = 0;
 
     private startedAt: number;
 
@@ -86,10 +88,11 @@
     /**
      * Takes the answer to a renewal.
      * @param sentAt When the renewal was sent.
+     * @returns Whether it was taken: one that tells of a deal before the newest known one is old.
      */
-    applyRenewal(generation: number, shards: readonly number[], sentAt: number, now: number): void {
-        if (generation < this.generation) {
-            return;
+    applyRenewal(generation: number, shards: readonly number[], sentAt: number, now: number): boolean {
+        if (generation < Math.max(this.generation, this.toldGeneration)) {
+            return false;
         }
         // A shard held in two deals in a row had no other holder. Over deals that this VM did not see it may have had one,
         // which has ordered only if it was confirmed for longer than `settleMs`.
@@ -118,6 +121,7 @@
             }
         }
         this.applyRecorded(now);
+        return true;
     }
 
     /**
@@ -141,11 +145,16 @@
     /**
      * Takes word that most VMs, asked at `askedAt`, do not reach the store either and hold none of this VM's shards.
      * Whoever of them is dealt one later waits `useMs` before its first order. What stays open: a VM that none of them
-     * reaches, and that alone reaches the store.
+     * reaches, and that alone reaches the store. Once a later deal is heard of, the shards may be anyone's.
      * @returns How much longer that lets it give orders, in milliseconds.
      */
     applyAllClear(askedAt: number): number {
-        return this.renewUntil(askedAt);
+        return this.toldGeneration > this.generation ? 0 : this.renewUntil(askedAt);
+    }
+
+    /** Takes word of another VM about the deal that it saw last. */
+    recordDeal(generation: number): void {
+        this.toldGeneration = Math.max(this.toldGeneration, generation);
     }
 
     /**
@@ -171,6 +180,7 @@
 
     /** Gives up shards that another VM has been dealt, and returns them. */
     revokeShards(shards: readonly number[], generation: number, now: number): number[] {
+        this.recordDeal(generation);
         if (generation <= this.generation) {
             return [];
         }
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -82,6 +82,8 @@
         shards: z.array(z.number()),
         /** Age of the last renewal that was answered, counted from its sending, in milliseconds. */
         renewalAgeMs: z.number(),
+        /** Whether the sender has lately tried to renew and got no answer. */
+        isCutOff: z.boolean(),
     }),
     /** The sender is stopping and will take no part any more. */
     z.object({ type: z.literal("leaving") }),
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -15,6 +15,15 @@
 /** Other VMs are asked about claims once the last answered renewal is this old, in milliseconds. */
 const askPeersAfterMs = 550;
 
+/**
+ * A renewal without an answer for this long shows that its VM is cut off from the store, in milliseconds: usual answers take
+ * 4 ms. Two queries after an outage began most VMs can say so, before the first claims lapse.
+ */
+const unansweredMs = 300;
+
+/** What was tried longer ago than this tells nothing of the store now, in milliseconds: idle VMs try every 1.2 s. */
+const triedLatelyMs = 1600;
+
 /** How long one confirmed renewal lets its holder give orders, in milliseconds. */
 const claimUseMs = 1300;
 
@@ -63,6 +72,8 @@
     readonly generation: number;
     readonly shards: number[];
     readonly renewalAgeMs: number;
+    /** Whether it has lately tried to renew and got no answer. */
+    readonly isCutOff: boolean;
 }
 
 /** A question to all other VMs, and who has said that it holds none of this VM's shards. */
@@ -82,7 +93,11 @@
     private isStopped = false;
     private readonly bootClock: BootClock;
     private suspendedMs = 0;
+    private hasStarted = false;
     private renewedAt = -Infinity;
+    private triedAt = -Infinity;
+    /** When the first renewal since the last answer was sent; undefined if there is none. */
+    private unansweredSince: number | undefined;
     private openQuery: OpenQuery = { query: 0, askedAt: 0, clear: new Set() };
     private recordedGeneration = -1;
     private renewals = 0;
@@ -118,6 +133,7 @@
         }
         const waitMs = past?.hasLeft === true ? this.options.turnMs : 0;
         this.renewTimer = this.timers.scheduleOnce(() => {
+            this.hasStarted = true;
             void this.renew();
             this.renewTimer = this.timers.scheduleEvery(() => this.renewClaims(), renewMs);
         }, waitMs);
@@ -246,13 +262,27 @@
         return Math.min(this.bootClock.read() - this.renewedAt, maxRenewalAgeMs);
     }
 
-    /** What this VM knows of the claims, for one that asks. */
+    /**
+     * Whether this VM has tried to reach the store of late, and failed. That it has not tried says nothing: most VMs hold no
+     * shard and renew seldom, and a majority of them let a holder go on whose shards the store had dealt away.
+     */
+    private get isCutOff(): boolean {
+        const now = this.bootClock.read();
+        return this.unansweredSince !== undefined && now - this.unansweredSince >= unansweredMs
+            && now - this.triedAt < triedLatelyMs;
+    }
+
+    /** What this VM knows of the claims, for one that asks. One that has not heard of the store lately tries it for the asker. */
     readClaimState(query: number): ClaimState {
+        if (this.hasStarted && this.renewalAgeMs > askPeersAfterMs) {
+            void this.renew();
+        }
         return {
             query,
             generation: this.clock.deal,
             shards: this.clock.listShards(),
             renewalAgeMs: this.renewalAgeMs,
+            isCutOff: this.isCutOff,
         };
     }
 
@@ -271,9 +301,9 @@
         }
         const witnessMs = this.clock.applyWitness(state.generation, openQuery.askedAt - state.renewalAgeMs);
         this.recordProlonged("prolongedByWitness", witnessMs, { vm, renewalAgeMs: state.renewalAgeMs });
-        const isCutOff = state.renewalAgeMs > askPeersAfterMs;
+        this.clock.recordDeal(state.generation);
         const held = this.clock.listShards();
-        if (isCutOff && !state.shards.some(shard => held.includes(shard))) {
+        if (state.isCutOff && !state.shards.some(shard => held.includes(shard))) {
             openQuery.clear.add(vm);
         }
         // With most VMs cut off from the store it is the store that is away, and deals nothing anew.
@@ -319,18 +349,23 @@
         }
         this.isRenewing = true;
         const sentAt = this.bootClock.read();
+        this.triedAt = sentAt;
+        this.unansweredSince ??= sentAt;
         const deal = await this.options.claims.renew(this.clock.deal);
         this.isRenewing = false;
         if (deal === undefined || this.isStopped) {
             return;
         }
+        this.unansweredSince = undefined;
         if (deal.generation !== this.clock.deal) {
             this.options.log.recordImportant("shardsDealt", deal);
         }
         const held = this.clock.listReleasable(this.bootClock.read());
         const generation = this.clock.deal;
         this.renewedAt = sentAt;
-        this.clock.applyRenewal(deal.generation, deal.shards, sentAt, this.bootClock.read());
+        if (!this.clock.applyRenewal(deal.generation, deal.shards, sentAt, this.bootClock.read())) {
+            return;
+        }
         this.update();
         const lost = held.filter(shard => !deal.shards.includes(shard));
         void this.sendRelease(lost, generation, "renewal");
