Let a VM go on for another one, and a start take up its deal, only while most VMs bear it out

Cause: a handover outlived what it rests on. A VM that stopped in an outage and handed its shards over could be killed and start again at once, and its entry let it order 0.8 s later, within a turn of the other's orders. The VM that went on stopped only if it heard of the start itself; beyond a cut it went on with the lower token, as did one that got the handover late. It also released, for a deal in which their holder ordered again, shards that were not its own.

Ruled out: a handover of limited life that every start waits for: 8 s without an owner after a kill where one VM of many is gone. Hearing from all VMs instead of most: the same.

Change: the heir asks every 0.4 s whether the processes that gave the shards up have started again, and goes on for 1.3 s from each question that most VMs answer with no. A start asks as well, and orders nothing in its first deal before most VMs have answered; if one of them has been asked by an heir in the last 5 s it waits until the heir must have stopped and for a turn. A handover names the processes that gave up, and one of a process that has been followed is not taken. Shards that were taken over are not released. New line startConfirmed. The recorded deal is told to ClaimClock as before.

Tests changed: claims.test.ts called canOrder of a restarted clock and of an heir without any word from others; each now checks that nothing is ordered before that word, and the same times after it. Two tests more.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -39,6 +39,9 @@
  */
 const recordedPauseMs = 800;
 
+/** Longest time for which an order is on its way, in milliseconds. */
+const orderMs = 100;
+
 /**
  * Which shards this VM owns, and when it may give orders to their engines. Times are handed in by a clock that counts
  * the time in which the VM was suspended.
@@ -60,6 +63,10 @@
     private toldGeneration = 0;
 
     private startedAt: number;
+    /** From when on orders may be given under the deal that this process met first. */
+    private firstDealAt = Infinity;
+    /** How long shards that were taken over may be used. */
+    private handoverUntil = 0;
 
     constructor(private readonly options: ClaimClockOptions) {
         this.startedAt = options.startedAt;
@@ -98,6 +105,10 @@
         // which has ordered only if it was confirmed for longer than `settleMs`.
         const provenAt = this.validUntil - this.options.useMs;
         const mayHaveMoved = generation - this.generation > 1 && now - provenAt > this.options.settleMs;
+        if (this.generation === this.firstDeal && generation !== this.firstDeal && !this.isStartConfirmed(now)) {
+            // Nothing was ordered under them, and whoever went on in the first deal may still do so: all are new.
+            this.claims.clear();
+        }
         this.generation = generation;
         this.firstDeal ??= generation;
         this.renewUntil(sentAt);
@@ -253,6 +264,31 @@
     /** No process of this VM ran before this one: no shard can come back to it. */
     setFirstLife(): void {
         this.startedAt = -Infinity;
+        this.firstDealAt = -Infinity;
+    }
+
+    /**
+     * Takes word that most VMs have heard of this start, and whether one of them has lately borne out that another VM goes on
+     * in this VM's place. Before it nothing is ordered under the first deal: that other VM, which need not hear of the start
+     * itself, may do so until most others tell it that they have.
+     */
+    recordStartHeard(now: number, wasTakenOver: boolean): void {
+        const atOnce = Math.min(this.firstDealAt, now);
+        const afterTurn = Math.max(now + this.options.useMs + orderMs, this.startedAt + this.options.turnMs);
+        this.firstDealAt = wasTakenOver ? Math.min(this.firstDealAt, afterTurn) : atOnce;
+    }
+
+    private isStartConfirmed(now: number): boolean {
+        return now >= this.firstDealAt;
+    }
+
+    /** Takes word that most VMs, asked at `askedAt`, have not heard of a start of those from which shards were taken over. */
+    renewHandovers(askedAt: number): void {
+        this.handoverUntil = Math.max(this.handoverUntil, askedAt + this.options.useMs);
+    }
+
+    get hasHandovers(): boolean {
+        return [...this.claims.values()].some(claim => claim.isHandover);
     }
 
     /** Whether this VM may give orders to all shards that it holds. */
@@ -276,15 +312,25 @@
     /** Whether orders to the engines of a shard may be given at this moment. */
     canOrder(shard: number, now: number): boolean {
         const claim = this.claims.get(shard);
-        return claim !== undefined && now < this.validUntil && now >= claim.mayOrderAt;
+        return claim !== undefined && now < this.validUntil && now >= claim.mayOrderAt
+            && (claim.generation !== this.firstDeal || this.isStartConfirmed(now))
+            && (!claim.isHandover || now < this.handoverUntil);
     }
 
     /**
      * Shards whose release may be told: those whose earlier holders have all stopped. One that this VM was still waiting
-     * for may be in use by the holder before it.
+     * for may be in use by the holder before it, and one that it has taken over by the VM to which it was dealt.
      */
     listReleasable(now: number): number[] {
-        return [...this.claims].filter(([, claim]) => now >= claim.mayOrderAt).map(([shard]) => shard);
+        return [...this.claims].filter(([, claim]) =>
+            now >= claim.mayOrderAt && !claim.isHandover
+            && (claim.generation !== this.firstDeal || this.isStartConfirmed(now))
+        ).map(([shard]) => shard);
+    }
+
+    /** Shards that this VM may give orders to now, and so may hand over. */
+    listUsable(now: number): number[] {
+        return this.listShards().filter(shard => this.canOrder(shard, now));
     }
 
     listShards(): number[] {
--- a/packages/fleet/test/claims.test.ts
+++ b/packages/fleet/test/claims.test.ts
@@ -72,10 +72,13 @@
     const clock = createClock(1000);
     clock.setRecordedGeneration(7, 1000);
     clock.applyRenewal(7, [3], 1050, 1060);
+    assert.is(clock.canOrder(3, 1801), false);
+    clock.recordStartHeard(1200, false);
     assert.is(clock.canOrder(3, 1700), false);
     assert.is(clock.canOrder(3, 1801), true);
     const other = createClock(1000);
     other.setRecordedGeneration(6, 1000);
+    other.recordStartHeard(1050, false);
     other.applyRenewal(7, [3], 1050, 1060);
     other.applyRenewal(7, [3], 2000, 2000);
     assert.is(other.canOrder(3, 3150), false);
@@ -97,7 +100,10 @@
     clock.applyHandover([2], 4, 1, 10);
     assert.equal(clock.listShards(), [1]);
     clock.applyHandover([2], 5, 1, 10);
+    assert.is(clock.canOrder(2, 20), false);
+    clock.renewHandovers(15);
     assert.is(clock.canOrder(2, 20), true);
+    assert.equal(clock.listReleasable(3000), [1]);
     assert.ok(clock.readFence(2) > before);
     clock.applyRenewal(5, [1], 100, 100);
     assert.equal(clock.listShards(), [1, 2]);
@@ -108,12 +114,15 @@
 
 test("a VM that comes back within the deal goes on with a higher token than the one it handed over to", () => {
     const heir = createClock(-10_000);
+    heir.recordStartHeard(-9000, false);
     heir.applyRenewal(5, [1], 0, 0);
     heir.applyHandover([2], 5, 1, 100);
+    heir.renewHandovers(100);
     assert.is(heir.canOrder(2, 110), true);
     const before = heir.readFence(2);
     const restarted = createClock(2500);
     restarted.setRecordedGeneration(5, 2500);
+    restarted.recordStartHeard(2500, false);
     restarted.applyRenewal(5, [2], 2550, 2560);
     assert.equal(heir.revokeHandovers(2600), [2]);
     assert.is(heir.canOrder(2, 2600), false);
@@ -125,6 +134,35 @@
     assert.equal(restarted.revokeHandovers(3400), []);
 });
 
+test("a VM in whose place another one went on leaves it time to stop, and a turn after its own orders", () => {
+    const clock = createClock(1000);
+    clock.setRecordedGeneration(7, 1000);
+    clock.recordStartHeard(1200, true);
+    clock.applyRenewal(7, [3], 3000, 3010);
+    assert.is(clock.canOrder(3, 3999), false);
+    assert.is(clock.canOrder(3, 4000), true);
+    const late = createClock(1000);
+    late.setRecordedGeneration(7, 1000);
+    late.applyRenewal(7, [3], 5000, 5010);
+    late.recordStartHeard(5000, true);
+    assert.is(late.canOrder(3, 6299), false);
+    late.applyRenewal(7, [3], 6300, 6310);
+    assert.is(late.canOrder(3, 6399), false);
+    assert.is(late.canOrder(3, 6400), true);
+});
+
+test("a start of which most VMs have not heard orders nothing in its first deal, and waits anew in the next one", () => {
+    const clock = createClock(1000);
+    clock.applyRenewal(7, [3], 1050, 1060);
+    clock.applyRenewal(7, [3], 9000, 9010);
+    assert.is(clock.canOrder(3, 9020), false);
+    assert.equal(clock.listReleasable(9020), []);
+    clock.applyRenewal(8, [3], 9400, 9410);
+    clock.applyRenewal(8, [3], 11_000, 11_010);
+    assert.is(clock.canOrder(3, 11_509), false);
+    assert.is(clock.canOrder(3, 11_511), true);
+});
+
 test("a VM that is started twice within a deal never goes back to a lower token", () => {
     const once = createClock(1000);
     once.setRecordedGeneration(23, 1000);
@@ -196,9 +234,10 @@
         }
     }
 
-    restart(index: number): void {
+    restart(index: number, wasTakenOver = false): void {
         const vm = this.vms[index]!;
         vm.clock = createClock(this.now);
+        vm.clock.recordStartHeard(this.now, wasTakenOver);
         if (vm.recorded !== undefined) {
             vm.clock.setRecordedGeneration(vm.recorded, this.now);
         }
@@ -229,12 +268,14 @@
         const deal = vm.clock.deal;
         const depth = 1 + Math.max(...shards.map(shard => vm.clock.readDepth(shard)));
         vm.clock.releaseAll(this.now);
-        this.vms[(index + 1) % this.vms.length]!.clock.applyHandover(shards, deal, depth, this.now);
+        const heir = this.vms[(index + 1) % this.vms.length]!.clock;
+        heir.applyHandover(shards, deal, depth, this.now);
         for (let elapsed = 0; elapsed < 2300; elapsed += 100) {
             this.now += 100;
-            this.vms.forEach((other, heir) => other === vm || this.recordOrders(heir));
+            heir.renewHandovers(this.now);
+            this.vms.forEach((other, at) => other === vm || this.recordOrders(at));
         }
-        this.restart(index);
+        this.restart(index, true);
         for (const other of this.vms) {
             other.clock.revokeHandovers(this.now);
         }
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -27,6 +27,9 @@
     z.object({ kind: z.literal("member"), member: memberSchema, position }),
 ]);
 
+/** A process of a VM that handed its shards over. */
+const giverSchema = z.object({ vm: z.string(), incarnation: z.number() });
+
 /** What VMs tell each other. */
 export const peerMessageSchema = z.discriminatedUnion("type", [
     /** VMs that the sender knows. Sent when a link opens. */
@@ -71,9 +74,15 @@
     /** The sender gives no more orders to the engines of these shards. */
     z.object({ type: z.literal("release"), shards: z.array(z.number()), generation: z.number() }),
     /** The sender stops while the store is away and hands these shards to the receiver alone. */
-    z.object({ type: z.literal("handover"), shards: z.array(z.number()), deal: z.number(), depth: z.number() }),
-    /** The sender cannot renew its claims and asks what others know. */
-    z.object({ type: z.literal("claimQuery"), query: z.number() }),
+    z.object({
+        type: z.literal("handover"),
+        shards: z.array(z.number()),
+        deal: z.number(),
+        depth: z.number(),
+        givers: z.array(giverSchema),
+    }),
+    /** The sender has started, cannot renew its claims, or goes on for VMs that stopped, and asks what others know. */
+    z.object({ type: z.literal("claimQuery"), query: z.number(), givers: z.array(giverSchema) }),
     /** Answer to a query: the deal that the sender last saw, and how long ago it asked for it. */
     z.object({
         type: z.literal("claimState"),
@@ -84,6 +93,11 @@
         renewalAgeMs: z.number(),
         /** Whether the sender has lately tried to renew and got no answer. */
         isCutOff: z.boolean(),
+        /** Whether the sender knows that a VM for which the asker goes on has started again, or that none has. */
+        giversHaveStarted: z.boolean(),
+        giversAreGone: z.boolean(),
+        /** Whether another VM has lately said that it goes on for the asker. */
+        isTakenOver: z.boolean(),
     }),
     /** The sender is stopping and will take no part any more. */
     z.object({ type: z.literal("leaving") }),
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -24,6 +24,19 @@
 /** What was tried longer ago than this tells nothing of the store now, in milliseconds: idle VMs try every 1.2 s. */
 const triedLatelyMs = 1600;
 
+/**
+ * How long word that a VM goes on for another one counts, in milliseconds: it asks every 0.4 s, may go on for 1.3 s, and its
+ * orders must be a turn of 3 s old.
+ */
+const takenOverMs = 5000;
+
+/** How often a new process asks whether another VM goes on in its place, in milliseconds, and for how long so often. */
+const startQueryMs = 100;
+const startQueriesMs = 2000;
+
+/** Room for the queries of one process: their numbers tell them from those of the one before. */
+const queriesPerLife = 1000;
+
 /** How long one confirmed renewal lets its holder give orders, in milliseconds. */
 const claimUseMs = 1300;
 
@@ -45,10 +58,14 @@
 /** Options of {@link Owning}. */
 export interface OwningOptions extends Omit<OwnedEnginesOptions, "mayOrder" | "readFence" | "explainOrders"> {
     readonly claims: ShardClaims;
+    /** Tells this process from others of the same VM: when it started, in milliseconds. */
+    readonly incarnation: number;
+    /** The process of a VM that was heard of last. */
+    readonly readIncarnation: (vm: string) => number | undefined;
     /** Two holders of one engine must not give orders within this time of each other, in milliseconds. */
     readonly turnMs: number;
     readonly sendRelease: (shards: number[], generation: number) => void;
-    readonly sendQuery: (query: number) => void;
+    readonly sendQuery: (query: ClaimQuery) => void;
     /** Hands shards to one other VM. @returns Whether there is one. */
     readonly sendHandover: (handover: Handover) => boolean;
     /** Keeps for this VM's next start in which deal it gave orders. */
@@ -64,6 +81,21 @@
     readonly shards: number[];
     readonly deal: number;
     readonly depth: number;
+    /** Processes that gave them up, one after the other. */
+    readonly givers: readonly Giver[];
+}
+
+/** A process that handed its shards over. */
+export interface Giver {
+    readonly vm: string;
+    readonly incarnation: number;
+}
+
+/** A question about claims to all other VMs. */
+export interface ClaimQuery {
+    readonly query: number;
+    /** Processes for which the asker goes on. */
+    readonly givers: readonly Giver[];
 }
 
 /** What another VM knows of the claims. */
@@ -74,6 +106,12 @@
     readonly renewalAgeMs: number;
     /** Whether it has lately tried to renew and got no answer. */
     readonly isCutOff: boolean;
+    /** Whether it knows that one of the givers has started again. */
+    readonly giversHaveStarted: boolean;
+    /** Whether it knows all of the givers, and that none has started again. */
+    readonly giversAreGone: boolean;
+    /** Whether another VM has lately said that it goes on for the asker. */
+    readonly isTakenOver: boolean;
 }
 
 /** A question to all other VMs, and who has said that it holds none of this VM's shards. */
@@ -81,6 +119,8 @@
     readonly query: number;
     readonly askedAt: number;
     readonly clear: Set<string>;
+    /** Who knows that none of the VMs for which this one goes on has started again. */
+    readonly goneFor: Set<string>;
 }
 
 /** Which engines this VM owns: it claims shards of them, keeps the claims through outages, and hands them over. */
@@ -98,13 +138,23 @@
     private triedAt = -Infinity;
     /** When the first renewal since the last answer was sent; undefined if there is none. */
     private unansweredSince: number | undefined;
-    private openQuery: OpenQuery = { query: 0, askedAt: 0, clear: new Set() };
+    private openQuery: OpenQuery;
+    /** VMs that have answered a query of this process, and so have heard of its start. */
+    private readonly heardBy = new Set<string>();
+    private wasTakenOver = false;
+    private isStartConfirmed = false;
+    private startTimer: ScheduledRun | undefined;
+    /** Processes for which this VM goes on, by VM. */
+    private readonly givers = new Map<string, number>();
+    /** When another VM last said that it goes on for a VM. */
+    private readonly takenOverAt = new Map<string, number>();
     private recordedGeneration = -1;
     private renewals = 0;
 
     constructor(private readonly options: OwningOptions) {
         this.bootClock = options.bootClock ?? new BootClock();
         this.timers = options.timers ?? processTimers;
+        this.openQuery = this.createQuery(options.incarnation * queriesPerLife);
         this.clock = new ClaimClock({
             useMs: claimUseMs,
             settleMs: claimSettleMs,
@@ -127,6 +177,10 @@
     start(past: Member | undefined): void {
         if (past === undefined) {
             this.clock.setFirstLife();
+            this.isStartConfirmed = true;
+        }
+        else {
+            this.askAboutStart(this.bootClock.read() + startQueriesMs);
         }
         if (past?.generation !== undefined) {
             this.clock.setRecordedGeneration(past.generation, this.bootClock.read());
@@ -139,6 +193,35 @@
         }, waitMs);
     }
 
+    /** A new process asks whether another VM goes on for the one before it, until most VMs have answered. */
+    private askAboutStart(untilMs: number): void {
+        const now = this.bootClock.read();
+        if (this.isStopped || this.isStartConfirmed || now >= untilMs) {
+            return;
+        }
+        this.sendQuery(now);
+        this.checkStart();
+        this.startTimer = this.timers.scheduleOnce(() => this.askAboutStart(untilMs), startQueryMs);
+    }
+
+    private checkStart(): void {
+        if (this.isStartConfirmed || !this.isMajority(this.heardBy)) {
+            return;
+        }
+        this.isStartConfirmed = true;
+        this.clock.recordStartHeard(this.bootClock.read(), this.wasTakenOver);
+        this.options.log.recordImportant("startConfirmed", {
+            heardBy: this.heardBy.size,
+            others: this.options.countOthers(),
+            wasTakenOver: this.wasTakenOver,
+        });
+    }
+
+    /** Whether these VMs and this one are most of all. */
+    private isMajority(vms: ReadonlySet<string>): boolean {
+        return (vms.size + 1) * 2 > this.options.countOthers() + 1;
+    }
+
     /**
      * Gives everything up and tells the others, so that they need not wait for the claims to lapse. While the store is
      * away one of them takes the shards over.
@@ -146,16 +229,19 @@
     async stop(): Promise<void> {
         this.isStopped = true;
         this.renewTimer?.cancel();
-        const shards = this.clock.listReleasable(this.bootClock.read());
+        this.startTimer?.cancel();
+        const now = this.bootClock.read();
+        const shards = this.clock.listReleasable(now);
+        const usable = this.clock.listUsable(now);
         const deal = this.clock.deal;
-        const depth = 1 + Math.max(0, ...shards.map(shard => this.clock.readDepth(shard)));
-        const canOrder = this.clock.isSettled(this.bootClock.read());
-        const isCutOff = this.bootClock.read() - this.renewedAt > askPeersAfterMs;
-        this.clock.releaseAll(this.bootClock.read());
+        const depth = 1 + Math.max(0, ...usable.map(shard => this.clock.readDepth(shard)));
+        const handover: Handover = { shards: usable, deal, depth, givers: this.listGivers() };
+        const isCutOff = now - this.renewedAt > askPeersAfterMs;
+        this.clock.releaseAll(now);
         this.engines.stop();
-        await this.waitOrders(shards);
-        if (isCutOff && canOrder && this.options.sendHandover({ shards, deal, depth })) {
-            this.options.log.recordImportant("handedOver", { shards, deal, depth });
+        await this.waitOrders([...shards, ...usable]);
+        if (isCutOff && usable.length > 0 && this.options.sendHandover(handover)) {
+            this.options.log.recordImportant("handedOver", handover);
             return;
         }
         // Until the store has ended the deal this VM may start again and go on in it: a release that was told before stayed
@@ -173,13 +259,23 @@
             this.options.log.recordImportant("handoverPassedOn", { ...handover, isPassedOn });
             return;
         }
-        this.clock.applyHandover(handover.shards, handover.deal, handover.depth, this.bootClock.read());
-        this.options.log.recordImportant("handoverReceived", { ...handover, ownDeal: this.clock.deal });
+        const isOld = this.hasAnyStarted(handover.givers);
+        this.options.log.recordImportant("handoverReceived", { ...handover, ownDeal: this.clock.deal, isOld });
+        if (isOld) {
+            return;
+        }
+        const now = this.bootClock.read();
+        this.clock.applyHandover(handover.shards, handover.deal, handover.depth, now);
+        for (const { vm, incarnation } of handover.givers) {
+            this.givers.set(vm, incarnation);
+        }
         this.update();
+        this.sendQuery(now);
     }
 
     /** A VM has started: what was taken over from it, or from any other, goes back. */
     receiveStart(): void {
+        this.givers.clear();
         const dropped = this.clock.revokeHandovers(this.bootClock.read());
         if (dropped.length > 0) {
             this.options.log.recordImportant("handoverEnded", { shards: dropped });
@@ -272,8 +368,27 @@
             && now - this.triedAt < triedLatelyMs;
     }
 
+    /** This process and those for which it goes on. */
+    private listGivers(): Giver[] {
+        const { vm, incarnation } = this.options;
+        return [{ vm, incarnation }, ...[...this.givers].map(([giver, life]) => ({ vm: giver, incarnation: life }))];
+    }
+
+    /** Whether one of these processes is known to have been followed by another one of its VM. */
+    private hasAnyStarted(givers: readonly Giver[]): boolean {
+        return givers.some(({ vm, incarnation }) => (this.options.readIncarnation(vm) ?? incarnation) !== incarnation);
+    }
+
+    private recordTakenOver(givers: readonly Giver[], now: number): void {
+        for (const { vm } of givers) {
+            this.takenOverAt.set(vm, now);
+        }
+    }
+
     /** What this VM knows of the claims, for one that asks. One that has not heard of the store lately tries it for the asker. */
-    readClaimState(query: number): ClaimState {
+    readClaimState(vm: string, { query, givers }: ClaimQuery): ClaimState {
+        const now = this.bootClock.read();
+        this.recordTakenOver(givers, now);
         if (this.hasStarted && this.renewalAgeMs > askPeersAfterMs) {
             void this.renew();
         }
@@ -283,6 +398,9 @@
             shards: this.clock.listShards(),
             renewalAgeMs: this.renewalAgeMs,
             isCutOff: this.isCutOff,
+            giversHaveStarted: this.hasAnyStarted(givers),
+            giversAreGone: givers.every(giver => this.options.readIncarnation(giver.vm) === giver.incarnation),
+            isTakenOver: now - (this.takenOverAt.get(vm) ?? -Infinity) < takenOverMs,
         };
     }
 
@@ -296,9 +414,23 @@
             this.update();
             void this.sendRelease(dropped.filter(shard => releasable.includes(shard)), this.clock.deal, "toldByPeer");
         }
+        if (state.query > this.options.incarnation * queriesPerLife && state.query <= openQuery.query) {
+            this.heardBy.add(vm);
+            this.wasTakenOver ||= state.isTakenOver;
+            this.checkStart();
+        }
+        if (state.giversHaveStarted) {
+            this.receiveStart();
+        }
         if (state.query !== openQuery.query) {
             return;
         }
+        if (state.giversAreGone) {
+            openQuery.goneFor.add(vm);
+        }
+        if (this.clock.hasHandovers && this.isMajority(openQuery.goneFor)) {
+            this.clock.renewHandovers(openQuery.askedAt);
+        }
         const witnessMs = this.clock.applyWitness(state.generation, openQuery.askedAt - state.renewalAgeMs);
         this.recordProlonged("prolongedByWitness", witnessMs, { vm, renewalAgeMs: state.renewalAgeMs });
         this.clock.recordDeal(state.generation);
@@ -307,8 +439,7 @@
             openQuery.clear.add(vm);
         }
         // With most VMs cut off from the store it is the store that is away, and deals nothing anew.
-        const isMajority = (openQuery.clear.size + 1) * 2 > this.options.countOthers() + 1;
-        if (isMajority) {
+        if (this.isMajority(openQuery.clear)) {
             const allClearMs = this.clock.applyAllClear(openQuery.askedAt);
             this.recordProlonged("prolongedByAllClear", allClearMs, { clear: [...openQuery.clear] });
         }
@@ -328,14 +459,18 @@
             void this.renew();
         }
         const now = this.bootClock.read();
-        if (now - this.renewedAt > askPeersAfterMs && this.clock.listShards().length > 0) {
+        const isInDoubt = now - this.renewedAt > askPeersAfterMs && this.clock.listShards().length > 0;
+        if (isInDoubt) {
             this.options.log.record("claimsInDoubt", {
                 renewalAgeMs: Math.min(Math.round(now - this.renewedAt), maxRenewalAgeMs),
                 clear: [...this.openQuery.clear],
                 others: this.options.countOthers(),
             });
-            this.openQuery = { query: this.openQuery.query + 1, askedAt: now, clear: new Set() };
-            this.options.sendQuery(this.openQuery.query);
+        }
+        this.checkStart();
+        const isStartInDoubt = !this.isStartConfirmed && this.clock.listShards().length > 0;
+        if (isInDoubt || this.clock.hasHandovers || isStartInDoubt) {
+            this.sendQuery(now);
         }
         if (this.clock.isSettled(now) && this.clock.deal !== this.recordedGeneration) {
             this.recordedGeneration = this.clock.deal;
@@ -343,6 +478,17 @@
         }
     }
 
+    private createQuery(query: number): OpenQuery {
+        return { query, askedAt: this.bootClock.read(), clear: new Set(), goneFor: new Set() };
+    }
+
+    private sendQuery(now: number): void {
+        this.openQuery = { ...this.createQuery(this.openQuery.query + 1), askedAt: now };
+        const givers = this.clock.hasHandovers ? this.listGivers().slice(1) : [];
+        this.recordTakenOver(givers, now);
+        this.options.sendQuery({ query: this.openQuery.query, givers });
+    }
+
     private async renew(): Promise<void> {
         if (this.isRenewing || this.isStopped) {
             return;
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -183,6 +183,11 @@
         return this.linksByVm.has(vm);
     }
 
+    /** The process of a VM that opened a link last. */
+    findIncarnation(vm: string): number | undefined {
+        return this.incarnations.get(vm);
+    }
+
     /** Data centre of a connected VM. */
     findDataCentre(vm: string): string | undefined {
         return this.linksByVm.get(vm)?.peer.dataCentre;
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -105,6 +105,8 @@
     private readonly sharing: ChangeSharing;
     private readonly isolation = new IsolationWatch();
     private readonly admissions: Admissions;
+    /** Tells this process from others of the same VM. */
+    private readonly incarnation = Date.now();
     private owning: Owning | undefined;
     private past: Member | undefined;
     private hasReadMembers = false;
@@ -294,7 +296,7 @@
                 id: settings.vm,
                 role: "node",
                 dataCentre: settings.dataCentre,
-                incarnation: Date.now(),
+                incarnation: this.incarnation,
                 address: formatAddress(settings.peers),
             },
             secret: settings.secret,
@@ -323,7 +325,9 @@
             sendNews: news => this.sendNews(news),
             sendAnswer: (vm, answer) => this.sendAnswer(vm, answer),
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
-            sendQuery: query => this.peers.broadcast({ type: "claimQuery", query }),
+            sendQuery: ({ query, givers }) => this.peers.broadcast({ type: "claimQuery", query, givers: [...givers] }),
+            incarnation: this.incarnation,
+            readIncarnation: vm => this.peers.findIncarnation(vm),
             sendHandover: handover => this.sendHandover(handover),
             countOthers: () => this.peers.countLikely(),
             recordGeneration: generation => this.appendMember({ generation }),
@@ -440,7 +444,7 @@
                 return;
             case "claimQuery":
                 if (this.owning !== undefined) {
-                    this.peers.send(vm, { type: "claimState", ...this.owning.readClaimState(message.query) });
+                    this.peers.send(vm, { type: "claimState", ...this.owning.readClaimState(vm, message) });
                 }
                 return;
             case "claimState":
@@ -524,7 +528,8 @@
 
     private sendHandover(handover: Handover): boolean {
         const [heir] = this.peers.listHeirs();
-        return heir !== undefined && this.peers.send(heir, { type: "handover", ...handover });
+        return heir !== undefined
+            && this.peers.send(heir, { type: "handover", ...handover, givers: [...handover.givers] });
     }
 
     private runHousekeeping(): void {
--- a/packages/node/test/group.ts
+++ b/packages/node/test/group.ts
@@ -2,7 +2,7 @@
 import { ok } from "neverthrow";
 import * as assert from "uvu/assert";
 import { BootClock, type Timers } from "../src/clock.js";
-import { type ClaimState, type Handover, Owning } from "../src/owning.js";
+import { type ClaimQuery, type ClaimState, type Handover, Owning } from "../src/owning.js";
 import type { EngineOrders, Member, ShardDeal } from "../src/ports.js";
 import { createSilentLog, createUpstream, engineService } from "./fixtures.js";
 
@@ -37,7 +37,7 @@
 type GroupMessage =
     | { readonly kind: "release"; readonly shards: number[]; readonly generation: number; }
     | { readonly kind: "handover"; readonly handover: Handover; }
-    | { readonly kind: "query"; readonly query: number; }
+    | { readonly kind: "query"; readonly query: ClaimQuery; }
     | { readonly kind: "state"; readonly state: ClaimState; }
     | { readonly kind: "leaving"; };
 
@@ -107,6 +107,8 @@
             timers: this.createTimers(),
             bootClock: new BootClock({ readSteady: readTime, readWall: readTime }),
             turnMs,
+            incarnation: this.incarnation,
+            readIncarnation: other => this.known.get(other),
             findService: () => engineService,
             sendNews: () => {},
             sendAnswer: () => {},
@@ -133,7 +135,10 @@
                 this.owning.receiveHandover(message.handover);
                 return;
             case "query":
-                this.world.send(this, from.vm, { kind: "state", state: this.owning.readClaimState(message.query) });
+                this.world.send(this, from.vm, {
+                    kind: "state",
+                    state: this.owning.readClaimState(from.vm, message.query),
+                });
                 return;
             case "state":
                 this.owning.receiveClaimState(from.vm, message.state);
--- a/packages/node/test/units.test.ts
+++ b/packages/node/test/units.test.ts
@@ -250,6 +250,8 @@
         log: createLog(() => 0).log,
         readTime: () => 0,
         turnMs: 100,
+        incarnation: 1,
+        readIncarnation: () => undefined,
         findService: () => undefined,
         sendNews: () => {},
         sendAnswer: () => {},
@@ -265,8 +267,9 @@
     const handedOver: Handover[] = [];
     const owning = createOwning(handedOver);
     await owning.stop();
-    owning.receiveHandover({ shards: [1, 2], deal: 11, depth: 1 });
-    assert.equal(handedOver, [{ shards: [1, 2], deal: 11, depth: 1 }]);
+    const handover = { shards: [1, 2], deal: 11, depth: 1, givers: [{ vm: "b", incarnation: 5 }] };
+    owning.receiveHandover(handover);
+    assert.equal(handedOver, [handover]);
 });
 
 function createPeers(id: string, onOpen: () => void): Peers {
