Count a turn from when the last order came to its engine, and play random histories of whole VMs

Cause: a shard that comes back within 3 s is waited for from when it was given up; an order that was on its way then came to the engine up to 90 ms later, so that holders took turns within 2,976 ms.

Change: 100 ms more where a turn is counted from a shard given up or from the start of a process. Nothing else waits longer. Tests of ClaimClock that named the old times name the new ones.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -62,14 +62,15 @@
     /** Newest deal that another VM has told of. */
     private toldGeneration = 0;
 
-    private startedAt: number;
+    /** When the last order of the process before this one came to its engine, at the latest. */
+    private pastOrderAt: number;
     /** From when on orders may be given under the deal that this process met first. */
     private firstDealAt = Infinity;
     /** How long shards that were taken over may be used. */
     private handoverUntil = 0;
 
     constructor(private readonly options: ClaimClockOptions) {
-        this.startedAt = options.startedAt;
+        this.pastOrderAt = options.startedAt + orderMs;
     }
 
     /** The deal that this VM saw last: it rises with every change of any shard's holder. */
@@ -177,7 +178,7 @@
             return;
         }
         for (const shard of shards) {
-            const mayOrderAt = Math.max(now, (this.heldUntil.get(shard) ?? this.startedAt) + this.options.turnMs);
+            const mayOrderAt = Math.max(now, (this.heldUntil.get(shard) ?? this.pastOrderAt) + this.options.turnMs);
             this.claims.set(shard, { reason: "handover", generation: deal, mayOrderAt, depth, isHandover: true });
         }
     }
@@ -199,7 +200,8 @@
     }
 
     private endClaim(shard: number, now: number): boolean {
-        this.heldUntil.set(shard, now);
+        // An order that is on its way comes to the engine later than this, and a turn counts from there.
+        this.heldUntil.set(shard, now + orderMs);
         return this.claims.delete(shard);
     }
 
@@ -213,7 +215,7 @@
         if (this.recordedGeneration !== this.generation) {
             return;
         }
-        const mayOrderAt = Math.max(now, this.startedAt + recordedPauseMs);
+        const mayOrderAt = Math.max(now, this.options.startedAt + recordedPauseMs);
         for (const [shard, claim] of this.claims) {
             if (mayOrderAt < claim.mayOrderAt) {
                 this.claims.set(shard, { ...claim, mayOrderAt, reason: "recorded" });
@@ -228,7 +230,7 @@
      */
     private readWaitMs(shard: number, generation: number, now: number): number {
         const lapseMs = this.released.get(shard) === generation - 1 ? 0 : this.options.useMs + this.options.settleMs;
-        const heldUntil = this.heldUntil.get(shard) ?? this.startedAt;
+        const heldUntil = this.heldUntil.get(shard) ?? this.pastOrderAt;
         const alternateMs = Math.max(0, heldUntil + this.options.turnMs - now);
         return Math.max(lapseMs, alternateMs);
     }
@@ -258,12 +260,12 @@
      * this one takes the highest.
      */
     private readFirstDepth(generation: number): number {
-        return this.startedAt !== -Infinity && generation === this.firstDeal ? maxDepth : 0;
+        return this.pastOrderAt !== -Infinity && generation === this.firstDeal ? maxDepth : 0;
     }
 
     /** No process of this VM ran before this one: no shard can come back to it. */
     setFirstLife(): void {
-        this.startedAt = -Infinity;
+        this.pastOrderAt = -Infinity;
         this.firstDealAt = -Infinity;
     }
 
@@ -274,7 +276,7 @@
      */
     recordStartHeard(now: number, wasTakenOver: boolean): void {
         const atOnce = Math.min(this.firstDealAt, now);
-        const afterTurn = Math.max(now + this.options.useMs + orderMs, this.startedAt + this.options.turnMs);
+        const afterTurn = Math.max(now + this.options.useMs + orderMs, this.pastOrderAt + this.options.turnMs);
         this.firstDealAt = wasTakenOver ? Math.min(this.firstDealAt, afterTurn) : atOnce;
     }
 
--- a/packages/fleet/test/claims.test.ts
+++ b/packages/fleet/test/claims.test.ts
@@ -64,8 +64,8 @@
     clock.recordRelease(3, 2, 5400);
     clock.applyRenewal(3, [3], 5400, 5400);
     clock.applyRenewal(3, [3], 7900, 7900);
-    assert.is(clock.canOrder(3, 7999), false);
-    assert.is(clock.canOrder(3, 8001), true);
+    assert.is(clock.canOrder(3, 8099), false);
+    assert.is(clock.canOrder(3, 8101), true);
 });
 
 test("a restarted VM goes on at once if the deal is the one in which it gave orders", () => {
@@ -139,8 +139,8 @@
     clock.setRecordedGeneration(7, 1000);
     clock.recordStartHeard(1200, true);
     clock.applyRenewal(7, [3], 3000, 3010);
-    assert.is(clock.canOrder(3, 3999), false);
-    assert.is(clock.canOrder(3, 4000), true);
+    assert.is(clock.canOrder(3, 4099), false);
+    assert.is(clock.canOrder(3, 4100), true);
     const late = createClock(1000);
     late.setRecordedGeneration(7, 1000);
     late.applyRenewal(7, [3], 5000, 5010);
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -1,3 +1,4 @@
+import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { World } from "./group.js";
@@ -213,4 +214,120 @@
     world.checkOrders();
 });
 
+const vms = ["a", "b", "c", "d", "e"];
+
+/** One thing that happens in a random history, and the time after it. */
+const step = fc.record({
+    kind: fc.constantFrom(
+        "deal",
+        "dealToOne",
+        "kill",
+        "stop",
+        "stopAndKill",
+        "cut",
+        "cutOneWay",
+        "openPaths",
+        "cutOffStore",
+        "deafen",
+        "reachStore",
+        "outage",
+        "outageEnd",
+        "slow",
+        "quiet",
+    ),
+    vm: fc.nat(vms.length - 1),
+    other: fc.nat(vms.length - 1),
+    waitMs: fc.nat(2500),
+    downMs: fc.nat(1200),
+    hasTimePaused: fc.boolean(),
+});
+
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+
+function runStep(world: World, { kind, vm, other, downMs, hasTimePaused }: Step): void {
+    const [first, second] = [vms[vm]!, vms[other]!];
+    const startLater = (waitMs: number): void =>
+        world.schedule.add(waitMs, () => world.lives.has(first) || world.start(first));
+    switch (kind) {
+        case "deal":
+            world.planDeal(shard => vms[(shard + vm) % vms.length]);
+            return;
+        case "dealToOne":
+            world.planDeal(() => first);
+            return;
+        case "kill":
+            world.kill(first);
+            startLater(downMs);
+            return;
+        case "stop":
+            world.stop(first);
+            startLater(2310 + downMs);
+            return;
+        case "stopAndKill":
+            world.stop(first);
+            world.schedule.add(downMs / 2, () => world.kill(first));
+            startLater(downMs);
+            return;
+        case "cut":
+            world.closePath(first, second);
+            world.closePath(second, first);
+            return;
+        case "cutOneWay":
+            world.closePath(first, second);
+            return;
+        case "openPaths":
+            vms.forEach(from => vms.forEach(to => world.findPath(from, to).isCut && world.openPath(from, to)));
+            return;
+        case "cutOffStore":
+        case "deafen":
+            // Where most VMs are cut off and some are not, a claim may go on that the store has given away: a known gap.
+            if (world.cutOff.size + world.deaf.size < 2) {
+                (kind === "deafen" ? world.deaf : world.cutOff).add(first);
+            }
+            return;
+        case "reachStore":
+            world.deaf.clear();
+            if (world.cutOff.size < vms.length) {
+                world.cutOff.clear();
+            }
+            return;
+        case "outage":
+            if (world.cutOff.size < vms.length) {
+                world.startOutage();
+            }
+            return;
+        case "outageEnd":
+            if (world.cutOff.size === vms.length) {
+                world.endOutage(hasTimePaused);
+            }
+            return;
+        case "slow":
+            world.findPath(first, second).delayMs = downMs / 4;
+            return;
+        case "quiet":
+            return;
+    }
+}
+
+test("over random histories engines see one holder at a time", async () => {
+    await fc.assert(
+        fc.asyncProperty(fc.array(step, { minLength: 5, maxLength: 30 }), fc.nat(1000), async (steps, salt) => {
+            const world = await createWorld(vms);
+            let random = salt;
+            const chooseMs = (max: number): number => {
+                random = (random * 16807 + 11) % 2147483647;
+                return random % max;
+            };
+            world.chooseFlightMs = () => chooseMs(4) === 0 ? chooseMs(95) : 3;
+            world.chooseOpeningMs = () => chooseMs(3) === 0 ? chooseMs(70) : 0;
+            for (const each of steps) {
+                runStep(world, each);
+                await world.schedule.advance(each.waitMs);
+            }
+            world.checkOrders();
+        }),
+        { seed: 24, numRuns: 60, interruptAfterTimeLimit: 20_000 },
+    );
+});
+
 test.run();
