Pass on which deal is the newest, so that a holder cut off from the next one stops in time

Cause: a deal came just before an outage of the store. Its new holder had heard of it, the one before had not, and the path between the two was cut.

Change: every question and answer about claims carries the newest deal that its sender knows of, and a VM that is dealt shards asks at once. This also narrows the known gap of a VM that alone reaches the store: it must now be cut off from all of a majority.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -78,6 +78,11 @@
         return this.generation;
     }
 
+    /** The newest deal that this VM knows of, by itself or from others. */
+    get newestDeal(): number {
+        return Math.max(this.generation, this.toldGeneration);
+    }
+
     /** Fencing token for the engines of a shard: higher than that of every holder before. */
     readFence(shard: number): number {
         return this.generation * (maxDepth + 1) + (this.claims.get(shard)?.depth ?? 0);
@@ -99,7 +104,7 @@
      * @returns Whether it was taken: one that tells of a deal before the newest known one is old.
      */
     applyRenewal(generation: number, shards: readonly number[], sentAt: number, now: number): boolean {
-        if (generation < Math.max(this.generation, this.toldGeneration)) {
+        if (generation < this.newestDeal) {
             return false;
         }
         // A shard held in two deals in a row had no other holder. Over deals that this VM did not see it may have had one,
@@ -164,7 +169,7 @@
         return this.toldGeneration > this.generation ? 0 : this.renewUntil(askedAt);
     }
 
-    /** Takes word of another VM about the deal that it saw last. */
+    /** Takes word of another VM about the newest deal that it knows of. */
     recordDeal(generation: number): void {
         this.toldGeneration = Math.max(this.toldGeneration, generation);
     }
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -82,12 +82,19 @@
         givers: z.array(giverSchema),
     }),
     /** The sender has started, cannot renew its claims, or goes on for VMs that stopped, and asks what others know. */
-    z.object({ type: z.literal("claimQuery"), query: z.number(), givers: z.array(giverSchema) }),
+    z.object({
+        type: z.literal("claimQuery"),
+        query: z.number(),
+        newestDeal: z.number(),
+        givers: z.array(giverSchema),
+    }),
     /** Answer to a query: the deal that the sender last saw, and how long ago it asked for it. */
     z.object({
         type: z.literal("claimState"),
         query: z.number(),
         generation: z.number(),
+        /** The newest deal that the sender knows of, from others too. */
+        newestDeal: z.number(),
         shards: z.array(z.number()),
         /** Age of the last renewal that was answered, counted from its sending, in milliseconds. */
         renewalAgeMs: z.number(),
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -94,6 +94,8 @@
 /** A question about claims to all other VMs. */
 export interface ClaimQuery {
     readonly query: number;
+    /** The newest deal that the asker knows of. */
+    readonly newestDeal: number;
     /** Processes for which the asker goes on. */
     readonly givers: readonly Giver[];
 }
@@ -102,6 +104,8 @@
 export interface ClaimState {
     readonly query: number;
     readonly generation: number;
+    /** The newest deal that it knows of, from others too. */
+    readonly newestDeal: number;
     readonly shards: number[];
     readonly renewalAgeMs: number;
     /** Whether it has lately tried to renew and got no answer. */
@@ -386,8 +390,9 @@
     }
 
     /** What this VM knows of the claims, for one that asks. One that has not heard of the store lately tries it for the asker. */
-    readClaimState(vm: string, { query, givers }: ClaimQuery): ClaimState {
+    readClaimState(vm: string, { query, givers, newestDeal }: ClaimQuery): ClaimState {
         const now = this.bootClock.read();
+        this.clock.recordDeal(newestDeal);
         this.recordTakenOver(givers, now);
         if (this.hasStarted && this.renewalAgeMs > askPeersAfterMs) {
             void this.renew();
@@ -395,6 +400,7 @@
         return {
             query,
             generation: this.clock.deal,
+            newestDeal: this.clock.newestDeal,
             shards: this.clock.listShards(),
             renewalAgeMs: this.renewalAgeMs,
             isCutOff: this.isCutOff,
@@ -433,7 +439,7 @@
         }
         const witnessMs = this.clock.applyWitness(state.generation, openQuery.askedAt - state.renewalAgeMs);
         this.recordProlonged("prolongedByWitness", witnessMs, { vm, renewalAgeMs: state.renewalAgeMs });
-        this.clock.recordDeal(state.generation);
+        this.clock.recordDeal(state.newestDeal);
         const held = this.clock.listShards();
         if (state.isCutOff && !state.shards.some(shard => held.includes(shard))) {
             openQuery.clear.add(vm);
@@ -486,7 +492,7 @@
         this.openQuery = { ...this.createQuery(this.openQuery.query + 1), askedAt: now };
         const givers = this.clock.hasHandovers ? this.listGivers().slice(1) : [];
         this.recordTakenOver(givers, now);
-        this.options.sendQuery({ query: this.openQuery.query, givers });
+        this.options.sendQuery({ query: this.openQuery.query, newestDeal: this.clock.newestDeal, givers });
     }
 
     private async renew(): Promise<void> {
@@ -513,6 +519,11 @@
             return;
         }
         this.update();
+        if (deal.generation !== generation && deal.shards.length > 0) {
+            // Tells of the deal as well: a holder before it that is cut off from the store and from this VM hears of it from
+            // others, and stops before this VM has waited.
+            this.sendQuery(this.bootClock.read());
+        }
         const lost = held.filter(shard => !deal.shards.includes(shard));
         void this.sendRelease(lost, generation, "renewal");
     }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -325,7 +325,7 @@
             sendNews: news => this.sendNews(news),
             sendAnswer: (vm, answer) => this.sendAnswer(vm, answer),
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
-            sendQuery: ({ query, givers }) => this.peers.broadcast({ type: "claimQuery", query, givers: [...givers] }),
+            sendQuery: query => this.peers.broadcast({ type: "claimQuery", ...query, givers: [...query.givers] }),
             incarnation: this.incarnation,
             readIncarnation: vm => this.peers.findIncarnation(vm),
             sendHandover: handover => this.sendHandover(handover),
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -112,6 +112,21 @@
     world.checkOrders();
 });
 
+// A deal came just before an outage. Its new holder had heard of it, the one before had not, and the two were cut off from
+// each other; all others knew nothing, and bore out both.
+test("a holder that is cut off from the next one hears of its deal from others", async () => {
+    const world = await createWorld(["a", "b", "c", "d", "e"]);
+    world.closePath("a", "b");
+    world.closePath("b", "a");
+    ["a", "c", "d", "e"].forEach(vm => world.cutOff.add(vm));
+    world.planDeal(() => "b");
+    await world.schedule.advance(1300);
+    world.cutOff.add("b");
+    await world.schedule.advance(6000);
+    assert.equal(world.listHolders(0, world.schedule.now - 2000), ["b"]);
+    world.checkOrders();
+});
+
 test("while the store is away for most the holder goes on", async () => {
     const world = await createWorld(["a", "b", "c", "d", "e", "f", "g"]);
     world.startOutage();
