Let a start that too few VMs can hear of ask the store for a new deal

Cause: a start orders under its first deal only once most VMs have heard of it. Where most are gone for good none of them ever answers, and while all members renew in time the store deals nothing anew, so that the shards of the started VM stay without an owner.

Ruled out: a start that orders without that word after a pause: an heir beyond a cut, confirmed by most VMs, goes on for as long as the outage lasts.

Change: held back for 3 s, the VM leaves the group and joins again. Under the later deal it waits as every new owner does.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -289,6 +289,11 @@
         return now >= this.firstDealAt;
     }
 
+    /** Whether shards of the first deal are held that may not be used before most VMs have heard of this start. */
+    isHeldBack(now: number): boolean {
+        return this.generation === this.firstDeal && this.claims.size > 0 && !this.isStartConfirmed(now);
+    }
+
     /** Takes word that most VMs, asked at `askedAt`, have not heard of a start of those from which shards were taken over. */
     renewHandovers(askedAt: number): void {
         this.handoverUntil = Math.max(this.handoverUntil, askedAt + this.options.useMs);
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -34,6 +34,12 @@
 const startQueryMs = 100;
 const startQueriesMs = 2000;
 
+/**
+ * How long a start may hold shards that it may not use yet, since too few VMs have heard of it, in milliseconds. Most may be
+ * gone for good, and the store deals nothing anew by itself. Links open within some 100 ms, after a cut within 500 ms.
+ */
+const unheardStartMs = 3000;
+
 /** Room for the queries of one process: their numbers tell them from those of the one before. */
 const queriesPerLife = 1000;
 
@@ -148,6 +154,8 @@
     private wasTakenOver = false;
     private isStartConfirmed = false;
     private startTimer: ScheduledRun | undefined;
+    /** Since when this VM holds shards that it may not use before its start is heard of. */
+    private heldBackSince: number | undefined;
     /** Processes for which this VM goes on, by VM. */
     private readonly givers = new Map<string, number>();
     /** When another VM last said that it goes on for a VM. */
@@ -474,7 +482,12 @@
             });
         }
         this.checkStart();
-        const isStartInDoubt = !this.isStartConfirmed && this.clock.listShards().length > 0;
+        const isStartInDoubt = this.clock.isHeldBack(now);
+        this.heldBackSince = isStartInDoubt ? this.heldBackSince ?? now : undefined;
+        if (now - (this.heldBackSince ?? now) > unheardStartMs) {
+            this.heldBackSince = now;
+            void this.renewDeal();
+        }
         if (isInDoubt || this.clock.hasHandovers || isStartInDoubt) {
             this.sendQuery(now);
         }
@@ -484,6 +497,20 @@
         }
     }
 
+    /**
+     * Leaves the group and joins it again, so that the store deals anew: under a later deal a start needs no other VM's word.
+     * Without it a VM that starts where most others are gone for good would never use its shards.
+     */
+    private async renewDeal(): Promise<void> {
+        const hasLeft = await this.options.claims.release();
+        this.options.log.recordImportant("firstDealLeft", {
+            hasLeft,
+            deal: this.clock.deal,
+            heardBy: this.heardBy.size,
+        });
+        void this.renew();
+    }
+
     private createQuery(query: number): OpenQuery {
         return { query, askedAt: this.bootClock.read(), clear: new Set(), goneFor: new Set() };
     }
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { World } from "./group.js";
+import { shardCount, World } from "./group.js";
 
 /** VMs that have run for a while, all shards dealt to the first one. */
 async function createWorld(vms: readonly string[]): Promise<World> {
@@ -345,4 +345,23 @@
     );
 });
 
+// A VM that started again would have waited without end: it orders under its first deal only once most VMs have heard of its
+// start, and most were gone for good. The store deals nothing anew while all members renew in time.
+test("a VM that starts again among VMs of which most are gone for good orders again within some seconds", async () => {
+    const world = await createWorld(["a", "b", "c", "d", "e"]);
+    for (const vm of ["c", "d", "e"]) {
+        world.kill(vm);
+    }
+    await world.schedule.advance(10_000);
+    world.kill("a");
+    await world.schedule.advance(300);
+    world.start("a");
+    const startedAt = world.schedule.now;
+    await world.schedule.advance(8000);
+    for (let shard = 0; shard < shardCount; shard++) {
+        assert.ok(world.listHolders(shard, startedAt + 6500).length > 0, `nobody orders for shard ${shard}`);
+    }
+    world.checkOrders();
+});
+
 test.run();
