--- a/test/failures.test.ts
+++ b/test/failures.test.ts
@@ -10,6 +10,7 @@
     runWithDeployment,
     startDeployment,
     testOfferings,
+    waitForPlacer,
 } from "./support.js";
 
 const models = ["declaration@1", "declaration@2", "manifest@1", "tender@1"];
@@ -85,6 +86,23 @@
         }));
 }
 
+/** Settings under which gateways notice a silent agent long before the other agents do. */
+const gatewaysFirst = { agent: { peerSilenceMs: 1500 }, gateway: { peerSilenceMs: 300 } };
+
+test("what waits while the placer is frozen is served by the next one, also when gateways notice first", () =>
+    runWithDeployment(async deployment => {
+        await startDeployment(deployment, { agents: 2, ...gatewaysFirst });
+        const [gateway] = deployment.gateways;
+        checkWhole(await sendCompletion(gateway!.callers, "declaration@1", { tokens: 1 }), "declaration@1");
+        const placer = await waitForPlacer(deployment);
+        placer.process.signal("SIGSTOP");
+        checkWhole(await sendCompletion(gateway!.callers, "declaration@2", { tokens: 1 }), "declaration@2");
+        placer.process.signal("SIGCONT");
+        for (const model of models) {
+            checkWhole(await sendCompletion(gateway!.callers, model, { tokens: 1 }), model);
+        }
+    }));
+
 test("an engine that starts cold in the middle answers nothing wrong, and serves again", () =>
     runWithDeployment(async deployment => {
         await startDeployment(deployment, {
--- a/test/support.ts
+++ b/test/support.ts
@@ -1,5 +1,12 @@
 import type { FakesOptions } from "@radishreel/fakes";
-import { createKeyDigest, Deployment, type GatewayProcess, sendRequest, waitFor } from "@radishreel/harness";
+import {
+    type AgentProcess,
+    createKeyDigest,
+    Deployment,
+    type GatewayProcess,
+    sendRequest,
+    waitFor,
+} from "@radishreel/harness";
 import { request } from "undici";
 
 /** An engine of the stand-ins' settings. */
@@ -50,6 +57,17 @@
     await waitFor(`${gateway.id} to have ${model}`, async () => (await listModels(gateway)).includes(model));
 }
 
+/** Waits until just one agent says that it is the placer. */
+export function waitForPlacer(deployment: Deployment): Promise<AgentProcess> {
+    return waitFor("one placer", () => {
+        const placers = deployment.agents.filter(agent => {
+            const last = agent.process.lines.filter(line => line.includes("placer")).at(-1);
+            return last?.includes("is placer") ?? false;
+        });
+        return placers.length === 1 ? placers[0] : undefined;
+    });
+}
+
 /** Models that the paying customer may use at a gateway. */
 export async function listModels(gateway: GatewayProcess): Promise<string[]> {
     const { status, body } = await sendRequest(gateway.callers, "/v1/models", { method: "GET" });
