Let a placer that has just become responsible ask for everything

Cause: a gateway that notices the frozen placer first tells the next one before that one is responsible; it passes the demand on to the frozen one, and for the gateway nothing changes afterwards. Owners that notice first tell a next placer that drops what they say, by reading; not shown by a run.

Ruled out: telling everything that waits with each renewal, which costs the links something all the time; keeping at each agent what it passed on, which a later word of the gateway to another agent makes stale.

Change: an agent that becomes the placer sends `askState` to the gateways and agents of its data centre. Whoever takes it for the placer tells it all; whoever does not yet will do so when it sees the change.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -212,6 +212,7 @@
             loadTimeoutMs: this.settings.loadTimeoutMs,
             sendOrder: order => this.sendOrder(order),
             sendToGateways: message => this.peers.broadcast(this.peers.listGatewayLinks(), message),
+            sendToAgents: message => this.peers.broadcast(this.listHomeAgentLinks(), message),
             sendShare: message => this.peers.broadcast(this.peers.listAgentLinks(), message),
         });
     }
@@ -280,6 +281,10 @@
         if (this.placer.setActive(this.placerId === this.settings.id)) {
             this.logger.info(this.placer.isActive ? "is placer" : "is no longer placer");
         }
+        this.sendSummaries();
+    }
+
+    private sendSummaries(): void {
         const engines = this.owner.listSummaries() as MessageOf<"engines">["engines"];
         this.sendToPlacer({ type: "engines", engines });
     }
@@ -360,6 +365,9 @@
             case "loadEnded":
                 this.receiveForPlacer(link.peer.id, message);
                 return;
+            case "askState":
+                this.receiveAskState(link);
+                return;
             case "order":
                 this.owner.receiveOrder(message);
                 return;
@@ -412,6 +420,13 @@
         }
     }
 
+    /** To this agent another one may still be the placer; it tells the new one when it sees the change itself. */
+    private receiveAskState(link: PeerLink): void {
+        if (link.peer.id === this.placerId) {
+            this.sendSummaries();
+        }
+    }
+
     /** Summaries cross between data centres on a few links, and reach every agent in two steps. */
     private forward(link: PeerLink, message: MessageOf<"storeShare" | "progress">): void {
         const isFromHome = link.peer.dataCentre === this.settings.dataCentre;
--- a/packages/agent/src/placing.ts
+++ b/packages/agent/src/placing.ts
@@ -16,6 +16,8 @@
     /** Sends an order to the owner of its engine. */
     readonly sendOrder: (order: MessageOf<"order">) => void;
     readonly sendToGateways: (message: OutgoingMessage) => void;
+    /** Sends to the other agents of the data centre. */
+    readonly sendToAgents: (message: OutgoingMessage) => void;
     /** Tells the placers of other data centres. */
     readonly sendShare: (message: MessageOf<"storeShare">) => void;
 }
@@ -59,12 +61,21 @@
         return this.placer !== undefined;
     }
 
-    /** Becomes responsible, knowing nothing yet, or ceases to be. Returns whether that is a change. */
+    /**
+     * Becomes responsible, knowing nothing yet, or ceases to be. Returns whether that is a change.
+     *
+     * A new placer asks for everything: a node that noticed before it that the placer before is gone has told it already,
+     * while it still passed such words on to the one that is gone, and would not tell it again.
+     */
     setActive(isActive: boolean): boolean {
         if (isActive === this.isActive) {
             return false;
         }
         this.placer = isActive ? new Placer(this.createOptions()) : undefined;
+        if (isActive) {
+            this.options.sendToGateways({ type: "askState" });
+            this.options.sendToAgents({ type: "askState" });
+        }
         return true;
     }
 
--- a/packages/gateway/src/control.ts
+++ b/packages/gateway/src/control.ts
@@ -29,7 +29,7 @@
     onServices(upstreams: readonly ServiceUpstream[]): void;
     onOutlook(outlook: MessageOf<"outlook">): void;
     onOfferings(): void;
-    /** Another placer is responsible: it must hear of everything that waits. */
+    /** Another placer is responsible, or has only now learnt that it is: it must hear of everything that waits. */
     onPlacerChange(): void;
     onHeirs(heirs: MessageOf<"heirs">["heirs"]): void;
 }
@@ -307,6 +307,12 @@
             case "outlook":
                 this.options.events.onOutlook(message);
                 return;
+            case "askState":
+                // To this gateway another agent may still be the placer; it tells the new one when it sees the change.
+                if (key === this.placer) {
+                    this.options.events.onPlacerChange();
+                }
+                return;
             case "services":
                 this.receiveServices(key, message.upstreams);
                 return;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -124,6 +124,9 @@
     instance: z.string().optional(),
 });
 
+/** Placer to gateways and agents of its data centre: it has just become responsible, and must be told everything. */
+const askStateSchema = z.strictObject({ type: z.literal("askState") });
+
 const engineSummariesSchema = z.strictObject({ type: z.literal("engines"), engines: z.array(engineSummarySchema) });
 
 /** Placer to owner: evict `evict` if given, or load `model`. */
@@ -221,6 +224,7 @@
     agentsSchema,
     leavingSchema,
     engineSummariesSchema,
+    askStateSchema,
     orderSchema,
     loadEndedSchema,
     storeShareSchema,
