Show that a load ordered of a frozen owner holds up all others

Cause: one load runs at a time in a data centre, and the placer counts it as running until its owner says how it ended, or for loadTimeoutMs (60 s). An owner that is frozen when the order reaches it says nothing, and the one that takes its engine over knows of no order. Until then nothing is loaded, and requests wait until their deadline. Evictions are held up in the same way, for 10 s.

Change: a test of it.

--- a/test/failures.test.ts
+++ b/test/failures.test.ts
@@ -103,6 +103,23 @@
         }
     }));
 
+test("a load that was ordered of an owner while it is frozen holds up no other", () =>
+    runWithDeployment(async deployment => {
+        await startDeployment(deployment, { agents: 2 });
+        const [gateway] = deployment.gateways;
+        checkWhole(await sendCompletion(gateway!.callers, "declaration@1", { tokens: 1 }), "declaration@1");
+        const placer = await waitForPlacer(deployment);
+        const owner = deployment.agents.find(agent => agent !== placer)!;
+        owner.process.signal("SIGSTOP");
+        for (const model of [...models, ...models]) {
+            checkWhole(await sendCompletion(gateway!.callers, model, { tokens: 1 }), model);
+        }
+        owner.process.signal("SIGCONT");
+        for (const model of models) {
+            checkWhole(await sendCompletion(gateway!.callers, model, { tokens: 1 }), model);
+        }
+    }));
+
 test("an engine that starts cold in the middle answers nothing wrong, and serves again", () =>
     runWithDeployment(async deployment => {
         await startDeployment(deployment, {
