Forget orders that were lost with their owner, and plan anew

Cause: one load runs at a time, and one eviction; each counts as running until its owner says how it ended, or for 60 s and 10 s. An owner that is frozen says nothing, the next one knows of no order, and words on the end are lost with a link. A resumed placer orders loads over links that are gone, for demand of before its pause.

Ruled out: a shorter loadTimeoutMs, which a slow weight store would meet; having the next owner answer for orders of the one before, which it cannot know.

Change: when an engine's summary comes from another owner, or the link to its owner ends or opens, the placer forgets what it ordered of the engine and plans anew. It does not count as a failed load. One that runs all the same shows in the engine's next summary; at worst a second load runs beside it for its length.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -303,7 +303,7 @@
     private receiveForPlacer(from: string, message: MessageOf<"engines" | "loadEnded" | "demand">): void {
         switch (message.type) {
             case "engines":
-                message.engines.forEach(engine => this.engineOwners.set(engine.id, from));
+                message.engines.forEach(engine => this.setEngineOwner(engine.id, from));
                 this.placer.receiveSummaries(message.engines);
                 return;
             case "loadEnded":
@@ -314,6 +314,23 @@
         }
     }
 
+    private setEngineOwner(engineId: string, owner: string): void {
+        const before = this.engineOwners.get(engineId);
+        this.engineOwners.set(engineId, owner);
+        if (before !== owner) {
+            this.placer.removeOrders(engineId);
+        }
+    }
+
+    /** A link that ends may take orders and the words on their end with it, and there is none until the next one opens. */
+    private removeOrders(owner: string): void {
+        for (const [engineId, other] of this.engineOwners) {
+            if (other === owner) {
+                this.placer.removeOrders(engineId);
+            }
+        }
+    }
+
     private sendOrder(order: MessageOf<"order">): void {
         const owner = this.engineOwners.get(order.engineId);
         if (owner === this.settings.id) {
@@ -339,6 +356,7 @@
         }
         if (link.peer.role === "agent") {
             this.progress.list().forEach(progress => link.send(progress));
+            this.removeOrders(link.peer.id);
         }
     }
 
@@ -349,6 +367,9 @@
             this.owner.removeGateway(link);
             this.placer.removeGateway(formatIncarnation(link.peer));
         }
+        else {
+            this.removeOrders(link.peer.id);
+        }
         this.scheduleProgress();
     }
 
--- a/packages/agent/src/placing.ts
+++ b/packages/agent/src/placing.ts
@@ -101,6 +101,11 @@
         this.run({ type: "engineGone", engineId });
     }
 
+    /** Orders for the engine, or the words on how they ended, may have been lost. */
+    removeOrders(engineId: string): void {
+        this.run({ type: "ordersLost", engineId });
+    }
+
     receiveDemand(message: MessageOf<"demand">): void {
         this.run({ type: "demand", gateway: message.gateway, changes: message.changes });
     }
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -19,6 +19,8 @@
 export type PlacerEvent =
     | { readonly type: "engine"; readonly engine: EngineSummary; }
     | { readonly type: "engineGone"; readonly engineId: string; }
+    /** The engine has another owner, or orders to its owner may have been lost: nobody may ever say how they ended. */
+    | { readonly type: "ordersLost"; readonly engineId: string; }
     | { readonly type: "demand"; readonly gateway: string; readonly changes: readonly ModelDemand[]; }
     | { readonly type: "gatewayGone"; readonly gateway: string; }
     | { readonly type: "loadEnded"; readonly engineId: string; readonly model: string; readonly outcome: LoadOutcome; }
@@ -158,6 +160,9 @@
             case "engineGone":
                 this.removeEngine(event.engineId);
                 return;
+            case "ordersLost":
+                this.removeOrders(event.engineId);
+                return;
             case "demand":
                 for (const change of event.changes) {
                     this.demand.receive(event.gateway, change, now);
@@ -195,13 +200,25 @@
 
     private removeEngine(engineId: string): void {
         for (const { model } of this.engines.get(engineId)?.models ?? []) {
-            this.evictions.delete(formatPlace(engineId, model));
             this.demand.removePlace(engineId, model);
         }
         this.engines.delete(engineId);
+        this.removeOrders(engineId);
+    }
+
+    /**
+     * Until somebody says how an order ended, or its time is over, it holds up every other load or eviction of the data
+     * centre. If one that is dropped here is carried out all the same, the engine's next summary shows it.
+     */
+    private removeOrders(engineId: string): void {
         if (this.load?.engineId === engineId) {
             this.load = undefined;
         }
+        for (const [place, order] of this.evictions) {
+            if (order.engineId === engineId) {
+                this.evictions.delete(place);
+            }
+        }
     }
 
     // Loads.
