Show that an eviction which comes to nothing holds up all others

Cause: the test of the frozen owner said that it has more models than slots, but had four of each, so that it needed no evictions. With a fifth model it fails after SIGCONT: the resumed agent orders an eviction of an owner that has lost its engine to a higher token, or loses it before the model is released. That owner refuses, or forgets the order without a word; the placer counts the eviction as under way for 10 s, as long as the deadline, and orders no other.

Change: a fifth model in the series of the three tests of an owner that goes, and two tests of the decisions, which fail without time playing a part.

--- a/packages/placement/test/owner.test.ts
+++ b/packages/placement/test/owner.test.ts
@@ -175,4 +175,14 @@
     assert.ok(Number.isSafeInteger(createFence(2 ** 52, "one")));
 });
 
+test("an owner that loses an engine says that its evictions came to nothing", () => {
+    for (const event of [{ type: "fenced", engineId }, { type: "disown", engineId }] as const) {
+        const { decide } = createOwner();
+        decide(createReport(10), 10);
+        decide({ type: "order", action: "evict", engineId, model }, 20);
+        const refusals = decide(event, 30).filter(command => command.type === "refuse");
+        assert.equal(refusals, [{ type: "refuse", engineId, model }], event.type);
+    }
+});
+
 test.run();
--- a/packages/placement/test/placer.test.ts
+++ b/packages/placement/test/placer.test.ts
@@ -63,4 +63,19 @@
     assert.equal(decide(createEngine("x", 1), 300), [{ type: "load", engineId: "x", model: "b@1" }]);
 });
 
+test("an eviction that comes to nothing makes room for another one, and is not ordered again at once", () => {
+    const decide = createPlacer(createEngine("x", 1, ["a@1"]), createEngine("y", 1, ["b@1"]));
+    const [first] = decide(createDemand("c@1"), 0);
+    assert.is(first?.type, "evict");
+    const { engineId, model } = first!;
+    const [second] = decide({ type: "loadEnded", engineId, model, outcome: "refused" }, 10);
+    assert.is(second?.type, "evict");
+    assert.is.not(second!.engineId, engineId);
+    assert.equal(
+        decide({ type: "loadEnded", engineId: second!.engineId, model: second!.model, outcome: "refused" }, 20),
+        [],
+    );
+    assert.equal(decide({ type: "tick" }, 510), [first]);
+});
+
 test.run();
--- a/test/failures.test.ts
+++ b/test/failures.test.ts
@@ -15,6 +15,9 @@
 
 const models = ["declaration@1", "declaration@2", "manifest@1", "tender@1"];
 
+/** One more than the four slots of two engines. */
+const crowd = [...models, "spare@1"];
+
 function checkWhole(result: CompletionResult, model: string): void {
     assert.is(result.status, 200, result.body);
     assert.equal([...result.models], [model]);
@@ -72,11 +75,11 @@
                 victim!.process.signal("SIGSTOP");
             }
             // More models than slots: evictions must go on under the new owner.
-            for (const model of [...models, ...models]) {
+            for (const model of [...crowd, ...crowd]) {
                 checkWhole(await sendCompletion(gateway!.callers, model, { tokens: 1 }), model);
             }
             victim!.process.signal("SIGCONT");
-            for (const model of models) {
+            for (const model of crowd) {
                 checkWhole(await sendCompletion(gateway!.callers, model, { tokens: 1 }), model);
             }
             checkWhole(await stream, "declaration@1");
