Let an eviction that comes to nothing be known as such

Cause: an owner that has lost its engine refused an eviction, or forgot one under way without a word. The placer took a refusal for a failed load only, and counted the eviction as under way for 10 s, as long as the deadline, and ordered no other.

Ruled out: forgetting an eviction whenever a summary shows the model loaded, since a summary that left before the order arrived does so too; a shorter evictTimeoutMs alone, which would order evictions anew that wait for a stream's end.

Change: an owner that is fenced or gives an engine up refuses the evictions under way, and the placer takes a refusal as the end of one. The place is left alone for as long as after a failed load, also by evictions, or a fenced owner would be asked in a circle until it has claimed its engine. Four mutations: the question of a new placer, lost orders, refused evictions, the wait after them; each is caught.

--- a/packages/placement/src/owner.ts
+++ b/packages/placement/src/owner.ts
@@ -119,17 +119,14 @@
                 this.addEngine(event.engineId, event.address);
                 return [];
             case "disown":
-                this.removeEngine(event.engineId);
-                return [];
+                return this.removeEngine(event.engineId);
             case "report":
-                this.receiveReport(event.engineId, event.report, now);
-                return [];
+                return this.receiveReport(event.engineId, event.report, now);
             case "claimed":
                 this.receiveClaimed(event.engineId, event.fence, now);
                 return [];
             case "fenced":
-                this.receiveFenced(event.engineId, now);
-                return [];
+                return this.receiveFenced(event.engineId, now);
             case "leaving":
                 this.receiveLeaving(event.engineId);
                 return [];
@@ -161,10 +158,14 @@
         this.version++;
     }
 
-    private removeEngine(engineId: string): void {
-        if (this.engines.delete(engineId)) {
-            this.version++;
+    private removeEngine(engineId: string): OwnerCommand[] {
+        const engine = this.engines.get(engineId);
+        if (engine === undefined) {
+            return [];
         }
+        this.engines.delete(engineId);
+        this.version++;
+        return refuseEvictions(engine);
     }
 
     private claim(engine: OwnedEngine, now: number, commands: OwnerCommand[]): void {
@@ -204,11 +205,12 @@
     }
 
     /** Another owner gave the engine a higher token. Nothing more is ordered or leased here until it is claimed again. */
-    private receiveFenced(engineId: string, now: number): void {
+    private receiveFenced(engineId: string, now: number): OwnerCommand[] {
         const engine = this.engines.get(engineId);
         if (engine === undefined) {
-            return;
+            return [];
         }
+        const refusals = refuseEvictions(engine);
         engine.fence = undefined;
         engine.claimingFence = undefined;
         engine.mustReclaim = false;
@@ -216,14 +218,15 @@
         engine.nextClaimAt = now + claimBackoffMs;
         engine.models.clear();
         this.version++;
+        return refusals;
     }
 
     // What engines say.
 
-    private receiveReport(engineId: string, report: EngineReport, now: number): void {
+    private receiveReport(engineId: string, report: EngineReport, now: number): OwnerCommand[] {
         const engine = this.engines.get(engineId);
         if (engine === undefined || report.askedAt < engine.reportAskedAt) {
-            return;
+            return [];
         }
         engine.reportAskedAt = report.askedAt;
         engine.seenFence = report.fence;
@@ -232,8 +235,7 @@
         }
         if (engine.fence !== undefined && report.fence > engine.fence) {
             // Engines that ignore tokens report them all the same: this is how an owner that was paused learns of it.
-            this.receiveFenced(engineId, now);
-            return;
+            return this.receiveFenced(engineId, now);
         }
         const isLeaving = engine.isLeaving || report.isLeaving;
         if (engine.isLeaving !== isLeaving || engine.batchRoom !== report.batchRoom) {
@@ -245,6 +247,7 @@
         if (applyReportedModels(engine, report)) {
             this.version++;
         }
+        return [];
     }
 
     /** A process that has just started runs nothing, so that no doubt about the one before it remains. */
@@ -402,3 +405,10 @@
         }
     }
 }
+
+/** The placer orders no other eviction until it hears of these, and an owner that has lost its engine carries none out. */
+function refuseEvictions(engine: OwnedEngine): OwnerCommand[] {
+    return [...engine.models]
+        .filter(([, slot]) => slot.state === "revoking" || slot.state === "evicting")
+        .map(([model]) => ({ type: "refuse", engineId: engine.id, model }));
+}
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -229,6 +229,9 @@
             this.backoffs.delete(place);
         }
         else {
+            // Owners say in the same way that an eviction came to nothing. The time until the place is tried again holds
+            // for evictions too: an owner that has just lost its engine refuses each at once.
+            this.evictions.delete(place);
             const failures = (this.backoffs.get(place)?.failures ?? 0) + 1;
             this.backoffs.set(place, {
                 failures,
@@ -317,7 +320,11 @@
         if (engine.isLeaving || this.demand.isHeld(engine.id, model)) {
             return false;
         }
-        return this.backoffs.size === 0 || now >= (this.backoffs.get(formatPlace(engine.id, model))?.until ?? 0);
+        return !this.isBackedOff(engine.id, model, now);
+    }
+
+    private isBackedOff(engineId: string, model: string, now: number): boolean {
+        return this.backoffs.size > 0 && now < (this.backoffs.get(formatPlace(engineId, model))?.until ?? 0);
     }
 
     /** A replica is wanted where every engine that holds the model is full, and none is about to hold it. */
@@ -408,7 +415,7 @@
                 continue;
             }
             for (const slot of engine.models) {
-                if (slot.state !== "loaded") {
+                if (slot.state !== "loaded" || this.isBackedOff(engine.id, slot.model, now)) {
                     continue;
                 }
                 const cost = this.readEvictCost(slot.model, slot.inUse, now) + this.readPackBias(engine);
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -28,6 +28,30 @@
         "slot.isEvictionOpen = false;",
         "packages/gateway/dist/test/leases.test.js",
     ],
+    [
+        "placement/dist/src/owner.js",
+        "slot.state === \"revoking\" || slot.state === \"evicting\"",
+        "slot.state === \"evicting\"",
+        "packages/placement/dist/test/owner.test.js",
+    ],
+    [
+        "placement/dist/src/placer.js",
+        "this.removeOrders(event.engineId);",
+        "",
+        "packages/placement/dist/test/placer.test.js",
+    ],
+    [
+        "placement/dist/src/placer.js",
+        "slot.state !== \"loaded\" || this.isBackedOff(engine.id, slot.model, now)",
+        "slot.state !== \"loaded\"",
+        "packages/placement/dist/test/placer.test.js",
+    ],
+    [
+        "agent/dist/src/placing.js",
+        "this.options.sendToGateways({ type: \"askState\" });",
+        "",
+        "packages/agent/dist/test/placing.test.js",
+    ],
     [
         "placement/dist/src/leases.js",
         "if (lease.grantVersion < version) {",
