--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -212,6 +212,7 @@
             loadTimeoutMs: this.settings.loadTimeoutMs,
             sendOrder: order => this.sendOrder(order),
             sendToGateways: message => this.peers.broadcast(this.peers.listGatewayLinks(), message),
+            sendToAgents: message => this.peers.broadcast(this.listHomeAgentLinks(), message),
             sendShare: message => this.peers.broadcast(this.peers.listAgentLinks(), message),
         });
     }
@@ -280,6 +281,10 @@
         if (this.placer.setActive(this.placerId === this.settings.id)) {
             this.logger.info(this.placer.isActive ? "is placer" : "is no longer placer");
         }
+        this.sendSummaries();
+    }
+
+    private sendSummaries(): void {
         const engines = this.owner.listSummaries() as MessageOf<"engines">["engines"];
         this.sendToPlacer({ type: "engines", engines });
     }
@@ -298,7 +303,7 @@
     private receiveForPlacer(from: string, message: MessageOf<"engines" | "loadEnded" | "demand">): void {
         switch (message.type) {
             case "engines":
-                message.engines.forEach(engine => this.engineOwners.set(engine.id, from));
+                message.engines.forEach(engine => this.setEngineOwner(engine.id, from));
                 this.placer.receiveSummaries(message.engines);
                 return;
             case "loadEnded":
@@ -309,6 +314,23 @@
         }
     }
 
+    private setEngineOwner(engineId: string, owner: string): void {
+        const before = this.engineOwners.get(engineId);
+        this.engineOwners.set(engineId, owner);
+        if (before !== owner) {
+            this.placer.removeOrders(engineId);
+        }
+    }
+
+    /** A link that ends may take orders and the words on their end with it, and there is none until the next one opens. */
+    private removeOrders(owner: string): void {
+        for (const [engineId, other] of this.engineOwners) {
+            if (other === owner) {
+                this.placer.removeOrders(engineId);
+            }
+        }
+    }
+
     private sendOrder(order: MessageOf<"order">): void {
         const owner = this.engineOwners.get(order.engineId);
         if (owner === this.settings.id) {
@@ -334,6 +356,7 @@
         }
         if (link.peer.role === "agent") {
             this.progress.list().forEach(progress => link.send(progress));
+            this.removeOrders(link.peer.id);
         }
     }
 
@@ -344,6 +367,9 @@
             this.owner.removeGateway(link);
             this.placer.removeGateway(formatIncarnation(link.peer));
         }
+        else {
+            this.removeOrders(link.peer.id);
+        }
         this.scheduleProgress();
     }
 
@@ -360,6 +386,9 @@
             case "loadEnded":
                 this.receiveForPlacer(link.peer.id, message);
                 return;
+            case "askState":
+                this.receiveAskState(link);
+                return;
             case "order":
                 this.owner.receiveOrder(message);
                 return;
@@ -412,6 +441,13 @@
         }
     }
 
+    /** To this agent another one may still be the placer; it tells the new one when it sees the change itself. */
+    private receiveAskState(link: PeerLink): void {
+        if (link.peer.id === this.placerId) {
+            this.sendSummaries();
+        }
+    }
+
     /** Summaries cross between data centres on a few links, and reach every agent in two steps. */
     private forward(link: PeerLink, message: MessageOf<"storeShare" | "progress">): void {
         const isFromHome = link.peer.dataCentre === this.settings.dataCentre;
--- a/test/failures.test.ts
+++ b/test/failures.test.ts
@@ -10,10 +10,14 @@
     runWithDeployment,
     startDeployment,
     testOfferings,
+    waitForPlacer,
 } from "./support.js";
 
 const models = ["declaration@1", "declaration@2", "manifest@1", "tender@1"];
 
+/** One more than the four slots of two engines. */
+const crowd = [...models, "spare@1"];
+
 function checkWhole(result: CompletionResult, model: string): void {
     assert.is(result.status, 200, result.body);
     assert.equal([...result.models], [model]);
@@ -71,11 +75,11 @@
                 victim!.process.signal("SIGSTOP");
             }
             // More models than slots: evictions must go on under the new owner.
-            for (const model of [...models, ...models]) {
+            for (const model of [...crowd, ...crowd]) {
                 checkWhole(await sendCompletion(gateway!.callers, model, { tokens: 1 }), model);
             }
             victim!.process.signal("SIGCONT");
-            for (const model of models) {
+            for (const model of crowd) {
                 checkWhole(await sendCompletion(gateway!.callers, model, { tokens: 1 }), model);
             }
             checkWhole(await stream, "declaration@1");
@@ -85,6 +89,40 @@
         }));
 }
 
+/** Settings under which gateways notice a silent agent long before the other agents do. */
+const gatewaysFirst = { agent: { peerSilenceMs: 1500 }, gateway: { peerSilenceMs: 300 } };
+
+test("what waits while the placer is frozen is served by the next one, also when gateways notice first", () =>
+    runWithDeployment(async deployment => {
+        await startDeployment(deployment, { agents: 2, ...gatewaysFirst });
+        const [gateway] = deployment.gateways;
+        checkWhole(await sendCompletion(gateway!.callers, "declaration@1", { tokens: 1 }), "declaration@1");
+        const placer = await waitForPlacer(deployment);
+        placer.process.signal("SIGSTOP");
+        checkWhole(await sendCompletion(gateway!.callers, "declaration@2", { tokens: 1 }), "declaration@2");
+        placer.process.signal("SIGCONT");
+        for (const model of models) {
+            checkWhole(await sendCompletion(gateway!.callers, model, { tokens: 1 }), model);
+        }
+    }));
+
+test("a load that was ordered of an owner while it is frozen holds up no other", () =>
+    runWithDeployment(async deployment => {
+        await startDeployment(deployment, { agents: 2 });
+        const [gateway] = deployment.gateways;
+        checkWhole(await sendCompletion(gateway!.callers, "declaration@1", { tokens: 1 }), "declaration@1");
+        const placer = await waitForPlacer(deployment);
+        const owner = deployment.agents.find(agent => agent !== placer)!;
+        owner.process.signal("SIGSTOP");
+        for (const model of [...models, ...models]) {
+            checkWhole(await sendCompletion(gateway!.callers, model, { tokens: 1 }), model);
+        }
+        owner.process.signal("SIGCONT");
+        for (const model of models) {
+            checkWhole(await sendCompletion(gateway!.callers, model, { tokens: 1 }), model);
+        }
+    }));
+
 test("an engine that starts cold in the middle answers nothing wrong, and serves again", () =>
     runWithDeployment(async deployment => {
         await startDeployment(deployment, {
