Tell when a VM learns that an upstream leaves, and how long it knew at a send

The lines could not tell a VM that learned it late from one that knew it and sent all the same.

upstreamLeaving names the entry's position and whom it came from; attempt tells how long the leaving was known. No logic changes.

--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -10,6 +10,8 @@
 /** What one VM knows of one upstream. */
 export interface UpstreamState {
     upstream: Upstream;
+    /** Since when this VM knows that it leaves; undefined if it does not leave as far as is known. */
+    leavingSince: number | undefined;
     /** When it will be gone, if it is taken away at short notice. */
     goneAt: number | undefined;
     /** The newest word of its owner; missing for plain services, and until an owner has spoken. */
@@ -38,6 +40,7 @@
         if (state === undefined) {
             this.states.set(upstream.id, {
                 upstream,
+                leavingSince: upstream.isLeaving ? now : undefined,
                 goneAt,
                 news: undefined,
                 owner: undefined,
@@ -49,6 +52,7 @@
             return;
         }
         state.upstream = upstream;
+        state.leavingSince = upstream.isLeaving ? state.leavingSince ?? now : undefined;
         state.goneAt = goneAt === undefined ? undefined : Math.min(goneAt, state.goneAt ?? goneAt);
     }
 
--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -66,9 +66,12 @@
         return this.listChanges().filter(change => change.position > readKindPosition(positions, change));
     }
 
-    /** Takes changes, and returns those that were new. */
-    applyChanges(changes: readonly ClusterChange[]): ClusterChange[] {
-        const fresh = changes.filter(change => this.applyChange(change));
+    /**
+     * Takes changes, and returns those that were new.
+     * @param from Where they come from, for the log: the store, or the VM that has passed them on.
+     */
+    applyChanges(changes: readonly ClusterChange[], from = "store"): ClusterChange[] {
+        const fresh = changes.filter(change => this.applyChange(change, from));
         if (fresh.length > 0) {
             this.options.onChange();
         }
@@ -114,9 +117,9 @@
         this.lapsed.clear();
     }
 
-    private applyChange(change: ClusterChange): boolean {
+    private applyChange(change: ClusterChange, from: string): boolean {
         if (change.kind === "upstream" || change.kind === "upstreamGone") {
-            return this.applyRegistration(change);
+            return this.applyRegistration(change, from);
         }
         const item = formatItem(change);
         if ((this.positions.get(item) ?? -1) >= change.position) {
@@ -139,10 +142,13 @@
         return true;
     }
 
-    private applyRegistration(change: Extract<ClusterChange, { kind: "upstream" | "upstreamGone"; }>): boolean {
+    private applyRegistration(
+        change: Extract<ClusterChange, { kind: "upstream" | "upstreamGone"; }>,
+        from: string,
+    ): boolean {
         this.recordPosition(change);
         const isNew = change.kind === "upstream"
-            ? this.applyEntry(change.upstream, change.position)
+            ? this.applyEntry(change.upstream, change.position, from)
             : this.applyRemoval(change.name, change.position);
         if (isNew) {
             this.changes.set(formatItem(change), change);
@@ -172,7 +178,7 @@
     }
 
     /** An upstream that has started again is another one: nothing that is known of the one before holds for it. */
-    private applyEntry(upstream: Upstream, position: number): boolean {
+    private applyEntry(upstream: Upstream, position: number, from: string): boolean {
         const verdict = this.registry.applyEntry(upstream, position);
         const known = this.findByName(upstream.name);
         if (verdict === "earlier") {
@@ -188,11 +194,21 @@
             // A VM that starts while the store is away learns of upstreams from its peers.
             this.hasUpstreams = true;
             this.lapsed.delete(upstream.name);
-            this.options.view.updateUpstream(upstream, this.options.readTime());
+            this.updateUpstream(upstream, position, from);
         }
         return true;
     }
 
+    private updateUpstream(upstream: Upstream, position: number, from: string): void {
+        const { view, log, readTime } = this.options;
+        const wasLeaving = view.findUpstream(upstream.id)?.upstream.isLeaving === true;
+        view.updateUpstream(upstream, readTime());
+        if (upstream.isLeaving && !wasLeaving) {
+            const { id, service, remainingMs } = upstream;
+            log.recordImportant("upstreamLeaving", { upstream: id, service, position, from, remainingMs });
+        }
+    }
+
     private findByName(name: string): Upstream | undefined {
         return this.options.view.listUpstreams().find(({ upstream }) => upstream.name === name)?.upstream;
     }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -203,8 +203,8 @@
         return this.stopping;
     }
 
-    receiveChanges(changes: readonly ClusterChange[]): void {
-        const fresh = this.cluster.applyChanges(changes);
+    receiveChanges(changes: readonly ClusterChange[], from?: string): void {
+        const fresh = this.cluster.applyChanges(changes, from);
         if (fresh.length === 0) {
             return;
         }
@@ -396,7 +396,7 @@
                 }
                 return;
             case "changes":
-                this.receiveChanges(message.changes);
+                this.receiveChanges(message.changes, vm);
                 return;
             case "positions":
                 this.sharing.receivePositions(
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -233,7 +233,7 @@
     private async runAttempt(job: Job, { choice, admission }: ReadyUpstream): Promise<AttemptEnd> {
         const { readTime, log } = this.options;
         const sentAt = readTime();
-        const { upstream, health } = choice.state;
+        const { upstream, health, leavingSince } = choice.state;
         const load = this.addLoad(job, choice);
         job.attempts += 1;
         const attempt = new Attempt({
@@ -279,6 +279,7 @@
             end: end.kind,
             detail: "detail" in end ? end.detail : undefined,
             status: "status" in end ? end.status : undefined,
+            leavingMs: leavingSince === undefined ? undefined : Math.round(sentAt - leavingSince),
         });
         return end;
     }
