Show a request that is sent to an engine which left while it waited there

They had joined its queue before, since their adapter had to be loaded, and were let in and sent when the load ended, though every VM had known for more than 2 s that the engine leaves.

The test holds the owner's word back until the request's VM has learned of the leaving.

--- /dev/null
+++ b/packages/node/test/leaving.test.ts
@@ -0,0 +1,110 @@
+/**
+ * What users saw (issue 24): a draft was sent at 24.134 s and reached an engine at 27.757 s, 2.3 s after the store had
+ * acknowledged that the engine leaves; 2 s are allowed. It was served, but an engine may be gone by then.
+ *
+ * Order of events: the request joins the engine's queue, since its adapter must be loaded; the engine says that it leaves
+ * (25.408 s); every VM knows it 0.17 s later and sends it nothing new; its owner goes on ordering the load, which ends at
+ * 27.754 s, and lets the request in; its VM sends it at once.
+ *
+ * Cause: whether an engine leaves was asked only when it was chosen. Neither the owner, nor the VM once it was let in, nor
+ * the send looked again.
+ *
+ * Evidence: armor-partage, mix, seed 447410918071 on e327b8c broke the rule in each of three plays. With lines that tell how
+ * long a leaving is known, two such requests were sent 2629 and 2614 ms after their VM had learned of it.
+ */
+import { FleetView, KeptParts, PauseThreshold } from "@radishreel/fleet";
+import type { Route } from "@radishreel/routing";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type AdmissionMessage, Admissions } from "../src/admissions.js";
+import type { CallerExchange } from "../src/caller.js";
+import { UpstreamChooser } from "../src/choosing.js";
+import { createJob, type Job } from "../src/job.js";
+import { createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
+
+const route: Route = {
+    name: "r",
+    host: "h",
+    pathPrefix: "/",
+    kind: "stream",
+    targets: [{ service: "llm", weight: 1 }],
+    timeoutMs: 6000,
+    aimMs: 1500,
+    gapAimMs: 300,
+    priority: 0,
+    maxAttempts: 1,
+    isResumable: false,
+};
+
+const readSteady = () => performance.now();
+
+/** A request that needs an adapter which no engine holds. */
+function createRequest(): Job {
+    const caller = { hasLeft: false, left: new Promise<undefined>(() => {}) } as CallerExchange;
+    const model = { model: "base", adapter: "a1", promptTokens: 100, outputTokens: 10, parts: [] };
+    const startedAt = readSteady();
+    return createJob({
+        caller,
+        demand: { requestId: "q", budgetMs: undefined, model, lastEventId: undefined },
+        route,
+        service: engineService,
+        body: undefined,
+        startedAt,
+        deadlineAt: startedAt + route.timeoutMs,
+    });
+}
+
+/** A request that waits at engine e1; what its VM has sent to owners, and how they answer, are the test's. */
+function createWaiting() {
+    const view = new FleetView();
+    const addEngine = (id: string): void => {
+        view.updateUpstream(createUpstream(id), readSteady());
+        view.updateNews("owner", createNews(id), readSteady());
+    };
+    addEngine("e1");
+    const sent: AdmissionMessage[] = [];
+    const admissions: Admissions = new Admissions({
+        readTime: readSteady,
+        send: (_vm, message) => {
+            sent.push(message);
+            if (message.type === "admit") {
+                const { ticket } = message.request;
+                admissions.receiveAnswer(
+                    "owner",
+                    message.engine === "e1"
+                        ? { kind: "queued", ticket, expectedMs: 200 }
+                        : { kind: "admitted", ticket, version: 1 },
+                );
+            }
+            return true;
+        },
+    });
+    const chooser = new UpstreamChooser({
+        dataCentre: "z",
+        view,
+        admissions,
+        kept: new KeptParts(),
+        longPrompts: new PauseThreshold(),
+        log: createSilentLog(readSteady),
+        readTime: readSteady,
+        isLinked: () => true,
+        sendPreparation: () => {},
+    });
+    const ready = chooser.chooseReady(createRequest());
+    const asked = sent.find(message => message.type === "admit")!;
+    // From now on another engine could take it, and e1 is known to leave.
+    addEngine("e2");
+    const leave = (): void => view.updateUpstream(createUpstream("e1", { isLeaving: true }), readSteady());
+    return { admissions, sent, ready, ticket: asked.request.ticket, leave };
+}
+
+test("a request that is let in at an engine which leaves by now goes to another one", async () => {
+    const { admissions, sent, ready, ticket, leave } = createWaiting();
+    leave();
+    // Its owner does not know yet.
+    admissions.receiveAnswer("owner", { kind: "admitted", ticket, version: 1 });
+    assert.is((await ready)?.choice.state.upstream.id, "e2");
+    assert.ok(sent.some(message => message.type === "ended" && message.ticket === ticket));
+});
+
+test.run();
