Ask again whether an upstream leaves after the wait for it, and at the send

Change: the owner of an engine that leaves declines what waits and what comes, and orders nothing more; the request's VM looks again every 0.3 s of the wait, when it is let in, and in the same step as the write, which also covers servers of plain services, engines without an owner and entries that are removed while a connection is opened. A send that was held back so does not count against the upstream's health. The same cause was looked for elsewhere: versions are compared again when a request is let in, orders ask for their claim before they are sent, routes are looked up when a request comes and bound from its sending. No call to the store is added.

--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -68,6 +68,11 @@
         return [...this.states.values()];
     }
 
+    /** Whether an upstream may get new requests: its entry stands and does not say that it leaves. */
+    isUsable(id: string): boolean {
+        return this.states.get(id)?.upstream.isLeaving === false;
+    }
+
     /** Upstreams of a service that may get new requests. */
     listUsable(service: string): UpstreamState[] {
         return this.listUpstreams().filter(state => state.upstream.service === service && !state.upstream.isLeaving);
--- a/packages/node/src/choosing.ts
+++ b/packages/node/src/choosing.ts
@@ -196,7 +196,10 @@
         this.recordAsked(job, choice, details);
         const admission = admissions.ask(state.owner!, engine, details);
         const outcome = await this.waitForOutcome(job, admission);
-        if (outcome?.kind === "admitted" && (outcome.version ?? Infinity) >= this.findOldestVersion(model)) {
+        // Waits last seconds: what the choice was made by is asked again, as the owner may know less than this VM.
+        const isUsable = this.options.view.isUsable(engine);
+        const isNew = outcome?.kind === "admitted" && (outcome.version ?? Infinity) >= this.findOldestVersion(model);
+        if (isUsable && isNew) {
             return { choice: { ...choice, version: outcome.version }, admission };
         }
         admission.end();
@@ -219,7 +222,10 @@
         }
     }
 
-    /** Waits for an owner's word; undefined if the caller left, its time is over, or another engine will be sooner. */
+    /**
+     * Waits for an owner's word; undefined if the caller left, its time is over, another engine will be sooner, or the
+     * engine leaves.
+     */
     private async waitForOutcome(job: Job, admission: Admission): Promise<AdmissionOutcome | undefined> {
         const { readTime } = this.options;
         for (;;) {
@@ -231,6 +237,9 @@
             if (outcome !== undefined) {
                 return outcome;
             }
+            if (!this.options.view.isUsable(admission.engine)) {
+                return undefined;
+            }
             if (job.moves < maxMoves && this.isSoonerElsewhere(job, admission)) {
                 job.moves += 1;
                 return undefined;
--- a/packages/node/src/engines.ts
+++ b/packages/node/src/engines.ts
@@ -32,6 +32,9 @@
 /** When a request that an engine cannot take may find it usable again, in milliseconds: a new owner needs some 2 s. */
 const unusableMs = 1000;
 
+/** The same for an engine that leaves, in milliseconds: never, so that any other engine is the better choice. */
+const leavingMs = 10_000;
+
 /** Options of {@link OwnedEngines}. */
 export interface OwnedEnginesOptions {
     readonly vm: string;
@@ -170,8 +173,10 @@
         request: Extract<AdmissionMessage, { type: "admit"; }>["request"],
         now: number,
     ): AdmissionAnswer {
-        const isUsable = owned.places.isReachable && this.options.view.findUpstream(owned.id) !== undefined;
-        return isUsable
+        if (!this.options.view.isUsable(owned.id)) {
+            return { kind: "declined", ticket: request.ticket, expectedMs: leavingMs };
+        }
+        return owned.places.isReachable
             ? owned.admission.ask(vm, request, now)
             : { kind: "declined", ticket: request.ticket, expectedMs: unusableMs };
     }
@@ -239,6 +244,11 @@
             return;
         }
         const now = this.options.readTime();
+        const isUsable = this.options.view.isUsable(owned.id);
+        if (!isUsable) {
+            // Loads end seconds later: what waits for one must not be sent to an engine that leaves.
+            this.sendAnswers(owned.admission.refuseAll(leavingMs));
+        }
         this.sendAnswers(owned.admission.advance(now));
         if (owned.isWorking) {
             return;
@@ -247,7 +257,7 @@
         const state = this.options.view.findUpstream(owned.id);
         this.updateCanOrder(owned);
         // A report may be asked for before orders may be given: what the engine holds stays in use meanwhile.
-        if (state === undefined || (!owned.canOrder && !owned.places.needsReport)) {
+        if (state === undefined || !isUsable || (!owned.canOrder && !owned.places.needsReport)) {
             this.scheduleAdvance(owned, idleCheckMs);
             return;
         }
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -2,6 +2,9 @@
 import type { UpstreamConnection } from "./connections.js";
 import type { RawHeaders } from "./ports.js";
 
+/** Why an exchange broke that was not to be sent any more when its connection was open. */
+export const withheldDetail = "no longer to be sent";
+
 /** How far an exchange had come when it broke. */
 export type ExchangePhase =
     /** No byte of the request has been written: it has not run. */
@@ -70,7 +73,7 @@
     onRequestStart(controller: Dispatcher.DispatchController): void {
         this.controller = controller;
         if (this.hasEnded || this.options.checkBeforeSend?.() === false) {
-            controller.abort(new Error("no longer to be sent"));
+            controller.abort(new Error(withheldDetail));
             return;
         }
         this.phase = "waiting";
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -17,6 +17,7 @@
 import type { ClusterState } from "./cluster.js";
 import type { ConnectionPool } from "./connections.js";
 import type { DecisionLog } from "./decisions.js";
+import { withheldDetail } from "./exchange.js";
 import { createJob, type Job, type Preparation, type ReadyUpstream } from "./job.js";
 import { minAttemptMs, readLastSendAt } from "./patience.js";
 import type { CallerDemand, RequestDialect } from "./ports.js";
@@ -256,7 +257,9 @@
             isFresh: !isIdempotent(job.route),
             progress: job.progress,
             readTime,
-            checkBeforeSend: () => !job.caller.hasLeft && readTime() < job.deadlineAt,
+            // The last look at what the choice was made by: it may be news by the time that the connection is open.
+            checkBeforeSend: () =>
+                !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id),
             onBegin: () => {
                 load.begin();
                 admission?.begin();
@@ -341,7 +344,7 @@
             case "notRun":
                 job.rejections += 1;
                 if (!end.wasSent) {
-                    if (end.detail !== "connection closed") {
+                    if (end.detail !== "connection closed" && end.detail !== withheldDetail) {
                         health.recordUnreachable(now);
                     }
                     return;
