Tell what a VM's processor time goes into: frames between VMs, choices, lateness of timers

Added: counters of frames between VMs by type and of bytes, of comparisons of all upstreams, the lateness of the timer of regular checks (no timer of its own: each wake-up costs), the processor time, and a bounded line "pressed" when the timer comes over 100 ms late. Ruled out: monitorEventLoopDelay, which wakes the process by a timer of its own.

--- a/packages/node/src/choosing.ts
+++ b/packages/node/src/choosing.ts
@@ -69,6 +69,8 @@
     /** Whether messages reach a VM. */
     readonly isLinked: (vm: string) => boolean;
     readonly sendPreparation: (preparation: Preparation) => void;
+    /** All upstreams of a service were compared for one request. */
+    readonly onChoice: () => void;
 }
 
 /** Finds the upstream for a request and waits until it can be sent there. */
@@ -136,6 +138,7 @@
     /** @param without An engine that is left out. */
     private choose(job: Job, now: number, without?: string): UpstreamChoice | undefined {
         const { view, dataCentre, longPrompts, kept } = this.options;
+        this.options.onChoice();
         const inForce = [...job.tried].filter(([, { until }]) => until > now);
         const penalties = new Map(inForce.map(([id, { costMs }]) => [id, costMs]));
         if (without !== undefined) {
@@ -167,6 +170,7 @@
         if (key === undefined || !choice.isReady || (choice.version ?? 0) >= (newest?.version ?? 0)) {
             return choice;
         }
+        this.options.onChoice();
         const next = chooseEngine({ ...options, needsNewest: true });
         if (next?.isReady === true && next.rankMs < choice.rankMs + newestDelayMs) {
             return next;
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -1,6 +1,9 @@
-import { Counter, Gauge, Registry } from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { RefusalReason } from "./caller.js";
 
+/** Bounds of how late timers come, in seconds: requests of the shortest aim have some 0.12 s. */
+const lagBuckets = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1];
+
 /** Metrics of `radishreel-node`. */
 export class NodeMetrics {
     readonly registry = new Registry();
@@ -28,6 +31,43 @@
         registers: [this.registry],
     });
 
+    private readonly frames = new Counter({
+        name: "radishreel_node_peer_frames_total",
+        help: "Heartbeats and messages between VMs, by type",
+        labelNames: ["direction", "type"] as const,
+        registers: [this.registry],
+    });
+    private readonly bytes = new Counter({
+        name: "radishreel_node_peer_bytes_total",
+        help: "Bytes between VMs, the framing included",
+        labelNames: ["direction"] as const,
+        registers: [this.registry],
+    });
+    private readonly choices = new Counter({
+        name: "radishreel_node_choices_total",
+        help: "Times that all upstreams of a service were compared for one request",
+        registers: [this.registry],
+    });
+    private readonly lag = new Histogram({
+        name: "radishreel_node_timer_lag_seconds",
+        help: "How late the timer of regular checks came",
+        buckets: lagBuckets,
+        registers: [this.registry],
+    });
+
+    constructor() {
+        const registers = [this.registry];
+        new Gauge({
+            name: "radishreel_node_processor_seconds",
+            help: "Processor time used since the start",
+            registers,
+            collect() {
+                const { user, system } = process.cpuUsage();
+                this.set((user + system) / 1e6);
+            },
+        });
+    }
+
     recordRefusal(reason: RefusalReason): void {
         this.refusals.inc({ reason });
     }
@@ -36,6 +76,22 @@
         this.retries.inc({ after });
     }
 
+    recordFrame(direction: "sent" | "received", type: string): void {
+        this.frames.inc({ direction, type });
+    }
+
+    recordBytes(direction: "sent" | "received", count: number): void {
+        this.bytes.inc({ direction }, count);
+    }
+
+    recordChoice(): void {
+        this.choices.inc();
+    }
+
+    recordLag(ms: number): void {
+        this.lag.observe(ms / 1000);
+    }
+
     recordUnreadable(topic: string): void {
         this.unreadable.inc({ topic });
     }
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -34,6 +34,9 @@
     readonly port: number;
     readonly log: DecisionLog;
     readonly readTime: () => number;
+    /** A heartbeat or a message crossed a link. */
+    readonly onFrame: (direction: "sent" | "received", type: string) => void;
+    readonly onBytes: (direction: "sent" | "received", count: number) => void;
     /** Messages for a VM whose link has just opened. */
     readonly createGreeting: (vm: string) => PeerMessage[];
     readonly onMessage: (vm: string, message: PeerMessage) => void;
@@ -81,6 +84,8 @@
             schema: peerMessageSchema,
             limits: linkLimits,
             events: {
+                onFrame: options.onFrame,
+                onBytes: options.onBytes,
                 onOpen: link => this.receiveCaller(link.peer),
                 onMessage: (link, message) => options.onMessage(link.peer.id, message),
                 onClose: () => {
@@ -163,6 +168,8 @@
             limits: linkLimits,
             maxBackoffMs,
             events: {
+                onFrame: this.options.onFrame,
+                onBytes: this.options.onBytes,
                 onOpen: link => this.receiveOpen(address, link),
                 onMessage: (link, message) => this.options.onMessage(link.peer.id, message),
                 onClose: link => this.receiveClose(address, link),
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -26,6 +26,7 @@
     ShardClaims,
     UnreadableRecord,
 } from "./ports.js";
+import { PressureWatch } from "./pressure.js";
 import { Serving } from "./serving.js";
 import { ChangeSharing } from "./sharing.js";
 
@@ -104,6 +105,7 @@
     private readonly budgets = new Map<string, RetryBudget>();
     private readonly sharing: ChangeSharing;
     private readonly isolation = new IsolationWatch();
+    private readonly pressure: PressureWatch;
     private readonly admissions: Admissions;
     private owning: Owning | undefined;
     private past: Member | undefined;
@@ -113,6 +115,13 @@
     constructor(private readonly options: NodeOptions) {
         const { settings, sink } = options;
         this.log = new DecisionLog({ program: "radishreel-node", vm: settings.vm, sink, readTime: readNow });
+        this.pressure = new PressureWatch({
+            log: this.log,
+            readTime: readNow,
+            readProcessorMs,
+            intervalMs: housekeepingMs,
+            onLag: ms => this.metrics.recordLag(ms),
+        });
         this.view = new FleetView();
         this.cluster = new ClusterState({
             view: this.view,
@@ -283,6 +292,7 @@
             sendMissing: (engine, key) => this.sendToOwner(engine, { type: "missing", engine, key }),
             onRefusal: reason => this.metrics.recordRefusal(reason),
             onRetry: after => this.metrics.recordRetry(after),
+            onChoice: () => this.recordChoice(),
             startWaitMs: settings.startWaitMs,
         });
     }
@@ -302,6 +312,8 @@
             port: settings.peers.port,
             log: this.log,
             readTime: readNow,
+            onFrame: (direction, type) => this.recordFrame(direction, type),
+            onBytes: (direction, count) => this.metrics.recordBytes(direction, count),
             createGreeting: vm => this.createGreeting(vm),
             onMessage: (vm, message) => this.receivePeerMessage(vm, message),
             onStart: () => this.owning?.receiveStart(),
@@ -526,7 +538,18 @@
         return heir !== undefined && this.peers.send(heir, { type: "handover", ...handover });
     }
 
+    private recordChoice(): void {
+        this.metrics.recordChoice();
+        this.pressure.recordWork("choice");
+    }
+
+    private recordFrame(direction: "sent" | "received", type: string): void {
+        this.metrics.recordFrame(direction, type);
+        this.pressure.recordWork(`${direction} ${type}`);
+    }
+
     private runHousekeeping(): void {
+        this.pressure.check();
         this.cluster.expireLapsed();
         this.peers.expireGone();
         this.owning?.update();
@@ -588,6 +611,11 @@
     }
 }
 
+function readProcessorMs(): number {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / 1000;
+}
+
 function formatAddress(address: ListenAddress): string {
     return `${address.host}:${address.port}`;
 }
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -82,6 +82,8 @@
     readonly sendMissing: (engine: string, key: string) => void;
     readonly onRefusal: (reason: RefusalReason) => void;
     readonly onRetry: (reason: string) => void;
+    /** All upstreams of a service were compared for one request. */
+    readonly onChoice: () => void;
     /** Longest wait for a process that has just started, in milliseconds. @default 300 */
     readonly startWaitMs?: number | undefined;
 }
--- a/packages/node/test/choosing.test.ts
+++ b/packages/node/test/choosing.test.ts
@@ -49,6 +49,7 @@
         readTime,
         isLinked: () => true,
         sendPreparation: () => {},
+        onChoice: () => {},
     });
     return { chooser, messages, view };
 }
--- a/packages/node/test/units.test.ts
+++ b/packages/node/test/units.test.ts
@@ -277,6 +277,8 @@
         port: 0,
         log: createLog(() => 0).log,
         readTime: () => 0,
+        onFrame: () => {},
+        onBytes: () => {},
         createGreeting: () => {
             onOpen();
             return [];
--- a/packages/wire/src/client.ts
+++ b/packages/wire/src/client.ts
@@ -53,6 +53,7 @@
             limits,
             events: {
                 onBytes: (direction, count) => events.onBytes?.(direction, count),
+                onFrame: (direction, type) => events.onFrame?.(direction, type),
                 onMessage: (link, message) => events.onMessage(link, message),
                 onOpen: link => {
                     this.backoffMs = minBackoffMs;
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -14,6 +14,8 @@
     onClose(link: Link<Message, Outgoing>, reason: CloseReason): void;
     /** Bytes that crossed the socket, for the control budget. */
     onBytes?(direction: "sent" | "received", count: number): void;
+    /** A heartbeat or a message crossed an open link. */
+    onFrame?(direction: "sent" | "received", type: string): void;
 }
 
 /** Options of {@link Link}. */
@@ -27,7 +29,8 @@
     readonly events: LinkEvents<Message, Outgoing>;
 }
 
-const heartbeat = encodeFrame({ type: "heartbeat" });
+const heartbeatType = "heartbeat";
+const heartbeat = encodeFrame({ type: heartbeatType });
 
 /** Life of a link. Messages are taken in `open` only. */
 const linkMachine = createMachine("greeting", {
@@ -83,6 +86,7 @@
             return false;
         }
         this.write(encodeFrame(message));
+        this.options.events.onFrame?.("sent", readType(message));
         return true;
     }
 
@@ -171,7 +175,8 @@
     }
 
     private receiveMessage(frame: unknown): void {
-        if ((frame as { type?: unknown; } | undefined)?.type === "heartbeat") {
+        this.options.events.onFrame?.("received", readType(frame));
+        if (readType(frame) === heartbeatType) {
             return;
         }
         const message = this.options.schema.safeParse(frame);
@@ -191,6 +196,13 @@
         }
         if (this.isOpen && now - this.lastSent >= heartbeatMs) {
             this.write(heartbeat);
+            this.options.events.onFrame?.("sent", heartbeatType);
         }
     }
 }
+
+/** What a frame says it is; "other" for one that does not say. */
+function readType(frame: unknown): string {
+    const type = (frame as { type?: unknown; } | undefined)?.type;
+    return typeof type === "string" ? type : "other";
+}
