One timer for all links of a VM, and fewer heartbeats from the side that opened a link

At 91 VMs an owner of engines holds 180 links, each with a timer and a heartbeat every 400 ms at both ends: 450 wake-ups, 450 heartbeats sent and 450 received a second before any request. One timer now looks at all links of a VM. The side that opened a link sends a heartbeat every 1.2 s, and the other side drops a silent link after 3 s; what decides whether a VM counts as connected, heartbeats of 400 ms heard by the side that opened the link and a silence of 1.5 s, is as before. A message to all is encoded once, not once a VM. Ruled out: heartbeats further apart towards the side that opened the link, since links found dead later would hold up loads.

--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -1,10 +1,28 @@
-import { type Link, LinkClient, LinkServer, type NodeIdentity, resolveLinkLimits } from "@radishreel/wire";
+import {
+    encodeFrame,
+    type Link,
+    LinkClient,
+    LinkServer,
+    LinkTicker,
+    type NodeIdentity,
+    resolveLinkLimits,
+} from "@radishreel/wire";
 import type { DecisionLog } from "./decisions.js";
 import { type PeerMessage, peerMessageSchema } from "./messages.js";
 import type { Member } from "./ports.js";
 
-/** Heartbeats and the silence after which a link counts as dead, in milliseconds: faults last some seconds. */
-const linkLimits = resolveLinkLimits({ heartbeatMs: 400, silenceMs: 1500, maxFrameBytes: 8 * 1024 * 1024 });
+/**
+ * Heartbeats and the silence after which a link counts as dead, in milliseconds: faults last some seconds. Only the side that
+ * opened a link sends on it and acts on its loss, so it hears heartbeats at the quicker pace; the other side only needs to
+ * drop what is left of a VM that is gone, or of a path that is cut one way.
+ */
+const linkLimits = resolveLinkLimits({
+    heartbeatMs: 400,
+    silenceMs: 1500,
+    callerHeartbeatMs: 1200,
+    callerSilenceMs: 3000,
+    maxFrameBytes: 8 * 1024 * 1024,
+});
 
 /**
  * Longest pause between two tries to reach a VM, in milliseconds. After a cut of 6 s nothing could be loaded on the engines
@@ -72,6 +90,7 @@
     /** VMs that are known, by address. */
     private readonly members = new Map<string, KnownMember>();
     private readonly peersByAddress = new Map<string, Peer>();
+    private readonly ticker = new LinkTicker(linkLimits.heartbeatMs);
     private isHub = false;
     private readonly linksByVm = new Map<string, Link<PeerMessage>>();
 
@@ -83,6 +102,7 @@
             secret: options.secret,
             schema: peerMessageSchema,
             limits: linkLimits,
+            ticker: this.ticker,
             events: {
                 onFrame: options.onFrame,
                 onBytes: options.onBytes,
@@ -166,6 +186,7 @@
             secret,
             schema: peerMessageSchema,
             limits: linkLimits,
+            ticker: this.ticker,
             maxBackoffMs,
             events: {
                 onFrame: this.options.onFrame,
@@ -231,8 +252,9 @@
     }
 
     broadcast(message: PeerMessage): void {
+        const frame = encodeFrame(message);
         for (const peer of this.peersByAddress.values()) {
-            peer.link?.send(message);
+            peer.link?.sendEncoded(frame, message.type);
         }
     }
 
--- a/packages/wire/src/client.ts
+++ b/packages/wire/src/client.ts
@@ -2,6 +2,7 @@
 import type { z } from "zod";
 import { parseAddress } from "./address.js";
 import { Link, type LinkEvents } from "./link.js";
+import type { LinkTicker } from "./ticker.js";
 import type { CloseReason, LinkLimits, NodeIdentity } from "./types.js";
 
 /** Shortest wait before another try to connect, in milliseconds. */
@@ -18,6 +19,8 @@
     readonly secret: string;
     readonly schema: z.ZodType<Message, Outgoing>;
     readonly limits: LinkLimits;
+    /** Shared by the links of a process. @default one for each link */
+    readonly ticker?: LinkTicker | undefined;
     readonly events: LinkEvents<Message, Outgoing>;
     /** Longest wait before another try to connect, in milliseconds. @default 2000 */
     readonly maxBackoffMs?: number;
@@ -50,7 +53,7 @@
             ...this.options,
             socket,
             self: this.options.self(),
-            limits,
+            limits: { ...limits, heartbeatMs: limits.callerHeartbeatMs },
             events: {
                 onBytes: (direction, count) => events.onBytes?.(direction, count),
                 onFrame: (direction, type) => events.onFrame?.(direction, type),
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -5,6 +5,7 @@
 export { checkProof, createHello, createProof, type Hello } from "./greeting.js";
 export { Link, type LinkEvents, type LinkOptions } from "./link.js";
 export { LinkServer, type LinkServerOptions } from "./server.js";
+export { LinkTicker } from "./ticker.js";
 export {
     type CloseReason,
     formatIncarnation,
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -3,6 +3,7 @@
 import type { z } from "zod";
 import { encodeFrame, FrameReader } from "./frame.js";
 import { checkProof, createHello, createProof, type Hello, helloSchema, proofSchema } from "./greeting.js";
+import { LinkTicker } from "./ticker.js";
 import { type CloseReason, type LinkLimits, type NodeIdentity, protocolVersion } from "./types.js";
 
 /** What a link tells its owner. */
@@ -26,6 +27,8 @@
     readonly secret: string;
     readonly schema: z.ZodType<Message, Outgoing>;
     readonly limits: LinkLimits;
+    /** Shared by the links of a process. @default one of its own, every `heartbeatMs` */
+    readonly ticker?: LinkTicker | undefined;
     readonly events: LinkEvents<Message, Outgoing>;
 }
 
@@ -48,7 +51,8 @@
     private peerHello: Hello | undefined;
     private lastReceived = performance.now();
     private lastSent = performance.now();
-    private readonly timer: NodeJS.Timeout;
+    private readonly ticker: LinkTicker;
+    private readonly check = (): void => this.checkSilence();
 
     constructor(private readonly options: LinkOptions<Message, Outgoing>) {
         const { socket, limits } = options;
@@ -58,8 +62,8 @@
         socket.on("data", chunk => this.receive(chunk));
         socket.on("error", () => this.close("peerClosed"));
         socket.on("close", () => this.close("peerClosed"));
-        this.timer = setInterval(() => this.checkSilence(), limits.heartbeatMs);
-        this.timer.unref();
+        this.ticker = options.ticker ?? new LinkTicker(limits.heartbeatMs);
+        this.ticker.add(this.check);
         this.write(encodeFrame(this.ownHello));
     }
 
@@ -80,23 +84,28 @@
         return this.service.machine.current === "open";
     }
 
-    /** Sends one message. A message to a link that is not open is dropped, as if it had been lost on the way. */
-    send(message: Outgoing): boolean {
+    /** Sends a message that {@link encodeFrame} has encoded, for those that go to many. */
+    sendEncoded(frame: Buffer, type: string): boolean {
         if (!this.isOpen) {
             return false;
         }
-        this.write(encodeFrame(message));
-        this.options.events.onFrame?.("sent", readType(message));
+        this.write(frame);
+        this.options.events.onFrame?.("sent", type);
         return true;
     }
 
+    /** Sends one message. A message to a link that is not open is dropped, as if it had been lost on the way. */
+    send(message: Outgoing): boolean {
+        return this.isOpen && this.sendEncoded(encodeFrame(message), readType(message));
+    }
+
     /** Ends the link. Frames sent before are still written. */
     close(reason: CloseReason): void {
         if (this.service.machine.current === "closed") {
             return;
         }
         this.service.send("close");
-        clearInterval(this.timer);
+        this.ticker.remove(this.check);
         if (reason === "asked") {
             this.options.socket.end();
         }
@@ -194,7 +203,8 @@
             this.close("silent");
             return;
         }
-        if (this.isOpen && now - this.lastSent >= heartbeatMs) {
+        // One that would be due before the next call of the ticker has come by half of its interval is sent now.
+        if (this.isOpen && now - this.lastSent >= heartbeatMs - this.ticker.intervalMs / 2) {
             this.write(heartbeat);
             this.options.events.onFrame?.("sent", heartbeatType);
         }
--- a/packages/wire/src/server.ts
+++ b/packages/wire/src/server.ts
@@ -1,6 +1,7 @@
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import type { z } from "zod";
 import { Link, type LinkEvents } from "./link.js";
+import type { LinkTicker } from "./ticker.js";
 import type { LinkLimits, NodeIdentity } from "./types.js";
 
 /** Options of {@link LinkServer}. */
@@ -12,6 +13,8 @@
     readonly secret: string;
     readonly schema: z.ZodType<Message, Outgoing>;
     readonly limits: LinkLimits;
+    /** Shared by the links of a process. @default one for each link */
+    readonly ticker?: LinkTicker | undefined;
     readonly events: LinkEvents<Message, Outgoing>;
 }
 
@@ -39,13 +42,14 @@
     }
 
     private receiveSocket(socket: Socket): void {
-        const { events, secret, schema, limits } = this.options;
+        const { events, secret, schema, limits, ticker } = this.options;
         const link = new Link<Message, Outgoing>({
             socket,
             self: this.options.self(),
             secret,
             schema,
-            limits,
+            ticker,
+            limits: { ...limits, silenceMs: limits.callerSilenceMs },
             events: {
                 ...events,
                 onOpen: opened => events.onOpen(opened),
--- a/packages/wire/src/types.ts
+++ b/packages/wire/src/types.ts
@@ -44,6 +44,10 @@
     readonly heartbeatMs: number;
     /** A link on which nothing arrives for this long is closed. @default 3000 */
     readonly silenceMs: number;
+    /** The same heartbeat of the side that opened a link. @default heartbeatMs */
+    readonly callerHeartbeatMs: number;
+    /** The same silence on the side that accepted a link. @default silenceMs */
+    readonly callerSilenceMs: number;
     /** Largest frame taken from a peer, in bytes. @default 1048576 */
     readonly maxFrameBytes: number;
     /** Most bytes that wait to be sent before the link is given up. @default 16777216 */
@@ -52,9 +56,13 @@
 
 /** Fills in the defaults of {@link LinkLimits}. */
 export function resolveLinkLimits(limits: Partial<LinkLimits> = {}): LinkLimits {
+    const heartbeatMs = limits.heartbeatMs ?? 1000;
+    const silenceMs = limits.silenceMs ?? 3000;
     return {
-        heartbeatMs: limits.heartbeatMs ?? 1000,
-        silenceMs: limits.silenceMs ?? 3000,
+        heartbeatMs,
+        silenceMs,
+        callerHeartbeatMs: limits.callerHeartbeatMs ?? heartbeatMs,
+        callerSilenceMs: limits.callerSilenceMs ?? silenceMs,
         maxFrameBytes: limits.maxFrameBytes ?? 1024 * 1024,
         maxBufferedBytes: limits.maxBufferedBytes ?? 16 * 1024 * 1024,
     };
