Look at each engine once in a choice, and hash an adapter's homes without a cryptographic digest

A choice among 98 engines made 98 MD5 digests to order the adapter's homes, searched that order for each engine, and looked up the versions of each engine three times and its load twice. The homes are now ordered by FNV-1a with MurmurHash3's last step, and each engine is looked at once. Every VM of a deployment must use the same order; during a release of radishreel itself VMs of both orders load an adapter on different engines for that time. Ruled out: remembering the order by adapter, 10,000 adapters x 98 engines.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -163,13 +163,19 @@
         && (state.goneAt === undefined || state.goneAt - now > minRemainingMs)
     );
     const key = findAdapterKey(demand);
-    const hasCopy = key !== undefined && usable.some(state => isTrusted(state, now) && hasAdapter(options, state, key));
     const homes = key === undefined ? [] : rankHomes(key, usable.map(state => ({ id: state.upstream.id })));
+    const homeRanks = new Map(homes.map(({ id }, rank) => [id, rank]));
+    const seen = usable.map(state => {
+        const version = key === undefined ? undefined : findUsableVersion(options, state, key);
+        const hasAdapter = version !== undefined || (key !== undefined && state.news?.coming.includes(key) === true);
+        return { state, version, hasAdapter };
+    });
+    const hasCopy = seen.some(({ state, hasAdapter }) => hasAdapter && isTrusted(state, now));
     let best: UpstreamChoice | undefined;
-    for (const state of usable) {
-        const homeRank = homes.findIndex(home => home.id === state.upstream.id);
-        const isSecondCopy = hasCopy && key !== undefined && !hasAdapter(options, state, key);
-        const choice = createChoice({ options, limits, state, key, homeRank, isSecondCopy });
+    for (const { state, version, hasAdapter } of seen) {
+        const homeRank = homeRanks.get(state.upstream.id) ?? homes.length;
+        const isSecondCopy = hasCopy && !hasAdapter;
+        const choice = createChoice({ options, limits, state, key, version, homeRank, isSecondCopy });
         if (choice !== undefined && (best === undefined || choice.rankMs < best.rankMs)) {
             best = choice;
         }
@@ -182,19 +188,14 @@
     return state.news?.isReachable !== false && !state.health.isPaused(now);
 }
 
-/** Whether an engine has an adapter, or will have it soon. */
-function hasAdapter(options: EngineChoiceOptions, state: UpstreamState, key: string): boolean {
-    const { news } = state;
-    return findUsableVersion(options, state, key) !== undefined
-        || news?.coming.includes(key) === true;
-}
-
 /** One engine as a candidate for a request. */
 interface EngineCandidate {
     readonly options: EngineChoiceOptions;
     readonly limits: EngineLimits;
     readonly state: UpstreamState;
     readonly key: string | undefined;
+    /** Version of the adapter that it may answer with. */
+    readonly version: number | undefined;
     /** Place among the adapter's homes. */
     readonly homeRank: number;
     /** Whether another engine has the adapter and this one has not. */
@@ -203,15 +204,14 @@
 
 /** The choice of one engine; undefined if it cannot serve the request. */
 function createChoice(candidate: EngineCandidate): UpstreamChoice | undefined {
-    const { options, limits, state, key, homeRank, isSecondCopy } = candidate;
+    const { options, limits, state, key, version, homeRank, isSecondCopy } = candidate;
     const { view, demand, now } = options;
-    const load = view.readLoad(state.upstream.id);
-    const version = key === undefined ? undefined : findUsableVersion(options, state, key);
     const isReady = key === undefined ? view.hasModel(state, demand.model) : version !== undefined;
     const canLoad = (state.news?.canOrder ?? false) && options.canAsk(state);
     if (!isReady && !canLoad) {
         return undefined;
     }
+    const load = view.readLoad(state.upstream.id);
     const kept = isReady ? options.findKeptTokens(state.upstream.id) : 0;
     const prefillTokens = Math.max(0, demand.promptTokens - kept);
     const neededKv = load.kvTokens + demand.promptTokens + demand.outputTokens;
@@ -224,15 +224,20 @@
         + (isOverfull ? overfullCostMs : 0)
         + (isSecondCopy ? secondCopyCostMs : 0)
         + readCommonCost(options, state);
-    const rankMs = costMs + readHeldUpCost(options, state, prefillTokens);
+    const rankMs = costMs + readHeldUpCost(options, state, prefillTokens, load.longAnswers);
     return { state, costMs, rankMs, isReady, version, prefillTokens };
 }
 
 /** What a long prompt does to the long answers on an engine, and those that read there to a new one. */
-function readHeldUpCost(options: EngineChoiceOptions, state: UpstreamState, prefillTokens: number): number {
-    const { view, demand, now, longPromptTokens } = options;
+function readHeldUpCost(
+    options: EngineChoiceOptions,
+    state: UpstreamState,
+    prefillTokens: number,
+    longAnswers: number,
+): number {
+    const { demand, now, longPromptTokens } = options;
     if (prefillTokens >= longPromptTokens) {
-        return view.readLoad(state.upstream.id).longAnswers * heldUpCostMs;
+        return longAnswers * heldUpCostMs;
     }
     const isNear = demand.outputTokens > longAnswerTokens
         && state.prompts.findLargest(now - longPromptRecentMs) >= longPromptTokens;
--- a/packages/fleet/src/rank.ts
+++ b/packages/fleet/src/rank.ts
@@ -1,17 +1,34 @@
-import { createHash } from "node:crypto";
+/** Start and factor of the FNV-1a hash, and the factors that spread its bits (the end of MurmurHash3). */
+const hashStart = 0x811c9dc5;
+const hashFactor = 0x01000193;
+const spreadFactors = [0x85ebca6b, 0xc2b2ae35] as const;
 
-/** Score of an item for a key under rendezvous hashing: adding or removing another item moves no other key. */
-function readScore(key: string, item: string): number {
-    return createHash("md5").update(key).update("\0").update(item).digest().readUInt32BE(0);
+/** Takes a text into a hash. */
+function foldText(hash: number, text: string): number {
+    let folded = hash;
+    for (let index = 0; index < text.length; index += 1) {
+        folded = Math.imul(folded ^ text.charCodeAt(index), hashFactor);
+    }
+    return folded;
+}
+
+/** Spreads a hash over 32 bits, so that items whose names differ in little are ordered apart. */
+function foldBits(hash: number): number {
+    let spread = Math.imul(hash ^ (hash >>> 16), spreadFactors[0]);
+    spread = Math.imul(spread ^ (spread >>> 13), spreadFactors[1]);
+    return (spread ^ (spread >>> 16)) >>> 0;
 }
 
 /**
- * Orders items for a key, the same on every VM. An adapter's first engines are its homes: it comes back to an engine
- * that had it lately and still keeps it in host memory, where it loads in a tenth of the time.
+ * Orders items for a key, the same on every VM, under rendezvous hashing: adding or removing another item moves no other
+ * key. An adapter's first engines are its homes: it comes back to an engine that had it lately and still keeps it in host
+ * memory, where it loads in a tenth of the time. The order is worked out for each request and all engines: a cryptographic
+ * hash took two thirds of the time of a choice among 98 engines.
  */
 export function rankHomes<Item extends { readonly id: string; }>(key: string, items: readonly Item[]): Item[] {
+    const start = foldText(hashStart, key);
     return items
-        .map(item => ({ item, score: readScore(key, item.id) }))
+        .map(item => ({ item, score: foldBits(foldText(start, item.id)) }))
         .sort((left, right) => right.score - left.score || (left.item.id < right.item.id ? -1 : 1))
         .map(({ item }) => item);
 }
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -123,13 +123,11 @@
         }
         const { load } = state.news;
         const before = state.ownLoadAtNews;
-        const sum = (field: keyof UpstreamLoad): number =>
-            Math.max(own[field], load[field] + own[field] - before[field]);
         return {
-            active: sum("active"),
-            backlogTokens: sum("backlogTokens"),
-            kvTokens: sum("kvTokens"),
-            longAnswers: sum("longAnswers"),
+            active: Math.max(own.active, load.active + own.active - before.active),
+            backlogTokens: Math.max(own.backlogTokens, load.backlogTokens + own.backlogTokens - before.backlogTokens),
+            kvTokens: Math.max(own.kvTokens, load.kvTokens + own.kvTokens - before.kvTokens),
+            longAnswers: Math.max(own.longAnswers, load.longAnswers + own.longAnswers - before.longAnswers),
             largestPrompt: Math.max(own.largestPrompt, load.largestPrompt),
         };
     }
