--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -1,6 +1,6 @@
 import type { EngineLimits, Service } from "@radishreel/routing";
 import { rankHomes } from "./rank.js";
-import { findAdapterKey, type ModelDemand } from "./types.js";
+import { findAdapterKey, type ModelDemand, type UpstreamLoad } from "./types.js";
 import type { FleetView, UpstreamState } from "./view.js";
 
 /** Prompt tokens that an engine reads in a millisecond, by the users' sheets for both of their engines. */
@@ -80,6 +80,8 @@
     readonly state: UpstreamState;
     /** Expected time to the first byte of the answer, in milliseconds, with penalties for what is in doubt. */
     readonly costMs: number;
+    /** Part of it that other requests on the upstream make, in milliseconds. */
+    readonly queueMs: number;
     /** What the choice is made by, in milliseconds: the cost, and what others on the upstream would lose or make it lose. */
     readonly rankMs: number;
     /** Whether the request can be sent now; otherwise its adapter must be loaded first. */
@@ -139,7 +141,7 @@
             * (1 + (active / slots) ** 2 + active * serverShareCost);
         const costMs = workMs + readCommonCost(options, state);
         if (best === undefined || costMs < best.costMs) {
-            best = { state, costMs, rankMs: costMs, isReady: true, version: undefined, prefillTokens: 0 };
+            best = { state, costMs, queueMs: 0, rankMs: costMs, isReady: true, version: undefined, prefillTokens: 0 };
         }
     }
     return best;
@@ -216,7 +218,7 @@
     const prefillTokens = Math.max(0, demand.promptTokens - kept);
     const neededKv = load.kvTokens + demand.promptTokens + demand.outputTokens;
     const isOverfull = neededKv > limits.kvTokens * kvFillShare || load.active >= limits.batchSlots;
-    const queueMs = load.backlogTokens / prefillTokensPerMs + load.active * activeCostMs;
+    const queueMs = readQueueMs(load);
     const readMs = prefillTokens / prefillTokensPerMs;
     // While an adapter is loaded the engine reads the prompts in front.
     const waitMs = isReady ? queueMs : Math.max(queueMs, readLoadCost(view, state, key, homeRank));
@@ -225,7 +227,12 @@
         + (isSecondCopy ? secondCopyCostMs : 0)
         + readCommonCost(options, state);
     const rankMs = costMs + readHeldUpCost(options, state, prefillTokens, load.longAnswers);
-    return { state, costMs, rankMs, isReady, version, prefillTokens };
+    return { state, costMs, queueMs, rankMs, isReady, version, prefillTokens };
+}
+
+/** How long the requests on an engine hold up one more, in milliseconds. */
+export function readQueueMs(load: Readonly<UpstreamLoad>): number {
+    return load.backlogTokens / prefillTokensPerMs + load.active * activeCostMs;
 }
 
 /** What a long prompt does to the long answers on an engine, and those that read there to a new one. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,6 +9,7 @@
     findUsableVersion,
     hasLongAnswer,
     prefillTokensPerMs,
+    readQueueMs,
     type UpstreamChoice,
 } from "./choose.js";
 export { ClaimClock, type ClaimClockOptions, readShard } from "./claims.js";
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -96,6 +96,16 @@
         return true;
     }
 
+    /** Takes an owner's word about the load on its engine alone, between two of its news. */
+    updateLoad(id: string, load: Readonly<UpstreamLoad>, now: number): void {
+        const state = this.states.get(id);
+        if (state?.news !== undefined) {
+            state.news = { ...state.news, load };
+            state.ownLoadAtNews = { ...this.ownLoad.read(id) };
+            state.prompts.record(load.largestPrompt, now);
+        }
+    }
+
     /** Forgets that a VM that is gone may give orders. Its next incarnation counts its messages anew. */
     removeVm(vm: string): void {
         for (const state of this.states.values()) {
--- a/packages/node/src/admissions.ts
+++ b/packages/node/src/admissions.ts
@@ -1,4 +1,4 @@
-import type { AdmissionAnswer, AdmissionRequest } from "@radishreel/fleet";
+import type { AdmissionAnswer, AdmissionRequest, UpstreamLoad } from "@radishreel/fleet";
 
 /**
  * An owner that has not answered for this long is taken to be frozen or out of reach, in milliseconds. Answers take some
@@ -15,6 +15,8 @@
     | { readonly kind: "admitted"; readonly version: number | undefined; }
     /** The owner will not let it in while its caller waits; after this time it could be, in milliseconds. */
     | { readonly kind: "declined"; readonly expectedMs: number; }
+    /** The engine has clearly more to do than was expected, and the request was not let in. */
+    | { readonly kind: "busier"; readonly load: UpstreamLoad; }
     /** The owner is gone, is another one, or does not answer. */
     | { readonly kind: "lost"; };
 
@@ -123,6 +125,9 @@
             case "notOwned":
                 this.close(answer.ticket, { kind: "lost" });
                 return;
+            case "busier":
+                this.close(answer.ticket, { kind: "busier", load: answer.load });
+                return;
             case "declined":
                 this.close(answer.ticket, { kind: "declined", expectedMs: answer.expectedMs });
                 return;
--- a/packages/node/src/choosing.ts
+++ b/packages/node/src/choosing.ts
@@ -33,6 +33,12 @@
 /** Most moves of one request between engines: each may have begun a load for nothing. */
 const maxMoves = 3;
 
+/**
+ * Most times that one request chooses anew since the engine that it chose has more to do than this VM knew. Each costs a
+ * message and its answer, some 3 ms.
+ */
+const maxRedirects = 4;
+
 /** Rest of a wait that has lasted longer than expected, in milliseconds: about one load. */
 const overdueMs = 250;
 
@@ -192,7 +198,11 @@
         }
         const { admissions } = this.options;
         const engine = state.upstream.id;
-        const details = { ...this.createDetails(job, model, now), prefillTokens: choice.prefillTokens };
+        const details: AdmissionDetails = {
+            ...this.createDetails(job, model, now),
+            prefillTokens: choice.prefillTokens,
+            expectedQueueMs: job.redirects < maxRedirects ? choice.queueMs : undefined,
+        };
         if (!this.canAsk(state)) {
             const run = admissions.addRun(engine, { ...details, version: choice.version });
             return { choice, admission: run };
@@ -263,6 +273,12 @@
 
     private recordFailure(job: Job, engine: string, outcome: AdmissionOutcome): void {
         const now = this.options.readTime();
+        if (outcome.kind === "busier") {
+            job.redirects += 1;
+            this.options.view.updateLoad(engine, outcome.load, now);
+            this.options.log.record("engineBusier", { request: job.demand.requestId, engine, ...outcome.load });
+            return;
+        }
         if (outcome.kind === "declined") {
             job.tried.set(engine, { costMs: outcome.expectedMs, until: now + declinedMs, hasDeclined: true });
             job.expectedAt = Math.min(job.expectedAt ?? Infinity, now + outcome.expectedMs);
--- a/packages/node/src/job.ts
+++ b/packages/node/src/job.ts
@@ -24,6 +24,8 @@
     waitedMs: number;
     /** How often it left an engine's queue for another one's. */
     moves: number;
+    /** How often it chose anew since an engine had more to do than expected. */
+    redirects: number;
     /** When an engine that declined it could have let it in, as that one expects; undefined while none has. */
     expectedAt: number | undefined;
 }
@@ -65,6 +67,7 @@
         attempts: 0,
         waitedMs: 0,
         moves: 0,
+        redirects: 0,
         expectedAt: undefined,
     };
 }
