Owners tell a request that their engine is busier than its VM knew, and it chooses anew

The owner knows the load as it is. Ruled out: telling the load more often, which costs each VM messages of all engines; a random choice among good engines, which spreads the herd but does not see the queue.

--- a/packages/fleet/src/admission.ts
+++ b/packages/fleet/src/admission.ts
@@ -1,3 +1,4 @@
+import { readQueueMs } from "./choose.js";
 import { LoadCounter, type LoadHandle } from "./load.js";
 import { type EnginePlaces } from "./places.js";
 import type { AdmissionAnswer, AdmissionRequest, UpstreamLoad } from "./types.js";
@@ -33,6 +34,12 @@
 /** How often the expected wait of a request that waits is worked out anew, in milliseconds: a tenth of most callers' time. */
 const reviewMs = 150;
 
+/**
+ * How much longer than its VM expects a request may be held up by others on the engine before it is told to choose anew, in
+ * milliseconds: a third of what one draft of 9,000 tokens takes, and more than what the question costs.
+ */
+const busierMs = 80;
+
 /** A request that waits at the engine or runs on it. */
 interface Ticket {
     readonly vm: string;
@@ -96,6 +103,9 @@
             return { kind: "declined", ticket, expectedMs: modelLoadMs };
         }
         if (key === undefined || held !== undefined) {
+            if (this.isBusier(request)) {
+                return { kind: "busier", ticket, load: { ...this.load } };
+            }
             this.start(vm, request, now);
             return { kind: "admitted", ticket, version: held };
         }
@@ -201,6 +211,11 @@
         return { kind: "declined", ticket: request.ticket, expectedMs };
     }
 
+    /** Whether the engine has clearly more to do than the sender of a request expects. */
+    private isBusier({ expectedQueueMs }: AdmissionRequest): boolean {
+        return expectedQueueMs !== undefined && readQueueMs(this.load) > expectedQueueMs + busierMs;
+    }
+
     private findUsableVersion(request: AdmissionRequest): number | undefined {
         const { key, version } = request;
         const held = key === undefined ? undefined : this.options.places.findLoadedVersion(key);
