A busier engine also tells which version of the adapter it holds; what is told of a load stays as told

A VM that had not yet heard that an engine holds an adapter, asked for a load and was told that the engine is busier, would have gone on to load the adapter once more elsewhere at no extra cost. The answer names the version held, and a request says for how long it expects to wait before its prompt is read, be it for other requests or for a load. Besides, an owner's own view held the live counter of its engine's load in place of what had been told, and counted its own requests twice until the next news. Figures of the tests: 2 in place of 1 active request told, 1 now.

--- a/packages/fleet/src/admission.ts
+++ b/packages/fleet/src/admission.ts
@@ -104,7 +104,7 @@
         }
         if (key === undefined || held !== undefined) {
             if (this.isBusier(request)) {
-                return { kind: "busier", ticket, load: { ...this.load } };
+                return { kind: "busier", ticket, load: { ...this.load }, version: held };
             }
             this.start(vm, request, now);
             return { kind: "admitted", ticket, version: held };
--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -80,8 +80,8 @@
     readonly state: UpstreamState;
     /** Expected time to the first byte of the answer, in milliseconds, with penalties for what is in doubt. */
     readonly costMs: number;
-    /** Part of it that other requests on the upstream make, in milliseconds. */
-    readonly queueMs: number;
+    /** Part of it before its prompt is read: for other requests on the upstream, or for a load, in milliseconds. */
+    readonly waitMs: number;
     /** What the choice is made by, in milliseconds: the cost, and what others on the upstream would lose or make it lose. */
     readonly rankMs: number;
     /** Whether the request can be sent now; otherwise its adapter must be loaded first. */
@@ -141,7 +141,7 @@
             * (1 + (active / slots) ** 2 + active * serverShareCost);
         const costMs = workMs + readCommonCost(options, state);
         if (best === undefined || costMs < best.costMs) {
-            best = { state, costMs, queueMs: 0, rankMs: costMs, isReady: true, version: undefined, prefillTokens: 0 };
+            best = { state, costMs, waitMs: 0, rankMs: costMs, isReady: true, version: undefined, prefillTokens: 0 };
         }
     }
     return best;
@@ -227,7 +227,7 @@
         + (isSecondCopy ? secondCopyCostMs : 0)
         + readCommonCost(options, state);
     const rankMs = costMs + readHeldUpCost(options, state, prefillTokens, load.longAnswers);
-    return { state, costMs, queueMs, rankMs, isReady, version, prefillTokens };
+    return { state, costMs, waitMs, rankMs, isReady, version, prefillTokens };
 }
 
 /** How long the requests on an engine hold up one more, in milliseconds. */
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -139,8 +139,8 @@
     /** Time after which it has ended in any case, in milliseconds. */
     endMs: z.number(),
     /**
-     * Time for which the sender expects other requests on the engine to hold it up, in milliseconds; missing for one that
-     * takes the engine as it is.
+     * Time for which the sender expects it to be held up by other requests on the engine or by a load, in milliseconds;
+     * missing for one that takes the engine as it is.
      */
     expectedQueueMs: z.number().optional(),
 });
@@ -156,8 +156,16 @@
     z.object({ kind: z.literal("queued"), ticket: z.number(), expectedMs: z.number() }),
     /** It cannot be let in while its caller waits; after this time it could be, in milliseconds. */
     z.object({ kind: z.literal("declined"), ticket: z.number(), expectedMs: z.number() }),
-    /** It was not let in, since the engine has clearly more to do than the sender expected: this. */
-    z.object({ kind: z.literal("busier"), ticket: z.number(), load: upstreamLoadSchema }),
+    /**
+     * It was not let in, since the engine has clearly more to do than the sender expected: this. `version` is that of its
+     * adapter, missing for the base model.
+     */
+    z.object({
+        kind: z.literal("busier"),
+        ticket: z.number(),
+        load: upstreamLoadSchema,
+        version: z.number().optional(),
+    }),
     /** The VM that was asked does not own the engine. */
     z.object({ kind: z.literal("notOwned"), ticket: z.number() }),
 ]);
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -96,11 +96,14 @@
         return true;
     }
 
-    /** Takes an owner's word about the load on its engine alone, between two of its news. */
-    updateLoad(id: string, load: Readonly<UpstreamLoad>, now: number): void {
+    /**
+     * Takes an owner's word about the load on its engine, between two of its news.
+     * @param held Versions of adapters that it holds as well, by key.
+     */
+    updateLoad(id: string, load: Readonly<UpstreamLoad>, held: Readonly<Record<string, number>>, now: number): void {
         const state = this.states.get(id);
         if (state?.news !== undefined) {
-            state.news = { ...state.news, load };
+            state.news = { ...state.news, load, held: { ...state.news.held, ...held } };
             state.ownLoadAtNews = { ...this.ownLoad.read(id) };
             state.prompts.record(load.largestPrompt, now);
         }
--- a/packages/fleet/test/herd.ts
+++ b/packages/fleet/test/herd.ts
@@ -150,10 +150,10 @@
                 onTimeMs: aimMs,
                 patienceMs: 4000,
                 endMs: 5000,
-                expectedQueueMs: redirects < maxRedirects ? choice.queueMs : undefined,
+                expectedQueueMs: redirects < maxRedirects ? choice.waitMs : undefined,
             }, now);
             if (answer.kind === "busier") {
-                view.updateLoad(engine.id, answer.load, now);
+                view.updateLoad(engine.id, answer.load, {}, now);
                 continue;
             }
             send(vm, asked, view, engine, choice.prefillTokens);
--- a/packages/node/src/admissions.ts
+++ b/packages/node/src/admissions.ts
@@ -16,7 +16,7 @@
     /** The owner will not let it in while its caller waits; after this time it could be, in milliseconds. */
     | { readonly kind: "declined"; readonly expectedMs: number; }
     /** The engine has clearly more to do than was expected, and the request was not let in. */
-    | { readonly kind: "busier"; readonly load: UpstreamLoad; }
+    | { readonly kind: "busier"; readonly load: UpstreamLoad; readonly version: number | undefined; }
     /** The owner is gone, is another one, or does not answer. */
     | { readonly kind: "lost"; };
 
@@ -126,7 +126,7 @@
                 this.close(answer.ticket, { kind: "lost" });
                 return;
             case "busier":
-                this.close(answer.ticket, { kind: "busier", load: answer.load });
+                this.close(answer.ticket, { kind: "busier", load: answer.load, version: answer.version });
                 return;
             case "declined":
                 this.close(answer.ticket, { kind: "declined", expectedMs: answer.expectedMs });
--- a/packages/node/src/choosing.ts
+++ b/packages/node/src/choosing.ts
@@ -201,7 +201,7 @@
         const details: AdmissionDetails = {
             ...this.createDetails(job, model, now),
             prefillTokens: choice.prefillTokens,
-            expectedQueueMs: job.redirects < maxRedirects ? choice.queueMs : undefined,
+            expectedQueueMs: job.redirects < maxRedirects ? choice.waitMs : undefined,
         };
         if (!this.canAsk(state)) {
             const run = admissions.addRun(engine, { ...details, version: choice.version });
@@ -275,7 +275,9 @@
         const now = this.options.readTime();
         if (outcome.kind === "busier") {
             job.redirects += 1;
-            this.options.view.updateLoad(engine, outcome.load, now);
+            const key = findAdapterKey(job.demand.model);
+            const held = key === undefined || outcome.version === undefined ? {} : { [key]: outcome.version };
+            this.options.view.updateLoad(engine, outcome.load, held, now);
             this.options.log.record("engineBusier", { request: job.demand.requestId, engine, ...outcome.load });
             return;
         }
--- a/packages/node/src/engines.ts
+++ b/packages/node/src/engines.ts
@@ -347,7 +347,7 @@
             waitMs: Math.round(admission.readNextTurnMs(this.options.readTime())),
             coldLoadMs: Math.round(places.readLoadMs(false)),
             warmLoadMs: Math.round(places.readLoadMs(true)),
-            load: admission.load,
+            load: { ...admission.load },
         };
     }
 
--- a/packages/node/test/choosing.test.ts
+++ b/packages/node/test/choosing.test.ts
@@ -116,6 +116,31 @@
     assert.ok(job.expectedAt! - job.startedAt > 8000);
 });
 
+test("a request whose engine is busier than its VM knew goes to another one, and takes an engine as it is after four times", async () => {
+    const asked: { engine: string; expectedQueueMs: number | undefined; }[] = [];
+    const load = { active: 9, backlogTokens: 90_000, kvTokens: 90_000, longAnswers: 0, largestPrompt: 9000 };
+    const { chooser, view } = createChooser(["e1", "e2"], (message, admissions) => {
+        if (message.type !== "admit") {
+            return;
+        }
+        const { ticket, expectedQueueMs } = message.request;
+        asked.push({ engine: message.engine, expectedQueueMs });
+        admissions.receiveAnswer(
+            "owner",
+            expectedQueueMs === undefined
+                ? { kind: "admitted", ticket, version: 3 }
+                : { kind: "busier", ticket, load, version: 3 },
+        );
+    });
+    const ready = await chooser.chooseReady(createRequest(6000));
+    assert.is(ready?.choice.version, 3);
+    assert.is(asked.length, 5);
+    assert.equal(new Set(asked.slice(0, 2).map(({ engine }) => engine)), new Set(["e1", "e2"]));
+    assert.equal(asked.map(({ expectedQueueMs }) => expectedQueueMs !== undefined), [true, true, true, true, false]);
+    assert.equal(view.findUpstream("e1")?.news?.held, { "base/a1": 3 });
+    assert.is(view.readLoad("e2").backlogTokens, 90_000);
+});
+
 test("an owner that does not answer is left for an engine that holds the adapter", async () => {
     const { chooser, messages, view } = createChooser(["e1"], () => {});
     const news = view.findUpstream("e1")!.news!;
--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -55,6 +55,17 @@
     assert.is(view.findUpstream("e1@1")?.owner, undefined);
 });
 
+test("what was told of an engine's load does not change with what comes after it", () => {
+    const { engines, news } = createEngines();
+    engines.update(() => true);
+    engines.receiveRequest("b", { type: "runs", engine: "e1@1", requests: [request] });
+    const [told] = engines.listNews();
+    engines.receiveRequest("b", { type: "runs", engine: "e1@1", requests: [request, { ...request, ticket: 2 }] });
+    engines.stop();
+    assert.is(told!.load.active, 1);
+    assert.ok(news.length > 0);
+});
+
 test("a VM that does not own an engine says so to a request that asks", () => {
     const { engines, answers } = createEngines();
     engines.receiveRequest("b", { type: "admit", engine: "e1@1", request });
