--- a/packages/node/src/choosing.ts
+++ b/packages/node/src/choosing.ts
@@ -77,6 +77,8 @@
     readonly sendPreparation: (preparation: Preparation) => void;
     /** All upstreams of a service were compared for one request. */
     readonly onChoice: () => void;
+    /** A request chooses anew, since its engine is busier than this VM knew. */
+    readonly onRedirect: () => void;
 }
 
 /** Finds the upstream for a request and waits until it can be sent there. */
@@ -275,6 +277,7 @@
         const now = this.options.readTime();
         if (outcome.kind === "busier") {
             job.redirects += 1;
+            this.options.onRedirect();
             const key = findAdapterKey(job.demand.model);
             const held = key === undefined || outcome.version === undefined ? {} : { [key]: outcome.version };
             this.options.view.updateLoad(engine, outcome.load, held, now);
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -48,6 +48,11 @@
         help: "Times that all upstreams of a service were compared for one request",
         registers: [this.registry],
     });
+    private readonly redirects = new Counter({
+        name: "radishreel_node_redirects_total",
+        help: "Times that a request chose anew, since its engine was busier than this VM knew",
+        registers: [this.registry],
+    });
     private readonly lag = new Histogram({
         name: "radishreel_node_timer_lag_seconds",
         help: "How late the timer of regular checks came",
@@ -88,6 +93,10 @@
         this.choices.inc();
     }
 
+    recordRedirect(): void {
+        this.redirects.inc();
+    }
+
     recordLag(ms: number): void {
         this.lag.observe(ms / 1000);
     }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -293,6 +293,7 @@
             onRefusal: reason => this.metrics.recordRefusal(reason),
             onRetry: after => this.metrics.recordRetry(after),
             onChoice: () => this.recordChoice(),
+            onRedirect: () => this.metrics.recordRedirect(),
             startWaitMs: settings.startWaitMs,
         });
     }
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -84,6 +84,8 @@
     readonly onRetry: (reason: string) => void;
     /** All upstreams of a service were compared for one request. */
     readonly onChoice: () => void;
+    /** A request chooses anew, since its engine is busier than this VM knew. */
+    readonly onRedirect: () => void;
     /** Longest wait for a process that has just started, in milliseconds. @default 300 */
     readonly startWaitMs?: number | undefined;
 }
--- a/packages/node/test/choosing.test.ts
+++ b/packages/node/test/choosing.test.ts
@@ -50,6 +50,7 @@
         isLinked: () => true,
         sendPreparation: () => {},
         onChoice: () => {},
+        onRedirect: () => {},
     });
     return { chooser, messages, view };
 }
