--- a/packages/node/src/sharing.ts
+++ b/packages/node/src/sharing.ts
@@ -48,6 +48,8 @@
     /** VMs that have read what this one has not, and since when. */
     private readonly ahead = new Map<string, AheadReader>();
     private couldRead = false;
+    /** The VM that this one takes what is read from, as last told; "own" for its own reading. */
+    private toldReader: string | undefined;
 
     constructor(private readonly options: ChangeSharingOptions) {
         this.readers = new StoreReaders(options);
@@ -106,6 +108,7 @@
         const { cluster, store } = this.options;
         const reader = this.readers.findReader(this.options.readTime());
         store.setReading(reader === undefined);
+        this.recordReader(reader ?? "own");
         if (reader !== undefined) {
             cluster.setReachable(true);
             this.setFollowed([reader]);
@@ -121,6 +124,13 @@
         this.couldRead = canRead;
     }
 
+    private recordReader(reader: string): void {
+        if (reader !== this.toldReader) {
+            this.toldReader = reader;
+            this.options.log.recordImportant("storeReader", { reader, linked: this.options.listLinked().length });
+        }
+    }
+
     /** Asks those that have been ahead for long: this VM's own connection, or its place among their followers, is lost. */
     private askAhead(): void {
         const now = this.options.readTime();
