--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,6 +9,7 @@
     findUsableVersion,
     hasLongAnswer,
     prefillTokensPerMs,
+    readQueueMs,
     type UpstreamChoice,
 } from "./choose.js";
 export { ClaimClock, type ClaimClockOptions, type ClaimReason, readShard } from "./claims.js";
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -3,6 +3,7 @@
 import type { z } from "zod";
 import { encodeFrame, FrameReader } from "./frame.js";
 import { checkProof, createHello, createProof, type Hello, helloSchema, proofSchema } from "./greeting.js";
+import { LinkTicker } from "./ticker.js";
 import { type CloseReason, type LinkLimits, type NodeIdentity, protocolVersion } from "./types.js";
 
 /** What a link tells its owner. */
@@ -14,6 +15,8 @@
     onClose(link: Link<Message, Outgoing>, reason: CloseReason): void;
     /** Bytes that crossed the socket, for the control budget. */
     onBytes?(direction: "sent" | "received", count: number): void;
+    /** A heartbeat or a message crossed an open link. */
+    onFrame?(direction: "sent" | "received", type: string): void;
 }
 
 /** Options of {@link Link}. */
@@ -24,10 +27,13 @@
     readonly secret: string;
     readonly schema: z.ZodType<Message, Outgoing>;
     readonly limits: LinkLimits;
+    /** Shared by the links of a process. @default one of its own, every `heartbeatMs` */
+    readonly ticker?: LinkTicker | undefined;
     readonly events: LinkEvents<Message, Outgoing>;
 }
 
-const heartbeat = encodeFrame({ type: "heartbeat" });
+const heartbeatType = "heartbeat";
+const heartbeat = encodeFrame({ type: heartbeatType });
 
 /** Life of a link. Messages are taken in `open` only. */
 const linkMachine = createMachine("greeting", {
@@ -45,7 +51,8 @@
     private peerHello: Hello | undefined;
     private lastReceived = performance.now();
     private lastSent = performance.now();
-    private readonly timer: NodeJS.Timeout;
+    private readonly ticker: LinkTicker;
+    private readonly check = (): void => this.checkSilence();
 
     constructor(private readonly options: LinkOptions<Message, Outgoing>) {
         const { socket, limits } = options;
@@ -55,8 +62,8 @@
         socket.on("data", chunk => this.receive(chunk));
         socket.on("error", () => this.close("peerClosed"));
         socket.on("close", () => this.close("peerClosed"));
-        this.timer = setInterval(() => this.checkSilence(), limits.heartbeatMs);
-        this.timer.unref();
+        this.ticker = options.ticker ?? new LinkTicker(limits.heartbeatMs);
+        this.ticker.add(this.check);
         this.write(encodeFrame(this.ownHello));
     }
 
@@ -77,22 +84,28 @@
         return this.service.machine.current === "open";
     }
 
-    /** Sends one message. A message to a link that is not open is dropped, as if it had been lost on the way. */
-    send(message: Outgoing): boolean {
+    /** Sends a message that {@link encodeFrame} has encoded, for those that go to many. */
+    sendEncoded(frame: Buffer, type: string): boolean {
         if (!this.isOpen) {
             return false;
         }
-        this.write(encodeFrame(message));
+        this.write(frame);
+        this.options.events.onFrame?.("sent", type);
         return true;
     }
 
+    /** Sends one message. A message to a link that is not open is dropped, as if it had been lost on the way. */
+    send(message: Outgoing): boolean {
+        return this.isOpen && this.sendEncoded(encodeFrame(message), readType(message));
+    }
+
     /** Ends the link. Frames sent before are still written. */
     close(reason: CloseReason): void {
         if (this.service.machine.current === "closed") {
             return;
         }
         this.service.send("close");
-        clearInterval(this.timer);
+        this.ticker.remove(this.check);
         if (reason === "asked") {
             this.options.socket.end();
         }
@@ -171,7 +184,8 @@
     }
 
     private receiveMessage(frame: unknown): void {
-        if ((frame as { type?: unknown; } | undefined)?.type === "heartbeat") {
+        this.options.events.onFrame?.("received", readType(frame));
+        if (readType(frame) === heartbeatType) {
             return;
         }
         const message = this.options.schema.safeParse(frame);
@@ -189,8 +203,16 @@
             this.close("silent");
             return;
         }
-        if (this.isOpen && now - this.lastSent >= heartbeatMs) {
+        // One that would be due before the next call of the ticker has come by half of its interval is sent now.
+        if (this.isOpen && now - this.lastSent >= heartbeatMs - this.ticker.intervalMs / 2) {
             this.write(heartbeat);
+            this.options.events.onFrame?.("sent", heartbeatType);
         }
     }
 }
+
+/** What a frame says it is; "other" for one that does not say. */
+function readType(frame: unknown): string {
+    const type = (frame as { type?: unknown; } | undefined)?.type;
+    return typeof type === "string" ? type : "other";
+}
