--- a/packages/node/test/leaving.test.ts
+++ b/packages/node/test/leaving.test.ts
@@ -104,6 +104,8 @@
         readTime: readSteady,
         isLinked: () => true,
         sendPreparation: () => {},
+        onChoice: () => {},
+        onRedirect: () => {},
     });
     const ready = chooser.chooseReady(createRequest());
     const asked = sent.find(message => message.type === "admit")!;
@@ -299,6 +301,8 @@
             sendMissing: () => {},
             onRefusal: () => {},
             onRetry: () => {},
+            onChoice: () => {},
+            onRedirect: () => {},
         });
         const front = createServer((request, response) => {
             void serving.handle(new CallerExchange(request, response));
