--- a/packages/fleet/src/admission.ts
+++ b/packages/fleet/src/admission.ts
@@ -1,3 +1,4 @@
+import { prefillTokensPerMs, readQueueMs } from "./choose.js";
 import { LoadCounter, type LoadHandle } from "./load.js";
 import { type EnginePlaces } from "./places.js";
 import type { AdmissionAnswer, AdmissionRequest, UpstreamLoad } from "./types.js";
@@ -33,6 +34,12 @@
 /** How often the expected wait of a request that waits is worked out anew, in milliseconds: a tenth of most callers' time. */
 const reviewMs = 150;
 
+/**
+ * How much longer than its VM expects a request may be held up by others on the engine before it is told to choose anew, in
+ * milliseconds: a third of what one draft of 9,000 tokens takes, and more than what the question costs.
+ */
+const busierMs = 80;
+
 /** A request that waits at the engine or runs on it. */
 interface Ticket {
     readonly vm: string;
@@ -96,6 +103,9 @@
             return { kind: "declined", ticket, expectedMs: modelLoadMs };
         }
         if (key === undefined || held !== undefined) {
+            if (this.isBusier(request, 0)) {
+                return { kind: "busier", ticket, load: { ...this.load }, version: held, isComing: false };
+            }
             this.start(vm, request, now);
             return { kind: "admitted", ticket, version: held };
         }
@@ -103,6 +113,12 @@
         if (expectedMs * hopefulShare > patienceMs) {
             return { kind: "declined", ticket, expectedMs };
         }
+        // Those that wait for the same adapter are let in together, and their prompts are read one after the other.
+        const waitingTokens = this.countWaitingTokens(key);
+        if (this.isBusier(request, waitingTokens)) {
+            const load = { ...this.load, backlogTokens: this.load.backlogTokens + waitingTokens };
+            return { kind: "busier", ticket, load, isComing: places.listComing().includes(key) };
+        }
         this.tickets.set(formatId(vm, ticket), {
             vm,
             request,
@@ -201,6 +217,23 @@
         return { kind: "declined", ticket: request.ticket, expectedMs };
     }
 
+    /** Whether the engine has clearly more to do than the sender of a request expects. */
+    private isBusier({ expectedQueueMs }: AdmissionRequest, waitingTokens: number): boolean {
+        const queueMs = readQueueMs(this.load) + waitingTokens / prefillTokensPerMs;
+        return expectedQueueMs !== undefined && queueMs > expectedQueueMs + busierMs;
+    }
+
+    /** Prompt tokens of the requests that wait for an adapter. */
+    private countWaitingTokens(key: string): number {
+        let tokens = 0;
+        for (const ticket of this.tickets.values()) {
+            if (isWaiting(ticket) && ticket.request.key === key) {
+                tokens += ticket.request.prefillTokens;
+            }
+        }
+        return tokens;
+    }
+
     private findUsableVersion(request: AdmissionRequest): number | undefined {
         const { key, version } = request;
         const held = key === undefined ? undefined : this.options.places.findLoadedVersion(key);
--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -14,8 +14,13 @@
     readonly startedAt: number;
 }
 
+/** What lets a VM give orders to a shard: the claims before it have lapsed, or one of the other three. */
+export type ClaimReason = "waited" | "released" | "recorded" | "handover";
+
 /** A claim of one shard of the engines. */
 interface Claim {
+    /** What set `mayOrderAt`. */
+    readonly reason: ClaimReason;
     /** The deal in which this VM first held it. */
     readonly generation: number;
     readonly mayOrderAt: number;
@@ -34,6 +39,9 @@
  */
 const recordedPauseMs = 800;
 
+/** Longest time for which an order is on its way, in milliseconds. */
+const orderMs = 100;
+
 /**
  * Which shards this VM owns, and when it may give orders to their engines. Times are handed in by a clock that counts
  * the time in which the VM was suspended.
@@ -44,17 +52,25 @@
  */
 export class ClaimClock {
     private readonly claims = new Map<number, Claim>();
-    private readonly released = new Map<number, { generation: number; at: number; }>();
+    /** Newest deal whose holder has said that it gives no more orders, by shard. */
+    private readonly released = new Map<number, number>();
     private readonly heldUntil = new Map<number, number>();
     private recordedGeneration: number | undefined;
     private firstDeal: number | undefined;
     private validUntil = 0;
     private generation = 0;
+    /** Newest deal that another VM has told of. */
+    private toldGeneration = 0;
 
-    private startedAt: number;
+    /** When the last order of the process before this one came to its engine, at the latest. */
+    private pastOrderAt: number;
+    /** From when on orders may be given under the deal that this process met first. */
+    private firstDealAt = Infinity;
+    /** How long shards that were taken over may be used. */
+    private handoverUntil = 0;
 
     constructor(private readonly options: ClaimClockOptions) {
-        this.startedAt = options.startedAt;
+        this.pastOrderAt = options.startedAt + orderMs;
     }
 
     /** The deal that this VM saw last: it rises with every change of any shard's holder. */
@@ -62,11 +78,22 @@
         return this.generation;
     }
 
+    /** The newest deal that this VM knows of, by itself or from others. */
+    get newestDeal(): number {
+        return Math.max(this.generation, this.toldGeneration);
+    }
+
     /** Fencing token for the engines of a shard: higher than that of every holder before. */
     readFence(shard: number): number {
         return this.generation * (maxDepth + 1) + (this.claims.get(shard)?.depth ?? 0);
     }
 
+    /** What lets this VM give orders to a shard, and the deal in which it first held it. */
+    explainClaim(shard: number): { readonly reason: ClaimReason; readonly generation: number; } | undefined {
+        const claim = this.claims.get(shard);
+        return claim === undefined ? undefined : { reason: claim.reason, generation: claim.generation };
+    }
+
     readDepth(shard: number): number {
         return this.claims.get(shard)?.depth ?? 0;
     }
@@ -74,15 +101,20 @@
     /**
      * Takes the answer to a renewal.
      * @param sentAt When the renewal was sent.
+     * @returns Whether it was taken: one that tells of a deal before the newest known one is old.
      */
-    applyRenewal(generation: number, shards: readonly number[], sentAt: number, now: number): void {
-        if (generation < this.generation) {
-            return;
+    applyRenewal(generation: number, shards: readonly number[], sentAt: number, now: number): boolean {
+        if (generation < this.newestDeal) {
+            return false;
         }
         // A shard held in two deals in a row had no other holder. Over deals that this VM did not see it may have had one,
         // which has ordered only if it was confirmed for longer than `settleMs`.
         const provenAt = this.validUntil - this.options.useMs;
         const mayHaveMoved = generation - this.generation > 1 && now - provenAt > this.options.settleMs;
+        if (this.generation === this.firstDeal && generation !== this.firstDeal && !this.isStartConfirmed(now)) {
+            // Nothing was ordered under them, and whoever went on in the first deal may still do so: all are new.
+            this.claims.clear();
+        }
         this.generation = generation;
         this.firstDeal ??= generation;
         this.renewUntil(sentAt);
@@ -95,7 +127,9 @@
         }
         for (const shard of held) {
             if (!this.claims.has(shard)) {
+                const isReleased = this.released.get(shard) === generation - 1;
                 this.claims.set(shard, {
+                    reason: isReleased ? "released" : "waited",
                     generation,
                     mayOrderAt: now + this.readWaitMs(shard, generation, now),
                     depth: this.readFirstDepth(generation),
@@ -104,6 +138,7 @@
             }
         }
         this.applyRecorded(now);
+        return true;
     }
 
     /**
@@ -118,20 +153,25 @@
     /**
      * Takes word from another VM that a renewal of its own, sent at `sentAt`, was answered with this generation: if it
      * is the one of this VM's claims, they held then.
+     * @returns How much longer that lets it give orders, in milliseconds.
      */
-    applyWitness(generation: number, sentAt: number): void {
-        if (generation === this.generation && this.claims.size > 0) {
-            this.renewUntil(sentAt);
-        }
+    applyWitness(generation: number, sentAt: number): number {
+        return generation === this.generation && this.claims.size > 0 ? this.renewUntil(sentAt) : 0;
     }
 
     /**
      * Takes word that most VMs, asked at `askedAt`, do not reach the store either and hold none of this VM's shards.
      * Whoever of them is dealt one later waits `useMs` before its first order. What stays open: a VM that none of them
-     * reaches, and that alone reaches the store.
+     * reaches, and that alone reaches the store. Once a later deal is heard of, the shards may be anyone's.
+     * @returns How much longer that lets it give orders, in milliseconds.
      */
-    applyAllClear(askedAt: number): void {
-        this.renewUntil(askedAt);
+    applyAllClear(askedAt: number): number {
+        return this.toldGeneration > this.generation ? 0 : this.renewUntil(askedAt);
+    }
+
+    /** Takes word of another VM about the newest deal that it knows of. */
+    recordDeal(generation: number): void {
+        this.toldGeneration = Math.max(this.toldGeneration, generation);
     }
 
     /**
@@ -143,8 +183,8 @@
             return;
         }
         for (const shard of shards) {
-            const mayOrderAt = Math.max(now, (this.heldUntil.get(shard) ?? this.startedAt) + this.options.turnMs);
-            this.claims.set(shard, { generation: deal, mayOrderAt, depth, isHandover: true });
+            const mayOrderAt = Math.max(now, (this.heldUntil.get(shard) ?? this.pastOrderAt) + this.options.turnMs);
+            this.claims.set(shard, { reason: "handover", generation: deal, mayOrderAt, depth, isHandover: true });
         }
     }
 
@@ -157,6 +197,7 @@
 
     /** Gives up shards that another VM has been dealt, and returns them. */
     revokeShards(shards: readonly number[], generation: number, now: number): number[] {
+        this.recordDeal(generation);
         if (generation <= this.generation) {
             return [];
         }
@@ -164,21 +205,26 @@
     }
 
     private endClaim(shard: number, now: number): boolean {
-        this.heldUntil.set(shard, now);
+        // An order that is on its way comes to the engine later than this, and a turn counts from there.
+        this.heldUntil.set(shard, now + orderMs);
         return this.claims.delete(shard);
     }
 
-    private renewUntil(sentAt: number): void {
-        this.validUntil = Math.max(this.validUntil, sentAt + this.options.useMs);
+    private renewUntil(sentAt: number): number {
+        const before = this.validUntil;
+        this.validUntil = Math.max(before, sentAt + this.options.useMs);
+        return this.validUntil - before;
     }
 
     private applyRecorded(now: number): void {
         if (this.recordedGeneration !== this.generation) {
             return;
         }
-        const mayOrderAt = Math.max(now, this.startedAt + recordedPauseMs);
+        const mayOrderAt = Math.max(now, this.options.startedAt + recordedPauseMs);
         for (const [shard, claim] of this.claims) {
-            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, mayOrderAt) });
+            if (mayOrderAt < claim.mayOrderAt) {
+                this.claims.set(shard, { ...claim, mayOrderAt, reason: "recorded" });
+            }
         }
     }
 
@@ -188,21 +234,30 @@
      * which held it lately waits `turnMs` as well, so that no two holders alternate.
      */
     private readWaitMs(shard: number, generation: number, now: number): number {
-        const release = this.released.get(shard);
-        const lapseMs = release?.generation === generation - 1 ? 0 : this.options.useMs + this.options.settleMs;
-        const heldUntil = this.heldUntil.get(shard) ?? this.startedAt;
+        const lapseMs = this.released.get(shard) === generation - 1 ? 0 : this.options.useMs + this.options.settleMs;
+        const heldUntil = this.heldUntil.get(shard) ?? this.pastOrderAt;
         const alternateMs = Math.max(0, heldUntil + this.options.turnMs - now);
         return Math.max(lapseMs, alternateMs);
     }
 
-    /** Takes word of the holder in a deal that it gives no more orders to a shard. */
-    recordRelease(shard: number, generation: number, now: number): void {
-        this.released.set(shard, { generation, at: now });
+    /**
+     * Takes word of the holder in a deal that it gives no more orders to a shard. It holds for good, since it is sent only
+     * when the store has ended that deal: neither the holder nor a start of it gives orders in the deal after that.
+     * @returns Whether this VM waits less for it.
+     */
+    recordRelease(shard: number, generation: number, now: number): boolean {
+        if (generation >= (this.released.get(shard) ?? -Infinity)) {
+            this.released.set(shard, generation);
+        }
         const claim = this.claims.get(shard);
         if (claim !== undefined && claim.generation === generation + 1) {
             const mayOrderAt = now + this.readWaitMs(shard, claim.generation, now);
-            this.claims.set(shard, { ...claim, mayOrderAt: Math.min(claim.mayOrderAt, mayOrderAt) });
+            if (mayOrderAt < claim.mayOrderAt) {
+                this.claims.set(shard, { ...claim, mayOrderAt, reason: "released" });
+                return true;
+            }
         }
+        return false;
     }
 
     /**
@@ -210,12 +265,42 @@
      * this one takes the highest.
      */
     private readFirstDepth(generation: number): number {
-        return this.startedAt !== -Infinity && generation === this.firstDeal ? maxDepth : 0;
+        return this.pastOrderAt !== -Infinity && generation === this.firstDeal ? maxDepth : 0;
     }
 
     /** No process of this VM ran before this one: no shard can come back to it. */
     setFirstLife(): void {
-        this.startedAt = -Infinity;
+        this.pastOrderAt = -Infinity;
+        this.firstDealAt = -Infinity;
+    }
+
+    /**
+     * Takes word that most VMs have heard of this start, and whether one of them has lately borne out that another VM goes on
+     * in this VM's place. Before it nothing is ordered under the first deal: that other VM, which need not hear of the start
+     * itself, may do so until most others tell it that they have.
+     */
+    recordStartHeard(now: number, wasTakenOver: boolean): void {
+        const atOnce = Math.min(this.firstDealAt, now);
+        const afterTurn = Math.max(now + this.options.useMs + orderMs, this.pastOrderAt + this.options.turnMs);
+        this.firstDealAt = wasTakenOver ? Math.min(this.firstDealAt, afterTurn) : atOnce;
+    }
+
+    private isStartConfirmed(now: number): boolean {
+        return now >= this.firstDealAt;
+    }
+
+    /** Whether shards of the first deal are held that may not be used before most VMs have heard of this start. */
+    isHeldBack(now: number): boolean {
+        return this.generation === this.firstDeal && this.claims.size > 0 && !this.isStartConfirmed(now);
+    }
+
+    /** Takes word that most VMs, asked at `askedAt`, have not heard of a start of those from which shards were taken over. */
+    renewHandovers(askedAt: number): void {
+        this.handoverUntil = Math.max(this.handoverUntil, askedAt + this.options.useMs);
+    }
+
+    get hasHandovers(): boolean {
+        return [...this.claims.values()].some(claim => claim.isHandover);
     }
 
     /** Whether this VM may give orders to all shards that it holds. */
@@ -239,15 +324,25 @@
     /** Whether orders to the engines of a shard may be given at this moment. */
     canOrder(shard: number, now: number): boolean {
         const claim = this.claims.get(shard);
-        return claim !== undefined && now < this.validUntil && now >= claim.mayOrderAt;
+        return claim !== undefined && now < this.validUntil && now >= claim.mayOrderAt
+            && (claim.generation !== this.firstDeal || this.isStartConfirmed(now))
+            && (!claim.isHandover || now < this.handoverUntil);
     }
 
     /**
      * Shards whose release may be told: those whose earlier holders have all stopped. One that this VM was still waiting
-     * for may be in use by the holder before it.
+     * for may be in use by the holder before it, and one that it has taken over by the VM to which it was dealt.
      */
     listReleasable(now: number): number[] {
-        return [...this.claims].filter(([, claim]) => now >= claim.mayOrderAt).map(([shard]) => shard);
+        return [...this.claims].filter(([, claim]) =>
+            now >= claim.mayOrderAt && !claim.isHandover
+            && (claim.generation !== this.firstDeal || this.isStartConfirmed(now))
+        ).map(([shard]) => shard);
+    }
+
+    /** Shards that this VM may give orders to now, and so may hand over. */
+    listUsable(now: number): number[] {
+        return this.listShards().filter(shard => this.canOrder(shard, now));
     }
 
     listShards(): number[] {
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -138,6 +138,11 @@
     patienceMs: z.number(),
     /** Time after which it has ended in any case, in milliseconds. */
     endMs: z.number(),
+    /**
+     * Time for which the sender expects it to be held up by other requests on the engine or by a load, in milliseconds;
+     * missing for one that takes the engine as it is.
+     */
+    expectedQueueMs: z.number().optional(),
 });
 
 /** See {@link admissionRequestSchema}. */
@@ -151,6 +156,18 @@
     z.object({ kind: z.literal("queued"), ticket: z.number(), expectedMs: z.number() }),
     /** It cannot be let in while its caller waits; after this time it could be, in milliseconds. */
     z.object({ kind: z.literal("declined"), ticket: z.number(), expectedMs: z.number() }),
+    /**
+     * It was not taken, since the engine has clearly more to do than the sender expected: this, with the prompts that wait
+     * for the same adapter. `version` is that of its adapter, missing where it is not loaded and for the base model.
+     */
+    z.object({
+        kind: z.literal("busier"),
+        ticket: z.number(),
+        load: upstreamLoadSchema,
+        version: z.number().optional(),
+        /** Whether its adapter is on its way for others. */
+        isComing: z.boolean(),
+    }),
     /** The VM that was asked does not own the engine. */
     z.object({ kind: z.literal("notOwned"), ticket: z.number() }),
 ]);
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -10,6 +10,8 @@
 /** What one VM knows of one upstream. */
 export interface UpstreamState {
     upstream: Upstream;
+    /** Since when this VM knows that it leaves; undefined if it does not leave as far as is known. */
+    leavingSince: number | undefined;
     /** When it will be gone, if it is taken away at short notice. */
     goneAt: number | undefined;
     /** The newest word of its owner; missing for plain services, and until an owner has spoken. */
@@ -25,6 +27,27 @@
     readonly prompts: PromptHistory;
 }
 
+/** What an engine's owner tells of one adapter. */
+export interface AdapterNews {
+    readonly key: string;
+    /** Undefined if it is not loaded. */
+    readonly version: number | undefined;
+    readonly isComing: boolean;
+}
+
+/** What is known of an engine's adapters, with word of one of them. */
+function mergeAdapter(news: EngineNews, adapter: AdapterNews | undefined): Pick<EngineNews, "held" | "coming"> {
+    const { held, coming } = news;
+    if (adapter === undefined) {
+        return { held, coming };
+    }
+    const { key, version, isComing } = adapter;
+    return {
+        held: version === undefined ? held : { ...held, [key]: version },
+        coming: isComing && !coming.includes(key) ? [...coming, key] : coming,
+    };
+}
+
 /** What one VM knows of all upstreams: their entries, what engines hold, and how loaded they are. */
 export class FleetView {
     private readonly ownLoad = new LoadCounter();
@@ -38,6 +61,7 @@
         if (state === undefined) {
             this.states.set(upstream.id, {
                 upstream,
+                leavingSince: upstream.isLeaving ? now : undefined,
                 goneAt,
                 news: undefined,
                 owner: undefined,
@@ -49,6 +73,7 @@
             return;
         }
         state.upstream = upstream;
+        state.leavingSince = upstream.isLeaving ? state.leavingSince ?? now : undefined;
         state.goneAt = goneAt === undefined ? undefined : Math.min(goneAt, state.goneAt ?? goneAt);
     }
 
@@ -64,6 +89,11 @@
         return [...this.states.values()];
     }
 
+    /** Whether an upstream may get new requests: its entry stands and does not say that it leaves. */
+    isUsable(id: string): boolean {
+        return this.states.get(id)?.upstream.isLeaving === false;
+    }
+
     /** Upstreams of a service that may get new requests. */
     listUsable(service: string): UpstreamState[] {
         return this.listUpstreams().filter(state => state.upstream.service === service && !state.upstream.isLeaving);
@@ -96,6 +126,17 @@
         return true;
     }
 
+    /** Takes an owner's word about the load on its engine and about one adapter, between two of its news. */
+    updateLoad(id: string, load: Readonly<UpstreamLoad>, adapter: AdapterNews | undefined, now: number): void {
+        const state = this.states.get(id);
+        if (state?.news === undefined) {
+            return;
+        }
+        state.news = { ...state.news, load, ...mergeAdapter(state.news, adapter) };
+        state.ownLoadAtNews = { ...this.ownLoad.read(id) };
+        state.prompts.record(load.largestPrompt, now);
+    }
+
     /** Forgets that a VM that is gone may give orders. Its next incarnation counts its messages anew. */
     removeVm(vm: string): void {
         for (const state of this.states.values()) {
@@ -123,13 +164,11 @@
         }
         const { load } = state.news;
         const before = state.ownLoadAtNews;
-        const sum = (field: keyof UpstreamLoad): number =>
-            Math.max(own[field], load[field] + own[field] - before[field]);
         return {
-            active: sum("active"),
-            backlogTokens: sum("backlogTokens"),
-            kvTokens: sum("kvTokens"),
-            longAnswers: sum("longAnswers"),
+            active: Math.max(own.active, load.active + own.active - before.active),
+            backlogTokens: Math.max(own.backlogTokens, load.backlogTokens + own.backlogTokens - before.backlogTokens),
+            kvTokens: Math.max(own.kvTokens, load.kvTokens + own.kvTokens - before.kvTokens),
+            longAnswers: Math.max(own.longAnswers, load.longAnswers + own.longAnswers - before.longAnswers),
             largestPrompt: Math.max(own.largestPrompt, load.largestPrompt),
         };
     }
--- a/packages/node/src/choosing.ts
+++ b/packages/node/src/choosing.ts
@@ -33,6 +33,12 @@
 /** Most moves of one request between engines: each may have begun a load for nothing. */
 const maxMoves = 3;
 
+/**
+ * Most times that one request chooses anew since the engine that it chose has more to do than this VM knew. Each costs a
+ * message and its answer, some 3 ms.
+ */
+const maxRedirects = 4;
+
 /** Rest of a wait that has lasted longer than expected, in milliseconds: about one load. */
 const overdueMs = 250;
 
@@ -69,6 +75,10 @@
     /** Whether messages reach a VM. */
     readonly isLinked: (vm: string) => boolean;
     readonly sendPreparation: (preparation: Preparation) => void;
+    /** All upstreams of a service were compared for one request. */
+    readonly onChoice: () => void;
+    /** A request chooses anew, since its engine is busier than this VM knew. */
+    readonly onRedirect: () => void;
 }
 
 /** Finds the upstream for a request and waits until it can be sent there. */
@@ -136,6 +146,7 @@
     /** @param without An engine that is left out. */
     private choose(job: Job, now: number, without?: string): UpstreamChoice | undefined {
         const { view, dataCentre, longPrompts, kept } = this.options;
+        this.options.onChoice();
         const inForce = [...job.tried].filter(([, { until }]) => until > now);
         const penalties = new Map(inForce.map(([id, { costMs }]) => [id, costMs]));
         if (without !== undefined) {
@@ -167,6 +178,7 @@
         if (key === undefined || !choice.isReady || (choice.version ?? 0) >= (newest?.version ?? 0)) {
             return choice;
         }
+        this.options.onChoice();
         const next = chooseEngine({ ...options, needsNewest: true });
         if (next?.isReady === true && next.rankMs < choice.rankMs + newestDelayMs) {
             return next;
@@ -188,7 +200,11 @@
         }
         const { admissions } = this.options;
         const engine = state.upstream.id;
-        const details = { ...this.createDetails(job, model, now), prefillTokens: choice.prefillTokens };
+        const details: AdmissionDetails = {
+            ...this.createDetails(job, model, now),
+            prefillTokens: choice.prefillTokens,
+            expectedQueueMs: job.redirects < maxRedirects ? choice.waitMs : undefined,
+        };
         if (!this.canAsk(state)) {
             const run = admissions.addRun(engine, { ...details, version: choice.version });
             return { choice, admission: run };
@@ -196,7 +212,10 @@
         this.recordAsked(job, choice, details);
         const admission = admissions.ask(state.owner!, engine, details);
         const outcome = await this.waitForOutcome(job, admission);
-        if (outcome?.kind === "admitted" && (outcome.version ?? Infinity) >= this.findOldestVersion(model)) {
+        // Waits last seconds: what the choice was made by is asked again, as the owner may know less than this VM.
+        const isUsable = this.options.view.isUsable(engine);
+        const isNew = outcome?.kind === "admitted" && (outcome.version ?? Infinity) >= this.findOldestVersion(model);
+        if (isUsable && isNew) {
             return { choice: { ...choice, version: outcome.version }, admission };
         }
         admission.end();
@@ -219,7 +238,10 @@
         }
     }
 
-    /** Waits for an owner's word; undefined if the caller left, its time is over, or another engine will be sooner. */
+    /**
+     * Waits for an owner's word; undefined if the caller left, its time is over, another engine will be sooner, or the
+     * engine leaves.
+     */
     private async waitForOutcome(job: Job, admission: Admission): Promise<AdmissionOutcome | undefined> {
         const { readTime } = this.options;
         for (;;) {
@@ -231,6 +253,9 @@
             if (outcome !== undefined) {
                 return outcome;
             }
+            if (!this.options.view.isUsable(admission.engine)) {
+                return undefined;
+            }
             if (job.moves < maxMoves && this.isSoonerElsewhere(job, admission)) {
                 job.moves += 1;
                 return undefined;
@@ -259,6 +284,15 @@
 
     private recordFailure(job: Job, engine: string, outcome: AdmissionOutcome): void {
         const now = this.options.readTime();
+        if (outcome.kind === "busier") {
+            job.redirects += 1;
+            this.options.onRedirect();
+            const key = findAdapterKey(job.demand.model);
+            const { load, version, isComing } = outcome;
+            this.options.view.updateLoad(engine, load, key === undefined ? undefined : { key, version, isComing }, now);
+            this.options.log.record("engineBusier", { request: job.demand.requestId, engine, ...outcome.load });
+            return;
+        }
         if (outcome.kind === "declined") {
             job.tried.set(engine, { costMs: outcome.expectedMs, until: now + declinedMs, hasDeclined: true });
             job.expectedAt = Math.min(job.expectedAt ?? Infinity, now + outcome.expectedMs);
--- a/packages/node/src/engines.ts
+++ b/packages/node/src/engines.ts
@@ -7,10 +7,12 @@
     type EngineOrder,
     EnginePlaces,
     type FleetView,
+    type OrderAnswer,
     type UpstreamState,
 } from "@radishreel/fleet";
 import type { Service } from "@radishreel/routing";
 import type { AdmissionMessage } from "./admissions.js";
+import { processTimers, type ScheduledRun, type Timers } from "./clock.js";
 import type { DecisionLog } from "./decisions.js";
 import type { EngineOrders } from "./ports.js";
 
@@ -32,6 +34,9 @@
 /** When a request that an engine cannot take may find it usable again, in milliseconds: a new owner needs some 2 s. */
 const unusableMs = 1000;
 
+/** The same for an engine that leaves, in milliseconds: never, so that any other engine is the better choice. */
+const leavingMs = 10_000;
+
 /** Options of {@link OwnedEngines}. */
 export interface OwnedEnginesOptions {
     readonly vm: string;
@@ -44,6 +49,10 @@
     readonly mayOrder: (name: string) => boolean;
     /** Fencing token for the orders to an engine. */
     readonly readFence: (name: string) => number;
+    /** Why orders to an engine may be given from now on: fields of its decision line. */
+    readonly explainOrders?: (name: string) => object;
+    /** @default timers of this process */
+    readonly timers?: Timers;
     readonly sendNews: (news: EngineNews[]) => void;
     readonly sendAnswer: (vm: string, answer: AdmissionAnswer) => void;
     /** Other VMs that may be running, connected or not. */
@@ -59,20 +68,25 @@
     revision: number;
     lastNews: string;
     isWorking: boolean;
-    timer: NodeJS.Timeout | undefined;
+    /** An order is on its way: sent or about to be, and not answered. */
+    isOrdering: boolean;
+    timer: ScheduledRun | undefined;
     canOrder: boolean;
 }
 
 /** The engines that this VM owns: it alone gives them orders, lets requests in, and tells all VMs what they hold. */
 export class OwnedEngines {
     private readonly engines = new Map<string, OwnedEngine>();
-    private readonly newsTimer: NodeJS.Timeout;
+    private readonly timers: Timers;
+    private readonly newsTimer: ScheduledRun;
+    /** Orders on their way, and the names of their engines. They outlast the ownership. */
+    private readonly underWay = new Map<Promise<OrderAnswer>, string>();
     private toldAt = -Infinity;
     private isStopped = false;
 
     constructor(private readonly options: OwnedEnginesOptions) {
-        this.newsTimer = setInterval(() => this.sendDueChanges(), newsIntervalMs);
-        this.newsTimer.unref();
+        this.timers = options.timers ?? processTimers;
+        this.newsTimer = this.timers.scheduleEvery(() => this.sendDueChanges(), newsIntervalMs);
     }
 
     get hasAny(): boolean {
@@ -81,7 +95,7 @@
 
     stop(): void {
         this.isStopped = true;
-        clearInterval(this.newsTimer);
+        this.newsTimer.cancel();
         for (const id of [...this.engines.keys()]) {
             this.remove(id);
         }
@@ -105,6 +119,11 @@
         }
     }
 
+    /** Waits until no order to these engines is on its way any more: some 100 ms at most. */
+    async waitOrders(isMeant: (name: string) => boolean): Promise<void> {
+        await Promise.all([...this.underWay].filter(([, name]) => isMeant(name)).map(([answer]) => answer));
+    }
+
     /** Takes word of a request from its VM. */
     receiveRequest(vm: string, message: AdmissionMessage): void {
         const owned = this.engines.get(message.engine);
@@ -170,8 +189,10 @@
         request: Extract<AdmissionMessage, { type: "admit"; }>["request"],
         now: number,
     ): AdmissionAnswer {
-        const isUsable = owned.places.isReachable && this.options.view.findUpstream(owned.id) !== undefined;
-        return isUsable
+        if (!this.options.view.isUsable(owned.id)) {
+            return { kind: "declined", ticket: request.ticket, expectedMs: leavingMs };
+        }
+        return owned.places.isReachable
             ? owned.admission.ask(vm, request, now)
             : { kind: "declined", ticket: request.ticket, expectedMs: unusableMs };
     }
@@ -199,6 +220,7 @@
             revision: 0,
             lastNews: "",
             isWorking: false,
+            isOrdering: false,
             timer: undefined,
             canOrder: false,
         };
@@ -218,9 +240,10 @@
         if (owned === undefined) {
             return;
         }
-        clearTimeout(owned.timer);
+        owned.timer?.cancel();
         this.engines.delete(id);
-        this.options.log.recordImportant("engineGivenUp", { engine: id, fence: owned.fence });
+        const { fence, isOrdering } = owned;
+        this.options.log.recordImportant("engineGivenUp", { engine: id, fence, isOrdering });
         owned.canOrder = false;
         this.sendAnswers(owned.admission.refuseAll(unusableMs));
         owned.revision += 1;
@@ -239,15 +262,20 @@
             return;
         }
         const now = this.options.readTime();
+        const isUsable = this.options.view.isUsable(owned.id);
+        if (!isUsable) {
+            // Loads end seconds later: what waits for one must not be sent to an engine that leaves.
+            this.sendAnswers(owned.admission.refuseAll(leavingMs));
+        }
         this.sendAnswers(owned.admission.advance(now));
         if (owned.isWorking) {
             return;
         }
-        clearTimeout(owned.timer);
+        owned.timer?.cancel();
         const state = this.options.view.findUpstream(owned.id);
         this.updateCanOrder(owned);
         // A report may be asked for before orders may be given: what the engine holds stays in use meanwhile.
-        if (state === undefined || (!owned.canOrder && !owned.places.needsReport)) {
+        if (state === undefined || !isUsable || (!owned.canOrder && !owned.places.needsReport)) {
             this.scheduleAdvance(owned, idleCheckMs);
             return;
         }
@@ -269,13 +297,19 @@
         const canOrder = this.options.mayOrder(owned.name);
         if (canOrder !== owned.canOrder) {
             owned.canOrder = canOrder;
-            this.options.log.recordImportant("ordersAllowed", { engine: owned.id, canOrder, fence: owned.fence });
+            const why = canOrder ? this.options.explainOrders?.(owned.name) : undefined;
+            this.options.log.recordImportant("ordersAllowed", {
+                engine: owned.id,
+                canOrder,
+                fence: owned.fence,
+                ...why,
+            });
             this.sendChanges([owned]);
         }
     }
 
     private scheduleAdvance(owned: OwnedEngine, waitMs: number): void {
-        owned.timer = setTimeout(() => this.advance(owned), waitMs);
+        owned.timer = this.timers.scheduleOnce(() => this.advance(owned), waitMs);
     }
 
     private async runReport(owned: OwnedEngine, state: UpstreamState): Promise<void> {
@@ -298,14 +332,19 @@
 
     private async runOrder(owned: OwnedEngine, state: UpstreamState, order: EngineOrder): Promise<void> {
         owned.isWorking = true;
+        owned.isOrdering = true;
         owned.fence = Math.max(owned.fence, this.options.readFence(owned.name));
         const sentAt = this.options.readTime();
         const wasReachable = owned.places.isReachable;
-        const answer = await this.options.orders.send(state.upstream, order, {
+        const sending = this.options.orders.send(state.upstream, order, {
             holder: this.options.vm,
             fence: owned.fence,
             checkBeforeSend: () => this.options.mayOrder(owned.name),
         });
+        this.underWay.set(sending, owned.name);
+        const answer = await sending;
+        this.underWay.delete(sending);
+        owned.isOrdering = false;
         const now = this.options.readTime();
         owned.places.applyAnswer(order, answer, now);
         this.options.log.record("order", {
@@ -347,7 +386,7 @@
             waitMs: Math.round(admission.readNextTurnMs(this.options.readTime())),
             coldLoadMs: Math.round(places.readLoadMs(false)),
             warmLoadMs: Math.round(places.readLoadMs(true)),
-            load: admission.load,
+            load: { ...admission.load },
         };
     }
 
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -1,10 +1,28 @@
-import { type Link, LinkClient, LinkServer, type NodeIdentity, resolveLinkLimits } from "@radishreel/wire";
+import {
+    encodeFrame,
+    type Link,
+    LinkClient,
+    LinkServer,
+    LinkTicker,
+    type NodeIdentity,
+    resolveLinkLimits,
+} from "@radishreel/wire";
 import type { DecisionLog } from "./decisions.js";
 import { type PeerMessage, peerMessageSchema } from "./messages.js";
 import type { Member } from "./ports.js";
 
-/** Heartbeats and the silence after which a link counts as dead, in milliseconds: faults last some seconds. */
-const linkLimits = resolveLinkLimits({ heartbeatMs: 400, silenceMs: 1500, maxFrameBytes: 8 * 1024 * 1024 });
+/**
+ * Heartbeats and the silence after which a link counts as dead, in milliseconds: faults last some seconds. Only the side that
+ * opened a link sends on it and acts on its loss, so it hears heartbeats at the quicker pace; the other side only needs to
+ * drop what is left of a VM that is gone, or of a path that is cut one way.
+ */
+const linkLimits = resolveLinkLimits({
+    heartbeatMs: 400,
+    silenceMs: 1500,
+    callerHeartbeatMs: 1200,
+    callerSilenceMs: 3000,
+    maxFrameBytes: 8 * 1024 * 1024,
+});
 
 /**
  * Longest pause between two tries to reach a VM, in milliseconds. After a cut of 6 s nothing could be loaded on the engines
@@ -34,6 +52,9 @@
     readonly port: number;
     readonly log: DecisionLog;
     readonly readTime: () => number;
+    /** A heartbeat or a message crossed a link. */
+    readonly onFrame: (direction: "sent" | "received", type: string) => void;
+    readonly onBytes: (direction: "sent" | "received", count: number) => void;
     /** Messages for a VM whose link has just opened. */
     readonly createGreeting: (vm: string) => PeerMessage[];
     readonly onMessage: (vm: string, message: PeerMessage) => void;
@@ -69,6 +90,7 @@
     /** VMs that are known, by address. */
     private readonly members = new Map<string, KnownMember>();
     private readonly peersByAddress = new Map<string, Peer>();
+    private readonly ticker = new LinkTicker(linkLimits.heartbeatMs);
     private isHub = false;
     private readonly linksByVm = new Map<string, Link<PeerMessage>>();
 
@@ -80,7 +102,10 @@
             secret: options.secret,
             schema: peerMessageSchema,
             limits: linkLimits,
+            ticker: this.ticker,
             events: {
+                onFrame: options.onFrame,
+                onBytes: options.onBytes,
                 onOpen: link => this.receiveCaller(link.peer),
                 onMessage: (link, message) => options.onMessage(link.peer.id, message),
                 onClose: () => {
@@ -161,8 +186,11 @@
             secret,
             schema: peerMessageSchema,
             limits: linkLimits,
+            ticker: this.ticker,
             maxBackoffMs,
             events: {
+                onFrame: this.options.onFrame,
+                onBytes: this.options.onBytes,
                 onOpen: link => this.receiveOpen(address, link),
                 onMessage: (link, message) => this.options.onMessage(link.peer.id, message),
                 onClose: link => this.receiveClose(address, link),
@@ -183,6 +211,11 @@
         return this.linksByVm.has(vm);
     }
 
+    /** The process of a VM that opened a link last. */
+    findIncarnation(vm: string): number | undefined {
+        return this.incarnations.get(vm);
+    }
+
     /** Data centre of a connected VM. */
     findDataCentre(vm: string): string | undefined {
         return this.linksByVm.get(vm)?.peer.dataCentre;
@@ -224,8 +257,9 @@
     }
 
     broadcast(message: PeerMessage): void {
+        const frame = encodeFrame(message);
         for (const peer of this.peersByAddress.values()) {
-            peer.link?.send(message);
+            peer.link?.sendEncoded(frame, message.type);
         }
     }
 
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -26,6 +26,7 @@
     ShardClaims,
     UnreadableRecord,
 } from "./ports.js";
+import { PressureWatch } from "./pressure.js";
 import { Serving } from "./serving.js";
 import { ChangeSharing } from "./sharing.js";
 
@@ -104,7 +105,10 @@
     private readonly budgets = new Map<string, RetryBudget>();
     private readonly sharing: ChangeSharing;
     private readonly isolation = new IsolationWatch();
+    private readonly pressure: PressureWatch;
     private readonly admissions: Admissions;
+    /** Tells this process from others of the same VM. */
+    private readonly incarnation = Date.now();
     private owning: Owning | undefined;
     private past: Member | undefined;
     private hasReadMembers = false;
@@ -113,6 +117,13 @@
     constructor(private readonly options: NodeOptions) {
         const { settings, sink } = options;
         this.log = new DecisionLog({ program: "radishreel-node", vm: settings.vm, sink, readTime: readNow });
+        this.pressure = new PressureWatch({
+            log: this.log,
+            readTime: readNow,
+            readProcessorMs,
+            intervalMs: housekeepingMs,
+            onLag: ms => this.metrics.recordLag(ms),
+        });
         this.view = new FleetView();
         this.cluster = new ClusterState({
             view: this.view,
@@ -203,8 +214,8 @@
         return this.stopping;
     }
 
-    receiveChanges(changes: readonly ClusterChange[]): void {
-        const fresh = this.cluster.applyChanges(changes);
+    receiveChanges(changes: readonly ClusterChange[], from?: string): void {
+        const fresh = this.cluster.applyChanges(changes, from);
         if (fresh.length === 0) {
             return;
         }
@@ -283,6 +294,8 @@
             sendMissing: (engine, key) => this.sendToOwner(engine, { type: "missing", engine, key }),
             onRefusal: reason => this.metrics.recordRefusal(reason),
             onRetry: after => this.metrics.recordRetry(after),
+            onChoice: () => this.recordChoice(),
+            onRedirect: () => this.metrics.recordRedirect(),
             startWaitMs: settings.startWaitMs,
         });
     }
@@ -294,7 +307,7 @@
                 id: settings.vm,
                 role: "node",
                 dataCentre: settings.dataCentre,
-                incarnation: Date.now(),
+                incarnation: this.incarnation,
                 address: formatAddress(settings.peers),
             },
             secret: settings.secret,
@@ -302,6 +315,8 @@
             port: settings.peers.port,
             log: this.log,
             readTime: readNow,
+            onFrame: (direction, type) => this.recordFrame(direction, type),
+            onBytes: (direction, count) => this.metrics.recordBytes(direction, count),
             createGreeting: vm => this.createGreeting(vm),
             onMessage: (vm, message) => this.receivePeerMessage(vm, message),
             onStart: () => this.owning?.receiveStart(),
@@ -323,10 +338,13 @@
             sendNews: news => this.sendNews(news),
             sendAnswer: (vm, answer) => this.sendAnswer(vm, answer),
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
-            sendQuery: query => this.peers.broadcast({ type: "claimQuery", query }),
+            sendQuery: query => this.peers.broadcast({ type: "claimQuery", ...query, givers: [...query.givers] }),
+            incarnation: this.incarnation,
+            readIncarnation: vm => this.peers.findIncarnation(vm),
             sendHandover: handover => this.sendHandover(handover),
             countOthers: () => this.peers.countLikely(),
             recordGeneration: generation => this.appendMember({ generation }),
+            onClaimEvent: event => this.metrics.recordClaimEvent(event),
         });
     }
 
@@ -396,7 +414,7 @@
                 }
                 return;
             case "changes":
-                this.receiveChanges(message.changes);
+                this.receiveChanges(message.changes, vm);
                 return;
             case "positions":
                 this.sharing.receivePositions(
@@ -432,14 +450,14 @@
                 this.owning?.engines.recordMissing(message.engine, message.key);
                 return;
             case "release":
-                this.owning?.recordRelease(message.shards, message.generation);
+                this.owning?.recordRelease(vm, message.shards, message.generation);
                 return;
             case "handover":
                 this.owning?.receiveHandover(message);
                 return;
             case "claimQuery":
                 if (this.owning !== undefined) {
-                    this.peers.send(vm, { type: "claimState", ...this.owning.readClaimState(message.query) });
+                    this.peers.send(vm, { type: "claimState", ...this.owning.readClaimState(vm, message) });
                 }
                 return;
             case "claimState":
@@ -523,10 +541,22 @@
 
     private sendHandover(handover: Handover): boolean {
         const [heir] = this.peers.listHeirs();
-        return heir !== undefined && this.peers.send(heir, { type: "handover", ...handover });
+        return heir !== undefined
+            && this.peers.send(heir, { type: "handover", ...handover, givers: [...handover.givers] });
+    }
+
+    private recordChoice(): void {
+        this.metrics.recordChoice();
+        this.pressure.recordWork("choice");
+    }
+
+    private recordFrame(direction: "sent" | "received", type: string): void {
+        this.metrics.recordFrame(direction, type);
+        this.pressure.recordWork(`${direction} ${type}`);
     }
 
     private runHousekeeping(): void {
+        this.pressure.check();
         this.cluster.expireLapsed();
         this.peers.expireGone();
         this.owning?.update();
@@ -588,6 +618,11 @@
     }
 }
 
+function readProcessorMs(): number {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / 1000;
+}
+
 function formatAddress(address: ListenAddress): string {
     return `${address.host}:${address.port}`;
 }
--- a/packages/node/test/units.test.ts
+++ b/packages/node/test/units.test.ts
@@ -245,11 +245,13 @@
     return new Owning({
         vm: "a",
         view,
-        claims: { shardCount: 4, renew: () => Promise.resolve(undefined), release: () => Promise.resolve() },
+        claims: { shardCount: 4, renew: () => Promise.resolve(undefined), release: () => Promise.resolve(true) },
         orders: { send: () => Promise.resolve("unknown"), readReport: () => Promise.resolve(err("unknown")) },
         log: createLog(() => 0).log,
         readTime: () => 0,
         turnMs: 100,
+        incarnation: 1,
+        readIncarnation: () => undefined,
         findService: () => undefined,
         sendNews: () => {},
         sendAnswer: () => {},
@@ -265,8 +267,9 @@
     const handedOver: Handover[] = [];
     const owning = createOwning(handedOver);
     await owning.stop();
-    owning.receiveHandover({ shards: [1, 2], deal: 11, depth: 1 });
-    assert.equal(handedOver, [{ shards: [1, 2], deal: 11, depth: 1 }]);
+    const handover = { shards: [1, 2], deal: 11, depth: 1, givers: [{ vm: "b", incarnation: 5 }] };
+    owning.receiveHandover(handover);
+    assert.equal(handedOver, [handover]);
 });
 
 function createPeers(id: string, onOpen: () => void): Peers {
@@ -277,6 +280,8 @@
         port: 0,
         log: createLog(() => 0).log,
         readTime: () => 0,
+        onFrame: () => {},
+        onBytes: () => {},
         createGreeting: () => {
             onOpen();
             return [];
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -19,6 +19,8 @@
 export type PlacerEvent =
     | { readonly type: "engine"; readonly engine: EngineSummary; }
     | { readonly type: "engineGone"; readonly engineId: string; }
+    /** The engine has another owner, or orders to its owner may have been lost: nobody may ever say how they ended. */
+    | { readonly type: "ordersLost"; readonly engineId: string; }
     | { readonly type: "demand"; readonly gateway: string; readonly changes: readonly ModelDemand[]; }
     | { readonly type: "gatewayGone"; readonly gateway: string; }
     | { readonly type: "loadEnded"; readonly engineId: string; readonly model: string; readonly outcome: LoadOutcome; }
@@ -158,6 +160,9 @@
             case "engineGone":
                 this.removeEngine(event.engineId);
                 return;
+            case "ordersLost":
+                this.removeOrders(event.engineId);
+                return;
             case "demand":
                 for (const change of event.changes) {
                     this.demand.receive(event.gateway, change, now);
@@ -195,13 +200,25 @@
 
     private removeEngine(engineId: string): void {
         for (const { model } of this.engines.get(engineId)?.models ?? []) {
-            this.evictions.delete(formatPlace(engineId, model));
             this.demand.removePlace(engineId, model);
         }
         this.engines.delete(engineId);
+        this.removeOrders(engineId);
+    }
+
+    /**
+     * Until somebody says how an order ended, or its time is over, it holds up every other load or eviction of the data
+     * centre. If one that is dropped here is carried out all the same, the engine's next summary shows it.
+     */
+    private removeOrders(engineId: string): void {
         if (this.load?.engineId === engineId) {
             this.load = undefined;
         }
+        for (const [place, order] of this.evictions) {
+            if (order.engineId === engineId) {
+                this.evictions.delete(place);
+            }
+        }
     }
 
     // Loads.
@@ -212,6 +229,9 @@
             this.backoffs.delete(place);
         }
         else {
+            // Owners say in the same way that an eviction came to nothing. The time until the place is tried again holds
+            // for evictions too: an owner that has just lost its engine refuses each at once.
+            this.evictions.delete(place);
             const failures = (this.backoffs.get(place)?.failures ?? 0) + 1;
             this.backoffs.set(place, {
                 failures,
@@ -300,7 +320,11 @@
         if (engine.isLeaving || this.demand.isHeld(engine.id, model)) {
             return false;
         }
-        return this.backoffs.size === 0 || now >= (this.backoffs.get(formatPlace(engine.id, model))?.until ?? 0);
+        return !this.isBackedOff(engine.id, model, now);
+    }
+
+    private isBackedOff(engineId: string, model: string, now: number): boolean {
+        return this.backoffs.size > 0 && now < (this.backoffs.get(formatPlace(engineId, model))?.until ?? 0);
     }
 
     /** A replica is wanted where every engine that holds the model is full, and none is about to hold it. */
@@ -391,7 +415,7 @@
                 continue;
             }
             for (const slot of engine.models) {
-                if (slot.state !== "loaded") {
+                if (slot.state !== "loaded" || this.isBackedOff(engine.id, slot.model, now)) {
                     continue;
                 }
                 const cost = this.readEvictCost(slot.model, slot.inUse, now) + this.readPackBias(engine);
