Keep a shard that was taken over and is then dealt to the same VM

Cause: a VM went on under a handover when the next deal gave it the shard itself, and still took it for a handover: at the start of the VM that it came from it gave the shard back, and began anew at the deal's first token, below the one it had used (113, then 112).

Change: such a shard becomes the VM's own if it may use it at that moment, with its token; otherwise it waits as for a new one.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -121,9 +121,14 @@
         const held = new Set(shards);
         for (const [shard, claim] of this.claims) {
             const isHandedOver = claim.isHandover && claim.generation === generation;
-            if (mayHaveMoved || (!held.has(shard) && !isHandedOver)) {
+            // What was taken over and is now dealt to this VM is its own, under the token that it has used.
+            const isDealt = claim.isHandover && !isHandedOver && held.has(shard);
+            if (mayHaveMoved || (!held.has(shard) && !isHandedOver) || (isDealt && now >= this.handoverUntil)) {
                 this.endClaim(shard, now);
             }
+            else if (isDealt) {
+                this.claims.set(shard, { ...claim, generation, isHandover: false });
+            }
         }
         for (const shard of held) {
             if (!this.claims.has(shard)) {
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -189,6 +189,22 @@
     world.checkOrders();
 });
 
+// A VM was dealt a shard that it had taken over before, and gave it back when the VM that it came from started again: it
+// began anew below its own token.
+test("a shard that was taken over and is then dealt to its holder stays with it", async () => {
+    const world = await createHandover();
+    world.endOutage(true);
+    world.planDeal(() => "b");
+    await world.schedule.advance(500);
+    world.kill("a");
+    const startedAt = world.schedule.now;
+    world.start("a");
+    await world.schedule.advance(350);
+    assert.equal(world.listHolders(0, startedAt + 100), ["b"]);
+    await world.schedule.advance(6000);
+    world.checkOrders();
+});
+
 // A handover that a cut held up came after its sender had started again: the receiver took it for new.
 test("a handover that comes after its sender has started again is not taken", async () => {
     const world = await createWorld(["a", "b", "c", "d", "e"]);
