Let VMs stand still in the random histories of whole VMs

Change: a VM of the stand-in may be suspended: what is due in it waits, its steady clock does not count the time, the time of day does. Orders of a VM that has just been resumed are judged like all others, more strictly than the users' rule.

`node scripts/test.mjs packages/node/dist/test/ownership`: 16 passed.

--- a/packages/node/test/group.ts
+++ b/packages/node/test/group.ts
@@ -81,6 +81,9 @@
 class Life {
     isAlive = true;
     isLeaving = false;
+    /** The VM stands still until then; steady time does not count it. */
+    frozenUntil = 0;
+    frozenMs = 0;
     readonly incarnation: number;
     readonly owning: Owning;
     readonly known = new Map<string, number>();
@@ -92,7 +95,7 @@
         for (const name of engineNames) {
             view.updateUpstream(createUpstream(name), 0);
         }
-        const readTime = () => world.schedule.now;
+        const readTime = () => world.schedule.now - this.frozenMs;
         this.owning = new Owning({
             vm,
             view,
@@ -105,7 +108,7 @@
             log: createSilentLog(readTime),
             readTime,
             timers: this.createTimers(),
-            bootClock: new BootClock({ readSteady: readTime, readWall: readTime }),
+            bootClock: new BootClock({ readSteady: readTime, readWall: () => world.schedule.now }),
             turnMs,
             incarnation: this.incarnation,
             readIncarnation: other => this.known.get(other),
@@ -120,6 +123,22 @@
         });
     }
 
+    pause(ms: number): void {
+        this.frozenUntil = this.world.schedule.now + ms;
+        this.frozenMs += ms;
+    }
+
+    /** Runs something in this process: now, or when it runs on, in the order in which it was due. */
+    schedule(run: () => void): void {
+        const waitMs = this.frozenUntil - this.world.schedule.now;
+        if (waitMs > 0) {
+            this.world.schedule.add(waitMs, () => this.schedule(run));
+        }
+        else if (this.isAlive) {
+            run();
+        }
+    }
+
     broadcast(message: GroupMessage): void {
         for (const other of this.world.vms) {
             this.world.send(this, other, message);
@@ -166,15 +185,15 @@
         const schedule = (run: () => void, waitMs: number, isRepeated: boolean) => {
             let isCancelled = false;
             const runOnce = () => {
-                if (isCancelled || !this.isAlive) {
+                if (isCancelled) {
                     return;
                 }
                 if (isRepeated) {
-                    this.world.schedule.add(waitMs, runOnce);
+                    this.world.schedule.add(waitMs, () => this.schedule(runOnce));
                 }
                 run();
             };
-            this.world.schedule.add(waitMs, runOnce);
+            this.world.schedule.add(waitMs, () => this.schedule(runOnce));
             return {
                 cancel: () => {
                     isCancelled = true;
@@ -298,11 +317,15 @@
         if (life === undefined || life.isLeaving) {
             return;
         }
+        life.schedule(() => this.beginStop(life));
+    }
+
+    private beginStop(life: Life): void {
         life.isLeaving = true;
         void life.owning.stop();
         life.broadcast({ kind: "leaving" });
         this.write(life, { hasLeft: true });
-        this.schedule.add(stopMs, () => life.isAlive && this.kill(vm));
+        this.schedule.add(stopMs, () => life.isAlive && this.kill(life.vm));
     }
 
     /** The newest word about a VM; written again until the store has it. */
@@ -327,7 +350,7 @@
     /** Waits in simulated time; for ever if the process ends meanwhile. */
     wait(life: Life, ms: number): Promise<void> {
         return new Promise(resolve => {
-            this.schedule.add(ms, () => life.isAlive && resolve());
+            this.schedule.add(ms, () => life.schedule(resolve));
         });
     }
 
@@ -467,7 +490,7 @@
                 link.held.push(message);
                 return;
             }
-            link.to.receive(link.from, message);
+            link.to.schedule(() => link.to.receive(link.from, message));
         });
     }
 
@@ -483,14 +506,14 @@
                 return;
             }
             path.link = { from: source, to: target, held: [] };
-            target.receiveLink(source);
+            target.schedule(() => target.receiveLink(source));
         });
     }
 
     /** Requests always want one more adapter, so that whoever may give orders does. */
     private addWants(): void {
         this.wants += 1;
-        for (const { owning } of this.lives.values()) {
+        for (const { owning } of [...this.lives.values()].filter(life => life.frozenUntil <= this.schedule.now)) {
             for (const engine of engineNames) {
                 owning.engines.prepare(engine, {
                     key: `base/a${this.wants}`,
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -264,6 +264,7 @@
         "outage",
         "outageEnd",
         "slow",
+        "freeze",
         "quiet",
     ),
     vm: fc.nat(vms.length - 1),
@@ -335,6 +336,11 @@
         case "slow":
             world.findPath(first, second).delayMs = downMs / 4;
             return;
+        case "freeze":
+            if ((world.lives.get(first)?.frozenUntil ?? Infinity) <= world.schedule.now) {
+                world.lives.get(first)!.pause(300 + downMs * 3);
+            }
+            return;
         case "quiet":
             return;
     }
