Check that each look at a leaving is pinned by a test

Each of the six places of the mend is taken out of the built code in turn and must fail leaving.test.ts. One was not caught: that an engine which leaves gets no more orders, since what waits there is declined before. The test now also lets a VM that does not know of the leaving want a newer version there.

--- a/packages/node/test/leaving.test.ts
+++ b/packages/node/test/leaving.test.ts
@@ -190,6 +190,8 @@
     view.updateUpstream(createUpstream("e1", { isLeaving: true }), 0);
     engines.update(() => true);
     ask(2);
+    // A VM that does not know yet wants a newer version there.
+    engines.prepare("e1", { key: "base/a2", version: 2, runMs: 0, onTimeMs: 0 });
     await report();
     engines.stop();
     assert.equal(answers.map(({ kind, ticket }) => [kind, ticket]), [["queued", 1], ["declined", 1], ["declined", 2]]);
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -145,6 +145,42 @@
         "if (false) {",
         "packages/wire/dist/test/link.test.js",
     ],
+    [
+        "node/dist/src/choosing.js",
+        "if (isUsable && isNew) {",
+        "if (isNew) {",
+        "packages/node/dist/test/leaving.test.js",
+    ],
+    [
+        "node/dist/src/choosing.js",
+        "if (!this.options.view.isUsable(admission.engine)) {",
+        "if (false) {",
+        "packages/node/dist/test/leaving.test.js",
+    ],
+    [
+        "node/dist/src/engines.js",
+        "if (!this.options.view.isUsable(owned.id)) {",
+        "if (false) {",
+        "packages/node/dist/test/leaving.test.js",
+    ],
+    [
+        "node/dist/src/engines.js",
+        "if (!isUsable) {",
+        "if (false) {",
+        "packages/node/dist/test/leaving.test.js",
+    ],
+    [
+        "node/dist/src/engines.js",
+        "state === undefined || !isUsable ||",
+        "state === undefined ||",
+        "packages/node/dist/test/leaving.test.js",
+    ],
+    [
+        "node/dist/src/serving.js",
+        "readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)",
+        "readTime() < job.deadlineAt",
+        "packages/node/dist/test/leaving.test.js",
+    ],
 ];
 
 /** Longest run of one test file, in milliseconds: the quick ones of a package, and those across processes. */
