--- a/packages/node/test/group.ts
+++ b/packages/node/test/group.ts
@@ -13,6 +13,8 @@
 const lifeMs = 2800;
 const answerTimeoutMs = 700;
 const orderTimeoutMs = 90;
+/** An order that is longer on its way than this never comes. */
+const lostOrderMs = 250;
 const linkSilenceMs = 1500;
 const linkBackoffMs = 500;
 const wantIntervalMs = 60;
@@ -216,7 +218,8 @@
                     return "conflict";
                 }
                 const flightMs = world.chooseFlightMs(this.vm);
-                if (flightMs < orderTimeoutMs) {
+                if (flightMs < lostOrderMs) {
+                    // A lost packet is sent again, and comes although the order was given up meanwhile.
                     const { holder, fence } = guard;
                     world.schedule.add(
                         flightMs,
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -355,7 +355,7 @@
                 random = (random * 16807 + 11) % 2147483647;
                 return random % max;
             };
-            world.chooseFlightMs = () => chooseMs(4) === 0 ? chooseMs(95) : 3;
+            world.chooseFlightMs = () => chooseMs(4) === 0 ? chooseMs(280) : 3;
             world.chooseOpeningMs = () => chooseMs(3) === 0 ? chooseMs(70) : 0;
             for (const each of steps) {
                 runStep(world, each);
@@ -363,10 +363,38 @@
             }
             world.checkOrders();
         }),
-        { seed: 24, numRuns: 60, interruptAfterTimeLimit: 20_000 },
+        { seed: 24, numRuns: 60 },
     );
 });
 
+// Seen on lossy links in played days: 192 arrived 6 ms after 208, both of one VM. An order without an answer was given up
+// after 89 ms and its connection reset; a deal that left the shard where it was raised the VM's token; the next order bore
+// the new one and came first, since what a lossy link loses is sent again after some 200 ms, the reset notwithstanding.
+test("an order that was given up and comes late is not below what its VM has ordered since", async () => {
+    const world = await createWorld(["a", "b"]);
+    let orders = 0;
+    world.chooseFlightMs = () => ++orders % 3 === 0 ? 205 : 3;
+    for (let deal = 0; deal < 10; deal++) {
+        await world.schedule.advance(430);
+        world.planDeal(() => "a");
+    }
+    await world.schedule.advance(1000);
+    assert.equal(world.listHolders(0, 5000), ["a"]);
+    world.checkOrders();
+});
+
+test("the next holder does not overtake an order that was given up and comes late", async () => {
+    for (let offsetMs = 0; offsetMs < 420; offsetMs += 7) {
+        const world = await createWorld(["a", "b"]);
+        world.chooseFlightMs = vm => vm === "a" ? 205 : 1;
+        await world.schedule.advance(offsetMs);
+        world.planDeal(() => "b");
+        await world.schedule.advance(3000);
+        world.checkOrders();
+        assert.equal(world.listHolders(0, world.schedule.now - 500), ["b"]);
+    }
+});
+
 // A VM that started again would have waited without end: it orders under its first deal only once most VMs have heard of its
 // start, and most were gone for good. The store deals nothing anew while all members renew in time.
 test("a VM that starts again among VMs of which most are gone for good orders again within some seconds", async () => {
