--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -112,6 +112,40 @@
     world.checkOrders();
 });
 
+test("a VM counts as cut off once it has tried the store in vain, not while it had no reason to try", async () => {
+    const world = await createWorld(["a", "b", "c"]);
+    const { owning } = world.lives.get("c")!;
+    const readState = () => owning.readClaimState("a", { query: 1, newestDeal: 0, givers: [] });
+    const ages: number[] = [];
+    for (let elapsedMs = 0; elapsedMs < 1200; elapsedMs += 100) {
+        await world.schedule.advance(100);
+        ages.push(owning.renewalAgeMs);
+        assert.is(owning.renewalAgeMs > 0 && readState().isCutOff, false);
+    }
+    assert.ok(Math.max(...ages) > 500, `${Math.max(...ages)} ms`);
+    world.startOutage();
+    await world.schedule.advance(2000);
+    assert.is(readState().isCutOff, true);
+    world.endOutage(true);
+    await world.schedule.advance(1600);
+    assert.is(readState().isCutOff, false);
+});
+
+// A VM was suspended while it opened a connection for an order, and sent it when it ran on, below a newer holder's token.
+test("an order whose VM is suspended while its connection opens is not sent afterwards", async () => {
+    for (let offsetMs = 0; offsetMs < 120; offsetMs += 7) {
+        const world = await createWorld(["a", "b"]);
+        world.chooseOpeningMs = vm => vm === "a" ? 50 : 0;
+        await world.schedule.advance(offsetMs);
+        world.lives.get("a")!.pause(4000);
+        world.planDeal(() => "b");
+        await world.schedule.advance(3900);
+        assert.equal(world.listHolders(0, world.schedule.now - 300), ["b"]);
+        await world.schedule.advance(4000);
+        world.checkOrders();
+    }
+});
+
 // A deal came just before an outage. Its new holder had heard of it, the one before had not, and the two were cut off from
 // each other; all others knew nothing, and bore out both.
 test("a holder that is cut off from the next one hears of its deal from others", async () => {
@@ -191,6 +225,24 @@
 
 // A VM was dealt a shard that it had taken over before, and gave it back when the VM that it came from started again: it
 // began anew below its own token.
+// The same with a VM that others hear but that hears nobody, and so neither of the start nor that it may not go on.
+test("shards that were taken over are not released by a VM that hears of nothing", async () => {
+    const world = await createHandover();
+    ["a", "c", "d", "e"].forEach(vm => world.closePath(vm, "b"));
+    world.kill("a");
+    world.endOutage(true);
+    world.start("a");
+    await world.schedule.advance(4500);
+    assert.equal(world.listHolders(0, world.schedule.now - 500), ["a"]);
+    world.cutOff.add("a");
+    world.closePath("a", "c");
+    world.closePath("c", "a");
+    world.planDeal(() => "c");
+    await world.schedule.advance(6000);
+    assert.is(world.listHolders(0, world.schedule.now - 500).includes("a"), false);
+    world.checkOrders();
+});
+
 test("a shard that was taken over and is then dealt to its holder stays with it", async () => {
     const world = await createHandover();
     world.endOutage(true);
