Hand shards over when the leave of a planned stop has no answer

Cause: a VM that stops just as the store goes away (its last renewal younger than 550 ms) gave its shards up and told nobody who could use it: its engines stood without an owner until the store came back, lapsed the claim and dealt anew.

Should the store have ended the deal all the same, the heir's claims end as any claims do at a later deal.

Another new test holds the start after a kill of all VMs at once: first order within 0.9 s of the start.

--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -244,8 +244,7 @@
         this.clock.releaseAll(now);
         this.engines.stop();
         await this.waitOrders([...shards, ...usable]);
-        if (isCutOff && usable.length > 0 && this.options.sendHandover(handover)) {
-            this.options.log.recordImportant("handedOver", handover);
+        if (isCutOff && this.sendShards(handover)) {
             return;
         }
         // Until the store has ended the deal this VM may start again and go on in it: a release that was told before stayed
@@ -253,6 +252,18 @@
         if (await this.options.claims.release()) {
             await this.sendRelease(shards, deal, "stop");
         }
+        else if (!isCutOff) {
+            // The store went away just now. If it has ended the deal all the same, the heir hears of that as any holder does.
+            this.sendShards(handover);
+        }
+    }
+
+    private sendShards(handover: Handover): boolean {
+        const isSent = handover.shards.length > 0 && this.options.sendHandover(handover);
+        if (isSent) {
+            this.options.log.recordImportant("handedOver", handover);
+        }
+        return isSent;
     }
 
     /** Takes shards over from a VM that stops. */
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -27,6 +27,33 @@
     world.checkOrders();
 });
 
+test("a planned stop whose leave has no answer hands its shards over", async () => {
+    const world = await createWorld(["a", "b", "c"]);
+    world.startOutage();
+    await world.schedule.advance(100);
+    const stoppedAt = world.schedule.now;
+    world.stop("a");
+    await world.schedule.advance(2000);
+    const first = world.arrived.find(({ holder, at }) => holder === "b" && at > stoppedAt);
+    assert.ok((first?.at ?? Infinity) - stoppedAt < 1600, `${JSON.stringify(first)} after ${stoppedAt}`);
+    world.endOutage(true);
+    await world.schedule.advance(6000);
+    world.checkOrders();
+});
+
+test("after all VMs were killed at once the holder orders again 0.8 s after its start", async () => {
+    const world = await createWorld(["a", "b", "c", "d", "e"]);
+    world.vms.forEach(vm => world.kill(vm));
+    await world.schedule.advance(300);
+    const startedAt = world.schedule.now;
+    world.vms.forEach(vm => world.start(vm));
+    await world.schedule.advance(2000);
+    const first = world.arrived.find(({ at }) => at > startedAt)!;
+    assert.is(first.holder, "a");
+    assert.ok(first.at - startedAt < 900, `${first.at - startedAt} ms`);
+    world.checkOrders();
+});
+
 test("a VM that is killed and starts again within its deal orders again 0.8 s after its start", async () => {
     const world = await createWorld(["a", "b", "c"]);
     world.kill("a");
