Forget who gave shards up once they are taken over no more

Cause: a VM that had gone on for another one kept that VM's process in mind after the deal had ended; shards taken over later from a third VM were then dropped, since the first one was known to have started. Found by reading; nothing was ordered twice, the engines stood without an owner.

Change: the processes that gave shards up are named only while shards are taken over. Word of a release that others took is a line that may be dropped under load: at 91 VMs each deal brings up to 24.

--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -280,6 +280,10 @@
             return;
         }
         const now = this.bootClock.read();
+        if (!this.clock.hasHandovers) {
+            // What was taken over before has ended with its deal.
+            this.givers.clear();
+        }
         this.clock.applyHandover(handover.shards, handover.deal, handover.depth, now);
         for (const { vm, incarnation } of handover.givers) {
             this.givers.set(vm, incarnation);
@@ -302,13 +306,7 @@
         const now = this.bootClock.read();
         const shortened = shards.filter(shard => this.clock.recordRelease(shard, generation, now));
         this.options.onClaimEvent?.(shortened.length > 0 ? "releaseUsed" : "releaseUnused");
-        this.options.log.recordImportant("releaseTaken", {
-            vm,
-            shards,
-            generation,
-            ownDeal: this.clock.deal,
-            shortened,
-        });
+        this.options.log.record("releaseTaken", { vm, shards, generation, ownDeal: this.clock.deal, shortened });
         this.update();
     }
 
@@ -386,7 +384,8 @@
     /** This process and those for which it goes on. */
     private listGivers(): Giver[] {
         const { vm, incarnation } = this.options;
-        return [{ vm, incarnation }, ...[...this.givers].map(([giver, life]) => ({ vm: giver, incarnation: life }))];
+        const givers = this.clock.hasHandovers ? [...this.givers] : [];
+        return [{ vm, incarnation }, ...givers.map(([giver, life]) => ({ vm: giver, incarnation: life }))];
     }
 
     /** Whether one of these processes is known to have been followed by another one of its VM. */
@@ -501,7 +500,7 @@
 
     private sendQuery(now: number): void {
         this.openQuery = { ...this.createQuery(this.openQuery.query + 1), askedAt: now };
-        const givers = this.clock.hasHandovers ? this.listGivers().slice(1) : [];
+        const [, ...givers] = this.listGivers();
         this.recordTakenOver(givers, now);
         this.options.sendQuery({ query: this.openQuery.query, newestDeal: this.clock.newestDeal, givers });
     }
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -250,6 +250,29 @@
     world.checkOrders();
 });
 
+test("a VM that took shards over takes others over later, though those of before have their holder back", async () => {
+    const world = await createHandover();
+    world.endOutage(true);
+    world.planDeal(() => "c");
+    await world.schedule.advance(1000);
+    world.closePath("a", "b");
+    world.closePath("b", "a");
+    world.kill("a");
+    world.start("a");
+    await world.schedule.advance(500);
+    world.kill("a");
+    await world.schedule.advance(3500);
+    world.planDeal(() => "c");
+    await world.schedule.advance(4500);
+    assert.equal(world.listHolders(0, world.schedule.now - 500), ["c"]);
+    world.startOutage();
+    await world.schedule.advance(2500);
+    world.stop("c");
+    await world.schedule.advance(1500);
+    assert.equal(world.listHolders(0, world.schedule.now - 500), ["b"]);
+    world.checkOrders();
+});
+
 // A VM was dealt a shard that it had taken over before, and gave it back when the VM that it came from started again: it
 // began anew below its own token.
 // The same with a VM that others hear but that hears nobody, and so neither of the start nor that it may not go on.
