--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -252,8 +252,7 @@
         this.clock.releaseAll(now);
         this.engines.stop();
         await this.waitOrders([...shards, ...usable]);
-        if (isCutOff && usable.length > 0 && this.options.sendHandover(handover)) {
-            this.options.log.recordImportant("handedOver", handover);
+        if (isCutOff && this.sendShards(handover)) {
             return;
         }
         // Until the store has ended the deal this VM may start again and go on in it: a release that was told before stayed
@@ -261,6 +260,18 @@
         if (await this.options.claims.release()) {
             await this.sendRelease(shards, deal, "stop");
         }
+        else if (!isCutOff) {
+            // The store went away just now. If it has ended the deal all the same, the heir hears of that as any holder does.
+            this.sendShards(handover);
+        }
+    }
+
+    private sendShards(handover: Handover): boolean {
+        const isSent = handover.shards.length > 0 && this.options.sendHandover(handover);
+        if (isSent) {
+            this.options.log.recordImportant("handedOver", handover);
+        }
+        return isSent;
     }
 
     /** Takes shards over from a VM that stops. */
@@ -277,6 +288,10 @@
             return;
         }
         const now = this.bootClock.read();
+        if (!this.clock.hasHandovers) {
+            // What was taken over before has ended with its deal.
+            this.givers.clear();
+        }
         this.clock.applyHandover(handover.shards, handover.deal, handover.depth, now);
         for (const { vm, incarnation } of handover.givers) {
             this.givers.set(vm, incarnation);
@@ -299,13 +314,7 @@
         const now = this.bootClock.read();
         const shortened = shards.filter(shard => this.clock.recordRelease(shard, generation, now));
         this.options.onClaimEvent?.(shortened.length > 0 ? "releaseUsed" : "releaseUnused");
-        this.options.log.recordImportant("releaseTaken", {
-            vm,
-            shards,
-            generation,
-            ownDeal: this.clock.deal,
-            shortened,
-        });
+        this.options.log.record("releaseTaken", { vm, shards, generation, ownDeal: this.clock.deal, shortened });
         this.update();
     }
 
@@ -383,7 +392,8 @@
     /** This process and those for which it goes on. */
     private listGivers(): Giver[] {
         const { vm, incarnation } = this.options;
-        return [{ vm, incarnation }, ...[...this.givers].map(([giver, life]) => ({ vm: giver, incarnation: life }))];
+        const givers = this.clock.hasHandovers ? [...this.givers] : [];
+        return [{ vm, incarnation }, ...givers.map(([giver, life]) => ({ vm: giver, incarnation: life }))];
     }
 
     /** Whether one of these processes is known to have been followed by another one of its VM. */
@@ -517,7 +527,7 @@
 
     private sendQuery(now: number): void {
         this.openQuery = { ...this.createQuery(this.openQuery.query + 1), askedAt: now };
-        const givers = this.clock.hasHandovers ? this.listGivers().slice(1) : [];
+        const [, ...givers] = this.listGivers();
         this.recordTakenOver(givers, now);
         this.options.sendQuery({ query: this.openQuery.query, newestDeal: this.clock.newestDeal, givers });
     }
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -27,6 +27,33 @@
     world.checkOrders();
 });
 
+test("a planned stop whose leave has no answer hands its shards over", async () => {
+    const world = await createWorld(["a", "b", "c"]);
+    world.startOutage();
+    await world.schedule.advance(100);
+    const stoppedAt = world.schedule.now;
+    world.stop("a");
+    await world.schedule.advance(2000);
+    const first = world.arrived.find(({ holder, at }) => holder === "b" && at > stoppedAt);
+    assert.ok((first?.at ?? Infinity) - stoppedAt < 1600, `${JSON.stringify(first)} after ${stoppedAt}`);
+    world.endOutage(true);
+    await world.schedule.advance(6000);
+    world.checkOrders();
+});
+
+test("after all VMs were killed at once the holder orders again 0.8 s after its start", async () => {
+    const world = await createWorld(["a", "b", "c", "d", "e"]);
+    world.vms.forEach(vm => world.kill(vm));
+    await world.schedule.advance(300);
+    const startedAt = world.schedule.now;
+    world.vms.forEach(vm => world.start(vm));
+    await world.schedule.advance(2000);
+    const first = world.arrived.find(({ at }) => at > startedAt)!;
+    assert.is(first.holder, "a");
+    assert.ok(first.at - startedAt < 900, `${first.at - startedAt} ms`);
+    world.checkOrders();
+});
+
 test("a VM that is killed and starts again within its deal orders again 0.8 s after its start", async () => {
     const world = await createWorld(["a", "b", "c"]);
     world.kill("a");
@@ -112,6 +139,40 @@
     world.checkOrders();
 });
 
+test("a VM counts as cut off once it has tried the store in vain, not while it had no reason to try", async () => {
+    const world = await createWorld(["a", "b", "c"]);
+    const { owning } = world.lives.get("c")!;
+    const readState = () => owning.readClaimState("a", { query: 1, newestDeal: 0, givers: [] });
+    const ages: number[] = [];
+    for (let elapsedMs = 0; elapsedMs < 1200; elapsedMs += 100) {
+        await world.schedule.advance(100);
+        ages.push(owning.renewalAgeMs);
+        assert.is(owning.renewalAgeMs > 0 && readState().isCutOff, false);
+    }
+    assert.ok(Math.max(...ages) > 500, `${Math.max(...ages)} ms`);
+    world.startOutage();
+    await world.schedule.advance(2000);
+    assert.is(readState().isCutOff, true);
+    world.endOutage(true);
+    await world.schedule.advance(1600);
+    assert.is(readState().isCutOff, false);
+});
+
+// A VM was suspended while it opened a connection for an order, and sent it when it ran on, below a newer holder's token.
+test("an order whose VM is suspended while its connection opens is not sent afterwards", async () => {
+    for (let offsetMs = 0; offsetMs < 120; offsetMs += 7) {
+        const world = await createWorld(["a", "b"]);
+        world.chooseOpeningMs = vm => vm === "a" ? 50 : 0;
+        await world.schedule.advance(offsetMs);
+        world.lives.get("a")!.pause(4000);
+        world.planDeal(() => "b");
+        await world.schedule.advance(3900);
+        assert.equal(world.listHolders(0, world.schedule.now - 300), ["b"]);
+        await world.schedule.advance(4000);
+        world.checkOrders();
+    }
+});
+
 // A deal came just before an outage. Its new holder had heard of it, the one before had not, and the two were cut off from
 // each other; all others knew nothing, and bore out both.
 test("a holder that is cut off from the next one hears of its deal from others", async () => {
@@ -189,8 +250,49 @@
     world.checkOrders();
 });
 
+test("a VM that took shards over takes others over later, though those of before have their holder back", async () => {
+    const world = await createHandover();
+    world.endOutage(true);
+    world.planDeal(() => "c");
+    await world.schedule.advance(1000);
+    world.closePath("a", "b");
+    world.closePath("b", "a");
+    world.kill("a");
+    world.start("a");
+    await world.schedule.advance(500);
+    world.kill("a");
+    await world.schedule.advance(3500);
+    world.planDeal(() => "c");
+    await world.schedule.advance(4500);
+    assert.equal(world.listHolders(0, world.schedule.now - 500), ["c"]);
+    world.startOutage();
+    await world.schedule.advance(2500);
+    world.stop("c");
+    await world.schedule.advance(1500);
+    assert.equal(world.listHolders(0, world.schedule.now - 500), ["b"]);
+    world.checkOrders();
+});
+
 // A VM was dealt a shard that it had taken over before, and gave it back when the VM that it came from started again: it
 // began anew below its own token.
+// The same with a VM that others hear but that hears nobody, and so neither of the start nor that it may not go on.
+test("shards that were taken over are not released by a VM that hears of nothing", async () => {
+    const world = await createHandover();
+    ["a", "c", "d", "e"].forEach(vm => world.closePath(vm, "b"));
+    world.kill("a");
+    world.endOutage(true);
+    world.start("a");
+    await world.schedule.advance(4500);
+    assert.equal(world.listHolders(0, world.schedule.now - 500), ["a"]);
+    world.cutOff.add("a");
+    world.closePath("a", "c");
+    world.closePath("c", "a");
+    world.planDeal(() => "c");
+    await world.schedule.advance(6000);
+    assert.is(world.listHolders(0, world.schedule.now - 500).includes("a"), false);
+    world.checkOrders();
+});
+
 test("a shard that was taken over and is then dealt to its holder stays with it", async () => {
     const world = await createHandover();
     world.endOutage(true);
