A reader of the store tells how far it has read at its regular checks, not at every answer of the store

Changes themselves are passed on at once as before. Ruled out: telling only where the positions have moved, since workers' entries move them all the time. Figures of the test: 100 tellings a second before where the store answers so often, 5 now.

--- a/packages/node/src/sharing.ts
+++ b/packages/node/src/sharing.ts
@@ -16,6 +16,13 @@
  */
 const maxStoreQuietMs = 1600;
 
+/**
+ * Shortest time between two tellings of how far this VM has read while nothing about its reading changes, in milliseconds:
+ * a little less than the time between regular checks. Every answer of the store asks for one as well; told at each of them,
+ * 91 VMs received 35 positions a second from 4 readers, and 16 are enough.
+ */
+const minTellMs = 200;
+
 /** Options of {@link ChangeSharing}. */
 export interface ChangeSharingOptions {
     readonly vm: string;
@@ -48,6 +55,7 @@
     /** VMs that have read what this one has not, and since when. */
     private readonly ahead = new Map<string, AheadReader>();
     private couldRead = false;
+    private toldAt = -Infinity;
     /** The VM that this one takes what is read from, as last told; "own" for its own reading. */
     private toldReader: string | undefined;
 
@@ -118,7 +126,9 @@
         }
         this.askAhead();
         const canRead = this.canRead();
-        if (canRead || this.couldRead) {
+        const now = this.options.readTime();
+        if (canRead !== this.couldRead || (canRead && now - this.toldAt >= minTellMs)) {
+            this.toldAt = now;
             this.options.broadcast(this.createPositions());
         }
         this.couldRead = canRead;
--- a/packages/node/test/sharing.test.ts
+++ b/packages/node/test/sharing.test.ts
@@ -187,4 +187,36 @@
     );
 });
 
+/**
+ * The failure: on days of 91 VMs each VM received 35 positions a second from 4 readers, since a reader told how far it had
+ * read at every answer of the store beside its regular checks.
+ */
+test("a reader whose store answers often tells how far it has read no more often than it checks", () => {
+    let now = 0;
+    let told = 0;
+    const options = { view: new FleetView(), log: createSilentLog(() => now), readTime: () => now };
+    const cluster = new ClusterState({ ...options, onChange: () => {}, onUpstreamGone: () => {}, onMember: () => {} });
+    const sharing = new ChangeSharing({
+        ...options,
+        vm: "a",
+        dataCentre: "x",
+        cluster,
+        store: { isReading: true, setReading: () => {} } as unknown as ClusterStore,
+        send: () => {},
+        broadcast: () => told += 1,
+        listLinked: () => [],
+        readStoreQuietMs: () => 0,
+    });
+    cluster.setReachable(true);
+    for (; now < 1000; now += 10) {
+        sharing.update();
+    }
+    assert.ok(told >= 4 && told <= 5, `${told} times in a second`);
+    cluster.setReachable(false);
+    sharing.update();
+    cluster.setReachable(true);
+    sharing.update();
+    assert.ok(told >= 6 && told <= 7, "a change is told at once");
+});
+
 test.run();
