--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -1,4 +1,4 @@
-import { ClaimClock, type ClaimReason, readShard } from "@radishreel/fleet";
+import { ClaimClock, type ClaimReason, maxEngineShards, readShard } from "@radishreel/fleet";
 import { BootClock, processTimers, type ScheduledRun, type Timers } from "./clock.js";
 import { OwnedEngines, type OwnedEnginesOptions } from "./engines.js";
 import type { Member, ShardClaims } from "./ports.js";
@@ -327,6 +327,11 @@
         this.engines.update(name => shards.has(this.findShard(name)));
     }
 
+    /** Whether this VM holds a shard in which engines may lie: others need no renewal in a hurry. */
+    private get hasEngineShards(): boolean {
+        return this.clock.listShards().some(shard => shard < maxEngineShards);
+    }
+
     private findShard(name: string): number {
         return readShard(name, this.options.claims.shardCount);
     }
@@ -479,11 +484,11 @@
     /** Renews, and asks the other VMs when the store does not answer. */
     private renewClaims(): void {
         this.renewals += 1;
-        if (this.clock.listShards().length > 0 || this.renewals % idleRenewals === 0) {
+        if (this.hasEngineShards || this.renewals % idleRenewals === 0) {
             void this.renew();
         }
         const now = this.bootClock.read();
-        const isInDoubt = now - this.renewedAt > askPeersAfterMs && this.clock.listShards().length > 0;
+        const isInDoubt = now - this.renewedAt > askPeersAfterMs && this.hasEngineShards;
         if (isInDoubt) {
             this.options.log.record("claimsInDoubt", {
                 renewalAgeMs: Math.min(Math.round(now - this.renewedAt), maxRenewalAgeMs),
