--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -12,7 +12,14 @@
     readQueueMs,
     type UpstreamChoice,
 } from "./choose.js";
-export { ClaimClock, type ClaimClockOptions, type ClaimReason, maxEngineShards, orderFlightMs, readShard } from "./claims.js";
+export {
+    ClaimClock,
+    type ClaimClockOptions,
+    type ClaimReason,
+    maxEngineShards,
+    orderFlightMs,
+    readShard,
+} from "./claims.js";
 export { UpstreamHealth } from "./health.js";
 export { KeptParts } from "./kept.js";
 export { LoadCounter, type LoadHandle, type LoadShare, noLoad } from "./load.js";
