--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -145,6 +145,84 @@
         "if (false) {",
         "packages/wire/dist/test/link.test.js",
     ],
+    [
+        "node/dist/src/owning.js",
+        "if (await this.options.claims.release()) {",
+        "void this.sendRelease(shards, deal, \"stop\"); if (await this.options.claims.release()) {",
+        "packages/node/dist/test/ownership.test.js",
+    ],
+    [
+        "node/dist/src/engines.js",
+        "await Promise.all([...this.underWay]",
+        "await Promise.all([].concat()",
+        "packages/node/dist/test/ownership.test.js",
+    ],
+    [
+        "node/dist/src/engines.js",
+        "checkBeforeSend: () => this.options.mayOrder(owned.name),",
+        "checkBeforeSend: () => true,",
+        "packages/node/dist/test/ownership.test.js",
+    ],
+    [
+        "node/dist/src/owning.js",
+        "isCutOff: this.isCutOff,",
+        "isCutOff: this.renewalAgeMs > 550,",
+        "packages/node/dist/test/ownership.test.js",
+    ],
+    [
+        "node/dist/src/owning.js",
+        "this.wasTakenOver ||= state.isTakenOver;",
+        "",
+        "packages/node/dist/test/ownership.test.js",
+    ],
+    [
+        "fleet/dist/src/claims.js",
+        "now >= claim.mayOrderAt && !claim.isHandover",
+        "now >= claim.mayOrderAt",
+        "packages/node/dist/test/ownership.test.js",
+    ],
+    [
+        "fleet/dist/src/claims.js",
+        "isStartConfirmed(now) {",
+        "isStartConfirmed(now) { return true;",
+        "packages/node/dist/test/ownership.test.js",
+    ],
+    [
+        "fleet/dist/src/claims.js",
+        "now < this.handoverUntil)",
+        "true)",
+        "packages/node/dist/test/ownership.test.js",
+    ],
+    [
+        "fleet/dist/src/claims.js",
+        "recordDeal(generation) {",
+        "recordDeal(generation) { return;",
+        "packages/node/dist/test/ownership.test.js",
+    ],
+    [
+        "fleet/dist/src/claims.js",
+        "else if (isDealt) {",
+        "else if (false) {",
+        "packages/node/dist/test/ownership.test.js",
+    ],
+    [
+        "fleet/dist/src/claims.js",
+        "const orderMs = 100;",
+        "const orderMs = 0;",
+        "packages/fleet/dist/test/claims.test.js",
+    ],
+    [
+        "fleet/dist/src/claims.js",
+        "this.claims.clear();",
+        "",
+        "packages/fleet/dist/test/claims.test.js",
+    ],
+    [
+        "fleet/dist/src/claims.js",
+        "const recordedPauseMs = 800;",
+        "const recordedPauseMs = 0;",
+        "packages/fleet/dist/test/claims.test.js",
+    ],
 ];
 
 /** Longest run of one test file, in milliseconds: the quick ones of a package, and those across processes. */
