--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -255,18 +255,11 @@
     }
 }
 
-/**
- * Most shards that engines lie in. Each owner of engines is linked to all VMs: with 24 shards 91 VMs had 23 owners and some
- * 2,000 pairs of linked VMs, and what went over these links was most of their work. An owner of 8 engines is busy for less
- * than a tenth of a core.
- */
-export const maxEngineShards = 12;
-
-/** The shard of an engine: one of the first {@link maxEngineShards}; nothing lies in the others. */
+/** The shard of an engine. */
 export function readShard(engine: string, shardCount: number): number {
     let hash = 2166136261;
     for (let index = 0; index < engine.length; index++) {
         hash = Math.imul(hash ^ engine.charCodeAt(index), 16777619);
     }
-    return (hash >>> 0) % Math.min(shardCount, maxEngineShards);
+    return (hash >>> 0) % shardCount;
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -12,7 +12,7 @@
     readQueueMs,
     type UpstreamChoice,
 } from "./choose.js";
-export { ClaimClock, type ClaimClockOptions, maxEngineShards, readShard } from "./claims.js";
+export { ClaimClock, type ClaimClockOptions, readShard } from "./claims.js";
 export { UpstreamHealth } from "./health.js";
 export { KeptParts } from "./kept.js";
 export { LoadCounter, type LoadHandle, type LoadShare, noLoad } from "./load.js";
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -1,4 +1,4 @@
-import { ClaimClock, maxEngineShards, readShard } from "@radishreel/fleet";
+import { ClaimClock, readShard } from "@radishreel/fleet";
 import { BootClock } from "./clock.js";
 import { OwnedEngines, type OwnedEnginesOptions } from "./engines.js";
 import type { Member, ShardClaims } from "./ports.js";
@@ -163,11 +163,6 @@
         this.engines.update(name => shards.has(this.findShard(name)));
     }
 
-    /** Whether this VM holds a shard in which engines may lie: others need no renewal in a hurry. */
-    private get hasEngineShards(): boolean {
-        return this.clock.listShards().some(shard => shard < maxEngineShards);
-    }
-
     private findShard(name: string): number {
         return readShard(name, this.options.claims.shardCount);
     }
@@ -233,11 +228,11 @@
     /** Renews, and asks the other VMs when the store does not answer. */
     private renewClaims(): void {
         this.renewals += 1;
-        if (this.hasEngineShards || this.renewals % idleRenewals === 0) {
+        if (this.clock.listShards().length > 0 || this.renewals % idleRenewals === 0) {
             void this.renew();
         }
         const now = this.bootClock.read();
-        if (now - this.renewedAt > askPeersAfterMs && this.hasEngineShards) {
+        if (now - this.renewedAt > askPeersAfterMs && this.clock.listShards().length > 0) {
             this.options.log.record("claimsInDoubt", {
                 renewalAgeMs: Math.min(Math.round(now - this.renewedAt), maxRenewalAgeMs),
                 clear: [...this.openQuery.clear],
