Take an engine's report in the first moments of a process as news of what it holds

Cause: whether a report is newer than what is known of an adapter was asked against time 0 where nothing is known.

Ruled out: orders late or twice; the owner's places said 7 of 8 free right after a report that named its adapters.

Change: what is not known is older than any report. Other times that begin at 0 were looked for: validUntil and handoverUntil of claims begin there on the safe side.

--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -296,7 +296,9 @@
                 reported.set(formatAdapterKey(model.name, adapter.name), adapter.version);
             }
         }
-        const hasSettled = (key: string): boolean => askedAt - (this.places.get(key)?.changedAt ?? 0) >= syncPauseMs;
+        // Of what is not known here every report is news, also in the first moments of a process, whose clock begins at 0.
+        const hasSettled = (key: string): boolean =>
+            askedAt - (this.places.get(key)?.changedAt ?? -Infinity) >= syncPauseMs;
         for (const key of [...this.places.keys()]) {
             if (!reported.has(key) && !report.coming.includes(key) && hasSettled(key)) {
                 this.places.delete(key);
--- a/packages/fleet/test/places.test.ts
+++ b/packages/fleet/test/places.test.ts
@@ -39,6 +39,24 @@
     assert.equal(Object.keys(places.listHeld()), ["base/a1"]);
 });
 
+// A played day ended with eight engines ordered to load more than they have places for. A VM had started so fast that it
+// asked for its engines' reports within 250 ms of its start, on a clock that begins there. What the reports said was taken
+// for older than the VM's own knowledge of those adapters, of which it had none: it counted seven of eight places as free.
+test("a report in the first moments of a process tells what the engine holds", () => {
+    const engine = new ModelEngine();
+    engine.now = 60;
+    for (const adapter of ["a1", "a2", "a3", "a4"]) {
+        engine.held.set(`base/${adapter}`, 1);
+    }
+    const places = new EnginePlaces({ limits, models: engine.readReport().models, sequence: 9, now: engine.now });
+    engine.sequence = 9;
+    runPlan(engine, places, () => "answered");
+    assert.equal(Object.keys(places.listHeld()), ["base/a1", "base/a2", "base/a3", "base/a4"]);
+    addWant(places, { key: "base/a5" }, engine.now);
+    runFor(engine, places, 400);
+    assert.is(engine.overLimit, 0);
+});
+
 test("an owner that starts anew finds out in the time of such a load what the engine has in memory", () => {
     const engine = new ModelEngine();
     engine.warmLoadMs = 25;
