Leave the group only after a renewal that is under way

The store then counts the process that has gone as a member for 2.8 s more and deals it shards, which have no owner for some 5 s. Asking for a new deal had the same race.

Ruled out: telling the store twice that it leaves: the late renewal may come after that as well.

Change: both wait for the renewal, 100 ms at most.

--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -40,6 +40,9 @@
  */
 const unheardStartMs = 3000;
 
+/** How long a renewal under way is waited for before the group is left, in milliseconds: usual answers take 4 ms. */
+const renewalWaitMs = 100;
+
 /** Room for the queries of one process: their numbers tell them from those of the one before. */
 const queriesPerLife = 1000;
 
@@ -140,6 +143,7 @@
     private readonly timers: Timers;
     private renewTimer: ScheduledRun | undefined;
     private isRenewing = false;
+    private renewing: Promise<void> = Promise.resolve();
     private isStopped = false;
     private readonly bootClock: BootClock;
     private suspendedMs = 0;
@@ -257,6 +261,7 @@
         }
         // Until the store has ended the deal this VM may start again and go on in it: a release that was told before stayed
         // in force, and the next holder did not wait for the orders of that start.
+        await this.waitRenewal();
         if (await this.options.claims.release()) {
             await this.sendRelease(shards, deal, "stop");
         }
@@ -512,6 +517,7 @@
      * Without it a VM that starts where most others are gone for good would never use its shards.
      */
     private async renewDeal(): Promise<void> {
+        await this.waitRenewal();
         const hasLeft = await this.options.claims.release();
         this.options.log.recordImportant("firstDealLeft", {
             hasLeft,
@@ -532,10 +538,25 @@
         this.options.sendQuery({ query: this.openQuery.query, newestDeal: this.clock.newestDeal, givers });
     }
 
-    private async renew(): Promise<void> {
-        if (this.isRenewing || this.isStopped) {
-            return;
+    private renew(): Promise<void> {
+        if (!this.isRenewing && !this.isStopped) {
+            this.renewing = this.runRenewal();
         }
+        return this.renewing;
+    }
+
+    /**
+     * Waits for a renewal under way before the group is left: done after that it would join again, and the store would deal
+     * shards to a process that is gone until its membership lapses. One that takes long is not waited for.
+     */
+    private async waitRenewal(): Promise<void> {
+        await Promise.race([
+            this.renewing,
+            new Promise<void>(resolve => this.timers.scheduleOnce(resolve, renewalWaitMs)),
+        ]);
+    }
+
+    private async runRenewal(): Promise<void> {
         this.isRenewing = true;
         const sentAt = this.bootClock.read();
         this.triedAt = sentAt;
--- a/packages/node/test/units.test.ts
+++ b/packages/node/test/units.test.ts
@@ -11,7 +11,7 @@
 import { type Handover, Owning } from "../src/owning.js";
 import { readLastSendAt } from "../src/patience.js";
 import { Peers } from "../src/peers.js";
-import type { ClusterChange } from "../src/ports.js";
+import type { ClusterChange, ShardClaims } from "../src/ports.js";
 
 test("events come out whole and in order, however the bytes are cut", () => {
     const text = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: comment\n\nid: 3\r\ndata: d\r\n\r\n";
@@ -240,12 +240,17 @@
 });
 
 /** A task that owns engines, on a platform that deals nothing. */
-function createOwning(handedOver: Handover[]): Owning {
+function createOwning(handedOver: Handover[], claims: Partial<ShardClaims> = {}): Owning {
     const view = new FleetView();
     return new Owning({
         vm: "a",
         view,
-        claims: { shardCount: 4, renew: () => Promise.resolve(undefined), release: () => Promise.resolve(true) },
+        claims: {
+            shardCount: 4,
+            renew: () => Promise.resolve(undefined),
+            release: () => Promise.resolve(true),
+            ...claims,
+        },
         orders: { send: () => Promise.resolve("unknown"), readReport: () => Promise.resolve(err("unknown")) },
         log: createLog(() => 0).log,
         readTime: () => 0,
@@ -272,6 +277,36 @@
     assert.equal(handedOver, [handover]);
 });
 
+// Found by a review: a renewal that was under way in a planned stop could be done after the leave. The store then counted the
+// VM that had gone as a member for 2.8 s more, and dealt it shards.
+test("a planned stop leaves the group after a renewal that is under way, not beside it", async () => {
+    const calls: string[] = [];
+    let answer: (deal: undefined) => void = () => {};
+    const owning = createOwning([], {
+        renew: () => {
+            calls.push("renewal");
+            return new Promise(resolve => {
+                answer = resolve;
+            });
+        },
+        release: () => {
+            calls.push("leave");
+            return Promise.resolve(true);
+        },
+    });
+    owning.start(undefined);
+    while (calls.length === 0) {
+        await new Promise<void>(resolve => setImmediate(resolve));
+    }
+    const stopped = owning.stop();
+    await new Promise<void>(resolve => setImmediate(resolve));
+    assert.equal(calls, ["renewal"]);
+    calls.push("answer");
+    answer(undefined);
+    await stopped;
+    assert.equal(calls, ["renewal", "answer", "leave"]);
+});
+
 function createPeers(id: string, onOpen: () => void): Peers {
     return new Peers({
         self: { id, role: "node", dataCentre: "z", incarnation: 1, address: "" },
