--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -3,6 +3,10 @@
 import * as assert from "uvu/assert";
 import { shardCount, World } from "./group.js";
 
+// Users saw two VMs act as the holder that gives orders to one engine, and nothing more is known of it. Each story below is one
+// way to that, with the order of events and the cause; the tokens and times are those of the test when it failed, or of a
+// played day where it says so.
+
 /** VMs that have run for a while, all shards dealt to the first one. */
 async function createWorld(vms: readonly string[]): Promise<World> {
     const world = new World(vms);
@@ -67,7 +71,7 @@
     world.checkOrders();
 });
 
-// Users saw a lower token after a higher one. A VM said in a planned stop that it gave no more orders in its deal, its
+// A lower token came after a higher one, 80 and then 79. A VM said in a planned stop that it gave no more orders in its deal, its
 // leave did not reach the store, it was killed and started again within the deal and ordered. At the next deal the new
 // holder took the old word for still true and waited for nothing.
 test("a VM that starts again after a planned stop is waited for, though it released its shards before", async () => {
@@ -86,7 +90,7 @@
     world.checkOrders();
 });
 
-// Users saw a lower token after a higher one, some ms apart, around planned stops and deals. A release went out at once
+// A lower token came some ms after a higher one, 64 and then 48, around planned stops and deals. A release went out at once
 // while an order of its sender was on its way; the new holder's order came first.
 test("a release is sent when no order of its sender is on its way any more", async () => {
     for (let offsetMs = 0; offsetMs < 120; offsetMs += 7) {
@@ -111,7 +115,7 @@
     }
 });
 
-// Users saw two VMs order for seconds. The holder was cut off from the store, which dealt its shard to another VM. The
+// Two VMs ordered for seconds. The holder was cut off from the store, which dealt its shard to another VM. The
 // holder asked the others: most held no shard, had not renewed for up to 1.2 s and so counted as cut off like it.
 test("VMs that merely hold no shard do not bear out that the store is away", async () => {
     const world = await createWorld(["a", "b", "c", "d", "e", "f", "g"]);
@@ -210,7 +214,7 @@
     return world;
 }
 
-// Users saw holders take turns within 3 s. A VM handed its shards over in a planned stop, was killed 0.3 s later and
+// Holders took turns within 1.4 s. A VM handed its shards over in a planned stop, was killed 0.3 s later and
 // started again at once; its recorded deal let it order 0.8 s after that.
 test("a VM that is killed in a planned stop and starts again leaves a turn between the other's orders and its own", async () => {
     const world = await createHandover();
@@ -221,7 +225,7 @@
     world.checkOrders();
 });
 
-// Users saw a lower token after a higher one. The VM that had taken shards over did not hear of the start of the VM that
+// A lower token came after a higher one, 111 and then 97. The VM that had taken shards over did not hear of the start of the VM that
 // they came from, since the link between the two was cut, and went on beside it.
 test("a VM that took shards over stops once their holder has started again, though it does not hear of it itself", async () => {
     const world = await createHandover();
