--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** An adapter and its version as an engine holds it. */
 export const heldAdapterSchema = z.object({ name: z.string(), version: z.number() });
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -1,6 +1,6 @@
 import { admissionAnswerSchema, admissionRequestSchema, engineNewsSchema, upstreamSchema } from "@radishreel/fleet";
 import { routingSchema } from "@radishreel/routing";
-import { z } from "zod";
+import * as z from "zod";
 
 const memberSchema = z.object({
     id: z.string(),
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -182,9 +182,10 @@
         return this.life.machine.current === "serving" && !this.isolation.isIsolated;
     }
 
-    async start(): Promise<void> {
+    /** @param detail What else the first line of the log says. */
+    async start(detail: object = {}): Promise<void> {
         const { settings, store } = this.options;
-        this.log.recordImportant("start", { dataCentre: settings.dataCentre, pid: process.pid });
+        this.log.recordImportant("start", { dataCentre: settings.dataCentre, pid: process.pid, ...detail });
         await startListening(this.createCallerApp(), settings.callers);
         await startListening(this.createReadinessApp(), settings.readiness);
         await this.peers.start();
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What may be repeated of a request: `safe` ones at will, `unsafe` ones never, `stream`s only if they may be resumed. */
 export const requestKindSchema = z.enum(["safe", "unsafe", "stream"]);
--- a/packages/wire/src/greeting.ts
+++ b/packages/wire/src/greeting.ts
@@ -1,5 +1,5 @@
 import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import { type NodeIdentity, nodeIdentitySchema, protocolVersion } from "./types.js";
 
 const nonceBytes = 16;
--- a/packages/wire/src/types.ts
+++ b/packages/wire/src/types.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Version of the frame protocol. A peer that speaks another one is refused. */
 export const protocolVersion = 1;
