Link owners of engines to all VMs only while they hold their engines, by one link a pair, and close what nobody needs

Shards are dealt anew with each VM that joins, so that most VMs owned engines for a moment; each opened links to all others, each other opened one back, and none was closed: 9 of 54 VMs had 194 links 4 s after the start and 15 over 66, where 24 shards make at most 24 owners. Each pair had two links with 6.7 heartbeats a second together. Change: a process that is young links to all only after it has held engines for 0.8 s; beyond the size of a mesh both sides send on the link that the owner opened, at 1.2 s between heartbeats (silence of an owner shows in 180 ms by the requests that ask it); links that are not wanted and not used for 10 s are closed. Which links are wanted is a pure function. Up to 12 other VMs nothing changes.

--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -2,6 +2,7 @@
     encodeFrame,
     type Link,
     LinkClient,
+    type LinkLimits,
     LinkServer,
     LinkTicker,
     type NodeIdentity,
@@ -10,39 +11,54 @@
 import type { DecisionLog } from "./decisions.js";
 import { type PeerMessage, peerMessageSchema } from "./messages.js";
 import type { Member } from "./ports.js";
+import { isMesh, type KnownMember, listWantedLinks } from "./wanted.js";
+
+/** Largest frame between VMs, in bytes: the whole state of a store with some thousand routes. */
+const maxFrameBytes = 8 * 1024 * 1024;
 
 /**
- * Heartbeats and the silence after which a link counts as dead, in milliseconds: faults last some seconds. Only the side that
- * opened a link sends on it and acts on its loss, so it hears heartbeats at the quicker pace; the other side only needs to
- * drop what is left of a VM that is gone, or of a path that is cut one way.
+ * Heartbeats and the silence after which a link counts as dead, in milliseconds, where each VM is linked to each: faults last
+ * some seconds. Only the side that opened a link sends on it and acts on its loss, so it hears heartbeats at the quicker
+ * pace; the other side only needs to drop what is left of a VM that is gone, or of a path that is cut one way.
  */
-const linkLimits = resolveLinkLimits({
+const meshLimits = resolveLinkLimits({
     heartbeatMs: 400,
     silenceMs: 1500,
     callerHeartbeatMs: 1200,
     callerSilenceMs: 3000,
-    maxFrameBytes: 8 * 1024 * 1024,
+    maxFrameBytes,
 });
 
 /**
- * Longest pause between two tries to reach a VM, in milliseconds. After a cut of 6 s nothing could be loaded on the engines
- * beyond it until links were open again, up to 2 s later.
+ * The same among more VMs, where both sides send on one link. That an owner of engines is silent shows in 180 ms by the
+ * requests that ask it; a link that is dead only has to be opened anew, and one that is found dead late costs nothing more.
+ * With the pace of a mesh, and a link each way, an owner among 195 VMs sent and received 1,140 heartbeats a second.
  */
-const maxBackoffMs = 500;
+const fleetLimits = resolveLinkLimits({
+    heartbeatMs: 1200,
+    silenceMs: 3000,
+    maxFrameBytes,
+});
+
+/** How often links are looked at, in milliseconds: the shortest time between heartbeats. */
+const tickMs = meshLimits.heartbeatMs;
 
 /**
- * Up to so many other VMs, each is linked to each. Beyond that only owners of engines are linked to all, since requests are
- * let in there, and each VM to the first ones of its data centre, which read the store for it: links then grow with the
- * owners and not with the square of the VMs. At 70 VMs a full mesh cost 0.34 GB between data centres in 25 s.
+ * Longest pause between two tries to reach a VM, in milliseconds. After a cut of 6 s nothing could be loaded on the engines
+ * beyond it until links were open again, up to 2 s later.
  */
-const meshVms = 12;
-
-/** VMs of the own data centre to which each one is linked: the one that reads the store, and the next one. */
-const neighbourVms = 2;
+const maxBackoffMs = 500;
 
 /** A VM that has been unreachable for this long is no longer tried, in milliseconds. */
 const forgetMs = 60_000;
 
+/**
+ * A link that this VM does not want to keep is closed after this long without a message to that VM alone, in milliseconds:
+ * one that owned engines for a moment would keep links to all others for good.
+ */
+const idleMs = 10_000;
+
+/** Options of {@link Peers}. */
 /** Options of {@link Peers}. */
 export interface PeersOptions {
     readonly self: NodeIdentity;
@@ -63,13 +79,6 @@
     readonly onClose: (vm: string) => void;
 }
 
-/** A VM as others have told of it; seeds have an address only. */
-export interface KnownMember {
-    readonly id: string | undefined;
-    readonly address: string;
-    readonly dataCentre?: string | undefined;
-}
-
 interface Peer {
     readonly address: string;
     readonly client: LinkClient<PeerMessage>;
@@ -77,11 +86,14 @@
     /** Known once a link has been open. */
     dataCentre: string | undefined;
     lastOpenAt: number;
+    /** When something was last sent to this VM alone. */
+    usedAt: number;
 }
 
 /**
- * Links to other VMs. Each VM opens one link to each other, sends on those it opened and receives on those opened to
- * it, so that a path that is cut one way shows as a dead link of its own.
+ * Links to other VMs. Among few VMs each opens a link to each other, sends on those it opened and receives on those opened
+ * to it, so that a path that is cut one way shows as a dead link of its own. Among more VMs owners of engines open links to
+ * all, and the others send on these.
  */
 export class Peers {
     private readonly server: LinkServer<PeerMessage>;
@@ -90,9 +102,15 @@
     /** VMs that are known, by address. */
     private readonly members = new Map<string, KnownMember>();
     private readonly peersByAddress = new Map<string, Peer>();
-    private readonly ticker = new LinkTicker(linkLimits.heartbeatMs);
+    private readonly ticker = new LinkTicker(tickMs);
     private isHub = false;
+    private wanted: ReadonlySet<string> = new Set();
+    /** Open links that this VM opened, by VM. */
     private readonly linksByVm = new Map<string, Link<PeerMessage>>();
+    /** Open links that other VMs opened, by VM. Where each is linked to each nothing is sent on them. */
+    private readonly accepted = new Map<string, Link<PeerMessage>>();
+    /** When the last link was lost that a VM of another data centre had opened. */
+    private acceptedLostAt: number | undefined;
 
     constructor(private readonly options: PeersOptions) {
         this.server = new LinkServer<PeerMessage>({
@@ -101,16 +119,14 @@
             self: () => options.self,
             secret: options.secret,
             schema: peerMessageSchema,
-            limits: linkLimits,
+            limits: () => this.limits,
             ticker: this.ticker,
             events: {
                 onFrame: options.onFrame,
                 onBytes: options.onBytes,
-                onOpen: link => this.receiveCaller(link.peer),
+                onOpen: link => this.receiveCaller(link),
                 onMessage: (link, message) => options.onMessage(link.peer.id, message),
-                onClose: () => {
-                    // Its own link to us tells when the VM is gone.
-                },
+                onClose: link => this.receiveCallerClose(link),
             },
         });
     }
@@ -132,7 +148,13 @@
         if (member.address === this.options.self.address || member.address === "") {
             return;
         }
-        this.members.set(member.address, { ...this.members.get(member.address), ...member });
+        const known = this.members.get(member.address);
+        const id = member.id ?? known?.id;
+        const dataCentre = member.dataCentre ?? known?.dataCentre;
+        if (known !== undefined && known.id === id && known.dataCentre === dataCentre) {
+            return;
+        }
+        this.members.set(member.address, { address: member.address, id, dataCentre });
         this.openWanted();
     }
 
@@ -144,35 +166,21 @@
         }
     }
 
-    private openWanted(): void {
-        const isMesh = this.isHub || this.members.size <= meshVms;
-        const neighbours = this.listNeighbours();
-        for (const { address, id } of this.members.values()) {
-            if (isMesh || id === undefined || neighbours.has(address)) {
-                this.openLink(address);
-            }
-        }
+    /** Whether each VM is linked to each. */
+    private get isMesh(): boolean {
+        return isMesh(this.members.size);
     }
 
-    /**
-     * Addresses of the first VMs, by name, of the own data centre; for one of these also those of all other data centres, so
-     * that the VMs which read the store hear of each other.
-     */
-    private listNeighbours(): Set<string> {
-        const { id, dataCentre } = this.options.self;
-        const near = this.listFirst(dataCentre, [id]);
-        const isFirst = near.some(member => member.id === id);
-        const centres = isFirst ? new Set([...this.members.values()].map(member => member.dataCentre)) : [dataCentre];
-        return new Set([...centres].flatMap(centre => this.listFirst(centre, [])).map(({ address }) => address));
+    private get limits(): LinkLimits {
+        return this.isMesh ? meshLimits : fleetLimits;
     }
 
-    /** The first VMs of a data centre, by name. @param others Names that count beside those of the members. */
-    private listFirst(dataCentre: string | undefined, others: readonly string[]): KnownMember[] {
-        const added = others.map(id => ({ id, address: "", dataCentre }));
-        return [...this.members.values(), ...added]
-            .filter(member => member.dataCentre === dataCentre && member.id !== undefined)
-            .sort((left, right) => left.id! < right.id! ? -1 : 1)
-            .slice(0, neighbourVms);
+    private openWanted(): void {
+        const { self } = this.options;
+        this.wanted = listWantedLinks({ self, members: [...this.members.values()], isHub: this.isHub });
+        for (const address of this.wanted) {
+            this.openLink(address);
+        }
     }
 
     private openLink(address: string): void {
@@ -185,7 +193,7 @@
             self: () => self,
             secret,
             schema: peerMessageSchema,
-            limits: linkLimits,
+            limits: this.limits,
             ticker: this.ticker,
             maxBackoffMs,
             events: {
@@ -196,29 +204,46 @@
                 onClose: link => this.receiveClose(address, link),
             },
         });
-        const lastOpenAt = this.options.readTime();
-        this.peersByAddress.set(address, { address, client, link: undefined, dataCentre: undefined, lastOpenAt });
+        const now = this.options.readTime();
+        this.peersByAddress.set(address, {
+            address,
+            client,
+            link: undefined,
+            dataCentre: undefined,
+            lastOpenAt: now,
+            usedAt: now,
+        });
         client.start();
     }
 
-    /** VMs to which a link is open. */
+    /** VMs to which messages can be sent. */
     listConnected(): string[] {
-        return [...this.peersByAddress.values()].flatMap(peer => peer.link === undefined ? [] : [peer.link.peer.id]);
+        const accepted = this.isMesh ? [] : this.accepted.keys();
+        return [...new Set([...this.linksByVm.keys(), ...accepted])];
+    }
+
+    /** Links that this VM has opened or tries to open. */
+    countOpened(): number {
+        return this.peersByAddress.size;
     }
 
-    /** Whether a link to a VM is open. */
+    /** Whether messages can be sent to a VM. */
     isConnected(vm: string): boolean {
-        return this.linksByVm.has(vm);
+        return this.findLink(vm) !== undefined;
+    }
+
+    private findLink(vm: string): Link<PeerMessage> | undefined {
+        return this.linksByVm.get(vm) ?? (this.isMesh ? undefined : this.accepted.get(vm));
     }
 
-    /** The process of a VM that opened a link last. */
+    /** The process of a VM to which a link was opened last, by either side. */
     findIncarnation(vm: string): number | undefined {
         return this.incarnations.get(vm);
     }
 
     /** Data centre of a connected VM. */
     findDataCentre(vm: string): string | undefined {
-        return this.linksByVm.get(vm)?.peer.dataCentre;
+        return this.findLink(vm)?.peer.dataCentre;
     }
 
     /**
@@ -226,12 +251,20 @@
      * is closed has been quiet since then.
      */
     readOthersQuietMs(): number | undefined {
-        const others = [...this.peersByAddress.values()].filter(({ dataCentre }) =>
-            dataCentre !== undefined && dataCentre !== this.options.self.dataCentre
-        );
-        const now = this.options.readTime();
-        const quiet = others.map(({ link, lastOpenAt }) => link?.quietMs ?? now - lastOpenAt);
-        return others.length === 0 ? undefined : Math.min(...quiet);
+        const { self, readTime } = this.options;
+        const now = readTime();
+        const opened = [...this.peersByAddress.values()]
+            .filter(({ dataCentre }) => dataCentre !== undefined && dataCentre !== self.dataCentre)
+            .map(({ link, lastOpenAt }) => link?.quietMs ?? now - lastOpenAt);
+        const quiet = this.isMesh ? opened : [...opened, ...this.listAcceptedQuietMs(now)];
+        return quiet.length === 0 ? undefined : Math.min(...quiet);
+    }
+
+    private listAcceptedQuietMs(now: number): number[] {
+        const open = [...this.accepted.values()]
+            .filter(({ peer }) => peer.dataCentre !== this.options.self.dataCentre)
+            .map(({ quietMs }) => quietMs);
+        return this.acceptedLostAt === undefined ? open : [...open, now - this.acceptedLostAt];
     }
 
     /** Takes word of a VM that it is stopping. */
@@ -258,31 +291,77 @@
 
     broadcast(message: PeerMessage): void {
         const frame = encodeFrame(message);
-        for (const peer of this.peersByAddress.values()) {
-            peer.link?.sendEncoded(frame, message.type);
+        for (const vm of this.listConnected()) {
+            this.findLink(vm)?.sendEncoded(frame, message.type);
         }
     }
 
     /** Sends to one VM. @returns Whether there is a link to it. */
     send(vm: string, message: PeerMessage): boolean {
-        return this.linksByVm.get(vm)?.send(message) ?? false;
+        const link = this.findLink(vm);
+        const peer = link === undefined ? undefined : this.peersByAddress.get(link.peer.address);
+        if (peer !== undefined) {
+            peer.usedAt = this.options.readTime();
+        }
+        return link?.send(message) ?? false;
     }
 
-    /** Stops trying VMs that have been gone for long. */
-    expireGone(): void {
+    /** Stops trying VMs that have been gone for long, and closes links that nobody has needed of late. */
+    expireUnused(): void {
         const now = this.options.readTime();
+        const known = this.members.size;
         for (const peer of this.peersByAddress.values()) {
             if (peer.link === undefined && now - peer.lastOpenAt > forgetMs) {
-                peer.client.stop();
-                this.peersByAddress.delete(peer.address);
                 this.members.delete(peer.address);
+                this.removePeer(peer);
+            }
+            else if (!this.wanted.has(peer.address) && now - peer.usedAt > idleMs) {
+                this.removePeer(peer);
             }
         }
+        if (this.members.size < known) {
+            this.openWanted();
+        }
+    }
+
+    private removePeer(peer: Peer): void {
+        this.peersByAddress.delete(peer.address);
+        if (peer.link !== undefined) {
+            this.recordUnlinked(peer.link, this.linksByVm);
+        }
+        peer.client.stop();
     }
 
-    private receiveCaller(peer: NodeIdentity): void {
+    /** Another VM has opened a link. */
+    private receiveCaller(link: Link<PeerMessage>): void {
+        const { peer } = link;
         this.addPeer({ id: peer.id, address: peer.address, dataCentre: peer.dataCentre });
-        this.openLink(peer.address);
+        this.accepted.set(peer.id, link);
+        if (this.isMesh) {
+            this.openLink(peer.address);
+        }
+        else {
+            this.sendGreeting(link);
+        }
+        this.recordIncarnation(peer);
+    }
+
+    private receiveCallerClose(link: Link<PeerMessage>): void {
+        if (!link.hasPeer || this.accepted.get(link.peer.id) !== link) {
+            return;
+        }
+        if (this.isMesh) {
+            // This VM's own link to the other one tells when that is gone.
+            this.accepted.delete(link.peer.id);
+            return;
+        }
+        if (link.peer.dataCentre !== this.options.self.dataCentre) {
+            this.acceptedLostAt = this.options.readTime();
+        }
+        this.recordUnlinked(link, this.accepted);
+    }
+
+    private recordIncarnation(peer: NodeIdentity): void {
         if ((this.incarnations.get(peer.id) ?? -1) !== peer.incarnation) {
             this.incarnations.set(peer.id, peer.incarnation);
             this.leaving.delete(peer.id);
@@ -300,6 +379,14 @@
         peer.dataCentre = link.peer.dataCentre;
         this.linksByVm.set(link.peer.id, link);
         this.options.log.recordImportant("peerLinked", { peer: link.peer.id, address });
+        if (!this.isMesh) {
+            // The other side opens no link of its own, by which it would tell that it has started.
+            this.recordIncarnation(link.peer);
+        }
+        this.sendGreeting(link);
+    }
+
+    private sendGreeting(link: Link<PeerMessage>): void {
         for (const message of this.options.createGreeting(link.peer.id)) {
             link.send(message);
         }
@@ -311,11 +398,19 @@
             return;
         }
         peer.link = undefined;
-        if (this.linksByVm.get(link.peer.id) === link) {
-            this.linksByVm.delete(link.peer.id);
-        }
         peer.lastOpenAt = this.options.readTime();
         this.options.log.recordImportant("peerLost", { peer: link.peer.id, address });
-        this.options.onClose(link.peer.id);
+        this.recordUnlinked(link, this.linksByVm);
+    }
+
+    /** A link is closed; its VM is out of reach unless there is another one. */
+    private recordUnlinked(link: Link<PeerMessage>, links: Map<string, Link<PeerMessage>>): void {
+        const vm = link.peer.id;
+        if (links.get(vm) === link) {
+            links.delete(vm);
+        }
+        if (!this.isConnected(vm)) {
+            this.options.onClose(vm);
+        }
     }
 }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -11,6 +11,7 @@
 import { ClusterState } from "./cluster.js";
 import { ConnectionPool } from "./connections.js";
 import { DecisionLog, type LineSink } from "./decisions.js";
+import { HubWatch } from "./hub.js";
 import { IsolationWatch } from "./isolation.js";
 import type { PeerMessage } from "./messages.js";
 import { NodeMetrics } from "./metrics.js";
@@ -107,6 +108,7 @@
     private readonly isolation = new IsolationWatch();
     private readonly pressure: PressureWatch;
     private readonly admissions: Admissions;
+    private readonly hub = new HubWatch({ startedAt: readNow() });
     /** Tells this process from others of the same VM. */
     private readonly incarnation = Date.now();
     private owning: Owning | undefined;
@@ -559,9 +561,9 @@
     private runHousekeeping(): void {
         this.pressure.check();
         this.cluster.expireLapsed();
-        this.peers.expireGone();
+        this.peers.expireUnused();
         this.owning?.update();
-        this.peers.setHub(this.owning?.engines.hasAny ?? false);
+        this.peers.setHub(this.hub.update(this.owning?.engines.hasAny ?? false, readNow()));
         this.sharing.update();
         this.updateIsolation();
     }
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -75,6 +75,11 @@
         return this.peerHello.node;
     }
 
+    /** Whether the other side has said who it is. */
+    get hasPeer(): boolean {
+        return this.peerHello !== undefined;
+    }
+
     /** Time since anything was received, in milliseconds. */
     get quietMs(): number {
         return performance.now() - this.lastReceived;
--- a/packages/wire/src/server.ts
+++ b/packages/wire/src/server.ts
@@ -12,7 +12,8 @@
     readonly self: () => NodeIdentity;
     readonly secret: string;
     readonly schema: z.ZodType<Message, Outgoing>;
-    readonly limits: LinkLimits;
+    /** Limits of all links, or what gives them for each link that is accepted. */
+    readonly limits: LinkLimits | (() => LinkLimits);
     /** Shared by the links of a process. @default one for each link */
     readonly ticker?: LinkTicker | undefined;
     readonly events: LinkEvents<Message, Outgoing>;
@@ -42,7 +43,8 @@
     }
 
     private receiveSocket(socket: Socket): void {
-        const { events, secret, schema, limits, ticker } = this.options;
+        const { events, secret, schema, ticker } = this.options;
+        const limits = typeof this.options.limits === "function" ? this.options.limits() : this.options.limits;
         const link = new Link<Message, Outgoing>({
             socket,
             self: this.options.self(),
