Wake a VM to tell of its engines only while it owns some

Cause: every VM had a timer of 100 ms for news of its engines; of 195 VMs some 170 own none, which is 1,700 wakes a second for nothing. Change: the timer runs while there are engines. Counted by test: no repeated timer without engines, one with some.

--- a/packages/node/src/engines.ts
+++ b/packages/node/src/engines.ts
@@ -79,7 +79,8 @@
 export class OwnedEngines {
     private readonly engines = new Map<string, OwnedEngine>();
     private readonly timers: Timers;
-    private readonly newsTimer: ScheduledRun;
+    /** Runs while there are engines: most VMs of a large fleet own none. */
+    private newsTimer: ScheduledRun | undefined;
     /** Orders that may still come to their engines, and the names of these. They outlast the ownership. */
     private readonly underWay = new Map<Promise<void>, string>();
     private toldAt = -Infinity;
@@ -87,7 +88,6 @@
 
     constructor(private readonly options: OwnedEnginesOptions) {
         this.timers = options.timers ?? processTimers;
-        this.newsTimer = this.timers.scheduleEvery(() => this.sendDueChanges(), newsIntervalMs);
     }
 
     get hasAny(): boolean {
@@ -96,7 +96,6 @@
 
     stop(): void {
         this.isStopped = true;
-        this.newsTimer.cancel();
         for (const id of [...this.engines.keys()]) {
             this.remove(id);
         }
@@ -226,6 +225,7 @@
             canOrder: false,
         };
         this.engines.set(id, owned);
+        this.newsTimer ??= this.timers.scheduleEvery(() => this.sendDueChanges(), newsIntervalMs);
         this.options.log.recordImportant("engineClaimed", { engine: id, fence: owned.fence });
         this.advance(owned);
         this.sendChanges([owned]);
@@ -243,6 +243,10 @@
         }
         owned.timer?.cancel();
         this.engines.delete(id);
+        if (this.engines.size === 0) {
+            this.newsTimer?.cancel();
+            this.newsTimer = undefined;
+        }
         const { fence, isOrdering } = owned;
         this.options.log.recordImportant("engineGivenUp", { engine: id, fence, isOrdering });
         owned.canOrder = false;
--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -2,10 +2,29 @@
 import { err } from "neverthrow";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { Timers } from "../src/clock.js";
 import { OwnedEngines } from "../src/engines.js";
 import { createSilentLog, createUpstream, engineService } from "./fixtures.js";
 
-function createEngines() {
+/** Counts what is to run again and again; nothing runs. */
+class CountedTimers implements Timers {
+    repeated = 0;
+
+    scheduleOnce() {
+        return { cancel: () => {} };
+    }
+
+    scheduleEvery() {
+        this.repeated += 1;
+        return {
+            cancel: () => {
+                this.repeated -= 1;
+            },
+        };
+    }
+}
+
+function createEngines(timers?: Timers) {
     const view = new FleetView();
     view.updateUpstream(createUpstream("e1@1", { name: "e1", bornAt: 1 }), 0);
     const news: EngineNews[] = [];
@@ -23,6 +42,7 @@
         sendNews: told => news.push(...told),
         sendAnswer: (_vm, answer) => answers.push(answer),
         countOthers: () => 2,
+        timers,
     });
     return { engines, news, answers, view };
 }
@@ -55,6 +75,19 @@
     assert.is(view.findUpstream("e1@1")?.owner, undefined);
 });
 
+test("a VM that owns no engine is not woken to tell of any", () => {
+    const timers = new CountedTimers();
+    const { engines } = createEngines(timers);
+    assert.is(timers.repeated, 0);
+    engines.update(() => true);
+    assert.is(timers.repeated, 1);
+    engines.update(() => false);
+    assert.is(timers.repeated, 0);
+    engines.update(() => true);
+    engines.stop();
+    assert.is(timers.repeated, 0);
+});
+
 test("what was told of an engine's load does not change with what comes after it", () => {
     const { engines, news } = createEngines();
     engines.update(() => true);
