--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -76,6 +76,8 @@
     readonly turnMs: number;
     /** Time between the request to stop and the end of the process, in milliseconds. */
     readonly graceMs: number;
+    /** Pause between two reads of the entries of upstreams, in milliseconds. @default 300 */
+    readonly entriesPauseMs?: number;
     /** How long requests wait for a process that has just started to read routes and upstreams, in milliseconds. @default 300 */
     readonly startWaitMs?: number;
 }
@@ -106,9 +108,9 @@
     private readonly budgets = new Map<string, RetryBudget>();
     private readonly sharing: ChangeSharing;
     private readonly isolation = new IsolationWatch();
+    private readonly hub = new HubWatch({ startedAt: readNow() });
     private readonly pressure: PressureWatch;
     private readonly admissions: Admissions;
-    private readonly hub = new HubWatch({ startedAt: readNow() });
     /** Tells this process from others of the same VM. */
     private readonly incarnation = Date.now();
     private owning: Owning | undefined;
@@ -149,6 +151,7 @@
             broadcast: message => this.peers.broadcast(message),
             listLinked: () => this.peers.listConnected(),
             readStoreQuietMs: () => this.owning?.renewalAgeMs ?? 0,
+            entriesPauseMs: settings.entriesPauseMs,
         });
         this.callerServer = createServer({ keepAlive: true, noDelay: true });
     }
--- a/packages/node/src/sharing.ts
+++ b/packages/node/src/sharing.ts
@@ -4,11 +4,14 @@
 import type { ClusterChange, ClusterStore } from "./ports.js";
 import { StoreReaders } from "./readers.js";
 
+/** Usual pause between two reads of the entries of upstreams, in milliseconds. */
+const usualEntriesPauseMs = 300;
+
 /**
- * Time in which this VM should learn by itself what another one has read, in milliseconds: readers read entries of upstreams
- * every 300 ms, and tell how far they are every 250 ms.
+ * Pauses between reads in which this VM should learn by itself what another one has read: readers tell how far they are
+ * every 250 ms, less than a pause.
  */
-const ownReadMs = 600;
+const ownReadPauses = 2;
 
 /**
  * A VM whose last call to the store was answered longer ago than this reads for nobody, in milliseconds: a waiting read that
@@ -36,6 +39,8 @@
     readonly listLinked: () => string[];
     /** Age of the last call to the store that was answered, in milliseconds. */
     readonly readStoreQuietMs: () => number;
+    /** Pause between two reads of the entries of upstreams, in milliseconds. @default 300 */
+    readonly entriesPauseMs?: number | undefined;
 }
 
 /** A VM that has read further than this one. */
@@ -145,6 +150,7 @@
     private askAhead(): void {
         const now = this.options.readTime();
         const own = this.options.cluster.readPositions;
+        const ownReadMs = ownReadPauses * (this.options.entriesPauseMs ?? usualEntriesPauseMs);
         for (const [vm, { told, since }] of this.ahead) {
             if (!this.isBehind(told)) {
                 this.ahead.delete(vm);
