Load the base model of an empty engine before anybody asks for it, and tell how long it takes

Cause: members added empty engines and could not see when they began to take work. An engine without a base model told that an adapter would be there in 250 ms, since its owner's forecast left out the model that it needs first (2.9 s on the large fleet). So drafts with an aim of 1 s were sent to wait for it, and its model was ordered only once such a request asked; with the true time in the forecast alone nobody would ever ask. Change: the owner orders the model at once if the service has only one, the forecast and the answers to requests include the time until it is there, and reports, which are priced, are asked for when it may be. Lines tell each step of a new engine.

--- a/packages/fleet/src/admission.ts
+++ b/packages/fleet/src/admission.ts
@@ -25,7 +25,7 @@
 /** How long a request whose VM is gone is taken to run beyond its own end, in milliseconds: clocks and queues differ. */
 const endMarginMs = 500;
 
-/** Time after which an engine without its base model may have it, in milliseconds: a model takes 0.3 to 1 s. */
+/** Time after which an engine that has not reported yet may have its base model, in milliseconds: one takes 0.3 to 3 s. */
 const modelLoadMs = 1000;
 
 /** Time in which an answer has reached its VM, in milliseconds: one that takes longer finds its link closed. */
@@ -100,7 +100,7 @@
         const held = this.findUsableVersion(request);
         const { places } = this.options;
         if (key === undefined && !places.hasModel(request.model)) {
-            return { kind: "declined", ticket, expectedMs: modelLoadMs };
+            return { kind: "declined", ticket, expectedMs: places.readModelWaitMs(request.model, now) || modelLoadMs };
         }
         if (key === undefined || held !== undefined) {
             if (this.isBusier(request, 0)) {
--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -1,4 +1,5 @@
 import type { EngineLimits } from "@radishreel/routing";
+import { BaseModels } from "./basemodels.js";
 import { LoadForecast, maxComing } from "./forecast.js";
 import { LoadTimes } from "./loadtimes.js";
 import type { EngineOrder, EngineReport, OrderAction, OrderAnswer, PlacesStep } from "./orders.js";
@@ -61,7 +62,7 @@
     private readonly places = new Map<string, Place>();
     private readonly wants = new AdapterQueue();
     private readonly warm: WarmAdapters;
-    private models: readonly HeldModel[];
+    private readonly models: BaseModels;
     private sequence: number;
     private mustReport = true;
     /** Whether the sequence itself is in doubt, so that only a report made after a pause says what it is. */
@@ -82,7 +83,7 @@
 
     constructor(options: EnginePlacesOptions) {
         this.limits = options.limits;
-        this.models = options.models;
+        this.models = new BaseModels({ limits: options.limits, held: options.models });
         this.sequence = options.sequence;
         this.knowsMemory = options.sequence === 0 || (options.warm ?? []).length > 0;
         this.reportAt = options.now;
@@ -141,7 +142,17 @@
 
     /** Whether the engine holds a base model, as far as it has reported. */
     hasModel(name: string): boolean {
-        return this.models.some(held => held.name === name);
+        return this.models.has(name);
+    }
+
+    /** Whether the engine has reported that it holds no base model. */
+    get isEmpty(): boolean {
+        return this.models.isEmpty;
+    }
+
+    /** Expected time until an adapter of a base model can be loaded, in milliseconds. */
+    readModelWaitMs(name: string, now: number): number {
+        return this.models.readWaitMs(name, now);
     }
 
     /**
@@ -158,13 +169,17 @@
         const position = found < 0 ? queued.length : found;
         const onTimeUntil = this.wants.find(key)?.onTimeUntil ?? Infinity;
         const turnMs = this.readTurnMs(position, queued.length, onTimeUntil, now, releases);
-        return turnMs + this.loadTimes.read(this.warm.has(key));
+        const modelMs = this.models.readWaitMs(parseAdapterKey(key).model, now);
+        return Math.max(turnMs, modelMs) + this.loadTimes.read(this.warm.has(key));
     }
 
     /** Expected time until the load of one more adapter would begin, in milliseconds. */
     readNextTurnMs(now: number, releases: readonly number[]): number {
         const queued = this.listQueued(now).length;
-        return this.readTurnMs(queued, queued, Infinity, now, releases);
+        return Math.max(
+            this.readTurnMs(queued, queued, Infinity, now, releases),
+            this.models.readWaitMs(undefined, now),
+        );
     }
 
     private readTurnMs(
@@ -262,8 +277,7 @@
             return;
         }
         if (order.adapter === undefined) {
-            this.mustReport = true;
-            this.reportAt = now + syncPauseMs;
+            this.applyModelAnswer(order.model, answer, now);
             return;
         }
         const key = formatAdapterKey(order.model, order.adapter);
@@ -279,11 +293,24 @@
         }
     }
 
+    /** A report tells when the model is there; each is priced, so that the first is asked for when it may be. */
+    private applyModelAnswer(model: string, answer: OrderAnswer, now: number): void {
+        this.mustReport = true;
+        this.reportAt = now + syncPauseMs;
+        if (answer === "accepted") {
+            this.models.recordLoad(model, now);
+            this.reportAt = now + Math.max(syncPauseMs, this.models.readShortestMs(model));
+        }
+        else if (answer === "rejected") {
+            this.orderNotBefore = now + rejectedPauseMs;
+        }
+    }
+
     /** Takes the engine's report. @param askedAt When it was asked for. */
     applyReport(report: EngineReport, askedAt: number, now: number): void {
         this.mustReport = false;
         this.recordReached();
-        this.models = report.models;
+        this.models.update(report.models);
         // Reports lag: one that may be older than the last order must not take the sequence back.
         const isCurrent = askedAt - this.lastOrderAt >= syncPauseMs;
         this.sequence = isCurrent || this.isSequenceInDoubt
@@ -547,6 +574,10 @@
     }
 
     private findNextOrder(now: number): EngineOrder | undefined {
+        const missing = this.models.findMissing();
+        if (missing !== undefined) {
+            return this.createModelOrder(missing);
+        }
         const key = this.listQueued(now).find(name => this.wants.find(name)!.notBefore <= now);
         if (key === undefined) {
             return undefined;
--- a/packages/node/src/engines.ts
+++ b/packages/node/src/engines.ts
@@ -73,6 +73,10 @@
     isOrdering: boolean;
     timer: ScheduledRun | undefined;
     canOrder: boolean;
+    /** Until it has reported a base model and let its first request in: steps of a new engine on its way into work. */
+    readonly claimedAt: number;
+    hasServed: boolean;
+    wasEmpty: boolean;
 }
 
 /** The engines that this VM owns: it alone gives them orders, lets requests in, and tells all VMs what they hold. */
@@ -192,9 +196,34 @@
         if (!this.options.view.isUsable(owned.id)) {
             return { kind: "declined", ticket: request.ticket, expectedMs: leavingMs };
         }
-        return owned.places.isReachable
-            ? owned.admission.ask(vm, request, now)
-            : { kind: "declined", ticket: request.ticket, expectedMs: unusableMs };
+        if (!owned.places.isReachable) {
+            return { kind: "declined", ticket: request.ticket, expectedMs: unusableMs };
+        }
+        const answer = owned.admission.ask(vm, request, now);
+        this.recordServed(owned, [answer], now);
+        return answer;
+    }
+
+    /** Tells when an engine has let its first request in. */
+    private recordServed(owned: OwnedEngine, answers: readonly AdmissionAnswer[], now: number): void {
+        if (!owned.hasServed && answers.some(({ kind }) => kind === "admitted")) {
+            owned.hasServed = true;
+            const sinceClaimedMs = Math.round(now - owned.claimedAt);
+            this.options.log.recordImportant("engineFirstRequest", { engine: owned.id, sinceClaimedMs });
+        }
+    }
+
+    /** Tells when an engine that held no base model has reported one. */
+    private recordModels(owned: OwnedEngine, now: number): void {
+        const { isEmpty } = owned.places;
+        if (isEmpty !== owned.wasEmpty) {
+            owned.wasEmpty = isEmpty;
+            const sinceClaimedMs = Math.round(now - owned.claimedAt);
+            this.options.log.recordImportant(isEmpty ? "engineEmpty" : "engineHasModel", {
+                engine: owned.id,
+                sinceClaimedMs,
+            });
+        }
     }
 
     private add(state: UpstreamState): void {
@@ -223,6 +252,9 @@
             isOrdering: false,
             timer: undefined,
             canOrder: false,
+            claimedAt: this.options.readTime(),
+            hasServed: false,
+            wasEmpty: false,
         };
         this.engines.set(id, owned);
         this.newsTimer ??= this.timers.scheduleEvery(() => this.sendDueChanges(), newsIntervalMs);
@@ -272,7 +304,9 @@
             // Loads end seconds later: what waits for one must not be sent to an engine that leaves.
             this.sendAnswers(owned.admission.refuseAll(leavingMs));
         }
-        this.sendAnswers(owned.admission.advance(now));
+        const answers = owned.admission.advance(now);
+        this.recordServed(owned, answers.map(({ answer }) => answer), now);
+        this.sendAnswers(answers);
         if (owned.isWorking) {
             return;
         }
@@ -330,6 +364,7 @@
         else {
             const { sequence, coming, models } = report.value;
             owned.places.applyReport(report.value, askedAt, now);
+            this.recordModels(owned, now);
             this.options.log.record("engineReport", { engine: owned.id, sequence, coming, held: models });
         }
         this.finishStep(owned, wasReachable || report.isOk());
