Look for engines to own only where shards are held

Cause: every VM went through all upstreams four times a second to find those of its shards; of 195 VMs some 170 hold none. Change: nothing is looked at without shards and engines. Tried and taken back: a slower timer for links among many VMs; an owner then has two timers, one for links from before it knew of many, where one is what is wanted.

--- a/packages/node/src/owning.ts
+++ b/packages/node/src/owning.ts
@@ -329,6 +329,9 @@
             return;
         }
         const shards = new Set(this.clock.listShards());
+        if (shards.size === 0 && !this.engines.hasAny) {
+            return;
+        }
         this.engines.update(name => shards.has(this.findShard(name)));
     }
 
