--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -35,10 +35,11 @@
 const housekeepingMs = 250;
 
 /**
- * How long a VM opens no links when all start for the first time, in milliseconds: they start within 0.3 s of each other and
- * read of each other within 0.5 s. Each linked to the first 12 that it read of, some 20 links more than it needed.
+ * How long a VM opens no links when all start for the first time, in milliseconds: they start within 0.3 s of each other, and
+ * each linked to the first 12 that it read of, some 20 links more than it needed. Until then each reads the store by itself: at
+ * 1 s 195 VMs made 1,200 calls more than at once.
  */
-const firstStartMs = 1000;
+const firstStartMs = 500;
 
 /** After this long in a planned stop no caller is sent here any more, in milliseconds: two checks of the balancer missed. */
 const balancerNoticeMs = 2300;
