--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -59,7 +59,6 @@
  */
 const idleMs = 10_000;
 
-/** Options of {@link Peers}. */
 /** Options of {@link Peers}. */
 export interface PeersOptions {
     readonly self: NodeIdentity;
@@ -105,6 +104,7 @@
     private readonly peersByAddress = new Map<string, Peer>();
     private readonly ticker = new LinkTicker(tickMs);
     private isHub = false;
+    /** Whether links are opened that this VM wants. */
     private isOpening = true;
     private wanted: ReadonlySet<string> = new Set();
     /** Open links that this VM opened, by VM. */
