--- a/packages/node/src/engines.ts
+++ b/packages/node/src/engines.ts
@@ -73,9 +73,11 @@
     isOrdering: boolean;
     timer: ScheduledRun | undefined;
     canOrder: boolean;
-    /** Until it has reported a base model and let its first request in: steps of a new engine on its way into work. */
+    /** When this VM became its owner. */
     readonly claimedAt: number;
+    /** Whether a request has been let in since then. */
     hasServed: boolean;
+    /** Whether its last report said that it holds no base model. */
     wasEmpty: boolean;
 }
 
