Split the links of a VM by subject: limits, known members, accepted links

Nothing a VM sends or keeps changes; when the last link that another data centre opened was lost is now also kept among few VMs, where nothing reads it.

--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -1,50 +1,12 @@
-import {
-    encodeFrame,
-    type Link,
-    LinkClient,
-    type LinkLimits,
-    LinkServer,
-    LinkTicker,
-    type NodeIdentity,
-    resolveLinkLimits,
-} from "@radishreel/wire";
+import { encodeFrame, type Link, LinkClient, LinkServer, LinkTicker, type NodeIdentity } from "@radishreel/wire";
+import { AcceptedLinks } from "./accepted.js";
 import type { DecisionLog } from "./decisions.js";
+import { chooseLinkLimits, linkTickMs } from "./linklimits.js";
+import { KnownMembers } from "./members.js";
 import { type PeerMessage, peerMessageSchema } from "./messages.js";
 import type { Member } from "./ports.js";
 import { isMesh, type KnownMember, listWantedLinks } from "./wanted.js";
 
-/** Largest frame between VMs, in bytes: the whole state of a store with some thousand routes. */
-const maxFrameBytes = 8 * 1024 * 1024;
-
-/**
- * Heartbeats and the silence after which a link counts as dead, in milliseconds, where each VM is linked to each: faults last
- * some seconds. Only the side that opened a link sends on it and acts on its loss, so it hears heartbeats at the quicker
- * pace; the other side only needs to drop what is left of a VM that is gone, or of a path that is cut one way.
- */
-const meshLimits = resolveLinkLimits({
-    heartbeatMs: 400,
-    silenceMs: 1500,
-    callerHeartbeatMs: 1200,
-    callerSilenceMs: 3000,
-    maxFrameBytes,
-});
-
-/**
- * The same among more VMs, where both sides send on one link. That an owner of engines is silent shows in 180 ms by the
- * requests that ask it; a link that is dead only has to be opened anew. News of engines come more often than these heartbeats
- * from 195 VMs on, and take their place. By the intervals of a mesh, and with a link each way, an owner among 195 VMs would send
- * and receive 1,300 heartbeats a second, where these make 310. Each wake costs some 0.5 ms of processor time, reckoned from what
- * all processes used in a played day.
- */
-const fleetLimits = resolveLinkLimits({
-    heartbeatMs: 2500,
-    silenceMs: 6000,
-    maxFrameBytes,
-});
-
-/** How often links are looked at, in milliseconds: the shortest time between heartbeats. */
-const tickMs = meshLimits.heartbeatMs;
-
 /**
  * Longest pause between two tries to reach a VM, in milliseconds. After a cut of 6 s nothing could be loaded on the engines
  * beyond it until links were open again, up to 2 s later.
@@ -100,29 +62,28 @@
     private readonly server: LinkServer<PeerMessage>;
     private readonly incarnations = new Map<string, number>();
     private readonly leaving = new Set<string>();
-    /** VMs that are known, by address. */
-    private readonly members = new Map<string, KnownMember>();
+    private readonly members: KnownMembers;
     private readonly peersByAddress = new Map<string, Peer>();
-    private readonly ticker = new LinkTicker(tickMs);
+    private readonly ticker = new LinkTicker(linkTickMs);
     private isHub = false;
     /** Whether links are opened that this VM wants. */
     private isOpening = true;
     private wanted: ReadonlySet<string> = new Set();
     /** Open links that this VM opened, by VM. */
     private readonly linksByVm = new Map<string, Link<PeerMessage>>();
-    /** Open links that other VMs opened, by VM. Where each is linked to each nothing is sent on them. */
-    private readonly accepted = new Map<string, Link<PeerMessage>>();
-    /** When the last link was lost that a VM of another data centre had opened. */
-    private acceptedLostAt: number | undefined;
+    /** Where each VM is linked to each nothing is sent on these. */
+    private readonly accepted: AcceptedLinks;
 
     constructor(private readonly options: PeersOptions) {
+        this.members = new KnownMembers(options.self);
+        this.accepted = new AcceptedLinks(options.self.dataCentre);
         this.server = new LinkServer<PeerMessage>({
             host: options.host,
             port: options.port,
             self: () => options.self,
             secret: options.secret,
             schema: peerMessageSchema,
-            limits: () => this.limits,
+            limits: () => chooseLinkLimits(this.isMesh),
             ticker: this.ticker,
             events: {
                 onFrame: options.onFrame,
@@ -148,17 +109,9 @@
 
     /** Takes word of a VM, and opens a link to it if one is wanted. */
     addPeer(member: KnownMember): void {
-        if (member.address === this.options.self.address || member.address === "") {
-            return;
-        }
-        const known = this.members.get(member.address);
-        const id = member.id ?? known?.id;
-        const dataCentre = member.dataCentre ?? known?.dataCentre;
-        if (known !== undefined && known.id === id && known.dataCentre === dataCentre) {
-            return;
+        if (this.members.update(member)) {
+            this.openWanted();
         }
-        this.members.set(member.address, { address: member.address, id, dataCentre });
-        this.openWanted();
     }
 
     /** Whether this VM owns engines: then it is linked to all others. */
@@ -171,11 +124,7 @@
 
     /** Whether each VM is linked to each. */
     get isMesh(): boolean {
-        return isMesh(this.members.size);
-    }
-
-    private get limits(): LinkLimits {
-        return this.isMesh ? meshLimits : fleetLimits;
+        return isMesh(this.members.count);
     }
 
     /** Opens no links by itself until it is told otherwise: while all VMs start, those that are known first are not all. */
@@ -193,7 +142,7 @@
         if (!this.isOpening) {
             return;
         }
-        this.wanted = listWantedLinks({ self, members: [...this.members.values()], isHub: this.isHub });
+        this.wanted = listWantedLinks({ self, members: this.members.list(), isHub: this.isHub });
         for (const address of this.wanted) {
             this.openLink(address);
         }
@@ -209,7 +158,7 @@
             self: () => self,
             secret,
             schema: peerMessageSchema,
-            limits: this.limits,
+            limits: chooseLinkLimits(this.isMesh),
             ticker: this.ticker,
             maxBackoffMs,
             events: {
@@ -234,7 +183,7 @@
 
     /** VMs to which messages can be sent. */
     listConnected(): string[] {
-        const accepted = this.isMesh ? [] : this.accepted.keys();
+        const accepted = this.isMesh ? [] : this.accepted.listVms();
         return [...new Set([...this.linksByVm.keys(), ...accepted])];
     }
 
@@ -249,7 +198,7 @@
     }
 
     private findLink(vm: string): Link<PeerMessage> | undefined {
-        return this.linksByVm.get(vm) ?? (this.isMesh ? undefined : this.accepted.get(vm));
+        return this.linksByVm.get(vm) ?? (this.isMesh ? undefined : this.accepted.find(vm));
     }
 
     /** The process of a VM to which a link was opened last, by either side. */
@@ -272,17 +221,10 @@
         const opened = [...this.peersByAddress.values()]
             .filter(({ dataCentre }) => dataCentre !== undefined && dataCentre !== self.dataCentre)
             .map(({ link, lastOpenAt }) => link?.quietMs ?? now - lastOpenAt);
-        const quiet = this.isMesh ? opened : [...opened, ...this.listAcceptedQuietMs(now)];
+        const quiet = this.isMesh ? opened : [...opened, ...this.accepted.listQuietMs(now)];
         return quiet.length === 0 ? undefined : Math.min(...quiet);
     }
 
-    private listAcceptedQuietMs(now: number): number[] {
-        const open = [...this.accepted.values()]
-            .filter(({ peer }) => peer.dataCentre !== this.options.self.dataCentre)
-            .map(({ quietMs }) => quietMs);
-        return this.acceptedLostAt === undefined ? open : [...open, now - this.acceptedLostAt];
-    }
-
     /** Takes word of a VM that it is stopping. */
     recordLeaving(vm: string): void {
         this.leaving.add(vm);
@@ -295,14 +237,12 @@
 
     /** VMs that are known by name, this one left out. */
     listMembers(): Member[] {
-        return [...this.members.values()].flatMap(({ id, address, dataCentre }) =>
-            id === undefined ? [] : [{ id, address, dataCentre }]
-        );
+        return this.members.listNamed();
     }
 
     /** VMs that may be running, this one left out. */
     countLikely(): number {
-        return this.members.size;
+        return this.members.count;
     }
 
     broadcast(message: PeerMessage): void {
@@ -336,17 +276,17 @@
     /** Stops trying VMs that have been gone for long, and closes links that nobody has needed of late. */
     expireUnused(): void {
         const now = this.options.readTime();
-        const known = this.members.size;
+        const known = this.members.count;
         for (const peer of this.peersByAddress.values()) {
             if (peer.link === undefined && now - peer.lastOpenAt > forgetMs) {
-                this.members.delete(peer.address);
+                this.members.remove(peer.address);
                 this.removePeer(peer);
             }
             else if (!this.wanted.has(peer.address) && now - peer.usedAt > idleMs) {
                 this.removePeer(peer);
             }
         }
-        if (this.members.size < known) {
+        if (this.members.count < known) {
             this.openWanted();
         }
     }
@@ -354,7 +294,7 @@
     private removePeer(peer: Peer): void {
         this.peersByAddress.delete(peer.address);
         if (peer.link !== undefined) {
-            this.recordUnlinked(peer.link, this.linksByVm);
+            this.recordUnlinked(peer.link);
         }
         peer.client.stop();
     }
@@ -363,7 +303,7 @@
     private receiveCaller(link: Link<PeerMessage>): void {
         const { peer } = link;
         this.addPeer({ id: peer.id, address: peer.address, dataCentre: peer.dataCentre });
-        this.accepted.set(peer.id, link);
+        this.accepted.add(link);
         if (!this.isMesh) {
             this.sendGreeting(link);
         }
@@ -374,18 +314,10 @@
     }
 
     private receiveCallerClose(link: Link<PeerMessage>): void {
-        if (!link.hasPeer || this.accepted.get(link.peer.id) !== link) {
-            return;
+        // Where each VM is linked to each, its own link to the other one tells when that is gone.
+        if (this.accepted.remove(link, this.options.readTime()) && !this.isMesh) {
+            this.checkConnected(link.peer.id);
         }
-        if (this.isMesh) {
-            // This VM's own link to the other one tells when that is gone.
-            this.accepted.delete(link.peer.id);
-            return;
-        }
-        if (link.peer.dataCentre !== this.options.self.dataCentre) {
-            this.acceptedLostAt = this.options.readTime();
-        }
-        this.recordUnlinked(link, this.accepted);
     }
 
     private recordIncarnation(peer: NodeIdentity): void {
@@ -427,15 +359,19 @@
         peer.link = undefined;
         peer.lastOpenAt = this.options.readTime();
         this.options.log.recordImportant("peerLost", { peer: link.peer.id, address });
-        this.recordUnlinked(link, this.linksByVm);
+        this.recordUnlinked(link);
     }
 
-    /** A link is closed; its VM is out of reach unless there is another one. */
-    private recordUnlinked(link: Link<PeerMessage>, links: Map<string, Link<PeerMessage>>): void {
+    private recordUnlinked(link: Link<PeerMessage>): void {
         const vm = link.peer.id;
-        if (links.get(vm) === link) {
-            links.delete(vm);
+        if (this.linksByVm.get(vm) === link) {
+            this.linksByVm.delete(vm);
         }
+        this.checkConnected(vm);
+    }
+
+    /** A link to a VM is closed: it is out of reach unless there is another one. */
+    private checkConnected(vm: string): void {
         if (!this.isConnected(vm)) {
             this.options.onClose(vm);
         }
