Say which requests ran where an upstream has ended, and name each by what it holds

A broken attempt was written alike for a lost answer, a reset connection and an engine that has ended, with an id that is new each time the request comes.

--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -19,6 +19,8 @@
     /** Something that requests may wait for has changed. */
     readonly onChange: () => void;
     readonly onUpstreamGone: (id: string) => void;
+    /** An entry of an upstream is in force. */
+    readonly onUpstream?: ((upstream: Upstream) => void) | undefined;
     readonly onMember: (member: Member) => void;
 }
 
@@ -203,6 +205,7 @@
         const { view, log, readTime } = this.options;
         const wasLeaving = view.findUpstream(upstream.id)?.upstream.isLeaving === true;
         view.updateUpstream(upstream, readTime());
+        this.options.onUpstream?.(upstream);
         if (upstream.isLeaving && !wasLeaving) {
             const { id, service, remainingMs } = upstream;
             log.recordImportant("upstreamLeaving", { upstream: id, service, position, from, remainingMs });
--- a/packages/node/src/job.ts
+++ b/packages/node/src/job.ts
@@ -3,6 +3,7 @@
 import type { Admission } from "./admissions.js";
 import type { StreamProgress } from "./attempt.js";
 import type { CallerExchange } from "./caller.js";
+import type { RequestDigest } from "./digest.js";
 import type { CallerDemand } from "./ports.js";
 
 /** One request while it is being served. */
@@ -12,6 +13,7 @@
     readonly route: Route;
     readonly service: Service;
     readonly body: Buffer | undefined;
+    readonly digest: RequestDigest;
     readonly startedAt: number;
     readonly deadlineAt: number;
     /** Upstreams that were tried, with the cost that this adds to them and the time until which it does. */
@@ -48,7 +50,7 @@
 /** What a new job starts from. */
 export type JobStart = Pick<
     Job,
-    "caller" | "demand" | "route" | "service" | "body" | "startedAt" | "deadlineAt"
+    "caller" | "demand" | "route" | "service" | "body" | "digest" | "startedAt" | "deadlineAt"
 >;
 
 export function createJob(start: JobStart): Job {
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -60,6 +60,12 @@
         help: "Times that a request chose anew, since its engine was busier than this VM knew",
         registers: [this.registry],
     });
+    private readonly upstreamEnds = new Counter({
+        name: "radishreel_node_upstream_ends_total",
+        help: "Upstreams whose process ended while requests of this VM ran there, by service",
+        labelNames: ["service"] as const,
+        registers: [this.registry],
+    });
     private readonly lag = new Histogram({
         name: "radishreel_node_timer_lag_seconds",
         help: "How late the timer of regular checks came",
@@ -104,6 +110,10 @@
         this.redirects.inc();
     }
 
+    recordUpstreamEnd(service: string): void {
+        this.upstreamEnds.inc({ service });
+    }
+
     recordLag(ms: number): void {
         this.lag.observe(ms / 1000);
     }
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -14,6 +14,8 @@
 export interface CallerDemand {
     /** Names one attempt of the caller; upstreams echo it. */
     readonly requestId: string | undefined;
+    /** The caller's credentials as they were sent; undefined where the platform has none. */
+    readonly account?: string | undefined;
     /** How long the caller waits, in milliseconds. */
     readonly budgetMs: number | undefined;
     /** Set for requests to model engines. */
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -10,6 +10,7 @@
 import { readNow } from "./clock.js";
 import { ClusterState } from "./cluster.js";
 import { ConnectionPool } from "./connections.js";
+import { CrashWatch, type UpstreamEnd } from "./crashwatch.js";
 import { DecisionLog, type LineSink } from "./decisions.js";
 import { HubWatch } from "./hub.js";
 import { IsolationWatch } from "./isolation.js";
@@ -109,6 +110,7 @@
     private readonly view: FleetView;
     private readonly cluster: ClusterState;
     private readonly pool = new ConnectionPool();
+    private readonly crashWatch = new CrashWatch({ readTime: readNow, onEnd: end => this.recordUpstreamEnd(end) });
     private readonly serving: Serving;
     private readonly peers: Peers;
     private readonly callerServer: Server;
@@ -144,6 +146,7 @@
             readTime: readNow,
             onChange: () => this.receiveClusterChange(),
             onUpstreamGone: id => this.serving.removeUpstream(id),
+            onUpstream: upstream => this.crashWatch.receiveEntry(upstream),
             onMember: member => this.receiveMember(member),
         });
         this.admissions = new Admissions({ readTime: readNow, send: (vm, message) => this.sendAdmission(vm, message) });
@@ -309,6 +312,7 @@
             log: this.log,
             readTime: readNow,
             admissions: this.admissions,
+            crashWatch: this.crashWatch,
             isLinked: vm => vm === settings.vm || this.peers.isConnected(vm),
             sendPreparation: ({ engine, want }) => this.sendToOwner(engine, { type: "prepare", engine, want }),
             sendMissing: (engine, key) => this.sendToOwner(engine, { type: "missing", engine, key }),
@@ -579,12 +583,27 @@
         this.pressure.check();
         this.cluster.expireLapsed();
         this.peers.expireUnused();
+        this.crashWatch.expireOld();
         this.owning?.update();
         this.peers.setHub(this.hub.update(this.owning?.engines.hasAny ?? false, readNow()));
         this.sharing.update();
         this.updateIsolation();
     }
 
+    private recordUpstreamEnd({ upstream, runs }: UpstreamEnd): void {
+        this.metrics.recordUpstreamEnd(upstream.service);
+        this.log.recordImportant("upstreamEnded", {
+            upstream: upstream.id,
+            service: upstream.service,
+            runs: runs.map(({ requestId, digest, sentMs, answeringMs }) => ({
+                request: requestId,
+                digest: digest.full,
+                sentMs: Math.round(sentMs),
+                answeringMs: answeringMs === undefined ? undefined : Math.round(answeringMs),
+            })),
+        });
+    }
+
     private updateIsolation(): void {
         const quietMs = this.peers.readOthersQuietMs();
         const wasIsolated = this.isolation.isIsolated;
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -16,7 +16,9 @@
 import { UpstreamChooser } from "./choosing.js";
 import type { ClusterState } from "./cluster.js";
 import type { ConnectionPool } from "./connections.js";
+import type { CrashWatch } from "./crashwatch.js";
 import type { DecisionLog } from "./decisions.js";
+import { RequestDigest } from "./digest.js";
 import { withheldDetail } from "./exchange.js";
 import { createJob, type Job, type Preparation, type ReadyUpstream } from "./job.js";
 import { minAttemptMs, readLastSendAt } from "./patience.js";
@@ -77,6 +79,7 @@
     readonly log: DecisionLog;
     readonly readTime: () => number;
     readonly admissions: Admissions;
+    readonly crashWatch: CrashWatch;
     /** Whether messages reach a VM. */
     readonly isLinked: (vm: string) => boolean;
     readonly sendPreparation: (preparation: Preparation) => void;
@@ -170,6 +173,13 @@
             route,
             service,
             body: body.length === 0 ? undefined : body,
+            digest: new RequestDigest({
+                method: caller.method,
+                host: caller.host,
+                path: caller.path,
+                account: demand.account,
+                body,
+            }),
             startedAt,
             deadlineAt: startedAt + timeMs,
         }));
@@ -240,6 +250,7 @@
         const sentAt = readTime();
         const { upstream, health, leavingSince } = choice.state;
         const load = this.addLoad(job, choice);
+        let begunAt: number | undefined;
         job.attempts += 1;
         const attempt = new Attempt({
             ...this.createAttemptTimes(job, choice, sentAt),
@@ -265,6 +276,7 @@
             checkBeforeSend: () =>
                 !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id),
             onBegin: () => {
+                begunAt = readTime();
                 load.begin();
                 admission?.begin();
                 health.recordPace((readTime() - sentAt) / Math.max(30, choice.costMs));
@@ -288,9 +300,28 @@
             status: "status" in end ? end.status : undefined,
             leavingMs: leavingSince === undefined ? undefined : Math.round(sentAt - leavingSince),
         });
+        if (end.kind === "broken") {
+            this.recordBreak(job, choice, sentAt, begunAt);
+        }
         return end;
     }
 
+    /** A run broke: its upstream may have ended. One that was leaving ends as planned. */
+    private recordBreak(job: Job, choice: UpstreamChoice, sentAt: number, begunAt: number | undefined): void {
+        const { readTime, view, crashWatch } = this.options;
+        const { upstream } = choice.state;
+        if (!view.isUsable(upstream.id)) {
+            return;
+        }
+        const now = readTime();
+        void crashWatch.recordBreak(upstream, {
+            requestId: job.demand.requestId,
+            digest: job.digest,
+            answeringMs: begunAt === undefined ? undefined : now - begunAt,
+            sentMs: now - sentAt,
+        });
+    }
+
     private createAttemptTimes(
         job: Job,
         choice: UpstreamChoice,
--- a/packages/node/test/choosing.test.ts
+++ b/packages/node/test/choosing.test.ts
@@ -6,7 +6,7 @@
 import type { CallerExchange } from "../src/caller.js";
 import { UpstreamChooser } from "../src/choosing.js";
 import { createJob, type Job } from "../src/job.js";
-import { createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
+import { createDigest, createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
 
 const route: Route = {
     name: "r",
@@ -65,6 +65,7 @@
         route,
         service: engineService,
         body: undefined,
+        digest: createDigest(),
         startedAt,
         deadlineAt: startedAt + timeMs,
     });
--- a/packages/node/test/fixtures.ts
+++ b/packages/node/test/fixtures.ts
@@ -1,12 +1,18 @@
 import { type EngineNews, noLoad, type Upstream } from "@radishreel/fleet";
 import type { Service } from "@radishreel/routing";
 import { DecisionLog } from "../src/decisions.js";
+import { RequestDigest } from "../src/digest.js";
 
 /** A log that nobody reads. */
 export function createSilentLog(readTime: () => number): DecisionLog {
     return new DecisionLog({ program: "p", vm: "v", sink: { writableLength: 0, write: () => true }, readTime });
 }
 
+/** What a request holds, as far as it is told from others. */
+export function createDigest(path = "/", body = ""): RequestDigest {
+    return new RequestDigest({ method: "POST", host: "h", path, account: undefined, body: Buffer.from(body) });
+}
+
 /** An engine's entry. */
 export function createUpstream(id: string, upstream: Partial<Upstream> = {}): Upstream {
     return {
