--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -180,6 +180,11 @@
         return this.view.listUpstreams().length;
     }
 
+    /** Names of the upstreams that are registered as far as this VM knows. */
+    listUpstreams(): string[] {
+        return this.view.listUpstreams().map(({ upstream }) => upstream.name);
+    }
+
     /** Upstreams of a service that may get new requests. */
     countUsable(service: string): number {
         return this.view.listUsable(service).length;
