Refuse a request once three upstreams have ended under it, on every VM and over restarts

What callers saw: one request ended 36 engines of a site, again each time it came; for half a minute hardly an engine was left, and requests of all kinds were late or failed.

Cause: a VM kept nothing of a request once it had answered it, and VMs told each other nothing of what a request is. Ruled out: orders that end engines (servers of a plain service, which get none, end alike in the test), and second tries as the only cause (they make it twice as many: an unsafe request, tried once, ended 12 of 12).

Change: a VM whose runs break where a process has ended reports the digests of their requests, at once to the VMs it is linked to and through a topic of the store. Each VM joins all reports, in any order, to the same verdict: refused after three different processes, for half an hour after the last. A request that is answered whole by any upstream is cleared of all before, so that one that many send is not condemned for upstreams that end for other reasons. In between it is suspected: one VM, the same for all, lets one copy of it run at a time, and a broken run is sent on only once it is known whether its upstream has ended. Without suspects nothing is digested; with some, bodies only where all else is the same.

Why it holds: the store keeps reports over restarts of all VMs; a VM that cannot read it is told when a link opens. A caller gets 503 with Retry-After where this arrival has not run, 502 where it has.

HTTP listeners move out of program.ts, unchanged.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -20,7 +20,17 @@
 export type { EngineOrder, EngineReport, OrderAction, OrderAnswer, PlacesStep } from "./orders.js";
 export { PauseThreshold, PromptHistory } from "./pauses.js";
 export { EnginePlaces, type EnginePlacesOptions } from "./places.js";
+export {
+    type Clearance,
+    type Crash,
+    type CrashReport,
+    crashReportSchema,
+    Quarantine,
+    type QuarantineOptions,
+    type RequestVerdict,
+} from "./quarantine.js";
 export { rankHomes } from "./rank.js";
+export { TrialReferee, type TrialRefereeOptions } from "./trials.js";
 export {
     type AdmissionAnswer,
     admissionAnswerSchema,
--- a/packages/node/src/caller.ts
+++ b/packages/node/src/caller.ts
@@ -12,6 +12,8 @@
     | "enginesFull"
     | "retryBudgetSpent"
     | "attemptsSpent"
+    /** Each upstream that ran it has ended. */
+    | "endsUpstreams"
     | "timeout"
     | "connectionLost"
     | "upstreamSilent"
--- a/packages/node/src/choosing.ts
+++ b/packages/node/src/choosing.ts
@@ -72,6 +72,8 @@
     readonly longPrompts: PauseThreshold;
     readonly log: DecisionLog;
     readonly readTime: () => number;
+    /** Asked again during each wait: another VM may have learned that a request ends upstreams. @default always */
+    readonly mayRun?: ((job: Job) => boolean) | undefined;
     /** Whether messages reach a VM. */
     readonly isLinked: (vm: string) => boolean;
     readonly sendPreparation: (preparation: Preparation) => void;
@@ -101,6 +103,9 @@
         const { readTime } = this.options;
         const startedAt = readTime();
         for (let now = startedAt; !job.caller.hasLeft && now <= readLastSendAt(job); now = readTime()) {
+            if (!this.mayRun(job)) {
+                return undefined;
+            }
             const choice = this.choose(job, now);
             if (choice === undefined && !this.mayWait(job, now)) {
                 return undefined;
@@ -125,6 +130,10 @@
         return undefined;
     }
 
+    private mayRun(job: Job): boolean {
+        return this.options.mayRun?.(job) ?? true;
+    }
+
     /** Whether the owner of an engine can be asked. */
     private canAsk(state: UpstreamState): boolean {
         const { owner } = state;
@@ -239,14 +248,14 @@
     }
 
     /**
-     * Waits for an owner's word; undefined if the caller left, its time is over, another engine will be sooner, or the
-     * engine leaves.
+     * Waits for an owner's word; undefined if the caller left, its time is over, another engine will be sooner, the engine
+     * leaves, or the request may not run any more.
      */
     private async waitForOutcome(job: Job, admission: Admission): Promise<AdmissionOutcome | undefined> {
         const { readTime } = this.options;
         for (;;) {
             const leftMs = readLastSendAt(job) - readTime();
-            if (job.caller.hasLeft || leftMs <= 0) {
+            if (job.caller.hasLeft || leftMs <= 0 || !this.mayRun(job)) {
                 return undefined;
             }
             const outcome = await this.waitAtMost(job, admission.outcome, Math.min(reviewMs, leftMs));
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -66,6 +66,16 @@
         labelNames: ["service"] as const,
         registers: [this.registry],
     });
+    private readonly suspects = new Gauge({
+        name: "radishreel_node_suspected_requests",
+        help: "Requests under which upstreams have ended lately, as far as this VM knows",
+        registers: [this.registry],
+    });
+    private readonly suspectsDropped = new Gauge({
+        name: "radishreel_node_suspected_requests_dropped",
+        help: "Such requests that were forgotten for want of room since the start",
+        registers: [this.registry],
+    });
     private readonly lag = new Histogram({
         name: "radishreel_node_timer_lag_seconds",
         help: "How late the timer of regular checks came",
@@ -114,6 +124,11 @@
         this.upstreamEnds.inc({ service });
     }
 
+    setSuspects(count: number, dropped: number): void {
+        this.suspects.set(count);
+        this.suspectsDropped.set(dropped);
+    }
+
     recordLag(ms: number): void {
         this.lag.observe(ms / 1000);
     }
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -1,4 +1,4 @@
-import type { EngineOrder, EngineReport, ModelDemand, OrderAnswer, Upstream } from "@radishreel/fleet";
+import type { CrashReport, EngineOrder, EngineReport, ModelDemand, OrderAnswer, Upstream } from "@radishreel/fleet";
 import type { Routing } from "@radishreel/routing";
 import type { Result } from "neverthrow";
 
@@ -113,13 +113,25 @@
     receiveChanges(changes: readonly ClusterChange[]): void;
     /** All upstreams that the store lists, at a position: those not among them are gone. */
     receiveUpstreamList(names: ReadonlySet<string>, position: number): void;
+    /** Reports of upstreams that have ended, of any VM. */
+    receiveCrashReports(reports: readonly CrashReport[]): void;
     /** All members that the store lists have been passed on. Called once. */
     receiveMembersRead(): void;
     receiveReachable(isReachable: boolean, detail: string): void;
 }
 
+/** Keeps reports of upstreams that have ended, over restarts of all VMs. */
+export interface CrashReportStore {
+    /**
+     * Writes a report, or drops the one of that name.
+     * @param report Undefined drops it.
+     * @returns Whether the store has taken it.
+     */
+    appendCrashReport(name: string, report: CrashReport | undefined): Promise<boolean>;
+}
+
 /** Reads the platform's store and goes on reading it. */
-export interface ClusterStore {
+export interface ClusterStore extends CrashReportStore {
     start(receiver: ClusterReceiver): void;
     stop(): void;
     /** Whether it goes on reading; the newest records of all are read in any case, once. */
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,19 +1,19 @@
-import { type AdmissionAnswer, type EngineNews, FleetView, RetryBudget } from "@radishreel/fleet";
+import { type AdmissionAnswer, type CrashReport, type EngineNews, FleetView, RetryBudget } from "@radishreel/fleet";
 import type { ListenAddress } from "@radishreel/wire";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
-import polka, { type Polka } from "polka";
 import { createMachine, interpret, state, transition } from "robot3";
 import { type AdmissionMessage, Admissions } from "./admissions.js";
-import { CallerExchange } from "./caller.js";
+import type { CallerExchange } from "./caller.js";
 import { readNow } from "./clock.js";
 import { ClusterState } from "./cluster.js";
 import { ConnectionPool } from "./connections.js";
-import { CrashWatch, type UpstreamEnd } from "./crashwatch.js";
+import { CrashGuard } from "./crashes/index.js";
 import { DecisionLog, type LineSink } from "./decisions.js";
 import { HubWatch } from "./hub.js";
 import { IsolationWatch } from "./isolation.js";
+import { formatAddress, startCallers, startReadiness } from "./listeners.js";
 import type { PeerMessage } from "./messages.js";
 import { NodeMetrics } from "./metrics.js";
 import { type Handover, Owning } from "./owning.js";
@@ -110,7 +110,7 @@
     private readonly view: FleetView;
     private readonly cluster: ClusterState;
     private readonly pool = new ConnectionPool();
-    private readonly crashWatch = new CrashWatch({ readTime: readNow, onEnd: end => this.recordUpstreamEnd(end) });
+    private readonly guard: CrashGuard;
     private readonly serving: Serving;
     private readonly peers: Peers;
     private readonly callerServer: Server;
@@ -146,9 +146,10 @@
             readTime: readNow,
             onChange: () => this.receiveClusterChange(),
             onUpstreamGone: id => this.serving.removeUpstream(id),
-            onUpstream: upstream => this.crashWatch.receiveEntry(upstream),
+            onUpstream: upstream => this.guard.receiveEntry(upstream),
             onMember: member => this.receiveMember(member),
         });
+        this.guard = this.createGuard();
         this.admissions = new Admissions({ readTime: readNow, send: (vm, message) => this.sendAdmission(vm, message) });
         this.serving = this.createServing();
         this.peers = this.createPeers();
@@ -190,6 +191,11 @@
         return this.view.listUsable(service).length;
     }
 
+    /** Requests under which upstreams have ended lately, as far as this VM knows. */
+    countSuspects(): number {
+        return this.guard.requestCount;
+    }
+
     /** Whether this VM reads the store by itself, and not through another one of its data centre. */
     get isReading(): boolean {
         return this.options.store.isReading;
@@ -209,8 +215,12 @@
     async start(detail: object = {}): Promise<void> {
         const { settings, store } = this.options;
         this.log.recordImportant("start", { dataCentre: settings.dataCentre, pid: process.pid, ...detail });
-        await startListening(this.createCallerApp(), settings.callers);
-        await startListening(this.createReadinessApp(), settings.readiness);
+        await startCallers(this.callerServer, settings.callers, caller => this.handleCaller(caller));
+        await startReadiness(this.readinessServer, settings.readiness, {
+            path: settings.readinessPath,
+            isReady: () => this.isReady,
+            readMetrics: () => this.metrics.registry.metrics(),
+        });
         await this.peers.start();
         if (settings.isFirstStart === true) {
             this.peers.pauseOpening();
@@ -260,6 +270,13 @@
         this.log.recordImportant("recordUnreadable", { ...record, why: record.why.slice(0, maxReasonLength) });
     }
 
+    receiveCrashReports(reports: readonly CrashReport[]): void {
+        const fresh = this.guard.receiveReports(reports);
+        if (fresh.length > 0) {
+            this.sharing.passMessage({ type: "crashReports", reports: fresh });
+        }
+    }
+
     receiveMembersRead(): void {
         this.hasReadMembers = true;
         this.log.recordImportant("past", { ...this.past });
@@ -317,7 +334,7 @@
             log: this.log,
             readTime: readNow,
             admissions: this.admissions,
-            crashWatch: this.crashWatch,
+            guard: this.guard,
             isLinked: vm => vm === settings.vm || this.peers.isConnected(vm),
             sendPreparation: ({ engine, want }) => this.sendToOwner(engine, { type: "prepare", engine, want }),
             sendMissing: (engine, key) => this.sendToOwner(engine, { type: "missing", engine, key }),
@@ -329,6 +346,24 @@
         });
     }
 
+    private createGuard(): CrashGuard {
+        const { settings, store } = this.options;
+        return new CrashGuard({
+            vm: settings.vm,
+            incarnation: this.incarnation,
+            view: this.view,
+            store,
+            log: this.log,
+            readTime: readNow,
+            send: (vm, message) => this.sendToVm(vm, message),
+            broadcast: message => this.peers.broadcast(message),
+            listLinked: () => this.peers.listHeirs(),
+            isMesh: () => this.peers.isMesh,
+            onChange: () => this.serving.receiveChange(),
+            onUpstreamEnd: service => this.metrics.recordUpstreamEnd(service),
+        });
+    }
+
     private createPeers(): Peers {
         const { settings } = this.options;
         return new Peers({
@@ -393,37 +428,18 @@
         }
     }
 
-    private createCallerApp(): Polka {
-        // Bodies may come slowly; the request's own time bounds them.
-        this.callerServer.requestTimeout = 0;
-        return polka({
-            server: this.callerServer,
-            onNoMatch: (request, response) => {
-                const caller = new CallerExchange(request, response);
-                if (this.stopping !== undefined || this.isolation.isIsolated) {
-                    caller.closeAfterAnswer();
-                }
-                void this.serving.handle(caller);
-            },
-        });
-    }
-
-    private createReadinessApp(): Polka {
-        const app = polka({ server: this.readinessServer });
-        app.get(this.options.settings.readinessPath, (_request, response) => {
-            response.statusCode = this.isReady ? 200 : 503;
-            response.end();
-        });
-        app.get("/metrics", (_request, response) => {
-            void this.metrics.registry.metrics().then(text => response.end(text));
-        });
-        return app;
+    private handleCaller(caller: CallerExchange): void {
+        if (this.stopping !== undefined || this.isolation.isIsolated) {
+            caller.closeAfterAnswer();
+        }
+        void this.serving.handle(caller);
     }
 
     private createGreeting(vm: string): PeerMessage[] {
         return [
             ...this.sharing.createGreeting(vm),
             { type: "news", news: this.owning?.engines.listNews() ?? [] },
+            ...this.guard.createGreeting(),
             ...this.listEnginesOf(vm).map(engine => this.admissions.createRuns(engine, vm)),
             ...(this.stopping === undefined ? [] : [{ type: "leaving" } as const]),
         ];
@@ -445,6 +461,14 @@
             case "changes":
                 this.receiveChanges(message.changes, vm);
                 return;
+            case "crashReports":
+                this.receiveCrashReports(message.reports);
+                return;
+            case "claimTrial":
+            case "trialAnswer":
+            case "releaseTrial":
+                this.guard.receiveMessage(vm, message);
+                return;
             case "positions":
                 this.sharing.receivePositions(
                     vm,
@@ -524,6 +548,7 @@
         this.sharing.removeVm(vm);
         this.view.removeVm(vm);
         this.admissions.removeOwner(vm);
+        this.guard.removeVm(vm);
         this.serving.receiveChange();
     }
 
@@ -560,12 +585,18 @@
     /** Sends to the owner of an engine, which may be this VM. */
     private sendToOwner(engine: string, message: PeerMessage): void {
         const owner = this.view.findUpstream(engine)?.owner;
-        if (owner === this.options.settings.vm) {
-            this.receivePeerMessage(owner, message);
+        if (owner !== undefined) {
+            this.sendToVm(owner, message);
         }
-        else if (owner !== undefined) {
-            this.peers.send(owner, message);
+    }
+
+    /** Sends to a VM, which may be this one. @returns Whether it could be sent. */
+    private sendToVm(vm: string, message: PeerMessage): boolean {
+        if (vm === this.options.settings.vm) {
+            this.receivePeerMessage(vm, message);
+            return true;
         }
+        return this.peers.send(vm, message);
     }
 
     private sendHandover(handover: Handover): boolean {
@@ -588,27 +619,14 @@
         this.pressure.check();
         this.cluster.expireLapsed();
         this.peers.expireUnused();
-        this.crashWatch.expireOld();
+        this.guard.expireOld();
+        this.metrics.setSuspects(this.guard.requestCount, this.guard.droppedCount);
         this.owning?.update();
         this.peers.setHub(this.hub.update(this.owning?.engines.hasAny ?? false, readNow()));
         this.sharing.update();
         this.updateIsolation();
     }
 
-    private recordUpstreamEnd({ upstream, runs }: UpstreamEnd): void {
-        this.metrics.recordUpstreamEnd(upstream.service);
-        this.log.recordImportant("upstreamEnded", {
-            upstream: upstream.id,
-            service: upstream.service,
-            runs: runs.map(({ requestId, digest, sentMs, answeringMs }) => ({
-                request: requestId,
-                digest: digest.full,
-                sentMs: Math.round(sentMs),
-                answeringMs: answeringMs === undefined ? undefined : Math.round(answeringMs),
-            })),
-        });
-    }
-
     private updateIsolation(): void {
         const quietMs = this.peers.readOthersQuietMs();
         const wasIsolated = this.isolation.isIsolated;
@@ -656,6 +674,7 @@
         for (const timer of this.timers) {
             clearInterval(timer);
         }
+        this.guard.stop();
         this.options.store.stop();
         this.peers.stop();
         this.pool.close();
@@ -667,11 +686,3 @@
     const { user, system } = process.cpuUsage();
     return (user + system) / 1000;
 }
-
-function formatAddress(address: ListenAddress): string {
-    return `${address.host}:${address.port}`;
-}
-
-async function startListening(app: Polka, address: ListenAddress): Promise<void> {
-    await new Promise<void>(resolve => app.listen(address.port, address.host, () => resolve()));
-}
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -16,9 +16,8 @@
 import { UpstreamChooser } from "./choosing.js";
 import type { ClusterState } from "./cluster.js";
 import type { ConnectionPool } from "./connections.js";
-import type { CrashWatch } from "./crashwatch.js";
+import { type CrashGuard, RequestDigest } from "./crashes/index.js";
 import type { DecisionLog } from "./decisions.js";
-import { RequestDigest } from "./digest.js";
 import { withheldDetail } from "./exchange.js";
 import { createJob, type Job, type Preparation, type ReadyUpstream } from "./job.js";
 import { minAttemptMs, readLastSendAt } from "./patience.js";
@@ -79,7 +78,7 @@
     readonly log: DecisionLog;
     readonly readTime: () => number;
     readonly admissions: Admissions;
-    readonly crashWatch: CrashWatch;
+    readonly guard: CrashGuard;
     /** Whether messages reach a VM. */
     readonly isLinked: (vm: string) => boolean;
     readonly sendPreparation: (preparation: Preparation) => void;
@@ -102,7 +101,12 @@
     private readonly chooser: UpstreamChooser;
 
     constructor(private readonly options: ServingOptions) {
-        this.chooser = new UpstreamChooser({ ...options, kept: this.kept, longPrompts: this.longPrompts });
+        this.chooser = new UpstreamChooser({
+            ...options,
+            kept: this.kept,
+            longPrompts: this.longPrompts,
+            mayRun: job => this.mayRun(job),
+        });
     }
 
     /** Requests that have no whole answer yet. */
@@ -167,7 +171,7 @@
         }
         this.options.budgets(service.name).recordRequest(startedAt);
         const timeMs = Math.min(demand.budgetMs ?? Infinity, route.timeoutMs);
-        await this.runJob(createJob({
+        await this.runTried(createJob({
             caller,
             demand,
             route,
@@ -193,10 +197,26 @@
         }
     }
 
+    /** Runs a request, and ends its trial if it came under suspicion. */
+    private async runTried(job: Job): Promise<void> {
+        try {
+            await this.runJob(job);
+        }
+        finally {
+            this.options.guard.endTrial(job);
+        }
+    }
+
     private async runJob(job: Job): Promise<void> {
+        const { guard } = this.options;
         let last: AttemptEnd | undefined;
         for (;;) {
+            await guard.waitForTrial(job);
             const ready = await this.chooser.chooseReady(job);
+            if (ready === undefined && guard.mayWaitForTrial(job)) {
+                // An upstream has ended under another copy of it while this one waited.
+                continue;
+            }
             if (job.caller.hasLeft || ready === undefined) {
                 ready?.admission?.end();
                 this.finishWithout(job, last);
@@ -210,6 +230,7 @@
                 return;
             }
             last = await this.runAttempt(job, ready);
+            guard.endTrial(job);
             if (last.kind === "complete" || last.kind === "callerLeft") {
                 this.recordEnd(job, last.kind, choice);
                 return;
@@ -229,6 +250,12 @@
         }
     }
 
+    /** Whether what is known by now of a request lets it run. */
+    private mayRun(job: Job): boolean {
+        const { guard } = this.options;
+        return !guard.isRefused(job) && !guard.isHeld(job);
+    }
+
     private claimRepeat(job: Job): boolean {
         const { budgets, readTime, countVms } = this.options;
         return budgets(job.service.name).claimRepeat(readTime(), countVms());
@@ -274,7 +301,8 @@
             readTime,
             // The last look at what the choice was made by: it may be news by the time that the connection is open.
             checkBeforeSend: () =>
-                !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id),
+                !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)
+                && this.mayRun(job),
             onBegin: () => {
                 begunAt = readTime();
                 load.begin();
@@ -300,28 +328,10 @@
             status: "status" in end ? end.status : undefined,
             leavingMs: leavingSince === undefined ? undefined : Math.round(sentAt - leavingSince),
         });
-        if (end.kind === "broken") {
-            this.recordBreak(job, choice, sentAt, begunAt);
-        }
+        await this.options.guard.recordEnd(job, upstream, end, { sentAt, begunAt });
         return end;
     }
 
-    /** A run broke: its upstream may have ended. One that was leaving ends as planned. */
-    private recordBreak(job: Job, choice: UpstreamChoice, sentAt: number, begunAt: number | undefined): void {
-        const { readTime, view, crashWatch } = this.options;
-        const { upstream } = choice.state;
-        if (!view.isUsable(upstream.id)) {
-            return;
-        }
-        const now = readTime();
-        void crashWatch.recordBreak(upstream, {
-            requestId: job.demand.requestId,
-            digest: job.digest,
-            answeringMs: begunAt === undefined ? undefined : now - begunAt,
-            sentMs: now - sentAt,
-        });
-    }
-
     private createAttemptTimes(
         job: Job,
         choice: UpstreamChoice,
@@ -426,6 +436,10 @@
     }
 
     private createRefusal(job: Job, last: AttemptEnd | undefined, reason?: RefusalReason): OwnAnswer {
+        const refusal = this.options.guard.findRefusal(job);
+        if (refusal !== undefined) {
+            return refusal;
+        }
         if (last?.kind === "broken") {
             return { status: last.reason === "timeout" ? 504 : 502, reason: last.reason };
         }
--- a/packages/node/src/sharing.ts
+++ b/packages/node/src/sharing.ts
@@ -76,8 +76,13 @@
 
     /** Passes on what has been learned just now. */
     passChanges(changes: readonly ClusterChange[]): void {
+        this.passMessage({ type: "changes", changes: [...changes] });
+    }
+
+    /** Sends to the VMs for which this one reads the store, or which take word from everybody. */
+    passMessage(message: PeerMessage): void {
         for (const vm of this.followers) {
-            this.options.send(vm, { type: "changes", changes: [...changes] });
+            this.options.send(vm, message);
         }
     }
 
--- a/packages/node/test/crashwatch.test.ts
+++ b/packages/node/test/crashwatch.test.ts
@@ -3,7 +3,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { Timers } from "../src/clock.js";
-import { type BrokenRun, CrashWatch, type ProbeAnswer, type UpstreamEnd } from "../src/crashwatch.js";
+import { type BrokenRun, CrashWatch, type ProbeAnswer, type UpstreamEnd } from "../src/crashes/watch.js";
 import { createDigest, createUpstream } from "./fixtures.js";
 
 /** A watch whose timers run when the test says so, and whose probes are answered as the test says. */
--- a/packages/node/test/fixtures.ts
+++ b/packages/node/test/fixtures.ts
@@ -1,7 +1,7 @@
-import { type EngineNews, noLoad, type Upstream } from "@radishreel/fleet";
+import { type EngineNews, FleetView, noLoad, type Upstream } from "@radishreel/fleet";
 import type { Service } from "@radishreel/routing";
+import { CrashGuard, type CrashGuardOptions, RequestDigest } from "../src/crashes/index.js";
 import { DecisionLog } from "../src/decisions.js";
-import { RequestDigest } from "../src/digest.js";
 
 /** A log that nobody reads. */
 export function createSilentLog(readTime: () => number): DecisionLog {
@@ -13,6 +13,26 @@
     return new RequestDigest({ method: "POST", host: "h", path, account: undefined, body: Buffer.from(body) });
 }
 
+/** A guard that knows of no other VM. */
+export function createGuard(options: Partial<CrashGuardOptions> = {}): CrashGuard {
+    const readTime = options.readTime ?? (() => performance.now());
+    return new CrashGuard({
+        vm: "v",
+        incarnation: 1,
+        view: new FleetView(),
+        store: { appendCrashReport: () => Promise.resolve(true) },
+        log: createSilentLog(readTime),
+        readTime,
+        send: () => false,
+        broadcast: () => {},
+        listLinked: () => [],
+        isMesh: () => true,
+        onChange: () => {},
+        onUpstreamEnd: () => {},
+        ...options,
+    });
+}
+
 /** An engine's entry. */
 export function createUpstream(id: string, upstream: Partial<Upstream> = {}): Upstream {
     return {
--- a/packages/node/test/leaving.test.ts
+++ b/packages/node/test/leaving.test.ts
@@ -31,12 +31,11 @@
 import { UpstreamChooser } from "../src/choosing.js";
 import { ClusterState } from "../src/cluster.js";
 import { ConnectionPool, type UpstreamConnection } from "../src/connections.js";
-import { CrashWatch } from "../src/crashwatch.js";
 import { OwnedEngines } from "../src/engines.js";
 import { createJob, type Job } from "../src/job.js";
 import type { ClusterChange, RequestDialect } from "../src/ports.js";
 import { Serving } from "../src/serving.js";
-import { createDigest, createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
+import { createDigest, createGuard, createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
 
 const route: Route = {
     name: "r",
@@ -300,7 +299,7 @@
             log,
             readTime: readSteady,
             admissions: new Admissions({ readTime: readSteady, send: () => true }),
-            crashWatch: new CrashWatch({ readTime: readSteady, onEnd: () => {} }),
+            guard: createGuard({ view, readTime: readSteady }),
             isLinked: () => true,
             sendPreparation: () => {},
             sendMissing: () => {},
--- a/packages/node/test/sharing.test.ts
+++ b/packages/node/test/sharing.test.ts
@@ -110,6 +110,7 @@
             start: () => {},
             stop: () => {},
             appendMember: () => {},
+            appendCrashReport: () => Promise.resolve(true),
             setReading: (isReading: boolean) => {
                 store.isReading = isReading;
             },
