--- /dev/null
+++ b/packages/fleet/test/crashworld.test.ts
@@ -0,0 +1,57 @@
+/**
+ * What callers get where upstreams end, over simulated VMs: the fatal request is refused in time at any size, with the store
+ * away and over restarts, and few others are refused with it.
+ */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type CrashTally, CrashWorld, type CrashWorldOptions } from "./crashworld.js";
+
+/** Sends that the users allow later than 3 s after the third end. */
+const allowedLateSends = 3;
+
+/** Harmless requests that may be refused by mistake, as a share, where engines end under the fatal one alone. */
+const allowedMistakes = 1 / 1000;
+
+const sizes = [
+    { vms: 3, engines: 3, lengthMs: 30_000, seeds: 8 },
+    { vms: 7, engines: 6, lengthMs: 30_000, seeds: 8 },
+    { vms: 195, engines: 109, lengthMs: 6000, seeds: 1 },
+];
+
+const troubles: { name: string; options: Partial<CrashWorldOptions>; }[] = [
+    { name: "the fatal request alone", options: {} },
+    { name: "engines that end for other reasons", options: { otherEndsMs: 1500 } },
+    { name: "the store away", options: { otherEndsMs: 1500, storeAway: [0, 4000] } },
+    {
+        name: "all VMs killed, with the store away",
+        options: { otherEndsMs: 1500, restartAt: 2500, storeAway: [2000, 4000] },
+    },
+];
+
+function runWorlds(size: typeof sizes[number], options: Partial<CrashWorldOptions>): CrashTally[] {
+    const { vms, engines, lengthMs } = size;
+    return Array.from(
+        { length: size.seeds },
+        (_, index) => new CrashWorld({ seed: index + 1, vms, engines, lengthMs, ...options }).run(),
+    );
+}
+
+for (const size of sizes) {
+    for (const { name, options } of troubles) {
+        test(`${size.vms} VMs, ${name}: what ends engines is refused in time`, () => {
+            for (const tally of runWorlds(size, { ...options, fatalMs: 500 })) {
+                assert.ok(tally.rightlyRefused > 0, JSON.stringify(tally));
+                assert.ok(tally.lateSends <= allowedLateSends, JSON.stringify(tally));
+            }
+        });
+    }
+
+    test(`${size.vms} VMs: few others are refused with what ends engines`, () => {
+        const tallies = runWorlds(size, { fatalMs: 500 });
+        const harmless = tallies.reduce((sum, tally) => sum + tally.harmless, 0);
+        const mistakes = tallies.reduce((sum, tally) => sum + tally.wronglyRefused, 0);
+        assert.ok(mistakes <= harmless * allowedMistakes, `${mistakes} of ${harmless}`);
+    });
+}
+
+test.run();
--- a/packages/node/src/crashes/watch.ts
+++ b/packages/node/src/crashes/watch.ts
@@ -17,7 +17,7 @@
  * A run that its upstream had been answering for this long is not taken for what ended it, in milliseconds: what a request
  * does to an upstream it does when it begins to run.
  */
-const steadyRunMs = 1000;
+const steadyRunMs = 200;
 
 /** What a probe says: nothing listens there, something does, or nothing came back. */
 export type ProbeAnswer = "refused" | "open" | "silent";
