Let operators see which requests are refused for what they do, and let them run again

GET /quarantine on the readiness listener lists digest, upstreams and end of each; DELETE /quarantine/DIGEST clears one on all VMs, through links and the store.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -27,6 +27,7 @@
     crashReportSchema,
     Quarantine,
     type QuarantineOptions,
+    type RefusedRequest,
     type RequestVerdict,
 } from "./quarantine.js";
 export { rankHomes } from "./rank.js";
--- a/packages/fleet/src/quarantine.ts
+++ b/packages/fleet/src/quarantine.ts
@@ -59,6 +59,16 @@
     /** Each upstream that ran it has ended. */
     | { readonly kind: "refused"; readonly upstreams: readonly string[]; readonly until: number; };
 
+/** A request that is refused. */
+export interface RefusedRequest {
+    /** Digest. */
+    readonly request: string;
+    /** Upstreams that have ended under it. */
+    readonly upstreams: readonly string[];
+    /** Unix time in milliseconds. */
+    readonly until: number;
+}
+
 /** Options of {@link Quarantine}. */
 export interface QuarantineOptions {
     /** Upstreams that must have ended under a request before it is refused. @default 3 */
@@ -177,6 +187,18 @@
         return { kind: "refused", upstreams, until: Math.max(...counted.map(([, at]) => at)) + this.lifeMs };
     }
 
+    /** Requests that are refused, and why. */
+    listRefused(now: number): RefusedRequest[] {
+        const refused: RefusedRequest[] = [];
+        for (const request of this.ends.keys()) {
+            const verdict = this.findVerdict(request, now);
+            if (verdict.kind === "refused") {
+                refused.push({ request, upstreams: verdict.upstreams, until: verdict.until });
+            }
+        }
+        return refused;
+    }
+
     /** A clearance that covers all ends that are known. */
     createClearance(request: string, now: number): Clearance {
         return { request, at: Math.max(now, ...this.ends.get(request)?.values() ?? []) };
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -1,4 +1,4 @@
-import { type CrashReport, type FleetView, rankHomes, type Upstream } from "@radishreel/fleet";
+import { type CrashReport, type FleetView, rankHomes, type RefusedRequest, type Upstream } from "@radishreel/fleet";
 import { setTimeout as wait } from "node:timers/promises";
 import type { AttemptEnd } from "../attempt.js";
 import type { OwnAnswer } from "../caller.js";
@@ -138,6 +138,16 @@
         await Promise.race([settled, wait(breakWaitMs)]);
     }
 
+    /** Requests that are refused. */
+    listRefused(): RefusedRequest[] {
+        return this.reports.listRefused();
+    }
+
+    /** Lets a refused request run again, on every VM. @returns Whether it was refused. */
+    release(request: string): boolean {
+        return this.reports.release(request);
+    }
+
     /** An entry of an upstream came. */
     receiveEntry(upstream: Upstream): void {
         this.watch.receiveEntry(upstream);
--- a/packages/node/src/crashes/reports.ts
+++ b/packages/node/src/crashes/reports.ts
@@ -1,4 +1,11 @@
-import { type Clearance, type Crash, type CrashReport, Quarantine, type RequestVerdict } from "@radishreel/fleet";
+import {
+    type Clearance,
+    type Crash,
+    type CrashReport,
+    Quarantine,
+    type RefusedRequest,
+    type RequestVerdict,
+} from "@radishreel/fleet";
 import { setTimeout as wait } from "node:timers/promises";
 import type { DecisionLog } from "../decisions.js";
 import type { CrashReportStore } from "../ports.js";
@@ -105,6 +112,24 @@
         this.clearing ??= setTimeout(() => this.sendClearances(), clearanceWaitMs);
     }
 
+    /** Lets a refused request run again, on every VM. @returns Whether it was refused. */
+    release(request: string): boolean {
+        const now = this.readWall();
+        const verdict = this.quarantine.findVerdict(request, now);
+        if (verdict.kind !== "refused") {
+            return false;
+        }
+        const clearance = this.quarantine.createClearance(request, now);
+        this.quarantine.applyClearance(clearance, now);
+        this.options.log.recordImportant("requestReleased", { digest: request, upstreams: verdict.upstreams });
+        this.sendReport({ crashes: [], clearances: [clearance] }, true);
+        return true;
+    }
+
+    listRefused(): RefusedRequest[] {
+        return this.quarantine.listRefused(this.readWall());
+    }
+
     /** Takes what another VM has seen, or this one in an earlier life. @returns Whether it was new. */
     applyReport(report: CrashReport): boolean {
         const now = this.readWall();
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -1,3 +1,4 @@
+import type { RefusedRequest } from "@radishreel/fleet";
 import type { ListenAddress } from "@radishreel/wire";
 import type { Server } from "node:http";
 import polka, { type Polka } from "polka";
@@ -10,6 +11,10 @@
     /** Whether the balancer may send callers here. */
     readonly isReady: () => boolean;
     readonly readMetrics: () => Promise<string>;
+    /** Requests that are refused since upstreams end under them. */
+    readonly listRefused: () => readonly RefusedRequest[];
+    /** Lets one of them run again. @returns Whether it was refused. */
+    readonly releaseRequest: (digest: string) => boolean;
 }
 
 /** Listens for callers. */
@@ -24,11 +29,11 @@
     await startListening(app, address);
 }
 
-/** Listens for the balancer, and for those who read the metrics. */
+/** Listens for the balancer, and for operators: metrics, and the requests that are refused for what they do. */
 export async function startReadiness(
     server: Server,
     address: ListenAddress,
-    { path, isReady, readMetrics }: ReadinessOptions,
+    { path, isReady, readMetrics, listRefused, releaseRequest }: ReadinessOptions,
 ): Promise<void> {
     const app = polka({ server });
     app.get(path, (_request, response) => {
@@ -38,6 +43,13 @@
     app.get("/metrics", (_request, response) => {
         void readMetrics().then(text => response.end(text));
     });
+    app.get("/quarantine", (_request, response) => {
+        response.end(JSON.stringify(listRefused()));
+    });
+    app.delete("/quarantine/:digest", (request, response) => {
+        response.statusCode = releaseRequest(String(request.params["digest"])) ? 204 : 404;
+        response.end();
+    });
     await startListening(app, address);
 }
 
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -176,6 +176,12 @@
         return `${this.options.settings.callers.host}:${port}`;
     }
 
+    /** `host:port` of the listener for the balancer and for operators, once it listens. */
+    get readinessAddress(): string {
+        const { port } = this.readinessServer.address() as AddressInfo;
+        return `${this.options.settings.readiness.host}:${port}`;
+    }
+
     /** Upstreams that are registered as far as this VM knows. */
     countUpstreams(): number {
         return this.view.listUpstreams().length;
@@ -220,6 +226,8 @@
             path: settings.readinessPath,
             isReady: () => this.isReady,
             readMetrics: () => this.metrics.registry.metrics(),
+            listRefused: () => this.guard.listRefused(),
+            releaseRequest: digest => this.guard.release(digest),
         });
         await this.peers.start();
         if (settings.isFirstStart === true) {
