--- a/packages/fleet/src/forecast.ts
+++ b/packages/fleet/src/forecast.ts
@@ -54,9 +54,8 @@
     }
 
     /**
-     * Part of the loads that is left for requests that are late: those that can still be on time go before them. At an
-     * engine with twice the load that it can take, requests were declined after 1.9 s, and after 0.9 s since this counts;
-     * 0.013 more of all were on time, and as many less were served late (`test/hotset.test.ts`).
+     * Part of the loads that is left for requests that are late: those that can still be on time go before them. Counting it
+     * declines what cannot be served early on, while its caller can still go elsewhere.
      */
     private readShareLeft(now: number): number {
         const taken = this.arrivals.read(now) / Math.max(1, this.loadsBegun.read(now));
--- a/packages/fleet/src/place.ts
+++ b/packages/fleet/src/place.ts
@@ -11,8 +11,8 @@
 const minIdleMs = 150;
 
 /**
- * An adapter that was just loaded stays at least this long for the requests that waited for it, in milliseconds. Without
- * it one in four loads was evicted before its first request arrived when places were short.
+ * An adapter that was just loaded stays at least this long for the requests that waited for it, in milliseconds: where places
+ * are short it would be evicted before the first of them arrives.
  */
 const minStayMs = 400;
 
--- a/packages/fleet/src/rank.ts
+++ b/packages/fleet/src/rank.ts
@@ -22,8 +22,8 @@
 /**
  * Orders items for a key, the same on every VM, under rendezvous hashing: adding or removing another item moves no other
  * key. An adapter's first engines are its homes: it comes back to an engine that had it lately and still keeps it in host
- * memory, where it loads in a tenth of the time. The order is worked out for each request and all engines: a cryptographic
- * hash took two thirds of the time of a choice among 98 engines.
+ * memory, where it loads in a tenth of the time. The order is worked out for each request and all engines, which a
+ * cryptographic hash would make dear.
  */
 export function rankHomes<Item extends { readonly id: string; }>(key: string, items: readonly Item[]): Item[] {
     const start = foldText(hashStart, key);
--- a/packages/node/src/engines.ts
+++ b/packages/node/src/engines.ts
@@ -25,7 +25,7 @@
 
 /**
  * How much longer the pause between two such tellings is for each VM that is told, in milliseconds: what one VM hears then
- * grows with the engines only. 42 engines tell 70 VMs some 20 KB a second each.
+ * grows with the engines only.
  */
 const newsPausePerVmMs = 12;
 
--- a/packages/node/src/hub.ts
+++ b/packages/node/src/hub.ts
@@ -6,8 +6,8 @@
 
 /**
  * How long such a process holds engines before it links to all VMs, in milliseconds: a deal that lasts two renewals is not
- * one of those. Of 54 VMs among 195 that started at once, 9 had linked to all others after 4 s, and 15 to over a third,
- * where 24 shards make 7 owners; a new holder waits 2.1 s before its first order.
+ * one of those. Without it most VMs of a fleet that starts at once link to all others for a moment of ownership. A new holder
+ * waits longer than this before its first order.
  */
 const settledMs = 800;
 
--- a/packages/node/src/isolation.ts
+++ b/packages/node/src/isolation.ts
@@ -24,8 +24,8 @@
 
 /**
  * Whether this VM is cut off from all other data centres and from the store. Callers still reach it, but it can use only
- * the upstreams beside it, and nobody may load adapters there: in a cut of 5.6 s it served 35 of 168 model requests, the
- * VMs outside 286 of 302. So it takes itself out of the balancer, and lets callers that are connected go after their answer.
+ * the upstreams beside it, and nobody may load adapters there, so that it serves few model requests. So it takes itself out of
+ * the balancer, and lets callers that are connected go after their answer.
  */
 export class IsolationWatch {
     private wasSilent = false;
--- a/packages/node/src/linklimits.ts
+++ b/packages/node/src/linklimits.ts
@@ -18,10 +18,8 @@
 
 /**
  * The same among more VMs, where both sides send on one link. That an owner of engines is silent shows in 180 ms by the
- * requests that ask it; a link that is dead only has to be opened anew. News of engines come more often than these heartbeats
- * from 195 VMs on, and take their place. By the intervals of a mesh, and with a link each way, an owner among 195 VMs would send
- * and receive 1,300 heartbeats a second, where these make 310. Each wake costs some 0.5 ms of processor time, reckoned from what
- * all processes used in a played day.
+ * requests that ask it; a link that is dead only has to be opened anew. Each heartbeat wakes a VM, and an owner has a link to
+ * all: by the intervals of a mesh its heartbeats alone would fill the processor of an owner among hundreds.
  */
 const fleetLimits = resolveLinkLimits({
     heartbeatMs: 2500,
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -37,8 +37,7 @@
 
 /**
  * How long a VM opens no links when all start for the first time, in milliseconds: they start within 0.3 s of each other, and
- * each linked to the first 12 that it read of. Until then each reads the store by itself: at 1 s 195 VMs made 4,181 calls in 60 s,
- * and 3,786 with links opened at once though readers then read twice as often (one played day each).
+ * each would link to the first ones that it reads of. Until then each reads the store by itself, so it must not be longer.
  */
 const firstStartMs = 500;
 
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -31,7 +31,7 @@
 
 /**
  * Longest time for which requests wait for a process that has just started to read routes and upstreams, in milliseconds. It
- * takes some 100 ms. Without it 30 to 45 requests were refused after each restart of all VMs, to come back after 0.5 s.
+ * takes some 100 ms, less than the time after which refused callers would come back.
  */
 const usualStartWaitMs = 300;
 
--- a/packages/node/src/sharing.ts
+++ b/packages/node/src/sharing.ts
@@ -18,14 +18,14 @@
 
 /**
  * Shortest time between two tellings of how far this VM has read while nothing about its reading changes, as a share of the
- * pause between reads: at 300 ms a little less than the time between regular checks. Every answer of the store asks for one as
- * well; told at each of them, 91 VMs received 35 positions a second from 4 readers, and 16 are enough.
+ * pause between reads: a little less than the time between regular checks. Every answer of the store asks for one as well,
+ * which would tell the same over and over.
  */
 const tellShare = 2 / 3;
 
 /**
- * Every so many tellings one goes to all VMs, the others only near: other data centres have readers of their own. Of 880
- * messages a second that a reader among 195 VMs wrote at rest most went there. What a VM lacks still shows there in 1 s.
+ * Every so many tellings one goes to all VMs, the others only near: other data centres have readers of their own, and most
+ * messages of a reader among many VMs would go there. What a VM lacks still shows there in 1 s.
  */
 const tellingsNear = 2;
 
--- a/packages/node/src/wanted.ts
+++ b/packages/node/src/wanted.ts
@@ -3,7 +3,7 @@
 /**
  * Up to so many other VMs, each is linked to each. Beyond that only owners of engines are linked to all, since requests are
  * let in there, and each VM to the first ones of its data centre, which read the store for it: links then grow with the
- * owners and not with the square of the VMs. At 70 VMs a full mesh cost 0.34 GB between data centres in 25 s.
+ * owners and not with the square of the VMs.
  */
 const meshVms = 12;
 
