--- /dev/null
+++ b/packages/node/test/crashreports.test.ts
@@ -0,0 +1,136 @@
+import { type CrashReport, Quarantine } from "@radishreel/fleet";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { RequestDigest } from "../src/crashes/index.js";
+import { CrashReports } from "../src/crashes/reports.js";
+import { createDigest, createSilentLog, createUpstream } from "./fixtures.js";
+
+const lifeMs = 1000;
+
+/** Reports of one VM, with a store that takes what the test lets it take. */
+function createReports(vm = "a") {
+    const sent: CrashReport[] = [];
+    const offered: { name: string; isDropped: boolean; }[] = [];
+    const clock = { now: 5000 };
+    const waiting: { offers: number; resolve: () => void; }[] = [];
+    let refusals = 0;
+    const reports = new CrashReports({
+        vm,
+        incarnation: 1,
+        store: {
+            appendCrashReport: (name, report) => {
+                offered.push({ name, isDropped: report === undefined });
+                waiting.filter(({ offers }) => offers === offered.length).forEach(({ resolve }) => resolve());
+                refusals -= 1;
+                return Promise.resolve(refusals < 0);
+            },
+        },
+        log: createSilentLog(() => 0),
+        readWall: () => clock.now,
+        broadcast: report => sent.push(report),
+        onChange: () => {},
+        quarantine: new Quarantine({ lifeMs }),
+    });
+    const setRefusals = (count: number): void => {
+        refusals = count;
+    };
+    const waitForOffers = (offers: number): Promise<void> =>
+        offered.length >= offers ? Promise.resolve() : new Promise(resolve => waiting.push({ offers, resolve }));
+    const recordEnd = (upstream: string, ...paths: string[]): void =>
+        reports.recordEnd({
+            upstream: createUpstream(upstream),
+            runs: paths.map(path => ({
+                requestId: path,
+                digest: createDigest(path),
+                answeringMs: undefined,
+                sentMs: 1,
+            })),
+        });
+    return { reports, sent, offered, clock, setRefusals, waitForOffers, recordEnd };
+}
+
+test("while nothing is suspected no request is digested", () => {
+    const { reports } = createReports();
+    const digest = {
+        get head(): string {
+            throw new Error("digested");
+        },
+        get full(): string {
+            throw new Error("digested");
+        },
+    } as RequestDigest;
+    assert.is(reports.findVerdict(digest).kind, "unknown");
+    reports.recordWhole(digest);
+});
+
+test("an upstream's end is one message and one record, however many requests ran there", async () => {
+    const { sent, offered, recordEnd, waitForOffers } = createReports();
+    recordEnd("e1", "/a", "/b", "/c", "/a");
+    await waitForOffers(1);
+    assert.equal(sent.map(({ crashes }) => crashes.map(({ requests }) => requests.length)), [[3]]);
+    assert.equal(offered, [{ name: "a/1/1", isDropped: false }]);
+});
+
+test("a record is offered until the store takes it", async () => {
+    const { offered, recordEnd, setRefusals, waitForOffers } = createReports();
+    setRefusals(2);
+    recordEnd("e1", "/a");
+    await waitForOffers(3);
+    assert.equal(offered.map(({ name }) => name), ["a/1/1", "a/1/1", "a/1/1"]);
+});
+
+test("what is answered whole is told in one message, and kept only where it spares a second end", async () => {
+    const { reports, sent, offered, recordEnd, waitForOffers } = createReports();
+    recordEnd("e1", "/a", "/b", "/c");
+    recordEnd("e2", "/c");
+    await waitForOffers(2);
+    reports.recordWhole(createDigest("/c"));
+    await waitForOffers(3);
+    reports.recordWhole(createDigest("/a"));
+    reports.recordWhole(createDigest("/b"));
+    while (sent.length < 4) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    assert.equal(sent.map(({ clearances }) => clearances.length), [0, 0, 1, 2]);
+    assert.is(offered.length, 3);
+    assert.equal(["/a", "/b", "/c"].map(path => reports.findVerdict(createDigest(path)).kind), [
+        "unknown",
+        "unknown",
+        "unknown",
+    ]);
+});
+
+test("records that are old are dropped by the VM that wrote them, in an earlier life too", async () => {
+    const { reports, offered, clock, recordEnd, waitForOffers } = createReports();
+    const earlier: CrashReport = {
+        name: "a/0/1",
+        crashes: [{ upstream: "e0", at: 5000, requests: ["x.1"] }],
+        clearances: [],
+    };
+    reports.applyReport(earlier);
+    reports.applyReport({ ...earlier, name: "b/1/1" });
+    recordEnd("e1", "/a");
+    await waitForOffers(1);
+    clock.now += lifeMs;
+    reports.expireOld();
+    // It looks every ten seconds only.
+    clock.now += 10_000;
+    reports.expireOld();
+    await waitForOffers(3);
+    assert.equal(offered.filter(({ isDropped }) => isDropped).map(({ name }) => name).sort(), ["a/0/1", "a/1/1"]);
+});
+
+test("records that a VM has left which is gone for good are dropped by one that reads them", async () => {
+    const { reports, offered, clock, waitForOffers } = createReports();
+    clock.now = 50_000;
+    reports.applyReport({
+        name: "gone/1/1",
+        crashes: [{ upstream: "e0", at: 50_000 - 2 * lifeMs, requests: ["x.1"] }],
+        clearances: [],
+    });
+    reports.expireOld();
+    await waitForOffers(1);
+    assert.equal(offered, [{ name: "gone/1/1", isDropped: true }]);
+});
+
+test.run();
