--- a/packages/cli/src/trace.ts
+++ b/packages/cli/src/trace.ts
@@ -6,7 +6,14 @@
 import { type ExitCode, exitCodes } from "./exit.js";
 
 /** Events of an engine or an upstream that explain what a request met there. */
-const upstreamEvents = new Set(["order", "engineClaimed", "engineGivenUp", "ordersAllowed", "upstreamGone"]);
+const upstreamEvents = new Set([
+    "order",
+    "engineClaimed",
+    "engineGivenUp",
+    "ordersAllowed",
+    "upstreamEnded",
+    "upstreamGone",
+]);
 
 /** How long before a request's start such events are shown, in milliseconds: a load or a change of owner takes less. */
 const lookBackMs = 3000;
--- a/packages/node/src/caller.ts
+++ b/packages/node/src/caller.ts
@@ -26,6 +26,8 @@
     readonly reason: RefusalReason;
     /** Seconds after which asking again may help. */
     readonly retryAfterSeconds?: number;
+    /** What else the log says of it. */
+    readonly detail?: object;
 }
 
 /** One request of a caller: its body, its answer, and whether the caller is still there. */
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -88,11 +88,12 @@
         if (verdict.kind !== "refused") {
             return undefined;
         }
+        const detail = { digest: job.digest.full, upstreams: verdict.upstreams };
         if (job.runs > 0) {
-            return { status: 502, reason: "endsUpstreams" };
+            return { status: 502, reason: "endsUpstreams", detail };
         }
         const retryAfterSeconds = Math.max(0, verdict.until - Date.now()) / 1000;
-        return { status: 503, reason: "endsUpstreams", retryAfterSeconds };
+        return { status: 503, reason: "endsUpstreams", retryAfterSeconds, detail };
     }
 
     /** Whether a request is suspected and has no leave to run. */
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -463,6 +463,7 @@
             request: demand.requestId,
             status: answer.status,
             reason: answer.reason,
+            ...answer.detail,
             path: caller.path,
             routing: this.options.cluster.routes?.routing.version,
         });
