Tell a VM that takes word from another what has ended, each time it asks

Found by the random test of readers, with five VMs and reports of ended upstreams beside changes: a VM whose reader is lost and which follows the next one after that has read a report never heard of it, and would send on what all others refuse. Reports bear no position by which a VM could tell that it lacks them, so all that is current goes with each answer to a follow or a pull; mostly there is none.

A method that nothing called goes as well.

--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -167,9 +167,14 @@
         this.trials.removeVm(vm);
     }
 
-    /** What a VM is told whose link has just opened; mostly nothing. */
+    /** Reports that a VM must know which cannot read the store; mostly none. */
+    listReports(): CrashReport[] {
+        return this.reports.listReports();
+    }
+
+    /** What a VM is told whose link has just opened. */
     createGreeting(): PeerMessage[] {
-        const reports = this.reports.listReports();
+        const reports = this.listReports();
         return reports.length === 0 ? [] : [{ type: "crashReports", reports }];
     }
 
--- a/packages/node/src/crashes/reports.ts
+++ b/packages/node/src/crashes/reports.ts
@@ -80,10 +80,6 @@
         return this.quarantine.findVerdict(digest.full, this.readWall());
     }
 
-    isRefused(digest: RequestDigest): boolean {
-        return this.findVerdict(digest).kind === "refused";
-    }
-
     /** Runs of this VM broke as the process of their upstream ended. */
     recordEnd({ upstream, runs }: UpstreamEnd): void {
         const now = this.readWall();
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -164,6 +164,7 @@
             sendNear: message => this.peers.sendNear(message),
             listLinked: () => this.peers.listConnected(),
             readStoreQuietMs: () => this.owning?.renewalAgeMs ?? 0,
+            listCrashReports: () => this.guard.listReports(),
             entriesPauseMs: settings.entriesPauseMs,
         });
         this.callerServer = createServer({ keepAlive: true, noDelay: true });
--- a/packages/node/src/sharing.ts
+++ b/packages/node/src/sharing.ts
@@ -1,3 +1,4 @@
+import type { CrashReport } from "@radishreel/fleet";
 import type { ClusterState } from "./cluster.js";
 import type { DecisionLog } from "./decisions.js";
 import type { PeerMessage, ReadPositions } from "./messages.js";
@@ -44,6 +45,8 @@
     readonly listLinked: () => string[];
     /** Age of the last call to the store that was answered, in milliseconds. */
     readonly readStoreQuietMs: () => number;
+    /** What is current of upstreams that have ended under requests. */
+    readonly listCrashReports: () => CrashReport[];
     /** Pause between two reads of the entries of upstreams, in milliseconds. @default 300 */
     readonly entriesPauseMs?: number | undefined;
 }
@@ -108,6 +111,11 @@
 
     receivePull(vm: string, positions: ReadPositions): void {
         this.options.send(vm, { type: "changes", changes: this.options.cluster.listChangesAfter(positions) });
+        // No position tells which reports it lacks: some may have come while it followed a VM that is gone.
+        const reports = this.options.listCrashReports();
+        if (reports.length > 0) {
+            this.options.send(vm, { type: "crashReports", reports });
+        }
     }
 
     receiveFollow(vm: string, isWanted: boolean, positions: ReadPositions): void {
--- a/packages/node/test/sharing.test.ts
+++ b/packages/node/test/sharing.test.ts
@@ -1,4 +1,4 @@
-import { FleetView } from "@radishreel/fleet";
+import { type CrashReport, FleetView } from "@radishreel/fleet";
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -25,7 +25,7 @@
 /** VMs of two data centres with links that may be down, each with the store's records or cut off from it. */
 class Fleet {
     now = 0;
-    readonly vms = ["a", "b", "c", "d"].map(name => this.createVm(name, name < "c" ? "x" : "y"));
+    readonly vms = ["a", "b", "c", "d", "e"].map(name => this.createVm(name, "cd".includes(name) ? "y" : "x"));
     private position = 0;
 
     /** The store takes a change; VMs that read it learn of it at once. */
@@ -34,14 +34,24 @@
         const change: ClusterChange = { kind: "version", key: "m/a1", version: this.position, position: this.position };
         for (const vm of this.vms) {
             vm.unread.push(change);
+            vm.unreadReports.push({ name: `r${this.position}`, crashes: [], clearances: [] });
         }
         this.readAll();
     }
 
+    /** Links to a VM open: either side tells the other what has ended, as programs greet each other. */
+    sendGreetings(vm: Vm): void {
+        for (const other of this.vms) {
+            this.send(vm.name, other.name, { type: "crashReports", reports: [...vm.reports.values()] });
+            this.send(other.name, vm.name, { type: "crashReports", reports: [...other.reports.values()] });
+        }
+    }
+
     readAll(): void {
         for (const vm of this.vms) {
             if (vm.store.isReading && vm.reachesStore) {
                 this.receive(vm, vm.unread.splice(0));
+                this.receiveReports(vm, vm.unreadReports.splice(0));
             }
         }
     }
@@ -70,6 +80,14 @@
         }
     }
 
+    private receiveReports(vm: Vm, reports: readonly CrashReport[]): void {
+        const fresh = reports.filter(({ name }) => !vm.reports.has(name));
+        fresh.forEach(report => vm.reports.set(report.name, report));
+        if (fresh.length > 0) {
+            vm.sharing.passMessage({ type: "crashReports", reports: fresh });
+        }
+    }
+
     private send(from: string, to: string, message: PeerMessage): void {
         const [sender, receiver] = [from, to].map(name => this.vms.find(vm => vm.name === name)!) as [Vm, Vm];
         if (!sender.isUp || !receiver.isUp) {
@@ -79,6 +97,9 @@
             case "changes":
                 this.receive(receiver, message.changes);
                 return;
+            case "crashReports":
+                this.receiveReports(receiver, message.reports);
+                return;
             case "positions":
                 receiver.sharing.receivePositions(from, sender.dataCentre, message.positions, message.canRead);
                 return;
@@ -115,6 +136,7 @@
                 store.isReading = isReading;
             },
         };
+        const reports = new Map<string, CrashReport>();
         const others = () => this.vms.filter(vm => vm.name !== name && vm.isUp).map(vm => vm.name);
         const sharing = new ChangeSharing({
             vm: name,
@@ -130,8 +152,10 @@
                     .forEach(vm => this.send(name, vm.name, message)),
             listLinked: others,
             readStoreQuietMs: () => 0,
+            listCrashReports: () => [...reports.values()],
         });
-        return { name, dataCentre, view, cluster, store, sharing, unread: [], reachesStore: true, isUp: true };
+        const reading = { unread: [], unreadReports: [], reachesStore: true, isUp: true };
+        return { name, dataCentre, view, cluster, store, sharing, reports, ...reading };
     }
 }
 
@@ -143,6 +167,8 @@
     readonly store: ClusterStore;
     readonly sharing: ChangeSharing;
     readonly unread: ClusterChange[];
+    readonly reports: Map<string, CrashReport>;
+    readonly unreadReports: CrashReport[];
     reachesStore: boolean;
     isUp: boolean;
 }
@@ -151,14 +177,15 @@
     const fleet = new Fleet();
     fleet.append();
     fleet.advance(1000);
-    assert.equal(fleet.vms.map(vm => vm.store.isReading), [true, false, true, false]);
+    assert.equal(fleet.vms.map(vm => vm.store.isReading), [true, false, true, false, false]);
     fleet.append();
-    assert.equal(fleet.readVersions(), [2, 2, 2, 2]);
+    assert.equal(fleet.readVersions(), [2, 2, 2, 2, 2]);
+    assert.equal(fleet.vms.map(vm => vm.reports.size), [2, 2, 2, 2, 2]);
 });
 
 test("whoever loses the store or falls silent, in any order, all that are up learn each change within 2 s", () => {
     const step = fc.record({
-        vm: fc.nat(3),
+        vm: fc.nat(4),
         what: fc.constantFrom("loseStore", "reachStore", "stop", "start"),
         waitMs: fc.integer({ min: 0, max: 4 }).map(quarters => quarters * 250),
     });
@@ -173,6 +200,9 @@
                 if (what === "stop") {
                     fleet.vms.forEach(other => other.sharing.removeVm(chosen.name));
                 }
+                if (what === "start") {
+                    fleet.sendGreetings(chosen);
+                }
                 fleet.append();
                 fleet.advance(waitMs);
             }
@@ -185,6 +215,7 @@
             }
             for (const vm of up) {
                 assert.is(vm.view.findNewestVersion("m/a1")?.version, newest);
+                assert.is(vm.reports.size, newest);
             }
         }),
         { seed: 31, numRuns: 300 },
@@ -220,6 +251,7 @@
             toldFar += 1;
         },
         sendNear: () => told += 1,
+        listCrashReports: () => [],
         listLinked: () => [],
         readStoreQuietMs: () => 0,
     });
