--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -19,6 +19,7 @@
 export { LoadTimes } from "./loadtimes.js";
 export type { EngineOrder, EngineReport, OrderAction, OrderAnswer, PlacesStep } from "./orders.js";
 export { PauseThreshold, PromptHistory } from "./pauses.js";
+export { PermitReferee, type PermitRefereeOptions } from "./permits.js";
 export { EnginePlaces, type EnginePlacesOptions } from "./places.js";
 export {
     type Clearance,
@@ -31,7 +32,6 @@
     type RequestVerdict,
 } from "./quarantine.js";
 export { rankHomes } from "./rank.js";
-export { TrialReferee, type TrialRefereeOptions } from "./trials.js";
 export {
     type AdmissionAnswer,
     admissionAnswerSchema,
--- a/packages/fleet/test/crashworld.ts
+++ b/packages/fleet/test/crashworld.ts
@@ -1,4 +1,4 @@
-import { type CrashReport, Quarantine, TrialReferee } from "../src/index.js";
+import { type CrashReport, PermitReferee, Quarantine } from "../src/index.js";
 import { createRandom } from "./play.js";
 
 /** What a world is made of. */
@@ -93,7 +93,7 @@
     private readonly vms: Vm[];
     private readonly engines: Engine[];
     private readonly store: CrashReport[] = [];
-    private readonly referee = new TrialReferee();
+    private readonly referee = new PermitReferee();
     private requests = 0;
     private thirdEndAt = Infinity;
 
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -7,8 +7,8 @@
 import type { PeerMessage } from "../messages.js";
 import { readLastSendAt } from "../patience.js";
 import type { CrashReportStore } from "../ports.js";
+import { type PermitMessage, Permits } from "./permits.js";
 import { CrashReports } from "./reports.js";
-import { type TrialMessage, Trials } from "./trials.js";
 import { CrashWatch, type ProbeAnswer, type UpstreamEnd } from "./watch.js";
 
 /**
@@ -51,7 +51,7 @@
 export class CrashGuard {
     private readonly watch: CrashWatch;
     private readonly reports: CrashReports;
-    private readonly trials: Trials;
+    private readonly permits: Permits;
 
     constructor(private readonly options: CrashGuardOptions) {
         const { vm, incarnation, store, log, readTime, broadcast, onChange, probe } = options;
@@ -64,7 +64,7 @@
             broadcast: report => broadcast({ type: "crashReports", reports: [report] }),
             onChange,
         });
-        this.trials = new Trials({ readTime, findReferee: request => this.findReferee(request), send: options.send });
+        this.permits = new Permits({ readTime, findReferee: request => this.findReferee(request), send: options.send });
     }
 
     /** Requests under which upstreams have ended, as far as this VM knows. */
@@ -98,25 +98,25 @@
 
     /** Whether a request is suspected and has no leave to run. */
     isHeld(job: Job): boolean {
-        return job.trial === undefined && this.reports.findVerdict(job.digest).kind === "suspected";
+        return job.permit === undefined && this.reports.findVerdict(job.digest).kind === "suspected";
     }
 
     /** Whether a request must wait for leave to run, and can. */
-    mayWaitForTrial(job: Job): boolean {
+    mayWaitForPermit(job: Job): boolean {
         return this.isHeld(job) && !job.caller.hasLeft && this.options.readTime() < readLastSendAt(job);
     }
 
     /** Waits until a suspected request has leave to run, is cleared or refused, or its time ends. */
-    async waitForTrial(job: Job): Promise<void> {
-        if (this.mayWaitForTrial(job)) {
-            job.trial = await this.trials.claim(job.digest.full, () => this.mayWaitForTrial(job));
+    async waitForPermit(job: Job): Promise<void> {
+        if (this.mayWaitForPermit(job)) {
+            job.permit = await this.permits.claim(job.digest.full, () => this.mayWaitForPermit(job));
         }
     }
 
     /** Ends a request's leave to run, if it has one. */
-    endTrial(job: Job): void {
-        job.trial?.end();
-        job.trial = undefined;
+    endPermit(job: Job): void {
+        job.permit?.end();
+        job.permit = undefined;
     }
 
     /** Learns from the end of an attempt. Resolves once it is known, or cannot be known soon, what it says of the request. */
@@ -159,12 +159,12 @@
         return reports.filter(report => this.reports.applyReport(report));
     }
 
-    receiveMessage(vm: string, message: TrialMessage): void {
-        this.trials.receiveMessage(vm, message);
+    receiveMessage(vm: string, message: PermitMessage): void {
+        this.permits.receiveMessage(vm, message);
     }
 
     removeVm(vm: string): void {
-        this.trials.removeVm(vm);
+        this.permits.removeVm(vm);
     }
 
     /** Reports that a VM must know which cannot read the store; mostly none. */
@@ -181,7 +181,7 @@
     expireOld(): void {
         this.watch.expireOld();
         this.reports.expireOld();
-        this.trials.expireOld();
+        this.permits.expireOld();
     }
 
     stop(): void {
--- a/packages/node/src/crashes/trials.ts
+++ b/packages/node/src/crashes/permits.ts
@@ -1,4 +1,4 @@
-import { TrialReferee } from "@radishreel/fleet";
+import { PermitReferee } from "@radishreel/fleet";
 import { setTimeout as wait } from "node:timers/promises";
 import type { PeerMessage } from "../messages.js";
 
@@ -8,37 +8,37 @@
 /** Pause before a request that may not run yet asks again, in milliseconds. */
 const askAgainMs = 50;
 
-/** Messages about trials. */
-export type TrialMessage = Extract<PeerMessage, { type: "claimTrial" | "trialAnswer" | "releaseTrial"; }>;
+/** Messages about permits. */
+export type PermitMessage = Extract<PeerMessage, { type: "claimPermit" | "permitAnswer" | "releasePermit"; }>;
 
 /** A run of a suspected request that the referee knows of. */
-export interface Trial {
+export interface Permit {
     end(): void;
 }
 
-/** Options of {@link Trials}. */
-export interface TrialsOptions {
+/** Options of {@link Permits}. */
+export interface PermitsOptions {
     readonly readTime: () => number;
     /** The VM that all VMs ask about this request, as far as each knows; undefined if there is none. */
     readonly findReferee: (request: string) => string | undefined;
     /** Sends to a VM, this one included. @returns Whether it could be sent. */
-    readonly send: (vm: string, message: TrialMessage) => boolean;
+    readonly send: (vm: string, message: PermitMessage) => boolean;
 }
 
 /** Asks for leave to run suspected requests, and gives it to other VMs. */
-export class Trials {
-    private readonly referee = new TrialReferee();
+export class Permits {
+    private readonly referee = new PermitReferee();
     private readonly waiting = new Map<number, (mayRun: boolean) => void>();
     private tickets = 0;
 
-    constructor(private readonly options: TrialsOptions) {}
+    constructor(private readonly options: PermitsOptions) {}
 
     /**
      * Waits until a suspected request may run. Without a referee that answers it may: what it ends is counted in any case.
      * @param mayWait Asked before each pause.
      * @returns Undefined if it may not, and may not wait any longer.
      */
-    async claim(request: string, mayWait: () => boolean): Promise<Trial | undefined> {
+    async claim(request: string, mayWait: () => boolean): Promise<Permit | undefined> {
         this.tickets += 1;
         const ticket = this.tickets;
         for (;;) {
@@ -53,18 +53,18 @@
         }
     }
 
-    receiveMessage(vm: string, message: TrialMessage): void {
+    receiveMessage(vm: string, message: PermitMessage): void {
         const { request, ticket } = message;
         switch (message.type) {
-            case "claimTrial": {
+            case "claimPermit": {
                 const mayRun = this.referee.claim(request, vm, ticket, this.options.readTime());
-                this.options.send(vm, { type: "trialAnswer", request, ticket, mayRun });
+                this.options.send(vm, { type: "permitAnswer", request, ticket, mayRun });
                 return;
             }
-            case "trialAnswer":
+            case "permitAnswer":
                 this.waiting.get(ticket)?.(message.mayRun);
                 return;
-            case "releaseTrial":
+            case "releasePermit":
                 this.referee.release(request, vm, ticket);
                 return;
         }
@@ -87,7 +87,7 @@
             };
             const timer = setTimeout(() => finish(true), answerTimeoutMs);
             this.waiting.set(ticket, finish);
-            if (!this.options.send(referee, { type: "claimTrial", request, ticket })) {
+            if (!this.options.send(referee, { type: "claimPermit", request, ticket })) {
                 finish(true);
             }
         });
@@ -95,7 +95,7 @@
 
     private sendEnd(referee: string | undefined, request: string, ticket: number): void {
         if (referee !== undefined) {
-            this.options.send(referee, { type: "releaseTrial", request, ticket });
+            this.options.send(referee, { type: "releasePermit", request, ticket });
         }
     }
 }
--- a/packages/node/src/job.ts
+++ b/packages/node/src/job.ts
@@ -3,7 +3,7 @@
 import type { Admission } from "./admissions.js";
 import type { StreamProgress } from "./attempt.js";
 import type { CallerExchange } from "./caller.js";
-import type { RequestDigest, Trial } from "./crashes/index.js";
+import type { Permit, RequestDigest } from "./crashes/index.js";
 import type { CallerDemand } from "./ports.js";
 
 /** One request while it is being served. */
@@ -31,7 +31,7 @@
     /** When an engine that declined it could have let it in, as that one expects; undefined while none has. */
     expectedAt: number | undefined;
     /** Set while it may run although upstreams have ended under it. */
-    trial: Trial | undefined;
+    permit: Permit | undefined;
 }
 
 /** An upstream that a request has tried. */
@@ -73,7 +73,7 @@
         moves: 0,
         redirects: 0,
         expectedAt: undefined,
-        trial: undefined,
+        permit: undefined,
     };
 }
 
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -115,11 +115,11 @@
     /** Upstreams that have ended, and what ran there. What is current when a link opens; after that what is new. */
     z.object({ type: z.literal("crashReports"), reports: z.array(crashReportSchema) }),
     /** To the referee of a suspected request: the sender wants to run it. */
-    z.object({ type: z.literal("claimTrial"), request: z.string(), ticket: z.number() }),
+    z.object({ type: z.literal("claimPermit"), request: z.string(), ticket: z.number() }),
     /** From the referee: whether it may. */
-    z.object({ type: z.literal("trialAnswer"), request: z.string(), ticket: z.number(), mayRun: z.boolean() }),
+    z.object({ type: z.literal("permitAnswer"), request: z.string(), ticket: z.number(), mayRun: z.boolean() }),
     /** To the referee: the run is over, and what it ended has been told. */
-    z.object({ type: z.literal("releaseTrial"), request: z.string(), ticket: z.number() }),
+    z.object({ type: z.literal("releasePermit"), request: z.string(), ticket: z.number() }),
     /** The sender is stopping and will take no part any more. */
     z.object({ type: z.literal("leaving") }),
 ]);
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -472,9 +472,9 @@
             case "crashReports":
                 this.receiveCrashReports(message.reports);
                 return;
-            case "claimTrial":
-            case "trialAnswer":
-            case "releaseTrial":
+            case "claimPermit":
+            case "permitAnswer":
+            case "releasePermit":
                 this.guard.receiveMessage(vm, message);
                 return;
             case "positions":
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -171,7 +171,7 @@
         }
         this.options.budgets(service.name).recordRequest(startedAt);
         const timeMs = Math.min(demand.budgetMs ?? Infinity, route.timeoutMs);
-        await this.runTried(createJob({
+        await this.runReleasing(createJob({
             caller,
             demand,
             route,
@@ -197,13 +197,13 @@
         }
     }
 
-    /** Runs a request, and ends its trial if it came under suspicion. */
-    private async runTried(job: Job): Promise<void> {
+    /** Runs a request, and gives up the permit that it has if it came under suspicion. */
+    private async runReleasing(job: Job): Promise<void> {
         try {
             await this.runJob(job);
         }
         finally {
-            this.options.guard.endTrial(job);
+            this.options.guard.endPermit(job);
         }
     }
 
@@ -211,9 +211,9 @@
         const { guard } = this.options;
         let last: AttemptEnd | undefined;
         for (;;) {
-            await guard.waitForTrial(job);
+            await guard.waitForPermit(job);
             const ready = await this.chooser.chooseReady(job);
-            if (ready === undefined && guard.mayWaitForTrial(job)) {
+            if (ready === undefined && guard.mayWaitForPermit(job)) {
                 // An upstream has ended under another copy of it while this one waited.
                 continue;
             }
@@ -230,7 +230,7 @@
                 return;
             }
             last = await this.runAttempt(job, ready);
-            guard.endTrial(job);
+            guard.endPermit(job);
             if (last.kind === "complete" || last.kind === "callerLeft") {
                 this.recordEnd(job, last.kind, choice);
                 return;
--- a/packages/node/test/trials.test.ts
+++ b/packages/node/test/permits.test.ts
@@ -1,18 +1,18 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type TrialMessage, Trials } from "../src/crashes/trials.js";
+import { type PermitMessage, Permits } from "../src/crashes/permits.js";
 
 /** VMs that ask each other for leave to run a suspected request, over links that carry messages at once. */
 function createVms(names: readonly string[], findReferee: () => string | undefined) {
     const isCut = new Set<string>();
-    const vms = new Map<string, Trials>();
+    const vms = new Map<string, Permits>();
     for (const name of names) {
         vms.set(
             name,
-            new Trials({
+            new Permits({
                 readTime: () => 0,
                 findReferee,
-                send: (to: string, message: TrialMessage) => {
+                send: (to: string, message: PermitMessage) => {
                     if (!isCut.has(to)) {
                         vms.get(to)!.receiveMessage(name, message);
                     }
