Decode client accounts, their keys and quotas, and find an account by its key

Callers of a deployment with accounts send a key; nothing of the program knew accounts. The schema holds name, keys, priority and quota (requests or tokens, rate, burst, cost of a request without a token count) and whether a route is public.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,13 @@
 /** Routes, services and limits: which requests go where, and what they were promised. */
+export {
+    type Account,
+    accountsSchema,
+    AccountTable,
+    type Quota,
+    type QuotaUnit,
+    readCost,
+    readPriority,
+} from "./accounts.js";
 export { chooseTarget, parseHostName, RouteTable } from "./table.js";
 export {
     type CallerLimits,
--- a/packages/routing/src/table.ts
+++ b/packages/routing/src/table.ts
@@ -1,11 +1,15 @@
+import { AccountTable } from "./accounts.js";
 import type { Route, Routing, Service } from "./types.js";
 
 /** Finds the route of a request: among the routes of its host, the one with the longest prefix of its path. */
 export class RouteTable {
     private readonly routesByHost = new Map<string, Route[]>();
     private readonly services = new Map<string, Service>();
+    /** Undefined where callers need no key. */
+    readonly accounts: AccountTable | undefined;
 
     constructor(readonly routing: Routing) {
+        this.accounts = routing.accounts === undefined ? undefined : new AccountTable(routing.accounts);
         for (const route of routing.routes) {
             const routes = this.routesByHost.get(route.host) ?? [];
             routes.push(route);
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import { accountsSchema } from "./accounts.js";
 
 /** What may be repeated of a request: `safe` ones at will, `unsafe` ones never, `stream`s only if they may be resumed. */
 export const requestKindSchema = z.enum(["safe", "unsafe", "stream"]);
@@ -30,6 +31,8 @@
     maxAttempts: z.number().int().positive(),
     /** Whether a stream may go on at another upstream after its last event. */
     isResumable: z.boolean(),
+    /** Whether callers need no key, where there are accounts; undefined if they do. */
+    isPublic: z.boolean().optional(),
 });
 
 /** See {@link routeSchema}. */
@@ -93,6 +96,8 @@
     routes: z.array(routeSchema),
     services: z.array(serviceSchema),
     limits: callerLimitsSchema,
+    /** Client accounts; undefined where callers need no key. */
+    accounts: accountsSchema.optional(),
 });
 
 /** See {@link routingSchema}. */
