Keep accounts to their quotas over all VMs: each VM leases its share to one coordinator

What holds in a cut: each VM leases its equal share of the quotas to one coordinator at a time, for overage x window (0.8 s), and a coordinator fills balances only by the shares that it holds; one that was suspended finds its leases lapsed, and after a loss of all VMs balances begin at nothing. While shares are missing a refusal says that it cannot know.

--- a/packages/fleet/src/claims.ts
+++ b/packages/fleet/src/claims.ts
@@ -382,11 +382,11 @@
     return generation * (maxDepth + 1) + depth;
 }
 
-/** The shard of an engine. */
-export function readShard(engine: string, shardCount: number): number {
+/** The shard of an engine, or the group of an account. */
+export function readShard(name: string, shardCount: number): number {
     let hash = 2166136261;
-    for (let index = 0; index < engine.length; index++) {
-        hash = Math.imul(hash ^ engine.charCodeAt(index), 16777619);
+    for (let index = 0; index < name.length; index++) {
+        hash = Math.imul(hash ^ name.charCodeAt(index), 16777619);
     }
     return (hash >>> 0) % shardCount;
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -31,6 +31,14 @@
     type RefusedRequest,
     type RequestVerdict,
 } from "./quarantine.js";
+export {
+    type QuotaBounds,
+    type QuotaLimit,
+    QuotaPool,
+    type QuotaPoolOptions,
+    type QuotaVerdict,
+    readShareLeaseMs,
+} from "./quota.js";
 export { rankHomes } from "./rank.js";
 export {
     type AdmissionAnswer,
