Serve requests of known accounts only, within their quotas, and none on a key that may have been withdrawn

- Upstreams get the account's name on each attempt, whatever the caller sent, and never the key; a public route passes neither.
- Each VM knows as of when its configuration was the newest: by its own reads of the store, or by asking the VM that reads for it.
An answer counts from when the question was sent, in boot time, so that links and suspensions only make it older.
Where withdrawal is strict a keyed request is sent only while that age is within the bound, looked at again at each send: past it 503, which is true.
Without accounts not a message more is sent.
- A key that is not known is asked for at another VM before it is denied, within 50 ms; a VM whose knowledge is old says 503.
- A request claims its cost at its account's coordinator while its body is read, and gives it back if it has not run.
- An account's priority goes before its route's.
Requests that end upstreams are told apart by account, not by key.

Guards taken out one by one are caught: scripts/mutations.mjs accounts.

--- a/packages/node/src/caller.ts
+++ b/packages/node/src/caller.ts
@@ -14,6 +14,14 @@
     | "attemptsSpent"
     /** Each upstream that ran it has ended. */
     | "endsUpstreams"
+    /** No account of the configuration in force has its key. */
+    | "unknownKey"
+    /** The configuration was last known to be the newest too long ago to tell whether its key still counts. */
+    | "configurationOld"
+    /** Its account is over its limit. */
+    | "quotaSpent"
+    /** No coordinator could be asked what is left of its account's quota, or it cannot know. */
+    | "quotaUnknown"
     | "timeout"
     | "connectionLost"
     | "upstreamSilent"
--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -11,6 +11,9 @@
  */
 const lapseGraceMs = 2100;
 
+/** Names the configuration among what changes are about. */
+const routingItem = "routing";
+
 /** Options of {@link ClusterState}. */
 export interface ClusterStateOptions {
     readonly view: FleetView;
@@ -53,6 +56,12 @@
         return this.table;
     }
 
+    /** The configuration that was read last, with its position; undefined until one is known. */
+    findRouting(): Extract<ClusterChange, { kind: "routing"; }> | undefined {
+        const change = this.changes.get(routingItem);
+        return change?.kind === "routing" ? change : undefined;
+    }
+
     /** Everything known, for a VM that has just connected. */
     listChanges(): ClusterChange[] {
         return [...this.changes.values()];
@@ -260,7 +269,7 @@
 function formatItem(change: ClusterChange): string {
     switch (change.kind) {
         case "routing":
-            return "routing";
+            return routingItem;
         case "upstream":
             return `upstream ${change.upstream.name}`;
         case "upstreamGone":
--- a/packages/node/src/crashes/digest.ts
+++ b/packages/node/src/crashes/digest.ts
@@ -9,7 +9,7 @@
     readonly method: string;
     readonly host: string;
     readonly path: string;
-    /** The caller's credentials as they were sent; undefined where the platform has none. */
+    /** Name of the caller's account, or its key where there are no accounts; undefined if it has neither. */
     readonly account: string | undefined;
     readonly body: Buffer | undefined;
 }
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -29,10 +29,8 @@
     /** Sends to a VM, this one included. @returns Whether it could be sent. */
     readonly send: (vm: string, message: PeerMessage) => boolean;
     readonly broadcast: (message: PeerMessage) => void;
-    /** VMs to which messages can be sent, and that do not stop. */
-    readonly listLinked: () => string[];
-    /** Whether each VM is linked to each. */
-    readonly isMesh: () => boolean;
+    /** VMs that can be asked whether a suspected request may run, by all that may run it. */
+    readonly listReferees: () => string[];
     /** Requests that wait should look again. */
     readonly onChange: () => void;
     /** An upstream has ended under requests of this VM. */
@@ -204,15 +202,8 @@
         this.reports.recordEnd(end);
     }
 
-    /**
-     * The VM that all ask whether a suspected request may run. Among few VMs it is any of them; beyond that one of the owners
-     * of engines, to which all are linked.
-     */
+    /** The VM that all ask whether a suspected request may run. */
     private findReferee(request: string): string | undefined {
-        const { vm, view, listLinked, isMesh } = this.options;
-        const known = [vm, ...listLinked()];
-        const owners = new Set(view.listUpstreams().map(({ owner }) => owner));
-        const candidates = isMesh() ? known : known.filter(id => owners.has(id));
-        return rankHomes(request, candidates.map(id => ({ id })))[0]?.id;
+        return rankHomes(request, this.options.listReferees().map(id => ({ id })))[0]?.id;
     }
 }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,10 +1,15 @@
 /** radishreel-node: the data path and the control path of one VM in one process. */
+export type { AccountBounds } from "./accounts/index.js";
+export { BootClock } from "./clock.js";
 export { UpstreamConnection } from "./connections.js";
 export { DecisionLog, type DecisionLogOptions, type LineSink } from "./decisions.js";
 export { EventSplitter, type StreamEvent } from "./events.js";
+export type { NodeOptions, NodeSettings } from "./options.js";
 export type {
     AnswerHead,
     CallerDemand,
+    CallerIdentity,
+    CallerKey,
     ClusterChange,
     ClusterReceiver,
     ClusterStore,
@@ -19,5 +24,5 @@
     ShardDeal,
     UnreadableRecord,
 } from "./ports.js";
-export { type NodeOptions, NodeProgram, type NodeSettings } from "./program.js";
+export { NodeProgram } from "./program.js";
 export { usualEntriesPauseMs } from "./readers.js";
--- a/packages/node/src/job.ts
+++ b/packages/node/src/job.ts
@@ -1,5 +1,6 @@
 import type { AdapterWant, UpstreamChoice } from "@radishreel/fleet";
-import type { Route, Service } from "@radishreel/routing";
+import type { Account, Route, Service } from "@radishreel/routing";
+import type { QuotaClaim } from "./accounts/index.js";
 import type { Admission } from "./admissions.js";
 import type { StreamProgress } from "./attempt.js";
 import type { CallerExchange } from "./caller.js";
@@ -14,13 +15,19 @@
     readonly service: Service;
     readonly body: Buffer | undefined;
     readonly digest: RequestDigest;
+    /** Undefined on a public route, and where there are no accounts. */
+    readonly account: Account | undefined;
+    /** What was granted to it of its account's quota; undefined if there is no limit. */
+    readonly claim: QuotaClaim | undefined;
     readonly startedAt: number;
     readonly deadlineAt: number;
     /** Upstreams that were tried, with the cost that this adds to them and the time until which it does. */
     readonly tried: Map<string, TriedUpstream>;
     readonly progress: StreamProgress;
-    /** Upstreams that may have run it. */
+    /** Upstreams that may have run it, and failed. */
     runs: number;
+    /** Whether any upstream may have run it. */
+    hasRun: boolean;
     rejections: number;
     attempts: number;
     waitedMs: number;
@@ -50,13 +57,17 @@
 }
 
 /** What a new job starts from. */
-export type JobStart = Pick<
-    Job,
-    "caller" | "demand" | "route" | "service" | "body" | "digest" | "startedAt" | "deadlineAt"
->;
+export type JobStart =
+    & Pick<
+        Job,
+        "caller" | "demand" | "route" | "service" | "body" | "digest" | "startedAt" | "deadlineAt"
+    >
+    & Partial<Pick<Job, "account" | "claim">>;
 
 export function createJob(start: JobStart): Job {
     return {
+        account: undefined,
+        claim: undefined,
         ...start,
         tried: new Map(),
         progress: {
@@ -67,6 +78,7 @@
             longestPauseMs: 0,
         },
         runs: 0,
+        hasRun: false,
         rejections: 0,
         attempts: 0,
         waitedMs: 0,
--- a/packages/node/src/messages.ts
+++ b/packages/node/src/messages.ts
@@ -36,6 +36,13 @@
 /** A process of a VM that handed its shards over. */
 const giverSchema = z.object({ vm: z.string(), incarnation: z.number() });
 
+/** See `QuotaVerdict` in quota.ts. */
+const quotaVerdictSchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("granted"), balance: z.number() }),
+    z.object({ kind: z.literal("refused"), balance: z.number(), waitMs: z.number().optional() }),
+    z.object({ kind: z.literal("unsure") }),
+]);
+
 /** What VMs tell each other. */
 export const peerMessageSchema = z.discriminatedUnion("type", [
     /** VMs that the sender knows. Sent when a link opens. */
@@ -120,6 +127,27 @@
     z.object({ type: z.literal("permitAnswer"), request: z.string(), ticket: z.number(), mayRun: z.boolean() }),
     /** To the referee: the run is over, and what it ended has been told. */
     z.object({ type: z.literal("releasePermit"), request: z.string(), ticket: z.number() }),
+    /** Asks as of when the receiver knows the newest configuration. The sender has the one of this position. */
+    z.object({ type: z.literal("confirmQuery"), query: z.number(), position }),
+    /**
+     * Answer to a query: the configuration of this position was the newest so long before the answer, in milliseconds. A
+     * sender whose own one was older has been sent it before.
+     */
+    z.object({ type: z.literal("confirmation"), query: z.number(), position, ageMs: z.number().nonnegative() }),
+    /** The sender leases its share of the quotas of these groups of accounts to the receiver, and of no others. */
+    z.object({ type: z.literal("leaseShare"), groups: z.array(z.number().int().nonnegative()) }),
+    /** To the coordinator of a group of accounts: a request asks for a part of its account's quota. */
+    z.object({
+        type: z.literal("claimQuota"),
+        ticket: z.number(),
+        account: z.string(),
+        limit: z.object({ perSecond: z.number().positive(), burst: z.number().nonnegative() }),
+        cost: z.number().nonnegative(),
+    }),
+    /** From the coordinator. */
+    z.object({ type: z.literal("quotaAnswer"), ticket: z.number(), verdict: quotaVerdictSchema }),
+    /** To the coordinator: a request that was granted its cost has not run. */
+    z.object({ type: z.literal("returnQuota"), account: z.string(), cost: z.number().nonnegative() }),
     /** The sender is stopping and will take no part any more. */
     z.object({ type: z.literal("leaving") }),
 ]);
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -1,10 +1,17 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { AccountVerdict } from "./accounts/index.js";
 import type { RefusalReason } from "./caller.js";
 import type { ClaimEvent } from "./owning.js";
 
 /** Bounds of how late timers come, in seconds: requests of the shortest aim have some 0.12 s. */
 const lagBuckets = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1];
 
+/** Accounts that have a label of their own; the requests of all others are counted together. */
+const maxAccountLabels = 50;
+
+/** Label of requests whose account is not known, or has no label of its own. */
+const otherAccount = "other";
+
 /** Metrics of `radishreel-node`. */
 export class NodeMetrics {
     readonly registry = new Registry();
@@ -76,6 +83,18 @@
         help: "Such requests that were forgotten for want of room since the start",
         registers: [this.registry],
     });
+    private readonly accounts = new Counter({
+        name: "radishreel_node_account_requests_total",
+        help: "Requests of client accounts, by account and by what became of them when they came",
+        labelNames: ["account", "verdict"] as const,
+        registers: [this.registry],
+    });
+    private readonly accountLabels = new Set<string>();
+    private readonly configurationAge = new Gauge({
+        name: "radishreel_node_configuration_age_seconds",
+        help: "Time since the configuration in force was known to be the newest",
+        registers: [this.registry],
+    });
     private readonly lag = new Histogram({
         name: "radishreel_node_timer_lag_seconds",
         help: "How late the timer of regular checks came",
@@ -96,6 +115,26 @@
         });
     }
 
+    recordAccount(account: string | undefined, verdict: AccountVerdict): void {
+        this.accounts.inc({ account: this.readAccountLabel(account), verdict });
+    }
+
+    /** @param ageMs In milliseconds; infinite before the first word of it. */
+    setConfigurationAge(ageMs: number): void {
+        this.configurationAge.set(ageMs / 1000);
+    }
+
+    private readAccountLabel(account: string | undefined): string {
+        if (account === undefined) {
+            return otherAccount;
+        }
+        if (!this.accountLabels.has(account) && this.accountLabels.size >= maxAccountLabels) {
+            return otherAccount;
+        }
+        this.accountLabels.add(account);
+        return account;
+    }
+
     recordRefusal(reason: RefusalReason): void {
         this.refusals.inc({ reason });
     }
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -10,20 +10,35 @@
 /** Header names and values in turn, as they were sent. */
 export type RawHeaders = readonly string[];
 
+/** The key that a caller sent, by which its account is known. It must reach no upstream and no log. */
+export type CallerKey =
+    | { readonly kind: "missing"; }
+    /** Sent in another form than the one that is taken. */
+    | { readonly kind: "malformed"; }
+    | { readonly kind: "key"; readonly key: string; };
+
 /** What a caller's headers ask for. */
 export interface CallerDemand {
     /** Names one attempt of the caller; upstreams echo it. */
     readonly requestId: string | undefined;
-    /** The caller's credentials as they were sent; undefined where the platform has none. */
-    readonly account?: string | undefined;
+    /** @default missing */
+    readonly key?: CallerKey | undefined;
     /** How long the caller waits, in milliseconds. */
     readonly budgetMs: number | undefined;
     /** Set for requests to model engines. */
     readonly model: ModelDemand | undefined;
+    /** Tokens that the request counts against a quota; undefined if it tells none. */
+    readonly tokens?: number | undefined;
     /** Last event of a stream that the caller resumes. */
     readonly lastEventId: string | undefined;
 }
 
+/** Whose request it is, as an upstream is told. */
+export interface CallerIdentity {
+    /** Name of the account; undefined on a route that is public. */
+    readonly account: string | undefined;
+}
+
 /** How one attempt is sent. */
 export interface SendOptions {
     /** Name of the upstream that must answer; any other refuses. */
@@ -36,6 +51,8 @@
     readonly lastEventId: string | undefined;
     /** Urgency, 0 is first; undefined leaves the upstream's default. */
     readonly priority: number | undefined;
+    /** Undefined where there are no accounts, and callers' keys are none of this program's. */
+    readonly identity?: CallerIdentity | undefined;
 }
 
 /** What the head of an upstream's answer says. */
@@ -115,6 +132,11 @@
     receiveUpstreamList(names: ReadonlySet<string>, position: number): void;
     /** Reports of upstreams that have ended, of any VM. */
     receiveCrashReports(reports: readonly CrashReport[]): void;
+    /**
+     * The newest configuration that the store holds has been passed on.
+     * @param asOf When it was the newest for certain, in boot time.
+     */
+    receiveConfirmed(asOf: number): void;
     /** All members that the store lists have been passed on. Called once. */
     receiveMembersRead(): void;
     receiveReachable(isReachable: boolean, detail: string): void;
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,33 +1,26 @@
-import { type AdmissionAnswer, type CrashReport, type EngineNews, FleetView, RetryBudget } from "@radishreel/fleet";
-import type { ListenAddress } from "@radishreel/wire";
+import { type AdmissionAnswer, type CrashReport, type EngineNews, FleetView } from "@radishreel/fleet";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import { createMachine, interpret, state, transition } from "robot3";
+import { AccountGuard } from "./accounts/index.js";
 import { type AdmissionMessage, Admissions } from "./admissions.js";
+import { RetryBudgets } from "./budgets.js";
 import type { CallerExchange } from "./caller.js";
-import { readNow } from "./clock.js";
+import { BootClock, readNow } from "./clock.js";
 import { ClusterState } from "./cluster.js";
 import { ConnectionPool } from "./connections.js";
 import { CrashGuard } from "./crashes/index.js";
-import { DecisionLog, type LineSink } from "./decisions.js";
+import { DecisionLog } from "./decisions.js";
 import { HubWatch } from "./hub.js";
 import { IsolationWatch } from "./isolation.js";
 import { formatAddress, startCallers, startReadiness } from "./listeners.js";
 import type { PeerMessage } from "./messages.js";
 import { NodeMetrics } from "./metrics.js";
+import { type NodeOptions, usualAccountBounds } from "./options.js";
 import { type Handover, Owning } from "./owning.js";
 import { Peers } from "./peers.js";
-import type {
-    ClusterChange,
-    ClusterReceiver,
-    ClusterStore,
-    EngineOrders,
-    Member,
-    RequestDialect,
-    ShardClaims,
-    UnreadableRecord,
-} from "./ports.js";
+import type { ClusterChange, ClusterReceiver, Member, UnreadableRecord } from "./ports.js";
 import { PressureWatch } from "./pressure.js";
 import { Serving } from "./serving.js";
 import { ChangeSharing } from "./sharing.js";
@@ -64,43 +57,6 @@
     stopped: state(),
 });
 
-/** Settings of {@link NodeProgram}. */
-export interface NodeSettings {
-    /** Name of this VM; it stays over restarts. */
-    readonly vm: string;
-    readonly dataCentre: string;
-    readonly callers: ListenAddress;
-    readonly readiness: ListenAddress;
-    readonly readinessPath: string;
-    readonly peers: ListenAddress;
-    /** Addresses of some other VMs' listeners for peers. */
-    readonly seeds: readonly string[];
-    /** Shared by all VMs of one deployment. */
-    readonly secret: string;
-    readonly retryRatio: number;
-    readonly retrySlack: number;
-    readonly retryWindowMs: number;
-    readonly turnMs: number;
-    /** Whether all VMs start for the first time. @default false */
-    readonly isFirstStart?: boolean;
-    /** Time between the request to stop and the end of the process, in milliseconds. */
-    readonly graceMs: number;
-    /** Pause between two reads of the entries of upstreams, in milliseconds. @default 300 */
-    readonly entriesPauseMs?: number;
-    /** How long requests wait for a process that has just started to read routes and upstreams, in milliseconds. @default 300 */
-    readonly startWaitMs?: number;
-}
-
-/** What a {@link NodeProgram} is built from. */
-export interface NodeOptions {
-    readonly settings: NodeSettings;
-    readonly store: ClusterStore;
-    readonly claims: ShardClaims;
-    readonly orders: EngineOrders;
-    readonly dialect: RequestDialect;
-    readonly sink: LineSink;
-}
-
 /** One VM's data path and control path. */
 export class NodeProgram implements ClusterReceiver {
     private readonly life = interpret(programMachine, () => {});
@@ -115,12 +71,14 @@
     private readonly callerServer: Server;
     private readonly readinessServer = createServer();
     private readonly timers: NodeJS.Timeout[] = [];
-    private readonly budgets = new Map<string, RetryBudget>();
+    private readonly budgets: RetryBudgets;
     private readonly sharing: ChangeSharing;
     private readonly isolation = new IsolationWatch();
     private readonly hub = new HubWatch({ startedAt: readNow() });
     private readonly pressure: PressureWatch;
     private readonly admissions: Admissions;
+    private readonly bootClock: BootClock;
+    private readonly accounts: AccountGuard;
     /** Tells this process from others of the same VM. */
     private readonly incarnation = Date.now();
     private owning: Owning | undefined;
@@ -138,6 +96,11 @@
             intervalMs: housekeepingMs,
             onLag: ms => this.metrics.recordLag(ms),
         });
+        this.budgets = new RetryBudgets({
+            ratio: settings.retryRatio,
+            slack: settings.retrySlack,
+            windowMs: settings.retryWindowMs,
+        });
         this.view = new FleetView();
         this.cluster = new ClusterState({
             view: this.view,
@@ -149,6 +112,8 @@
             onMember: member => this.receiveMember(member),
         });
         this.guard = this.createGuard();
+        this.bootClock = options.bootClock ?? new BootClock();
+        this.accounts = this.createAccounts();
         this.admissions = new Admissions({ readTime: readNow, send: (vm, message) => this.sendAdmission(vm, message) });
         this.serving = this.createServing();
         this.peers = this.createPeers();
@@ -285,6 +250,10 @@
         }
     }
 
+    receiveConfirmed(asOf: number): void {
+        this.accounts.recordConfirmed(asOf);
+    }
+
     receiveMembersRead(): void {
         this.hasReadMembers = true;
         this.log.recordImportant("past", { ...this.past });
@@ -335,7 +304,7 @@
             dataCentre: settings.dataCentre,
             view: this.view,
             cluster: this.cluster,
-            budgets: service => this.findBudget(service),
+            budgets: service => this.budgets.read(service),
             countVms: () => Math.max(minVms, this.peers.countLikely() + 1),
             dialect,
             pool: this.pool,
@@ -343,6 +312,7 @@
             readTime: readNow,
             admissions: this.admissions,
             guard: this.guard,
+            accounts: this.accounts,
             isLinked: vm => vm === settings.vm || this.peers.isConnected(vm),
             sendPreparation: ({ engine, want }) => this.sendToOwner(engine, { type: "prepare", engine, want }),
             sendMissing: (engine, key) => this.sendToOwner(engine, { type: "missing", engine, key }),
@@ -365,13 +335,41 @@
             readTime: readNow,
             send: (vm, message) => this.sendToVm(vm, message),
             broadcast: message => this.peers.broadcast(message),
-            listLinked: () => this.peers.listHeirs(),
-            isMesh: () => this.peers.isMesh,
+            listReferees: () => this.listCoordinators(),
             onChange: () => this.serving.receiveChange(),
             onUpstreamEnd: service => this.metrics.recordUpstreamEnd(service),
         });
     }
 
+    private createAccounts(): AccountGuard {
+        const { settings, store } = this.options;
+        return new AccountGuard({
+            vm: settings.vm,
+            bounds: settings.accounts ?? usualAccountBounds,
+            cluster: this.cluster,
+            readBoot: () => this.bootClock.read(),
+            isReading: () => store.isReading,
+            listConfirmers: () => this.sharing.listConfirmers(),
+            listCoordinators: () => this.listCoordinators().filter(vm => this.admissions.isResponsive(vm)),
+            countVms: () => this.peers.countLikely() + 1,
+            send: (vm, message) => this.peers.send(vm, message),
+            onVerdict: (account, verdict) => this.metrics.recordAccount(account, verdict),
+        });
+    }
+
+    /**
+     * VMs that can coordinate something for all VMs: among few VMs any of them; beyond that owners of engines, to which all
+     * are linked.
+     */
+    private listCoordinators(): string[] {
+        const known = [this.options.settings.vm, ...this.peers.listHeirs()];
+        if (this.peers.isMesh) {
+            return known;
+        }
+        const owners = new Set(this.view.listUpstreams().map(({ owner }) => owner));
+        return known.filter(vm => owners.has(vm));
+    }
+
     private createPeers(): Peers {
         const { settings } = this.options;
         return new Peers({
@@ -412,6 +410,7 @@
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
             sendQuery: query => this.peers.broadcast({ type: "claimQuery", ...query, givers: [...query.givers] }),
             incarnation: this.incarnation,
+            bootClock: this.bootClock,
             readIncarnation: vm => this.peers.findIncarnation(vm),
             sendHandover: handover => this.sendHandover(handover),
             countOthers: () => this.peers.countLikely(),
@@ -477,6 +476,14 @@
             case "releasePermit":
                 this.guard.receiveMessage(vm, message);
                 return;
+            case "confirmQuery":
+            case "confirmation":
+            case "leaseShare":
+            case "claimQuota":
+            case "quotaAnswer":
+            case "returnQuota":
+                this.accounts.receiveMessage(vm, message);
+                return;
             case "positions":
                 this.sharing.receivePositions(
                     vm,
@@ -557,6 +564,7 @@
         this.view.removeVm(vm);
         this.admissions.removeOwner(vm);
         this.guard.removeVm(vm);
+        this.accounts.removeVm(vm);
         this.serving.receiveChange();
     }
 
@@ -629,6 +637,8 @@
         this.peers.expireUnused();
         this.guard.expireOld();
         this.metrics.setSuspects(this.guard.requestCount, this.guard.droppedCount);
+        this.accounts.update();
+        this.metrics.setConfigurationAge(this.accounts.configurationAgeMs);
         this.owning?.update();
         this.peers.setHub(this.hub.update(this.owning?.engines.hasAny ?? false, readNow()));
         this.sharing.update();
@@ -650,17 +660,6 @@
         }
     }
 
-    private findBudget(service: string): RetryBudget {
-        const { settings } = this.options;
-        const budget = this.budgets.get(service) ?? new RetryBudget({
-            ratio: settings.retryRatio,
-            slack: settings.retrySlack,
-            windowMs: settings.retryWindowMs,
-        });
-        this.budgets.set(service, budget);
-        return budget;
-    }
-
     private async runStop(): Promise<void> {
         const stoppedAt = readNow();
         const { graceMs } = this.options.settings;
--- a/packages/node/src/readers.ts
+++ b/packages/node/src/readers.ts
@@ -41,12 +41,21 @@
         this.states.delete(vm);
     }
 
+    /** VMs that read the store and reach it, in any data centre. */
+    listReaders(now: number): string[] {
+        return [...this.states].filter(([, state]) => state.canRead && this.isFresh(state, now)).map(([vm]) => vm);
+    }
+
+    private isFresh({ heardAt }: ReaderState, now: number): boolean {
+        return now - heardAt <= readerLifePauses * (this.options.entriesPauseMs ?? usualEntriesPauseMs);
+    }
+
     /** The VM that reads for this one; undefined if this one must read by itself. */
     findReader(now: number): string | undefined {
-        const { vm: self, dataCentre: own, entriesPauseMs = usualEntriesPauseMs } = this.options;
+        const { vm: self, dataCentre: own } = this.options;
         let first: string | undefined;
-        for (const [vm, { dataCentre, canRead, heardAt }] of this.states) {
-            const isReader = canRead && dataCentre === own && now - heardAt <= readerLifePauses * entriesPauseMs;
+        for (const [vm, state] of this.states) {
+            const isReader = state.canRead && state.dataCentre === own && this.isFresh(state, now);
             if (isReader && vm < (first ?? self)) {
                 first = vm;
             }
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/serving.ts
@@ -9,7 +9,8 @@
     type UpstreamChoice,
     type UpstreamState,
 } from "@radishreel/fleet";
-import { chooseTarget, isIdempotent } from "@radishreel/routing";
+import { chooseTarget, isIdempotent, readPriority } from "@radishreel/routing";
+import type { AccountGuard, QuotaClaim } from "./accounts/index.js";
 import type { Admissions } from "./admissions.js";
 import { Attempt, type AttemptEnd, createBodyHeaders } from "./attempt.js";
 import type { CallerExchange, OwnAnswer, RefusalReason } from "./caller.js";
@@ -79,6 +80,7 @@
     readonly readTime: () => number;
     readonly admissions: Admissions;
     readonly guard: CrashGuard;
+    readonly accounts: AccountGuard;
     /** Whether messages reach a VM. */
     readonly isLinked: (vm: string) => boolean;
     readonly sendPreparation: (preparation: Preparation) => void;
@@ -162,11 +164,15 @@
             this.refuse(caller, demand, { status: 503, reason: "unknownService", retryAfterSeconds });
             return;
         }
-        const body = await caller.readBody(table.routing.limits.maxBodyBytes);
+        const known = await this.options.accounts.resolveAccount(route, demand);
+        if (known.isErr()) {
+            this.refuse(caller, demand, known.error);
+            return;
+        }
+        const account = known.value;
+        const claim = this.options.accounts.createClaim(account, demand);
+        const body = await this.readClaimed(caller, demand, claim, table.routing.limits.maxBodyBytes);
         if (body === undefined) {
-            if (!caller.hasLeft) {
-                this.refuse(caller, demand, { status: 413, reason: "bodyTooLarge" });
-            }
             return;
         }
         this.options.budgets(service.name).recordRequest(startedAt);
@@ -181,14 +187,42 @@
                 method: caller.method,
                 host: caller.host,
                 path: caller.path,
-                account: demand.account,
+                account: account?.name ?? (demand.key?.kind === "key" ? demand.key.key : undefined),
                 body,
             }),
+            account,
+            claim,
             startedAt,
             deadlineAt: startedAt + timeMs,
         }));
     }
 
+    /** Reads the body while the request's cost is claimed; undefined if the caller has left or been refused. */
+    private async readClaimed(
+        caller: CallerExchange,
+        demand: CallerDemand,
+        claim: QuotaClaim | undefined,
+        maxBytes: number,
+    ): Promise<Buffer | undefined> {
+        const { accounts } = this.options;
+        const [body, refusal] = await Promise.all([caller.readBody(maxBytes), accounts.claimQuota(claim)]);
+        if (refusal === undefined && (body === undefined || caller.hasLeft)) {
+            accounts.releaseQuota(claim);
+        }
+        if (caller.hasLeft) {
+            return undefined;
+        }
+        if (body === undefined) {
+            this.refuse(caller, demand, { status: 413, reason: "bodyTooLarge" });
+            return undefined;
+        }
+        if (refusal !== undefined) {
+            this.refuse(caller, demand, refusal);
+            return undefined;
+        }
+        return body;
+    }
+
     /** Holds the first requests of a process until it has read what it needs. */
     private async waitForStart(since: number): Promise<void> {
         const { cluster, readTime, startWaitMs = usualStartWaitMs } = this.options;
@@ -197,13 +231,16 @@
         }
     }
 
-    /** Runs a request, and gives up the permit that it has if it came under suspicion. */
+    /** Runs a request, and gives up what it was granted: its permit if it came under suspicion, its cost if it has not run. */
     private async runReleasing(job: Job): Promise<void> {
         try {
             await this.runJob(job);
         }
         finally {
             this.options.guard.endPermit(job);
+            if (!job.hasRun) {
+                this.options.accounts.releaseQuota(job.claim);
+            }
         }
     }
 
@@ -230,6 +267,7 @@
                 return;
             }
             last = await this.runAttempt(job, ready);
+            job.hasRun ||= last.kind !== "notRun";
             guard.endPermit(job);
             if (last.kind === "complete" || last.kind === "callerLeft") {
                 this.recordEnd(job, last.kind, choice);
@@ -252,8 +290,8 @@
 
     /** Whether what is known by now of a request lets it run. */
     private mayRun(job: Job): boolean {
-        const { guard } = this.options;
-        return !guard.isRefused(job) && !guard.isHeld(job);
+        const { guard, accounts } = this.options;
+        return !guard.isRefused(job) && !guard.isHeld(job) && accounts.findRefusal(job) === undefined;
     }
 
     private claimRepeat(job: Job): boolean {
@@ -277,6 +315,7 @@
         const sentAt = readTime();
         const { upstream, health, leavingSince } = choice.state;
         const load = this.addLoad(job, choice);
+        const identity = this.options.accounts.findIdentity(job);
         let begunAt: number | undefined;
         job.attempts += 1;
         const attempt = new Attempt({
@@ -294,7 +333,8 @@
                 budgetMs: Math.max(1, Math.floor(job.deadlineAt - sentAt)),
                 version: choice.version === 0 ? undefined : choice.version,
                 lastEventId: job.progress.lastEventId,
-                priority: job.service.engine === undefined ? undefined : Math.min(9, job.route.priority),
+                priority: this.readPriority(job),
+                identity,
             },
             isFresh: !isIdempotent(job.route),
             progress: job.progress,
@@ -302,7 +342,7 @@
             // The last look at what the choice was made by: it may be news by the time that the connection is open.
             checkBeforeSend: () =>
                 !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)
-                && this.mayRun(job),
+                && this.mayRun(job) && this.options.accounts.hasIdentity(job, identity),
             onBegin: () => {
                 begunAt = readTime();
                 load.begin();
@@ -332,6 +372,11 @@
         return end;
     }
 
+    /** Urgency of a request at an engine; servers know none. */
+    private readPriority({ service, route, account }: Job): number | undefined {
+        return service.engine === undefined ? undefined : readPriority(route.priority, account?.priority);
+    }
+
     private createAttemptTimes(
         job: Job,
         choice: UpstreamChoice,
@@ -436,7 +481,7 @@
     }
 
     private createRefusal(job: Job, last: AttemptEnd | undefined, reason?: RefusalReason): OwnAnswer {
-        const refusal = this.options.guard.findRefusal(job);
+        const refusal = this.options.guard.findRefusal(job) ?? this.options.accounts.findRefusal(job);
         if (refusal !== undefined) {
             return refusal;
         }
@@ -475,6 +520,8 @@
         this.options.log.record("served", {
             request: job.demand.requestId,
             route: job.route.name,
+            account: job.account?.name,
+            cost: job.claim?.cost,
             upstream: choice.state.upstream.id,
             end: kind,
             ms: Math.round(this.options.readTime() - job.startedAt),
--- a/packages/node/src/sharing.ts
+++ b/packages/node/src/sharing.ts
@@ -30,6 +30,9 @@
  */
 const tellingsNear = 2;
 
+/** VMs that are asked at once whether a configuration is the newest, where no VM reads for the own one. */
+const maxConfirmers = 2;
+
 /** Options of {@link ChangeSharing}. */
 export interface ChangeSharingOptions {
     readonly vm: string;
@@ -135,6 +138,21 @@
         this.update();
     }
 
+    /**
+     * VMs that may know whether a configuration is the newest: the one that reads for this VM, or else others that read, or
+     * any that are linked.
+     */
+    listConfirmers(): string[] {
+        const now = this.options.readTime();
+        const reader = this.readers.findReader(now);
+        if (reader !== undefined) {
+            return [reader];
+        }
+        const linked = this.options.listLinked();
+        const readers = this.readers.listReaders(now).filter(vm => linked.includes(vm));
+        return listAny(readers.length > 0 ? readers : linked, maxConfirmers);
+    }
+
     /** Looks again at who reads, and tells how far this VM has read if it does. */
     update(): void {
         const { cluster, store } = this.options;
@@ -233,3 +251,9 @@
         }
     }
 }
+
+/** Some of these VMs, others each time, so that one that does not answer is not asked alone for long. */
+function listAny(vms: readonly string[], count: number): string[] {
+    const start = Math.floor(Math.random() * vms.length);
+    return [...vms.slice(start), ...vms.slice(0, start)].slice(0, count);
+}
--- /dev/null
+++ b/packages/node/test/accountworld.ts
@@ -0,0 +1,477 @@
+import { FleetView } from "@radishreel/fleet";
+import type { Account, Route, Routing } from "@radishreel/routing";
+import * as assert from "uvu/assert";
+import { type AccountBounds, AccountGuard, type AccountMessage } from "../src/accounts/index.js";
+import { BootClock, type Timers } from "../src/clock.js";
+import { ClusterState } from "../src/cluster.js";
+import type { PeerMessage } from "../src/messages.js";
+import type { CallerDemand, ClusterChange } from "../src/ports.js";
+import { createSilentLog } from "./fixtures.js";
+import { Schedule } from "./schedule.js";
+
+/** Time for which a read of the configuration waits, for which one is given up, and between two of them. */
+const readWaitMs = 1000;
+const answerTimeoutMs = 700;
+const readPauseMs = 60;
+
+const storeDelayMs = 2;
+const linkDelayMs = 2;
+const linkSilenceMs = 6000;
+const linkBackoffMs = 500;
+const housekeepingMs = 250;
+
+/** Bounds as an operator sets them. */
+export const bounds: AccountBounds = {
+    isRevocationStrict: true,
+    revocationMs: 5000,
+    configurationMs: 3000,
+    quota: { windowMs: 8000, overage: 0.1, slack: 110_000 },
+};
+
+const route: Route = {
+    name: "r",
+    host: "h",
+    pathPrefix: "/",
+    kind: "safe",
+    targets: [{ service: "s", weight: 1 }],
+    timeoutMs: 5000,
+    aimMs: 100,
+    priority: 0,
+    maxAttempts: 1,
+    isResumable: false,
+};
+
+/** A version of the configuration, and when the store said that it has it. */
+interface AckedVersion {
+    readonly routing: Routing;
+    readonly position: number;
+    readonly ackedAt: number;
+}
+
+/** A request that reached an upstream. */
+export interface ArrivedRequest {
+    readonly vm: string;
+    readonly key: string;
+    readonly account: string;
+    readonly cost: number;
+    /** When its caller sent it. */
+    readonly sentAt: number;
+    readonly arrivedAt: number;
+}
+
+/** A request that was refused. */
+export interface RefusedRequest {
+    readonly vm: string;
+    readonly key: string;
+    readonly cost: number;
+    readonly status: number;
+    readonly reason: string;
+    readonly at: number;
+}
+
+/** One process of a VM, with what it knows of accounts. */
+class AccountVm {
+    isAlive = true;
+    frozenUntil = 0;
+    private frozenMs = 0;
+    readonly cluster: ClusterState;
+    readonly guard: AccountGuard;
+    private readonly bootClock: BootClock;
+
+    constructor(readonly world: AccountWorld, readonly vm: string) {
+        const { schedule } = world;
+        const readSteady = (): number => schedule.now - this.frozenMs;
+        this.bootClock = new BootClock({ readSteady, readWall: () => schedule.now });
+        this.cluster = new ClusterState({
+            view: new FleetView(),
+            log: createSilentLog(readSteady),
+            readTime: readSteady,
+            onChange: () => {},
+            onUpstreamGone: () => {},
+            onMember: () => {},
+        });
+        this.guard = new AccountGuard({
+            vm,
+            bounds,
+            cluster: this.cluster,
+            readBoot: () => this.bootClock.read(),
+            isReading: () => world.isReader(vm),
+            listConfirmers: () => world.listConfirmers(vm),
+            listCoordinators: () => [vm, ...world.listLinked(vm)],
+            countVms: () => world.vms.length,
+            send: (to, message) => world.send(this, to, message),
+            onVerdict: () => {},
+            timers: this.createTimers(),
+        });
+        this.runHousekeeping();
+        void this.follow();
+    }
+
+    pause(ms: number): void {
+        this.frozenUntil = this.world.schedule.now + ms;
+        this.frozenMs += ms;
+    }
+
+    /** Runs something in this process: now, or when it runs on. */
+    schedule(run: () => void): void {
+        const waitMs = this.frozenUntil - this.world.schedule.now;
+        if (waitMs > 0) {
+            this.world.schedule.add(waitMs, () => this.schedule(run));
+        }
+        else if (this.isAlive) {
+            run();
+        }
+    }
+
+    wait(ms: number): Promise<void> {
+        return new Promise(resolve => this.world.schedule.add(ms, () => this.schedule(resolve)));
+    }
+
+    receive(from: string, message: PeerMessage): void {
+        if (message.type === "changes") {
+            this.cluster.applyChanges(message.changes, from);
+            return;
+        }
+        this.guard.receiveMessage(from, message as AccountMessage);
+    }
+
+    /** Serves a request: it waits in a queue between the look at its account and its send. */
+    async serve(key: string, cost: number, queueMs: number): Promise<void> {
+        const { world } = this;
+        const sentAt = world.schedule.now;
+        const demand: CallerDemand = {
+            requestId: "r",
+            key: { kind: "key", key },
+            budgetMs: undefined,
+            model: undefined,
+            tokens: cost,
+            lastEventId: undefined,
+        };
+        const record = (status: number, reason: string): number =>
+            world.refused.push({ vm: this.vm, key, cost, status, reason, at: world.schedule.now });
+        if (this.cluster.routes === undefined) {
+            record(503, "noConfiguration");
+            return;
+        }
+        const found = await this.guard.resolveAccount(route, demand);
+        if (found.isErr()) {
+            record(found.error.status, found.error.reason);
+            return;
+        }
+        const claim = this.guard.createClaim(found.value, demand);
+        const refusal = await this.guard.claimQuota(claim);
+        if (refusal !== undefined) {
+            record(refusal.status, refusal.reason);
+            return;
+        }
+        const request = { route, demand, runs: 0 };
+        const identity = this.guard.findIdentity(request);
+        await this.wait(queueMs);
+        if (this.guard.findRefusal(request) === undefined && this.guard.hasIdentity(request, identity)) {
+            const arrivedAt = world.schedule.now;
+            const account = identity?.account ?? "";
+            world.arrived.push({ vm: this.vm, key, account, cost, sentAt, arrivedAt });
+            return;
+        }
+        this.guard.releaseQuota(claim);
+        record(this.guard.findRefusal(request)?.status ?? 0, "withheld");
+    }
+
+    private runHousekeeping(): void {
+        this.guard.update();
+        this.world.schedule.add(housekeepingMs, () => this.schedule(() => this.runHousekeeping()));
+    }
+
+    /** Reads the configuration again and again, as long as this VM is a reader or knows none. */
+    private async follow(): Promise<void> {
+        const { world } = this;
+        let backoffMs = 100;
+        for (;;) {
+            if (this.cluster.routes !== undefined && !world.isReader(this.vm)) {
+                await this.wait(housekeepingMs);
+                continue;
+            }
+            const askedAt = this.bootClock.read();
+            const own = this.cluster.findRouting()?.position ?? -1;
+            const answer = await this.read(own);
+            if (answer === undefined) {
+                await this.wait(backoffMs);
+                backoffMs = Math.min(500, backoffMs * 2);
+                continue;
+            }
+            backoffMs = 100;
+            if (answer.changes.length > 0) {
+                this.cluster.applyChanges(answer.changes);
+                world.broadcast(this, { type: "changes", changes: [...answer.changes] });
+            }
+            const hasWaited = answer.changes.length === 0 && this.bootClock.read() - askedAt >= readWaitMs;
+            this.guard.recordConfirmed(hasWaited ? askedAt + readWaitMs : askedAt);
+            await this.wait(readPauseMs);
+        }
+    }
+
+    private async read(own: number): Promise<{ changes: readonly ClusterChange[]; } | undefined> {
+        const { world } = this;
+        const startedAt = world.schedule.now;
+        await this.wait(storeDelayMs);
+        for (;;) {
+            if (world.cutOff.has(this.vm)) {
+                await this.wait(Math.max(1, startedAt + readWaitMs + answerTimeoutMs - world.schedule.now));
+                return undefined;
+            }
+            const newest = world.versions.at(-1);
+            const isNew = newest !== undefined && newest.position > own;
+            if (isNew || world.schedule.now - startedAt >= readWaitMs) {
+                const changes: ClusterChange[] = isNew
+                    ? [{ kind: "routing", routing: newest.routing, position: newest.position }]
+                    : [];
+                await this.wait(storeDelayMs);
+                return { changes };
+            }
+            await this.wait(10);
+        }
+    }
+
+    private createTimers(): Timers {
+        return {
+            scheduleOnce: (run, waitMs) => {
+                let isCancelled = false;
+                this.world.schedule.add(waitMs, () =>
+                    this.schedule(() => {
+                        if (!isCancelled) {
+                            run();
+                        }
+                    }));
+                return {
+                    cancel: () => {
+                        isCancelled = true;
+                    },
+                };
+            },
+            scheduleEvery: () => {
+                throw new Error("no timer of accounts is repeated");
+            },
+        };
+    }
+}
+
+/** A path between two VMs. */
+interface Path {
+    cuts: number;
+    isCut: boolean;
+    isLinked: boolean;
+    held: (() => void)[];
+}
+
+/** VMs in data centres, the store, and the paths between them, in simulated time. */
+export class AccountWorld {
+    readonly schedule = new Schedule();
+    readonly lives = new Map<string, AccountVm>();
+    readonly versions: AckedVersion[] = [];
+    readonly arrived: ArrivedRequest[] = [];
+    readonly refused: RefusedRequest[] = [];
+    /** VMs whose calls do not reach the store. */
+    readonly cutOff = new Set<string>();
+    /** Whether VMs hear of a configuration only if they ask. */
+    losesBroadcasts = false;
+    private readonly paths = new Map<string, Path>();
+
+    constructor(readonly vms: readonly string[], private readonly readDataCentre: (vm: string) => string) {}
+
+    /** Starts all VMs, and lets balances fill. */
+    async start(accounts: readonly Account[]): Promise<void> {
+        this.setAccounts(accounts);
+        for (const vm of this.vms) {
+            this.startVm(vm);
+        }
+        await this.schedule.advance(5000);
+    }
+
+    startVm(vm: string): void {
+        this.kill(vm);
+        this.lives.set(vm, new AccountVm(this, vm));
+        for (const other of this.vms) {
+            this.findPath(vm, other).isLinked = other !== vm && !this.findPath(vm, other).isCut;
+        }
+    }
+
+    kill(vm: string): void {
+        const life = this.lives.get(vm);
+        if (life === undefined) {
+            return;
+        }
+        life.isAlive = false;
+        this.lives.delete(vm);
+        for (const other of this.vms) {
+            this.closeLink(vm, other);
+        }
+    }
+
+    /** The store takes a configuration with these accounts. */
+    setAccounts(accounts: readonly Account[]): void {
+        const position = this.versions.length;
+        const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+        const routing = { version: position, routes: [route], services: [], limits, accounts: [...accounts] };
+        this.versions.push({ routing, position, ackedAt: this.schedule.now });
+    }
+
+    /** The first VM of a data centre that is not cut off reads for the others. */
+    isReader(vm: string): boolean {
+        return this.findReader(vm) === vm || this.findReader(vm) === undefined;
+    }
+
+    listConfirmers(vm: string): string[] {
+        const reader = this.findReader(vm);
+        const linked = this.listLinked(vm);
+        if (reader !== undefined && reader !== vm && linked.includes(reader)) {
+            return [reader];
+        }
+        return linked.slice(-2);
+    }
+
+    private findReader(vm: string): string | undefined {
+        return this.vms.find(other =>
+            this.lives.has(other) && !this.cutOff.has(other) && this.readDataCentre(other) === this.readDataCentre(vm)
+        );
+    }
+
+    listLinked(vm: string): string[] {
+        return this.vms.filter(other => other !== vm && this.findPath(vm, other).isLinked && this.lives.has(other));
+    }
+
+    broadcast(from: AccountVm, message: PeerMessage): void {
+        if (this.losesBroadcasts) {
+            return;
+        }
+        for (const vm of this.listLinked(from.vm)) {
+            this.send(from, vm, message);
+        }
+    }
+
+    send(from: AccountVm, to: string, message: PeerMessage): boolean {
+        const path = this.findPath(from.vm, to);
+        const target = this.lives.get(to);
+        if (!path.isLinked || target === undefined) {
+            return false;
+        }
+        const deliver = (): void =>
+            this.schedule.add(linkDelayMs, () => target.schedule(() => target.receive(from.vm, message)));
+        if (path.isCut) {
+            path.held.push(deliver);
+        }
+        else {
+            deliver();
+        }
+        return true;
+    }
+
+    /** Cuts VMs off from the others, and from the store if `isFromStore`. */
+    closePaths(vms: readonly string[], isFromStore: boolean): void {
+        for (const vm of vms) {
+            for (const other of this.vms.filter(each => !vms.includes(each))) {
+                this.closePath(vm, other);
+            }
+            if (isFromStore) {
+                this.cutOff.add(vm);
+            }
+        }
+    }
+
+    openPaths(): void {
+        this.cutOff.clear();
+        for (const [key, path] of this.paths) {
+            if (path.isCut) {
+                path.isCut = false;
+                path.held.splice(0).forEach(deliver => deliver());
+                const [one, other] = key.split(" ") as [string, string];
+                this.schedule.add(linkBackoffMs, () => {
+                    path.isLinked = !path.isCut && this.lives.has(one) && this.lives.has(other);
+                });
+            }
+        }
+    }
+
+    private closePath(one: string, other: string): void {
+        const path = this.findPath(one, other);
+        path.isCut = true;
+        path.cuts += 1;
+        const { cuts } = path;
+        this.schedule.add(linkSilenceMs, () => {
+            if (path.isCut && path.cuts === cuts) {
+                this.closeLink(one, other);
+            }
+        });
+    }
+
+    private closeLink(one: string, other: string): void {
+        const path = this.findPath(one, other);
+        if (!path.isLinked) {
+            return;
+        }
+        path.isLinked = false;
+        path.held = [];
+        this.lives.get(one)?.schedule(() => this.lives.get(one)?.guard.removeVm(other));
+        this.lives.get(other)?.schedule(() => this.lives.get(other)?.guard.removeVm(one));
+    }
+
+    private findPath(one: string, other: string): Path {
+        const key = one < other ? `${one} ${other}` : `${other} ${one}`;
+        const path = this.paths.get(key) ?? { cuts: 0, isCut: false, isLinked: false, held: [] };
+        this.paths.set(key, path);
+        return path;
+    }
+
+    /** No request ran on a key that was withdrawn for longer than allowed, and each under the account that held its key. */
+    checkKeys(): void {
+        for (const request of this.arrived) {
+            const story = JSON.stringify(request);
+            // A key may also be added while its request waits.
+            const versions = this.listInForce(request.sentAt, request.arrivedAt, bounds.revocationMs);
+            const holders = versions.flatMap(({ routing }) => findHolder(routing, request.key));
+            assert.ok(holders.length > 0, `ran on a withdrawn key: ${story}`);
+            assert.ok(
+                holders.includes(request.account),
+                `ran for ${request.account}, not ${holders.join(", ")}: ${story}`,
+            );
+        }
+    }
+
+    /** Nobody was told that a key is unknown which each configuration holds that may have been in force. */
+    checkDenials(): void {
+        for (const { key, status, at } of this.refused.filter(refusal => refusal.status === 401)) {
+            const versions = this.listInForce(at, at, bounds.configurationMs);
+            const isHeldByAll = versions.every(({ routing }) => findHolder(routing, key).length > 0);
+            assert.not(isHeldByAll, `${status} for a key that all configurations hold, at ${at}`);
+        }
+    }
+
+    /** No account used more within any window than its limit and what the operator allows beyond it. */
+    checkQuotas(findLimit: (account: string) => { perSecond: number; burst: number; }): void {
+        const { windowMs, overage, slack } = bounds.quota;
+        const byAccount = new Map<string, ArrivedRequest[]>();
+        for (const request of this.arrived) {
+            byAccount.set(request.account, [...byAccount.get(request.account) ?? [], request]);
+        }
+        for (const [account, requests] of byAccount) {
+            const { perSecond, burst } = findLimit(account);
+            const most = (perSecond * windowMs / 1000 + burst) * (1 + overage) + slack;
+            for (const { sentAt } of requests) {
+                const within = requests.filter(each => each.sentAt >= sentAt && each.arrivedAt <= sentAt + windowMs);
+                const used = within.reduce((sum, { cost }) => sum + cost, 0);
+                assert.ok(used <= most, `${account} used ${used} of ${most} from ${sentAt} on`);
+            }
+        }
+    }
+
+    /** Versions that may have been in force between two moments: those replaced no longer than `ms` before the first. */
+    private listInForce(from: number, until: number, ms: number): AckedVersion[] {
+        return this.versions.filter((version, index) => {
+            const next = this.versions[index + 1];
+            return version.ackedAt <= until && (next === undefined || next.ackedAt + ms >= from);
+        });
+    }
+}
+
+function findHolder(routing: Routing, key: string): string[] {
+    return (routing.accounts ?? []).filter(({ keys }) => keys.includes(key)).map(({ name }) => name);
+}
--- a/packages/node/test/fixtures.ts
+++ b/packages/node/test/fixtures.ts
@@ -1,5 +1,7 @@
 import { type EngineNews, FleetView, noLoad, type Upstream } from "@radishreel/fleet";
 import type { Service } from "@radishreel/routing";
+import { type AccountBounds, AccountGuard, type AccountGuardOptions } from "../src/accounts/index.js";
+import type { ClusterState } from "../src/cluster.js";
 import { CrashGuard, type CrashGuardOptions, RequestDigest } from "../src/crashes/index.js";
 import { DecisionLog } from "../src/decisions.js";
 
@@ -25,14 +27,39 @@
         readTime,
         send: () => false,
         broadcast: () => {},
-        listLinked: () => [],
-        isMesh: () => true,
+        listReferees: () => ["v"],
         onChange: () => {},
         onUpstreamEnd: () => {},
         ...options,
     });
 }
 
+/** A guard of accounts whose VM knows of no other one, and that was confirmed to have the newest configuration just now. */
+export function createAccountGuard(cluster: ClusterState, options: Partial<AccountGuardOptions> = {}): AccountGuard {
+    const readBoot = (): number => performance.now();
+    const bounds: AccountBounds = {
+        isRevocationStrict: true,
+        revocationMs: 5000,
+        configurationMs: 3000,
+        quota: { windowMs: 8000, overage: 0.1, slack: 0 },
+    };
+    const guard = new AccountGuard({
+        vm: "v",
+        bounds,
+        cluster,
+        readBoot,
+        isReading: () => true,
+        listConfirmers: () => [],
+        listCoordinators: () => ["v"],
+        countVms: () => 1,
+        send: () => false,
+        onVerdict: () => {},
+        ...options,
+    });
+    guard.recordConfirmed(readBoot());
+    return guard;
+}
+
 /** An engine's entry. */
 export function createUpstream(id: string, upstream: Partial<Upstream> = {}): Upstream {
     return {
--- a/packages/node/test/leaving.test.ts
+++ b/packages/node/test/leaving.test.ts
@@ -35,7 +35,15 @@
 import { createJob, type Job } from "../src/job.js";
 import type { ClusterChange, RequestDialect } from "../src/ports.js";
 import { Serving } from "../src/serving.js";
-import { createDigest, createGuard, createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
+import {
+    createAccountGuard,
+    createDigest,
+    createGuard,
+    createNews,
+    createSilentLog,
+    createUpstream,
+    engineService,
+} from "./fixtures.js";
 
 const route: Route = {
     name: "r",
@@ -300,6 +308,7 @@
             readTime: readSteady,
             admissions: new Admissions({ readTime: readSteady, send: () => true }),
             guard: createGuard({ view, readTime: readSteady }),
+            accounts: createAccountGuard(cluster),
             isLinked: () => true,
             sendPreparation: () => {},
             sendMissing: () => {},
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -283,6 +283,78 @@
         "const recordedPauseMs = 0;",
         "packages/fleet/dist/test/claims.test.js",
     ],
+    [
+        "node/dist/src/accounts/guard.js",
+        "bounds.isRevocationStrict && ageMs > bounds.revocationMs - sendMarginMs",
+        "false",
+        "packages/node/dist/test/accounts.test.js",
+    ],
+    [
+        "node/dist/src/clock.js",
+        "this.suspended += offset - this.offset;",
+        "",
+        "packages/node/dist/test/accounts.test.js",
+    ],
+    [
+        "node/dist/src/accounts/confirmations.js",
+        "this.recordConfirmed(sentAt - message.ageMs);",
+        "this.recordConfirmed(this.options.readBoot() - message.ageMs);",
+        "packages/node/dist/test/accounts.test.js",
+    ],
+    [
+        "node/dist/src/accounts/confirmations.js",
+        "message.position > own",
+        "false",
+        "packages/node/dist/test/accounts.test.js",
+    ],
+    [
+        "node/dist/src/accounts/guard.js",
+        "await this.confirmations.askOthers();",
+        "",
+        "packages/node/dist/test/accounts.test.js",
+    ],
+    [
+        "node/dist/src/accounts/guard.js",
+        "ageMs <= bounds.configurationMs",
+        "true",
+        "packages/node/dist/test/accounts.test.js",
+    ],
+    [
+        "fleet/dist/src/quota.js",
+        "held += until > now ? 1 : 0;",
+        "held += 1;",
+        "packages/node/dist/test/quotas.test.js",
+    ],
+    [
+        "fleet/dist/src/quota.js",
+        "this.updateBound(share);",
+        "",
+        "packages/node/dist/test/quotas.test.js",
+    ],
+    [
+        "node/dist/src/serving.js",
+        "&& accounts.findRefusal(job) === undefined",
+        "",
+        "platform/dist/test/accounts.test.js",
+    ],
+    [
+        "node/dist/src/serving.js",
+        "this.options.accounts.releaseQuota(job.claim);",
+        "",
+        "platform/dist/test/accounts.test.js",
+    ],
+    [
+        "../platform/dist/src/requests.js",
+        "identity !== undefined && name === keyHeader",
+        "false",
+        "platform/dist/test/accounts.test.js",
+    ],
+    [
+        "../platform/dist/src/requests.js",
+        "\"x-tenant\",",
+        "",
+        "platform/dist/test/accounts.test.js",
+    ],
 ];
 
 /** Longest run of one test file, in milliseconds: the quick ones of a package, and those across processes. */
