--- a/packages/node/test/leaving.test.ts
+++ b/packages/node/test/leaving.test.ts
@@ -12,38 +12,19 @@
  * Evidence: armor-partage, mix, seed 447410918071 on e327b8c broke the rule in each of three plays. With lines that tell how
  * long a leaving is known, two such requests were sent 2629 and 2614 ms after their VM had learned of it.
  */
-import {
-    type AdmissionAnswer,
-    FleetView,
-    KeptParts,
-    PauseThreshold,
-    RetryBudget,
-    type Upstream,
-} from "@radishreel/fleet";
-import type { Route, Routing } from "@radishreel/routing";
+import { type AdmissionAnswer, FleetView, KeptParts, PauseThreshold, type Upstream } from "@radishreel/fleet";
+import type { Route } from "@radishreel/routing";
 import { ok } from "neverthrow";
-import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { type AdmissionMessage, Admissions } from "../src/admissions.js";
-import { CallerExchange } from "../src/caller.js";
+import type { CallerExchange } from "../src/caller.js";
 import { UpstreamChooser } from "../src/choosing.js";
-import { ClusterState } from "../src/cluster.js";
-import { ConnectionPool, type UpstreamConnection } from "../src/connections.js";
 import { OwnedEngines } from "../src/engines.js";
 import { createJob, type Job } from "../src/job.js";
-import type { ClusterChange, RequestDialect } from "../src/ports.js";
-import { Serving } from "../src/serving.js";
-import {
-    createAccountGuard,
-    createDigest,
-    createGuard,
-    createNews,
-    createSilentLog,
-    createUpstream,
-    engineService,
-} from "./fixtures.js";
+import type { ClusterChange } from "../src/ports.js";
+import { createDigest, createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
+import { serveWhileChanging } from "./opening.js";
 
 const route: Route = {
     name: "r",
@@ -218,48 +199,6 @@
     assert.equal(orders, ["load a1"]);
 });
 
-/** A server that counts what reaches it. */
-async function startServer(onRequest: () => void): Promise<{ server: Server; address: string; }> {
-    const server = createServer((_request, response) => {
-        onRequest();
-        response.end("whole");
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
-}
-
-/** A pool that lets something happen while the first connection is opened. */
-class EventfulPool extends ConnectionPool {
-    private hasHappened = false;
-
-    constructor(private readonly onFirst: (upstreamId: string) => void) {
-        super();
-    }
-
-    override claim(upstreamId: string, address: string, isFresh: boolean, now: number): UpstreamConnection {
-        const connection = super.claim(upstreamId, address, isFresh, now);
-        if (!this.hasHappened) {
-            this.hasHappened = true;
-            this.onFirst(upstreamId);
-        }
-        return connection;
-    }
-}
-
-const plainDialect: RequestDialect = {
-    parseDemand: () => ({ requestId: "q", budgetMs: undefined, model: undefined, lastEventId: undefined }),
-    createHeaders: () => [],
-    parseAnswer: () => ({ requestId: "q", isNotRun: false, isMisdirected: false, isSigned: true }),
-    listAnswerHeaders: () => [],
-};
-
-const plainRouting: Routing = {
-    version: 1,
-    routes: [{ ...route, host: "127.0.0.1", kind: "unsafe", targets: [{ service: "desk", weight: 1 }] }],
-    services: [{ name: "desk", maxConnections: 10 }],
-    limits: { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
-};
-
 /** What a VM may learn of an upstream while it opens a connection to it. */
 const news: Record<string, (upstream: Upstream) => ClusterChange> = {
     leaves: upstream => ({ kind: "upstream", upstream: { ...upstream, isLeaving: true }, position: 9 }),
@@ -268,67 +207,8 @@
 
 for (const [what, createChange] of Object.entries(news)) {
     test(`nothing is written to an upstream that ${what} once its connection is open`, async () => {
-        const view = new FleetView();
-        const log = createSilentLog(readSteady);
-        let aheadMs = 0;
-        const cluster = new ClusterState({
-            view,
-            log,
-            readTime: () => readSteady() + aheadMs,
-            onChange: () => {},
-            onUpstreamGone: () => {},
-            onMember: () => {},
-        });
-        const reached: string[] = [];
-        const servers = await Promise.all(["s1", "s2"].map(id => startServer(() => reached.push(id))));
-        const upstreams = ["s1", "s2"].map((id, index) =>
-            createUpstream(id, { service: "desk", address: servers[index]!.address, models: [] })
-        );
-        cluster.applyChanges([
-            { kind: "routing", routing: plainRouting, position: 1 },
-            ...upstreams.map((upstream, index): ClusterChange => ({ kind: "upstream", upstream, position: index })),
-        ]);
-        cluster.setReachable(true);
-        // Long past any outage, so that a removal counts at once.
-        aheadMs = 10_000;
-        let first: string | undefined;
-        const pool = new EventfulPool(id => {
-            first = id;
-            cluster.applyChanges([createChange(upstreams.find(upstream => upstream.id === id)!)]);
-        });
-        const serving = new Serving({
-            dataCentre: "z",
-            view,
-            cluster,
-            budgets: () => new RetryBudget({ ratio: 0.2, slack: 100, windowMs: 10_000 }),
-            countVms: () => 1,
-            dialect: plainDialect,
-            pool,
-            log,
-            readTime: readSteady,
-            admissions: new Admissions({ readTime: readSteady, send: () => true }),
-            guard: createGuard({ view, readTime: readSteady }),
-            accounts: createAccountGuard(cluster),
-            isLinked: () => true,
-            sendPreparation: () => {},
-            sendMissing: () => {},
-            onRefusal: () => {},
-            onRetry: () => {},
-            onChoice: () => {},
-            onRedirect: () => {},
-        });
-        const front = createServer((request, response) => {
-            void serving.handle(new CallerExchange(request, response));
-        });
-        await new Promise<void>(resolve => front.listen(0, "127.0.0.1", resolve));
-        const answer = await fetch(`http://127.0.0.1:${(front.address() as AddressInfo).port}/`, { method: "POST" });
-        const text = await answer.text();
-        pool.close();
-        for (const { server } of [...servers, { server: front }]) {
-            server.close();
-            server.closeAllConnections();
-        }
-        assert.equal([answer.status, text], [200, "whole"]);
+        const { status, text, reached, first } = await serveWhileChanging({ createChange });
+        assert.equal([status, text], [200, "whole"]);
         assert.equal(reached, ["s1", "s2"].filter(id => id !== first));
     });
 }
--- /dev/null
+++ b/packages/node/test/withdrawal.test.ts
@@ -0,0 +1,31 @@
+import type { Account } from "@radishreel/routing";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { ClusterChange } from "../src/ports.js";
+import { plainRouting, serveWhileChanging } from "./opening.js";
+
+function createRouting(version: number, accounts: Account[]): ClusterChange {
+    return { kind: "routing", routing: { ...plainRouting, version, accounts }, position: version + 1 };
+}
+
+const routing = { ...plainRouting, accounts: [{ name: "one", keys: ["k"] }, { name: "two", keys: [] }] };
+
+test("nothing is written for a key that is withdrawn while the connection to an upstream is opened", async () => {
+    const { status, reached } = await serveWhileChanging({
+        routing,
+        createChange: () => createRouting(2, [{ name: "one", keys: [] }]),
+    });
+    assert.is(status, 401);
+    assert.equal(reached, []);
+});
+
+test("a key that moves to another account meanwhile is sent anew under that one", async () => {
+    const { status, accounts } = await serveWhileChanging({
+        routing,
+        createChange: () => createRouting(2, [{ name: "one", keys: [] }, { name: "two", keys: ["k"] }]),
+    });
+    assert.is(status, 200);
+    assert.equal(accounts, ["two"]);
+});
+
+test.run();
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -335,7 +335,13 @@
         "node/dist/src/serving.js",
         "&& accounts.findRefusal(job) === undefined",
         "",
-        "platform/dist/test/accounts.test.js",
+        "packages/node/dist/test/withdrawal.test.js",
+    ],
+    [
+        "node/dist/src/serving.js",
+        "&& this.options.accounts.hasIdentity(job, identity)",
+        "",
+        "packages/node/dist/test/withdrawal.test.js",
     ],
     [
         "node/dist/src/serving.js",
