Wait longer for a busy coordinator of quotas, renew shares with claims, and let accounts overdraw by what the operator allows

The next coordinator knows nothing before others turn to it, so a slow answer is now waited for beside it, up to 0.4 s, and only then is the share leased elsewhere. Balances may be overdrawn by 0.4 of what the operator allows beyond a quota in a window (overage and slack), where it was half of the slack alone.

--- a/packages/fleet/src/quota.ts
+++ b/packages/fleet/src/quota.ts
@@ -1,8 +1,8 @@
 /**
- * Part of the slack that an account may overdraw its quota by, so that single large requests and bursts right after a change
- * of coordinator run. The rest is left for requests that were granted and begin late.
+ * Part of what the operator allows beyond a quota that an account may overdraw its balance by: single large requests, and bursts right
+ * after a change of coordinator. The rest is left for shares that two coordinators hold for a moment, and requests that begin late.
  */
-const overdraftShare = 0.5;
+const overdraftShare = 0.4;
 
 /** A coordinator that holds at least this part of all shares can tell an account that it is over its limit. */
 const certainShare = 0.9;
@@ -115,7 +115,7 @@
         this.advance(now);
         const share = this.readShare(now);
         const balance = this.updateBalance(account, limit, share);
-        const overdraft = this.options.bounds.slack * overdraftShare * share;
+        const overdraft = this.readTolerance(limit) * overdraftShare * share;
         if (balance.amount + overdraft >= cost) {
             balance.amount -= cost;
             return { kind: "granted", balance: balance.amount };
@@ -150,6 +150,12 @@
         }
     }
 
+    /** What an account may use within a window beyond its quota. */
+    private readTolerance({ perSecond, burst }: QuotaLimit): number {
+        const { windowMs, overage, slack } = this.options.bounds;
+        return (perSecond * windowMs / 1000 + burst) * overage + slack;
+    }
+
     /** Whether the coordinator has held nearly all shares for as long as a spent burst takes to come back. */
     private isCertain({ perSecond, burst }: QuotaLimit): boolean {
         return this.certainSince !== undefined && this.filledSeconds - this.certainSince >= burst / perSecond;
--- a/packages/node/src/accounts/guard.ts
+++ b/packages/node/src/accounts/guard.ts
@@ -238,7 +238,7 @@
         const detail = { account, cost };
         return { status: 503, reason: "quotaUnknown", retryAfterSeconds: unsureRetrySeconds, detail };
     }
-    const detail = { account, cost, balance: Math.round(verdict.balance) };
+    const detail = { account, cost, balance: Math.round(verdict.balance), ...claim.limit };
     const retryAfterSeconds = verdict.waitMs === undefined ? undefined : verdict.waitMs / 1000;
     return { status: 429, reason: "quotaSpent", detail, ...(retryAfterSeconds !== undefined && { retryAfterSeconds }) };
 }
--- a/packages/node/src/accounts/quotas.ts
+++ b/packages/node/src/accounts/quotas.ts
@@ -16,15 +16,18 @@
  */
 const groupCount = 4;
 
-/** A coordinator that has not answered for this long is passed by, in milliseconds: answers take some 3 ms. */
-const answerTimeoutMs = 80;
+/**
+ * Once a coordinator has not answered for this long the next one is asked beside it, in milliseconds: answers take some 3 ms, and
+ * 0.1 s where a processor is busy. The next one only knows if others have turned to it as well.
+ */
+const slowAnswerMs = 80;
+
+/** A coordinator that has not answered for this long is passed by, in milliseconds: it is lost, or stands still. */
+const answerTimeoutMs = 400;
 
 /** How long a coordinator that did not answer is passed by, in milliseconds. */
 const silencePauseMs = 1000;
 
-/** Coordinators that one request asks at most. */
-const maxAsks = 2;
-
 /** Part of a lease after which it is renewed. */
 const renewShare = 0.5;
 
@@ -98,18 +101,45 @@
         }
     }
 
-    /** Claims a request's cost; the answer is unsure if no coordinator can be asked. */
+    /** Claims a request's cost; the answer is unsure if no coordinator can tell in time. */
     async claim(claim: QuotaClaim): Promise<QuotaVerdict> {
-        for (let asks = 0; asks < maxAsks; asks += 1) {
-            const vm = this.findCoordinator(claim.account);
-            const verdict = await this.ask(vm, claim);
-            if (verdict !== undefined) {
-                return verdict;
-            }
-            this.silentUntil.set(vm, this.options.readBoot() + silencePauseMs);
-            this.chooseCoordinators();
+        const first = this.findCoordinator(claim.account);
+        const answer = this.ask(first, claim);
+        const quick = await Promise.race([answer, this.wait(slowAnswerMs)]);
+        if (quick !== undefined) {
+            return quick;
+        }
+        const second = this.findOther(claim.account, first);
+        if (second === undefined) {
+            return await answer ?? { kind: "unsure" };
         }
-        return { kind: "unsure" };
+        return this.chooseVerdict(claim, [[first, answer], [second, this.ask(second, claim)]]);
+    }
+
+    /** Takes the first answer of those that know, and gives back what another one granted. */
+    private async chooseVerdict(
+        claim: QuotaClaim,
+        asked: readonly (readonly [string, Promise<QuotaVerdict | undefined>])[],
+    ): Promise<QuotaVerdict> {
+        let taken: QuotaVerdict | undefined;
+        const takeAnswer = async (vm: string, answer: Promise<QuotaVerdict | undefined>): Promise<QuotaVerdict> => {
+            const verdict = await answer;
+            if (verdict === undefined || verdict.kind === "unsure") {
+                throw new Error(`${vm} cannot tell`);
+            }
+            if (taken !== undefined && verdict.kind === "granted") {
+                this.sendBack(vm, claim.account, claim.cost);
+            }
+            taken ??= verdict;
+            return verdict;
+        };
+        const answers = asked.map(([vm, answer]) => takeAnswer(vm, answer));
+        return Promise.any(answers).catch((): QuotaVerdict => ({ kind: "unsure" }));
+    }
+
+    private async wait(ms: number): Promise<undefined> {
+        await new Promise<void>(resolve => this.options.timers.scheduleOnce(resolve, ms));
+        return undefined;
     }
 
     /** Gives back the cost of a request that has not run. */
@@ -174,14 +204,11 @@
     }
 
     private chooseCoordinators(): void {
-        const { vm: self, listCandidates, readBoot } = this.options;
-        const now = readBoot();
-        const candidates = listCandidates()
-            .filter(vm => now >= (this.silentUntil.get(vm) ?? -Infinity))
-            .map(id => ({ id }));
+        const { vm: self } = this.options;
+        const candidates = this.listResponsive();
         const changed = new Set<string>();
         for (let group = 0; group < groupCount; group += 1) {
-            const chosen = rankHomes(`accounts ${group}`, candidates)[0]?.id ?? self;
+            const chosen = rankGroup(group, candidates)[0] ?? self;
             const before = this.coordinators[group];
             if (chosen !== before) {
                 this.coordinators[group] = chosen;
@@ -196,6 +223,27 @@
         }
     }
 
+    private listResponsive(): string[] {
+        const now = this.options.readBoot();
+        return this.options.listCandidates().filter(vm => now >= (this.silentUntil.get(vm) ?? -Infinity));
+    }
+
+    /** The VM that would coordinate an account without the one that does. */
+    private findOther(account: string, coordinator: string): string | undefined {
+        return rankGroup(readGroup(account), this.listResponsive()).find(vm => vm !== coordinator);
+    }
+
+    /** A coordinator has not answered: this VM turns to another one. */
+    private recordSilence(ticket: number): void {
+        const claim = this.claims.get(ticket);
+        if (claim === undefined) {
+            return;
+        }
+        claim.finish(undefined);
+        this.silentUntil.set(claim.vm, this.options.readBoot() + silencePauseMs);
+        this.chooseCoordinators();
+    }
+
     /** Leases to a VM the groups for which it was chosen, and no others. */
     private sendLease(vm: string): void {
         const groups = this.coordinators.flatMap((coordinator, group) => coordinator === vm ? [group] : []);
@@ -245,8 +293,9 @@
                 this.claims.delete(ticket);
                 resolve(verdict);
             };
-            const timer = this.options.timers.scheduleOnce(() => finish(undefined), answerTimeoutMs);
+            const timer = this.options.timers.scheduleOnce(() => this.recordSilence(ticket), answerTimeoutMs);
             this.claims.set(ticket, { vm, finish });
+            this.leasedAt.set(vm, this.options.readBoot());
             const { account, limit, cost } = claim;
             if (!this.options.send(vm, { type: "claimQuota", ticket, account, limit, cost })) {
                 finish(undefined);
@@ -257,9 +306,9 @@
     private decide(vm: string, { account, limit, cost }: QuotaClaim): QuotaVerdict {
         const now = this.options.readBoot();
         const pool = this.findPool(account);
-        const groups = this.lessors.get(vm) ?? [];
-        if (groups.includes(readGroup(account))) {
-            pool.lease(vm, now);
+        // A claim renews what its VM has leased, as a message of its own would.
+        for (const group of this.lessors.get(vm) ?? []) {
+            this.pools[group]!.lease(vm, now);
         }
         // This VM may have a newer configuration than the one that asks, or an older one.
         return pool.claim(account, this.options.findLimit(account) ?? limit, cost, now);
@@ -275,6 +324,11 @@
     }
 }
 
+/** VMs in the order in which they would coordinate a group. */
+function rankGroup(group: number, vms: readonly string[]): string[] {
+    return rankHomes(`accounts ${group}`, vms.map(id => ({ id }))).map(({ id }) => id);
+}
+
 /** The group of an account. */
 function readGroup(account: string): number {
     return readShard(account, groupCount);
--- a/packages/node/test/quotas.test.ts
+++ b/packages/node/test/quotas.test.ts
@@ -168,7 +168,7 @@
 
 /** A pool of `vms` VMs, all of which have leased their shares for 5 s. */
 function createFilled(vms: number): { pool: QuotaPool; renew: (count: number, now: number) => void; } {
-    const pool = new QuotaPool({ bounds: { ...bounds, slack: 0 }, countVms: () => vms });
+    const pool = new QuotaPool({ bounds: { ...bounds, overage: 0, slack: 0 }, countVms: () => vms });
     const renew = (count: number, now: number): void => {
         for (let vm = 0; vm < count; vm += 1) {
             pool.lease(`${vm}`, now);
@@ -201,6 +201,7 @@
     assert.is(pool.claim("a", limit, 1, 20_000).kind, "unsure");
     renew(4, 20_000);
     assert.is(pool.claim("a", limit, 1, 20_000).kind, "unsure");
+    renew(4, 20_250);
     renew(4, 20_500);
     assert.is(pool.claim("a", limit, 501, 20_500).kind, "unsure");
     assert.is(pool.claim("a", limit, 500, 20_500).kind, "granted");
