Sort the files of radishreel-node into folders by subject

A request's digest moves below both the request path and crashes, which imported each other for it. Nothing but imports changes.

--- a/packages/node/src/accounts/confirmations.ts
+++ b/packages/node/src/accounts/confirmations.ts
@@ -1,5 +1,5 @@
 import type { Timers } from "../clock.js";
-import type { PeerMessage } from "../messages.js";
+import type { PeerMessage } from "../links/messages.js";
 import type { ClusterChange } from "../ports.js";
 
 /**
--- a/packages/node/src/accounts/guard.ts
+++ b/packages/node/src/accounts/guard.ts
@@ -2,11 +2,11 @@
 import { type Account, type AccountTable, readCost, type Route } from "@radishreel/routing";
 import { err, ok, type Result } from "neverthrow";
 import { createHash } from "node:crypto";
-import type { OwnAnswer, RefusalReason } from "../caller.js";
 import { processTimers, type Timers } from "../clock.js";
-import type { ClusterState } from "../cluster.js";
-import type { PeerMessage } from "../messages.js";
+import type { ClusterState } from "../knowledge/cluster.js";
+import type { PeerMessage } from "../links/messages.js";
 import type { CallerDemand, CallerIdentity, CallerKey } from "../ports.js";
+import type { OwnAnswer, RefusalReason } from "../requests/caller.js";
 import { type ConfirmationMessage, Confirmations } from "./confirmations.js";
 import { type QuotaClaim, type QuotaMessage, Quotas } from "./quotas.js";
 
--- a/packages/node/src/accounts/quotas.ts
+++ b/packages/node/src/accounts/quotas.ts
@@ -8,7 +8,7 @@
     readShareLeaseMs,
 } from "@radishreel/fleet";
 import type { Timers } from "../clock.js";
-import type { PeerMessage } from "../messages.js";
+import type { PeerMessage } from "../links/messages.js";
 
 /**
  * Groups into which accounts are dealt, each with a coordinator of its own. Every VM renews a lease with each coordinator, so
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -1,12 +1,12 @@
 import { type CrashReport, type FleetView, rankHomes, type RefusedRequest, type Upstream } from "@radishreel/fleet";
 import { setTimeout as wait } from "node:timers/promises";
-import type { AttemptEnd } from "../attempt.js";
-import type { OwnAnswer } from "../caller.js";
 import type { DecisionLog } from "../decisions.js";
-import type { Job } from "../job.js";
-import type { PeerMessage } from "../messages.js";
-import { readLastSendAt } from "../patience.js";
+import type { PeerMessage } from "../links/messages.js";
 import type { CrashReportStore } from "../ports.js";
+import type { AttemptEnd } from "../requests/attempt.js";
+import type { OwnAnswer } from "../requests/caller.js";
+import type { Job } from "../requests/job.js";
+import { readLastSendAt } from "../requests/patience.js";
 import { type PermitMessage, Permits } from "./permits.js";
 import { CrashReports } from "./reports.js";
 import { CrashWatch, type ProbeAnswer, type UpstreamEnd } from "./watch.js";
--- a/packages/node/src/crashes/index.ts
+++ b/packages/node/src/crashes/index.ts
@@ -1,4 +1,3 @@
 /** Requests that end each upstream that runs them: found, told to all VMs, kept, and refused. */
-export { RequestDigest } from "./digest.js";
 export { type AttemptTimes, CrashGuard, type CrashGuardOptions } from "./guard.js";
 export type { Permit, PermitMessage } from "./permits.js";
--- a/packages/node/src/crashes/permits.ts
+++ b/packages/node/src/crashes/permits.ts
@@ -1,6 +1,6 @@
 import { PermitReferee } from "@radishreel/fleet";
 import { setTimeout as wait } from "node:timers/promises";
-import type { PeerMessage } from "../messages.js";
+import type { PeerMessage } from "../links/messages.js";
 
 /** A referee that has not answered for this long is taken to be gone, in milliseconds: answers take some 3 ms. */
 const answerTimeoutMs = 100;
--- a/packages/node/src/crashes/reports.ts
+++ b/packages/node/src/crashes/reports.ts
@@ -9,7 +9,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { DecisionLog } from "../decisions.js";
 import type { CrashReportStore } from "../ports.js";
-import type { RequestDigest } from "./digest.js";
+import type { RequestDigest } from "../requests/digest.js";
 import type { BrokenRun, UpstreamEnd } from "./watch.js";
 
 /**
--- a/packages/node/src/crashes/watch.ts
+++ b/packages/node/src/crashes/watch.ts
@@ -2,7 +2,7 @@
 import { parseAddress } from "@radishreel/wire";
 import { connect } from "node:net";
 import { processTimers, type Timers } from "../clock.js";
-import type { RequestDigest } from "./digest.js";
+import type { RequestDigest } from "../requests/digest.js";
 
 /** Waits before an upstream is asked whether it still listens, in milliseconds; a further one where nothing was learned. */
 const probeWaitsMs = [5, 250, 1000];
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,9 +1,8 @@
 /** radishreel-node: the data path and the control path of one VM in one process. */
 export type { AccountBounds } from "./accounts/index.js";
 export { BootClock } from "./clock.js";
-export { UpstreamConnection } from "./connections.js";
 export { DecisionLog, type DecisionLogOptions, type LineSink } from "./decisions.js";
-export { EventSplitter, type StreamEvent } from "./events.js";
+export { usualEntriesPauseMs } from "./knowledge/readers.js";
 export type { NodeOptions, NodeSettings } from "./options.js";
 export type {
     AnswerHead,
@@ -25,4 +24,5 @@
     UnreadableRecord,
 } from "./ports.js";
 export { NodeProgram } from "./program.js";
-export { usualEntriesPauseMs } from "./readers.js";
+export { UpstreamConnection } from "./requests/connections.js";
+export { EventSplitter, type StreamEvent } from "./requests/events.js";
--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/knowledge/cluster.ts
@@ -1,8 +1,8 @@
 import type { FleetView, Upstream } from "@radishreel/fleet";
 import { RouteTable } from "@radishreel/routing";
-import type { DecisionLog } from "./decisions.js";
-import type { ReadPositions } from "./messages.js";
-import type { ClusterChange, Member } from "./ports.js";
+import type { DecisionLog } from "../decisions.js";
+import type { ReadPositions } from "../links/messages.js";
+import type { ClusterChange, Member } from "../ports.js";
 import { Registry } from "./registry.js";
 
 /**
--- a/packages/node/src/sharing.ts
+++ b/packages/node/src/knowledge/sharing.ts
@@ -1,8 +1,8 @@
 import type { CrashReport } from "@radishreel/fleet";
+import type { DecisionLog } from "../decisions.js";
+import type { PeerMessage, ReadPositions } from "../links/messages.js";
+import type { ClusterChange, ClusterStore } from "../ports.js";
 import type { ClusterState } from "./cluster.js";
-import type { DecisionLog } from "./decisions.js";
-import type { PeerMessage, ReadPositions } from "./messages.js";
-import type { ClusterChange, ClusterStore } from "./ports.js";
 import { StoreReaders, usualEntriesPauseMs } from "./readers.js";
 
 /**
--- a/packages/node/src/members.ts
+++ b/packages/node/src/links/members.ts
@@ -1,5 +1,5 @@
 import type { NodeIdentity } from "@radishreel/wire";
-import type { Member } from "./ports.js";
+import type { Member } from "../ports.js";
 import type { KnownMember } from "./wanted.js";
 
 /** Other VMs that one VM knows, by address. What is told of one later adds to what is known; seeds have an address only. */
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/links/peers.ts
@@ -1,10 +1,10 @@
 import { encodeFrame, type Link, LinkClient, LinkServer, LinkTicker, type NodeIdentity } from "@radishreel/wire";
+import type { DecisionLog } from "../decisions.js";
+import type { Member } from "../ports.js";
 import { AcceptedLinks } from "./accepted.js";
-import type { DecisionLog } from "./decisions.js";
 import { chooseLinkLimits, linkTickMs } from "./linklimits.js";
 import { KnownMembers } from "./members.js";
 import { type PeerMessage, peerMessageSchema } from "./messages.js";
-import type { Member } from "./ports.js";
 import { isMesh, type KnownMember, listWantedLinks } from "./wanted.js";
 
 /**
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -2,7 +2,7 @@
 import type { ListenAddress } from "@radishreel/wire";
 import type { Server } from "node:http";
 import polka, { type Polka } from "polka";
-import { CallerExchange } from "./caller.js";
+import { CallerExchange } from "./requests/caller.js";
 
 /** What the readiness listener answers from. */
 export interface ReadinessOptions {
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -1,7 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { AccountVerdict } from "./accounts/index.js";
-import type { RefusalReason } from "./caller.js";
-import type { ClaimEvent } from "./owning.js";
+import type { ClaimEvent } from "./ownership/owning.js";
+import type { RefusalReason } from "./requests/caller.js";
 
 /** Bounds of how late timers come, in seconds: requests of the shortest aim have some 0.12 s. */
 const lagBuckets = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1];
--- a/packages/node/src/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -12,10 +12,10 @@
     type UpstreamState,
 } from "@radishreel/fleet";
 import type { Service } from "@radishreel/routing";
-import type { AdmissionMessage } from "./admissions.js";
-import { processTimers, type ScheduledRun, type Timers } from "./clock.js";
-import type { DecisionLog } from "./decisions.js";
-import type { EngineOrders } from "./ports.js";
+import { processTimers, type ScheduledRun, type Timers } from "../clock.js";
+import type { DecisionLog } from "../decisions.js";
+import type { EngineOrders } from "../ports.js";
+import type { AdmissionMessage } from "../requests/admissions.js";
 
 /**
  * How often load and adapters of owned engines are told while they change, in milliseconds. Whether an engine takes orders
--- a/packages/node/src/owning.ts
+++ b/packages/node/src/ownership/owning.ts
@@ -1,7 +1,7 @@
 import { ClaimClock, type ClaimReason, readShard } from "@radishreel/fleet";
-import { BootClock, processTimers, type ScheduledRun, type Timers } from "./clock.js";
+import { BootClock, processTimers, type ScheduledRun, type Timers } from "../clock.js";
+import type { Member, ShardClaims } from "../ports.js";
 import { OwnedEngines, type OwnedEnginesOptions } from "./engines.js";
-import type { Member, ShardClaims } from "./ports.js";
 
 /** How often claims are renewed, in milliseconds: two renewals may be lost before a claim lapses. */
 const renewMs = 400;
--- a/packages/node/src/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -1,9 +1,9 @@
 import { type Route } from "@radishreel/routing";
+import type { AnswerHead, RawHeaders, RequestDialect, SendOptions } from "../ports.js";
 import type { CallerExchange } from "./caller.js";
 import type { ConnectionPool, UpstreamConnection } from "./connections.js";
 import { EventSplitter, type StreamEvent } from "./events.js";
 import { Exchange, type ExchangePhase, type ExchangeReceiver } from "./exchange.js";
-import type { AnswerHead, RawHeaders, RequestDialect, SendOptions } from "./ports.js";
 
 /** Most bytes of a plain answer that are held until it is whole; larger ones are passed on as they come. */
 const maxHeldBytes = 256 * 1024;
--- a/packages/node/src/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { RawHeaders } from "./ports.js";
+import type { RawHeaders } from "../ports.js";
 
 /** Why this program ends a request itself. Each is a label of the counters. */
 export type RefusalReason =
--- a/packages/node/src/choosing.ts
+++ b/packages/node/src/requests/choosing.ts
@@ -13,8 +13,8 @@
     type UpstreamChoice,
     type UpstreamState,
 } from "@radishreel/fleet";
+import type { DecisionLog } from "../decisions.js";
 import type { Admission, AdmissionDetails, AdmissionOutcome, Admissions } from "./admissions.js";
-import type { DecisionLog } from "./decisions.js";
 import type { Job, Preparation, ReadyUpstream } from "./job.js";
 import { readLastSendAt } from "./patience.js";
 
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/requests/exchange.ts
@@ -1,6 +1,6 @@
 import type { Dispatcher } from "undici";
+import type { RawHeaders } from "../ports.js";
 import type { UpstreamConnection } from "./connections.js";
-import type { RawHeaders } from "./ports.js";
 
 /** Why an exchange broke that was not to be sent any more when its connection was open. */
 export const withheldDetail = "no longer to be sent";
--- a/packages/node/src/job.ts
+++ b/packages/node/src/requests/job.ts
@@ -1,11 +1,12 @@
 import type { AdapterWant, UpstreamChoice } from "@radishreel/fleet";
 import type { Account, Route, Service } from "@radishreel/routing";
-import type { QuotaClaim } from "./accounts/index.js";
+import type { QuotaClaim } from "../accounts/index.js";
+import type { Permit } from "../crashes/index.js";
+import type { CallerDemand } from "../ports.js";
 import type { Admission } from "./admissions.js";
 import type { StreamProgress } from "./attempt.js";
 import type { CallerExchange } from "./caller.js";
-import type { Permit, RequestDigest } from "./crashes/index.js";
-import type { CallerDemand } from "./ports.js";
+import type { RequestDigest } from "./digest.js";
 
 /** One request while it is being served. */
 export interface Job {
--- a/packages/node/src/patience.ts
+++ b/packages/node/src/requests/patience.ts
@@ -1,7 +1,7 @@
 import { prefillTokensPerMs } from "@radishreel/fleet";
 import type { Route } from "@radishreel/routing";
+import type { CallerDemand } from "../ports.js";
 import type { StreamProgress } from "./attempt.js";
-import type { CallerDemand } from "./ports.js";
 
 /** Time that a request must have left to be worth another attempt, in milliseconds. */
 export const minAttemptMs = 60;
--- a/packages/node/src/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -10,19 +10,20 @@
     type UpstreamState,
 } from "@radishreel/fleet";
 import { chooseTarget, isIdempotent, readPriority } from "@radishreel/routing";
-import type { AccountGuard, QuotaClaim } from "./accounts/index.js";
+import type { AccountGuard, QuotaClaim } from "../accounts/index.js";
+import type { CrashGuard } from "../crashes/index.js";
+import type { DecisionLog } from "../decisions.js";
+import type { ClusterState } from "../knowledge/cluster.js";
+import type { CallerDemand, RequestDialect } from "../ports.js";
 import type { Admissions } from "./admissions.js";
 import { Attempt, type AttemptEnd, createBodyHeaders } from "./attempt.js";
 import type { CallerExchange, OwnAnswer, RefusalReason } from "./caller.js";
 import { UpstreamChooser } from "./choosing.js";
-import type { ClusterState } from "./cluster.js";
 import type { ConnectionPool } from "./connections.js";
-import { type CrashGuard, RequestDigest } from "./crashes/index.js";
-import type { DecisionLog } from "./decisions.js";
+import { RequestDigest } from "./digest.js";
 import { withheldDetail } from "./exchange.js";
 import { createJob, type Job, type Preparation, type ReadyUpstream } from "./job.js";
 import { minAttemptMs, readLastSendAt } from "./patience.js";
-import type { CallerDemand, RequestDialect } from "./ports.js";
 
 /** Upstreams that may turn one request away before it is refused: each has said that it did not run it. */
 const maxRejections = 6;
--- a/packages/node/test/choosing.test.ts
+++ b/packages/node/test/choosing.test.ts
@@ -2,10 +2,10 @@
 import type { Route } from "@radishreel/routing";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type AdmissionMessage, Admissions } from "../src/admissions.js";
-import type { CallerExchange } from "../src/caller.js";
-import { UpstreamChooser } from "../src/choosing.js";
-import { createJob, type Job } from "../src/job.js";
+import { type AdmissionMessage, Admissions } from "../src/requests/admissions.js";
+import type { CallerExchange } from "../src/requests/caller.js";
+import { UpstreamChooser } from "../src/requests/choosing.js";
+import { createJob, type Job } from "../src/requests/job.js";
 import { createDigest, createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
 
 const route: Route = {
--- a/packages/node/test/crashdigest.test.ts
+++ b/packages/node/test/crashdigest.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type RequestContent, RequestDigest } from "../src/crashes/digest.js";
+import { type RequestContent, RequestDigest } from "../src/requests/digest.js";
 
 const content: RequestContent = {
     method: "POST",
--- a/packages/node/test/crashreports.test.ts
+++ b/packages/node/test/crashreports.test.ts
@@ -1,8 +1,8 @@
 import { type CrashReport, Quarantine } from "@radishreel/fleet";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { RequestDigest } from "../src/crashes/index.js";
 import { CrashReports } from "../src/crashes/reports.js";
+import type { RequestDigest } from "../src/requests/digest.js";
 import { createDigest, createSilentLog, createUpstream } from "./fixtures.js";
 
 const lifeMs = 1000;
--- a/packages/node/test/crowd.test.ts
+++ b/packages/node/test/crowd.test.ts
@@ -6,7 +6,7 @@
 import { setImmediate as waitTurn } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { Peers } from "../src/peers.js";
+import { Peers } from "../src/links/peers.js";
 import { createSilentLog } from "./fixtures.js";
 
 const others = 90;
--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -3,7 +3,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { Timers } from "../src/clock.js";
-import { OwnedEngines } from "../src/engines.js";
+import { OwnedEngines } from "../src/ownership/engines.js";
 import { createSilentLog, createUpstream, engineService } from "./fixtures.js";
 
 /** Counts what is to run again and again; nothing runs. */
--- a/packages/node/test/fixtures.ts
+++ b/packages/node/test/fixtures.ts
@@ -1,9 +1,10 @@
 import { type EngineNews, FleetView, noLoad, type Upstream } from "@radishreel/fleet";
 import type { Service } from "@radishreel/routing";
 import { type AccountBounds, AccountGuard, type AccountGuardOptions } from "../src/accounts/index.js";
-import type { ClusterState } from "../src/cluster.js";
-import { CrashGuard, type CrashGuardOptions, RequestDigest } from "../src/crashes/index.js";
+import { CrashGuard, type CrashGuardOptions } from "../src/crashes/index.js";
 import { DecisionLog } from "../src/decisions.js";
+import type { ClusterState } from "../src/knowledge/cluster.js";
+import { RequestDigest } from "../src/requests/digest.js";
 
 /** A log that nobody reads. */
 export function createSilentLog(readTime: () => number): DecisionLog {
--- a/packages/node/test/group.ts
+++ b/packages/node/test/group.ts
@@ -2,7 +2,7 @@
 import { ok } from "neverthrow";
 import * as assert from "uvu/assert";
 import { BootClock, type Timers } from "../src/clock.js";
-import { type ClaimQuery, type ClaimState, type Handover, Owning } from "../src/owning.js";
+import { type ClaimQuery, type ClaimState, type Handover, Owning } from "../src/ownership/owning.js";
 import type { EngineOrders, Member, ShardDeal } from "../src/ports.js";
 import { createSilentLog, createUpstream, engineService } from "./fixtures.js";
 import { Schedule } from "./schedule.js";
--- a/packages/node/test/isolation.test.ts
+++ b/packages/node/test/isolation.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { IsolationWatch } from "../src/isolation.js";
+import { IsolationWatch } from "../src/knowledge/isolation.js";
 
 function runChecks(...signs: [hasOthers: boolean, othersQuietMs: number, storeQuietMs: number][]): boolean[] {
     const watch = new IsolationWatch();
--- a/packages/node/test/leaving.test.ts
+++ b/packages/node/test/leaving.test.ts
@@ -17,12 +17,12 @@
 import { ok } from "neverthrow";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type AdmissionMessage, Admissions } from "../src/admissions.js";
-import type { CallerExchange } from "../src/caller.js";
-import { UpstreamChooser } from "../src/choosing.js";
-import { OwnedEngines } from "../src/engines.js";
-import { createJob, type Job } from "../src/job.js";
+import { OwnedEngines } from "../src/ownership/engines.js";
 import type { ClusterChange } from "../src/ports.js";
+import { type AdmissionMessage, Admissions } from "../src/requests/admissions.js";
+import type { CallerExchange } from "../src/requests/caller.js";
+import { UpstreamChooser } from "../src/requests/choosing.js";
+import { createJob, type Job } from "../src/requests/job.js";
 import { createDigest, createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
 import { serveWhileChanging } from "./opening.js";
 
--- a/packages/node/test/links.test.ts
+++ b/packages/node/test/links.test.ts
@@ -6,10 +6,10 @@
 import { setImmediate as waitTurn } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { HubWatch } from "../src/hub.js";
-import type { PeerMessage } from "../src/messages.js";
-import { Peers } from "../src/peers.js";
-import { type KnownMember, listWantedLinks } from "../src/wanted.js";
+import { HubWatch } from "../src/links/hub.js";
+import type { PeerMessage } from "../src/links/messages.js";
+import { Peers } from "../src/links/peers.js";
+import { type KnownMember, listWantedLinks } from "../src/links/wanted.js";
 import { createSilentLog } from "./fixtures.js";
 
 const dataCentres = 6;
--- a/packages/node/test/opening.ts
+++ b/packages/node/test/opening.ts
@@ -2,12 +2,12 @@
 import type { Routing } from "@radishreel/routing";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { Admissions } from "../src/admissions.js";
-import { CallerExchange } from "../src/caller.js";
-import { ClusterState } from "../src/cluster.js";
-import { ConnectionPool, type UpstreamConnection } from "../src/connections.js";
+import { ClusterState } from "../src/knowledge/cluster.js";
 import type { CallerKey, ClusterChange, RequestDialect } from "../src/ports.js";
-import { Serving } from "../src/serving.js";
+import { Admissions } from "../src/requests/admissions.js";
+import { CallerExchange } from "../src/requests/caller.js";
+import { ConnectionPool, type UpstreamConnection } from "../src/requests/connections.js";
+import { Serving } from "../src/requests/serving.js";
 import { createAccountGuard, createGuard, createSilentLog, createUpstream } from "./fixtures.js";
 
 const readSteady = () => performance.now();
--- a/packages/node/test/rebirth.test.ts
+++ b/packages/node/test/rebirth.test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { ClusterState } from "../src/cluster.js";
+import { ClusterState } from "../src/knowledge/cluster.js";
 import type { ClusterChange } from "../src/ports.js";
 import { createNews, createSilentLog, createUpstream } from "./fixtures.js";
 
--- a/packages/node/test/sharing.test.ts
+++ b/packages/node/test/sharing.test.ts
@@ -2,11 +2,11 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { ClusterState } from "../src/cluster.js";
-import type { PeerMessage } from "../src/messages.js";
+import { ClusterState } from "../src/knowledge/cluster.js";
+import { StoreReaders } from "../src/knowledge/readers.js";
+import { ChangeSharing } from "../src/knowledge/sharing.js";
+import type { PeerMessage } from "../src/links/messages.js";
 import type { ClusterChange, ClusterStore } from "../src/ports.js";
-import { StoreReaders } from "../src/readers.js";
-import { ChangeSharing } from "../src/sharing.js";
 import { createSilentLog } from "./fixtures.js";
 
 test("the first VM of a data centre that reaches the store reads for the others, and nobody for itself", () => {
--- a/packages/node/test/units.test.ts
+++ b/packages/node/test/units.test.ts
@@ -5,13 +5,13 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { BootClock } from "../src/clock.js";
-import { ClusterState } from "../src/cluster.js";
 import { DecisionLog } from "../src/decisions.js";
-import { EventSplitter } from "../src/events.js";
-import { type Handover, Owning } from "../src/owning.js";
-import { readLastSendAt } from "../src/patience.js";
-import { Peers } from "../src/peers.js";
+import { ClusterState } from "../src/knowledge/cluster.js";
+import { Peers } from "../src/links/peers.js";
+import { type Handover, Owning } from "../src/ownership/owning.js";
 import type { ClusterChange, ShardClaims } from "../src/ports.js";
+import { EventSplitter } from "../src/requests/events.js";
+import { readLastSendAt } from "../src/requests/patience.js";
 
 test("events come out whole and in order, however the bytes are cut", () => {
     const text = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: comment\n\nid: 3\r\ndata: d\r\n\r\n";
