--- a/packages/node/src/accounts/quotas.ts
+++ b/packages/node/src/accounts/quotas.ts
@@ -105,7 +105,7 @@
     async claim(claim: QuotaClaim): Promise<QuotaVerdict> {
         const first = this.findCoordinator(claim.account);
         const answer = this.ask(first, claim);
-        const quick = await Promise.race([answer, this.wait(slowAnswerMs)]);
+        const quick = await this.waitAtMost(answer, slowAnswerMs);
         if (quick !== undefined) {
             return quick;
         }
@@ -137,9 +137,17 @@
         return Promise.any(answers).catch((): QuotaVerdict => ({ kind: "unsure" }));
     }
 
-    private async wait(ms: number): Promise<undefined> {
-        await new Promise<void>(resolve => this.options.timers.scheduleOnce(resolve, ms));
-        return undefined;
+    /** Waits for a value; undefined if it takes longer. */
+    private async waitAtMost<Value>(value: Promise<Value>, ms: number): Promise<Value | undefined> {
+        let finish: () => void = () => {};
+        const late = new Promise<undefined>(resolve => {
+            finish = () => resolve(undefined);
+        });
+        // Left running, a timer for each claim would wake the process once more.
+        const timer = this.options.timers.scheduleOnce(finish, ms);
+        const result = await Promise.race([value, late]);
+        timer.cancel();
+        return result;
     }
 
     /** Gives back the cost of a request that has not run. */
