--- a/packages/fleet/src/quota.ts
+++ b/packages/fleet/src/quota.ts
@@ -44,7 +44,7 @@
 /** One account's quota at a coordinator. */
 interface Balance {
     amount: number;
-    /** Reading of the pool's {@link SharePool.filledSeconds} when `amount` was last brought up to date. */
+    /** Reading of the pool's {@link QuotaPool.filledSeconds} when `amount` was last brought up to date. */
     filledAt: number;
     burst: number;
     /** What refused callers were told to come back for. */
