Tell in an attempt's line how long its version had been replaced, and when it was written and begun

Now it has all three (replacedMs, writtenMs, begunMs), and how long the choice, the connection and the engine took can be read from one line.

--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -2,6 +2,7 @@
 import { LoadCounter, type LoadHandle, type LoadShare, noLoad } from "./load.js";
 import { PromptHistory } from "./pauses.js";
 import { type EngineNews, formatAdapterKey, type Upstream, type UpstreamLoad } from "./types.js";
+import { AdapterVersions } from "./versions.js";
 import { WarmAdapters } from "./warm.js";
 
 /** Time that a version stays in use after a newer one was named, in milliseconds: half of the users' bound of 5 s. */
@@ -52,6 +53,7 @@
 export class FleetView {
     private readonly ownLoad = new LoadCounter();
     private readonly states = new Map<string, UpstreamState>();
+    private readonly versions = new AdapterVersions();
     private readonly newestVersions = new Map<string, { version: number; knownAt: number; }>();
 
     /** Takes an upstream's entry. */
@@ -194,6 +196,7 @@
 
     /** Takes word that a version of an adapter exists. */
     updateNewestVersion(key: string, version: number, now: number): void {
+        this.versions.update(key, version, now);
         if (version > (this.newestVersions.get(key)?.version ?? 0)) {
             this.newestVersions.set(key, { version, knownAt: now });
         }
@@ -209,4 +212,9 @@
     findNewestVersion(key: string): { version: number; knownAt: number; } | undefined {
         return this.newestVersions.get(key);
     }
+
+    /** When a version of an adapter was replaced by a newer one; undefined if it is the newest. */
+    findReplacedAt(key: string, version: number): number | undefined {
+        return this.versions.findReplacedAt(key, version);
+    }
 }
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -317,7 +317,13 @@
         const { upstream, health, leavingSince } = choice.state;
         const load = this.addLoad(job, choice);
         const identity = this.options.accounts.findIdentity(job);
+        let writtenAt: number | undefined;
         let begunAt: number | undefined;
+        const key = findAdapterKey(job.demand.model);
+        const replacedAt = key === undefined ? undefined : this.options.view.findReplacedAt(key, choice.version ?? 0);
+        const maySend = (): boolean =>
+            !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)
+            && this.mayRun(job) && this.options.accounts.hasIdentity(job, identity);
         job.attempts += 1;
         const attempt = new Attempt({
             ...this.createAttemptTimes(job, choice, sentAt),
@@ -341,9 +347,10 @@
             progress: job.progress,
             readTime,
             // The last look at what the choice was made by: it may be news by the time that the connection is open.
-            checkBeforeSend: () =>
-                !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)
-                && this.mayRun(job) && this.options.accounts.hasIdentity(job, identity),
+            checkBeforeSend: () => {
+                writtenAt = maySend() ? readTime() : undefined;
+                return writtenAt !== undefined;
+            },
             onBegin: () => {
                 begunAt = readTime();
                 load.begin();
@@ -362,12 +369,15 @@
             version: choice.version,
             costMs: Math.round(choice.costMs),
             prefill: choice.prefillTokens,
+            replacedMs: formatElapsed(replacedAt, sentAt),
             waitedMs: Math.round(job.waitedMs),
+            writtenMs: formatElapsed(sentAt, writtenAt),
+            begunMs: formatElapsed(sentAt, begunAt),
             ms: Math.round(readTime() - sentAt),
             end: end.kind,
             detail: "detail" in end ? end.detail : undefined,
             status: "status" in end ? end.status : undefined,
-            leavingMs: leavingSince === undefined ? undefined : Math.round(sentAt - leavingSince),
+            leavingMs: formatElapsed(leavingSince, sentAt),
         });
         await this.options.guard.recordEnd(job, upstream, end, { sentAt, begunAt });
         return end;
@@ -535,3 +545,8 @@
         });
     }
 }
+
+/** Time between two moments as a line of the log tells it; undefined if one of them has not come. */
+function formatElapsed(from: number | undefined, to: number | undefined): number | undefined {
+    return from === undefined || to === undefined ? undefined : Math.round(to - from);
+}
