Count the use of a replaced version from the version that replaced it, not from the newest one

Cause: of an adapter the moment of its newest version alone was kept, and for 2.5 s after it any older version could answer, so that each new name let all old ones in again. The owner of an engine and the VM of a request asked the same moment.

Now every named version is kept with its moment (AdapterVersions), and a version counts as replaced from the first newer one on; what is named later gives it no more time. The moments that make no difference any more are dropped, so that an adapter keeps only those of the last seconds. Choice, owner and the check of its word ask the same class.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -267,7 +267,7 @@
     return news.waitMs + (state.warm.has(key) ? news.warmLoadMs : news.coldLoadMs + homeRank * otherHomeCostMs);
 }
 
-/** The version of an adapter that an engine may answer with: the newest, or for a short time the one before. */
+/** The version of an adapter that an engine may answer with: the newest, or for a short time one that was replaced. */
 export function findUsableVersion(
     options: Pick<EngineChoiceOptions, "view" | "now" | "needsNewest">,
     state: UpstreamState,
@@ -279,7 +279,7 @@
         return undefined;
     }
     const isAllowed = needsNewest
-        ? held >= (view.findNewestVersion(key)?.version ?? held)
-        : view.mayUseVersion(key, held, now);
+        ? held >= (view.versions.findNewest(key)?.version ?? held)
+        : view.versions.mayUse(key, held, now);
     return isAllowed ? held : undefined;
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -58,6 +58,6 @@
     upstreamLoadSchema,
     upstreamSchema,
 } from "./types.js";
-export { AdapterVersions, type NamedVersion } from "./versions.js";
-export { FleetView, oldVersionUseMs, type UpstreamState } from "./view.js";
+export { AdapterVersions, firstVersion, type NamedVersion, usualReplacedMs } from "./versions.js";
+export { FleetView, type UpstreamState } from "./view.js";
 export { type AdapterWant } from "./wants.js";
--- a/packages/fleet/src/versions.ts
+++ b/packages/fleet/src/versions.ts
@@ -1,3 +1,15 @@
+/** Version of an adapter for which the operator has named none. */
+export const firstVersion = 1;
+
+/** Time in which a replaced version may still begin to answer where the operator names none, in milliseconds. */
+export const usualReplacedMs = 5000;
+
+/** Time that is left for a request to be taken back from an engine that has not begun it, in milliseconds. */
+const withdrawalMs = 400;
+
+/** How much longer than expected an engine may take to begin a request, in milliseconds. */
+const beginSlackMs = 2100;
+
 /** A version of an adapter that the operator has named. */
 export interface NamedVersion {
     readonly version: number;
@@ -5,10 +17,25 @@
     readonly since: number;
 }
 
-/** Versions of adapters that the operator has named, and since when each older one is replaced. */
+/** Options of {@link AdapterVersions}. */
+export interface AdapterVersionsOptions {
+    /** Time after a newer version was named in which an engine may begin a request on an older one, in milliseconds. @default 5000 */
+    readonly replacedMs?: number | undefined;
+}
+
+/**
+ * Versions of adapters that the operator has named, and until when each older one may answer. Each counts from the first
+ * version that replaced it: what is named later gives it no more time. Times are of one clock that goes on while the VM is
+ * suspended.
+ */
 export class AdapterVersions {
     /** By adapter key, oldest version first. */
-    private readonly named = new Map<string, NamedVersion[]>();
+    private readonly named = new Map<string, readonly NamedVersion[]>();
+    private readonly useMs: number;
+
+    constructor(options: AdapterVersionsOptions = {}) {
+        this.useMs = (options.replacedMs ?? usualReplacedMs) - withdrawalMs;
+    }
 
     /** Takes word that a version exists. @param since See {@link NamedVersion}. */
     update(key: string, version: number, since: number): void {
@@ -16,7 +43,8 @@
         const same = known.find(named => named.version === version);
         const others = known.filter(named => named.version !== version);
         const updated = [...others, { version, since: Math.min(since, same?.since ?? Infinity) }];
-        this.named.set(key, updated.sort((left, right) => left.version - right.version));
+        updated.sort((left, right) => left.version - right.version);
+        this.named.set(key, updated.filter((_named, index) => !this.isPast(updated[index + 1], since)));
     }
 
     /** The newest version of an adapter; undefined for adapters that never had another one than the first. */
@@ -29,4 +57,26 @@
         const newer = (this.named.get(key) ?? []).filter(named => named.version > version);
         return newer.length === 0 ? undefined : Math.min(...newer.map(({ since }) => since));
     }
+
+    /** Until when an engine may begin a request on a version; infinite for the newest one. */
+    readUseEnd(key: string, version: number): number {
+        const replacedAt = this.findReplacedAt(key, version);
+        return replacedAt === undefined ? Infinity : replacedAt + this.useMs;
+    }
+
+    /** Whether a request may be sent for a version now. @param expectedMs Time until it begins, as expected, in milliseconds. */
+    mayUse(key: string, version: number, now: number, expectedMs = 0): boolean {
+        return now + expectedMs + beginSlackMs < this.readUseEnd(key, version);
+    }
+
+    /** The oldest version that may be sent a request now; undefined if any may. */
+    findOldest(key: string, now: number): number | undefined {
+        const known = this.named.get(key) ?? [];
+        return known.findLast(({ version }) => !this.mayUse(key, version - 1, now))?.version;
+    }
+
+    /** Whether every version before this one was replaced so long ago that when exactly makes no difference any more. */
+    private isPast(next: NamedVersion | undefined, now: number): boolean {
+        return next !== undefined && next.since + this.useMs < now;
+    }
 }
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -2,12 +2,9 @@
 import { LoadCounter, type LoadHandle, type LoadShare, noLoad } from "./load.js";
 import { PromptHistory } from "./pauses.js";
 import { type EngineNews, formatAdapterKey, type Upstream, type UpstreamLoad } from "./types.js";
-import { AdapterVersions } from "./versions.js";
+import { AdapterVersions, type AdapterVersionsOptions } from "./versions.js";
 import { WarmAdapters } from "./warm.js";
 
-/** Time that a version stays in use after a newer one was named, in milliseconds: half of the users' bound of 5 s. */
-export const oldVersionUseMs = 2500;
-
 /** What one VM knows of one upstream. */
 export interface UpstreamState {
     upstream: Upstream;
@@ -53,8 +50,12 @@
 export class FleetView {
     private readonly ownLoad = new LoadCounter();
     private readonly states = new Map<string, UpstreamState>();
-    private readonly versions = new AdapterVersions();
-    private readonly newestVersions = new Map<string, { version: number; knownAt: number; }>();
+    /** Versions of adapters that the operator has named. Their times are in boot time. */
+    readonly versions: AdapterVersions;
+
+    constructor(options: AdapterVersionsOptions = {}) {
+        this.versions = new AdapterVersions(options);
+    }
 
     /** Takes an upstream's entry. */
     updateUpstream(upstream: Upstream, now: number): void {
@@ -193,28 +194,4 @@
     hasModel(state: UpstreamState, model: string): boolean {
         return state.upstream.models.some(held => held.name === model);
     }
-
-    /** Takes word that a version of an adapter exists. */
-    updateNewestVersion(key: string, version: number, now: number): void {
-        this.versions.update(key, version, now);
-        if (version > (this.newestVersions.get(key)?.version ?? 0)) {
-            this.newestVersions.set(key, { version, knownAt: now });
-        }
-    }
-
-    /** Whether a version of an adapter may answer: it is the newest, or the newest has not been known for long. */
-    mayUseVersion(key: string, version: number, now: number): boolean {
-        const newest = this.newestVersions.get(key);
-        return newest === undefined || version >= newest.version || now - newest.knownAt < oldVersionUseMs;
-    }
-
-    /** Newest version of an adapter, and since when it is known; undefined for adapters that never had another one. */
-    findNewestVersion(key: string): { version: number; knownAt: number; } | undefined {
-        return this.newestVersions.get(key);
-    }
-
-    /** When a version of an adapter was replaced by a newer one; undefined if it is the newest. */
-    findReplacedAt(key: string, version: number): number | undefined {
-        return this.versions.findReplacedAt(key, version);
-    }
 }
--- a/packages/fleet/test/choose.test.ts
+++ b/packages/fleet/test/choose.test.ts
@@ -135,7 +135,7 @@
 test("an old version answers for a short time after a newer one is named, and then no more", () => {
     const view = createView(["e1"]);
     view.updateNews("vm", createNews("e1", { revision: 2, held: { "base/a1": 1 } }), 0);
-    view.updateNewestVersion("base/a1", 2, 1000);
+    view.versions.update("base/a1", 2, 1000);
     assert.is(choose(view, createDemand(), 2000)?.version, 1);
     assert.is(choose(view, createDemand(), 3600)?.isReady, false);
     view.updateNews("vm", createNews("e1", { revision: 3, held: { "base/a1": 2 } }), 0);
@@ -145,7 +145,7 @@
 test("a newer version is loaded where the older one is not in use", () => {
     const view = createView(["e1", "e2"]);
     view.updateNews("vm", createNews("e1", { revision: 2, held: { "base/a1": 1 } }), 0);
-    view.updateNewestVersion("base/a1", 2, 1000);
+    view.versions.update("base/a1", 2, 1000);
     const late = choose(view, createDemand(), 3600);
     assert.is(late?.state.upstream.id, "e2");
     assert.is(late?.isReady, false);
--- a/packages/fleet/test/versions.test.ts
+++ b/packages/fleet/test/versions.test.ts
@@ -6,12 +6,12 @@
 
 test("a version that was replaced long ago does not come back when a still newer one is named", () => {
     const view = new FleetView();
-    view.updateNewestVersion(key, 2, 3000);
-    view.updateNewestVersion(key, 3, 8000);
-    assert.is(view.mayUseVersion(key, 2, 8100), true);
-    assert.is(view.mayUseVersion(key, 1, 8100), false);
-    view.updateNewestVersion(key, 4, 16_000);
-    assert.equal([1, 2, 3, 4].map(version => view.mayUseVersion(key, version, 16_100)), [false, false, true, true]);
+    view.versions.update(key, 2, 3000);
+    view.versions.update(key, 3, 8000);
+    assert.is(view.versions.mayUse(key, 2, 8100), true);
+    assert.is(view.versions.mayUse(key, 1, 8100), false);
+    view.versions.update(key, 4, 16_000);
+    assert.equal([1, 2, 3, 4].map(version => view.versions.mayUse(key, version, 16_100)), [false, false, true, true]);
 });
 
 test.run();
--- a/packages/node/src/knowledge/cluster.ts
+++ b/packages/node/src/knowledge/cluster.ts
@@ -144,7 +144,7 @@
                 this.applyRouting(change);
                 break;
             case "version":
-                this.options.view.updateNewestVersion(change.key, change.version, this.options.readTime());
+                this.options.view.versions.update(change.key, change.version, this.options.readTime());
                 break;
             case "member":
                 this.options.onMember(change.member);
--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -267,7 +267,7 @@
 
     /** Whether a held version of an adapter may answer, by what the request asks for and what this VM knows. */
     private mayUse(key: string, held: number, oldest: number | undefined): boolean {
-        return held >= (oldest ?? -Infinity) && this.options.view.mayUseVersion(key, held, this.options.readTime());
+        return held >= (oldest ?? -Infinity) && this.options.view.versions.mayUse(key, held, this.options.readTime());
     }
 
     private remove(id: string): void {
--- a/packages/node/src/requests/choosing.ts
+++ b/packages/node/src/requests/choosing.ts
@@ -7,7 +7,6 @@
     hasLongAnswer,
     type KeptParts,
     type ModelDemand,
-    oldVersionUseMs,
     type PauseThreshold,
     prefillTokensPerMs,
     type UpstreamChoice,
@@ -57,8 +56,8 @@
 /** How much longer a request may take with the newest version while an older one may still answer, in milliseconds. */
 const newestDelayMs = 300;
 
-/** How long a newer version is wanted on an engine that was chosen for it, in milliseconds: as an older one may answer. */
-const preparationMs = oldVersionUseMs;
+/** How long a newer version is wanted on an engine that was chosen for it, in milliseconds: about as an older one may answer. */
+const preparationMs = 2500;
 
 /** Time that an engine takes for one token of an answer while it reads others' prompts as well, in milliseconds. */
 const tokenMs = 10;
@@ -183,7 +182,7 @@
      */
     private chooseNewest(job: Job, options: EngineChoiceOptions, choice: UpstreamChoice): UpstreamChoice {
         const key = findAdapterKey(options.demand);
-        const newest = key === undefined ? undefined : this.options.view.findNewestVersion(key);
+        const newest = key === undefined ? undefined : this.options.view.versions.findNewest(key);
         if (key === undefined || !choice.isReady || (choice.version ?? 0) >= (newest?.version ?? 0)) {
             return choice;
         }
@@ -223,7 +222,8 @@
         const outcome = await this.waitForOutcome(job, admission);
         // Waits last seconds: what the choice was made by is asked again, as the owner may know less than this VM.
         const isUsable = this.options.view.isUsable(engine);
-        const isNew = outcome?.kind === "admitted" && (outcome.version ?? Infinity) >= this.findOldestVersion(model);
+        const isNew = outcome?.kind === "admitted"
+            && (outcome.version ?? Infinity) >= (this.findOldestVersion(model) ?? 0);
         if (isUsable && isNew) {
             return { choice: { ...choice, version: outcome.version }, admission };
         }
@@ -310,21 +310,18 @@
         job.tried.set(engine, { costMs: lostCostMs, until: now + lostPauseMs, hasDeclined: false });
     }
 
-    /** Oldest version of its adapter that may answer a request now. */
-    private findOldestVersion(model: ModelDemand): number {
+    /** Oldest version of its adapter that may answer a request now; undefined for any. */
+    private findOldestVersion(model: ModelDemand): number | undefined {
         const key = findAdapterKey(model);
-        const newest = key === undefined ? undefined : this.options.view.findNewestVersion(key);
-        const isOldAllowed = newest !== undefined && this.options.readTime() - newest.knownAt < oldVersionUseMs;
-        return newest === undefined || isOldAllowed ? 0 : newest.version;
+        return key === undefined ? undefined : this.options.view.versions.findOldest(key, this.options.readTime());
     }
 
     private createDetails(job: Job, model: ModelDemand, now: number): AdmissionDetails {
         const readMs = model.promptTokens / prefillTokensPerMs;
-        const oldest = this.findOldestVersion(model);
         return {
             model: model.model,
             key: findAdapterKey(model),
-            version: oldest === 0 ? undefined : oldest,
+            version: this.findOldestVersion(model),
             prefillTokens: model.promptTokens,
             kvTokens: model.promptTokens + model.outputTokens,
             hasLongAnswer: hasLongAnswer(model),
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -320,7 +320,9 @@
         let writtenAt: number | undefined;
         let begunAt: number | undefined;
         const key = findAdapterKey(job.demand.model);
-        const replacedAt = key === undefined ? undefined : this.options.view.findReplacedAt(key, choice.version ?? 0);
+        const replacedAt = key === undefined
+            ? undefined
+            : this.options.view.versions.findReplacedAt(key, choice.version ?? 0);
         const maySend = (): boolean =>
             !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)
             && this.mayRun(job) && this.options.accounts.hasIdentity(job, identity);
--- a/packages/node/test/sharing.test.ts
+++ b/packages/node/test/sharing.test.ts
@@ -70,7 +70,7 @@
     }
 
     readVersions(): (number | undefined)[] {
-        return this.vms.map(vm => vm.view.findNewestVersion("m/a1")?.version);
+        return this.vms.map(vm => vm.view.versions.findNewest("m/a1")?.version);
     }
 
     private receive(vm: Vm, changes: readonly ClusterChange[]): void {
@@ -214,7 +214,7 @@
                 return;
             }
             for (const vm of up) {
-                assert.is(vm.view.findNewestVersion("m/a1")?.version, newest);
+                assert.is(vm.view.versions.findNewest("m/a1")?.version, newest);
                 assert.is(vm.reports.size, newest);
             }
         }),
