Count a version from when it may have been named, in time that goes on while a VM is suspended

A VM took every version at the moment at which it learned of it and let older ones answer for 2.5 s more: after a start, after the store had dropped its history, after a cut, and at each VM that was told by another one.

VMs pass the age on, and it goes on while they know it. Versions are judged in boot time: a suspension counts. What it costs: where a reader waits up to 1 s for records, older versions answer for 1.4 s to 2.5 s where it was 2.5 s.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -98,6 +98,8 @@
     readonly service: Service;
     readonly dataCentre: string;
     readonly now: number;
+    /** The same by a clock that goes on while the VM is suspended, in milliseconds: versions are judged by it. @default now */
+    readonly bootNow?: number | undefined;
     /** Cost added to upstreams that this request has tried, in milliseconds by id; Infinity rules one out. */
     readonly penalties: ReadonlyMap<string, number>;
 }
@@ -269,17 +271,17 @@
 
 /** The version of an adapter that an engine may answer with: the newest, or for a short time one that was replaced. */
 export function findUsableVersion(
-    options: Pick<EngineChoiceOptions, "view" | "now" | "needsNewest">,
+    options: Pick<EngineChoiceOptions, "view" | "now" | "bootNow" | "needsNewest">,
     state: UpstreamState,
     key: string,
 ): number | undefined {
-    const { view, now, needsNewest = false } = options;
+    const { view, now, bootNow = now, needsNewest = false } = options;
     const held = view.findHeldVersion(state, key);
     if (held === undefined) {
         return undefined;
     }
     const isAllowed = needsNewest
         ? held >= (view.versions.findNewest(key)?.version ?? held)
-        : view.versions.mayUse(key, held, now);
+        : view.versions.mayUse(key, held, bootNow);
     return isAllowed ? held : undefined;
 }
--- a/packages/fleet/src/versions.ts
+++ b/packages/fleet/src/versions.ts
@@ -52,6 +52,12 @@
         return this.named.get(key)?.at(-1);
     }
 
+    /** When a version was named, at the earliest; undefined if that is not known. */
+    findSince(key: string, version: number): number | undefined {
+        const since = this.named.get(key)?.find(named => named.version === version)?.since;
+        return since === -Infinity ? undefined : since;
+    }
+
     /** When a version was replaced: at the first moment at which any newer one was named. Undefined if it is the newest. */
     findReplacedAt(key: string, version: number): number | undefined {
         const newer = (this.named.get(key) ?? []).filter(named => named.version > version);
--- a/packages/node/src/knowledge/cluster.ts
+++ b/packages/node/src/knowledge/cluster.ts
@@ -14,11 +14,15 @@
 /** Names the configuration among what changes are about. */
 const routingItem = "routing";
 
+type VersionChange = Extract<ClusterChange, { kind: "version"; }>;
+
 /** Options of {@link ClusterState}. */
 export interface ClusterStateOptions {
     readonly view: FleetView;
     readonly log: DecisionLog;
     readonly readTime: () => number;
+    /** Time that goes on while the VM is suspended, in milliseconds. @default readTime */
+    readonly readBoot?: (() => number) | undefined;
     /** Something that requests may wait for has changed. */
     readonly onChange: () => void;
     readonly onUpstreamGone: (id: string) => void;
@@ -43,8 +47,11 @@
     private hasUpstreams = false;
     private hasStore = false;
     private storeBackAt = -Infinity;
+    private readonly readBoot: () => number;
 
-    constructor(private readonly options: ClusterStateOptions) {}
+    constructor(private readonly options: ClusterStateOptions) {
+        this.readBoot = options.readBoot ?? options.readTime;
+    }
 
     /** Whether routes and upstreams are known: a VM that has just started reads them within some 0.1 s. */
     get isComplete(): boolean {
@@ -62,11 +69,6 @@
         return change?.kind === "routing" ? change : undefined;
     }
 
-    /** Everything known, for a VM that has just connected. */
-    listChanges(): ClusterChange[] {
-        return [...this.changes.values()];
-    }
-
     /** How far has been read, from the store or from peers. */
     get readPositions(): ReadPositions {
         return { operator: this.operatorPosition, upstreams: this.upstreamPosition };
@@ -74,11 +76,13 @@
 
     /** What a VM that has read so far lacks. */
     listChangesAfter(positions: ReadPositions): ClusterChange[] {
-        return this.listChanges().filter(change => change.position > readKindPosition(positions, change));
+        return [...this.changes.values()]
+            .filter(change => change.position > readKindPosition(positions, change))
+            .map(change => this.updateAge(change));
     }
 
     /**
-     * Takes changes, and returns those that were new.
+     * Takes changes, and returns those that were new, as other VMs are told of them.
      * @param from Where they come from, for the log: the store, or the VM that has passed them on.
      */
     applyChanges(changes: readonly ClusterChange[], from = "store"): ClusterChange[] {
@@ -86,7 +90,7 @@
         if (fresh.length > 0) {
             this.options.onChange();
         }
-        return fresh;
+        return fresh.map(change => this.updateAge(change));
     }
 
     /** Takes the whole list of registered upstreams: those that are missing in it are gone. */
@@ -144,7 +148,7 @@
                 this.applyRouting(change);
                 break;
             case "version":
-                this.options.view.versions.update(change.key, change.version, this.options.readTime());
+                this.applyVersion(change);
                 break;
             case "member":
                 this.options.onMember(change.member);
@@ -153,6 +157,21 @@
         return true;
     }
 
+    /** A version counts from when it may have been named: what this VM learns late was in force before. */
+    private applyVersion({ key, version, ageMs }: VersionChange): void {
+        const since = ageMs === undefined ? -Infinity : this.readBoot() - ageMs;
+        this.options.view.versions.update(key, version, since);
+    }
+
+    /** A change as it is told now: the age of a version goes on while it is known. */
+    private updateAge(change: ClusterChange): ClusterChange {
+        if (change.kind !== "version") {
+            return change;
+        }
+        const since = this.options.view.versions.findSince(change.key, change.version);
+        return { ...change, ageMs: since === undefined ? undefined : Math.max(0, this.readBoot() - since) };
+    }
+
     private applyRegistration(
         change: Extract<ClusterChange, { kind: "upstream" | "upstreamGone"; }>,
         from: string,
--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -29,7 +29,13 @@
     z.object({ kind: z.literal("routing"), routing: routingSchema, position }),
     z.object({ kind: z.literal("upstream"), upstream: upstreamSchema, position }),
     z.object({ kind: z.literal("upstreamGone"), name: z.string(), position }),
-    z.object({ kind: z.literal("version"), key: z.string(), version: z.number(), position }),
+    z.object({
+        kind: z.literal("version"),
+        key: z.string(),
+        version: z.number(),
+        position,
+        ageMs: z.number().nonnegative().optional(),
+    }),
     z.object({ kind: z.literal("member"), member: memberSchema, position }),
 ]);
 
--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -45,6 +45,8 @@
     readonly orders: EngineOrders;
     readonly log: DecisionLog;
     readonly readTime: () => number;
+    /** Time that goes on while the VM is suspended, in milliseconds. @default readTime */
+    readonly readBoot?: (() => number) | undefined;
     readonly findService: (name: string) => Service | undefined;
     /** Whether orders may be given to an engine now. */
     readonly mayOrder: (name: string) => boolean;
@@ -85,6 +87,7 @@
 export class OwnedEngines {
     private readonly engines = new Map<string, OwnedEngine>();
     private readonly timers: Timers;
+    private readonly readBoot: () => number;
     /** Runs while there are engines: most VMs of a large fleet own none. */
     private newsTimer: ScheduledRun | undefined;
     /** Orders that may still come to their engines, and the names of these. They outlast the ownership. */
@@ -94,6 +97,7 @@
 
     constructor(private readonly options: OwnedEnginesOptions) {
         this.timers = options.timers ?? processTimers;
+        this.readBoot = options.readBoot ?? options.readTime;
     }
 
     get hasAny(): boolean {
@@ -267,7 +271,7 @@
 
     /** Whether a held version of an adapter may answer, by what the request asks for and what this VM knows. */
     private mayUse(key: string, held: number, oldest: number | undefined): boolean {
-        return held >= (oldest ?? -Infinity) && this.options.view.versions.mayUse(key, held, this.options.readTime());
+        return held >= (oldest ?? -Infinity) && this.options.view.versions.mayUse(key, held, this.readBoot());
     }
 
     private remove(id: string): void {
--- a/packages/node/src/ownership/owning.ts
+++ b/packages/node/src/ownership/owning.ts
@@ -64,8 +64,11 @@
     | "prolongedByAllClear"
     | `${ClaimReason}Claim`;
 
+/** Options of owned engines that {@link Owning} sets itself. */
+type OwnedOption = "mayOrder" | "readFence" | "explainOrders" | "readBoot";
+
 /** Options of {@link Owning}. */
-export interface OwningOptions extends Omit<OwnedEnginesOptions, "mayOrder" | "readFence" | "explainOrders"> {
+export interface OwningOptions extends Omit<OwnedEnginesOptions, OwnedOption> {
     readonly claims: ShardClaims;
     /** Tells this process from others of the same VM: when it started, in milliseconds. */
     readonly incarnation: number;
@@ -179,6 +182,7 @@
         });
         this.engines = new OwnedEngines({
             ...options,
+            readBoot: () => this.bootClock.read(),
             mayOrder: name => this.mayOrder(name),
             readFence: name => this.clock.readFence(this.findShard(name)),
             explainOrders: name => this.explainOrders(name),
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -112,7 +112,14 @@
     | { readonly kind: "upstream"; readonly upstream: Upstream; readonly position: number; }
     /** No upstream of this name is registered any more, or its entry cannot be read. */
     | { readonly kind: "upstreamGone"; readonly name: string; readonly position: number; }
-    | { readonly kind: "version"; readonly key: string; readonly version: number; readonly position: number; }
+    | {
+        readonly kind: "version";
+        readonly key: string;
+        readonly version: number;
+        readonly position: number;
+        /** How long ago it was named at the most, in milliseconds; undefined if that is not known. */
+        readonly ageMs?: number | undefined;
+    }
     | { readonly kind: "member"; readonly member: Member; readonly position: number; };
 
 /** A record of the store that cannot be read: something else has written it, or a part of it is wrong. */
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -101,18 +101,19 @@
             slack: settings.retrySlack,
             windowMs: settings.retryWindowMs,
         });
+        this.bootClock = options.bootClock ?? new BootClock();
         this.view = new FleetView();
         this.cluster = new ClusterState({
             view: this.view,
             log: this.log,
             readTime: readNow,
+            readBoot: () => this.bootClock.read(),
             onChange: () => this.receiveClusterChange(),
             onUpstreamGone: id => this.serving.removeUpstream(id),
             onUpstream: upstream => this.guard.receiveEntry(upstream),
             onMember: member => this.receiveMember(member),
         });
         this.guard = this.createGuard();
-        this.bootClock = options.bootClock ?? new BootClock();
         this.accounts = this.createAccounts();
         this.admissions = new Admissions({ readTime: readNow, send: (vm, message) => this.sendAdmission(vm, message) });
         this.serving = this.createServing();
@@ -310,6 +311,7 @@
             pool: this.pool,
             log: this.log,
             readTime: readNow,
+            readBoot: () => this.bootClock.read(),
             admissions: this.admissions,
             guard: this.guard,
             accounts: this.accounts,
--- a/packages/node/src/requests/choosing.ts
+++ b/packages/node/src/requests/choosing.ts
@@ -71,6 +71,8 @@
     readonly longPrompts: PauseThreshold;
     readonly log: DecisionLog;
     readonly readTime: () => number;
+    /** Time that goes on while the VM is suspended, in milliseconds. @default readTime */
+    readonly readBoot?: (() => number) | undefined;
     /** Asked again during each wait: another VM may have learned that a request ends upstreams. @default always */
     readonly mayRun?: ((job: Job) => boolean) | undefined;
     /** Whether messages reach a VM. */
@@ -85,8 +87,11 @@
 /** Finds the upstream for a request and waits until it can be sent there. */
 export class UpstreamChooser {
     private readonly waiters = new Set<() => void>();
+    private readonly readBoot: () => number;
 
-    constructor(private readonly options: UpstreamChooserOptions) {}
+    constructor(private readonly options: UpstreamChooserOptions) {
+        this.readBoot = options.readBoot ?? options.readTime;
+    }
 
     /** Lets requests that wait for an upstream to come look again. */
     receiveChange(): void {
@@ -160,7 +165,7 @@
         if (without !== undefined) {
             penalties.set(without, Infinity);
         }
-        const base = { view, service: job.service, dataCentre, now, penalties };
+        const base = { view, service: job.service, dataCentre, now, bootNow: this.readBoot(), penalties };
         const { model } = job.demand;
         if (job.service.engine === undefined || model === undefined) {
             return chooseServer(base);
@@ -313,7 +318,7 @@
     /** Oldest version of its adapter that may answer a request now; undefined for any. */
     private findOldestVersion(model: ModelDemand): number | undefined {
         const key = findAdapterKey(model);
-        return key === undefined ? undefined : this.options.view.versions.findOldest(key, this.options.readTime());
+        return key === undefined ? undefined : this.options.view.versions.findOldest(key, this.readBoot());
     }
 
     private createDetails(job: Job, model: ModelDemand, now: number): AdmissionDetails {
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -79,6 +79,8 @@
     readonly pool: ConnectionPool;
     readonly log: DecisionLog;
     readonly readTime: () => number;
+    /** Time that goes on while the VM is suspended, in milliseconds. @default readTime */
+    readonly readBoot?: (() => number) | undefined;
     readonly admissions: Admissions;
     readonly guard: CrashGuard;
     readonly accounts: AccountGuard;
@@ -320,9 +322,7 @@
         let writtenAt: number | undefined;
         let begunAt: number | undefined;
         const key = findAdapterKey(job.demand.model);
-        const replacedAt = key === undefined
-            ? undefined
-            : this.options.view.versions.findReplacedAt(key, choice.version ?? 0);
+        const replacedMs = this.readReplacedMs(key, choice);
         const maySend = (): boolean =>
             !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)
             && this.mayRun(job) && this.options.accounts.hasIdentity(job, identity);
@@ -371,7 +371,7 @@
             version: choice.version,
             costMs: Math.round(choice.costMs),
             prefill: choice.prefillTokens,
-            replacedMs: formatElapsed(replacedAt, sentAt),
+            replacedMs,
             waitedMs: Math.round(job.waitedMs),
             writtenMs: formatElapsed(sentAt, writtenAt),
             begunMs: formatElapsed(sentAt, begunAt),
@@ -385,6 +385,13 @@
         return end;
     }
 
+    /** How long the version of a choice has been replaced; undefined if it is the newest, or if that is not known. */
+    private readReplacedMs(key: string | undefined, { version }: UpstreamChoice): number | undefined {
+        const { view, readTime, readBoot = readTime } = this.options;
+        const replacedAt = key === undefined ? undefined : view.versions.findReplacedAt(key, version ?? 0);
+        return formatElapsed(replacedAt === -Infinity ? undefined : replacedAt, readBoot());
+    }
+
     /** Urgency of a request at an engine; servers know none. */
     private readPriority({ service, route, account }: Job): number | undefined {
         return service.engine === undefined ? undefined : readPriority(route.priority, account?.priority);
--- /dev/null
+++ b/packages/node/test/versions.test.ts
@@ -0,0 +1,60 @@
+import { FleetView } from "@radishreel/fleet";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ClusterState } from "../src/knowledge/cluster.js";
+import type { ClusterChange } from "../src/ports.js";
+import { createSilentLog } from "./fixtures.js";
+
+const key = "base/a1";
+const nothingRead = { operator: -1, upstreams: -1 };
+
+function createVersion(version: number, ageMs?: number): ClusterChange {
+    return { kind: "version", key, version, position: version, ageMs };
+}
+
+/** What one VM knows, at a time that the test sets. */
+class KnowingVm {
+    now = 100_000;
+    readonly view = new FleetView();
+    readonly cluster = new ClusterState({
+        view: this.view,
+        log: createSilentLog(() => this.now),
+        readTime: () => 0,
+        readBoot: () => this.now,
+        onChange: () => {},
+        onUpstreamGone: () => {},
+        onMember: () => {},
+    });
+
+    mayUse(version: number): boolean {
+        return this.view.versions.mayUse(key, version, this.now);
+    }
+}
+
+test("a VM that cannot tell when a version was named lets no older one answer, however lately it has learned of it", () => {
+    const vm = new KnowingVm();
+    vm.cluster.applyChanges([createVersion(2)]);
+    assert.equal([1, 2].map(version => vm.mayUse(version)), [false, true]);
+});
+
+test("a version that is learned late counts from when it may have been named", () => {
+    const vm = new KnowingVm();
+    vm.cluster.applyChanges([createVersion(2, 2000)]);
+    assert.is(vm.mayUse(1), true);
+    vm.now += 600;
+    assert.is(vm.mayUse(1), false);
+});
+
+test("the age of a version goes on while it is passed from VM to VM", () => {
+    const [first, second] = [new KnowingVm(), new KnowingVm()];
+    const told = first.cluster.applyChanges([createVersion(2, 300)]);
+    assert.equal(told, [createVersion(2, 300)]);
+    first.now += 1700;
+    const later = first.cluster.listChangesAfter(nothingRead);
+    assert.equal(later, [createVersion(2, 2000)]);
+    second.cluster.applyChanges(later);
+    second.now += 600;
+    assert.is(second.mayUse(1), false);
+});
+
+test.run();
