Send what was named before a newer configuration along with it to a VM that asks about confirmations

Only the configuration itself was sent. A VM that takes a change of a later position takes all before it for read, and never asks for them: a VM that had just started, or whose link had lost some, could know a configuration and none of the adapters' versions named before it, and let any version answer. Found by looking for other ways in which a VM knows less of versions than it believes. The answer now holds all that the operator has written after the asker's configuration, which is no more messages.

--- a/packages/node/src/accounts/confirmations.ts
+++ b/packages/node/src/accounts/confirmations.ts
@@ -28,6 +28,8 @@
     readonly timers: Timers;
     /** The configuration in force, as it was read; undefined if there is none. */
     readonly findRouting: () => Extract<ClusterChange, { kind: "routing"; }> | undefined;
+    /** What the operator has written after a position, as far as this VM knows. */
+    readonly listOperatorChanges: (position: number) => ClusterChange[];
     /** Whether anything depends on the age of the configuration. */
     readonly isNeeded: () => boolean;
     /** Whether this VM reads the store by itself. */
@@ -110,7 +112,8 @@
             return;
         }
         if (routing.position > position) {
-            this.options.send(vm, { type: "changes", changes: [routing] });
+            // All of them: a VM that has a later one takes those before it for read.
+            this.options.send(vm, { type: "changes", changes: this.options.listOperatorChanges(position) });
         }
         this.options.send(vm, { type: "confirmation", query, position: routing.position, ageMs: Math.max(0, ageMs) });
     }
--- a/packages/node/src/accounts/guard.ts
+++ b/packages/node/src/accounts/guard.ts
@@ -88,6 +88,7 @@
             readBoot,
             timers,
             findRouting: () => cluster.findRouting(),
+            listOperatorChanges: position => cluster.listOperatorChangesAfter(position),
             isNeeded: () => this.accounts !== undefined,
             isReading,
             listSources: listConfirmers,
--- a/packages/node/src/knowledge/cluster.ts
+++ b/packages/node/src/knowledge/cluster.ts
@@ -81,6 +81,11 @@
             .map(change => this.updateAge(change));
     }
 
+    /** What the operator has written after a position. */
+    listOperatorChangesAfter(position: number): ClusterChange[] {
+        return this.listChangesAfter({ operator: position, upstreams: Infinity });
+    }
+
     /**
      * Takes changes, and returns those that were new, as other VMs are told of them.
      * @param from Where they come from, for the log: the store, or the VM that has passed them on.
--- a/packages/node/test/accounts.test.ts
+++ b/packages/node/test/accounts.test.ts
@@ -131,6 +131,7 @@
             routing: { version: 1, routes: [], services: [], limits },
             position: 7,
         }),
+        listOperatorChanges: () => [],
         isNeeded: () => true,
         isReading: () => false,
         listSources: () => ["other"],
--- a/packages/node/test/versions.test.ts
+++ b/packages/node/test/versions.test.ts
@@ -2,8 +2,10 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { ClusterState } from "../src/knowledge/cluster.js";
+import type { PeerMessage } from "../src/links/messages.js";
 import type { ClusterChange } from "../src/ports.js";
-import { createSilentLog } from "./fixtures.js";
+import { createAccountGuard, createSilentLog } from "./fixtures.js";
+import { plainRouting } from "./opening.js";
 
 const key = "base/a1";
 const nothingRead = { operator: -1, upstreams: -1 };
@@ -57,4 +59,17 @@
     assert.is(second.mayUse(1), false);
 });
 
+test("a VM that is told of a newer configuration gets the versions that were named before it as well", () => {
+    const [teller, asker] = [new KnowingVm(), new KnowingVm()];
+    const routing: ClusterChange = { kind: "routing", routing: plainRouting, position: 5 };
+    teller.cluster.applyChanges([createVersion(2, 300), routing]);
+    const sent: PeerMessage[] = [];
+    const guard = createAccountGuard(teller.cluster, { send: (_vm, message) => sent.push(message) > 0 });
+    guard.receiveMessage("asker", { type: "confirmQuery", query: 1, position: -1 });
+    asker.cluster.applyChanges(sent.flatMap(message => message.type === "changes" ? message.changes : []));
+    assert.is(asker.cluster.isComplete, false);
+    assert.is(asker.cluster.findRouting()?.position, 5);
+    assert.is(asker.view.versions.findNewest(key)?.version, 2);
+});
+
 test.run();
