Name a version on every request for an adapter, and in every load of one that was named

An adapter for which none was named when it was loaded is told as its first version, as engines list it; a request that meets another one is turned away as not run. A load names the newest version that its owner knows, whichever the requests that wait for it know, so that it is known what the engine holds; a request of a VM that knows less takes the wanted version no lower any more.

Tests: a load asks for the newest version; an adapter without a named version is its first one.

--- a/packages/fleet/src/place.ts
+++ b/packages/fleet/src/place.ts
@@ -1,3 +1,5 @@
+import { firstVersion } from "./versions.js";
+
 /** Half-life of an adapter's popularity, in milliseconds: demand moves to other adapters within seconds. */
 const popularityHalfLifeMs = 8000;
 
@@ -23,6 +25,7 @@
 export interface Place {
     /** `retiring`: nobody is let in any more, and it will be ordered to go. */
     state: "loaded" | "loading" | "retiring" | "unloading" | "unknown";
+    /** 0 if it was ordered without naming one, since none had been named. */
     version: number;
     checkAt: number;
     checkPauseMs: number;
@@ -39,6 +42,11 @@
     decayedAt: number;
 }
 
+/** The version that an adapter's place holds: the first one where none had been named when it was loaded. */
+export function readPlaceVersion({ version }: Place): number {
+    return version === 0 ? firstVersion : version;
+}
+
 /** Whether an adapter is on its way, or may be. */
 export function isComing(place: Place): boolean {
     return place.state === "loading" || place.state === "unknown";
--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -10,6 +10,7 @@
     type Place,
     type PlaceCounts,
     popularUses,
+    readPlaceVersion,
     readReplaceable,
     recordPlaceUse,
 } from "./place.js";
@@ -52,6 +53,8 @@
     readonly warm?: readonly string[];
     readonly sequence: number;
     readonly now: number;
+    /** Newest version of an adapter that the operator has named; loads ask for it. @default none is known */
+    readonly findNewest?: ((key: string) => number | undefined) | undefined;
 }
 
 /**
@@ -78,11 +81,13 @@
      */
     private readonly knowsMemory: boolean;
     private readonly limits: EngineLimits;
+    private readonly findNewest: (key: string) => number | undefined;
     private readonly loadTimes = new LoadTimes();
     private readonly forecast = new LoadForecast();
 
     constructor(options: EnginePlacesOptions) {
         this.limits = options.limits;
+        this.findNewest = options.findNewest ?? (() => undefined);
         this.models = new BaseModels({ limits: options.limits, held: options.models });
         this.sequence = options.sequence;
         this.knowsMemory = options.sequence === 0 || (options.warm ?? []).length > 0;
@@ -108,7 +113,7 @@
         const held: Record<string, number> = {};
         for (const [key, place] of this.places) {
             if (place.state === "loaded") {
-                held[key] = place.version;
+                held[key] = readPlaceVersion(place);
             }
         }
         return held;
@@ -137,7 +142,7 @@
     /** Version of an adapter that requests may use now; undefined if it is not loaded. */
     findLoadedVersion(key: string): number | undefined {
         const place = this.places.get(key);
-        return place?.state === "loaded" ? place.version : undefined;
+        return place?.state === "loaded" ? readPlaceVersion(place) : undefined;
     }
 
     /** Whether the engine holds a base model, as far as it has reported. */
@@ -590,7 +595,13 @@
             return undefined;
         }
         const hasRoom = this.places.size < this.limits.adapterPlaces;
-        return hasRoom ? this.createOrder("load", key, this.wants.find(key)!.version) : undefined;
+        return hasRoom ? this.createOrder("load", key, this.findWantedVersion(key)) : undefined;
+    }
+
+    /** The version to load: the newest one that was named, so that it is known which one the engine then holds. */
+    private findWantedVersion(key: string): number | undefined {
+        const newest = Math.max(this.wants.find(key)?.version ?? 0, this.findNewest(key) ?? 0);
+        return newest === 0 ? undefined : newest;
     }
 
     private findNextTime(now: number): number {
--- a/packages/fleet/src/wants.ts
+++ b/packages/fleet/src/wants.ts
@@ -63,7 +63,7 @@
         want.expiresAt = Math.max(want.expiresAt, expiresAt);
         want.runMs = Math.min(want.runMs, runMs);
         want.onTimeUntil = Math.max(want.onTimeUntil, onTimeUntil);
-        want.version = version ?? want.version;
+        want.version = Math.max(version ?? 0, want.version ?? 0) || undefined;
     }
 
     find(key: string): Readonly<Want> | undefined {
--- a/packages/fleet/test/versions.test.ts
+++ b/packages/fleet/test/versions.test.ts
@@ -1,9 +1,23 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { FleetView } from "../src/index.js";
+import { AdapterVersions, EnginePlaces, FleetView } from "../src/index.js";
+import { createPlaces, limits, ModelEngine, runPlan } from "./engine.js";
 
 const key = "base/a1";
 
+/** A request waits for the adapter, in this version at least. */
+function addWant(places: EnginePlaces, version: number | undefined): void {
+    places.addWant({ key, version, runMs: 500, onTimeMs: 500, lifeMs: 500 }, 0);
+}
+
+/** Lets the engine load for some time. */
+function runLoads(engine: ModelEngine, places: EnginePlaces): void {
+    for (let elapsed = 0; elapsed < 400; elapsed += 20) {
+        runPlan(engine, places, () => "answered");
+        engine.advance(20);
+    }
+}
+
 test("a version that was replaced long ago does not come back when a still newer one is named", () => {
     const view = new FleetView();
     view.versions.update(key, 2, 3000);
@@ -14,4 +28,30 @@
     assert.equal([1, 2, 3, 4].map(version => view.versions.mayUse(key, version, 16_100)), [false, false, true, true]);
 });
 
+test("a load asks for the newest version that was named, whatever a request that waits for it knows", () => {
+    const engine = new ModelEngine();
+    const versions = new AdapterVersions();
+    const places = new EnginePlaces({
+        limits,
+        models: engine.readReport().models,
+        sequence: 0,
+        now: 0,
+        findNewest: adapter => versions.findNewest(adapter)?.version,
+    });
+    versions.update(key, 3, 0);
+    addWant(places, 3);
+    addWant(places, 2);
+    runLoads(engine, places);
+    assert.equal(places.listHeld(), { [key]: 3 });
+    assert.is(engine.held.get(key), 3);
+});
+
+test("an adapter of which no version was named is told to be its first one", () => {
+    const engine = new ModelEngine();
+    const places = createPlaces(engine);
+    addWant(places, undefined);
+    runLoads(engine, places);
+    assert.equal(places.listHeld(), { [key]: 1 });
+});
+
 test.run();
--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -241,6 +241,7 @@
             warm: state.warm.list(),
             sequence,
             now: this.options.readTime(),
+            findNewest: key => this.options.view.versions.findNewest(key)?.version,
         });
         const owned: OwnedEngine = {
             id,
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -45,7 +45,7 @@
     readonly upstreamName: string;
     /** What is left of the caller's time, in milliseconds. */
     readonly budgetMs: number;
-    /** Adapter version that must answer; undefined for any. */
+    /** Adapter version that must answer; undefined for requests without an adapter. */
     readonly version: number | undefined;
     /** Event after which a stream goes on. */
     readonly lastEventId: string | undefined;
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -340,7 +340,7 @@
             send: {
                 upstreamName: upstream.name,
                 budgetMs: Math.max(1, Math.floor(job.deadlineAt - sentAt)),
-                version: choice.version === 0 ? undefined : choice.version,
+                version: choice.version,
                 lastEventId: job.progress.lastEventId,
                 priority: this.readPriority(job),
                 identity,
