Look at the version once more where a request is written

The last check asked the upstream, the configuration, the account and suspicions again, not the version. Now it does; a request whose version may no longer begin is withheld, as not run, and chooses anew.

--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -104,8 +104,10 @@
     private readonly longPrompts = new PauseThreshold();
     private readonly open = new Set<CallerExchange>();
     private readonly chooser: UpstreamChooser;
+    private readonly readBoot: () => number;
 
     constructor(private readonly options: ServingOptions) {
+        this.readBoot = options.readBoot ?? options.readTime;
         this.chooser = new UpstreamChooser({
             ...options,
             kept: this.kept,
@@ -325,7 +327,7 @@
         const replacedMs = this.readReplacedMs(key, choice);
         const maySend = (): boolean =>
             !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)
-            && this.mayRun(job) && this.options.accounts.hasIdentity(job, identity);
+            && this.mayRun(job) && this.options.accounts.hasIdentity(job, identity) && this.mayUseVersion(key, choice);
         job.attempts += 1;
         const attempt = new Attempt({
             ...this.createAttemptTimes(job, choice, sentAt),
@@ -385,11 +387,16 @@
         return end;
     }
 
+    /** Whether the version of a choice may still be sent a request. */
+    private mayUseVersion(key: string | undefined, { version }: UpstreamChoice): boolean {
+        return key === undefined || this.options.view.versions.mayUse(key, version ?? 0, this.readBoot());
+    }
+
     /** How long the version of a choice has been replaced; undefined if it is the newest, or if that is not known. */
     private readReplacedMs(key: string | undefined, { version }: UpstreamChoice): number | undefined {
-        const { view, readTime, readBoot = readTime } = this.options;
-        const replacedAt = key === undefined ? undefined : view.versions.findReplacedAt(key, version ?? 0);
-        return formatElapsed(replacedAt === -Infinity ? undefined : replacedAt, readBoot());
+        const { versions } = this.options.view;
+        const replacedAt = key === undefined ? undefined : versions.findReplacedAt(key, version ?? 0);
+        return formatElapsed(replacedAt === -Infinity ? undefined : replacedAt, this.readBoot());
     }
 
     /** Urgency of a request at an engine; servers know none. */
--- a/packages/node/test/opening.ts
+++ b/packages/node/test/opening.ts
@@ -1,4 +1,4 @@
-import { FleetView, RetryBudget, type Upstream } from "@radishreel/fleet";
+import { FleetView, type HeldModel, type ModelDemand, RetryBudget, type Upstream } from "@radishreel/fleet";
 import type { Routing } from "@radishreel/routing";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -96,12 +96,17 @@
 interface ChangeOptions {
     /** @default one without accounts */
     readonly routing?: Routing;
+    /** What the request asks for of a model. @default it is a plain request */
+    readonly model?: ModelDemand;
+    /** What the servers hold. @default nothing */
+    readonly models?: readonly (readonly HeldModel[])[];
     /** What the VM learns while it opens the first connection. */
     readonly createChange: (upstream: Upstream) => ClusterChange;
 }
 
 /** Serves one request, and lets the VM learn something while it opens its first connection to a server. */
-export async function serveWhileChanging({ routing = plainRouting, createChange }: ChangeOptions): Promise<Served> {
+export async function serveWhileChanging(options: ChangeOptions): Promise<Served> {
+    const { routing = plainRouting, model, models = [[], []], createChange } = options;
     const view = new FleetView();
     const log = createSilentLog(readSteady);
     let aheadMs = 0;
@@ -121,7 +126,7 @@
     };
     const servers = await Promise.all(["s1", "s2"].map(id => startServer(account => receive(id, account))));
     const upstreams = ["s1", "s2"].map((id, index) =>
-        createUpstream(id, { service: "desk", address: servers[index]!.address, models: [] })
+        createUpstream(id, { service: "desk", address: servers[index]!.address, models: [...models[index]!] })
     );
     cluster.applyChanges([
         { kind: "routing", routing, position: 1 },
@@ -141,7 +146,7 @@
         cluster,
         budgets: () => new RetryBudget({ ratio: 0.2, slack: 100, windowMs: 10_000 }),
         countVms: () => 1,
-        dialect: plainDialect,
+        dialect: { ...plainDialect, parseDemand: headers => ({ ...plainDialect.parseDemand(headers), model }) },
         pool,
         log,
         readTime: readSteady,
--- a/packages/node/test/versions.test.ts
+++ b/packages/node/test/versions.test.ts
@@ -4,8 +4,8 @@
 import { ClusterState } from "../src/knowledge/cluster.js";
 import type { PeerMessage } from "../src/links/messages.js";
 import type { ClusterChange } from "../src/ports.js";
-import { createAccountGuard, createSilentLog } from "./fixtures.js";
-import { plainRouting } from "./opening.js";
+import { createAccountGuard, createSilentLog, engineService } from "./fixtures.js";
+import { plainRouting, serveWhileChanging } from "./opening.js";
 
 const key = "base/a1";
 const nothingRead = { operator: -1, upstreams: -1 };
@@ -72,4 +72,17 @@
     assert.is(asker.view.versions.findNewest(key)?.version, 2);
 });
 
+test("nothing is written for a version that is replaced for good while the connection to an engine is opened", async () => {
+    const models = [1, 2].map(version => [{ name: "base", version: 1, adapters: [{ name: "a1", version }] }]);
+    const { status, reached, first } = await serveWhileChanging({
+        routing: { ...plainRouting, services: [{ ...engineService, name: "desk" }] },
+        model: { model: "base", adapter: "a1", promptTokens: 100, outputTokens: 10, parts: [] },
+        models,
+        createChange: () => createVersion(2),
+    });
+    assert.is(status, 200);
+    assert.is(first, "s1");
+    assert.equal(reached, ["s2"]);
+});
+
 test.run();
