Take a stream back that its engine has not begun when its version may not begin any more

What is written in time can begin late: an engine at a fifth of its pace, or with a long queue, begins seconds after the write, and the bound is on the beginning. A plain answer does not tell when it began, so that only the expectation holds for it.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -228,10 +228,19 @@
         + (isOverfull ? overfullCostMs : 0)
         + (isSecondCopy ? secondCopyCostMs : 0)
         + readCommonCost(options, state);
+    if (version !== undefined && !mayBegin(options, key, version, costMs)) {
+        return createChoice({ ...candidate, version: undefined });
+    }
     const rankMs = costMs + readHeldUpCost(options, state, prefillTokens, load.longAnswers);
     return { state, costMs, waitMs, rankMs, isReady, version, prefillTokens };
 }
 
+/** Whether an engine will have begun a request while its version may still answer, as far as can be expected. */
+function mayBegin(options: EngineChoiceOptions, key: string | undefined, version: number, expectedMs: number): boolean {
+    const { view, now, bootNow = now } = options;
+    return key === undefined || view.versions.mayUse(key, version, bootNow, expectedMs);
+}
+
 /** How long the requests on an engine hold up one more, in milliseconds. */
 export function readQueueMs(load: Readonly<UpstreamLoad>): number {
     return load.backlogTokens / prefillTokensPerMs + load.active * activeCostMs;
--- a/packages/fleet/test/choose.test.ts
+++ b/packages/fleet/test/choose.test.ts
@@ -142,6 +142,17 @@
     assert.is(choose(view, createDemand(), 3600)?.version, 2);
 });
 
+test("a replaced version is not sent for where the engine would begin too late", () => {
+    const view = createView(["e1", "e2"]);
+    const [short, long] = [0, 80_000].map(backlogTokens => ({ ...noLoad, backlogTokens }));
+    view.versions.update("base/a1", 2, 0);
+    view.updateNews("vm", createNews("e1", { revision: 2, held: { "base/a1": 1 }, load: short! }), 0);
+    view.updateNews("vm", createNews("e2", { revision: 2, held: { "base/a1": 2 }, load: long! }), 0);
+    assert.is(choose(view, createDemand(), 1000)?.version, 1);
+    view.updateNews("vm", createNews("e1", { revision: 3, held: { "base/a1": 1 }, load: long! }), 0);
+    assert.is(choose(view, createDemand(), 1000)?.version, 2);
+});
+
 test("a newer version is loaded where the older one is not in use", () => {
     const view = createView(["e1", "e2"]);
     view.updateNews("vm", createNews("e1", { revision: 2, held: { "base/a1": 1 } }), 0);
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -123,8 +123,8 @@
             this.reports.recordWhole(job.digest);
             return;
         }
-        // An upstream that was leaving ends as planned.
-        if (end.kind !== "broken" || !this.options.view.isUsable(upstream.id)) {
+        // An upstream that was leaving ends as planned, and a request that was taken back tells nothing of its upstream.
+        if (end.kind !== "broken" || end.reason === "versionReplaced" || !this.options.view.isUsable(upstream.id)) {
             return;
         }
         const now = this.options.readTime();
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -26,7 +26,13 @@
     | { readonly kind: "callerLeft"; };
 
 /** Why an attempt broke. */
-export type BreakReason = "connectionLost" | "upstreamSilent" | "wrongAnswer" | "truncatedAnswer" | "timeout";
+export type BreakReason =
+    | "connectionLost"
+    | "upstreamSilent"
+    | "wrongAnswer"
+    | "truncatedAnswer"
+    | "timeout"
+    | "versionReplaced";
 
 /** A stream's progress over all its attempts. */
 export interface StreamProgress {
@@ -58,6 +64,8 @@
     readonly progress: StreamProgress;
     /** Longest wait for the first byte of the answer, or the first event, in milliseconds. */
     readonly firstByteMs: number;
+    /** When a stream that has not begun is taken back, in milliseconds from now: its version may not begin any more. */
+    readonly withdrawMs: number;
     /** Longest wait between two parts of the answer, in milliseconds. */
     readonly pauseMs: number;
     /** Time left until the request must have ended, in milliseconds. */
@@ -86,6 +94,7 @@
     private readonly splitter = new EventSplitter();
     private readonly deadline: NodeJS.Timeout;
     private silence: NodeJS.Timeout | undefined;
+    private withdrawal: NodeJS.Timeout | undefined;
     private status = 0;
     private headers: RawHeaders = [];
     private head: AnswerHead | undefined;
@@ -116,6 +125,7 @@
             options.timeLeftMs,
         );
         this.startSilenceTimer(options.firstByteMs);
+        this.startWithdrawalTimer();
         caller.onLeft(() => this.finish({ kind: "callerLeft" }));
         if (caller.hasLeft) {
             this.finish({ kind: "callerLeft" });
@@ -301,6 +311,19 @@
         }
     }
 
+    /** A plain answer does not tell when it began, and may have been under way for long. */
+    private startWithdrawalTimer(): void {
+        const { route, withdrawMs } = this.options;
+        if (route.kind !== "stream" || withdrawMs === Infinity) {
+            return;
+        }
+        this.withdrawal = setTimeout(() => {
+            if (!this.hasBegun) {
+                this.finishBroken("versionReplaced", "not begun before its version was replaced for good");
+            }
+        }, withdrawMs);
+    }
+
     private finishBroken(reason: BreakReason, detail: string): void {
         this.finish({ kind: "broken", reason, detail });
     }
@@ -312,6 +335,7 @@
         this.isDone = true;
         clearTimeout(this.deadline);
         clearTimeout(this.silence);
+        clearTimeout(this.withdrawal);
         if (end.kind === "broken" || end.kind === "callerLeft") {
             this.exchange.cancel();
             this.connection.cancel();
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -25,6 +25,7 @@
     | "timeout"
     | "connectionLost"
     | "upstreamSilent"
+    | "versionReplaced"
     | "wrongAnswer"
     | "truncatedAnswer";
 
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -331,6 +331,7 @@
         job.attempts += 1;
         const attempt = new Attempt({
             ...this.createAttemptTimes(job, choice, sentAt),
+            withdrawMs: this.readWithdrawMs(key, choice),
             caller: job.caller,
             requestId: job.demand.requestId,
             route: job.route,
@@ -392,6 +393,12 @@
         return key === undefined || this.options.view.versions.mayUse(key, version ?? 0, this.readBoot());
     }
 
+    /** How long a request for the version of a choice may wait to begin, in milliseconds; infinite for the newest. */
+    private readWithdrawMs(key: string | undefined, { version }: UpstreamChoice): number {
+        const { versions } = this.options.view;
+        return key === undefined ? Infinity : versions.readUseEnd(key, version ?? 0) - this.readBoot();
+    }
+
     /** How long the version of a choice has been replaced; undefined if it is the newest, or if that is not known. */
     private readReplacedMs(key: string | undefined, { version }: UpstreamChoice): number | undefined {
         const { versions } = this.options.view;
@@ -456,7 +463,9 @@
             case "broken":
                 job.runs += 1;
                 job.tried.set(upstream.id, { costMs: Infinity, until: Infinity, hasDeclined: false });
-                health.recordFailure(now);
+                if (end.reason !== "versionReplaced") {
+                    health.recordFailure(now);
+                }
                 return;
             case "notRun":
                 job.rejections += 1;
--- a/packages/node/test/opening.ts
+++ b/packages/node/test/opening.ts
@@ -48,7 +48,8 @@
 /** The key of the caller. */
 const callerKey: CallerKey = { kind: "key", key: "k" };
 
-const plainDialect: RequestDialect = {
+/** A dialect that knows one request of one caller. */
+export const plainDialect: RequestDialect = {
     parseDemand: () => ({
         requestId: "q",
         key: callerKey,
