--- a/packages/node/src/options.ts
+++ b/packages/node/src/options.ts
@@ -29,6 +29,8 @@
     readonly graceMs: number;
     /** Pause between two reads of the entries of upstreams, in milliseconds. @default 300 */
     readonly entriesPauseMs?: number;
+    /** Time after a new version of an adapter in which a request may begin on an older one, in milliseconds. @default 5000 */
+    readonly replacedMs?: number;
     /** How long requests wait for a process that has just started to read routes and upstreams, in milliseconds. @default 300 */
     readonly startWaitMs?: number;
 }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -102,7 +102,7 @@
             windowMs: settings.retryWindowMs,
         });
         this.bootClock = options.bootClock ?? new BootClock();
-        this.view = new FleetView();
+        this.view = new FleetView({ replacedMs: settings.replacedMs });
         this.cluster = new ClusterState({
             view: this.view,
             log: this.log,
