Take when an engine may be asked, and its sequence, out of the plan of its places

places.ts was 640 lines and did two things: plan the adapter places, and know when an engine may be given an order or must report first. The second is now EngineOrdering. Behaviour is as it was; the tests of places and admissions run unchanged.

--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -2,6 +2,7 @@
 import { BaseModels } from "./basemodels.js";
 import { LoadForecast, maxComing } from "./forecast.js";
 import { LoadTimes } from "./loadtimes.js";
+import { EngineOrdering, syncPauseMs } from "./ordering.js";
 import type { EngineOrder, EngineReport, OrderAction, OrderAnswer, PlacesStep } from "./orders.js";
 import {
     chooseVictim,
@@ -27,16 +28,9 @@
 /** Pause between two checks whether a load or an unload is complete, in milliseconds. */
 const checkPauseMs = 20;
 
-/** Pause before an engine is asked for its state after an order that it did not take, in milliseconds: reports lag. */
-const syncPauseMs = 250;
-
 /** Pause after an order without an answer, in milliseconds: the wait for the answer was the pause already. */
 const repeatPauseMs = 5;
 
-/** Shortest and longest pause between two tries to reach an engine, in milliseconds: a crashed one is down for seconds. */
-const minReachPauseMs = 60;
-const maxReachPauseMs = 240;
-
 /** Pause after word that another incarnation has the address, in milliseconds: the entry will be removed. */
 const gonePauseMs = 400;
 
@@ -66,15 +60,7 @@
     private readonly wants = new AdapterQueue();
     private readonly warm: WarmAdapters;
     private readonly models: BaseModels;
-    private sequence: number;
-    private mustReport = true;
-    /** Whether the sequence itself is in doubt, so that only a report made after a pause says what it is. */
-    private isSequenceInDoubt = false;
-    private lastOrderAt = -Infinity;
-    private reachPauseMs = minReachPauseMs;
-    private isConnected = true;
-    private orderNotBefore = -Infinity;
-    private reportAt: number;
+    private readonly ordering: EngineOrdering;
     /**
      * Whether all that the engine may keep in host memory is known. An owner that starts anew is not told: its loads are
      * asked about early too, or each would take the time of one from the weight store.
@@ -89,9 +75,8 @@
         this.limits = options.limits;
         this.findNewest = options.findNewest ?? (() => undefined);
         this.models = new BaseModels({ limits: options.limits, held: options.models });
-        this.sequence = options.sequence;
+        this.ordering = new EngineOrdering(options);
         this.knowsMemory = options.sequence === 0 || (options.warm ?? []).length > 0;
-        this.reportAt = options.now;
         this.warm = new WarmAdapters(options.warm, options.limits.adapterPlaces);
         for (const [key, version] of Object.entries(options.held ?? {})) {
             this.updatePlace(key, version, "loaded", options.now - syncPauseMs);
@@ -100,12 +85,12 @@
 
     /** Whether the engine has to be asked for its state before anything else. */
     get needsReport(): boolean {
-        return this.mustReport;
+        return this.ordering.needsReport;
     }
 
     /** Whether the last try to reach the engine found it there. */
     get isReachable(): boolean {
-        return this.isConnected;
+        return this.ordering.isReachable;
     }
 
     /** Versions by adapter key of what is loaded and not being unloaded. */
@@ -234,8 +219,7 @@
     recordMissing(key: string, now: number): void {
         const place = this.places.get(key);
         if (place?.state === "loaded") {
-            this.mustReport = true;
-            this.reportAt = Math.max(this.reportAt, now);
+            this.ordering.scheduleReportNow(now);
         }
     }
 
@@ -244,14 +228,9 @@
      * @param countUses Requests under way with an adapter, over all VMs.
      */
     decide(now: number, countUses: (key: string) => number): PlacesStep {
-        if (!this.isConnected) {
-            return now >= this.orderNotBefore ? { kind: "report" } : { kind: "wait", untilMs: this.orderNotBefore };
-        }
-        if (this.mustReport) {
-            return now >= this.reportAt ? { kind: "report" } : { kind: "wait", untilMs: this.reportAt };
-        }
-        if (now < this.orderNotBefore) {
-            return { kind: "wait", untilMs: this.orderNotBefore };
+        const first = this.ordering.findStep(now);
+        if (first !== undefined) {
+            return first;
         }
         this.wants.expire(now);
         this.planEvictions(now, countUses);
@@ -272,9 +251,9 @@
             this.recordUnreachable(now);
             return;
         }
-        this.recordReached();
+        this.ordering.recordReached();
         if (answer === "gone") {
-            this.orderNotBefore = now + gonePauseMs;
+            this.ordering.pause(gonePauseMs, now);
             return;
         }
         if (answer === "conflict" || answer === "unknown") {
@@ -300,28 +279,21 @@
 
     /** A report tells when the model is there; each is priced, so that the first is asked for when it may be. */
     private applyModelAnswer(model: string, answer: OrderAnswer, now: number): void {
-        this.mustReport = true;
-        this.reportAt = now + syncPauseMs;
+        this.ordering.scheduleReport(now);
         if (answer === "accepted") {
             this.models.recordLoad(model, now);
-            this.reportAt = now + Math.max(syncPauseMs, this.models.readShortestMs(model));
+            this.ordering.scheduleReport(now, Math.max(syncPauseMs, this.models.readShortestMs(model)));
         }
         else if (answer === "rejected") {
-            this.orderNotBefore = now + rejectedPauseMs;
+            this.ordering.pause(rejectedPauseMs, now);
         }
     }
 
     /** Takes the engine's report. @param askedAt When it was asked for. */
     applyReport(report: EngineReport, askedAt: number, now: number): void {
-        this.mustReport = false;
-        this.recordReached();
+        this.ordering.recordReached();
+        this.ordering.applyReport(report.sequence, askedAt);
         this.models.update(report.models);
-        // Reports lag: one that may be older than the last order must not take the sequence back.
-        const isCurrent = askedAt - this.lastOrderAt >= syncPauseMs;
-        this.sequence = isCurrent || this.isSequenceInDoubt
-            ? report.sequence
-            : Math.max(this.sequence, report.sequence);
-        this.isSequenceInDoubt = false;
         const reported = new Map<string, number>();
         for (const model of report.models) {
             for (const adapter of model.adapters) {
@@ -347,15 +319,14 @@
             }
         }
         if (report.isBusy) {
-            this.mustReport = true;
-            this.reportAt = now + syncPauseMs;
+            this.ordering.scheduleReport(now);
         }
     }
 
     /** A report was asked for and did not come. @param wasReached Whether a connection could be opened. */
     recordReportFailure(wasReached: boolean, now: number): void {
-        this.reportAt = now + syncPauseMs;
-        if (!wasReached || !this.isConnected) {
+        this.ordering.recordReportFailure(now);
+        if (!wasReached || !this.ordering.isReachable) {
             this.recordUnreachable(now);
         }
     }
@@ -365,15 +336,8 @@
      * engine keeps its entry for some 3 s; in that time eleven loads waited at one of six engines of which two were gone.
      */
     private recordUnreachable(now: number): void {
-        this.isConnected = false;
         this.wants.removeAll();
-        this.orderNotBefore = now + this.reachPauseMs;
-        this.reachPauseMs = Math.min(this.reachPauseMs * 2, maxReachPauseMs);
-    }
-
-    private recordReached(): void {
-        this.isConnected = true;
-        this.reachPauseMs = minReachPauseMs;
+        this.ordering.recordUnreachable(now);
     }
 
     private updatePlace(key: string, version: number, state: Place["state"], now: number): void {
@@ -426,8 +390,7 @@
             this.applyIncomplete(place, now);
             return;
         }
-        this.sequence += 1;
-        this.lastOrderAt = now;
+        this.ordering.recordAccepted(now);
         this.forecast.recordLoad(now);
         const isWarm = this.warm.has(key) && place === undefined;
         this.updatePlace(key, version, "loading", now);
@@ -464,8 +427,7 @@
         const place = this.places.get(key);
         if (answer === "holds") {
             if (place?.state !== "unloading") {
-                this.sequence += 1;
-                this.lastOrderAt = now;
+                this.ordering.recordAccepted(now);
             }
             this.places.delete(key);
             return;
@@ -474,8 +436,7 @@
             return;
         }
         if (place.state !== "unloading") {
-            this.sequence += 1;
-            this.lastOrderAt = now;
+            this.ordering.recordAccepted(now);
             place.state = "unloading";
             place.changedAt = now;
             place.checkPauseMs = checkPauseMs;
@@ -489,12 +450,10 @@
      */
     private applyDoubt(order: EngineOrder, answer: OrderAnswer, now: number): void {
         if (answer === "conflict") {
-            this.mustReport = true;
-            this.isSequenceInDoubt = true;
-            this.reportAt = now + syncPauseMs;
+            this.ordering.recordConflict(now);
             return;
         }
-        this.orderNotBefore = now + repeatPauseMs;
+        this.ordering.pause(repeatPauseMs, now);
         if (order.action === "load" && order.adapter !== undefined) {
             const key = formatAdapterKey(order.model, order.adapter);
             if (!this.places.has(key)) {
@@ -624,11 +583,17 @@
             model,
             adapter,
             version: action === "load" && version !== 0 ? version : undefined,
-            expectedSequence: this.sequence,
+            expectedSequence: this.ordering.sequence,
         };
     }
 
     private createModelOrder(model: string): EngineOrder {
-        return { action: "load", model, adapter: undefined, version: undefined, expectedSequence: this.sequence };
+        return {
+            action: "load",
+            model,
+            adapter: undefined,
+            version: undefined,
+            expectedSequence: this.ordering.sequence,
+        };
     }
 }
