--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -1,33 +1,16 @@
 import type { EngineLimits } from "@radishreel/routing";
 import { BaseModels } from "./basemodels.js";
 import { LoadForecast, maxComing } from "./forecast.js";
-import { LoadTimes } from "./loadtimes.js";
 import { EngineOrdering, syncPauseMs } from "./ordering.js";
 import type { EngineOrder, EngineReport, OrderAction, OrderAnswer, PlacesStep } from "./orders.js";
-import {
-    chooseVictim,
-    countPlacesByUse,
-    isComing,
-    type Place,
-    type PlaceCounts,
-    popularUses,
-    readPlaceVersion,
-    readReplaceable,
-    recordPlaceUse,
-} from "./place.js";
+import { chooseVictim, isComing, type Place, type PlaceCounts, popularUses, readReplaceable } from "./place.js";
+import { checkPauseMs, PlaceTable } from "./placetable.js";
 import { formatAdapterKey, type HeldModel, parseAdapterKey } from "./types.js";
 import { AdapterQueue, type AdapterWant, wantLifeMs } from "./wants.js";
-import { WarmAdapters } from "./warm.js";
 
 /** Places kept free, so that a load need not wait for an eviction. */
 const freePlaces = 1;
 
-/** Longest pause between two checks of a load or an unload that takes long, in milliseconds. */
-const maxCheckPauseMs = 120;
-
-/** Pause between two checks whether a load or an unload is complete, in milliseconds. */
-const checkPauseMs = 20;
-
 /** Pause after an order without an answer, in milliseconds: the wait for the answer was the pause already. */
 const repeatPauseMs = 5;
 
@@ -56,19 +39,12 @@
  * exceed the places: a place counts as free only after the engine has said so.
  */
 export class EnginePlaces {
-    private readonly places = new Map<string, Place>();
+    private readonly places: PlaceTable;
     private readonly wants = new AdapterQueue();
-    private readonly warm: WarmAdapters;
     private readonly models: BaseModels;
     private readonly ordering: EngineOrdering;
-    /**
-     * Whether all that the engine may keep in host memory is known. An owner that starts anew is not told: its loads are
-     * asked about early too, or each would take the time of one from the weight store.
-     */
-    private readonly knowsMemory: boolean;
     private readonly limits: EngineLimits;
     private readonly findNewest: (key: string) => number | undefined;
-    private readonly loadTimes = new LoadTimes();
     private readonly forecast = new LoadForecast();
 
     constructor(options: EnginePlacesOptions) {
@@ -76,10 +52,11 @@
         this.findNewest = options.findNewest ?? (() => undefined);
         this.models = new BaseModels({ limits: options.limits, held: options.models });
         this.ordering = new EngineOrdering(options);
-        this.knowsMemory = options.sequence === 0 || (options.warm ?? []).length > 0;
-        this.warm = new WarmAdapters(options.warm, options.limits.adapterPlaces);
+        // An owner that starts anew is not told what the engine keeps in host memory: it asks early about each load.
+        const knowsMemory = options.sequence === 0 || (options.warm ?? []).length > 0;
+        this.places = new PlaceTable({ total: options.limits.adapterPlaces, warm: options.warm, knowsMemory });
         for (const [key, version] of Object.entries(options.held ?? {})) {
-            this.updatePlace(key, version, "loaded", options.now - syncPauseMs);
+            this.places.update(key, version, "loaded", options.now - syncPauseMs);
         }
     }
 
@@ -95,39 +72,31 @@
 
     /** Versions by adapter key of what is loaded and not being unloaded. */
     listHeld(): Record<string, number> {
-        const held: Record<string, number> = {};
-        for (const [key, place] of this.places) {
-            if (place.state === "loaded") {
-                held[key] = readPlaceVersion(place);
-            }
-        }
-        return held;
+        return this.places.listHeld();
     }
 
     listComing(): string[] {
-        return [...this.places].filter(([, place]) => isComing(place)).map(([key]) => key);
+        return this.places.listComing();
     }
 
     /** Adapter keys that wait for a place, in the order in which they will be loaded. */
     listQueued(now: number): string[] {
-        return this.wants.list(now, this.loadTimes.read(false)).filter(key => !this.places.has(key));
+        return this.wants.list(now, this.places.readLoadMs(false)).filter(key => !this.places.has(key));
     }
 
     /** How the places are used, and how many adapters wait for one, for what is told to people. */
     countPlaces(now: number, countUses: (key: string) => number): PlaceCounts & { queued: number; } {
-        const counts = countPlacesByUse(this.places, this.limits.adapterPlaces, now, countUses);
-        return { ...counts, queued: this.listQueued(now).length };
+        return { ...this.places.countByUse(now, countUses), queued: this.listQueued(now).length };
     }
 
     /** Expected time of a load, in milliseconds. */
     readLoadMs(isWarm: boolean): number {
-        return this.loadTimes.read(isWarm);
+        return this.places.readLoadMs(isWarm);
     }
 
     /** Version of an adapter that requests may use now; undefined if it is not loaded. */
     findLoadedVersion(key: string): number | undefined {
-        const place = this.places.get(key);
-        return place?.state === "loaded" ? readPlaceVersion(place) : undefined;
+        return this.places.findLoadedVersion(key);
     }
 
     /** Whether the engine holds a base model, as far as it has reported. */
@@ -150,7 +119,7 @@
      * @param releases Times until places that are in use are expected to come free, in milliseconds, soonest first.
      */
     readWaitMs(key: string, now: number, releases: readonly number[]): number {
-        const place = this.places.get(key);
+        const place = this.places.find(key);
         if (place !== undefined && isComing(place)) {
             return Math.max(0, place.changedAt + place.expectedMs - now);
         }
@@ -160,7 +129,7 @@
         const onTimeUntil = this.wants.find(key)?.onTimeUntil ?? Infinity;
         const turnMs = this.readTurnMs(position, queued.length, onTimeUntil, now, releases);
         const modelMs = this.models.readWaitMs(parseAdapterKey(key).model, now);
-        return Math.max(turnMs, modelMs) + this.loadTimes.read(this.warm.has(key));
+        return Math.max(turnMs, modelMs) + this.places.readAdapterLoadMs(key);
     }
 
     /** Expected time until the load of one more adapter would begin, in milliseconds. */
@@ -185,7 +154,7 @@
             coming: this.listComing().length,
             adapterPlaces: this.limits.adapterPlaces,
             releases,
-            coldMs: this.loadTimes.read(false),
+            coldMs: this.places.readLoadMs(false),
             onTimeUntil,
         };
         return this.forecast.readTurnMs(load, now);
@@ -198,7 +167,7 @@
 
     /** Asks for an adapter; a request that does not say how long it waits asks again from time to time. */
     addWant(wanted: AdapterWant, now: number): void {
-        const place = this.places.get(wanted.key);
+        const place = this.places.find(wanted.key);
         if (place?.state !== "loaded" || place.version < (wanted.version ?? 0)) {
             if (!this.wants.has(wanted.key)) {
                 this.forecast.recordArrival(now);
@@ -209,16 +178,12 @@
 
     /** Counts a request for an adapter. */
     recordUse(key: string, now: number): void {
-        const place = this.places.get(key);
-        if (place !== undefined) {
-            recordPlaceUse(place, now);
-        }
+        this.places.recordUse(key, now);
     }
 
     /** Takes word that the engine turned a request for an adapter away although it was believed to be loaded. */
     recordMissing(key: string, now: number): void {
-        const place = this.places.get(key);
-        if (place?.state === "loaded") {
+        if (this.places.find(key)?.state === "loaded") {
             this.ordering.scheduleReportNow(now);
         }
     }
@@ -302,20 +267,20 @@
         }
         // Of what is not known here every report is news, also in the first moments of a process, whose clock begins at 0.
         const hasSettled = (key: string): boolean =>
-            askedAt - (this.places.get(key)?.changedAt ?? -Infinity) >= syncPauseMs;
-        for (const key of [...this.places.keys()]) {
+            askedAt - (this.places.find(key)?.changedAt ?? -Infinity) >= syncPauseMs;
+        for (const key of [...this.places.entries.keys()]) {
             if (!reported.has(key) && !report.coming.includes(key) && hasSettled(key)) {
-                this.places.delete(key);
+                this.places.remove(key);
             }
         }
         for (const [key, version] of reported) {
             if (hasSettled(key)) {
-                this.updatePlace(key, version, "loaded", now);
+                this.places.update(key, version, "loaded", now);
             }
         }
         for (const key of report.coming) {
             if (!reported.has(key) && hasSettled(key)) {
-                this.updatePlace(key, this.wants.find(key)?.version ?? 0, "loading", now);
+                this.places.update(key, this.wants.find(key)?.version ?? 0, "loading", now);
             }
         }
         if (report.isBusy) {
@@ -340,45 +305,11 @@
         this.ordering.recordUnreachable(now);
     }
 
-    private updatePlace(key: string, version: number, state: Place["state"], now: number): void {
-        const known = this.places.get(key);
-        if (known === undefined) {
-            this.places.set(key, {
-                state,
-                version,
-                checkAt: now,
-                checkPauseMs,
-                changedAt: now,
-                expectedMs: this.loadTimes.read(false),
-                incompleteMs: undefined,
-                isWarm: false,
-                usedAt: now,
-                popularity: 1,
-                decayedAt: now,
-            });
-        }
-        else if (known.state !== state || known.version !== version) {
-            known.state = state;
-            known.version = version;
-            known.checkAt = now;
-            known.checkPauseMs = checkPauseMs;
-            known.changedAt = now;
-        }
-        this.warm.record(key);
-    }
-
-    /** Looks again after a pause that grows while an order takes long. */
-    private scheduleCheck(place: Place, now: number): void {
-        place.checkAt = now + place.checkPauseMs;
-        place.checkPauseMs = Math.min(place.checkPauseMs * 1.5, maxCheckPauseMs);
-    }
-
     private applyLoad(key: string, order: EngineOrder, answer: OrderAnswer, now: number): void {
-        const place = this.places.get(key);
+        const place = this.places.find(key);
         const version = order.version ?? place?.version ?? 0;
         if (answer === "holds") {
-            this.recordLoaded(place, now);
-            this.updatePlace(key, version, "loaded", now);
+            this.places.recordLoaded(key, version, now);
             this.wants.remove(key);
             return;
         }
@@ -387,49 +318,21 @@
         }
         if (place?.state === "loading") {
             // A check: it is still on its way, and the engine has not counted the order.
-            this.applyIncomplete(place, now);
+            this.places.recordIncomplete(key, now);
             return;
         }
         this.ordering.recordAccepted(now);
         this.forecast.recordLoad(now);
-        const isWarm = this.warm.has(key) && place === undefined;
-        this.updatePlace(key, version, "loading", now);
-        const coming = this.places.get(key)!;
-        coming.expectedMs = this.loadTimes.read(isWarm);
-        coming.isWarm = isWarm;
-        coming.incompleteMs = undefined;
-        coming.checkAt = now + this.loadTimes.read(isWarm || !this.knowsMemory);
-    }
-
-    /** A load was asked about and is still on its way. */
-    private applyIncomplete(place: Place, now: number): void {
-        const dueAt = place.changedAt + place.expectedMs;
-        if (now < dueAt) {
-            // It was asked about early, in case that the engine had it in memory.
-            place.checkAt = dueAt;
-            return;
-        }
-        place.incompleteMs ??= now - place.changedAt;
-        this.scheduleCheck(place, now);
-    }
-
-    /** Learns from a load that is complete. */
-    private recordLoaded(place: Place | undefined, now: number): void {
-        if (place?.state !== "loading") {
-            return;
-        }
-        const loadMs = now - place.changedAt;
-        const wasWarm = place.isWarm || loadMs < place.expectedMs;
-        this.loadTimes.record(wasWarm, loadMs, place.incompleteMs);
+        this.places.startLoad(key, version, now);
     }
 
     private applyUnload(key: string, answer: OrderAnswer, now: number): void {
-        const place = this.places.get(key);
+        const place = this.places.find(key);
         if (answer === "holds") {
             if (place?.state !== "unloading") {
                 this.ordering.recordAccepted(now);
             }
-            this.places.delete(key);
+            this.places.remove(key);
             return;
         }
         if (answer !== "accepted" || place === undefined) {
@@ -437,11 +340,8 @@
         }
         if (place.state !== "unloading") {
             this.ordering.recordAccepted(now);
-            place.state = "unloading";
-            place.changedAt = now;
-            place.checkPauseMs = checkPauseMs;
         }
-        this.scheduleCheck(place, now);
+        this.places.recordUnloading(key, now);
     }
 
     /**
@@ -457,7 +357,7 @@
         if (order.action === "load" && order.adapter !== undefined) {
             const key = formatAdapterKey(order.model, order.adapter);
             if (!this.places.has(key)) {
-                this.updatePlace(key, order.version ?? 0, "unknown", now);
+                this.places.update(key, order.version ?? 0, "unknown", now);
             }
         }
     }
@@ -469,11 +369,13 @@
     /** Begins to make room, so that the next loads find free places. */
     private planEvictions(now: number, countUses: (key: string) => number): void {
         this.planReplacements(now, countUses);
-        const going = [...this.places.values()].filter(({ state }) => state === "retiring" || state === "unloading");
-        const free = this.limits.adapterPlaces - this.places.size + going.length;
+        const going = [...this.places.entries.values()].filter(({ state }) =>
+            state === "retiring" || state === "unloading"
+        );
+        const free = this.places.free + going.length;
         const wanted = this.listQueued(now).slice(0, maxComing);
         for (const key of wanted.slice(free)) {
-            const loadMs = this.loadTimes.read(this.warm.has(key));
+            const loadMs = this.places.readAdapterLoadMs(key);
             this.evictIdle(1, readReplaceable(loadMs, this.wants.find(key)!.runMs), now, countUses);
         }
         this.evictIdle(wanted.length + freePlaces - Math.max(free, wanted.length), popularUses, now, countUses);
@@ -488,7 +390,7 @@
     ): void {
         for (let evicted = 0; evicted < count; evicted++) {
             const isWanted = (key: string): boolean => this.wants.has(key);
-            const victim = chooseVictim({ places: this.places, now, countUses, isWanted, maxPopularity });
+            const victim = chooseVictim({ places: this.places.entries, now, countUses, isWanted, maxPopularity });
             if (victim === undefined) {
                 return;
             }
@@ -502,7 +404,7 @@
      * 3.4 s with 19 loads waiting.
      */
     private planReplacements(now: number, countUses: (key: string) => number): void {
-        for (const [key, place] of this.places) {
+        for (const [key, place] of this.places.entries) {
             if (place.state === "loaded" && this.isTooOld(key, place) && countUses(key) === 0) {
                 this.beginEviction(key, now);
             }
@@ -515,20 +417,20 @@
     }
 
     private beginEviction(key: string, now: number): void {
-        const place = this.places.get(key)!;
-        this.updatePlace(key, place.version, "retiring", now);
+        const place = this.places.find(key)!;
+        this.places.update(key, place.version, "retiring", now);
     }
 
     /** A load or unload whose end is due to be asked for: the same order again says whether it holds. */
     private findDueCheck(now: number, countUses: (key: string) => number): EngineOrder | undefined {
-        for (const [key, place] of this.places) {
+        for (const [key, place] of this.places.entries) {
             if (place.state === "loaded" || place.checkAt > now) {
                 continue;
             }
             const isWanted = this.wants.has(key) && !this.isTooOld(key, place);
             if (place.state === "retiring" && (countUses(key) > 0 || isWanted)) {
                 // A request came in between: it stays.
-                this.updatePlace(key, place.version, "loaded", now);
+                this.places.update(key, place.version, "loaded", now);
                 continue;
             }
             const isGoing = place.state === "unloading" || place.state === "retiring";
@@ -553,7 +455,7 @@
         if (this.listComing().length >= maxComing) {
             return undefined;
         }
-        const hasRoom = this.places.size < this.limits.adapterPlaces;
+        const hasRoom = this.places.free > 0;
         return hasRoom ? this.createOrder("load", key, this.findWantedVersion(key)) : undefined;
     }
 
@@ -565,7 +467,7 @@
 
     private findNextTime(now: number): number {
         let next = now + wantLifeMs;
-        for (const place of this.places.values()) {
+        for (const place of this.places.entries.values()) {
             if (place.state !== "loaded") {
                 next = Math.min(next, place.checkAt);
             }
