Look again at when a stream is taken back as versions are named while it waits

What callers saw: a request for the newest version was sent, the next version was named while its connection was opened or while it waited in its engine's queue, and a slow engine began it on the old version more than 5 s after the new one was acknowledged. Cause: the time at which a stream is taken back was read once, when its attempt began; for what was the newest version then it is infinite, and nothing looked again. Change: each change of what the store says has all open attempts look again. What is not written yet is left to the check at the write, so that it goes elsewhere rather than ending as one that may have run. Tests first: 504 at the deadline instead of 502 without the change in versions.test.ts.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -64,8 +64,8 @@
     readonly progress: StreamProgress;
     /** Longest wait for the first byte of the answer, or the first event, in milliseconds. */
     readonly firstByteMs: number;
-    /** When a stream that has not begun is taken back, in milliseconds from now: its version may not begin any more. */
-    readonly withdrawMs: number;
+    /** Time after which a stream that has not begun is taken back, in milliseconds: its version may not begin any more. */
+    readonly readWithdrawMs: () => number;
     /** Longest wait between two parts of the answer, in milliseconds. */
     readonly pauseMs: number;
     /** Time left until the request must have ended, in milliseconds. */
@@ -100,6 +100,7 @@
     private head: AnswerHead | undefined;
     private held: Buffer[] = [];
     private heldBytes = 0;
+    private wasWritten = false;
     private hasBegun = false;
     private isUnframed = false;
     private isPassing = false;
@@ -118,14 +119,17 @@
             headers: dialect.createHeaders(caller.headers, send),
             body: options.body,
             receiver: this,
-            checkBeforeSend: options.checkBeforeSend,
+            checkBeforeSend: () => {
+                this.wasWritten = options.checkBeforeSend();
+                return this.wasWritten;
+            },
         });
         this.deadline = setTimeout(
             () => this.finishBroken("timeout", "the request's time is over"),
             options.timeLeftMs,
         );
         this.startSilenceTimer(options.firstByteMs);
-        this.startWithdrawalTimer();
+        this.updateWithdrawal();
         caller.onLeft(() => this.finish({ kind: "callerLeft" }));
         if (caller.hasLeft) {
             this.finish({ kind: "callerLeft" });
@@ -134,6 +138,28 @@
         this.exchange.start();
     }
 
+    /**
+     * Looks again at when it is taken back: its version may have been replaced since it was sent. A plain answer does not tell
+     * when it began, and may have been under way for long.
+     */
+    updateWithdrawal(): void {
+        const { route, readWithdrawMs } = this.options;
+        if (this.isDone || this.hasBegun || route.kind !== "stream") {
+            return;
+        }
+        clearTimeout(this.withdrawal);
+        const withdrawMs = readWithdrawMs();
+        if (withdrawMs === Infinity) {
+            return;
+        }
+        this.withdrawal = setTimeout(() => {
+            // What is not written yet is not going to be: that is checked in the step of the write.
+            if (!this.hasBegun && this.wasWritten) {
+                this.finishBroken("versionReplaced", "not begun before its version was replaced for good");
+            }
+        }, Math.max(0, withdrawMs));
+    }
+
     receiveHead(status: number, headers: RawHeaders): void {
         const head = this.options.dialect.parseAnswer(status, headers);
         this.status = status;
@@ -311,19 +337,6 @@
         }
     }
 
-    /** A plain answer does not tell when it began, and may have been under way for long. */
-    private startWithdrawalTimer(): void {
-        const { route, withdrawMs } = this.options;
-        if (route.kind !== "stream" || withdrawMs === Infinity) {
-            return;
-        }
-        this.withdrawal = setTimeout(() => {
-            if (!this.hasBegun) {
-                this.finishBroken("versionReplaced", "not begun before its version was replaced for good");
-            }
-        }, withdrawMs);
-    }
-
     private finishBroken(reason: BreakReason, detail: string): void {
         this.finish({ kind: "broken", reason, detail });
     }
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -103,6 +103,7 @@
     private readonly kept = new KeptParts();
     private readonly longPrompts = new PauseThreshold();
     private readonly open = new Set<CallerExchange>();
+    private readonly attempts = new Set<Attempt>();
     private readonly chooser: UpstreamChooser;
     private readonly readBoot: () => number;
 
@@ -128,9 +129,10 @@
         }
     }
 
-    /** Lets requests that wait for an upstream look again. */
+    /** Lets requests that wait for an upstream, or for one to begin, look again at what they were sent for. */
     receiveChange(): void {
         this.chooser.receiveChange();
+        this.attempts.forEach(attempt => attempt.updateWithdrawal());
     }
 
     removeUpstream(id: string): void {
@@ -331,7 +333,7 @@
         job.attempts += 1;
         const attempt = new Attempt({
             ...this.createAttemptTimes(job, choice, sentAt),
-            withdrawMs: this.readWithdrawMs(key, choice),
+            readWithdrawMs: () => this.readWithdrawMs(key, choice),
             caller: job.caller,
             requestId: job.demand.requestId,
             route: job.route,
@@ -363,7 +365,9 @@
                 health.recordPace((readTime() - sentAt) / Math.max(30, choice.costMs));
             },
         });
+        this.attempts.add(attempt);
         const end = await attempt.end;
+        this.attempts.delete(attempt);
         load.end();
         admission?.end();
         this.recordAttempt(job, choice, end, sentAt);
--- a/packages/node/test/attempt.test.ts
+++ b/packages/node/test/attempt.test.ts
@@ -15,9 +15,15 @@
     return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-/** Sends a request to an upstream that never answers. */
-async function runUnanswered(kind: Route["kind"], withdrawMs: number, timeLeftMs: number): Promise<AttemptEnd> {
-    const upstream = createServer(() => {});
+/** Sends a request to an upstream that never answers. @param onArrival It has come there. */
+async function runUnanswered(
+    kind: Route["kind"],
+    readWithdrawMs: () => number,
+    timeLeftMs: number,
+    onArrival: (attempt: Attempt) => void = () => {},
+): Promise<AttemptEnd> {
+    let sent: Attempt | undefined;
+    const upstream = createServer(() => onArrival(sent!));
     const address = await startServer(upstream);
     const pool = new ConnectionPool();
     const front = createServer();
@@ -48,13 +54,14 @@
                     longestPauseMs: 0,
                 },
                 firstByteMs: 60_000,
-                withdrawMs,
+                readWithdrawMs,
                 pauseMs: 60_000,
                 timeLeftMs,
                 readTime,
                 checkBeforeSend: () => true,
                 onBegin: () => {},
             });
+            sent = attempt;
             void attempt.end.then(end => {
                 resolve(end);
                 response.end();
@@ -72,13 +79,22 @@
 }
 
 test("a stream that an engine has not begun is taken back before its version may not begin any more", async () => {
-    const end = await runUnanswered("stream", 20, 60_000);
+    const end = await runUnanswered("stream", () => 20, 60_000);
     assert.is(end.kind, "broken");
     assert.is(end.kind === "broken" && end.reason, "versionReplaced");
 });
 
+test("a stream whose version is replaced only after it was sent is taken back as well", async () => {
+    let withdrawMs = Infinity;
+    const end = await runUnanswered("stream", () => withdrawMs, 60_000, attempt => {
+        withdrawMs = 0;
+        attempt.updateWithdrawal();
+    });
+    assert.is(end.kind === "broken" && end.reason, "versionReplaced");
+});
+
 test("a plain request, which does not tell when it begins, is left to its deadline", async () => {
-    const end = await runUnanswered("safe", 20, 60);
+    const end = await runUnanswered("safe", () => 20, 60);
     assert.is(end.kind === "broken" && end.reason, "timeout");
 });
 
--- a/packages/node/test/opening.ts
+++ b/packages/node/test/opening.ts
@@ -15,10 +15,13 @@
 /** A server that counts what reaches it. */
 async function startServer(
     onRequest: (account: string | undefined) => void,
+    hasAnswer: boolean,
 ): Promise<{ server: Server; address: string; }> {
     const server = createServer((request, response) => {
         onRequest(request.headers[accountHeader]?.toString());
-        response.end("whole");
+        if (hasAnswer) {
+            response.end("whole");
+        }
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
@@ -102,20 +105,23 @@
     /** What the servers hold. @default nothing */
     readonly models?: readonly (readonly HeldModel[])[];
     /** What the VM learns while it opens the first connection. */
-    readonly createChange: (upstream: Upstream) => ClusterChange;
+    readonly createChange?: (upstream: Upstream) => ClusterChange;
+    /** What it learns when a request has come to a server; none answers then. */
+    readonly createLateChange?: () => ClusterChange;
 }
 
 /** Serves one request, and lets the VM learn something while it opens its first connection to a server. */
 export async function serveWhileChanging(options: ChangeOptions): Promise<Served> {
-    const { routing = plainRouting, model, models = [[], []], createChange } = options;
+    const { routing = plainRouting, model, models = [[], []], createChange, createLateChange } = options;
     const view = new FleetView();
     const log = createSilentLog(readSteady);
     let aheadMs = 0;
+    let receiveChange = (): void => {};
     const cluster = new ClusterState({
         view,
         log,
         readTime: () => readSteady() + aheadMs,
-        onChange: () => {},
+        onChange: () => receiveChange(),
         onUpstreamGone: () => {},
         onMember: () => {},
     });
@@ -124,8 +130,14 @@
     const receive = (id: string, account: string | undefined): void => {
         reached.push(id);
         accounts.push(account);
+        if (createLateChange !== undefined) {
+            cluster.applyChanges([createLateChange()]);
+        }
     };
-    const servers = await Promise.all(["s1", "s2"].map(id => startServer(account => receive(id, account))));
+    const hasAnswer = createLateChange === undefined;
+    const servers = await Promise.all(
+        ["s1", "s2"].map(id => startServer(account => receive(id, account), hasAnswer)),
+    );
     const upstreams = ["s1", "s2"].map((id, index) =>
         createUpstream(id, { service: "desk", address: servers[index]!.address, models: [...models[index]!] })
     );
@@ -139,7 +151,9 @@
     let first: string | undefined;
     const pool = new EventfulPool(id => {
         first = id;
-        cluster.applyChanges([createChange(upstreams.find(upstream => upstream.id === id)!)]);
+        if (createChange !== undefined) {
+            cluster.applyChanges([createChange(upstreams.find(upstream => upstream.id === id)!)]);
+        }
     });
     const serving = new Serving({
         dataCentre: "z",
@@ -162,6 +176,7 @@
         onChoice: () => {},
         onRedirect: () => {},
     });
+    receiveChange = () => serving.receiveChange();
     const front = createServer((request, response) => {
         void serving.handle(new CallerExchange(request, response));
     });
--- a/packages/node/test/versions.test.ts
+++ b/packages/node/test/versions.test.ts
@@ -85,4 +85,20 @@
     assert.equal(reached, ["s2"]);
 });
 
+test("a stream that waits at an engine is taken back when its version is replaced for good meanwhile", async () => {
+    const models = [1, 1].map(version => [{ name: "base", version: 1, adapters: [{ name: "a1", version }] }]);
+    const { status, text, reached } = await serveWhileChanging({
+        routing: {
+            ...plainRouting,
+            routes: [{ ...plainRouting.routes[0]!, kind: "stream" }],
+            services: [{ ...engineService, name: "desk" }],
+        },
+        model: { model: "base", adapter: "a1", promptTokens: 100, outputTokens: 10, parts: [] },
+        models,
+        createLateChange: () => createVersion(2, 60_000),
+    });
+    assert.is(status, 502, text);
+    assert.is(reached.length, 1);
+});
+
 test.run();
