Tell a VM that has missed versions of all of them, not only of the newest

What callers could see: a VM that lacked versions 2 and 3 and asked another one for what it lacked was told only of version 3 and its age. Version 1 then counted as replaced when version 3 was named, up to seconds after version 2 had replaced it, and requests could still be sent for it. The same held for a VM to which version 3 came before version 2, as what is older than what is known was dropped. Change: versions that were replaced lately are kept with their positions and told along; an older one that is learned late still counts for when those before it were replaced. It is not passed on again. The test fails without it: version 1 was allowed 4 s after version 2.

--- a/packages/fleet/src/versions.ts
+++ b/packages/fleet/src/versions.ts
@@ -52,6 +52,11 @@
         return this.named.get(key)?.at(-1);
     }
 
+    /** Whether a version was named, as far as it still makes a difference. */
+    has(key: string, version: number): boolean {
+        return this.named.get(key)?.some(named => named.version === version) === true;
+    }
+
     /** When a version was named, at the earliest; undefined if that is not known. */
     findSince(key: string, version: number): number | undefined {
         const since = this.named.get(key)?.find(named => named.version === version)?.since;
--- a/packages/node/src/knowledge/cluster.ts
+++ b/packages/node/src/knowledge/cluster.ts
@@ -42,6 +42,8 @@
     private upstreamPosition = -1;
     private readonly positions = new Map<string, number>();
     private readonly changes = new Map<string, ClusterChange>();
+    /** Versions before the newest, by adapter key, oldest first: who lacks them must know when the first one was named. */
+    private readonly replaced = new Map<string, VersionChange[]>();
     private readonly registry = new Registry();
     private readonly lapsed = new Set<string>();
     private hasUpstreams = false;
@@ -76,7 +78,8 @@
 
     /** What a VM that has read so far lacks. */
     listChangesAfter(positions: ReadPositions): ClusterChange[] {
-        return [...this.changes.values()]
+        const replaced = [...this.replaced.values()].flat();
+        return [...replaced, ...this.changes.values()]
             .filter(change => change.position > readKindPosition(positions, change))
             .map(change => this.updateAge(change));
     }
@@ -143,8 +146,12 @@
         }
         const item = formatItem(change);
         if ((this.positions.get(item) ?? -1) >= change.position) {
+            if (change.kind === "version") {
+                this.applyMissedVersion(change);
+            }
             return false;
         }
+        this.recordReplaced(this.changes.get(item));
         this.positions.set(item, change.position);
         this.changes.set(item, change);
         this.recordPosition(change);
@@ -168,6 +175,23 @@
         this.options.view.versions.update(key, version, since);
     }
 
+    /** A version before the newest that is known here: the time since a replacement counts from the first newer one. */
+    private applyMissedVersion(change: VersionChange): void {
+        if (!this.options.view.versions.has(change.key, change.version)) {
+            this.applyVersion(change);
+            this.recordReplaced(change);
+        }
+    }
+
+    private recordReplaced(change: ClusterChange | undefined): void {
+        if (change?.kind !== "version") {
+            return;
+        }
+        const { key } = change;
+        const known = [...this.replaced.get(key) ?? [], change].sort((left, right) => left.position - right.position);
+        this.replaced.set(key, known.filter(({ version }) => this.options.view.versions.has(key, version)));
+    }
+
     /** A change as it is told now: the age of a version goes on while it is known. */
     private updateAge(change: ClusterChange): ClusterChange {
         if (change.kind !== "version") {
--- a/packages/node/test/versions.test.ts
+++ b/packages/node/test/versions.test.ts
@@ -59,6 +59,20 @@
     assert.is(second.mayUse(1), false);
 });
 
+test("a VM that has missed a version counts from it and not from the one after it, whichever it hears of first", () => {
+    const [teller, behind, ahead] = [new KnowingVm(), new KnowingVm(), new KnowingVm()];
+    teller.cluster.applyChanges([createVersion(2, 0)]);
+    teller.now += 4000;
+    teller.cluster.applyChanges([createVersion(3, 0)]);
+    const told = teller.cluster.listChangesAfter(nothingRead);
+    behind.cluster.applyChanges(told);
+    assert.equal([1, 2].map(version => behind.mayUse(version)), [false, true]);
+    ahead.cluster.applyChanges([createVersion(3, 0)]);
+    assert.is(ahead.mayUse(1), true);
+    assert.equal(ahead.cluster.applyChanges(told), []);
+    assert.equal([1, 2].map(version => ahead.mayUse(version)), [false, true]);
+});
+
 test("a VM that is told of a newer configuration gets the versions that were named before it as well", () => {
     const [teller, asker] = [new KnowingVm(), new KnowingVm()];
     const routing: ClusterChange = { kind: "routing", routing: plainRouting, position: 5 };
