Random histories of versions in simulated time

Five VMs in two data centres with ClusterState, ChangeSharing and BootClock as they are, engines with EnginePlaces and EngineAdmission, chooseEngine with FleetView; a store that is away, late, drops its history and turns VMs away; VMs that are killed, suspended and cut off; late orders, slow engines.

--- a/packages/node/test/schedule.ts
+++ b/packages/node/test/schedule.ts
@@ -5,11 +5,13 @@
 
     add(waitMs: number, run: () => void): void {
         const at = this.now + waitMs;
-        let index = this.runs.length;
-        while (index > 0 && this.runs[index - 1]!.at <= at) {
-            index -= 1;
+        // The next one to run stands last; of those due at the same moment, the first that was added.
+        let [low, high] = [0, this.runs.length];
+        while (low < high) {
+            const middle = (low + high) >> 1;
+            [low, high] = this.runs[middle]!.at > at ? [middle + 1, high] : [low, middle];
         }
-        this.runs.splice(index, 0, { at, run });
+        this.runs.splice(low, 0, { at, run });
     }
 
     async advance(ms: number): Promise<void> {
@@ -23,4 +25,15 @@
         }
         this.now = until;
     }
+
+    /** Advances time where nothing that happens waits for a promise. */
+    run(ms: number): void {
+        const until = this.now + ms;
+        while (this.runs.length > 0 && this.runs.at(-1)!.at <= until) {
+            const { at, run } = this.runs.pop()!;
+            this.now = at;
+            run();
+        }
+        this.now = until;
+    }
 }
--- /dev/null
+++ b/packages/node/test/versionworld.ts
@@ -0,0 +1,406 @@
+import * as assert from "uvu/assert";
+import type { PeerMessage } from "../src/links/messages.js";
+import { Schedule } from "./schedule.js";
+import { type BegunRequest, VersionEngine } from "./versionengine.js";
+import type { OrderFate } from "./versionowner.js";
+import { VersionStore } from "./versionstore.js";
+import { type Call, replacedMs, VersionVm } from "./versionvm.js";
+
+/** Time without disruption after which the store is stable and a VM in touch, in milliseconds. */
+const stableWindowMs = 4000;
+
+const linkDelayMs = 2;
+const linkSilenceMs = 1500;
+const linkBackoffMs = 500;
+
+/** How long an engine whose owner has gone is without one, in milliseconds. */
+const ownerPauseMs = 1500;
+
+/** Part of the orders that are late, or whose answer is lost, while they may be. */
+const lateShare = 0.4;
+const lostShare = 0.2;
+
+/** Time by which a late order is late, in milliseconds. */
+const minOrderDelayMs = 2000;
+const orderDelaySpanMs = 6000;
+
+/** Names of the adapters that are asked for, most often first. */
+export const keys = ["base/a1", "base/a2", "base/a3"];
+
+const dataCentres = { a: 3, b: 2 };
+const engineNames = ["e1", "e2", "e3"];
+
+/** A span of time in which something was disrupted. */
+interface Disruption {
+    readonly what: "store" | "link" | "vm";
+    /** The VM that was disrupted. */
+    readonly vm: string | undefined;
+    readonly from: number;
+    readonly until: number;
+}
+
+/** What happens in a history. */
+export type HistoryStep =
+    | { readonly kind: "name"; readonly key: number; }
+    | { readonly kind: "freeze" | "kill" | "cut" | "turnAway"; readonly vm: number; readonly ms: number; }
+    | { readonly kind: "storeAway" | "storeLate" | "lateOrders" | "calm"; readonly ms: number; }
+    | { readonly kind: "trim" | "killAll"; }
+    | { readonly kind: "slow"; readonly engine: number; readonly ms: number; };
+
+/** A step and the time that passes after it. */
+export interface HistoryEntry {
+    readonly step: HistoryStep;
+    readonly waitMs: number;
+}
+
+/** What a history starts from. */
+export interface HistoryOptions {
+    readonly seed: number;
+    /** Pause between two requests at one VM, in milliseconds. @default 150 */
+    readonly paceMs?: number;
+    /** Time of a run at the engine's usual pace, in milliseconds. @default 400 */
+    readonly runMs?: number;
+}
+
+interface Link {
+    isCut: boolean;
+    isOpen: boolean;
+    cuts: number;
+    held: (() => void)[];
+}
+
+/** VMs in two data centres, engines, a store that names versions, and callers, in simulated time. */
+export class VersionWorld {
+    readonly schedule = new Schedule();
+    readonly vms = Object.entries(dataCentres).flatMap(([name, count]) =>
+        Array.from({ length: count }, (_, index) => `${name}${index + 1}`)
+    );
+    readonly engines: VersionEngine[];
+    readonly store: VersionStore;
+    readonly calls: Call[] = [];
+    readonly begun: BegunRequest[] = [];
+    private readonly lives = new Map<string, VersionVm>();
+    private readonly links = new Map<string, Link>();
+    private readonly cutOff = new Set<string>();
+    private readonly disruptions: Disruption[] = [];
+    private readonly owners = new Map<string, { vm: string; fence: number; lostAt: number | undefined; }>();
+    private ordersLateUntil = -Infinity;
+    private randomState: number;
+
+    constructor(private readonly options: HistoryOptions) {
+        this.randomState = options.seed;
+        this.store = new VersionStore(this.schedule, vm => !this.cutOff.has(vm));
+        this.engines = engineNames.map(name =>
+            new VersionEngine(name, this.schedule, key => this.store.findNewest(key), begun => this.begun.push(begun))
+        );
+    }
+
+    /** Starts all VMs and callers, and plays a history. */
+    runHistory(entries: readonly HistoryEntry[], restMs = 8000): void {
+        this.store.append("base/other");
+        this.vms.forEach(vm => this.startVm(vm));
+        this.schedule.run(stableWindowMs / 2);
+        this.vms.forEach(vm => this.scheduleCall(vm));
+        this.schedule.run(stableWindowMs);
+        for (const { step, waitMs } of entries) {
+            this.apply(step);
+            this.schedule.run(waitMs);
+        }
+        this.schedule.run(restMs);
+    }
+
+    readRandom(): number {
+        this.randomState = (Math.imul(this.randomState, 1_664_525) + 1_013_904_223) >>> 0;
+        return this.randomState / 2 ** 32;
+    }
+
+    readFate(): OrderFate {
+        const draw = this.schedule.now < this.ordersLateUntil ? this.readRandom() : 1;
+        return draw < lateShare ? "late" : draw < lateShare + lostShare ? "answerLost" : "answered";
+    }
+
+    scheduleOrder(run: () => void): void {
+        this.schedule.add(minOrderDelayMs + this.readRandom() * orderDelaySpanMs, run);
+    }
+
+    findEngine(name: string): VersionEngine {
+        return this.engines.find(engine => engine.name === name)!;
+    }
+
+    isCutOff(vm: string): boolean {
+        return this.cutOff.has(vm);
+    }
+
+    listLinked(vm: string): string[] {
+        return this.vms.filter(other => other !== vm && this.findLink(vm, other).isOpen && this.lives.has(other));
+    }
+
+    sendMessage(from: string, to: string, message: PeerMessage): void {
+        // What is sent is what was known then.
+        const copy = structuredClone(message);
+        this.sendTo(from, to, life => life.receive(from, copy));
+    }
+
+    /** Has something happen at a VM, once word of it has come there. */
+    sendTo(from: string, to: string, run: (life: VersionVm) => void): void {
+        const target = this.lives.get(to);
+        if (target === undefined) {
+            return;
+        }
+        if (from === to) {
+            this.schedule.add(0, () => target.schedule(() => run(target)));
+            return;
+        }
+        const link = this.findLink(from, to);
+        if (!link.isOpen) {
+            return;
+        }
+        const deliver = (): void => this.schedule.add(linkDelayMs, () => target.schedule(() => run(target)));
+        if (link.isCut) {
+            link.held.push(deliver);
+        }
+        else {
+            deliver();
+        }
+    }
+
+    /** Engines belong to the first VM that is there; one whose owner has gone gets another one after some time. */
+    claimEngines(life: VersionVm): void {
+        const { now } = this.schedule;
+        for (const [index, name] of engineNames.entries()) {
+            const owner = this.owners.get(name);
+            const isFree = owner === undefined || (owner.lostAt !== undefined && now - owner.lostAt >= ownerPauseMs);
+            const isTurn = owner !== undefined || this.vms[index] === life.vm;
+            if (isFree && isTurn && life.isComplete) {
+                const fence = (owner?.fence ?? 0) + 1;
+                this.owners.set(name, { vm: life.vm, fence, lostAt: undefined });
+                life.own(name, fence);
+            }
+        }
+    }
+
+    private apply(step: HistoryStep): void {
+        const { now } = this.schedule;
+        switch (step.kind) {
+            case "name":
+                this.store.append(keys[step.key]!);
+                return;
+            case "freeze":
+                this.pauseVm(this.vms[step.vm]!, step.ms);
+                return;
+            case "kill":
+                this.kill(this.vms[step.vm]!, step.ms);
+                return;
+            case "killAll":
+                this.vms.forEach(vm => this.kill(vm, 300));
+                return;
+            case "cut":
+                this.closeLinks(this.vms[step.vm]!, step.ms);
+                return;
+            case "turnAway":
+                this.refuseVm(this.vms[step.vm]!, step.ms);
+                return;
+            case "storeAway":
+                this.store.isAway = true;
+                this.addDisruption("store", undefined, step.ms);
+                this.schedule.add(step.ms, () => this.store.isAway = false);
+                return;
+            case "storeLate":
+                this.store.lateMs = 300;
+                this.addDisruption("store", undefined, step.ms);
+                this.schedule.add(step.ms, () => this.store.lateMs = 0);
+                return;
+            case "trim":
+                this.store.removeHistory();
+                return;
+            case "lateOrders":
+                this.ordersLateUntil = now + step.ms;
+                return;
+            case "slow": {
+                const engine = this.engines[step.engine]!;
+                engine.slowness = 5;
+                this.schedule.add(step.ms, () => engine.slowness = 1);
+                return;
+            }
+            case "calm":
+                this.schedule.run(step.ms);
+                return;
+        }
+    }
+
+    private addDisruption(what: Disruption["what"], vm: string | undefined, ms: number): void {
+        const from = this.schedule.now;
+        this.disruptions.push({ what, vm, from, until: from + ms });
+    }
+
+    private startVm(vm: string): void {
+        const life = new VersionVm(this, vm);
+        this.lives.set(vm, life);
+        this.addDisruption("vm", vm, 0);
+        life.start();
+        this.vms.filter(other => other !== vm).forEach(other => this.openLink(vm, other));
+    }
+
+    private pauseVm(vm: string, ms: number): void {
+        this.lives.get(vm)?.pause(ms);
+        this.addDisruption("vm", vm, ms);
+    }
+
+    private kill(vm: string, downMs: number): void {
+        const life = this.lives.get(vm);
+        if (life === undefined) {
+            return;
+        }
+        life.isAlive = false;
+        this.lives.delete(vm);
+        this.addDisruption("vm", vm, downMs);
+        this.vms.filter(other => other !== vm).forEach(other => this.closeLink(vm, other));
+        for (const owner of this.owners.values()) {
+            if (owner.vm === vm) {
+                owner.lostAt ??= this.schedule.now;
+            }
+        }
+        this.schedule.add(downMs, () => this.startVm(vm));
+    }
+
+    /** Cuts a VM off from all others, from the store and from the engines. */
+    private closeLinks(vm: string, ms: number): void {
+        if (this.cutOff.has(vm)) {
+            return;
+        }
+        this.cutOff.add(vm);
+        this.addDisruption("link", vm, ms);
+        this.addDisruption("vm", vm, ms);
+        const links = this.vms.filter(other => other !== vm).map(other => ({ other, link: this.findLink(vm, other) }));
+        for (const { other, link } of links) {
+            link.isCut = true;
+            const cuts = ++link.cuts;
+            this.schedule.add(linkSilenceMs, () => {
+                if (link.isCut && link.cuts === cuts) {
+                    this.closeLink(vm, other);
+                }
+            });
+        }
+        this.schedule.add(ms, () => {
+            this.cutOff.delete(vm);
+            for (const { other, link } of links.filter(each => !this.cutOff.has(each.other))) {
+                link.isCut = false;
+                link.held.splice(0).forEach(deliver => deliver());
+                this.schedule.add(this.readRandom() * linkBackoffMs, () => this.openLink(vm, other));
+            }
+        });
+    }
+
+    private refuseVm(vm: string, ms: number): void {
+        this.store.turnedAway.add(vm);
+        this.schedule.add(ms, () => this.store.turnedAway.delete(vm));
+    }
+
+    private openLink(one: string, other: string): void {
+        const link = this.findLink(one, other);
+        if (link.isOpen || link.isCut || !this.lives.has(one) || !this.lives.has(other)) {
+            return;
+        }
+        link.isOpen = true;
+        for (const [from, to] of [[one, other], [other, one]] as const) {
+            const life = this.lives.get(from)!;
+            life.schedule(() => {
+                life.sharing.createGreeting(to).forEach(message => this.sendMessage(from, to, message));
+                life.owned.forEach(owner =>
+                    this.sendTo(from, to, target => target.receiveNews(from, owner.createNews()))
+                );
+            });
+        }
+    }
+
+    private closeLink(one: string, other: string): void {
+        const link = this.findLink(one, other);
+        link.held = [];
+        if (!link.isOpen) {
+            return;
+        }
+        link.isOpen = false;
+        const [first, second] = [this.lives.get(one), this.lives.get(other)];
+        first?.schedule(() => first.removeVm(other));
+        second?.schedule(() => second.removeVm(one));
+    }
+
+    private findLink(one: string, other: string): Link {
+        const name = one < other ? `${one} ${other}` : `${other} ${one}`;
+        const link = this.links.get(name) ?? { isCut: false, isOpen: false, cuts: 0, held: [] };
+        this.links.set(name, link);
+        return link;
+    }
+
+    /** Sends a VM requests at its pace. */
+    private scheduleCall(vm: string): void {
+        const { paceMs = 150, runMs = 400 } = this.options;
+        this.schedule.add(paceMs * (0.5 + this.readRandom()), () => {
+            const draw = this.readRandom();
+            const call: Call = {
+                key: keys[draw < 0.6 ? 0 : draw < 0.85 ? 1 : 2]!,
+                promptTokens: Math.round(500 + this.readRandom() * 4000),
+                runMs: runMs * (0.25 + this.readRandom() * 1.5),
+                openMs: this.readRandom() < 0.3 ? this.readRandom() * 400 : 1,
+                arrivedAt: this.schedule.now,
+                end: undefined,
+            };
+            const life = this.lives.get(vm);
+            if (life !== undefined) {
+                this.calls.push(call);
+                life.schedule(() => life.serve(call));
+            }
+            this.scheduleCall(vm);
+        });
+    }
+
+    /** No request begins on a version that has been replaced for longer than allowed, as far as the rule counts the time. */
+    checkReplaced(): void {
+        for (const begun of this.begun) {
+            const replacedAt = this.findReplacedAt(begun.request.key, begun.version);
+            const since = replacedAt === undefined ? Infinity : this.findStretch(replacedAt, begun);
+            if (begun.at - since > replacedMs) {
+                const { vm, key, sentAt, version } = begun.request;
+                assert.unreachable(
+                    `${vm} sent a request for version ${version} of ${key} at ${sentAt}, which ${begun.engine} began on `
+                        + `${begun.version} at ${begun.at}, ${
+                            Math.round(begun.at - replacedAt!)
+                        } ms after it was replaced`,
+                );
+            }
+        }
+    }
+
+    /** Where nothing is disrupted each request is served, soon after a name by the newest version. */
+    checkServed(newestAfterMs: number): void {
+        const lastAt = this.schedule.now - 6000;
+        for (const call of this.calls.filter(({ arrivedAt }) => arrivedAt < lastAt)) {
+            assert.is(call.end, "served", JSON.stringify(call));
+        }
+        for (const { request, version, at } of this.begun) {
+            const replacedAt = this.findReplacedAt(request.key, version);
+            const isLate = replacedAt !== undefined && request.sentAt > replacedAt + newestAfterMs;
+            assert.not(isLate, `sent at ${request.sentAt} on ${version}, replaced at ${replacedAt}, begun at ${at}`);
+        }
+    }
+
+    private findReplacedAt(key: string, version: number): number | undefined {
+        return this.store.records.find(record => record.key === key && record.version > version)?.at;
+    }
+
+    /** From when on the time since a replacement counts; Infinity if the VM was not in touch. */
+    private findStretch(replacedAt: number, { request, at }: BegunRequest): number {
+        const inTouchFrom = request.sentAt - stableWindowMs;
+        let since = replacedAt;
+        for (const { what, vm, until } of this.disruptions.filter(({ from }) => from <= at)) {
+            const isOwn = what === "store" || (what === "vm" && vm === request.vm);
+            if (isOwn && until >= inTouchFrom) {
+                return Infinity;
+            }
+            if (what !== "vm") {
+                since = Math.max(since, until + (what === "store" ? stableWindowMs : 0));
+            }
+        }
+        return since;
+    }
+}
