--- a/packages/node/test/versions.test.ts
+++ b/packages/node/test/versions.test.ts
@@ -59,6 +59,20 @@
     assert.is(second.mayUse(1), false);
 });
 
+test("a VM that has missed a version counts from it and not from the one after it, whichever it hears of first", () => {
+    const [teller, behind, ahead] = [new KnowingVm(), new KnowingVm(), new KnowingVm()];
+    teller.cluster.applyChanges([createVersion(2, 0)]);
+    teller.now += 4000;
+    teller.cluster.applyChanges([createVersion(3, 0)]);
+    const told = teller.cluster.listChangesAfter(nothingRead);
+    behind.cluster.applyChanges(told);
+    assert.equal([1, 2].map(version => behind.mayUse(version)), [false, true]);
+    ahead.cluster.applyChanges([createVersion(3, 0)]);
+    assert.is(ahead.mayUse(1), true);
+    assert.equal(ahead.cluster.applyChanges(told), []);
+    assert.equal([1, 2].map(version => ahead.mayUse(version)), [false, true]);
+});
+
 test("a VM that is told of a newer configuration gets the versions that were named before it as well", () => {
     const [teller, asker] = [new KnowingVm(), new KnowingVm()];
     const routing: ClusterChange = { kind: "routing", routing: plainRouting, position: 5 };
@@ -85,4 +99,20 @@
     assert.equal(reached, ["s2"]);
 });
 
+test("a stream that waits at an engine is taken back when its version is replaced for good meanwhile", async () => {
+    const models = [1, 1].map(version => [{ name: "base", version: 1, adapters: [{ name: "a1", version }] }]);
+    const { status, text, reached } = await serveWhileChanging({
+        routing: {
+            ...plainRouting,
+            routes: [{ ...plainRouting.routes[0]!, kind: "stream" }],
+            services: [{ ...engineService, name: "desk" }],
+        },
+        model: { model: "base", adapter: "a1", promptTokens: 100, outputTokens: 10, parts: [] },
+        models,
+        createLateChange: () => createVersion(2, 60_000),
+    });
+    assert.is(status, 502, text);
+    assert.is(reached.length, 1);
+});
+
 test.run();
