Look at what streams under way may take to begin when a version is named, not at every piece of news

The look was made at each change that requests wait for, news of engines among them, some hundred times a second in a large fleet. It is made now when a version is learned, an older one that was missed among them: that one too moves the time at which what it replaced must have begun.

--- a/packages/fleet/src/versions.ts
+++ b/packages/fleet/src/versions.ts
@@ -4,8 +4,8 @@
 /** Time in which a replaced version may still begin to answer where the operator names none, in milliseconds. */
 export const usualReplacedMs = 5000;
 
-/** Time that is left for a request to be taken back from an engine that has not begun it, in milliseconds. */
-const withdrawalMs = 400;
+/** Time that is left for the cancellation of a request to reach its engine, in milliseconds. */
+const cancelMs = 400;
 
 /** How much longer than expected an engine may take to begin a request, in milliseconds. */
 const beginSlackMs = 2100;
@@ -34,7 +34,7 @@
     private readonly useMs: number;
 
     constructor(options: AdapterVersionsOptions = {}) {
-        this.useMs = (options.replacedMs ?? usualReplacedMs) - withdrawalMs;
+        this.useMs = (options.replacedMs ?? usualReplacedMs) - cancelMs;
     }
 
     /** Takes word that a version exists. @param since See {@link NamedVersion}. */
--- a/packages/node/src/knowledge/cluster.ts
+++ b/packages/node/src/knowledge/cluster.ts
@@ -28,6 +28,8 @@
     readonly onUpstreamGone: (id: string) => void;
     /** An entry of an upstream is in force. */
     readonly onUpstream?: ((upstream: Upstream) => void) | undefined;
+    /** A version of an adapter was learned. */
+    readonly onVersion?: (() => void) | undefined;
     readonly onMember: (member: Member) => void;
 }
 
@@ -173,6 +175,7 @@
     private applyVersion({ key, version, ageMs }: VersionChange): void {
         const since = ageMs === undefined ? -Infinity : this.readBoot() - ageMs;
         this.options.view.versions.update(key, version, since);
+        this.options.onVersion?.();
     }
 
     /** A version before the newest that is known here: the time since a replacement counts from the first newer one. */
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -111,6 +111,7 @@
             onChange: () => this.receiveClusterChange(),
             onUpstreamGone: id => this.serving.removeUpstream(id),
             onUpstream: upstream => this.guard.receiveEntry(upstream),
+            onVersion: () => this.serving.receiveVersion(),
             onMember: member => this.receiveMember(member),
         });
         this.guard = this.createGuard();
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -64,8 +64,8 @@
     readonly progress: StreamProgress;
     /** Longest wait for the first byte of the answer, or the first event, in milliseconds. */
     readonly firstByteMs: number;
-    /** Time after which a stream that has not begun is taken back, in milliseconds: its version may not begin any more. */
-    readonly readWithdrawMs: () => number;
+    /** How long a stream may still take to begin, in milliseconds; infinite for the newest version of an adapter. */
+    readonly readBeginMs: () => number;
     /** Longest wait between two parts of the answer, in milliseconds. */
     readonly pauseMs: number;
     /** Time left until the request must have ended, in milliseconds. */
@@ -94,7 +94,7 @@
     private readonly splitter = new EventSplitter();
     private readonly deadline: NodeJS.Timeout;
     private silence: NodeJS.Timeout | undefined;
-    private withdrawal: NodeJS.Timeout | undefined;
+    private beginTimer: NodeJS.Timeout | undefined;
     private status = 0;
     private headers: RawHeaders = [];
     private head: AnswerHead | undefined;
@@ -129,7 +129,7 @@
             options.timeLeftMs,
         );
         this.startSilenceTimer(options.firstByteMs);
-        this.updateWithdrawal();
+        this.updateBeginTime();
         caller.onLeft(() => this.finish({ kind: "callerLeft" }));
         if (caller.hasLeft) {
             this.finish({ kind: "callerLeft" });
@@ -139,25 +139,19 @@
     }
 
     /**
-     * Looks again at when it is taken back: its version may have been replaced since it was sent. A plain answer does not tell
-     * when it began, and may have been under way for long.
+     * Looks again at how long it may take to begin: its version may have been replaced since it was sent. A plain answer does
+     * not tell when it began, and may have been under way for long.
      */
-    updateWithdrawal(): void {
-        const { route, readWithdrawMs } = this.options;
+    updateBeginTime(): void {
+        const { route, readBeginMs } = this.options;
         if (this.isDone || this.hasBegun || route.kind !== "stream") {
             return;
         }
-        clearTimeout(this.withdrawal);
-        const withdrawMs = readWithdrawMs();
-        if (withdrawMs === Infinity) {
-            return;
+        clearTimeout(this.beginTimer);
+        const beginMs = readBeginMs();
+        if (beginMs !== Infinity) {
+            this.beginTimer = setTimeout(() => this.cancelUnbegun(), Math.max(0, beginMs));
         }
-        this.withdrawal = setTimeout(() => {
-            // What is not written yet is not going to be: that is checked in the step of the write.
-            if (!this.hasBegun && this.wasWritten) {
-                this.finishBroken("versionReplaced", "not begun before its version was replaced for good");
-            }
-        }, Math.max(0, withdrawMs));
     }
 
     receiveHead(status: number, headers: RawHeaders): void {
@@ -337,6 +331,13 @@
         }
     }
 
+    /** What is not written yet is not going to be: that is checked in the step of the write. */
+    private cancelUnbegun(): void {
+        if (!this.hasBegun && this.wasWritten) {
+            this.finishBroken("versionReplaced", "not begun before its version was replaced for good");
+        }
+    }
+
     private finishBroken(reason: BreakReason, detail: string): void {
         this.finish({ kind: "broken", reason, detail });
     }
@@ -348,7 +349,7 @@
         this.isDone = true;
         clearTimeout(this.deadline);
         clearTimeout(this.silence);
-        clearTimeout(this.withdrawal);
+        clearTimeout(this.beginTimer);
         if (end.kind === "broken" || end.kind === "callerLeft") {
             this.exchange.cancel();
             this.connection.cancel();
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -129,10 +129,14 @@
         }
     }
 
-    /** Lets requests that wait for an upstream, or for one to begin, look again at what they were sent for. */
+    /** Lets requests that wait for an upstream look again. */
     receiveChange(): void {
         this.chooser.receiveChange();
-        this.attempts.forEach(attempt => attempt.updateWithdrawal());
+    }
+
+    /** A version of an adapter was named: what is under way with one that it replaces must begin in time. */
+    receiveVersion(): void {
+        this.attempts.forEach(attempt => attempt.updateBeginTime());
     }
 
     removeUpstream(id: string): void {
@@ -333,7 +337,7 @@
         job.attempts += 1;
         const attempt = new Attempt({
             ...this.createAttemptTimes(job, choice, sentAt),
-            readWithdrawMs: () => this.readWithdrawMs(key, choice),
+            readBeginMs: () => this.readBeginMs(key, choice),
             caller: job.caller,
             requestId: job.demand.requestId,
             route: job.route,
@@ -398,7 +402,7 @@
     }
 
     /** How long a request for the version of a choice may wait to begin, in milliseconds; infinite for the newest. */
-    private readWithdrawMs(key: string | undefined, { version }: UpstreamChoice): number {
+    private readBeginMs(key: string | undefined, { version }: UpstreamChoice): number {
         const { versions } = this.options.view;
         return key === undefined ? Infinity : versions.readUseEnd(key, version ?? 0) - this.readBoot();
     }
--- a/packages/node/test/attempt.test.ts
+++ b/packages/node/test/attempt.test.ts
@@ -18,7 +18,7 @@
 /** Sends a request to an upstream that never answers. @param onArrival It has come there. */
 async function runUnanswered(
     kind: Route["kind"],
-    readWithdrawMs: () => number,
+    readBeginMs: () => number,
     timeLeftMs: number,
     onArrival: (attempt: Attempt) => void = () => {},
 ): Promise<AttemptEnd> {
@@ -54,7 +54,7 @@
                     longestPauseMs: 0,
                 },
                 firstByteMs: 60_000,
-                readWithdrawMs,
+                readBeginMs,
                 pauseMs: 60_000,
                 timeLeftMs,
                 readTime,
@@ -85,10 +85,10 @@
 });
 
 test("a stream whose version is replaced only after it was sent is taken back as well", async () => {
-    let withdrawMs = Infinity;
-    const end = await runUnanswered("stream", () => withdrawMs, 60_000, attempt => {
-        withdrawMs = 0;
-        attempt.updateWithdrawal();
+    let beginMs = Infinity;
+    const end = await runUnanswered("stream", () => beginMs, 60_000, attempt => {
+        beginMs = 0;
+        attempt.updateBeginTime();
     });
     assert.is(end.kind === "broken" && end.reason, "versionReplaced");
 });
--- a/packages/node/test/opening.ts
+++ b/packages/node/test/opening.ts
@@ -116,12 +116,13 @@
     const view = new FleetView();
     const log = createSilentLog(readSteady);
     let aheadMs = 0;
-    let receiveChange = (): void => {};
+    let receiveVersion = (): void => {};
     const cluster = new ClusterState({
         view,
         log,
         readTime: () => readSteady() + aheadMs,
-        onChange: () => receiveChange(),
+        onChange: () => {},
+        onVersion: () => receiveVersion(),
         onUpstreamGone: () => {},
         onMember: () => {},
     });
@@ -176,7 +177,7 @@
         onChoice: () => {},
         onRedirect: () => {},
     });
-    receiveChange = () => serving.receiveChange();
+    receiveVersion = () => serving.receiveVersion();
     const front = createServer((request, response) => {
         void serving.handle(new CallerExchange(request, response));
     });
