Ask an engine's owner for the newest version where an adapter has to be loaded for a request

An engine that held a replaced version and would begin too late was taken as one that has to load; but its owner was asked for any version that is still allowed, knew nothing of the expectation, and let the request in on the old one. And a request that asked while an older version was allowed, and came to the owner when it no longer was, waited without any load being ordered, since the want named no version. A request for a load now asks for the newest that its VM knows, and the owner wants the newest that it knows.

--- a/packages/fleet/src/places.ts
+++ b/packages/fleet/src/places.ts
@@ -168,11 +168,12 @@
     /** Asks for an adapter; a request that does not say how long it waits asks again from time to time. */
     addWant(wanted: AdapterWant, now: number): void {
         const place = this.places.find(wanted.key);
-        if (place?.state !== "loaded" || place.version < (wanted.version ?? 0)) {
+        const version = this.findWantedVersion(wanted.key, wanted.version);
+        if (place?.state !== "loaded" || place.version < (version ?? 0)) {
             if (!this.wants.has(wanted.key)) {
                 this.forecast.recordArrival(now);
             }
-            this.wants.add(wanted, now);
+            this.wants.add({ ...wanted, version }, now);
         }
     }
 
@@ -456,12 +457,14 @@
             return undefined;
         }
         const hasRoom = this.places.free > 0;
-        return hasRoom ? this.createOrder("load", key, this.findWantedVersion(key)) : undefined;
+        return hasRoom
+            ? this.createOrder("load", key, this.findWantedVersion(key, this.wants.find(key)?.version))
+            : undefined;
     }
 
     /** The version to load: the newest one that was named, so that it is known which one the engine then holds. */
-    private findWantedVersion(key: string): number | undefined {
-        const newest = Math.max(this.wants.find(key)?.version ?? 0, this.findNewest(key) ?? 0);
+    private findWantedVersion(key: string, asked: number | undefined): number | undefined {
+        const newest = Math.max(asked ?? 0, this.findNewest(key) ?? 0);
         return newest === 0 ? undefined : newest;
     }
 
--- a/packages/fleet/test/versions.test.ts
+++ b/packages/fleet/test/versions.test.ts
@@ -6,8 +6,8 @@
 const key = "base/a1";
 
 /** A request waits for the adapter, in this version at least. */
-function addWant(places: EnginePlaces, version: number | undefined): void {
-    places.addWant({ key, version, runMs: 500, onTimeMs: 500, lifeMs: 500 }, 0);
+function addWant(places: EnginePlaces, version: number | undefined, now = 0): void {
+    places.addWant({ key, version, runMs: 500, onTimeMs: 500, lifeMs: 500 }, now);
 }
 
 /** Lets the engine load for some time. */
@@ -46,6 +46,24 @@
     assert.is(engine.held.get(key), 3);
 });
 
+test("a load is asked for where the version that is held may not answer any more, whatever the request that waits knows", () => {
+    const engine = new ModelEngine();
+    engine.held.set(key, 1);
+    const versions = new AdapterVersions();
+    const places = new EnginePlaces({
+        limits,
+        models: engine.readReport().models,
+        sequence: 0,
+        now: 0,
+        findNewest: adapter => versions.findNewest(adapter)?.version,
+    });
+    runLoads(engine, places);
+    versions.update(key, 2, -Infinity);
+    addWant(places, undefined, engine.now);
+    runLoads(engine, places);
+    assert.equal(places.listHeld(), { [key]: 2 });
+});
+
 test("an adapter of which no version was named is told to be its first one", () => {
     const engine = new ModelEngine();
     const places = createPlaces(engine);
--- a/packages/node/src/requests/choosing.ts
+++ b/packages/node/src/requests/choosing.ts
@@ -215,6 +215,7 @@
         const engine = state.upstream.id;
         const details: AdmissionDetails = {
             ...this.createDetails(job, model, now),
+            version: choice.isReady ? this.findOldestVersion(model) : this.findNewestVersion(model),
             prefillTokens: choice.prefillTokens,
             expectedQueueMs: job.redirects < maxRedirects ? choice.waitMs : undefined,
         };
@@ -321,12 +322,17 @@
         return key === undefined ? undefined : this.options.view.versions.findOldest(key, this.readBoot());
     }
 
+    /** The version that a load brings; undefined if none was named. */
+    private findNewestVersion(model: ModelDemand): number | undefined {
+        const key = findAdapterKey(model);
+        return key === undefined ? undefined : this.options.view.versions.findNewest(key)?.version;
+    }
+
     private createDetails(job: Job, model: ModelDemand, now: number): AdmissionDetails {
         const readMs = model.promptTokens / prefillTokensPerMs;
         return {
             model: model.model,
             key: findAdapterKey(model),
-            version: this.findOldestVersion(model),
             prefillTokens: model.promptTokens,
             kvTokens: model.promptTokens + model.outputTokens,
             hasLongAnswer: hasLongAnswer(model),
--- a/packages/node/test/choosing.test.ts
+++ b/packages/node/test/choosing.test.ts
@@ -143,6 +143,20 @@
     assert.is(view.readLoad("e2").backlogTokens, 90_000);
 });
 
+test("a request that an adapter must be loaded for asks for the newest version, not for one that would begin too late", async () => {
+    const { chooser, messages, view } = createChooser(["e1"], (message, admissions) => {
+        if (message.type === "admit") {
+            admissions.receiveAnswer("owner", { kind: "admitted", ticket: message.request.ticket, version: 2 });
+        }
+    });
+    const news = view.findUpstream("e1")!.news!;
+    const load = { ...news.load, backlogTokens: 120_000 };
+    view.updateNews("owner", { ...news, revision: 2, held: { "base/a1": 1 }, load }, performance.now());
+    view.versions.update("base/a1", 2, performance.now());
+    await chooser.chooseReady(createRequest(6000));
+    assert.equal(messages.flatMap(message => message.type === "admit" ? [message.request.version] : []), [2]);
+});
+
 test("an owner that does not answer is left for an engine that holds the adapter", async () => {
     const { chooser, messages, view } = createChooser(["e1"], () => {});
     const news = view.findUpstream("e1")!.news!;
