Tell on the line of an attempt what its answer says of leaving and of rest

What callers saw: requests reached an engine over 2 s after an answer had said that it leaves, and four requests reached one within 3 s of rest that it had asked for. No line of ours tells what an answer says beside its status, so the lines cannot tell an answer that is not read from one that is read and forgotten.

Change: the head of an answer gives the name of the upstream that answers, whether that one leaves, and for how long one that turns a request away wants nothing more; the line of an attempt tells the last two (saysLeaving, asksRestMs). Nothing is decided by them. An answer to another request says nothing; one that is not what the request names counts only if it gives the name of the upstream that was asked, since another incarnation may stand at that address.

--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -65,6 +65,12 @@
     readonly isMisdirected: boolean;
     /** The upstream vouches for the answer. */
     readonly isSigned: boolean;
+    /** Name of the upstream that answers, where the answer gives it. */
+    readonly answeredBy: string | undefined;
+    /** The upstream that answers says that it leaves. */
+    readonly isLeaving: boolean;
+    /** How long the upstream wants nothing more from this VM, in milliseconds; undefined if it does not ask for rest. */
+    readonly askedRestMs: number | undefined;
 }
 
 /** Names of headers and statuses between callers, this program and upstreams. */
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -4,6 +4,7 @@
 import type { ConnectionPool, UpstreamConnection } from "./connections.js";
 import { EventSplitter, type StreamEvent } from "./events.js";
 import { Exchange, type ExchangePhase, type ExchangeReceiver } from "./exchange.js";
+import { readWords, type UpstreamWords } from "./words.js";
 
 /** Most bytes of a plain answer that are held until it is whole; larger ones are passed on as they come. */
 const maxHeldBytes = 256 * 1024;
@@ -64,6 +65,8 @@
     readonly timeLeftMs: number;
     readonly readTime: () => number;
     readonly checkBeforeSend: () => boolean;
+    /** The head of the answer has come: streams end long after it. */
+    readonly onWords: (words: UpstreamWords) => void;
     /** The answer has begun. */
     readonly onBegin: () => void;
 }
@@ -130,6 +133,8 @@
         this.headers = headers;
         this.head = head;
         this.isUnframed = !hasFrame(headers);
+        const { requestId, send: { upstreamName } } = this.options;
+        this.options.onWords(readWords(head, { requestId, upstreamName }));
         if (head.requestId !== undefined && head.requestId !== this.options.requestId) {
             this.finishBroken("wrongAnswer", `the answer belongs to request ${head.requestId}`);
             return;
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -24,6 +24,7 @@
 import { withheldDetail } from "./exchange.js";
 import { createJob, type Job, type Preparation, type ReadyUpstream } from "./job.js";
 import { minAttemptMs, readLastSendAt } from "./patience.js";
+import { noWords, type UpstreamWords } from "./words.js";
 
 /** Upstreams that may turn one request away before it is refused: each has said that it did not run it. */
 const maxRejections = 6;
@@ -318,6 +319,7 @@
         const load = this.addLoad(job, choice);
         const identity = this.options.accounts.findIdentity(job);
         let begunAt: number | undefined;
+        let words: UpstreamWords = noWords;
         job.attempts += 1;
         const attempt = new Attempt({
             ...this.createAttemptTimes(job, choice, sentAt),
@@ -344,6 +346,9 @@
             checkBeforeSend: () =>
                 !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)
                 && this.mayRun(job) && this.options.accounts.hasIdentity(job, identity),
+            onWords: said => {
+                words = said;
+            },
             onBegin: () => {
                 begunAt = readTime();
                 load.begin();
@@ -368,6 +373,8 @@
             detail: "detail" in end ? end.detail : undefined,
             status: "status" in end ? end.status : undefined,
             leavingMs: leavingSince === undefined ? undefined : Math.round(sentAt - leavingSince),
+            saysLeaving: words.isLeaving || undefined,
+            asksRestMs: words.askedRestMs,
         });
         await this.options.guard.recordEnd(job, upstream, end, { sentAt, begunAt });
         return end;
--- a/packages/node/test/opening.ts
+++ b/packages/node/test/opening.ts
@@ -57,7 +57,15 @@
         lastEventId: undefined,
     }),
     createHeaders: (_headers, { identity }) => identity?.account === undefined ? [] : [accountHeader, identity.account],
-    parseAnswer: () => ({ requestId: "q", isNotRun: false, isMisdirected: false, isSigned: true }),
+    parseAnswer: () => ({
+        requestId: "q",
+        isNotRun: false,
+        isMisdirected: false,
+        isSigned: true,
+        answeredBy: undefined,
+        isLeaving: false,
+        askedRestMs: undefined,
+    }),
     listAnswerHeaders: () => [],
 };
 
