DRAIN: an upstream whose answer says that it leaves gets nothing more from this VM, and the others are told once

What callers saw: during an outage of the store requests reached an engine more than the allowed time after an answer, which the same VM had passed on, had said that the engine leaves. Cause: whether an upstream leaves was learned from its entry in the store alone; no answer was read for it.

Change: FleetView keeps, by incarnation, that an upstream said itself that it leaves. No entry takes that back, nor does its lapse; another incarnation has another id and starts clean. isUsable and listUsable ask for it, and with them the choice, the owner's admission and queue, preparations, the resuming of streams, and the check at the write. The head of an answer is acted on when it comes: a stream ends long after it. Answers of every kind count (plain, stream, refused, cut off, failed, those to orders and reports), with three exceptions, since they may be another's: an answer to another request, one that names another upstream, and a 421 that gives no name. A report of another incarnation does not count either.

A VM that learns it from an answer tells the others once (one broadcast), unless its entry says so already; one that was told tells nobody. A VM whose link opens later is told in the greeting. Where VMs are not all linked, owners of engines hear it and decline for all; of a plain server the others learn by their own answers.

Around an outage an entry that lapses is kept only if the upstream has not said so itself.

Why it holds: every path to an upstream passes checkBeforeSend, which asks isUsable in the step of the write.

--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -1,3 +1,4 @@
+import { Departures } from "./departures.js";
 import { UpstreamHealth } from "./health.js";
 import { LoadCounter, type LoadHandle, type LoadShare, noLoad } from "./load.js";
 import { PromptHistory } from "./pauses.js";
@@ -52,6 +53,7 @@
 export class FleetView {
     private readonly ownLoad = new LoadCounter();
     private readonly states = new Map<string, UpstreamState>();
+    private readonly departures = new Departures();
     private readonly newestVersions = new Map<string, { version: number; knownAt: number; }>();
 
     /** Takes an upstream's entry. */
@@ -61,7 +63,7 @@
         if (state === undefined) {
             this.states.set(upstream.id, {
                 upstream,
-                leavingSince: upstream.isLeaving ? now : undefined,
+                leavingSince: this.isLeaving(upstream) ? now : undefined,
                 goneAt,
                 news: undefined,
                 owner: undefined,
@@ -73,7 +75,7 @@
             return;
         }
         state.upstream = upstream;
-        state.leavingSince = upstream.isLeaving ? state.leavingSince ?? now : undefined;
+        state.leavingSince = this.isLeaving(upstream) ? state.leavingSince ?? now : undefined;
         state.goneAt = goneAt === undefined ? undefined : Math.min(goneAt, state.goneAt ?? goneAt);
     }
 
@@ -89,14 +91,39 @@
         return [...this.states.values()];
     }
 
-    /** Whether an upstream may get new requests: its entry stands and does not say that it leaves. */
+    /**
+     * Takes an upstream's own word that it leaves. No entry takes it back.
+     * @returns Whether it was not known, neither from the upstream nor from its entry.
+     */
+    recordLeaving(id: string, now: number): boolean {
+        const state = this.states.get(id);
+        const isNew = this.departures.add(id) && state?.upstream.isLeaving !== true;
+        if (state !== undefined) {
+            state.leavingSince ??= now;
+        }
+        return isNew;
+    }
+
+    /** Upstreams that stand and have said themselves that they leave, while their entries do not. */
+    listDeparting(): string[] {
+        return this.listUpstreams().map(({ upstream }) => upstream)
+            .filter(({ id, isLeaving }) => !isLeaving && this.departures.has(id))
+            .map(({ id }) => id);
+    }
+
+    private isLeaving({ id, isLeaving }: Upstream): boolean {
+        return isLeaving || this.departures.has(id);
+    }
+
+    /** Whether an upstream may get new requests: its entry stands, and neither that nor itself says that it leaves. */
     isUsable(id: string): boolean {
-        return this.states.get(id)?.upstream.isLeaving === false;
+        const state = this.states.get(id);
+        return state !== undefined && !this.isLeaving(state.upstream);
     }
 
     /** Upstreams of a service that may get new requests. */
     listUsable(service: string): UpstreamState[] {
-        return this.listUpstreams().filter(state => state.upstream.service === service && !state.upstream.isLeaving);
+        return this.listUpstreams().filter(({ upstream }) => upstream.service === service && !this.isLeaving(upstream));
     }
 
     /**
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -26,3 +26,4 @@
 export { NodeProgram } from "./program.js";
 export { UpstreamConnection } from "./requests/connections.js";
 export { EventSplitter, type StreamEvent } from "./requests/events.js";
+export { type ExpectedAnswer, readWords, type UpstreamWords } from "./requests/words.js";
--- a/packages/node/src/knowledge/cluster.ts
+++ b/packages/node/src/knowledge/cluster.ts
@@ -239,7 +239,7 @@
         const upstream = this.findByName(name);
         const isAroundOutage = !this.hasStore || backForMs < lapseGraceMs;
         // One that had said that it leaves is gone; one that fell silent while the store was away may still live.
-        if (isAroundOutage && upstream !== undefined && !upstream.isLeaving) {
+        if (isAroundOutage && upstream !== undefined && this.options.view.isUsable(upstream.id)) {
             this.lapsed.add(name);
             return;
         }
--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -57,6 +57,8 @@
     z.object({ type: z.literal("follow"), isWanted: z.boolean(), positions: positionsSchema }),
     /** The sender's word about engines that it owns. */
     z.object({ type: z.literal("news"), news: z.array(engineNewsSchema) }),
+    /** Upstreams whose answers to the sender say that they leave. What is current when a link opens; after that what is new. */
+    z.object({ type: z.literal("upstreamsLeaving"), upstreams: z.array(z.string()) }),
     /** To the owner of an engine: a request of the sender asks to be let in. */
     z.object({ type: z.literal("admit"), engine: z.string(), request: admissionRequestSchema }),
     /** From the owner of an engine, to a request that asked. */
--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -14,6 +14,7 @@
 import type { Service } from "@radishreel/routing";
 import { processTimers, type ScheduledRun, type Timers } from "../clock.js";
 import type { DecisionLog } from "../decisions.js";
+import type { PeerMessage } from "../links/messages.js";
 import type { EngineOrders } from "../ports.js";
 import type { AdmissionMessage } from "../requests/admissions.js";
 
@@ -56,6 +57,8 @@
     readonly timers?: Timers;
     readonly sendNews: (news: EngineNews[]) => void;
     readonly sendAnswer: (vm: string, answer: AdmissionAnswer) => void;
+    /** An answer of an engine says that it leaves. */
+    readonly onLeaving?: ((engine: string) => void) | undefined;
     /** Other VMs that may be running, connected or not. */
     readonly countOthers: () => number;
 }
@@ -157,6 +160,16 @@
         this.advance(owned);
     }
 
+    /** Takes word of an adapter that will be, or was, asked for. */
+    receiveWant(message: Extract<PeerMessage, { type: "prepare" | "missing"; }>): void {
+        if (message.type === "prepare") {
+            this.prepare(message.engine, message.want);
+        }
+        else {
+            this.recordMissing(message.engine, message.key);
+        }
+    }
+
     /** Loads an adapter on an engine for requests to come. */
     prepare(engine: string, want: AdapterWant): void {
         const owned = this.engines.get(engine);
@@ -357,7 +370,10 @@
         owned.isWorking = true;
         const askedAt = this.options.readTime();
         const wasReachable = owned.places.isReachable;
-        const report = await this.options.orders.readReport(state.upstream);
+        const report = await this.options.orders.readReport(
+            state.upstream,
+            () => this.options.onLeaving?.(owned.id),
+        );
         const now = this.options.readTime();
         if (report.isErr()) {
             owned.places.recordReportFailure(report.error === "unknown", now);
@@ -382,7 +398,7 @@
             holder: this.options.vm,
             fence: owned.fence,
             checkBeforeSend: () => this.options.mayOrder(owned.name),
-        });
+        }, () => this.options.onLeaving?.(owned.id));
         this.recordUnderWay(owned.name, sending);
         const answer = await sending;
         owned.isOrdering = false;
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -94,10 +94,10 @@
 /** Why there is no report: no connection could be opened, nothing came that can be read, or another incarnation is there. */
 export type ReportFailure = "unreachable" | "unknown" | "replaced";
 
-/** Orders to engines. */
+/** Orders to engines. Calls back if an engine's answer says that it leaves. */
 export interface EngineOrders {
-    send(upstream: Upstream, order: EngineOrder, guard: OrderGuard): Promise<OrderAnswer>;
-    readReport(upstream: Upstream): Promise<Result<EngineReport, ReportFailure>>;
+    send(upstream: Upstream, order: EngineOrder, guard: OrderGuard, onLeaving?: () => void): Promise<OrderAnswer>;
+    readReport(upstream: Upstream, onLeaving?: () => void): Promise<Result<EngineReport, ReportFailure>>;
 }
 
 /** One VM of the system. */
--- a/packages/node/src/pressure.ts
+++ b/packages/node/src/pressure.ts
@@ -65,3 +65,9 @@
         this.counts.clear();
     }
 }
+
+/** Processor time that this process has used, in milliseconds. */
+export function readProcessorMs(): number {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / 1000;
+}
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -2,14 +2,16 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
-import { createMachine, interpret, state, transition } from "robot3";
+import { interpret } from "robot3";
 import { AccountGuard } from "./accounts/index.js";
 import { BootClock, readNow } from "./clock.js";
 import { CrashGuard } from "./crashes/index.js";
 import { DecisionLog } from "./decisions.js";
 import { ClusterState } from "./knowledge/cluster.js";
+import { DepartureSharing } from "./knowledge/departures.js";
 import { IsolationWatch } from "./knowledge/isolation.js";
 import { ChangeSharing } from "./knowledge/sharing.js";
+import { programMachine } from "./life.js";
 import { HubWatch } from "./links/hub.js";
 import type { PeerMessage } from "./links/messages.js";
 import { Peers } from "./links/peers.js";
@@ -18,7 +20,7 @@
 import { type NodeOptions, usualAccountBounds } from "./options.js";
 import { type Handover, Owning } from "./ownership/owning.js";
 import type { ClusterChange, ClusterReceiver, Member, UnreadableRecord } from "./ports.js";
-import { PressureWatch } from "./pressure.js";
+import { PressureWatch, readProcessorMs } from "./pressure.js";
 import { type AdmissionMessage, Admissions } from "./requests/admissions.js";
 import { RetryBudgets } from "./requests/budgets.js";
 import type { CallerExchange } from "./requests/caller.js";
@@ -49,14 +51,6 @@
 /** VMs assumed before any is known: the retry budget is divided among them. */
 const minVms = 4;
 
-/** Life of the program. */
-const programMachine = createMachine("starting", {
-    starting: state(transition("ready", "serving"), transition("stop", "draining")),
-    serving: state(transition("stop", "draining")),
-    draining: state(transition("done", "stopped")),
-    stopped: state(),
-});
-
 /** One VM's data path and control path. */
 export class NodeProgram implements ClusterReceiver {
     private readonly life = interpret(programMachine, () => {});
@@ -64,6 +58,7 @@
     private readonly metrics = new NodeMetrics();
     private readonly view: FleetView;
     private readonly cluster: ClusterState;
+    private readonly departures: DepartureSharing;
     private readonly pool = new ConnectionPool();
     private readonly guard: CrashGuard;
     private readonly serving: Serving;
@@ -111,6 +106,13 @@
             onUpstream: upstream => this.guard.receiveEntry(upstream),
             onMember: member => this.receiveMember(member),
         });
+        this.departures = new DepartureSharing({
+            view: this.view,
+            log: this.log,
+            readTime: readNow,
+            broadcast: message => this.peers.broadcast(message),
+            onChange: () => this.receiveClusterChange(),
+        });
         this.guard = this.createGuard();
         this.bootClock = options.bootClock ?? new BootClock();
         this.accounts = this.createAccounts();
@@ -316,6 +318,7 @@
             isLinked: vm => vm === settings.vm || this.peers.isConnected(vm),
             sendPreparation: ({ engine, want }) => this.sendToOwner(engine, { type: "prepare", engine, want }),
             sendMissing: (engine, key) => this.sendToOwner(engine, { type: "missing", engine, key }),
+            onLeaving: upstream => this.departures.recordAnswer(upstream),
             onRefusal: reason => this.metrics.recordRefusal(reason),
             onRetry: after => this.metrics.recordRetry(after),
             onChoice: () => this.recordChoice(),
@@ -407,6 +410,7 @@
             findService: name => this.cluster.routes?.findService(name),
             sendNews: news => this.sendNews(news),
             sendAnswer: (vm, answer) => this.sendAnswer(vm, answer),
+            onLeaving: engine => this.departures.recordAnswer(engine),
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
             sendQuery: query => this.peers.broadcast({ type: "claimQuery", ...query, givers: [...query.givers] }),
             incarnation: this.incarnation,
@@ -445,6 +449,7 @@
     private createGreeting(vm: string): PeerMessage[] {
         return [
             ...this.sharing.createGreeting(vm),
+            ...this.departures.createGreeting(),
             { type: "news", news: this.owning?.engines.listNews() ?? [] },
             ...this.guard.createGreeting(),
             ...this.listEnginesOf(vm).map(engine => this.admissions.createRuns(engine, vm)),
@@ -461,13 +466,14 @@
         this.admissions.recordHeard(vm);
         switch (message.type) {
             case "members":
-                for (const member of message.members) {
-                    this.peers.addPeer(member);
-                }
+                message.members.forEach(member => this.peers.addPeer(member));
                 return;
             case "changes":
                 this.receiveChanges(message.changes, vm);
                 return;
+            case "upstreamsLeaving":
+                this.departures.receive(vm, message.upstreams);
+                return;
             case "crashReports":
                 this.receiveCrashReports(message.reports);
                 return;
@@ -512,10 +518,8 @@
                 this.receiveAdmission(vm, message);
                 return;
             case "prepare":
-                this.owning?.engines.prepare(message.engine, message.want);
-                return;
             case "missing":
-                this.owning?.engines.recordMissing(message.engine, message.key);
+                this.owning?.engines.receiveWant(message);
                 return;
             case "release":
                 this.owning?.recordRelease(vm, message.shards, message.generation);
@@ -688,8 +692,3 @@
         this.life.send("done");
     }
 }
-
-function readProcessorMs(): number {
-    const { user, system } = process.cpuUsage();
-    return (user + system) / 1000;
-}
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -87,6 +87,8 @@
     readonly isLinked: (vm: string) => boolean;
     readonly sendPreparation: (preparation: Preparation) => void;
     readonly sendMissing: (engine: string, key: string) => void;
+    /** An answer of an upstream says that it leaves. */
+    readonly onLeaving: (upstream: string) => void;
     readonly onRefusal: (reason: RefusalReason) => void;
     readonly onRetry: (reason: string) => void;
     /** All upstreams of a service were compared for one request. */
@@ -348,6 +350,9 @@
                 && this.mayRun(job) && this.options.accounts.hasIdentity(job, identity),
             onWords: said => {
                 words = said;
+                if (said.isLeaving) {
+                    this.options.onLeaving(upstream.id);
+                }
             },
             onBegin: () => {
                 begunAt = readTime();
--- a/packages/node/test/opening.ts
+++ b/packages/node/test/opening.ts
@@ -159,6 +159,7 @@
         isLinked: () => true,
         sendPreparation: () => {},
         sendMissing: () => {},
+        onLeaving: () => {},
         onRefusal: () => {},
         onRetry: () => {},
         onChoice: () => {},
