BUDGET: an upstream that asked this VM for rest gets nothing from it until the end

What callers saw: an engine turned a request away with 503, asked its VM for 3 s of rest, and got four requests from that VM in that time; each new request found it the least loaded one. Cause: what a refusal asks for was not read.

Change: UpstreamRests keeps, by incarnation, until when an upstream wants nothing from this VM; of several ends the latest counts. A resting upstream is not chosen, is left by requests that wait for its owner's word if it rests for longer than that takes, and is not written to: the check at the write asks too. It is no failed one: no failure counts against it, its owner is told of no missing adapter, isUsable stays as it is. It is this VM's matter: other VMs are not told, and as an owner the VM lets their requests in and gives orders; orders are no requests. Another incarnation has asked for nothing. Rests are in steady time, which stands still while the VM is suspended, so that they only end later.

If all that could serve a request rest, it waits for the first end where that lies within half of its time, else it is refused at once as not run: 503, upstreamsRest, Retry-After at that end (30 s at most, since upstreams are replaced meanwhile).

Why it holds: every path to an upstream passes checkBeforeSend, which asks for the rest in the step of the write, so that only what was written before the answer came can arrive after it.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -130,7 +130,7 @@
 export function chooseServer(options: ChoiceOptions): UpstreamChoice | undefined {
     const { view, service, now, penalties } = options;
     let best: UpstreamChoice | undefined;
-    for (const state of view.listUsable(service.name)) {
+    for (const state of view.listAwake(service.name, now)) {
         if (penalties.get(state.upstream.id) === Infinity) {
             continue;
         }
@@ -160,7 +160,7 @@
     if (limits === undefined) {
         return undefined;
     }
-    const usable = view.listUsable(service.name).filter(state =>
+    const usable = view.listAwake(service.name, now).filter(state =>
         penalties.get(state.upstream.id) !== Infinity
         && (state.goneAt === undefined || state.goneAt - now > minRemainingMs)
     );
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -2,6 +2,7 @@
 import { UpstreamHealth } from "./health.js";
 import { LoadCounter, type LoadHandle, type LoadShare, noLoad } from "./load.js";
 import { PromptHistory } from "./pauses.js";
+import { UpstreamRests } from "./rests.js";
 import { type EngineNews, formatAdapterKey, type Upstream, type UpstreamLoad } from "./types.js";
 import { WarmAdapters } from "./warm.js";
 
@@ -54,6 +55,8 @@
     private readonly ownLoad = new LoadCounter();
     private readonly states = new Map<string, UpstreamState>();
     private readonly departures = new Departures();
+    /** Rests that upstreams have asked of this VM. */
+    readonly rests = new UpstreamRests();
     private readonly newestVersions = new Map<string, { version: number; knownAt: number; }>();
 
     /** Takes an upstream's entry. */
@@ -121,6 +124,11 @@
         return state !== undefined && !this.isLeaving(state.upstream);
     }
 
+    /** Upstreams of a service that may get a request of this VM now: those that do not rest. */
+    listAwake(service: string, now: number): UpstreamState[] {
+        return this.listUsable(service).filter(({ upstream }) => !this.rests.isResting(upstream.id, now));
+    }
+
     /** Upstreams of a service that may get new requests. */
     listUsable(service: string): UpstreamState[] {
         return this.listUpstreams().filter(({ upstream }) => upstream.service === service && !this.isLeaving(upstream));
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -73,6 +73,11 @@
         labelNames: ["service"] as const,
         registers: [this.registry],
     });
+    private readonly rests = new Counter({
+        name: "radishreel_node_upstream_rests_total",
+        help: "Answers by which an upstream asked this VM for rest",
+        registers: [this.registry],
+    });
     private readonly suspects = new Gauge({
         name: "radishreel_node_suspected_requests",
         help: "Requests under which upstreams have ended lately, as far as this VM knows",
@@ -159,6 +164,10 @@
         this.redirects.inc();
     }
 
+    recordRest(): void {
+        this.rests.inc();
+    }
+
     recordUpstreamEnd(service: string): void {
         this.upstreamEnds.inc({ service });
     }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -319,6 +319,7 @@
             sendPreparation: ({ engine, want }) => this.sendToOwner(engine, { type: "prepare", engine, want }),
             sendMissing: (engine, key) => this.sendToOwner(engine, { type: "missing", engine, key }),
             onLeaving: upstream => this.departures.recordAnswer(upstream),
+            onRest: () => this.metrics.recordRest(),
             onRefusal: reason => this.metrics.recordRefusal(reason),
             onRetry: after => this.metrics.recordRetry(after),
             onChoice: () => this.recordChoice(),
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -10,6 +10,8 @@
     | "noUpstream"
     | "upstreamsBusy"
     | "enginesFull"
+    /** All upstreams have asked this VM for rest, for longer than the request can wait. */
+    | "upstreamsRest"
     | "retryBudgetSpent"
     | "attemptsSpent"
     /** Each upstream that ran it has ended. */
--- a/packages/node/src/requests/choosing.ts
+++ b/packages/node/src/requests/choosing.ts
@@ -15,7 +15,7 @@
 } from "@radishreel/fleet";
 import type { DecisionLog } from "../decisions.js";
 import type { Admission, AdmissionDetails, AdmissionOutcome, Admissions } from "./admissions.js";
-import type { Job, Preparation, ReadyUpstream } from "./job.js";
+import type { Job, Preparation, ReadyUpstream, TriedUpstream } from "./job.js";
 import { readLastSendAt } from "./patience.js";
 
 /** A request that waits for an upstream to come looks again at least this often, in milliseconds. */
@@ -111,7 +111,8 @@
                 return undefined;
             }
             if (choice === undefined) {
-                await this.waitForChange(Math.min(lookAgainMs, readLastSendAt(job) - now));
+                const restMs = (this.findRestEnd(job, now) ?? Infinity) - now;
+                await this.waitForChange(Math.min(lookAgainMs, restMs, readLastSendAt(job) - now));
                 continue;
             }
             if (hasDeclined(job, choice, now)) {
@@ -141,15 +142,25 @@
     }
 
     /**
-     * Whether waiting may bring an upstream: engines are there, and their owners are expected back. A plain service
-     * without any server is refused at once.
+     * Whether waiting may bring an upstream: engines are there, and their owners are expected back; or all upstreams rest,
+     * and the first of them will be there soon enough. A plain service without any server is refused at once.
      */
     private mayWait(job: Job, now: number): boolean {
-        if (job.service.engine === undefined) {
-            return false;
-        }
         const half = job.startedAt + (job.deadlineAt - job.startedAt) / 2;
-        return now < half && this.options.view.listUsable(job.service.name).length > 0;
+        const hasEngine = job.service.engine !== undefined
+            && this.options.view.listAwake(job.service.name, now).length > 0;
+        const restEndAt = hasEngine ? undefined : this.findRestEnd(job, now);
+        return hasEngine ? now < half : restEndAt !== undefined && restEndAt < Math.min(half, readLastSendAt(job));
+    }
+
+    /** When the first of the upstreams that could serve a request will have rested; undefined if none of them rests. */
+    findRestEnd(job: Job, now: number): number | undefined {
+        const { view } = this.options;
+        const ends = view.listUsable(job.service.name)
+            .filter(({ upstream }) => !isRuledOut(job.tried.get(upstream.id)))
+            .map(({ upstream }) => view.rests.findEnd(upstream.id, now) ?? Infinity);
+        const first = Math.min(...ends);
+        return first === Infinity ? undefined : first;
     }
 
     /** @param without An engine that is left out. */
@@ -222,7 +233,8 @@
         const admission = admissions.ask(state.owner!, engine, details);
         const outcome = await this.waitForOutcome(job, admission);
         // Waits last seconds: what the choice was made by is asked again, as the owner may know less than this VM.
-        const isUsable = this.options.view.isUsable(engine);
+        const { view } = this.options;
+        const isUsable = view.isUsable(engine) && !view.rests.isResting(engine, this.options.readTime());
         const isNew = outcome?.kind === "admitted" && (outcome.version ?? Infinity) >= this.findOldestVersion(model);
         if (isUsable && isNew) {
             return { choice: { ...choice, version: outcome.version }, admission };
@@ -262,7 +274,7 @@
             if (outcome !== undefined) {
                 return outcome;
             }
-            if (!this.options.view.isUsable(admission.engine)) {
+            if (!this.options.view.isUsable(admission.engine) || this.isRestLonger(admission)) {
                 return undefined;
             }
             if (job.moves < maxMoves && this.isSoonerElsewhere(job, admission)) {
@@ -272,6 +284,12 @@
         }
     }
 
+    /** Whether an engine will still rest when its owner is expected to let a request in. */
+    private isRestLonger({ engine, expectedAt }: Admission): boolean {
+        const restEndAt = this.options.view.rests.findEnd(engine, this.options.readTime());
+        return restEndAt !== undefined && restEndAt > expectedAt;
+    }
+
     /** Waits for a value until the time is over or the caller leaves: it is undefined then. */
     private async waitAtMost<Value>(job: Job, value: Promise<Value>, ms: number): Promise<Value | undefined> {
         let timer: NodeJS.Timeout | undefined;
@@ -349,6 +367,11 @@
     }
 }
 
+/** Whether a request goes to an upstream no more, whatever comes. */
+function isRuledOut(tried: TriedUpstream | undefined): boolean {
+    return tried !== undefined && tried.costMs === Infinity && tried.until === Infinity;
+}
+
 /** Whether the best engine for a request has just said that it cannot serve it: then no other one can. */
 function hasDeclined(job: Job, choice: UpstreamChoice, now: number): boolean {
     const tried = job.tried.get(choice.state.upstream.id);
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -45,6 +45,12 @@
 const minFullRetrySeconds = 0.25;
 const maxFullRetrySeconds = 2;
 
+/**
+ * Longest time after which a caller is told to come back where all upstreams rest, in seconds: another VM may reach them, and
+ * they are replaced or joined by others meanwhile.
+ */
+const maxRestRetrySeconds = 30;
+
 /**
  * Cost added to an upstream that answered this request with a failure, in milliseconds. Failures often belong to one run:
  * an engine that holds the adapter is worth another try before a load of 250 ms elsewhere.
@@ -89,6 +95,8 @@
     readonly sendMissing: (engine: string, key: string) => void;
     /** An answer of an upstream says that it leaves. */
     readonly onLeaving: (upstream: string) => void;
+    /** An upstream wants nothing from this VM for some time. */
+    readonly onRest: () => void;
     readonly onRefusal: (reason: RefusalReason) => void;
     readonly onRetry: (reason: string) => void;
     /** All upstreams of a service were compared for one request. */
@@ -347,12 +355,11 @@
             // The last look at what the choice was made by: it may be news by the time that the connection is open.
             checkBeforeSend: () =>
                 !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)
-                && this.mayRun(job) && this.options.accounts.hasIdentity(job, identity),
+                && !this.options.view.rests.isResting(upstream.id, readTime()) && this.mayRun(job)
+                && this.options.accounts.hasIdentity(job, identity),
             onWords: said => {
                 words = said;
-                if (said.isLeaving) {
-                    this.options.onLeaving(upstream.id);
-                }
+                this.receiveWords(upstream.id, said);
             },
             onBegin: () => {
                 begunAt = readTime();
@@ -364,7 +371,7 @@
         const end = await attempt.end;
         load.end();
         admission?.end();
-        this.recordAttempt(job, choice, end, sentAt);
+        this.recordAttempt(job, choice, end, sentAt, words);
         log.record("attempt", {
             request: job.demand.requestId,
             upstream: upstream.id,
@@ -385,6 +392,18 @@
         return end;
     }
 
+    /** Takes what an upstream says of itself as soon as it says so. */
+    private receiveWords(upstream: string, words: UpstreamWords): void {
+        const { view, readTime, onLeaving, onRest } = this.options;
+        if (words.askedRestMs !== undefined) {
+            view.rests.record(upstream, words.askedRestMs, readTime());
+            onRest();
+        }
+        if (words.isLeaving) {
+            onLeaving(upstream);
+        }
+    }
+
     /** Urgency of a request at an engine; servers know none. */
     private readPriority({ service, route, account }: Job): number | undefined {
         return service.engine === undefined ? undefined : readPriority(route.priority, account?.priority);
@@ -420,7 +439,13 @@
     }
 
     /** Learns from the end of an attempt. */
-    private recordAttempt(job: Job, choice: UpstreamChoice, end: AttemptEnd, sentAt: number): void {
+    private recordAttempt(
+        job: Job,
+        choice: UpstreamChoice,
+        end: AttemptEnd,
+        sentAt: number,
+        { askedRestMs }: UpstreamWords,
+    ): void {
         const { readTime, sendMissing } = this.options;
         const now = readTime();
         const { upstream, health } = choice.state;
@@ -437,7 +462,9 @@
             case "failed":
                 job.runs += 1;
                 job.tried.set(upstream.id, { costMs: failedCostMs, until: Infinity, hasDeclined: false });
-                health.recordFailure(now);
+                if (askedRestMs === undefined) {
+                    health.recordFailure(now);
+                }
                 return;
             case "broken":
                 job.runs += 1;
@@ -452,7 +479,8 @@
                     }
                     return;
                 }
-                if (key !== undefined) {
+                // One that asks for rest has failed in nothing, and lacks nothing that its owner could load.
+                if (key !== undefined && askedRestMs === undefined) {
                     sendMissing(upstream.id, key);
                 }
                 job.tried.set(upstream.id, { costMs: Infinity, until: now + rejectedPauseMs, hasDeclined: false });
@@ -510,11 +538,23 @@
             const bounded = Math.min(Math.max(halfSeconds, minFullRetrySeconds), maxFullRetrySeconds);
             return { status: 503, reason: "enginesFull", retryAfterSeconds: bounded };
         }
+        const restEndAt = this.findRestEnd(job, now);
+        if (reason === undefined && restEndAt !== undefined) {
+            const restSeconds = Math.ceil((restEndAt - now) / 10) / 100;
+            const bounded = Math.min(restSeconds, maxRestRetrySeconds);
+            return { status: 503, reason: "upstreamsRest", retryAfterSeconds: bounded };
+        }
         const isLate = now > readLastSendAt(job);
         const fallback = isLate ? "timeout" : last === undefined ? "noUpstream" : "upstreamsBusy";
         return { status: 503, reason: reason ?? fallback, retryAfterSeconds };
     }
 
+    /** When the first upstream will have rested that could serve a request; undefined if another one could serve it now. */
+    private findRestEnd(job: Job, now: number): number | undefined {
+        const hasAwake = this.options.view.listAwake(job.service.name, now).length > 0;
+        return hasAwake ? undefined : this.chooser.findRestEnd(job, now);
+    }
+
     private refuse(caller: CallerExchange, demand: CallerDemand, answer: OwnAnswer): void {
         this.options.onRefusal(answer.reason);
         this.options.log.recordImportant("refused", {
--- a/packages/node/test/opening.ts
+++ b/packages/node/test/opening.ts
@@ -104,12 +104,15 @@
 interface ChangeOptions {
     /** @default one without accounts */
     readonly routing?: Routing;
-    /** What the VM learns while it opens the first connection. */
-    readonly createChange: (upstream: Upstream) => ClusterChange;
+    /** What the VM learns from the store while it opens the first connection. @default nothing */
+    readonly createChange?: (upstream: Upstream) => ClusterChange;
+    /** What else happens meanwhile. @default nothing */
+    readonly onOpening?: (view: FleetView, upstream: string) => void;
 }
 
 /** Serves one request, and lets the VM learn something while it opens its first connection to a server. */
-export async function serveWhileChanging({ routing = plainRouting, createChange }: ChangeOptions): Promise<Served> {
+export async function serveWhileChanging(options: ChangeOptions): Promise<Served> {
+    const { routing = plainRouting, createChange, onOpening = () => {} } = options;
     const view = new FleetView();
     const log = createSilentLog(readSteady);
     let aheadMs = 0;
@@ -141,7 +144,9 @@
     let first: string | undefined;
     const pool = new EventfulPool(id => {
         first = id;
-        cluster.applyChanges([createChange(upstreams.find(upstream => upstream.id === id)!)]);
+        const upstream = upstreams.find(candidate => candidate.id === id)!;
+        cluster.applyChanges(createChange === undefined ? [] : [createChange(upstream)]);
+        onOpening(view, id);
     });
     const serving = new Serving({
         dataCentre: "z",
@@ -160,6 +165,7 @@
         sendPreparation: () => {},
         sendMissing: () => {},
         onLeaving: () => {},
+        onRest: () => {},
         onRefusal: () => {},
         onRetry: () => {},
         onChoice: () => {},
--- /dev/null
+++ b/packages/node/test/rests.test.ts
@@ -0,0 +1,118 @@
+import { FleetView, KeptParts, PauseThreshold } from "@radishreel/fleet";
+import type { Route } from "@radishreel/routing";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type AdmissionMessage, Admissions } from "../src/requests/admissions.js";
+import type { CallerExchange } from "../src/requests/caller.js";
+import { UpstreamChooser } from "../src/requests/choosing.js";
+import { createJob } from "../src/requests/job.js";
+import { createDigest, createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
+import { serveWhileChanging } from "./opening.js";
+
+const readSteady = () => performance.now();
+
+const route: Route = {
+    name: "r",
+    host: "h",
+    pathPrefix: "/",
+    kind: "stream",
+    targets: [{ service: "llm", weight: 1 }],
+    timeoutMs: 6000,
+    aimMs: 1500,
+    gapAimMs: 300,
+    priority: 0,
+    maxAttempts: 1,
+    isResumable: false,
+};
+
+test("nothing is written to an upstream that has asked for rest once its connection is open", async () => {
+    const { status, reached, first } = await serveWhileChanging({
+        onOpening: (view, upstream) => view.rests.record(upstream, 60_000, readSteady()),
+    });
+    assert.is(status, 200);
+    assert.equal(reached, ["s1", "s2"].filter(id => id !== first));
+});
+
+/** A request that waits at engine e1, which its owner expects to let it in after 200 ms; e2 comes later. */
+function createWaiting() {
+    const view = new FleetView();
+    const addEngine = (id: string): void => {
+        view.updateUpstream(createUpstream(id), readSteady());
+        view.updateNews("owner", createNews(id), readSteady());
+    };
+    addEngine("e1");
+    const sent: AdmissionMessage[] = [];
+    const admissions: Admissions = new Admissions({
+        readTime: readSteady,
+        send: (_vm, message) => {
+            sent.push(message);
+            if (message.type === "admit") {
+                const { ticket } = message.request;
+                admissions.receiveAnswer(
+                    "owner",
+                    message.engine === "e1"
+                        ? { kind: "queued", ticket, expectedMs: 200 }
+                        : { kind: "admitted", ticket, version: 1 },
+                );
+            }
+            return true;
+        },
+    });
+    const chooser = new UpstreamChooser({
+        dataCentre: "z",
+        view,
+        admissions,
+        kept: new KeptParts(),
+        longPrompts: new PauseThreshold(),
+        log: createSilentLog(readSteady),
+        readTime: readSteady,
+        isLinked: () => true,
+        sendPreparation: () => {},
+        onChoice: () => {},
+        onRedirect: () => {},
+    });
+    const startedAt = readSteady();
+    const ready = chooser.chooseReady(createJob({
+        caller: { hasLeft: false, left: new Promise<undefined>(() => {}) } as CallerExchange,
+        demand: {
+            requestId: "q",
+            budgetMs: undefined,
+            model: { model: "base", adapter: "a1", promptTokens: 100, outputTokens: 10, parts: [] },
+            lastEventId: undefined,
+        },
+        route,
+        service: engineService,
+        body: undefined,
+        digest: createDigest(),
+        startedAt,
+        deadlineAt: startedAt + route.timeoutMs,
+    }));
+    const asked = sent.find(message => message.type === "admit")!;
+    return { view, admissions, ready, ticket: asked.request.ticket, addEngine };
+}
+
+test("a request that is let in at an engine which rests for its VM by now goes to another one", async () => {
+    const { view, admissions, ready, ticket, addEngine } = createWaiting();
+    view.rests.record("e1", 60_000, readSteady());
+    addEngine("e2");
+    admissions.receiveAnswer("owner", { kind: "admitted", ticket, version: 1 });
+    assert.is((await ready)?.choice.state.upstream.id, "e2");
+});
+
+test("a request that waits at an engine which rests for longer than it waits there goes to another one", async () => {
+    const { view, ready, addEngine } = createWaiting();
+    view.rests.record("e1", 60_000, readSteady());
+    addEngine("e2");
+    assert.is((await ready)?.choice.state.upstream.id, "e2");
+});
+
+test("an engine that rests for one VM is no failed one: it is chosen again at the end, and is usable all the time", async () => {
+    const view = new FleetView();
+    view.updateUpstream(createUpstream("e1"), 0);
+    view.rests.record("e1", 3000, 0);
+    assert.equal([view.isUsable("e1"), view.listUsable("llm").length], [true, 1]);
+    assert.equal([2999, 3000].map(now => view.listAwake("llm", now).length), [0, 1]);
+    assert.is(view.findUpstream("e1")!.health.readFailureShare(3000), 0);
+});
+
+test.run();
