--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -1,6 +1,8 @@
+import { Departures } from "./departures.js";
 import { UpstreamHealth } from "./health.js";
 import { LoadCounter, type LoadHandle, type LoadShare, noLoad } from "./load.js";
 import { PromptHistory } from "./pauses.js";
+import { UpstreamRests } from "./rests.js";
 import { type EngineNews, formatAdapterKey, type Upstream, type UpstreamLoad } from "./types.js";
 import { AdapterVersions, type AdapterVersionsOptions } from "./versions.js";
 import { WarmAdapters } from "./warm.js";
@@ -50,6 +52,9 @@
 export class FleetView {
     private readonly ownLoad = new LoadCounter();
     private readonly states = new Map<string, UpstreamState>();
+    private readonly departures = new Departures();
+    /** Rests that upstreams have asked of this VM. */
+    readonly rests = new UpstreamRests();
     /** Versions of adapters that the operator has named. Their times are in boot time. */
     readonly versions: AdapterVersions;
 
@@ -64,7 +69,7 @@
         if (state === undefined) {
             this.states.set(upstream.id, {
                 upstream,
-                leavingSince: upstream.isLeaving ? now : undefined,
+                leavingSince: this.isLeaving(upstream) ? now : undefined,
                 goneAt,
                 news: undefined,
                 owner: undefined,
@@ -76,7 +81,7 @@
             return;
         }
         state.upstream = upstream;
-        state.leavingSince = upstream.isLeaving ? state.leavingSince ?? now : undefined;
+        state.leavingSince = this.isLeaving(upstream) ? state.leavingSince ?? now : undefined;
         state.goneAt = goneAt === undefined ? undefined : Math.min(goneAt, state.goneAt ?? goneAt);
     }
 
@@ -92,14 +97,44 @@
         return [...this.states.values()];
     }
 
-    /** Whether an upstream may get new requests: its entry stands and does not say that it leaves. */
+    /**
+     * Takes an upstream's own word that it leaves. No entry takes it back.
+     * @returns Whether it was not known, neither from the upstream nor from its entry.
+     */
+    recordLeaving(id: string, now: number): boolean {
+        const state = this.states.get(id);
+        const isNew = this.departures.add(id) && state?.upstream.isLeaving !== true;
+        if (state !== undefined) {
+            state.leavingSince ??= now;
+        }
+        return isNew;
+    }
+
+    /** Upstreams that stand and have said themselves that they leave, while their entries do not. */
+    listDeparting(): string[] {
+        return this.listUpstreams().map(({ upstream }) => upstream)
+            .filter(({ id, isLeaving }) => !isLeaving && this.departures.has(id))
+            .map(({ id }) => id);
+    }
+
+    private isLeaving({ id, isLeaving }: Upstream): boolean {
+        return isLeaving || this.departures.has(id);
+    }
+
+    /** Whether an upstream may get new requests: its entry stands, and neither that nor itself says that it leaves. */
     isUsable(id: string): boolean {
-        return this.states.get(id)?.upstream.isLeaving === false;
+        const state = this.states.get(id);
+        return state !== undefined && !this.isLeaving(state.upstream);
+    }
+
+    /** Upstreams of a service that may get a request of this VM now: those that do not rest. */
+    listAwake(service: string, now: number): UpstreamState[] {
+        return this.listUsable(service).filter(({ upstream }) => !this.rests.isResting(upstream.id, now));
     }
 
     /** Upstreams of a service that may get new requests. */
     listUsable(service: string): UpstreamState[] {
-        return this.listUpstreams().filter(state => state.upstream.service === service && !state.upstream.isLeaving);
+        return this.listUpstreams().filter(({ upstream }) => upstream.service === service && !this.isLeaving(upstream));
     }
 
     /**
--- /dev/null
+++ b/packages/node/src/links/dispatcher.ts
@@ -0,0 +1,122 @@
+import type { CrashReport, EngineNews } from "@radishreel/fleet";
+import type { AccountGuard } from "../accounts/index.js";
+import type { CrashGuard } from "../crashes/index.js";
+import type { DepartureSharing } from "../knowledge/departures.js";
+import type { ChangeSharing } from "../knowledge/sharing.js";
+import type { Owning } from "../ownership/owning.js";
+import type { ClusterChange } from "../ports.js";
+import type { Admissions } from "../requests/admissions.js";
+import type { PeerMessage } from "./messages.js";
+import type { Peers } from "./peers.js";
+
+/** Options of {@link PeerDispatcher}. */
+export interface PeerDispatcherOptions {
+    readonly peers: Peers;
+    readonly sharing: ChangeSharing;
+    readonly departures: DepartureSharing;
+    readonly guard: CrashGuard;
+    readonly accounts: AccountGuard;
+    readonly admissions: Admissions;
+    /** Undefined before this VM may claim shards. */
+    readonly readOwning: () => Owning | undefined;
+    readonly onChanges: (vm: string, changes: readonly ClusterChange[]) => void;
+    readonly onCrashReports: (reports: readonly CrashReport[]) => void;
+    readonly onNews: (vm: string, news: readonly EngineNews[]) => void;
+    /** A VM stops and takes no part any more. */
+    readonly onLeaving: (vm: string) => void;
+}
+
+/** Hands each message of another VM to the part of the program that it is for. */
+export class PeerDispatcher {
+    constructor(private readonly options: PeerDispatcherOptions) {}
+
+    dispatch(vm: string, message: PeerMessage): void {
+        const { peers, sharing, departures, guard, accounts, admissions } = this.options;
+        const { onChanges, onCrashReports, onNews, onLeaving } = this.options;
+        const owning = this.options.readOwning();
+        switch (message.type) {
+            case "members":
+                message.members.forEach(member => peers.addPeer(member));
+                return;
+            case "changes":
+                onChanges(vm, message.changes);
+                return;
+            case "upstreamsLeaving":
+                departures.receive(vm, message.upstreams);
+                return;
+            case "crashReports":
+                onCrashReports(message.reports);
+                return;
+            case "claimPermit":
+            case "permitAnswer":
+            case "releasePermit":
+                guard.receiveMessage(vm, message);
+                return;
+            case "confirmQuery":
+            case "confirmation":
+            case "leaseShare":
+            case "claimQuota":
+            case "quotaAnswer":
+            case "returnQuota":
+                accounts.receiveMessage(vm, message);
+                return;
+            case "positions":
+                this.receivePositions(vm, message);
+                return;
+            case "pull":
+                sharing.receivePull(vm, message.positions);
+                return;
+            case "follow":
+                this.sendMembers(vm, message.isWanted);
+                sharing.receiveFollow(vm, message.isWanted, message.positions);
+                return;
+            case "news":
+                onNews(vm, message.news);
+                return;
+            case "admission":
+                admissions.receiveAnswer(vm, message.answer);
+                return;
+            case "admit":
+            case "begun":
+            case "ended":
+            case "runs":
+                owning?.engines.receiveRequest(vm, message);
+                return;
+            case "prepare":
+            case "missing":
+                owning?.engines.receiveWant(message);
+                return;
+            case "release":
+                owning?.recordRelease(vm, message.shards, message.generation);
+                return;
+            case "handover":
+                owning?.receiveHandover(message);
+                return;
+            case "claimQuery":
+                if (owning !== undefined) {
+                    peers.send(vm, { type: "claimState", ...owning.readClaimState(vm, message) });
+                }
+                return;
+            case "claimState":
+                owning?.receiveClaimState(vm, message);
+                return;
+            case "leaving":
+                peers.recordLeaving(vm);
+                onLeaving(vm);
+                return;
+        }
+    }
+
+    private receivePositions(vm: string, message: Extract<PeerMessage, { type: "positions"; }>): void {
+        const { peers, sharing } = this.options;
+        sharing.receivePositions(vm, peers.findDataCentre(vm) ?? "", message.positions, message.canRead);
+    }
+
+    /** A VM that cannot read the store by itself needs to know the others. */
+    private sendMembers(vm: string, isWanted: boolean): void {
+        const { peers } = this.options;
+        if (isWanted) {
+            peers.send(vm, { type: "members", members: peers.listMembers() });
+        }
+    }
+}
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -65,6 +65,12 @@
     readonly isMisdirected: boolean;
     /** The upstream vouches for the answer. */
     readonly isSigned: boolean;
+    /** Name of the upstream that answers, where the answer gives it. */
+    readonly answeredBy: string | undefined;
+    /** The upstream that answers says that it leaves. */
+    readonly isLeaving: boolean;
+    /** How long the upstream wants nothing more from this VM, in milliseconds; undefined if it does not ask for rest. */
+    readonly askedRestMs: number | undefined;
 }
 
 /** Names of headers and statuses between callers, this program and upstreams. */
@@ -88,10 +94,10 @@
 /** Why there is no report: no connection could be opened, nothing came that can be read, or another incarnation is there. */
 export type ReportFailure = "unreachable" | "unknown" | "replaced";
 
-/** Orders to engines. */
+/** Orders to engines. Calls back if an engine's answer says that it leaves. */
 export interface EngineOrders {
-    send(upstream: Upstream, order: EngineOrder, guard: OrderGuard): Promise<OrderAnswer>;
-    readReport(upstream: Upstream): Promise<Result<EngineReport, ReportFailure>>;
+    send(upstream: Upstream, order: EngineOrder, guard: OrderGuard, onLeaving?: () => void): Promise<OrderAnswer>;
+    readReport(upstream: Upstream, onLeaving?: () => void): Promise<Result<EngineReport, ReportFailure>>;
 }
 
 /** One VM of the system. */
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -2,14 +2,17 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
-import { createMachine, interpret, state, transition } from "robot3";
+import { interpret } from "robot3";
 import { AccountGuard } from "./accounts/index.js";
 import { BootClock, readNow } from "./clock.js";
 import { CrashGuard } from "./crashes/index.js";
 import { DecisionLog } from "./decisions.js";
 import { ClusterState } from "./knowledge/cluster.js";
+import { DepartureSharing } from "./knowledge/departures.js";
 import { IsolationWatch } from "./knowledge/isolation.js";
 import { ChangeSharing } from "./knowledge/sharing.js";
+import { programMachine } from "./life.js";
+import { PeerDispatcher } from "./links/dispatcher.js";
 import { HubWatch } from "./links/hub.js";
 import type { PeerMessage } from "./links/messages.js";
 import { Peers } from "./links/peers.js";
@@ -18,7 +21,7 @@
 import { type NodeOptions, usualAccountBounds } from "./options.js";
 import { type Handover, Owning } from "./ownership/owning.js";
 import type { ClusterChange, ClusterReceiver, Member, UnreadableRecord } from "./ports.js";
-import { PressureWatch } from "./pressure.js";
+import { PressureWatch, readProcessorMs } from "./pressure.js";
 import { type AdmissionMessage, Admissions } from "./requests/admissions.js";
 import { RetryBudgets } from "./requests/budgets.js";
 import type { CallerExchange } from "./requests/caller.js";
@@ -49,14 +52,6 @@
 /** VMs assumed before any is known: the retry budget is divided among them. */
 const minVms = 4;
 
-/** Life of the program. */
-const programMachine = createMachine("starting", {
-    starting: state(transition("ready", "serving"), transition("stop", "draining")),
-    serving: state(transition("stop", "draining")),
-    draining: state(transition("done", "stopped")),
-    stopped: state(),
-});
-
 /** One VM's data path and control path. */
 export class NodeProgram implements ClusterReceiver {
     private readonly life = interpret(programMachine, () => {});
@@ -64,6 +59,7 @@
     private readonly metrics = new NodeMetrics();
     private readonly view: FleetView;
     private readonly cluster: ClusterState;
+    private readonly departures: DepartureSharing;
     private readonly pool = new ConnectionPool();
     private readonly guard: CrashGuard;
     private readonly serving: Serving;
@@ -81,6 +77,7 @@
     private readonly accounts: AccountGuard;
     /** Tells this process from others of the same VM. */
     private readonly incarnation = Date.now();
+    private readonly dispatcher: PeerDispatcher;
     private owning: Owning | undefined;
     private past: Member | undefined;
     private hasReadMembers = false;
@@ -114,6 +111,13 @@
             onVersion: () => this.serving.receiveVersion(),
             onMember: member => this.receiveMember(member),
         });
+        this.departures = new DepartureSharing({
+            view: this.view,
+            log: this.log,
+            readTime: readNow,
+            broadcast: message => this.peers.broadcast(message),
+            onChange: () => this.receiveClusterChange(),
+        });
         this.guard = this.createGuard();
         this.accounts = this.createAccounts();
         this.admissions = new Admissions({ readTime: readNow, send: (vm, message) => this.sendAdmission(vm, message) });
@@ -134,6 +138,7 @@
             listCrashReports: () => this.guard.listReports(),
             entriesPauseMs: settings.entriesPauseMs,
         });
+        this.dispatcher = this.createDispatcher();
         this.callerServer = createServer({ keepAlive: true, noDelay: true });
     }
 
@@ -319,6 +324,8 @@
             isLinked: vm => vm === settings.vm || this.peers.isConnected(vm),
             sendPreparation: ({ engine, want }) => this.sendToOwner(engine, { type: "prepare", engine, want }),
             sendMissing: (engine, key) => this.sendToOwner(engine, { type: "missing", engine, key }),
+            onLeaving: upstream => this.departures.recordAnswer(upstream),
+            onRest: () => this.metrics.recordRest(),
             onRefusal: reason => this.metrics.recordRefusal(reason),
             onRetry: after => this.metrics.recordRetry(after),
             onChoice: () => this.recordChoice(),
@@ -397,6 +404,23 @@
         });
     }
 
+    private createDispatcher(): PeerDispatcher {
+        const { peers, sharing, departures, guard, accounts, admissions } = this;
+        return new PeerDispatcher({
+            peers,
+            sharing,
+            departures,
+            guard,
+            accounts,
+            admissions,
+            readOwning: () => this.owning,
+            onChanges: (vm, changes) => this.receiveChanges(changes, vm),
+            onCrashReports: reports => this.receiveCrashReports(reports),
+            onNews: (vm, news) => this.receiveNews(vm, news),
+            onLeaving: vm => this.receivePeerClose(vm),
+        });
+    }
+
     private createOwning(): Owning {
         const { settings, claims, orders } = this.options;
         return new Owning({
@@ -410,6 +434,7 @@
             findService: name => this.cluster.routes?.findService(name),
             sendNews: news => this.sendNews(news),
             sendAnswer: (vm, answer) => this.sendAnswer(vm, answer),
+            onLeaving: engine => this.departures.recordAnswer(engine),
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
             sendQuery: query => this.peers.broadcast({ type: "claimQuery", ...query, givers: [...query.givers] }),
             incarnation: this.incarnation,
@@ -448,6 +473,7 @@
     private createGreeting(vm: string): PeerMessage[] {
         return [
             ...this.sharing.createGreeting(vm),
+            ...this.departures.createGreeting(),
             { type: "news", news: this.owning?.engines.listNews() ?? [] },
             ...this.guard.createGreeting(),
             ...this.listEnginesOf(vm).map(engine => this.admissions.createRuns(engine, vm)),
@@ -462,90 +488,7 @@
 
     private receivePeerMessage(vm: string, message: PeerMessage): void {
         this.admissions.recordHeard(vm);
-        switch (message.type) {
-            case "members":
-                for (const member of message.members) {
-                    this.peers.addPeer(member);
-                }
-                return;
-            case "changes":
-                this.receiveChanges(message.changes, vm);
-                return;
-            case "crashReports":
-                this.receiveCrashReports(message.reports);
-                return;
-            case "claimPermit":
-            case "permitAnswer":
-            case "releasePermit":
-                this.guard.receiveMessage(vm, message);
-                return;
-            case "confirmQuery":
-            case "confirmation":
-            case "leaseShare":
-            case "claimQuota":
-            case "quotaAnswer":
-            case "returnQuota":
-                this.accounts.receiveMessage(vm, message);
-                return;
-            case "positions":
-                this.sharing.receivePositions(
-                    vm,
-                    this.peers.findDataCentre(vm) ?? "",
-                    message.positions,
-                    message.canRead,
-                );
-                return;
-            case "pull":
-                this.sharing.receivePull(vm, message.positions);
-                return;
-            case "follow":
-                this.sendMembers(vm, message.isWanted);
-                this.sharing.receiveFollow(vm, message.isWanted, message.positions);
-                return;
-            case "news":
-                this.receiveNews(vm, message.news);
-                return;
-            case "admission":
-                this.admissions.receiveAnswer(vm, message.answer);
-                return;
-            case "admit":
-            case "begun":
-            case "ended":
-            case "runs":
-                this.receiveAdmission(vm, message);
-                return;
-            case "prepare":
-                this.owning?.engines.prepare(message.engine, message.want);
-                return;
-            case "missing":
-                this.owning?.engines.recordMissing(message.engine, message.key);
-                return;
-            case "release":
-                this.owning?.recordRelease(vm, message.shards, message.generation);
-                return;
-            case "handover":
-                this.owning?.receiveHandover(message);
-                return;
-            case "claimQuery":
-                if (this.owning !== undefined) {
-                    this.peers.send(vm, { type: "claimState", ...this.owning.readClaimState(vm, message) });
-                }
-                return;
-            case "claimState":
-                this.owning?.receiveClaimState(vm, message);
-                return;
-            case "leaving":
-                this.peers.recordLeaving(vm);
-                this.receivePeerClose(vm);
-                return;
-        }
-    }
-
-    /** A VM that cannot read the store by itself needs to know the others. */
-    private sendMembers(vm: string, isWanted: boolean): void {
-        if (isWanted) {
-            this.peers.send(vm, { type: "members", members: this.peers.listMembers() });
-        }
+        this.dispatcher.dispatch(vm, message);
     }
 
     private receiveNews(vm: string, news: readonly EngineNews[]): void {
@@ -691,8 +634,3 @@
         this.life.send("done");
     }
 }
-
-function readProcessorMs(): number {
-    const { user, system } = process.cpuUsage();
-    return (user + system) / 1000;
-}
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -14,7 +14,7 @@
 import type { CrashGuard } from "../crashes/index.js";
 import type { DecisionLog } from "../decisions.js";
 import type { ClusterState } from "../knowledge/cluster.js";
-import type { CallerDemand, RequestDialect } from "../ports.js";
+import type { CallerDemand, CallerIdentity, RequestDialect } from "../ports.js";
 import type { Admissions } from "./admissions.js";
 import { Attempt, type AttemptEnd, createBodyHeaders } from "./attempt.js";
 import type { CallerExchange, OwnAnswer, RefusalReason } from "./caller.js";
@@ -24,6 +24,7 @@
 import { withheldDetail } from "./exchange.js";
 import { createJob, type Job, type Preparation, type ReadyUpstream } from "./job.js";
 import { minAttemptMs, readLastSendAt } from "./patience.js";
+import { noWords, type UpstreamWords } from "./words.js";
 
 /** Upstreams that may turn one request away before it is refused: each has said that it did not run it. */
 const maxRejections = 6;
@@ -44,6 +45,12 @@
 const minFullRetrySeconds = 0.25;
 const maxFullRetrySeconds = 2;
 
+/**
+ * Longest time after which a caller is told to come back where all upstreams rest, in seconds: another VM may reach them, and
+ * they are replaced or joined by others meanwhile.
+ */
+const maxRestRetrySeconds = 30;
+
 /**
  * Cost added to an upstream that answered this request with a failure, in milliseconds. Failures often belong to one run:
  * an engine that holds the adapter is worth another try before a load of 250 ms elsewhere.
@@ -88,6 +95,10 @@
     readonly isLinked: (vm: string) => boolean;
     readonly sendPreparation: (preparation: Preparation) => void;
     readonly sendMissing: (engine: string, key: string) => void;
+    /** An answer of an upstream says that it leaves. */
+    readonly onLeaving: (upstream: string) => void;
+    /** An upstream wants nothing from this VM for some time. */
+    readonly onRest: () => void;
     readonly onRefusal: (reason: RefusalReason) => void;
     readonly onRetry: (reason: string) => void;
     /** All upstreams of a service were compared for one request. */
@@ -331,9 +342,7 @@
         let begunAt: number | undefined;
         const key = findAdapterKey(job.demand.model);
         const replacedMs = this.readReplacedMs(key, choice);
-        const maySend = (): boolean =>
-            !job.caller.hasLeft && readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)
-            && this.mayRun(job) && this.options.accounts.hasIdentity(job, identity) && this.mayUseVersion(key, choice);
+        let words: UpstreamWords = noWords;
         job.attempts += 1;
         const attempt = new Attempt({
             ...this.createAttemptTimes(job, choice, sentAt),
@@ -357,11 +366,15 @@
             isFresh: !isIdempotent(job.route),
             progress: job.progress,
             readTime,
-            // The last look at what the choice was made by: it may be news by the time that the connection is open.
+            // What the choice was made by may be news by the time that the connection is open.
             checkBeforeSend: () => {
-                writtenAt = maySend() ? readTime() : undefined;
+                writtenAt = this.maySend(job, choice, identity) ? readTime() : undefined;
                 return writtenAt !== undefined;
             },
+            onWords: said => {
+                words = said;
+                this.receiveWords(upstream.id, said);
+            },
             onBegin: () => {
                 begunAt = readTime();
                 load.begin();
@@ -374,7 +387,7 @@
         this.attempts.delete(attempt);
         load.end();
         admission?.end();
-        this.recordAttempt(job, choice, end, sentAt);
+        this.recordAttempt(job, choice, end, sentAt, words);
         log.record("attempt", {
             request: job.demand.requestId,
             upstream: upstream.id,
@@ -391,11 +404,24 @@
             detail: "detail" in end ? end.detail : undefined,
             status: "status" in end ? end.status : undefined,
             leavingMs: formatElapsed(leavingSince, sentAt),
+            saysLeaving: words.isLeaving || undefined,
+            asksRestMs: words.askedRestMs,
         });
         await this.options.guard.recordEnd(job, upstream, end, { sentAt, begunAt });
         return end;
     }
 
+    /** Whether all that a choice was made by still holds in the step that writes the request. */
+    private maySend(job: Job, choice: UpstreamChoice, identity: CallerIdentity | undefined): boolean {
+        const { view, accounts, readTime } = this.options;
+        const { id } = choice.state.upstream;
+        const now = readTime();
+        return !job.caller.hasLeft && now < job.deadlineAt
+            && view.isUsable(id) && !view.rests.isResting(id, now)
+            && this.mayRun(job) && accounts.hasIdentity(job, identity)
+            && this.mayUseVersion(findAdapterKey(job.demand.model), choice);
+    }
+
     /** Whether the version of a choice may still be sent a request. */
     private mayUseVersion(key: string | undefined, { version }: UpstreamChoice): boolean {
         return key === undefined || this.options.view.versions.mayUse(key, version ?? 0, this.readBoot());
@@ -414,6 +440,18 @@
         return formatElapsed(replacedAt === -Infinity ? undefined : replacedAt, this.readBoot());
     }
 
+    /** Takes what an upstream says of itself as soon as it says so. */
+    private receiveWords(upstream: string, words: UpstreamWords): void {
+        const { view, readTime, onLeaving, onRest } = this.options;
+        if (words.askedRestMs !== undefined) {
+            view.rests.record(upstream, words.askedRestMs, readTime());
+            onRest();
+        }
+        if (words.isLeaving) {
+            onLeaving(upstream);
+        }
+    }
+
     /** Urgency of a request at an engine; servers know none. */
     private readPriority({ service, route, account }: Job): number | undefined {
         return service.engine === undefined ? undefined : readPriority(route.priority, account?.priority);
@@ -449,7 +487,13 @@
     }
 
     /** Learns from the end of an attempt. */
-    private recordAttempt(job: Job, choice: UpstreamChoice, end: AttemptEnd, sentAt: number): void {
+    private recordAttempt(
+        job: Job,
+        choice: UpstreamChoice,
+        end: AttemptEnd,
+        sentAt: number,
+        { askedRestMs }: UpstreamWords,
+    ): void {
         const { readTime, sendMissing } = this.options;
         const now = readTime();
         const { upstream, health } = choice.state;
@@ -466,7 +510,9 @@
             case "failed":
                 job.runs += 1;
                 job.tried.set(upstream.id, { costMs: failedCostMs, until: Infinity, hasDeclined: false });
-                health.recordFailure(now);
+                if (askedRestMs === undefined) {
+                    health.recordFailure(now);
+                }
                 return;
             case "broken":
                 job.runs += 1;
@@ -483,7 +529,8 @@
                     }
                     return;
                 }
-                if (key !== undefined) {
+                // One that asks for rest has failed in nothing, and lacks nothing that its owner could load.
+                if (key !== undefined && askedRestMs === undefined) {
                     sendMissing(upstream.id, key);
                 }
                 job.tried.set(upstream.id, { costMs: Infinity, until: now + rejectedPauseMs, hasDeclined: false });
@@ -541,11 +588,23 @@
             const bounded = Math.min(Math.max(halfSeconds, minFullRetrySeconds), maxFullRetrySeconds);
             return { status: 503, reason: "enginesFull", retryAfterSeconds: bounded };
         }
+        const restEndAt = this.findRestEnd(job, now);
+        if (reason === undefined && restEndAt !== undefined) {
+            const restSeconds = Math.ceil((restEndAt - now) / 10) / 100;
+            const bounded = Math.min(restSeconds, maxRestRetrySeconds);
+            return { status: 503, reason: "upstreamsRest", retryAfterSeconds: bounded };
+        }
         const isLate = now > readLastSendAt(job);
         const fallback = isLate ? "timeout" : last === undefined ? "noUpstream" : "upstreamsBusy";
         return { status: 503, reason: reason ?? fallback, retryAfterSeconds };
     }
 
+    /** When the first upstream will have rested that could serve a request; undefined if another one could serve it now. */
+    private findRestEnd(job: Job, now: number): number | undefined {
+        const hasAwake = this.options.view.listAwake(job.service.name, now).length > 0;
+        return hasAwake ? undefined : this.chooser.findRestEnd(job, now);
+    }
+
     private refuse(caller: CallerExchange, demand: CallerDemand, answer: OwnAnswer): void {
         this.options.onRefusal(answer.reason);
         this.options.log.recordImportant("refused", {
--- a/packages/node/test/attempt.test.ts
+++ b/packages/node/test/attempt.test.ts
@@ -59,6 +59,7 @@
                 timeLeftMs,
                 readTime,
                 checkBeforeSend: () => true,
+                onWords: () => {},
                 onBegin: () => {},
             });
             sent = attempt;
--- a/packages/node/test/opening.ts
+++ b/packages/node/test/opening.ts
@@ -61,7 +61,15 @@
         lastEventId: undefined,
     }),
     createHeaders: (_headers, { identity }) => identity?.account === undefined ? [] : [accountHeader, identity.account],
-    parseAnswer: () => ({ requestId: "q", isNotRun: false, isMisdirected: false, isSigned: true }),
+    parseAnswer: () => ({
+        requestId: "q",
+        isNotRun: false,
+        isMisdirected: false,
+        isSigned: true,
+        answeredBy: undefined,
+        isLeaving: false,
+        askedRestMs: undefined,
+    }),
     listAnswerHeaders: () => [],
 };
 
@@ -106,6 +114,8 @@
     readonly models?: readonly (readonly HeldModel[])[];
     /** What the VM learns while it opens the first connection. */
     readonly createChange?: (upstream: Upstream) => ClusterChange;
+    /** What else happens meanwhile. @default nothing */
+    readonly onOpening?: (view: FleetView, upstream: string) => void;
     /** What it learns when a request has come to a server; none answers then. */
     readonly createLateChange?: () => ClusterChange;
 }
@@ -113,6 +123,7 @@
 /** Serves one request, and lets the VM learn something while it opens its first connection to a server. */
 export async function serveWhileChanging(options: ChangeOptions): Promise<Served> {
     const { routing = plainRouting, model, models = [[], []], createChange, createLateChange } = options;
+    const { onOpening = () => {} } = options;
     const view = new FleetView();
     const log = createSilentLog(readSteady);
     let aheadMs = 0;
@@ -152,9 +163,9 @@
     let first: string | undefined;
     const pool = new EventfulPool(id => {
         first = id;
-        if (createChange !== undefined) {
-            cluster.applyChanges([createChange(upstreams.find(upstream => upstream.id === id)!)]);
-        }
+        const upstream = upstreams.find(candidate => candidate.id === id)!;
+        cluster.applyChanges(createChange === undefined ? [] : [createChange(upstream)]);
+        onOpening(view, id);
     });
     const serving = new Serving({
         dataCentre: "z",
@@ -172,6 +183,8 @@
         isLinked: () => true,
         sendPreparation: () => {},
         sendMissing: () => {},
+        onLeaving: () => {},
+        onRest: () => {},
         onRefusal: () => {},
         onRetry: () => {},
         onChoice: () => {},
