--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -57,6 +57,12 @@
         labelNames: ["direction"] as const,
         registers: [this.registry],
     });
+    private readonly storeCalls = new Counter({
+        name: "radishreel_node_store_calls_total",
+        help: "Calls to the store, refused and unanswered ones too, by what they ask",
+        labelNames: ["kind"] as const,
+        registers: [this.registry],
+    });
     private readonly choices = new Counter({
         name: "radishreel_node_choices_total",
         help: "Times that all upstreams of a service were compared for one request",
@@ -151,6 +157,10 @@
         this.bytes.inc({ direction }, count);
     }
 
+    recordStoreCall(kind: string): void {
+        this.storeCalls.inc({ kind });
+    }
+
     recordChoice(): void {
         this.choices.inc();
     }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -64,7 +64,7 @@
     private readonly metrics = new NodeMetrics();
     private readonly view: FleetView;
     private readonly cluster: ClusterState;
-    private readonly pool = new ConnectionPool();
+    private readonly pool = new ConnectionPool(() => this.pressure.recordWork("upstream connection"));
     private readonly guard: CrashGuard;
     private readonly serving: Serving;
     private readonly peers: Peers;
@@ -92,7 +92,6 @@
         this.pressure = new PressureWatch({
             log: this.log,
             readTime: readNow,
-            readProcessorMs,
             intervalMs: housekeepingMs,
             onLag: ms => this.metrics.recordLag(ms),
         });
@@ -133,6 +132,7 @@
             entriesPauseMs: settings.entriesPauseMs,
         });
         this.callerServer = createServer({ keepAlive: true, noDelay: true });
+        this.callerServer.on("connection", () => this.pressure.recordWork("caller connection"));
     }
 
     /** `host:port` of the listener for callers, once it listens. */
@@ -225,6 +225,12 @@
         return this.stopping;
     }
 
+    /** Counts a call to the store. */
+    recordStoreCall(kind: string): void {
+        this.metrics.recordStoreCall(kind);
+        this.pressure.recordWork(`store ${kind}`);
+    }
+
     receiveChanges(changes: readonly ClusterChange[], from?: string): void {
         const fresh = this.cluster.applyChanges(changes, from);
         if (fresh.length === 0) {
@@ -439,10 +445,12 @@
         if (this.stopping !== undefined || this.isolation.isIsolated) {
             caller.closeAfterAnswer();
         }
-        void this.serving.handle(caller);
+        this.pressure.recordWork("request");
+        void this.serving.handle(caller).finally(() => this.pressure.recordAnswer(caller));
     }
 
     private createGreeting(vm: string): PeerMessage[] {
+        this.pressure.recordWork("link opened");
         return [
             ...this.sharing.createGreeting(vm),
             { type: "news", news: this.owning?.engines.listNews() ?? [] },
@@ -560,6 +568,7 @@
     }
 
     private receivePeerClose(vm: string): void {
+        this.pressure.recordWork("link lost");
         this.sharing.removeVm(vm);
         this.view.removeVm(vm);
         this.admissions.removeOwner(vm);
@@ -688,8 +697,3 @@
         this.life.send("done");
     }
 }
-
-function readProcessorMs(): number {
-    const { user, system } = process.cpuUsage();
-    return (user + system) / 1000;
-}
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -45,6 +45,9 @@
     private readonly leftListeners: (() => void)[] = [];
     private isLeft = false;
     private isUnframed = false;
+    /** Parts of an upstream's answer that were written to this caller, and their bytes. */
+    partsPassed = 0;
+    bytesPassed = 0;
 
     constructor(
         readonly request: IncomingMessage,
@@ -140,7 +143,12 @@
 
     /** Writes a part of an upstream's answer. @returns False if the caller reads too slowly for more. */
     pass(bytes: Buffer): boolean {
-        return this.isLeft || this.response.write(bytes);
+        if (this.isLeft) {
+            return true;
+        }
+        this.partsPassed += 1;
+        this.bytesPassed += bytes.length;
+        return this.response.write(bytes);
     }
 
     /** Calls back once the caller has read what was written. */
--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -108,6 +108,9 @@
 export class ConnectionPool {
     private readonly idle = new Map<string, UpstreamConnection[]>();
 
+    /** @param onOpen Called for each new connection. */
+    constructor(private readonly onOpen: () => void = () => {}) {}
+
     /**
      * Takes a connection for one request.
      * @param isFresh Whether it must be a new one, since a request must not meet a connection that is just being closed.
@@ -117,7 +120,11 @@
         this.idle.set(upstreamId, connections);
         const index = isFresh ? -1 : connections.findIndex(connection => connection.isRested(now));
         const [found] = index < 0 ? [] : connections.splice(index, 1);
-        return found ?? new UpstreamConnection(address);
+        if (found !== undefined) {
+            return found;
+        }
+        this.onOpen();
+        return new UpstreamConnection(address);
     }
 
     /** Gives a connection back after a whole answer. */
