Tell at once all engines that a deal changes, and pass over runs that are known

A deal of shards told each engine that it gave in a frame of its own to all VMs, each of which answered with its runs there, mostly none, and the owner looked at the engine anew for each.

An update of owned engines tells what it changed in one message when it ends, in the same step. Runs that change nothing let nothing in and are passed over.

--- a/packages/fleet/src/admission.ts
+++ b/packages/fleet/src/admission.ts
@@ -164,20 +164,25 @@
     /**
      * Takes all requests of a VM that run, in place of what was known of them. What waits goes on waiting, and what has
      * been let in just now may not be known there yet.
+     * @returns Whether anything has changed by it.
      */
-    setRuns(vm: string, requests: readonly AdmissionRequest[], now: number): void {
+    setRuns(vm: string, requests: readonly AdmissionRequest[], now: number): boolean {
+        let hasChanged = false;
         const told = new Set(requests.map(({ ticket }) => ticket));
         for (const ticket of [...this.tickets.values()]) {
             const isOther = ticket.vm !== vm || isWaiting(ticket);
             if (!isOther && !told.has(ticket.request.ticket) && now - ticket.admittedAt! > answerTravelMs) {
                 this.remove(ticket);
+                hasChanged = true;
             }
         }
         for (const request of requests) {
             if (!this.tickets.has(formatId(vm, request.ticket))) {
                 this.start(vm, request, now);
+                hasChanged = true;
             }
         }
+        return hasChanged;
     }
 
     /** Declines all that wait: the engine cannot be reached, or is owned no longer. */
--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -91,6 +91,8 @@
     private readonly underWay = new Map<Promise<void>, string>();
     private toldAt = -Infinity;
     private isStopped = false;
+    /** Engines of which others are told at the end of an update; undefined outside of one. */
+    private changed: Set<OwnedEngine> | undefined;
 
     constructor(private readonly options: OwnedEnginesOptions) {
         this.timers = options.timers ?? processTimers;
@@ -109,6 +111,15 @@
 
     /** Looks again at which engines exist and which of them this VM owns. */
     update(isOwned: (name: string) => boolean): void {
+        // A deal changes many engines: all that it changes is told at once.
+        const changed = new Set<OwnedEngine>();
+        this.changed = changed;
+        this.updateEngines(isOwned);
+        this.changed = undefined;
+        this.sendChanges([...changed].filter(owned => this.engines.get(owned.id) === owned));
+    }
+
+    private updateEngines(isOwned: (name: string) => boolean): void {
         for (const state of this.options.view.listUpstreams()) {
             const { id, name, service } = state.upstream;
             const isEngine = this.options.findService(service)?.engine !== undefined;
@@ -151,7 +162,10 @@
                 owned.admission.end(vm, message.ticket, now);
                 break;
             case "runs":
-                owned.admission.setRuns(vm, message.requests, now);
+                if (!owned.admission.setRuns(vm, message.requests, now)) {
+                    // Each VM tells its runs when an engine has a new owner; mostly there are none.
+                    return;
+                }
                 break;
         }
         this.advance(owned);
@@ -456,6 +470,10 @@
 
     /** Tells all VMs what has changed since the last time. */
     private sendChanges(engines: readonly OwnedEngine[]): void {
+        if (this.changed !== undefined) {
+            engines.forEach(owned => this.changed?.add(owned));
+            return;
+        }
         const changed: EngineNews[] = [];
         for (const owned of engines) {
             const news = this.createNews(owned);
