Tell engines that a deal takes away in one message too; test what an update tells and what of runs is passed over

One message for four engines that a deal gives, for three that the next one takes away and for what a stop gives up, one an engine before; runs that an owner knows are not looked at, one look a message before.

--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -81,6 +81,12 @@
     wasEmpty: boolean;
 }
 
+/** News that are gathered while owned engines are updated. */
+interface UntoldNews {
+    readonly changed: Set<OwnedEngine>;
+    readonly givenUp: EngineNews[];
+}
+
 /** The engines that this VM owns: it alone gives them orders, lets requests in, and tells all VMs what they hold. */
 export class OwnedEngines {
     private readonly engines = new Map<string, OwnedEngine>();
@@ -91,8 +97,8 @@
     private readonly underWay = new Map<Promise<void>, string>();
     private toldAt = -Infinity;
     private isStopped = false;
-    /** Engines of which others are told at the end of an update; undefined outside of one. */
-    private changed: Set<OwnedEngine> | undefined;
+    /** What others are told at the end of an update; undefined outside of one. */
+    private untold: UntoldNews | undefined;
 
     constructor(private readonly options: OwnedEnginesOptions) {
         this.timers = options.timers ?? processTimers;
@@ -104,19 +110,29 @@
 
     stop(): void {
         this.isStopped = true;
-        for (const id of [...this.engines.keys()]) {
-            this.remove(id);
-        }
+        this.runUpdate(() => {
+            for (const id of [...this.engines.keys()]) {
+                this.remove(id);
+            }
+        });
     }
 
     /** Looks again at which engines exist and which of them this VM owns. */
     update(isOwned: (name: string) => boolean): void {
-        // A deal changes many engines: all that it changes is told at once.
-        const changed = new Set<OwnedEngine>();
-        this.changed = changed;
-        this.updateEngines(isOwned);
-        this.changed = undefined;
-        this.sendChanges([...changed].filter(owned => this.engines.get(owned.id) === owned));
+        this.runUpdate(() => this.updateEngines(isOwned));
+    }
+
+    /** A deal changes many engines: all that it changes is told at once. */
+    private runUpdate(update: () => void): void {
+        const untold: UntoldNews = { changed: new Set(), givenUp: [] };
+        this.untold = untold;
+        update();
+        this.untold = undefined;
+        const kept = [...untold.changed].filter(owned => this.engines.get(owned.id) === owned);
+        const news = [...untold.givenUp, ...this.listChanges(kept)];
+        if (news.length > 0) {
+            this.options.sendNews(news);
+        }
     }
 
     private updateEngines(isOwned: (name: string) => boolean): void {
@@ -300,7 +316,13 @@
         owned.canOrder = false;
         this.sendAnswers(owned.admission.refuseAll(unusableMs));
         owned.revision += 1;
-        this.options.sendNews([{ ...this.createNews(owned), isOwned: false, canOrder: false }]);
+        const news = { ...this.createNews(owned), isOwned: false, canOrder: false };
+        if (this.untold === undefined) {
+            this.options.sendNews([news]);
+        }
+        else {
+            this.untold.givenUp.push(news);
+        }
     }
 
     private sendAnswers(answers: readonly AddressedAnswer[]): void {
@@ -470,10 +492,18 @@
 
     /** Tells all VMs what has changed since the last time. */
     private sendChanges(engines: readonly OwnedEngine[]): void {
-        if (this.changed !== undefined) {
-            engines.forEach(owned => this.changed?.add(owned));
+        if (this.untold !== undefined) {
+            engines.forEach(owned => this.untold?.changed.add(owned));
             return;
         }
+        const changed = this.listChanges(engines);
+        if (changed.length > 0) {
+            this.options.sendNews(changed);
+        }
+    }
+
+    /** What has changed since the last time; it counts as told. */
+    private listChanges(engines: readonly OwnedEngine[]): EngineNews[] {
         const changed: EngineNews[] = [];
         for (const owned of engines) {
             const news = this.createNews(owned);
@@ -484,8 +514,6 @@
                 changed.push({ ...news, revision: owned.revision });
             }
         }
-        if (changed.length > 0) {
-            this.options.sendNews(changed);
-        }
+        return changed;
     }
 }
--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -28,6 +28,7 @@
     const view = new FleetView();
     view.updateUpstream(createUpstream("e1@1", { name: "e1", bornAt: 1 }), 0);
     const news: EngineNews[] = [];
+    const messages: number[] = [];
     const answers: AdmissionAnswer[] = [];
     const readTime = () => 0;
     const engines = new OwnedEngines({
@@ -39,12 +40,15 @@
         findService: () => engineService,
         mayOrder: () => true,
         readFence: () => 7,
-        sendNews: told => news.push(...told),
+        sendNews: told => {
+            messages.push(told.length);
+            news.push(...told);
+        },
         sendAnswer: (_vm, answer) => answers.push(answer),
         countOthers: () => 2,
         timers,
     });
-    return { engines, news, answers, view };
+    return { engines, news, messages, answers, view };
 }
 
 const request = {
@@ -99,6 +103,43 @@
     assert.ok(news.length > 0);
 });
 
+test("all engines that a deal gives, and all that one takes away, are told in one message", () => {
+    const { engines, news, messages, view } = createEngines();
+    for (const name of ["e2", "e3", "e4"]) {
+        view.updateUpstream(createUpstream(`${name}@1`, { name, bornAt: 1 }), 0);
+    }
+    engines.update(() => true);
+    assert.equal(messages, [4]);
+    assert.ok(news.every(({ isOwned, canOrder }) => isOwned && canOrder));
+    engines.update(name => name === "e4");
+    assert.equal(messages, [4, 3]);
+    engines.stop();
+    assert.equal(messages, [4, 3, 1]);
+    for (const told of news) {
+        assert.is(view.updateNews("a", told, 0), true);
+    }
+});
+
+test("runs that an owner knows already are not looked at again", () => {
+    const { engines, view } = createEngines();
+    const isUsable = view.isUsable.bind(view);
+    let looks = 0;
+    view.isUsable = id => {
+        looks += 1;
+        return isUsable(id);
+    };
+    engines.update(() => true);
+    engines.receiveRequest("b", { type: "runs", engine: "e1@1", requests: [request] });
+    const before = looks;
+    engines.receiveRequest("b", { type: "runs", engine: "e1@1", requests: [request] });
+    engines.receiveRequest("c", { type: "runs", engine: "e1@1", requests: [] });
+    assert.is(looks, before);
+    engines.receiveRequest("c", { type: "runs", engine: "e1@1", requests: [{ ...request, ticket: 2 }] });
+    assert.is(looks, before + 1);
+    assert.is(engines.listNews()[0]!.load.active, 2);
+    engines.stop();
+});
+
 test("a VM that does not own an engine says so to a request that asks", () => {
     const { engines, answers } = createEngines();
     engines.receiveRequest("b", { type: "admit", engine: "e1@1", request });
