Wake an owner of engines as often as it may tell of them

The timer runs as often as the VMs that are told allow, and follows when they come and go. The test counts timers and their intervals: 100 ms for 3 VMs, 828 for 70, 1,080 for 91, one timer throughout.

--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -93,9 +93,10 @@
     private readonly timers: Timers;
     /** Runs while there are engines: most VMs of a large fleet own none. */
     private newsTimer: ScheduledRun | undefined;
+    /** Time between two runs of it, in milliseconds. */
+    private newsPauseMs = 0;
     /** Orders that may still come to their engines, and the names of these. They outlast the ownership. */
     private readonly underWay = new Map<Promise<void>, string>();
-    private toldAt = -Infinity;
     private isStopped = false;
     /** What others are told at the end of an update; undefined outside of one. */
     private untold: UntoldNews | undefined;
@@ -289,7 +290,7 @@
             wasEmpty: false,
         };
         this.engines.set(id, owned);
-        this.newsTimer ??= this.timers.scheduleEvery(() => this.sendDueChanges(), newsIntervalMs);
+        this.updateNewsTimer();
         this.options.log.recordImportant("engineClaimed", { engine: id, fence: owned.fence });
         this.advance(owned);
         this.sendChanges([owned]);
@@ -310,6 +311,7 @@
         if (this.engines.size === 0) {
             this.newsTimer?.cancel();
             this.newsTimer = undefined;
+            this.newsPauseMs = 0;
         }
         const { fence, isOrdering } = owned;
         this.options.log.recordImportant("engineGivenUp", { engine: id, fence, isOrdering });
@@ -483,10 +485,17 @@
     }
 
     private sendDueChanges(): void {
-        const now = this.options.readTime();
-        if (now - this.toldAt >= this.options.countOthers() * newsPausePerVmMs) {
-            this.toldAt = now;
-            this.sendChanges([...this.engines.values()]);
+        this.updateNewsTimer();
+        this.sendChanges([...this.engines.values()]);
+    }
+
+    /** Lets the timer run as often as the VMs that are told allow: each run of it wakes the process. */
+    private updateNewsTimer(): void {
+        const pauseMs = Math.max(newsIntervalMs, this.options.countOthers() * newsPausePerVmMs);
+        if (pauseMs !== this.newsPauseMs) {
+            this.newsPauseMs = pauseMs;
+            this.newsTimer?.cancel();
+            this.newsTimer = this.timers.scheduleEvery(() => this.sendDueChanges(), pauseMs);
         }
     }
 
--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -9,13 +9,16 @@
 /** Counts what is to run again and again; nothing runs. */
 class CountedTimers implements Timers {
     repeated = 0;
+    /** The last one, and how often it is to run, in milliseconds. */
+    last: { readonly run: () => void; readonly ms: number; } | undefined;
 
     scheduleOnce() {
         return { cancel: () => {} };
     }
 
-    scheduleEvery() {
+    scheduleEvery(run: () => void, ms: number) {
         this.repeated += 1;
+        this.last = { run, ms };
         return {
             cancel: () => {
                 this.repeated -= 1;
@@ -24,7 +27,7 @@
     }
 }
 
-function createEngines(timers?: Timers) {
+function createEngines(timers?: Timers, countOthers = () => 2) {
     const view = new FleetView();
     view.updateUpstream(createUpstream("e1@1", { name: "e1", bornAt: 1 }), 0);
     const news: EngineNews[] = [];
@@ -45,7 +48,7 @@
             news.push(...told);
         },
         sendAnswer: (_vm, answer) => answers.push(answer),
-        countOthers: () => 2,
+        countOthers,
         timers,
     });
     return { engines, news, messages, answers, view };
@@ -92,6 +95,22 @@
     assert.is(timers.repeated, 0);
 });
 
+test("an owner of engines is woken to tell of them as often as it may tell, however many VMs come and go", () => {
+    const timers = new CountedTimers();
+    let others = 2;
+    const { engines } = createEngines(timers, () => others);
+    engines.update(() => true);
+    assert.is(timers.last?.ms, 100);
+    for (const [count, ms] of [[69, 828], [69, 828], [90, 1080], [3, 100]] as const) {
+        others = count;
+        timers.last!.run();
+        assert.is(timers.last?.ms, ms);
+        assert.is(timers.repeated, 1);
+    }
+    engines.stop();
+    assert.is(timers.repeated, 0);
+});
+
 test("what was told of an engine's load does not change with what comes after it", () => {
     const { engines, news } = createEngines();
     engines.update(() => true);
