--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -150,6 +150,11 @@
         this.attempts.forEach(attempt => attempt.updateBeginTime());
     }
 
+    /** Engines of other VMs have changed: requests that wait look again soon. */
+    receiveNews(): void {
+        this.chooser.receiveNews();
+    }
+
     removeUpstream(id: string): void {
         this.kept.removeEngine(id);
         this.options.admissions.removeEngine(id);
--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -9,13 +9,16 @@
 /** Counts what is to run again and again; nothing runs. */
 class CountedTimers implements Timers {
     repeated = 0;
+    /** The last one, and how often it is to run, in milliseconds. */
+    last: { readonly run: () => void; readonly ms: number; } | undefined;
 
     scheduleOnce() {
         return { cancel: () => {} };
     }
 
-    scheduleEvery() {
+    scheduleEvery(run: () => void, ms: number) {
         this.repeated += 1;
+        this.last = { run, ms };
         return {
             cancel: () => {
                 this.repeated -= 1;
@@ -24,10 +27,11 @@
     }
 }
 
-function createEngines(timers?: Timers) {
+function createEngines(timers?: Timers, countOthers = () => 2) {
     const view = new FleetView();
     view.updateUpstream(createUpstream("e1@1", { name: "e1", bornAt: 1 }), 0);
     const news: EngineNews[] = [];
+    const messages: number[] = [];
     const answers: AdmissionAnswer[] = [];
     const readTime = () => 0;
     const engines = new OwnedEngines({
@@ -39,12 +43,15 @@
         findService: () => engineService,
         mayOrder: () => true,
         readFence: () => 7,
-        sendNews: told => news.push(...told),
+        sendNews: told => {
+            messages.push(told.length);
+            news.push(...told);
+        },
         sendAnswer: (_vm, answer) => answers.push(answer),
-        countOthers: () => 2,
+        countOthers,
         timers,
     });
-    return { engines, news, answers, view };
+    return { engines, news, messages, answers, view };
 }
 
 const request = {
@@ -88,6 +95,22 @@
     assert.is(timers.repeated, 0);
 });
 
+test("an owner of engines is woken to tell of them as often as it may tell, however many VMs come and go", () => {
+    const timers = new CountedTimers();
+    let others = 2;
+    const { engines } = createEngines(timers, () => others);
+    engines.update(() => true);
+    assert.is(timers.last?.ms, 100);
+    for (const [count, ms] of [[69, 828], [69, 828], [90, 1080], [3, 100]] as const) {
+        others = count;
+        timers.last!.run();
+        assert.is(timers.last?.ms, ms);
+        assert.is(timers.repeated, 1);
+    }
+    engines.stop();
+    assert.is(timers.repeated, 0);
+});
+
 test("what was told of an engine's load does not change with what comes after it", () => {
     const { engines, news } = createEngines();
     engines.update(() => true);
@@ -99,6 +122,43 @@
     assert.ok(news.length > 0);
 });
 
+test("all engines that a deal gives, and all that one takes away, are told in one message", () => {
+    const { engines, news, messages, view } = createEngines();
+    for (const name of ["e2", "e3", "e4"]) {
+        view.updateUpstream(createUpstream(`${name}@1`, { name, bornAt: 1 }), 0);
+    }
+    engines.update(() => true);
+    assert.equal(messages, [4]);
+    assert.ok(news.every(({ isOwned, canOrder }) => isOwned && canOrder));
+    engines.update(name => name === "e4");
+    assert.equal(messages, [4, 3]);
+    engines.stop();
+    assert.equal(messages, [4, 3, 1]);
+    for (const told of news) {
+        assert.is(view.updateNews("a", told, 0), true);
+    }
+});
+
+test("runs that an owner knows already are not looked at again", () => {
+    const { engines, view } = createEngines();
+    const isUsable = view.isUsable.bind(view);
+    let looks = 0;
+    view.isUsable = id => {
+        looks += 1;
+        return isUsable(id);
+    };
+    engines.update(() => true);
+    engines.receiveRequest("b", { type: "runs", engine: "e1@1", requests: [request] });
+    const before = looks;
+    engines.receiveRequest("b", { type: "runs", engine: "e1@1", requests: [request] });
+    engines.receiveRequest("c", { type: "runs", engine: "e1@1", requests: [] });
+    assert.is(looks, before);
+    engines.receiveRequest("c", { type: "runs", engine: "e1@1", requests: [{ ...request, ticket: 2 }] });
+    assert.is(looks, before + 1);
+    assert.is(engines.listNews()[0]!.load.active, 2);
+    engines.stop();
+});
+
 test("a VM that does not own an engine says so to a request that asks", () => {
     const { engines, answers } = createEngines();
     engines.receiveRequest("b", { type: "admit", engine: "e1@1", request });
