Tests of guards that none noticed: boot time in the choice, at the owner and at the write, and the owner's word

Each guard was taken out by itself: without boot time in Serving, in UpstreamChooser and in chooseEngine no test failed. Four tests that fail without it, without the owner's own look at a held version, and without the look at an owner's word.

--- a/packages/node/test/choosing.test.ts
+++ b/packages/node/test/choosing.test.ts
@@ -23,7 +23,11 @@
 };
 
 /** A chooser with engines that one other VM owns, which answers as it is told to. */
-function createChooser(engines: string[], onMessage: (message: AdmissionMessage, admissions: Admissions) => void) {
+function createChooser(
+    engines: string[],
+    onMessage: (message: AdmissionMessage, admissions: Admissions) => void,
+    readBoot?: () => number,
+) {
     const readTime = () => performance.now();
     const view = new FleetView();
     for (const id of engines) {
@@ -47,6 +51,7 @@
         longPrompts: new PauseThreshold(),
         log: createSilentLog(readTime),
         readTime,
+        readBoot,
         isLinked: () => true,
         sendPreparation: () => {},
         onChoice: () => {},
@@ -152,4 +157,42 @@
     assert.equal(messages.map(message => message.type), ["admit", "ended"]);
 });
 
+test("a VM that was suspended judges versions by time that went on meanwhile", async () => {
+    let bootAheadMs = 0;
+    const versions: (number | undefined)[] = [];
+    const { chooser, view } = createChooser(["e1"], (message, admissions) => {
+        if (message.type === "admit") {
+            versions.push(message.request.version);
+            admissions.receiveAnswer("owner", { kind: "declined", ticket: message.request.ticket, expectedMs: 9000 });
+        }
+    }, () => performance.now() + bootAheadMs);
+    const news = view.findUpstream("e1")!.news!;
+    view.updateNews("owner", { ...news, revision: 2, canOrder: false, held: { "base/a1": 1 } }, performance.now());
+    view.versions.update("base/a1", 2, performance.now());
+    await chooser.chooseReady(createRequest(100));
+    assert.equal(versions, [undefined]);
+    bootAheadMs = 10_000;
+    // The owner may order nothing, so that only what is loaded could be chosen.
+    assert.is(await chooser.chooseReady(createRequest(100)), undefined);
+    assert.equal(versions, [undefined]);
+    view.updateNews("owner", { ...news, revision: 3, held: { "base/a1": 1 } }, performance.now());
+    await chooser.chooseReady(createRequest(100));
+    assert.equal(versions, [undefined, 2]);
+});
+
+test("an owner's word for a version that this VM knows to be replaced for good is not followed", async () => {
+    const named: number[] = [];
+    const { chooser, view } = createChooser(["e1"], (message, admissions) => {
+        if (message.type === "admit") {
+            const version = Math.min(2, named.length + 1);
+            named.push(version);
+            admissions.receiveAnswer("owner", { kind: "admitted", ticket: message.request.ticket, version });
+        }
+    });
+    view.versions.update("base/a1", 2, -Infinity);
+    const ready = await chooser.chooseReady(createRequest(6000));
+    assert.is(ready?.choice.version, 2);
+    assert.equal(named, [1, 2]);
+});
+
 test.run();
--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -4,7 +4,7 @@
 import * as assert from "uvu/assert";
 import type { Timers } from "../src/clock.js";
 import { OwnedEngines } from "../src/ownership/engines.js";
-import { createSilentLog, createUpstream, engineService } from "./fixtures.js";
+import { createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
 
 /** Counts what is to run again and again; nothing runs. */
 class CountedTimers implements Timers {
@@ -24,7 +24,7 @@
     }
 }
 
-function createEngines(timers?: Timers) {
+function createEngines(timers?: Timers, readBoot?: () => number) {
     const view = new FleetView();
     view.updateUpstream(createUpstream("e1@1", { name: "e1", bornAt: 1 }), 0);
     const news: EngineNews[] = [];
@@ -36,6 +36,7 @@
         orders: { send: () => Promise.resolve("unknown"), readReport: () => Promise.resolve(err("unknown")) },
         log: createSilentLog(readTime),
         readTime,
+        readBoot,
         findService: () => engineService,
         mayOrder: () => true,
         readFence: () => 7,
@@ -106,6 +107,17 @@
     assert.equal(answers, [{ kind: "notOwned", ticket: 1 }]);
 });
 
+test("an owner lets nobody in for a version that was replaced long ago, also if its VM was suspended since", () => {
+    const { engines, answers, view } = createEngines(undefined, () => 10_000);
+    view.updateNews("b", createNews("e1@1", { held: { "base/a1": 1 } }), 0);
+    engines.update(() => true);
+    engines.receiveRequest("b", { type: "admit", engine: "e1@1", request });
+    view.versions.update("base/a1", 2, 0);
+    engines.receiveRequest("b", { type: "admit", engine: "e1@1", request: { ...request, ticket: 2 } });
+    engines.stop();
+    assert.equal(answers.slice(0, 2).map(({ kind }) => kind), ["admitted", "queued"]);
+});
+
 test("an engine that started again is another one: its owner begins anew with it", () => {
     const { engines, news, view } = createEngines();
     engines.update(() => true);
--- a/packages/node/test/opening.ts
+++ b/packages/node/test/opening.ts
@@ -106,6 +106,8 @@
     readonly models?: readonly (readonly HeldModel[])[];
     /** What the VM learns while it opens the first connection. */
     readonly createChange?: (upstream: Upstream) => ClusterChange;
+    /** How long the VM is suspended then, in milliseconds. @default 0 */
+    readonly suspendedMs?: number;
     /** What it learns when a request has come to a server; none answers then. */
     readonly createLateChange?: () => ClusterChange;
 }
@@ -117,10 +119,13 @@
     const log = createSilentLog(readSteady);
     let aheadMs = 0;
     let receiveChange = (): void => {};
+    let bootAheadMs = 0;
+    const readBoot = (): number => readSteady() + bootAheadMs;
     const cluster = new ClusterState({
         view,
         log,
         readTime: () => readSteady() + aheadMs,
+        readBoot,
         onChange: () => receiveChange(),
         onUpstreamGone: () => {},
         onMember: () => {},
@@ -154,6 +159,7 @@
         if (createChange !== undefined) {
             cluster.applyChanges([createChange(upstreams.find(upstream => upstream.id === id)!)]);
         }
+        bootAheadMs += options.suspendedMs ?? 0;
     });
     const serving = new Serving({
         dataCentre: "z",
@@ -165,6 +171,7 @@
         pool,
         log,
         readTime: readSteady,
+        readBoot,
         admissions: new Admissions({ readTime: readSteady, send: () => true }),
         guard: createGuard({ view, readTime: readSteady }),
         accounts: createAccountGuard(cluster),
--- a/packages/node/test/versions.test.ts
+++ b/packages/node/test/versions.test.ts
@@ -86,12 +86,16 @@
     assert.is(asker.view.versions.findNewest(key)?.version, 2);
 });
 
+/** Two engines that hold an adapter in its first and in its second version. */
+const changingEngines = {
+    routing: { ...plainRouting, services: [{ ...engineService, name: "desk" }] },
+    model: { model: "base", adapter: "a1", promptTokens: 100, outputTokens: 10, parts: [] },
+    models: [1, 2].map(version => [{ name: "base", version: 1, adapters: [{ name: "a1", version }] }]),
+};
+
 test("nothing is written for a version that is replaced for good while the connection to an engine is opened", async () => {
-    const models = [1, 2].map(version => [{ name: "base", version: 1, adapters: [{ name: "a1", version }] }]);
     const { status, reached, first } = await serveWhileChanging({
-        routing: { ...plainRouting, services: [{ ...engineService, name: "desk" }] },
-        model: { model: "base", adapter: "a1", promptTokens: 100, outputTokens: 10, parts: [] },
-        models,
+        ...changingEngines,
         createChange: () => createVersion(2),
     });
     assert.is(status, 200);
@@ -99,6 +103,17 @@
     assert.equal(reached, ["s2"]);
 });
 
+test("nothing is written for a version whose time ended while the VM was suspended", async () => {
+    const { status, reached, first } = await serveWhileChanging({
+        ...changingEngines,
+        createChange: () => createVersion(2, 0),
+        suspendedMs: 10_000,
+    });
+    assert.is(status, 200);
+    assert.is(first, "s1");
+    assert.equal(reached, ["s2"]);
+});
+
 test("a stream that waits at an engine is taken back when its version is replaced for good meanwhile", async () => {
     const models = [1, 1].map(version => [{ name: "base", version: 1, adapters: [{ name: "a1", version }] }]);
     const { status, text, reached } = await serveWhileChanging({
