Tests that tell apart the two guards of loads, and that the program has the newest version loaded

'a load asks for the newest version that was named' passed without either of its two guards, since each hid the other: it is two tests now, one for the newest that the VM knows and one for what waits. The owner's use of the newest version and boot time in findUsableVersion had no test.

--- a/packages/fleet/test/versions.test.ts
+++ b/packages/fleet/test/versions.test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { AdapterVersions, EnginePlaces, FleetView } from "../src/index.js";
-import { createPlaces, limits, ModelEngine, runPlan } from "./engine.js";
+import { AdapterVersions, EnginePlaces, findUsableVersion, FleetView } from "../src/index.js";
+import { createNews, createPlaces, createUpstream, limits, ModelEngine, runPlan } from "./engine.js";
 
 const key = "base/a1";
 
@@ -28,6 +28,16 @@
     assert.equal([1, 2, 3, 4].map(version => view.versions.mayUse(key, version, 16_100)), [false, false, true, true]);
 });
 
+test("a VM that was suspended takes no held version by its steady time", () => {
+    const view = new FleetView();
+    view.updateUpstream(createUpstream("e1"), 0);
+    view.updateNews("v", createNews("e1", { held: { [key]: 1 } }), 0);
+    view.versions.update(key, 2, 0);
+    const state = view.findUpstream("e1")!;
+    assert.is(findUsableVersion({ view, now: 100, bootNow: 100 }, state, key), 1);
+    assert.is(findUsableVersion({ view, now: 100, bootNow: 10_000 }, state, key), undefined);
+});
+
 test("a load asks for the newest version that was named, whatever a request that waits for it knows", () => {
     const engine = new ModelEngine();
     const versions = new AdapterVersions();
@@ -39,8 +49,18 @@
         findNewest: adapter => versions.findNewest(adapter)?.version,
     });
     versions.update(key, 3, 0);
+    addWant(places, 2);
+    runLoads(engine, places);
+    assert.equal(places.listHeld(), { [key]: 3 });
+    assert.is(engine.held.get(key), 3);
+});
+
+test("a request that knows less than the one before it does not have an older version loaded", () => {
+    const engine = new ModelEngine();
+    const places = createPlaces(engine);
     addWant(places, 3);
     addWant(places, 2);
+    addWant(places, undefined);
     runLoads(engine, places);
     assert.equal(places.listHeld(), { [key]: 3 });
     assert.is(engine.held.get(key), 3);
--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -1,9 +1,10 @@
-import { type AdmissionAnswer, type EngineNews, FleetView } from "@radishreel/fleet";
-import { err } from "neverthrow";
+import { type AdmissionAnswer, type EngineNews, type EngineOrder, FleetView } from "@radishreel/fleet";
+import { err, ok } from "neverthrow";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { Timers } from "../src/clock.js";
 import { OwnedEngines } from "../src/ownership/engines.js";
+import type { EngineOrders } from "../src/ports.js";
 import { createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
 
 /** Counts what is to run again and again; nothing runs. */
@@ -24,7 +25,7 @@
     }
 }
 
-function createEngines(timers?: Timers, readBoot?: () => number) {
+function createEngines(timers?: Timers, readBoot?: () => number, orders?: EngineOrders) {
     const view = new FleetView();
     view.updateUpstream(createUpstream("e1@1", { name: "e1", bornAt: 1 }), 0);
     const news: EngineNews[] = [];
@@ -33,7 +34,7 @@
     const engines = new OwnedEngines({
         vm: "a",
         view,
-        orders: { send: () => Promise.resolve("unknown"), readReport: () => Promise.resolve(err("unknown")) },
+        orders: orders ?? { send: () => Promise.resolve("unknown"), readReport: () => Promise.resolve(err("unknown")) },
         log: createSilentLog(readTime),
         readTime,
         readBoot,
@@ -118,6 +119,24 @@
     assert.equal(answers.slice(0, 2).map(({ kind }) => kind), ["admitted", "queued"]);
 });
 
+test("an owner has the newest version loaded that its VM knows, though the request that waits names none", async () => {
+    const models = [{ name: "base", version: 1, adapters: [] }];
+    const { engines, order } = await new Promise<{ engines: OwnedEngines; order: EngineOrder; }>(resolve => {
+        const created = createEngines(undefined, undefined, {
+            send: (_upstream, order) => {
+                resolve({ engines: created.engines, order });
+                return Promise.resolve("unknown");
+            },
+            readReport: () => Promise.resolve(ok({ models, coming: [], sequence: 0, isBusy: false })),
+        });
+        created.view.versions.update("base/a1", 3, -Infinity);
+        created.engines.update(() => true);
+        created.engines.receiveRequest("b", { type: "admit", engine: "e1@1", request });
+    });
+    engines.stop();
+    assert.equal([order.action, order.adapter, order.version], ["load", "a1", 3]);
+});
+
 test("an engine that started again is another one: its owner begins anew with it", () => {
     const { engines, news, view } = createEngines();
     engines.update(() => true);
