--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -1,10 +1,11 @@
-import { type AdmissionAnswer, type EngineNews, FleetView } from "@radishreel/fleet";
-import { err } from "neverthrow";
+import { type AdmissionAnswer, type EngineNews, type EngineOrder, FleetView } from "@radishreel/fleet";
+import { err, ok } from "neverthrow";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { Timers } from "../src/clock.js";
 import { OwnedEngines } from "../src/ownership/engines.js";
-import { createSilentLog, createUpstream, engineService } from "./fixtures.js";
+import type { EngineOrders } from "../src/ports.js";
+import { createNews, createSilentLog, createUpstream, engineService } from "./fixtures.js";
 
 /** Counts what is to run again and again; nothing runs. */
 class CountedTimers implements Timers {
@@ -27,7 +28,16 @@
     }
 }
 
-function createEngines(timers?: Timers, countOthers = () => 2) {
+/** Options of {@link createEngines}. */
+interface TestedEnginesOptions {
+    readonly timers?: Timers;
+    readonly countOthers?: () => number;
+    readonly readBoot?: () => number;
+    readonly orders?: EngineOrders;
+}
+
+function createEngines(options: TestedEnginesOptions = {}) {
+    const { timers, countOthers = () => 2, readBoot, orders } = options;
     const view = new FleetView();
     view.updateUpstream(createUpstream("e1@1", { name: "e1", bornAt: 1 }), 0);
     const news: EngineNews[] = [];
@@ -37,9 +47,10 @@
     const engines = new OwnedEngines({
         vm: "a",
         view,
-        orders: { send: () => Promise.resolve("unknown"), readReport: () => Promise.resolve(err("unknown")) },
+        orders: orders ?? { send: () => Promise.resolve("unknown"), readReport: () => Promise.resolve(err("unknown")) },
         log: createSilentLog(readTime),
         readTime,
+        readBoot,
         findService: () => engineService,
         mayOrder: () => true,
         readFence: () => 7,
@@ -84,7 +95,7 @@
 
 test("a VM that owns no engine is not woken to tell of any", () => {
     const timers = new CountedTimers();
-    const { engines } = createEngines(timers);
+    const { engines } = createEngines({ timers });
     assert.is(timers.repeated, 0);
     engines.update(() => true);
     assert.is(timers.repeated, 1);
@@ -98,7 +109,7 @@
 test("an owner of engines is woken to tell of them as often as it may tell, however many VMs come and go", () => {
     const timers = new CountedTimers();
     let others = 2;
-    const { engines } = createEngines(timers, () => others);
+    const { engines } = createEngines({ timers, countOthers: () => others });
     engines.update(() => true);
     assert.is(timers.last?.ms, 100);
     for (const [count, ms] of [[69, 828], [69, 828], [90, 1080], [3, 100]] as const) {
@@ -166,6 +177,37 @@
     assert.equal(answers, [{ kind: "notOwned", ticket: 1 }]);
 });
 
+test("an owner lets nobody in for a version that was replaced long ago, also if its VM was suspended since", () => {
+    const { engines, answers, view } = createEngines({ readBoot: () => 10_000 });
+    view.updateNews("b", createNews("e1@1", { held: { "base/a1": 1 } }), 0);
+    engines.update(() => true);
+    engines.receiveRequest("b", { type: "admit", engine: "e1@1", request });
+    view.versions.update("base/a1", 2, 0);
+    engines.receiveRequest("b", { type: "admit", engine: "e1@1", request: { ...request, ticket: 2 } });
+    engines.stop();
+    assert.equal(answers.slice(0, 2).map(({ kind }) => kind), ["admitted", "queued"]);
+});
+
+test("an owner has the newest version loaded that its VM knows, though the request that waits names none", async () => {
+    const models = [{ name: "base", version: 1, adapters: [] }];
+    const { engines, order } = await new Promise<{ engines: OwnedEngines; order: EngineOrder; }>(resolve => {
+        const created = createEngines({
+            orders: {
+                send: (_upstream, order) => {
+                    resolve({ engines: created.engines, order });
+                    return Promise.resolve("unknown");
+                },
+                readReport: () => Promise.resolve(ok({ models, coming: [], sequence: 0, isBusy: false })),
+            },
+        });
+        created.view.versions.update("base/a1", 3, -Infinity);
+        created.engines.update(() => true);
+        created.engines.receiveRequest("b", { type: "admit", engine: "e1@1", request });
+    });
+    engines.stop();
+    assert.equal([order.action, order.adapter, order.version], ["load", "a1", 3]);
+});
+
 test("an engine that started again is another one: its owner begins anew with it", () => {
     const { engines, news, view } = createEngines();
     engines.update(() => true);
