--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -86,6 +86,12 @@
     wasEmpty: boolean;
 }
 
+/** News that are gathered while owned engines are updated. */
+interface UntoldNews {
+    readonly changed: Set<OwnedEngine>;
+    readonly givenUp: EngineNews[];
+}
+
 /** The engines that this VM owns: it alone gives them orders, lets requests in, and tells all VMs what they hold. */
 export class OwnedEngines {
     private readonly engines = new Map<string, OwnedEngine>();
@@ -93,10 +99,13 @@
     private readonly readBoot: () => number;
     /** Runs while there are engines: most VMs of a large fleet own none. */
     private newsTimer: ScheduledRun | undefined;
+    /** Time between two runs of it, in milliseconds. */
+    private newsPauseMs = 0;
     /** Orders that may still come to their engines, and the names of these. They outlast the ownership. */
     private readonly underWay = new Map<Promise<void>, string>();
-    private toldAt = -Infinity;
     private isStopped = false;
+    /** What others are told at the end of an update; undefined outside of one. */
+    private untold: UntoldNews | undefined;
 
     constructor(private readonly options: OwnedEnginesOptions) {
         this.timers = options.timers ?? processTimers;
@@ -109,13 +118,32 @@
 
     stop(): void {
         this.isStopped = true;
-        for (const id of [...this.engines.keys()]) {
-            this.remove(id);
-        }
+        this.runUpdate(() => {
+            for (const id of [...this.engines.keys()]) {
+                this.remove(id);
+            }
+        });
     }
 
     /** Looks again at which engines exist and which of them this VM owns. */
     update(isOwned: (name: string) => boolean): void {
+        this.runUpdate(() => this.updateEngines(isOwned));
+    }
+
+    /** A deal changes many engines: all that it changes is told at once. */
+    private runUpdate(update: () => void): void {
+        const untold: UntoldNews = { changed: new Set(), givenUp: [] };
+        this.untold = untold;
+        update();
+        this.untold = undefined;
+        const kept = [...untold.changed].filter(owned => this.engines.get(owned.id) === owned);
+        const news = [...untold.givenUp, ...this.listChanges(kept)];
+        if (news.length > 0) {
+            this.options.sendNews(news);
+        }
+    }
+
+    private updateEngines(isOwned: (name: string) => boolean): void {
         for (const state of this.options.view.listUpstreams()) {
             const { id, name, service } = state.upstream;
             const isEngine = this.options.findService(service)?.engine !== undefined;
@@ -158,7 +186,10 @@
                 owned.admission.end(vm, message.ticket, now);
                 break;
             case "runs":
-                owned.admission.setRuns(vm, message.requests, now);
+                if (!owned.admission.setRuns(vm, message.requests, now)) {
+                    // Each VM tells its runs when an engine has a new owner; mostly there are none.
+                    return;
+                }
                 break;
         }
         this.advance(owned);
@@ -277,7 +308,7 @@
             wasEmpty: false,
         };
         this.engines.set(id, owned);
-        this.newsTimer ??= this.timers.scheduleEvery(() => this.sendDueChanges(), newsIntervalMs);
+        this.updateNewsTimer();
         this.options.log.recordImportant("engineClaimed", { engine: id, fence: owned.fence });
         this.advance(owned);
         this.sendChanges([owned]);
@@ -298,13 +329,20 @@
         if (this.engines.size === 0) {
             this.newsTimer?.cancel();
             this.newsTimer = undefined;
+            this.newsPauseMs = 0;
         }
         const { fence, isOrdering } = owned;
         this.options.log.recordImportant("engineGivenUp", { engine: id, fence, isOrdering });
         owned.canOrder = false;
         this.sendAnswers(owned.admission.refuseAll(unusableMs));
         owned.revision += 1;
-        this.options.sendNews([{ ...this.createNews(owned), isOwned: false, canOrder: false }]);
+        const news = { ...this.createNews(owned), isOwned: false, canOrder: false };
+        if (this.untold === undefined) {
+            this.options.sendNews([news]);
+        }
+        else {
+            this.untold.givenUp.push(news);
+        }
     }
 
     private sendAnswers(answers: readonly AddressedAnswer[]): void {
@@ -468,15 +506,34 @@
     }
 
     private sendDueChanges(): void {
-        const now = this.options.readTime();
-        if (now - this.toldAt >= this.options.countOthers() * newsPausePerVmMs) {
-            this.toldAt = now;
-            this.sendChanges([...this.engines.values()]);
+        this.updateNewsTimer();
+        this.sendChanges([...this.engines.values()]);
+    }
+
+    /** Lets the timer run as often as the VMs that are told allow: each run of it wakes the process. */
+    private updateNewsTimer(): void {
+        const pauseMs = Math.max(newsIntervalMs, this.options.countOthers() * newsPausePerVmMs);
+        if (pauseMs !== this.newsPauseMs) {
+            this.newsPauseMs = pauseMs;
+            this.newsTimer?.cancel();
+            this.newsTimer = this.timers.scheduleEvery(() => this.sendDueChanges(), pauseMs);
         }
     }
 
     /** Tells all VMs what has changed since the last time. */
     private sendChanges(engines: readonly OwnedEngine[]): void {
+        if (this.untold !== undefined) {
+            engines.forEach(owned => this.untold?.changed.add(owned));
+            return;
+        }
+        const changed = this.listChanges(engines);
+        if (changed.length > 0) {
+            this.options.sendNews(changed);
+        }
+    }
+
+    /** What has changed since the last time; it counts as told. */
+    private listChanges(engines: readonly OwnedEngine[]): EngineNews[] {
         const changed: EngineNews[] = [];
         for (const owned of engines) {
             const news = this.createNews(owned);
@@ -487,8 +544,6 @@
                 changed.push({ ...news, revision: owned.revision });
             }
         }
-        if (changed.length > 0) {
-            this.options.sendNews(changed);
-        }
+        return changed;
     }
 }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -21,7 +21,7 @@
 import { type NodeOptions, usualAccountBounds } from "./options.js";
 import { type Handover, Owning } from "./ownership/owning.js";
 import type { ClusterChange, ClusterReceiver, Member, UnreadableRecord } from "./ports.js";
-import { PressureWatch, readProcessorMs } from "./pressure.js";
+import { PressureWatch } from "./pressure.js";
 import { type AdmissionMessage, Admissions } from "./requests/admissions.js";
 import { RetryBudgets } from "./requests/budgets.js";
 import type { CallerExchange } from "./requests/caller.js";
@@ -60,7 +60,7 @@
     private readonly view: FleetView;
     private readonly cluster: ClusterState;
     private readonly departures: DepartureSharing;
-    private readonly pool = new ConnectionPool();
+    private readonly pool = new ConnectionPool(() => this.pressure.recordWork("upstream connection"));
     private readonly guard: CrashGuard;
     private readonly serving: Serving;
     private readonly peers: Peers;
@@ -89,7 +89,6 @@
         this.pressure = new PressureWatch({
             log: this.log,
             readTime: readNow,
-            readProcessorMs,
             intervalMs: housekeepingMs,
             onLag: ms => this.metrics.recordLag(ms),
         });
@@ -140,6 +139,7 @@
         });
         this.dispatcher = this.createDispatcher();
         this.callerServer = createServer({ keepAlive: true, noDelay: true });
+        this.callerServer.on("connection", () => this.pressure.recordWork("caller connection"));
     }
 
     /** `host:port` of the listener for callers, once it listens. */
@@ -232,6 +232,12 @@
         return this.stopping;
     }
 
+    /** Counts a call to the store. */
+    recordStoreCall(kind: string): void {
+        this.metrics.recordStoreCall(kind);
+        this.pressure.recordWork(`store ${kind}`);
+    }
+
     receiveChanges(changes: readonly ClusterChange[], from?: string): void {
         const fresh = this.cluster.applyChanges(changes, from);
         if (fresh.length === 0) {
@@ -467,10 +473,12 @@
         if (this.stopping !== undefined || this.isolation.isIsolated) {
             caller.closeAfterAnswer();
         }
-        void this.serving.handle(caller);
+        this.pressure.recordWork("request");
+        void this.serving.handle(caller).finally(() => this.pressure.recordAnswer(caller));
     }
 
     private createGreeting(vm: string): PeerMessage[] {
+        this.pressure.recordWork("link opened");
         return [
             ...this.sharing.createGreeting(vm),
             ...this.departures.createGreeting(),
@@ -502,10 +510,11 @@
                 }
             }
         }
-        this.serving.receiveChange();
+        this.serving.receiveNews();
     }
 
     private receivePeerClose(vm: string): void {
+        this.pressure.recordWork("link lost");
         this.sharing.removeVm(vm);
         this.view.removeVm(vm);
         this.admissions.removeOwner(vm);
--- a/packages/node/test/choosing.test.ts
+++ b/packages/node/test/choosing.test.ts
@@ -23,7 +23,11 @@
 };
 
 /** A chooser with engines that one other VM owns, which answers as it is told to. */
-function createChooser(engines: string[], onMessage: (message: AdmissionMessage, admissions: Admissions) => void) {
+function createChooser(
+    engines: string[],
+    onMessage: (message: AdmissionMessage, admissions: Admissions) => void,
+    readBoot?: () => number,
+) {
     const readTime = () => performance.now();
     const view = new FleetView();
     for (const id of engines) {
@@ -31,6 +35,7 @@
         view.updateNews("owner", createNews(id), readTime());
     }
     const messages: AdmissionMessage[] = [];
+    const counts = { choices: 0 };
     const admissions: Admissions = new Admissions({
         readTime,
         send: (_vm, message) => {
@@ -47,12 +52,15 @@
         longPrompts: new PauseThreshold(),
         log: createSilentLog(readTime),
         readTime,
+        readBoot,
         isLinked: () => true,
         sendPreparation: () => {},
-        onChoice: () => {},
+        onChoice: () => {
+            counts.choices += 1;
+        },
         onRedirect: () => {},
     });
-    return { chooser, messages, view };
+    return { chooser, messages, view, counts };
 }
 
 function createRequest(timeMs: number): Job {
@@ -85,6 +93,28 @@
     assert.ok(turns > 0);
 });
 
+test("a request that waits compares engines once for news of many owners", async () => {
+    const { chooser, view, counts } = createChooser(["e1"], (message, admissions) => {
+        if (message.type === "admit") {
+            admissions.receiveAnswer("owner", { kind: "admitted", ticket: message.request.ticket, version: 3 });
+        }
+    });
+    view.removeVm("owner");
+    const ready = chooser.chooseReady(createRequest(6000));
+    for (let news = 0; news < 30; news += 1) {
+        chooser.receiveNews();
+        // Whatever the news wake has run before the next ones, but no timer has.
+        for (let step = 0; step < 20; step += 1) {
+            await Promise.resolve();
+        }
+    }
+    assert.is(counts.choices, 1);
+    view.updateNews("owner", createNews("e1"), performance.now());
+    chooser.receiveNews();
+    assert.is((await ready)?.choice.version, 3);
+    assert.is(counts.choices, 2);
+});
+
 test("a request that one engine declines is let in by another one, and refused only once the best has declined", async () => {
     const asked: string[] = [];
     const { chooser } = createChooser(["e1", "e2"], (message, admissions) => {
@@ -166,4 +196,42 @@
     assert.equal(messages.map(message => message.type), ["admit", "ended"]);
 });
 
+test("a VM that was suspended judges versions by time that went on meanwhile", async () => {
+    let bootAheadMs = 0;
+    const versions: (number | undefined)[] = [];
+    const { chooser, view } = createChooser(["e1"], (message, admissions) => {
+        if (message.type === "admit") {
+            versions.push(message.request.version);
+            admissions.receiveAnswer("owner", { kind: "declined", ticket: message.request.ticket, expectedMs: 9000 });
+        }
+    }, () => performance.now() + bootAheadMs);
+    const news = view.findUpstream("e1")!.news!;
+    view.updateNews("owner", { ...news, revision: 2, canOrder: false, held: { "base/a1": 1 } }, performance.now());
+    view.versions.update("base/a1", 2, performance.now());
+    await chooser.chooseReady(createRequest(100));
+    assert.equal(versions, [undefined]);
+    bootAheadMs = 10_000;
+    // The owner may order nothing, so that only what is loaded could be chosen.
+    assert.is(await chooser.chooseReady(createRequest(100)), undefined);
+    assert.equal(versions, [undefined]);
+    view.updateNews("owner", { ...news, revision: 3, held: { "base/a1": 1 } }, performance.now());
+    await chooser.chooseReady(createRequest(100));
+    assert.equal(versions, [undefined, 2]);
+});
+
+test("an owner's word for a version that this VM knows to be replaced for good is not followed", async () => {
+    const named: number[] = [];
+    const { chooser, view } = createChooser(["e1"], (message, admissions) => {
+        if (message.type === "admit") {
+            const version = Math.min(2, named.length + 1);
+            named.push(version);
+            admissions.receiveAnswer("owner", { kind: "admitted", ticket: message.request.ticket, version });
+        }
+    });
+    view.versions.update("base/a1", 2, -Infinity);
+    const ready = await chooser.chooseReady(createRequest(6000));
+    assert.is(ready?.choice.version, 2);
+    assert.equal(named, [1, 2]);
+});
+
 test.run();
--- a/packages/node/test/opening.ts
+++ b/packages/node/test/opening.ts
@@ -116,6 +116,8 @@
     readonly createChange?: (upstream: Upstream) => ClusterChange;
     /** What else happens meanwhile. @default nothing */
     readonly onOpening?: (view: FleetView, upstream: string) => void;
+    /** How long the VM is suspended then, in milliseconds. @default 0 */
+    readonly suspendedMs?: number;
     /** What it learns when a request has come to a server; none answers then. */
     readonly createLateChange?: () => ClusterChange;
 }
@@ -128,10 +130,13 @@
     const log = createSilentLog(readSteady);
     let aheadMs = 0;
     let receiveVersion = (): void => {};
+    let bootAheadMs = 0;
+    const readBoot = (): number => readSteady() + bootAheadMs;
     const cluster = new ClusterState({
         view,
         log,
         readTime: () => readSteady() + aheadMs,
+        readBoot,
         onChange: () => {},
         onVersion: () => receiveVersion(),
         onUpstreamGone: () => {},
@@ -166,6 +171,7 @@
         const upstream = upstreams.find(candidate => candidate.id === id)!;
         cluster.applyChanges(createChange === undefined ? [] : [createChange(upstream)]);
         onOpening(view, id);
+        bootAheadMs += options.suspendedMs ?? 0;
     });
     const serving = new Serving({
         dataCentre: "z",
@@ -177,6 +183,7 @@
         pool,
         log,
         readTime: readSteady,
+        readBoot,
         admissions: new Admissions({ readTime: readSteady, send: () => true }),
         guard: createGuard({ view, readTime: readSteady }),
         accounts: createAccountGuard(cluster),
