--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -177,8 +177,8 @@
     ],
     [
         "node/dist/src/requests/choosing.js",
-        "if (!this.options.view.isUsable(admission.engine)) {",
-        "if (false) {",
+        "!this.options.view.isUsable(admission.engine) || ",
+        "",
         "packages/node/dist/test/leaving.test.js",
     ],
     [
@@ -201,8 +201,8 @@
     ],
     [
         "node/dist/src/requests/serving.js",
-        "readTime() < job.deadlineAt && this.options.view.isUsable(upstream.id)",
-        "readTime() < job.deadlineAt",
+        "&& view.isUsable(id) && !view.rests",
+        "&& !view.rests",
         "packages/node/dist/test/leaving.test.js",
     ],
     [
@@ -267,8 +267,8 @@
     ],
     [
         "fleet/dist/src/claims.js",
-        "const orderMs = 100;",
-        "const orderMs = 0;",
+        "export const orderFlightMs = 250;",
+        "export const orderFlightMs = 0;",
         "packages/fleet/dist/test/claims.test.js",
     ],
     [
@@ -339,7 +339,7 @@
     ],
     [
         "node/dist/src/requests/serving.js",
-        "&& this.options.accounts.hasIdentity(job, identity)",
+        " && accounts.hasIdentity(job, identity)",
         "",
         "packages/node/dist/test/withdrawal.test.js",
     ],
@@ -471,7 +471,7 @@
     ],
     [
         "node/dist/src/requests/serving.js",
-        " && this.mayUseVersion(key, choice)",
+        "&& this.mayUseVersion(findAdapterKey(job.demand.model), choice)",
         "",
         "packages/node/dist/test/versions.test.js",
     ],
@@ -483,7 +483,7 @@
     ],
     [
         "node/dist/src/requests/serving.js",
-        "this.attempts.forEach(attempt => attempt.updateWithdrawal());",
+        "this.attempts.forEach(attempt => attempt.updateBeginTime());",
         "",
         "packages/node/dist/test/versions.test.js",
     ],
