Tell in the line of an attempt which request limit its response names

Neither the lines nor the metrics told whether a VM had received a limit, so that a limit that is not read could not be told from one that each VM keeps for itself. `attempt` has `saysLimit`. Nothing acts on it yet.

A limit is read from responses that are signed or reject the request: the absence of the header will end a limit, and a corrupt response lacks headers.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -12,6 +12,7 @@
     ClusterReceiver,
     ClusterStore,
     EngineOrders,
+    LimitStatement,
     Member,
     OrderGuard,
     RawHeaders,
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -54,6 +54,13 @@
     readonly identity?: CallerIdentity | undefined;
 }
 
+/** What a response says about the number of requests per second that its upstream accepts over all VMs. */
+export type LimitStatement =
+    | { readonly kind: "none"; }
+    | { readonly kind: "limited"; readonly perSecond: number; }
+    /** The response names a limit in a form that cannot be parsed. */
+    | { readonly kind: "unreadable"; };
+
 /** Status and headers of an upstream's response, parsed. */
 export interface ResponseHead {
     /** Identifier of the request that the response belongs to. */
@@ -70,6 +77,7 @@
     readonly isLeaving: boolean;
     /** Backoff that the upstream requests from this VM, in milliseconds; undefined if it requests none. */
     readonly askedRestMs: number | undefined;
+    readonly limit: LimitStatement;
 }
 
 /** Headers and status codes that callers, this program and upstreams use. */
--- a/packages/node/src/requests/metadata.ts
+++ b/packages/node/src/requests/metadata.ts
@@ -1,10 +1,13 @@
-import type { ResponseHead } from "../ports.js";
+import type { LimitStatement, ResponseHead } from "../ports.js";
 
 /** What the headers of a response say about the upstream that sent it. */
-export type ResponseMetadata = Pick<ResponseHead, "isLeaving" | "askedRestMs">;
+export interface ResponseMetadata extends Pick<ResponseHead, "isLeaving" | "askedRestMs"> {
+    /** Undefined if the response says nothing reliable about the upstream's limit. */
+    readonly limit: LimitStatement | undefined;
+}
 
 /** Metadata of a response whose headers say nothing about its upstream. */
-export const emptyMetadata: ResponseMetadata = { isLeaving: false, askedRestMs: undefined };
+export const emptyMetadata: ResponseMetadata = { isLeaving: false, askedRestMs: undefined, limit: undefined };
 
 /** The request and the upstream that a response is expected to name. */
 export interface ExpectedResponse {
@@ -23,7 +26,14 @@
 ): ResponseMetadata {
     const isForRequest = head.requestId === undefined || head.requestId === requestId;
     const isFromUpstream = head.sentBy === undefined ? !head.isMisdirected : head.sentBy === upstreamName;
-    return isForRequest && isFromUpstream
-        ? { isLeaving: head.isLeaving, askedRestMs: head.askedRestMs }
-        : emptyMetadata;
+    if (!isForRequest || !isFromUpstream) {
+        return emptyMetadata;
+    }
+    // A response that is neither signed nor a rejection may be corrupt, and a missing header would end a limit.
+    const isReliable = head.isSigned || head.isNotRun;
+    return {
+        isLeaving: head.isLeaving,
+        askedRestMs: head.askedRestMs,
+        limit: isReliable ? head.limit : undefined,
+    };
 }
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -14,7 +14,7 @@
 import type { CrashGuard } from "../crashes/index.js";
 import type { DecisionLog } from "../decisions.js";
 import type { ClusterState } from "../knowledge/cluster.js";
-import type { CallerDemand, CallerIdentity, RequestDialect } from "../ports.js";
+import type { CallerDemand, CallerIdentity, LimitStatement, RequestDialect } from "../ports.js";
 import type { Admissions } from "./admissions.js";
 import { Attempt, type AttemptEnd, createBodyHeaders } from "./attempt.js";
 import type { CallerExchange, RefusalReason, RefusalResponse } from "./caller.js";
@@ -411,6 +411,7 @@
             leavingMs: formatElapsed(leavingSince, sentAt),
             saysLeaving: metadata.isLeaving || undefined,
             asksRestMs: metadata.askedRestMs,
+            saysLimit: formatLimit(metadata.limit),
         });
         await this.options.guard.recordEnd(job, upstream, end, { sentAt, firstEventAt: responseStartedAt });
         return end;
@@ -650,3 +651,8 @@
 function formatElapsed(from: number | undefined, to: number | undefined): number | undefined {
     return from === undefined || to === undefined ? undefined : Math.round(to - from);
 }
+
+/** Formats what a response says about its upstream's limit for the log; undefined if it names none. */
+function formatLimit(limit: LimitStatement | undefined): number | string | undefined {
+    return limit?.kind === "limited" ? limit.perSecond : limit?.kind === "unreadable" ? limit.kind : undefined;
+}
--- a/packages/node/test/changingserver.ts
+++ b/packages/node/test/changingserver.ts
@@ -69,6 +69,7 @@
         sentBy: undefined,
         isLeaving: false,
         askedRestMs: undefined,
+        limit: { kind: "none" },
     }),
     listResponseHeaders: () => [],
 };
--- a/packages/node/test/metadata.test.ts
+++ b/packages/node/test/metadata.test.ts
@@ -126,6 +126,7 @@
             sentBy: undefined,
             isLeaving,
             askedRestMs,
+            limit: { kind: "none" },
             ...head(name),
         }, { requestId: "q", upstreamName: name });
         if (metadata.askedRestMs !== undefined) {
