--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -129,13 +129,14 @@
 
 /** Costs that apply to engines and plain servers alike, in milliseconds. */
 function readCommonCost(options: ChoiceOptions, state: UpstreamState): number {
-    const { dataCentre, now, penalties } = options;
+    const { view, dataCentre, now, penalties } = options;
     const isUnreachable = state.health.isPaused(now);
     return (penalties.get(state.upstream.id) ?? 0)
         + (state.upstream.dataCentre === dataCentre ? 0 : otherDataCentreCostMs)
         + (isUnreachable ? unreachableCostMs : 0)
         + (state.status?.isReachable === false ? unreachableByOwnerCostMs : 0)
-        + state.health.readFailureShare(now) * failingCostMs;
+        + state.health.readFailureShare(now) * failingCostMs
+        + view.limits.readWaitMs(state.upstream.id, now);
 }
 
 /** Chooses a server of a plain service: the least loaded and fastest one that is available. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -13,6 +13,7 @@
     type UpstreamChoice,
 } from "./choose.js";
 export { UpstreamHealth } from "./health.js";
+export { createLimitQuota, type LimitChange, limitChangeSchema, type UpstreamLimit, UpstreamLimits } from "./limits.js";
 export { type CountedRequest, idleLoad, LoadCounter, type LoadHandle } from "./load.js";
 export { type LoadRequest } from "./loadqueue.js";
 export { LoadTimes } from "./loadtimes.js";
@@ -38,6 +39,7 @@
     type QuotaVerdict,
     readShareLeaseMs,
 } from "./quota.js";
+export { type AddressedVerdict, type QueuedClaim, QuotaQueue, type QuotaQueueOptions } from "./quotaqueue.js";
 export { rankByRendezvous } from "./rank.js";
 export { type LeaseReason, maxOrderTransitMs, readShard, ShardLeases, type ShardLeasesOptions } from "./shardleases.js";
 export { EngineSlotPlanner, type EngineSlotPlannerOptions } from "./slotplanner.js";
--- a/packages/fleet/src/quota.ts
+++ b/packages/fleet/src/quota.ts
@@ -11,6 +11,12 @@
 /** Decrease of the held shares at which balances are limited to the remaining ones, as a part of all shares. */
 const boundUpdateStep = 0.05;
 
+/**
+ * Number of parts of a partitioned network that can each save up one claim on a quota that must not be overdrawn.
+ * Smaller parts cannot use such a quota: many of them would exceed it with one claim each.
+ */
+const maxSavingParts = 4;
+
 /** Shortest and longest lease of a share, in milliseconds. */
 const minLeaseMs = 300;
 const maxLeaseMs = 2000;
@@ -28,15 +34,30 @@
     readonly slack: number;
 }
 
-/** Rate and burst of one client account, in units of its quota. */
+/** Rate and burst of a quota, in its units. */
 export interface QuotaLimit {
     readonly perSecond: number;
     readonly burst: number;
+    /**
+     * Cost of each claim, for a quota that must not be overdrawn. Its balance can grow to one claim beyond the burst,
+     * else a low rate could never be used.
+     * @default undefined: costs vary, and the operator's tolerance applies
+     */
+    readonly claimCost?: number | undefined;
 }
 
 /** Result of a claim on a quota. */
 export type QuotaVerdict =
-    | { readonly kind: "granted"; readonly balance: number; }
+    | {
+        readonly kind: "granted";
+        readonly balance: number;
+        /** How long the claim waited at the coordinator, in milliseconds. @default 0 */
+        readonly heldMs?: number | undefined;
+        /** Time until a further claim may be granted, in milliseconds; set for claims that may wait. */
+        readonly nextMs?: number | undefined;
+    }
+    /** The claim waits at the coordinator and is expected to be granted after this time. */
+    | { readonly kind: "queued"; readonly expectedMs: number; }
     /**
      * The account is over its limit. `waitMs` is the time until a retry may succeed; undefined for a request that is
      * too large.
@@ -50,7 +71,7 @@
     amount: number;
     /** Value of the pool's {@link QuotaPool.filledSeconds} at the last update of `amount`. */
     filledAt: number;
-    burst: number;
+    limit: QuotaLimit;
     /** Total cost of refused requests whose callers were asked to retry. */
     deferredCost: number;
 }
@@ -119,10 +140,8 @@
 
     /** Deducts a request's cost from its account's balance, if the balance allows it. */
     claim(account: string, limit: QuotaLimit, cost: number, now: number): QuotaVerdict {
-        this.advance(now);
-        const share = this.readShare(now);
-        const balance = this.updateBalance(account, limit, share);
-        const overdraft = this.readTolerance(limit) * overdraftShare * share;
+        const balance = this.update(account, limit, now);
+        const overdraft = this.readOverdraft(limit, now);
         if (balance.amount + overdraft >= cost) {
             balance.amount -= cost;
             return { kind: "granted", balance: balance.amount };
@@ -140,11 +159,23 @@
         return { kind: "refused", balance: balance.amount, waitMs };
     }
 
+    /**
+     * Expected time until the balance covers a cost, in milliseconds; infinite if the coordinator holds too few shares
+     * for any claim.
+     */
+    readWaitMs(account: string, limit: QuotaLimit, cost: number, now: number): number {
+        const balance = this.update(account, limit, now);
+        const share = this.readShare(now);
+        const canGrant = readCapacity(limit, share) >= (limit.claimCost ?? 0) && share > 0;
+        const missing = cost - balance.amount - this.readOverdraft(limit, now);
+        return canGrant ? Math.max(0, missing) / (limit.perSecond * share) * 1000 : Infinity;
+    }
+
     /** Refunds the cost of a request that was granted but has not run. */
     addBack(account: string, cost: number): void {
         const balance = this.balances.get(account);
         if (balance !== undefined) {
-            balance.amount = Math.min(balance.burst * this.boundShare, balance.amount + cost);
+            balance.amount = Math.min(readCapacity(balance.limit, this.boundShare), balance.amount + cost);
         }
     }
 
@@ -157,10 +188,14 @@
         }
     }
 
-    /** Usage beyond its quota that an account is allowed within a window. */
-    private readTolerance({ perSecond, burst }: QuotaLimit): number {
+    /** Amount by which the coordinator may overdraw a balance: its share of a part of the operator's tolerance. */
+    private readOverdraft({ perSecond, burst, claimCost }: QuotaLimit, now: number): number {
+        if (claimCost !== undefined) {
+            return 0;
+        }
         const { windowMs, overage, slack } = this.options.bounds;
-        return (perSecond * windowMs / 1000 + burst) * overage + slack;
+        const tolerance = (perSecond * windowMs / 1000 + burst) * overage + slack;
+        return tolerance * overdraftShare * this.readShare(now);
     }
 
     /** Whether the coordinator has held nearly all shares for the time in which a used-up burst refills. */
@@ -202,19 +237,26 @@
         this.boundShare = share;
         this.newBalancesFilledAt = this.filledSeconds;
         for (const balance of this.balances.values()) {
-            balance.amount = Math.min(balance.amount, balance.burst * share);
+            balance.amount = Math.min(balance.amount, readCapacity(balance.limit, share));
         }
     }
 
-    private updateBalance(account: string, limit: QuotaLimit, share: number): Balance {
+    /** Updates an account's balance to the current time. */
+    private update(account: string, limit: QuotaLimit, now: number): Balance {
+        this.advance(now);
         const known = this.balances.get(account);
-        const balance = known ?? { amount: 0, filledAt: this.newBalancesFilledAt, burst: limit.burst, deferredCost: 0 };
+        const balance = known ?? { amount: 0, filledAt: this.newBalancesFilledAt, limit, deferredCost: 0 };
         const filled = (this.filledSeconds - balance.filledAt) * limit.perSecond;
-        balance.amount = Math.min(limit.burst * share, balance.amount + filled);
+        balance.amount = Math.min(readCapacity(limit, this.readShare(now)), balance.amount + filled);
         balance.deferredCost = Math.max(0, balance.deferredCost - filled);
         balance.filledAt = this.filledSeconds;
-        balance.burst = limit.burst;
+        balance.limit = limit;
         this.balances.set(account, balance);
         return balance;
     }
 }
+
+/** Largest balance of a coordinator that holds a part of all shares. */
+function readCapacity({ burst, claimCost = 0 }: QuotaLimit, share: number): number {
+    return burst * share + claimCost * Math.min(1, share * maxSavingParts);
+}
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -1,6 +1,7 @@
 import { UpstreamBackoffs } from "./backoffs.js";
 import { UpstreamHealth } from "./health.js";
 import { LeavingUpstreams } from "./leaving.js";
+import { UpstreamLimits } from "./limits.js";
 import { type CountedRequest, idleLoad, LoadCounter, type LoadHandle } from "./load.js";
 import { PromptHistory } from "./pausethreshold.js";
 import { type EngineStatus, formatAdapterKey, type Upstream, type UpstreamLoad } from "./types.js";
@@ -55,6 +56,8 @@
     private readonly leavingUpstreams = new LeavingUpstreams();
     /** Backoffs that upstreams have requested from this VM. */
     readonly backoffs = new UpstreamBackoffs();
+    /** Limits that upstreams have named to any VM. */
+    readonly limits = new UpstreamLimits();
     /** Adapter versions that the operator has announced. Their times are boot time. */
     readonly versions: AdapterVersions;
 
@@ -130,7 +133,20 @@
         return state !== undefined && !this.isLeaving(state.upstream);
     }
 
-    /** Upstreams of a service that may get a request of this VM now: usable ones without a backoff. */
+    /** Whether an upstream may get a request of this VM now: it is usable and has not requested backoff. */
+    isAvailable(id: string, now: number): boolean {
+        return this.isUsable(id) && !this.backoffs.isBackingOff(id, now);
+    }
+
+    /**
+     * Whether a request may be written to an upstream now.
+     * @param hasGrant Whether the coordinator has granted the request a part of the upstream's limit.
+     */
+    maySend(id: string, hasGrant: boolean, now: number): boolean {
+        return this.isAvailable(id, now) && (hasGrant || this.limits.find(id) === undefined);
+    }
+
+    /** Upstreams of a service that may get a request of this VM now. */
     listAvailable(service: string, now: number): UpstreamState[] {
         return this.listUsable(service).filter(({ upstream }) => !this.backoffs.isBackingOff(upstream.id, now));
     }
--- a/packages/node/src/accounts/guard.ts
+++ b/packages/node/src/accounts/guard.ts
@@ -1,4 +1,4 @@
-import type { QuotaBounds, QuotaVerdict } from "@radishreel/fleet";
+import type { QuotaBounds, QuotaLimit, QuotaVerdict } from "@radishreel/fleet";
 import { type Account, type AccountTable, readCost, type Route } from "@radishreel/routing";
 import { err, ok, type Result } from "neverthrow";
 import { createHash } from "node:crypto";
@@ -6,9 +6,9 @@
 import type { ClusterState } from "../knowledge/cluster.js";
 import type { PeerMessage } from "../links/messages.js";
 import type { CallerDemand, CallerIdentity, CallerKey } from "../ports.js";
+import { formatAccountKey, type QuotaClaim, type Quotas } from "../quotas/index.js";
 import type { RefusalReason, RefusalResponse } from "../requests/caller.js";
 import { type ConfirmationMessage, Confirmations } from "./confirmations.js";
-import { type QuotaClaim, type QuotaMessage, Quotas } from "./quotas.js";
 
 /**
  * Part of the revocation time that is reserved for the way of a request from this check to an upstream, in
@@ -50,12 +50,13 @@
 /** Response to a request that is refused because of its account. */
 type AccountRefusal = RefusalResponse & { readonly reason: AccountReason; };
 
-/** Messages between VMs about accounts. */
-export type AccountMessage = ConfirmationMessage | QuotaMessage;
+/** A claim on the quota of a client account. */
+export interface AccountClaim extends QuotaClaim {
+    readonly account: string;
+}
 
 /** Options of {@link AccountGuard}. */
 export interface AccountGuardOptions {
-    readonly vm: string;
     readonly bounds: AccountBounds;
     readonly cluster: ClusterState;
     /** Clock that also counts while the VM is suspended, in milliseconds. */
@@ -64,10 +65,7 @@
     readonly isReading: () => boolean;
     /** VMs that can confirm that the configuration is the newest, best first. */
     readonly listConfirmers: () => string[];
-    /** VMs that can coordinate quotas, as far as this VM knows. */
-    readonly listCoordinators: () => string[];
-    /** Number of VMs that this VM knows to exist, itself included. */
-    readonly countVms: () => number;
+    readonly quotas: Quotas;
     /** Sends a message to another VM. @returns Whether the message could be sent. */
     readonly send: (vm: string, message: PeerMessage) => boolean;
     /** Called when a request was admitted, or refused for a reason; the account is undefined if it is unknown. */
@@ -79,10 +77,9 @@
 /** Admits requests of known accounts within their quotas, and refuses requests whose key may have been revoked. */
 export class AccountGuard {
     private readonly confirmations: Confirmations;
-    private readonly quotas: Quotas;
 
     constructor(private readonly options: AccountGuardOptions) {
-        const { vm, bounds, cluster, readBoot, isReading, listConfirmers, listCoordinators, countVms, send } = options;
+        const { cluster, readBoot, isReading, listConfirmers, send } = options;
         const { timers = processTimers } = options;
         this.confirmations = new Confirmations({
             readBoot,
@@ -94,17 +91,16 @@
             listSources: listConfirmers,
             send,
         });
-        this.quotas = new Quotas({
-            vm,
-            bounds: bounds.quota,
-            readBoot,
-            timers,
-            listCandidates: listCoordinators,
-            countVms,
-            isNeeded: () => this.accounts?.hasQuotas === true,
-            findLimit: account => this.accounts?.findByName(account)?.quota,
-            send,
-        });
+    }
+
+    /** Whether any account has a quota. */
+    get hasQuotas(): boolean {
+        return this.accounts?.hasQuotas === true;
+    }
+
+    /** Finds an account's quota by the configuration in force. */
+    findQuota(account: string): QuotaLimit | undefined {
+        return this.accounts?.findByName(account)?.quota;
     }
 
     /** Time since the configuration in force was last known to be the newest, in milliseconds; infinite before that. */
@@ -117,24 +113,13 @@
         this.confirmations.recordConfirmed(asOf);
     }
 
-    /** Renews confirmations and quota leases, and drops balances of removed accounts. Called several times a second. */
+    /** Renews confirmations. Called several times a second. */
     update(): void {
         this.confirmations.update();
-        this.quotas.update();
-        this.quotas.expireOld();
-    }
-
-    receiveMessage(vm: string, message: AccountMessage): void {
-        if (message.type === "confirmQuery" || message.type === "confirmation") {
-            this.confirmations.receiveMessage(vm, message);
-        }
-        else {
-            this.quotas.receiveMessage(vm, message);
-        }
     }
 
-    removeVm(vm: string): void {
-        this.quotas.removeVm(vm);
+    receiveMessage(vm: string, message: ConfirmationMessage): void {
+        this.confirmations.receiveMessage(vm, message);
     }
 
     /** Resolves a request's account. Queries other VMs for an unknown key, since it may be a new one. */
@@ -192,29 +177,35 @@
     }
 
     /** Creates the claim of a request on its account's quota; undefined if the account has no quota. */
-    createClaim(account: Account | undefined, demand: CallerDemand): QuotaClaim | undefined {
+    createClaim(account: Account | undefined, demand: CallerDemand): AccountClaim | undefined {
         if (account?.quota === undefined) {
             return undefined;
         }
         const { perSecond, burst } = account.quota;
-        return { account: account.name, limit: { perSecond, burst }, cost: readCost(account.quota, demand.tokens) };
+        const key = formatAccountKey(account.name);
+        return {
+            account: account.name,
+            key,
+            limit: { perSecond, burst },
+            cost: readCost(account.quota, demand.tokens),
+        };
     }
 
     /** Claims a request's cost. @returns The response to the caller if the cost is not granted. */
-    async claimQuota(claim: QuotaClaim | undefined): Promise<RefusalResponse | undefined> {
+    async claimQuota(claim: AccountClaim | undefined): Promise<RefusalResponse | undefined> {
         if (claim === undefined) {
             return undefined;
         }
-        const verdict = await this.quotas.claim(claim);
+        const verdict = await this.options.quotas.claim(claim);
         const refusal = createQuotaRefusal(claim, verdict);
         this.options.onVerdict(claim.account, refusal?.reason ?? "admitted");
         return refusal;
     }
 
     /** Returns the granted cost of a request that did not run. */
-    releaseQuota(claim: QuotaClaim | undefined): void {
+    releaseQuota(claim: AccountClaim | undefined): void {
         if (claim !== undefined) {
-            this.quotas.release(claim);
+            this.options.quotas.release(claim);
         }
     }
 
@@ -231,12 +222,12 @@
     }
 }
 
-function createQuotaRefusal(claim: QuotaClaim, verdict: QuotaVerdict): AccountRefusal | undefined {
+function createQuotaRefusal(claim: AccountClaim, verdict: QuotaVerdict): AccountRefusal | undefined {
     if (verdict.kind === "granted") {
         return undefined;
     }
     const { account, cost } = claim;
-    if (verdict.kind === "unsure") {
+    if (verdict.kind === "unsure" || verdict.kind === "queued") {
         const detail = { account, cost };
         return { status: 503, reason: "quotaUnknown", retryAfterSeconds: unknownStateRetrySeconds, detail };
     }
--- a/packages/node/src/accounts/index.ts
+++ b/packages/node/src/accounts/index.ts
@@ -1,9 +1,8 @@
 /** Client accounts: resolves a request's account, checks that its key is still valid, and enforces its quota. */
 export {
     type AccountBounds,
+    type AccountClaim,
     AccountGuard,
     type AccountGuardOptions,
-    type AccountMessage,
     type AccountVerdict,
 } from "./guard.js";
-export type { QuotaClaim } from "./quotas.js";
--- a/packages/node/src/links/dispatcher.ts
+++ b/packages/node/src/links/dispatcher.ts
@@ -1,10 +1,11 @@
 import type { CrashReport, EngineStatus } from "@radishreel/fleet";
 import type { AccountGuard } from "../accounts/index.js";
 import type { CrashGuard } from "../crashes/index.js";
-import type { LeavingUpstreamSharing } from "../knowledge/leavingupstreams.js";
+import type { AnnouncementSharing } from "../knowledge/announcements.js";
 import type { ChangeSharing } from "../knowledge/sharing.js";
 import type { ShardOwnership } from "../ownership/ownership.js";
 import type { ClusterChange } from "../ports.js";
+import type { Quotas } from "../quotas/index.js";
 import type { Admissions } from "../requests/admissions.js";
 import type { PeerMessage } from "./messages.js";
 import type { Peers } from "./peers.js";
@@ -13,9 +14,10 @@
 export interface PeerDispatcherOptions {
     readonly peers: Peers;
     readonly sharing: ChangeSharing;
-    readonly leavingUpstreams: LeavingUpstreamSharing;
+    readonly announcements: AnnouncementSharing;
     readonly guard: CrashGuard;
     readonly accounts: AccountGuard;
+    readonly quotas: Quotas;
     readonly admissions: Admissions;
     /** Undefined before this VM may lease shards. */
     readonly readOwnership: () => ShardOwnership | undefined;
@@ -31,7 +33,7 @@
     constructor(private readonly options: PeerDispatcherOptions) {}
 
     dispatch(vm: string, message: PeerMessage): void {
-        const { peers, sharing, leavingUpstreams, guard, accounts, admissions } = this.options;
+        const { peers, sharing, announcements, guard, accounts, quotas, admissions } = this.options;
         const { onChanges, onCrashReports, onStatuses, onLeaving } = this.options;
         const ownership = this.options.readOwnership();
         switch (message.type) {
@@ -42,7 +44,10 @@
                 onChanges(vm, message.changes);
                 return;
             case "upstreamsLeaving":
-                leavingUpstreams.receive(vm, message.upstreams);
+                announcements.receiveLeaving(vm, message.upstreams);
+                return;
+            case "upstreamLimits":
+                announcements.receiveLimits(vm, message.limits);
                 return;
             case "crashReports":
                 onCrashReports(message.reports);
@@ -54,11 +59,14 @@
                 return;
             case "confirmQuery":
             case "confirmation":
+                accounts.receiveMessage(vm, message);
+                return;
             case "leaseShare":
             case "claimQuota":
             case "quotaAnswer":
             case "returnQuota":
-                accounts.receiveMessage(vm, message);
+            case "cancelClaim":
+                quotas.receiveMessage(vm, message);
                 return;
             case "positions":
                 this.receivePositions(vm, message);
@@ -93,9 +101,7 @@
                 ownership?.receiveHandover(message);
                 return;
             case "claimQuery":
-                if (ownership !== undefined) {
-                    peers.send(vm, { type: "claimState", ...ownership.readLeaseState(vm, message) });
-                }
+                this.sendLeaseState(vm, message);
                 return;
             case "claimState":
                 ownership?.receiveLeaseState(vm, message);
@@ -107,6 +113,14 @@
         }
     }
 
+    private sendLeaseState(vm: string, message: Extract<PeerMessage, { type: "claimQuery"; }>): void {
+        const { peers, readOwnership } = this.options;
+        const ownership = readOwnership();
+        if (ownership !== undefined) {
+            peers.send(vm, { type: "claimState", ...ownership.readLeaseState(vm, message) });
+        }
+    }
+
     private receivePositions(vm: string, message: Extract<PeerMessage, { type: "positions"; }>): void {
         const { peers, sharing } = this.options;
         sharing.receivePositions(vm, peers.findDataCentre(vm) ?? "", message.positions, message.canRead);
--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -3,6 +3,7 @@
     admissionRequestSchema,
     crashReportSchema,
     engineStatusSchema,
+    limitChangeSchema,
     upstreamSchema,
 } from "@radishreel/fleet";
 import { routingSchema } from "@radishreel/routing";
@@ -44,7 +45,13 @@
 
 /** See `QuotaVerdict` in quota.ts. */
 const quotaVerdictSchema = z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal("granted"), balance: z.number() }),
+    z.object({
+        kind: z.literal("granted"),
+        balance: z.number(),
+        heldMs: z.number().optional(),
+        nextMs: z.number().optional(),
+    }),
+    z.object({ kind: z.literal("queued"), expectedMs: z.number() }),
     z.object({ kind: z.literal("refused"), balance: z.number(), waitMs: z.number().optional() }),
     z.object({ kind: z.literal("unsure") }),
 ]);
@@ -71,6 +78,11 @@
      * Upstreams whose responses announce that they are leaving: all when a link opens, later only new ones.
      */
     z.object({ type: z.literal("upstreamsLeaving"), upstreams: z.array(z.string()) }),
+    /**
+     * Changes of the limits that upstreams name in their responses: the last change of each when a link opens, later
+     * only new ones.
+     */
+    z.object({ type: z.literal("upstreamLimits"), limits: z.array(limitChangeSchema) }),
     /** To the owner of an engine: a request of the sender requests admission. */
     z.object({ type: z.literal("admit"), engine: z.string(), request: admissionRequestSchema }),
     /** From the owner of an engine: the reply to a request for admission. */
@@ -156,20 +168,28 @@
      * the newest. A querying VM with an older configuration has been sent the newer one before this reply.
      */
     z.object({ type: z.literal("confirmation"), query: z.number(), position, ageMs: z.number().nonnegative() }),
-    /** The sender leases its share of the quotas of these groups of accounts, and of no others, to the receiver. */
+    /** The sender leases its share of the quotas of these groups, and of no others, to the receiver. */
     z.object({ type: z.literal("leaseShare"), groups: z.array(z.number().int().nonnegative()) }),
-    /** To the coordinator of a group of accounts: a request claims part of its account's quota. */
+    /** To the coordinator of a group of quotas: a request claims part of a quota. */
     z.object({
         type: z.literal("claimQuota"),
         ticket: z.number(),
-        account: z.string(),
-        limit: z.object({ perSecond: z.number().positive(), burst: z.number().nonnegative() }),
+        key: z.string(),
+        limit: z.object({
+            perSecond: z.number().positive(),
+            burst: z.number().nonnegative(),
+            claimCost: z.number().positive().optional(),
+        }),
         cost: z.number().nonnegative(),
+        /** Set if the claim may wait at the coordinator. */
+        wait: z.object({ priority: z.number(), patienceMs: z.number() }).optional(),
     }),
     /** From the coordinator: the verdict on a claim. */
     z.object({ type: z.literal("quotaAnswer"), ticket: z.number(), verdict: quotaVerdictSchema }),
     /** To the coordinator: a request whose cost was granted has not run. */
-    z.object({ type: z.literal("returnQuota"), account: z.string(), cost: z.number().nonnegative() }),
+    z.object({ type: z.literal("returnQuota"), key: z.string(), cost: z.number().nonnegative() }),
+    /** To the coordinator: the request of a waiting claim no longer waits. */
+    z.object({ type: z.literal("cancelClaim"), ticket: z.number() }),
     /** The sender is stopping: it will lease no shards and receive no handovers. */
     z.object({ type: z.literal("leaving") }),
 ]);
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -2,6 +2,7 @@
 import type { AccountVerdict } from "./accounts/index.js";
 import type { LeaseEvent } from "./ownership/ownership.js";
 import type { RefusalReason } from "./requests/caller.js";
+import type { LimitVerdict } from "./requests/limiter.js";
 
 /** Histogram buckets for the delay of timers, in seconds. The shortest latency target is about 0.12 s. */
 const lagBucketsSeconds = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1];
@@ -84,6 +85,22 @@
         help: "Answers by which an upstream asked this VM for rest",
         registers: [this.registry],
     });
+    private readonly upstreamLimits = new Gauge({
+        name: "radishreel_node_upstream_limits",
+        help: "Upstreams that limit the requests per second of all VMs together, as far as this VM knows",
+        registers: [this.registry],
+    });
+    private readonly unreadableLimits = new Counter({
+        name: "radishreel_node_upstream_limits_unreadable_total",
+        help: "Responses that name a limit in a form that cannot be read",
+        registers: [this.registry],
+    });
+    private readonly limitVerdicts = new Counter({
+        name: "radishreel_node_upstream_limit_claims_total",
+        help: "Requests of this VM that claimed a part of an upstream's limit, by the verdict of the coordinator",
+        labelNames: ["verdict"] as const,
+        registers: [this.registry],
+    });
     private readonly suspectRequests = new Gauge({
         name: "radishreel_node_suspected_requests",
         help: "Requests under which upstreams have ended lately, as far as this VM knows",
@@ -178,6 +195,18 @@
         this.upstreamBackoffs.inc();
     }
 
+    setUpstreamLimits(count: number): void {
+        this.upstreamLimits.set(count);
+    }
+
+    recordUnreadableLimit(): void {
+        this.unreadableLimits.inc();
+    }
+
+    recordLimitVerdict(verdict: LimitVerdict): void {
+        this.limitVerdicts.inc({ verdict });
+    }
+
     recordUpstreamEnd(service: string): void {
         this.upstreamEnds.inc({ service });
     }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -4,14 +4,15 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { interpret } from "robot3";
 import { AccountGuard } from "./accounts/index.js";
-import { BootClock, readNow } from "./clock.js";
+import { BootClock, processTimers, readNow } from "./clock.js";
 import { CrashGuard } from "./crashes/index.js";
 import { DecisionLog } from "./decisions.js";
+import { AnnouncementSharing } from "./knowledge/announcements.js";
 import { ClusterState } from "./knowledge/cluster.js";
 import { IsolationMonitor } from "./knowledge/isolation.js";
-import { LeavingUpstreamSharing } from "./knowledge/leavingupstreams.js";
 import { ChangeSharing } from "./knowledge/sharing.js";
 import { programMachine } from "./lifecycle.js";
+import { Coordinators } from "./links/coordinators.js";
 import { PeerDispatcher } from "./links/dispatcher.js";
 import { HubMonitor } from "./links/hub.js";
 import type { PeerMessage } from "./links/messages.js";
@@ -22,10 +23,12 @@
 import { OverloadMonitor } from "./overload.js";
 import { type Handover, ShardOwnership } from "./ownership/ownership.js";
 import type { ClusterChange, ClusterReceiver, Member, UnreadableRecord } from "./ports.js";
+import { findQuota, Quotas } from "./quotas/index.js";
 import { type AdmissionMessage, Admissions } from "./requests/admissions.js";
 import { RetryBudgets } from "./requests/budgets.js";
 import type { CallerExchange } from "./requests/caller.js";
 import { ConnectionPool } from "./requests/connections.js";
+import { UpstreamLimiter } from "./requests/limiter.js";
 import { Serving } from "./requests/serving.js";
 
 /** Interval of housekeeping, in milliseconds. */
@@ -60,7 +63,9 @@
     private readonly metrics = new NodeMetrics();
     private readonly view: FleetView;
     private readonly cluster: ClusterState;
-    private readonly leavingUpstreams: LeavingUpstreamSharing;
+    private readonly announcements: AnnouncementSharing;
+    private readonly coordinators: Coordinators;
+    private readonly quotas: Quotas;
     private readonly pool = new ConnectionPool(() => this.overloadMonitor.recordWork("upstream connection"));
     private readonly crashGuard: CrashGuard;
     private readonly serving: Serving;
@@ -111,14 +116,9 @@
             onVersion: () => this.serving.receiveVersion(),
             onMember: member => this.receiveMember(member),
         });
-        this.leavingUpstreams = new LeavingUpstreamSharing({
-            view: this.view,
-            log: this.log,
-            readTime: readNow,
-            broadcast: message => this.peers.broadcast(message),
-            onChange: () => this.receiveClusterChange(),
-        });
+        this.announcements = this.createAnnouncementSharing();
         this.crashGuard = this.createCrashGuard();
+        this.quotas = this.createQuotas();
         this.accountGuard = this.createAccountGuard();
         this.admissions = new Admissions({ readTime: readNow, send: (vm, message) => this.sendAdmission(vm, message) });
         this.serving = this.createServing();
@@ -138,6 +138,13 @@
             listCrashReports: () => this.crashGuard.listReports(),
             entriesPauseMs: settings.entriesPauseMs,
         });
+        this.coordinators = new Coordinators({
+            vm: settings.vm,
+            view: this.view,
+            peers: this.peers,
+            isResponsive: vm => this.admissions.isResponsive(vm),
+            isStopping: () => this.stopping !== undefined,
+        });
         this.dispatcher = this.createDispatcher();
         this.callerServer = createServer({ keepAlive: true, noDelay: true });
         this.callerServer.on("connection", () => this.overloadMonitor.recordWork("caller connection"));
@@ -331,8 +338,15 @@
             isLinked: vm => vm === settings.vm || this.peers.isConnected(vm),
             sendPreparation: ({ engine, want }) => this.sendToOwner(engine, { type: "prepare", engine, want }),
             sendMissing: (engine, key) => this.sendToOwner(engine, { type: "missing", engine, key }),
-            onLeaving: upstream => this.leavingUpstreams.recordResponse(upstream),
-            onBackoff: () => this.metrics.recordBackoff(),
+            limiter: new UpstreamLimiter({
+                limits: this.view.limits,
+                quotas: this.quotas,
+                readTime: readNow,
+                readBoot: () => this.bootClock.read(),
+                onVerdict: verdict => this.metrics.recordLimitVerdict(verdict),
+            }),
+            onMetadata: (upstream, metadata, statementsAtWrite) =>
+                this.announcements.recordResponse(upstream, metadata, statementsAtWrite),
             onRefusal: reason => this.metrics.recordRefusal(reason),
             onRetry: after => this.metrics.recordRetry(after),
             onChoice: () => this.recordChoice(),
@@ -352,7 +366,7 @@
             readTime: readNow,
             send: (vm, message) => this.sendToVm(vm, message),
             broadcast: message => this.peers.broadcast(message),
-            listPermitIssuers: () => this.listCoordinators(),
+            listPermitIssuers: () => this.coordinators.list(),
             onChange: () => this.serving.receiveChange(),
             onUpstreamEnd: service => this.metrics.recordUpstreamEnd(service),
         });
@@ -361,30 +375,46 @@
     private createAccountGuard(): AccountGuard {
         const { settings, store } = this.options;
         return new AccountGuard({
-            vm: settings.vm,
             bounds: settings.accounts ?? defaultAccountBounds,
             cluster: this.cluster,
             readBoot: () => this.bootClock.read(),
             isReading: () => store.isReading,
             listConfirmers: () => this.changeSharing.listConfirmers(),
-            listCoordinators: () => this.listCoordinators().filter(vm => this.admissions.isResponsive(vm)),
-            countVms: () => this.peers.countMembers() + 1,
+            quotas: this.quotas,
             send: (vm, message) => this.peers.send(vm, message),
             onVerdict: (account, verdict) => this.metrics.recordAccountRequest(account, verdict),
         });
     }
 
-    /**
-     * Lists VMs that can act as coordinators for all VMs: any VM if all VMs are linked to each other, else owners of
-     * engines, to which all VMs are linked.
-     */
-    private listCoordinators(): string[] {
-        const known = [this.options.settings.vm, ...this.peers.listHandoverTargets()];
-        if (this.peers.isMesh) {
-            return known;
-        }
-        const owners = new Set(this.view.listUpstreams().map(({ owner }) => owner));
-        return known.filter(vm => owners.has(vm));
+    private createQuotas(): Quotas {
+        const { settings } = this.options;
+        return new Quotas({
+            vm: settings.vm,
+            bounds: (settings.accounts ?? defaultAccountBounds).quota,
+            readBoot: () => this.bootClock.read(),
+            timers: processTimers,
+            listCandidates: () => this.coordinators.listForQuotas(),
+            countVms: () => this.peers.countMembers() + 1,
+            isNeeded: () => this.accountGuard.hasQuotas || this.view.limits.count > 0,
+            findLimit: key => findQuota(key, this.accountGuard, this.view.limits),
+            send: (vm, message) => this.peers.send(vm, message),
+        });
+    }
+
+    private createAnnouncementSharing(): AnnouncementSharing {
+        return new AnnouncementSharing({
+            view: this.view,
+            log: this.log,
+            readTime: readNow,
+            broadcast: message => this.peers.broadcast(message),
+            isForwarding: () => this.peers.isMesh || this.options.store.isReading,
+            onChange: () => {
+                this.quotas.update();
+                this.receiveClusterChange();
+            },
+            onBackoff: () => this.metrics.recordBackoff(),
+            onUnreadableLimit: () => this.metrics.recordUnreadableLimit(),
+        });
     }
 
     private createPeers(): Peers {
@@ -415,23 +445,25 @@
         const {
             peers,
             changeSharing: sharing,
-            leavingUpstreams,
+            announcements,
             crashGuard: guard,
             accountGuard: accounts,
+            quotas,
             admissions,
         } = this;
         return new PeerDispatcher({
             peers,
             sharing,
-            leavingUpstreams,
+            announcements,
             guard,
             accounts,
+            quotas,
             admissions,
             readOwnership: () => this.ownership,
             onChanges: (vm, changes) => this.receiveChanges(changes, vm),
             onCrashReports: reports => this.receiveCrashReports(reports),
             onStatuses: (vm, statuses) => this.receiveEngineStatuses(vm, statuses),
-            onLeaving: vm => this.receivePeerClose(vm),
+            onLeaving: vm => this.removePeer(vm),
         });
     }
 
@@ -448,7 +480,7 @@
             findService: name => this.cluster.routes?.findService(name),
             sendStatuses: statuses => this.sendEngineStatuses(statuses),
             sendReply: (vm, reply) => this.sendAdmissionReply(vm, reply),
-            onLeaving: engine => this.leavingUpstreams.recordResponse(engine),
+            onLeaving: engine => this.announcements.recordResponse(engine, { isLeaving: true }),
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
             sendQuery: query => this.peers.broadcast({ type: "claimQuery", ...query, givers: [...query.givers] }),
             incarnation: this.incarnation,
@@ -489,7 +521,7 @@
         this.overloadMonitor.recordWork("link opened");
         return [
             ...this.changeSharing.createInitialMessages(vm),
-            ...this.leavingUpstreams.createInitialMessages(),
+            ...this.announcements.createInitialMessages(),
             { type: "news", news: this.ownership?.engines.listStatuses() ?? [] },
             ...this.crashGuard.createInitialMessages(),
             ...this.listEnginesOwnedBy(vm).map(engine => this.admissions.createRuns(engine, vm)),
@@ -523,11 +555,17 @@
 
     private receivePeerClose(vm: string): void {
         this.overloadMonitor.recordWork("link lost");
+        this.quotas.removeVm(vm);
+        this.removePeer(vm);
+    }
+
+    /** Removes a VM that is gone or stopping. A stopping VM still claims quotas for its remaining requests. */
+    private removePeer(vm: string): void {
+        this.quotas.update();
         this.changeSharing.removeVm(vm);
         this.view.removeVm(vm);
         this.admissions.removeOwner(vm);
         this.crashGuard.removeVm(vm);
-        this.accountGuard.removeVm(vm);
         this.serving.receiveChange();
     }
 
@@ -563,7 +601,7 @@
 
     /** Sends a message to the owner of an engine, which may be this VM. */
     private sendToOwner(engine: string, message: PeerMessage): void {
-        const owner = this.view.findUpstream(engine)?.owner;
+        const { owner } = this.view.findUpstream(engine) ?? {};
         if (owner !== undefined) {
             this.sendToVm(owner, message);
         }
@@ -601,6 +639,9 @@
         this.crashGuard.expireOld();
         this.metrics.setSuspectRequests(this.crashGuard.requestCount, this.crashGuard.droppedCount);
         this.accountGuard.update();
+        this.quotas.update();
+        this.quotas.expireOld();
+        this.metrics.setUpstreamLimits(this.view.limits.count);
         this.metrics.setConfigurationAge(this.accountGuard.configurationAgeMs);
         this.ownership?.update();
         this.peers.setHub(this.hubMonitor.update(this.ownership?.engines.hasEngines ?? false, readNow()));
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -12,6 +12,8 @@
     | "enginesFull"
     /** All upstreams have requested backoff from this VM for longer than the request can wait. */
     | "upstreamsRest"
+    /** All upstreams limit the requests that they accept, and none has a part left within the request's time. */
+    | "upstreamsLimited"
     | "retryBudgetSpent"
     | "attemptsSpent"
     /** Each upstream process that ran the request has ended. */
--- a/packages/node/src/requests/chooser.ts
+++ b/packages/node/src/requests/chooser.ts
@@ -12,9 +12,11 @@
     type UpstreamChoice,
     type UpstreamState,
 } from "@radishreel/fleet";
+import { readPriority } from "@radishreel/routing";
 import type { DecisionLog } from "../decisions.js";
 import type { Admission, AdmissionDetails, AdmissionOutcome, Admissions } from "./admissions.js";
 import type { Job, Preparation, ReadyUpstream, TriedUpstream } from "./job.js";
+import type { LimitClaim, LimitGrant, UpstreamLimiter } from "./limiter.js";
 import { readLastSendAt } from "./timelimit.js";
 
 /** Interval at which a request without any available upstream chooses again, in milliseconds. */
@@ -76,6 +78,7 @@
     readonly dataCentre: string;
     readonly view: FleetView;
     readonly admissions: Admissions;
+    readonly limiter: UpstreamLimiter;
     readonly prefixCache: PrefixCache;
     readonly longPromptThreshold: PauseThreshold;
     readonly log: DecisionLog;
@@ -131,7 +134,8 @@
             if (!this.mayRun(job)) {
                 return undefined;
             }
-            const choice = this.choose(job, now);
+            const best = this.choose(job, now);
+            const choice = best !== undefined && this.isLimitedForTooLong(job, best.state, now) ? undefined : best;
             if (choice === undefined && !this.mayWait(job, now)) {
                 return undefined;
             }
@@ -143,7 +147,15 @@
             if (hasDeclined(job, choice, now)) {
                 return undefined;
             }
-            const ready = await this.askOwner(job, choice, now);
+            if (this.options.view.limits.isUndecided(choice.state.upstream.id, now)) {
+                if (now >= readHalfTime(job)) {
+                    return undefined;
+                }
+                await this.waitForChange(recheckIntervalMs);
+                continue;
+            }
+            const admitted = await this.askOwner(job, choice, now);
+            const ready = admitted === undefined ? undefined : await this.claimLimit(job, admitted);
             if (ready === undefined && readTime() - now < minAskIntervalMs) {
                 // A loop over owners that reject immediately must not block the event loop.
                 await this.waitForChange(minAskIntervalMs);
@@ -166,15 +178,82 @@
         return owner !== undefined && this.options.isLinked(owner) && this.options.admissions.isResponsive(owner);
     }
 
+    /** Whether an upstream's limit leaves no part for a request within its time, by the coordinator's last reply. */
+    private isLimitedForTooLong(job: Job, { upstream }: UpstreamState, now: number): boolean {
+        return this.options.view.limits.readWaitMs(upstream.id, now) > readLastSendAt(job) - now;
+    }
+
+    /** Waits for a part of the upstream's limit, if it names one; undefined if the request must choose again. */
+    private async claimLimit(job: Job, ready: ReadyUpstream): Promise<ReadyUpstream | undefined> {
+        const { view, limiter, readTime } = this.options;
+        const { id } = ready.choice.state.upstream;
+        const limit = view.limits.find(id);
+        if (limit === undefined) {
+            return ready;
+        }
+        const startedAt = readTime();
+        const waitMs = view.limits.readWaitMs(id, startedAt);
+        const patienceMs = this.readLimitPatienceMs(job, ready.choice, startedAt);
+        const priority = readPriority(job.route.priority, job.account?.priority);
+        const claim = limiter.claim(id, limit.perSecond, { priority, patienceMs });
+        const grant = await this.waitForGrant(job, id, claim);
+        const isUnlimited = view.limits.find(id) === undefined;
+        if ((grant === undefined && !isUnlimited) || !view.isAvailable(id, readTime()) || !this.mayRun(job)) {
+            claim.cancel();
+            ready.admission?.finish();
+            return undefined;
+        }
+        return { ...ready, choice: { ...ready.choice, costMs: ready.choice.costMs - waitMs }, grant };
+    }
+
+    /** How long a request may wait for a part of an upstream's limit, in milliseconds: until another one is sooner. */
+    private readLimitPatienceMs(job: Job, choice: UpstreamChoice, now: number): number {
+        const { id } = choice.state.upstream;
+        const other = this.choose(job, now, id);
+        const costMs = choice.costMs - this.options.view.limits.readWaitMs(id, now);
+        const leftMs = readLastSendAt(job) - now;
+        return Math.max(0, Math.min(leftMs, other === undefined ? leftMs : other.costMs - costMs));
+    }
+
+    /** Waits for a grant; undefined if there is none, or if a change requires the request to choose again. */
+    private async waitForGrant(job: Job, id: string, claim: LimitClaim): Promise<LimitGrant | undefined> {
+        const { view, readTime } = this.options;
+        let outcome: { readonly grant: LimitGrant | undefined; } | undefined;
+        const settled = claim.grant.then(grant => outcome = { grant });
+        while (outcome === undefined) {
+            const leftMs = readLastSendAt(job) - readTime();
+            const isChanged = view.limits.find(id) === undefined || !view.isAvailable(id, readTime());
+            if (job.caller.hasLeft || leftMs <= 0 || isChanged || !this.mayRun(job)) {
+                claim.cancel();
+                return undefined;
+            }
+            await Promise.race([settled, this.waitForChange(Math.min(reviewIntervalMs, leftMs)), job.caller.left]);
+        }
+        return outcome.grant;
+    }
+
+    /**
+     * Finds how long a request would wait for a part of a limit, in milliseconds, if all upstreams that could serve it
+     * are limited; undefined if one is not, or if none is available.
+     */
+    findLimitWaitMs(job: Job, now: number): number | undefined {
+        const { view } = this.options;
+        const ids = view.listAvailable(job.service.name, now).map(({ upstream }) => upstream.id)
+            .filter(id => !isExcluded(job.tried.get(id)));
+        const isLimited = ids.length > 0 && ids.every(id => view.limits.find(id) !== undefined);
+        return isLimited ? Math.min(...ids.map(id => view.limits.readWaitMs(id, now))) : undefined;
+    }
+
     /**
      * Whether an upstream may become available in time: there are engines whose owners are expected back, or all
      * upstreams are backing off and the first backoff ends soon enough. A plain service without any server is refused
      * immediately.
      */
     private mayWait(job: Job, now: number): boolean {
-        const halfTimeAt = job.startedAt + (job.deadlineAt - job.startedAt) / 2;
+        const halfTimeAt = readHalfTime(job);
         const hasEngine = job.service.engine !== undefined
-            && this.options.view.listAvailable(job.service.name, now).length > 0;
+            && this.options.view.listAvailable(job.service.name, now)
+                .some(state => !this.isLimitedForTooLong(job, state, now));
         const backoffEndAt = hasEngine ? undefined : this.findBackoffEnd(job, now);
         return hasEngine
             ? now < halfTimeAt
@@ -263,7 +342,7 @@
         const outcome = await this.waitForOutcome(job, admission);
         // Waits can last seconds, and the owner may know less than this VM, so the conditions are checked again.
         const { view } = this.options;
-        const isUsable = view.isUsable(engine) && !view.backoffs.isBackingOff(engine, this.options.readTime());
+        const isUsable = view.isAvailable(engine, this.options.readTime());
         const isVersionAllowed = outcome?.kind === "admitted"
             && (outcome.version ?? Infinity) >= (this.findOldestVersion(model) ?? 0);
         if (isUsable && isVersionAllowed) {
@@ -399,6 +478,11 @@
     }
 }
 
+/** Returns when half of a request's time has passed. */
+function readHalfTime(job: Job): number {
+    return job.startedAt + (job.deadlineAt - job.startedAt) / 2;
+}
+
 /** Whether an upstream is permanently excluded for a request. */
 function isExcluded(tried: TriedUpstream | undefined): boolean {
     return tried !== undefined && tried.costMs === Infinity && tried.until === Infinity;
--- a/packages/node/src/requests/job.ts
+++ b/packages/node/src/requests/job.ts
@@ -1,12 +1,13 @@
 import type { LoadRequest, UpstreamChoice } from "@radishreel/fleet";
 import type { Account, Route, Service } from "@radishreel/routing";
-import type { QuotaClaim } from "../accounts/index.js";
+import type { AccountClaim } from "../accounts/index.js";
 import type { Permit } from "../crashes/index.js";
 import type { CallerDemand } from "../ports.js";
 import type { Admission } from "./admissions.js";
 import type { StreamProgress } from "./attempt.js";
 import type { CallerExchange } from "./caller.js";
 import type { RequestDigest } from "./digest.js";
+import type { LimitGrant } from "./limiter.js";
 
 /** State of a request while it is being served. */
 export interface Job {
@@ -19,7 +20,7 @@
     /** Client account; undefined on a public route and where there are no accounts. */
     readonly account: Account | undefined;
     /** Quota that was granted to the request from its account; undefined if the account has no limit. */
-    readonly claim: QuotaClaim | undefined;
+    readonly claim: AccountClaim | undefined;
     readonly startedAt: number;
     readonly deadlineAt: number;
     /** Upstreams that the request has tried, by upstream id, with the cost penalties that apply to them. */
@@ -57,6 +58,8 @@
     readonly choice: UpstreamChoice;
     /** The request's admission at the engine; undefined for servers of plain services. */
     readonly admission: Admission | undefined;
+    /** The part of the upstream's limit that the request was granted; undefined if the upstream named none. */
+    readonly grant?: LimitGrant | undefined;
 }
 
 /** Properties that are known when a job is created. */
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -7,10 +7,11 @@
     PrefixCache,
     type RetryBudget,
     type UpstreamChoice,
+    type UpstreamLimit,
     type UpstreamState,
 } from "@radishreel/fleet";
 import { chooseTarget, isIdempotent, readPriority } from "@radishreel/routing";
-import type { AccountGuard, QuotaClaim } from "../accounts/index.js";
+import type { AccountClaim, AccountGuard } from "../accounts/index.js";
 import type { CrashGuard } from "../crashes/index.js";
 import type { DecisionLog } from "../decisions.js";
 import type { ClusterState } from "../knowledge/cluster.js";
@@ -23,6 +24,7 @@
 import { RequestDigest } from "./digest.js";
 import { withdrawnDetail } from "./exchange.js";
 import { createJob, type Job, type Preparation, type ReadyUpstream } from "./job.js";
+import type { LimitGrant, UpstreamLimiter } from "./limiter.js";
 import { emptyMetadata, type ResponseMetadata } from "./metadata.js";
 import { minAttemptMs, readLastSendAt } from "./timelimit.js";
 
@@ -46,7 +48,7 @@
 const maxFullRetrySeconds = 2;
 
 /**
- * Maximum `Retry-After` when all upstreams are backing off, in seconds. Meanwhile another VM may reach them, and
+ * Maximum `Retry-After` when all upstreams are backing off or limited, in seconds. Meanwhile another VM may reach them, and
  * upstreams may be replaced or added.
  */
 const maxBackoffRetrySeconds = 30;
@@ -95,10 +97,12 @@
     readonly isLinked: (vm: string) => boolean;
     readonly sendPreparation: (preparation: Preparation) => void;
     readonly sendMissing: (engine: string, key: string) => void;
-    /** Called when a response announces that its upstream is leaving. */
-    readonly onLeaving: (upstream: string) => void;
-    /** Called when an upstream requests backoff from this VM. */
-    readonly onBackoff: () => void;
+    readonly limiter: UpstreamLimiter;
+    /**
+     * Called with what a response says about its upstream.
+     * @param statementsAtWrite Number of statements about the upstream's limit when the request was written.
+     */
+    readonly onMetadata: (upstream: string, metadata: ResponseMetadata, statementsAtWrite: number) => void;
     readonly onRefusal: (reason: RefusalReason) => void;
     readonly onRetry: (reason: string) => void;
     /** Called when all upstreams of a service are compared for one request. */
@@ -228,7 +232,7 @@
     private async readBodyAndClaimQuota(
         caller: CallerExchange,
         demand: CallerDemand,
-        claim: QuotaClaim | undefined,
+        claim: AccountClaim | undefined,
         maxBytes: number,
     ): Promise<Buffer | undefined> {
         const { accounts } = this.options;
@@ -282,14 +286,14 @@
                 continue;
             }
             if (job.caller.hasLeft || ready === undefined) {
-                ready?.admission?.finish();
+                releaseReady(ready);
                 this.finishUnserved(job, last);
                 return;
             }
             const { choice } = ready;
             const isRetry = job.attempts > 0 && !(last?.kind === "notRun" && !last.wasSent);
             if (isRetry && !this.claimRetry(job)) {
-                ready.admission?.finish();
+                releaseReady(ready);
                 this.finishUnserved(job, last, "retryBudgetSpent");
                 return;
             }
@@ -337,17 +341,23 @@
         return isIdempotent(job.route) && job.runs < job.route.maxAttempts;
     }
 
-    private async runAttempt(job: Job, { choice, admission }: ReadyUpstream): Promise<AttemptEnd> {
-        const { readTime, log } = this.options;
-        const sentAt = readTime();
-        const { upstream, health, leavingSince } = choice.state;
+    private async runAttempt(job: Job, { choice, admission, grant }: ReadyUpstream): Promise<AttemptEnd> {
+        const { readTime, view } = this.options;
+        const { upstream, health } = choice.state;
         const load = this.addLoad(job, choice);
         const identity = this.options.accounts.findIdentity(job);
-        let writtenAt: number | undefined;
-        let responseStartedAt: number | undefined;
         const key = findAdapterKey(job.demand.model);
-        const replacedMs = this.readReplacedMs(key, choice);
-        let metadata: ResponseMetadata = emptyMetadata;
+        const record: AttemptRecord = {
+            sentAt: readTime(),
+            writtenAt: undefined,
+            responseStartedAt: undefined,
+            metadata: emptyMetadata,
+            replacedMs: this.readReplacedMs(key, choice),
+            leavingSince: choice.state.leavingSince,
+            limit: view.limits.find(upstream.id),
+            limitStatements: 0,
+        };
+        const { sentAt } = record;
         job.attempts += 1;
         const attempt = new Attempt({
             ...this.createAttemptTimes(job, choice, sentAt),
@@ -373,15 +383,16 @@
             readTime,
             // The state that the choice was based on may have changed by the time that the connection is open.
             checkBeforeSend: () => {
-                writtenAt = this.maySend(job, choice, identity) ? readTime() : undefined;
-                return writtenAt !== undefined;
+                record.writtenAt = this.maySend(job, choice, identity, grant) ? readTime() : undefined;
+                record.limitStatements = view.limits.countStatements(upstream.id);
+                return record.writtenAt !== undefined;
             },
-            onMetadata: received => {
-                metadata = received;
-                this.receiveMetadata(upstream.id, received);
+            onMetadata: metadata => {
+                record.metadata = metadata;
+                this.options.onMetadata(upstream.id, metadata, record.limitStatements);
             },
             onStart: () => {
-                responseStartedAt = readTime();
+                record.responseStartedAt = readTime();
                 load.finishPrefill();
                 admission?.start();
                 health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs));
@@ -392,38 +403,54 @@
         this.attempts.delete(attempt);
         load.finish();
         admission?.finish();
-        this.recordAttempt(job, choice, end, sentAt, metadata);
-        log.record("attempt", {
+        if (record.writtenAt === undefined) {
+            grant?.release();
+        }
+        this.recordAttempt(job, choice, end, sentAt, record.metadata);
+        this.recordAttemptLine(job, choice, end, record);
+        const firstEventAt = record.responseStartedAt;
+        await this.options.guard.recordEnd(job, upstream, end, { sentAt, firstEventAt });
+        return end;
+    }
+
+    private recordAttemptLine(job: Job, choice: UpstreamChoice, end: AttemptEnd, record: AttemptRecord): void {
+        const { sentAt, metadata, limit } = record;
+        this.options.log.record("attempt", {
             request: job.demand.requestId,
-            upstream: upstream.id,
+            upstream: choice.state.upstream.id,
             adapter: job.demand.model?.adapter,
             version: choice.version,
             costMs: Math.round(choice.costMs),
             prefill: choice.prefillTokens,
-            replacedMs,
+            replacedMs: record.replacedMs,
             waitedMs: Math.round(job.waitedMs),
-            writtenMs: formatElapsed(sentAt, writtenAt),
-            begunMs: formatElapsed(sentAt, responseStartedAt),
-            ms: Math.round(readTime() - sentAt),
+            writtenMs: formatElapsed(sentAt, record.writtenAt),
+            begunMs: formatElapsed(sentAt, record.responseStartedAt),
+            ms: Math.round(this.options.readTime() - sentAt),
             end: end.kind,
             detail: "detail" in end ? end.detail : undefined,
             status: "status" in end ? end.status : undefined,
-            leavingMs: formatElapsed(leavingSince, sentAt),
+            leavingMs: formatElapsed(record.leavingSince, sentAt),
+            limit: limit?.perSecond,
+            limitAgeMs: formatElapsed(limit?.since, sentAt),
             saysLeaving: metadata.isLeaving || undefined,
             asksRestMs: metadata.askedRestMs,
             saysLimit: formatLimit(metadata.limit),
         });
-        await this.options.guard.recordEnd(job, upstream, end, { sentAt, firstEventAt: responseStartedAt });
-        return end;
     }
 
     /** Whether all conditions of a choice still hold in the step that writes the request. */
-    private maySend(job: Job, choice: UpstreamChoice, identity: CallerIdentity | undefined): boolean {
+    private maySend(
+        job: Job,
+        choice: UpstreamChoice,
+        identity: CallerIdentity | undefined,
+        grant: LimitGrant | undefined,
+    ): boolean {
         const { view, accounts, readTime } = this.options;
         const { id } = choice.state.upstream;
         const now = readTime();
         return !job.caller.hasLeft && now < job.deadlineAt
-            && view.isUsable(id) && !view.backoffs.isBackingOff(id, now)
+            && view.maySend(id, grant?.isValid === true, now)
             && this.mayRun(job) && accounts.hasIdentity(job, identity)
             && this.mayUseVersion(findAdapterKey(job.demand.model), choice);
     }
@@ -446,18 +473,6 @@
         return formatElapsed(replacedAt === -Infinity ? undefined : replacedAt, this.readBoot());
     }
 
-    /** Handles the metadata of a response as soon as its head arrives. */
-    private receiveMetadata(upstream: string, metadata: ResponseMetadata): void {
-        const { view, readTime, onLeaving, onBackoff } = this.options;
-        if (metadata.askedRestMs !== undefined) {
-            view.backoffs.record(upstream, metadata.askedRestMs, readTime());
-            onBackoff();
-        }
-        if (metadata.isLeaving) {
-            onLeaving(upstream);
-        }
-    }
-
     /** Returns the priority of a request at an engine; undefined for plain services, which have no priorities. */
     private readPriority({ service, route, account }: Job): number | undefined {
         return service.engine === undefined ? undefined : readPriority(route.priority, account?.priority);
@@ -597,6 +612,12 @@
             const bounded = Math.min(Math.max(halfSeconds, minFullRetrySeconds), maxFullRetrySeconds);
             return { status: 503, reason: "enginesFull", retryAfterSeconds: bounded };
         }
+        const limitWaitMs = this.chooser.findLimitWaitMs(job, now);
+        if (reason === undefined && limitWaitMs !== undefined) {
+            const limitSeconds = Math.max(retryAfterSeconds, Math.ceil(limitWaitMs / 10) / 100);
+            const bounded = Math.min(limitSeconds, maxBackoffRetrySeconds);
+            return { status: 503, reason: "upstreamsLimited", retryAfterSeconds: bounded, detail: { limitWaitMs } };
+        }
         const backoffEndAt = this.findBackoffEnd(job, now);
         if (reason === undefined && backoffEndAt !== undefined) {
             const backoffSeconds = Math.ceil((backoffEndAt - now) / 10) / 100;
@@ -647,6 +668,27 @@
     }
 }
 
+/** What is known of one attempt for its log line. Times are in milliseconds. */
+interface AttemptRecord {
+    readonly sentAt: number;
+    writtenAt: number | undefined;
+    responseStartedAt: number | undefined;
+    metadata: ResponseMetadata;
+    /** Time since the version of the choice was replaced. */
+    readonly replacedMs: number | undefined;
+    readonly leavingSince: number | undefined;
+    /** Limit of the upstream when the attempt started. */
+    readonly limit: UpstreamLimit | undefined;
+    /** Number of statements about the upstream's limit when the request was written. */
+    limitStatements: number;
+}
+
+/** Releases what a request holds at an upstream to which it is not sent. */
+function releaseReady(ready: ReadyUpstream | undefined): void {
+    ready?.admission?.finish();
+    ready?.grant?.release();
+}
+
 /** Formats the time between two moments for the log, in milliseconds; undefined unless both are known. */
 function formatElapsed(from: number | undefined, to: number | undefined): number | undefined {
     return from === undefined || to === undefined ? undefined : Math.round(to - from);
--- a/packages/node/test/accountworld.ts
+++ b/packages/node/test/accountworld.ts
@@ -1,11 +1,12 @@
 import { FleetView } from "@radishreel/fleet";
 import type { Account, Route, Routing } from "@radishreel/routing";
 import * as assert from "uvu/assert";
-import { type AccountBounds, AccountGuard, type AccountMessage } from "../src/accounts/index.js";
+import { type AccountBounds, AccountGuard } from "../src/accounts/index.js";
 import { BootClock, type Timers } from "../src/clock.js";
 import { ClusterState } from "../src/knowledge/cluster.js";
 import type { PeerMessage } from "../src/links/messages.js";
 import type { CallerDemand, ClusterChange } from "../src/ports.js";
+import { findQuota, type QuotaMessage, Quotas } from "../src/quotas/index.js";
 import { createSilentLog } from "./fixtures.js";
 import { Schedule } from "./schedule.js";
 
@@ -76,32 +77,44 @@
     private frozenMs = 0;
     readonly cluster: ClusterState;
     readonly guard: AccountGuard;
+    readonly quotas: Quotas;
     private readonly bootClock: BootClock;
 
     constructor(readonly world: AccountWorld, readonly vm: string) {
         const { schedule } = world;
+        const view = new FleetView();
         const readSteady = (): number => schedule.now - this.frozenMs;
         this.bootClock = new BootClock({ readSteady, readWall: () => schedule.now });
         this.cluster = new ClusterState({
-            view: new FleetView(),
+            view,
             log: createSilentLog(readSteady),
             readTime: readSteady,
             onChange: () => {},
             onUpstreamGone: () => {},
             onMember: () => {},
         });
-        this.guard = new AccountGuard({
+        const timers = this.createTimers();
+        this.quotas = new Quotas({
             vm,
+            bounds: bounds.quota,
+            readBoot: () => this.bootClock.read(),
+            timers,
+            listCandidates: () => [vm, ...world.listLinked(vm)],
+            countVms: () => world.vms.length,
+            isNeeded: () => this.guard.hasQuotas,
+            findLimit: key => findQuota(key, this.guard, view.limits),
+            send: (to, message) => world.send(this, to, message),
+        });
+        this.guard = new AccountGuard({
             bounds,
             cluster: this.cluster,
             readBoot: () => this.bootClock.read(),
             isReading: () => world.isReader(vm),
             listConfirmers: () => world.listConfirmers(vm),
-            listCoordinators: () => [vm, ...world.listLinked(vm)],
-            countVms: () => world.vms.length,
+            quotas: this.quotas,
             send: (to, message) => world.send(this, to, message),
             onVerdict: () => {},
-            timers: this.createTimers(),
+            timers,
         });
         this.runHousekeeping();
         void this.follow();
@@ -132,7 +145,11 @@
             this.cluster.applyChanges(message.changes, from);
             return;
         }
-        this.guard.receiveMessage(from, message as AccountMessage);
+        if (message.type === "confirmQuery" || message.type === "confirmation") {
+            this.guard.receiveMessage(from, message);
+            return;
+        }
+        this.quotas.receiveMessage(from, message as QuotaMessage);
     }
 
     /** Serves a request, which waits in a queue between the check of its account and its send. */
@@ -179,6 +196,8 @@
 
     private runHousekeeping(): void {
         this.guard.update();
+        this.quotas.update();
+        this.quotas.expireOld();
         this.world.schedule.add(housekeepingMs, () => this.schedule(() => this.runHousekeeping()));
     }
 
@@ -411,8 +430,8 @@
         }
         path.isLinked = false;
         path.delayedMessages = [];
-        this.processes.get(vm)?.schedule(() => this.processes.get(vm)?.guard.removeVm(other));
-        this.processes.get(other)?.schedule(() => this.processes.get(other)?.guard.removeVm(vm));
+        this.processes.get(vm)?.schedule(() => this.processes.get(vm)?.quotas.removeVm(other));
+        this.processes.get(other)?.schedule(() => this.processes.get(other)?.quotas.removeVm(vm));
     }
 
     private findPath(vm: string, other: string): Path {
--- a/packages/node/test/leavingupstreams.test.ts
+++ b/packages/node/test/announcements.test.ts
@@ -1,7 +1,7 @@
 import { FleetView } from "@radishreel/fleet";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { LeavingUpstreamSharing } from "../src/knowledge/leavingupstreams.js";
+import { AnnouncementSharing } from "../src/knowledge/announcements.js";
 import type { PeerMessage } from "../src/links/messages.js";
 import { createSilentLog, createUpstream } from "./fixtures.js";
 
@@ -10,20 +10,23 @@
     view.updateUpstream(createUpstream("e1"), 0);
     const sent: PeerMessage[] = [];
     let changeCount = 0;
-    const sharing = new LeavingUpstreamSharing({
+    const sharing = new AnnouncementSharing({
         view,
         log: createSilentLog(() => 0),
         readTime: () => 0,
         broadcast: message => sent.push(message),
+        isForwarding: () => true,
         onChange: () => changeCount += 1,
+        onBackoff: () => {},
+        onUnreadableLimit: () => {},
     });
     return { view, sharing, sent, countChanges: () => changeCount };
 }
 
 test("a VM that learns from responses that an upstream is leaving announces it to other VMs once", () => {
     const { view, sharing, sent, countChanges } = createSharing();
-    sharing.recordResponse("e1");
-    sharing.recordResponse("e1");
+    sharing.recordResponse("e1", { isLeaving: true });
+    sharing.recordResponse("e1", { isLeaving: true });
     assert.is(view.isUsable("e1"), false);
     assert.equal(sent, [{ type: "upstreamsLeaving", upstreams: ["e1"] }]);
     assert.is(countChanges(), 1);
@@ -32,8 +35,8 @@
 
 test("a VM that learns from a peer that an upstream is leaving announces nothing, even after such a response", () => {
     const { view, sharing, sent } = createSharing();
-    sharing.receive("b", ["e1", "e2"]);
-    sharing.recordResponse("e1");
+    sharing.receiveLeaving("b", ["e1", "e2"]);
+    sharing.recordResponse("e1", { isLeaving: true });
     assert.is(view.isUsable("e1"), false);
     assert.equal(sent, []);
     // The entry of the unknown upstream e2 arrives later and is older than its announcement.
@@ -44,7 +47,7 @@
 test("a VM that has read from an entry that an upstream is leaving announces nothing after such a response", () => {
     const { view, sharing, sent, countChanges } = createSharing();
     view.updateUpstream(createUpstream("e1", { isLeaving: true }), 0);
-    sharing.recordResponse("e1");
+    sharing.recordResponse("e1", { isLeaving: true });
     assert.equal([sent.length, countChanges(), sharing.createInitialMessages().length], [0, 0, 0]);
     // The announcement still holds if an older entry is applied as the newest.
     view.updateUpstream(createUpstream("e1"), 0);
@@ -53,7 +56,7 @@
 
 test("a leaving upstream whose entry lapses and comes back gets no requests, but its next incarnation does", () => {
     const { view, sharing } = createSharing();
-    sharing.recordResponse("e1");
+    sharing.recordResponse("e1", { isLeaving: true });
     view.removeUpstream("e1");
     view.updateUpstream(createUpstream("e1"), 0);
     assert.equal([view.isUsable("e1"), view.listUsable("llm").length], [false, 0]);
--- a/packages/node/test/backoffs.test.ts
+++ b/packages/node/test/backoffs.test.ts
@@ -7,7 +7,14 @@
 import { UpstreamChooser } from "../src/requests/chooser.js";
 import { createJob } from "../src/requests/job.js";
 import { serveWhileChanging } from "./changingserver.js";
-import { createDigest, createEngineStatus, createSilentLog, createUpstream, engineService } from "./fixtures.js";
+import {
+    createDigest,
+    createEngineStatus,
+    createLimiter,
+    createSilentLog,
+    createUpstream,
+    engineService,
+} from "./fixtures.js";
 
 const readSteady = () => performance.now();
 
@@ -62,6 +69,7 @@
         dataCentre: "z",
         view,
         admissions,
+        limiter: createLimiter(view),
         prefixCache: new PrefixCache(),
         longPromptThreshold: new PauseThreshold(),
         log: createSilentLog(readSteady),
--- a/packages/node/test/changingserver.ts
+++ b/packages/node/test/changingserver.ts
@@ -8,7 +8,7 @@
 import { CallerExchange } from "../src/requests/caller.js";
 import { ConnectionPool, type UpstreamConnection } from "../src/requests/connections.js";
 import { Serving } from "../src/requests/serving.js";
-import { createAccountGuard, createCrashGuard, createSilentLog, createUpstream } from "./fixtures.js";
+import { createAccountGuard, createCrashGuard, createLimiter, createSilentLog, createUpstream } from "./fixtures.js";
 
 const readSteady = () => performance.now();
 
@@ -191,8 +191,8 @@
         isLinked: () => true,
         sendPreparation: () => {},
         sendMissing: () => {},
-        onLeaving: () => {},
-        onBackoff: () => {},
+        limiter: createLimiter(view),
+        onMetadata: () => {},
         onRefusal: () => {},
         onRetry: () => {},
         onChoice: () => {},
--- a/packages/node/test/chooser.test.ts
+++ b/packages/node/test/chooser.test.ts
@@ -6,7 +6,14 @@
 import type { CallerExchange } from "../src/requests/caller.js";
 import { UpstreamChooser } from "../src/requests/chooser.js";
 import { createJob, type Job } from "../src/requests/job.js";
-import { createDigest, createEngineStatus, createSilentLog, createUpstream, engineService } from "./fixtures.js";
+import {
+    createDigest,
+    createEngineStatus,
+    createLimiter,
+    createSilentLog,
+    createUpstream,
+    engineService,
+} from "./fixtures.js";
 
 const route: Route = {
     name: "r",
@@ -48,6 +55,7 @@
         dataCentre: "z",
         view,
         admissions,
+        limiter: createLimiter(view),
         prefixCache: new PrefixCache(),
         longPromptThreshold: new PauseThreshold(),
         log: createSilentLog(readTime),
--- a/packages/node/test/fixtures.ts
+++ b/packages/node/test/fixtures.ts
@@ -1,10 +1,13 @@
 import { type EngineStatus, FleetView, idleLoad, type Upstream } from "@radishreel/fleet";
 import type { Service } from "@radishreel/routing";
 import { type AccountBounds, AccountGuard, type AccountGuardOptions } from "../src/accounts/index.js";
+import { processTimers } from "../src/clock.js";
 import { CrashGuard, type CrashGuardOptions } from "../src/crashes/index.js";
 import { DecisionLog } from "../src/decisions.js";
 import type { ClusterState } from "../src/knowledge/cluster.js";
+import { Quotas, type QuotasOptions } from "../src/quotas/index.js";
 import { RequestDigest } from "../src/requests/digest.js";
+import { UpstreamLimiter } from "../src/requests/limiter.js";
 
 /** Creates a log that discards its lines. */
 export function createSilentLog(readTime: () => number): DecisionLog {
@@ -45,14 +48,12 @@
         quota: { windowMs: 8000, overage: 0.1, slack: 0 },
     };
     const guard = new AccountGuard({
-        vm: "v",
         bounds,
         cluster,
         readBoot,
         isReading: () => true,
         listConfirmers: () => [],
-        listCoordinators: () => ["v"],
-        countVms: () => 1,
+        quotas: createQuotas({ bounds: bounds.quota }),
         send: () => false,
         onVerdict: () => {},
         ...options,
@@ -61,6 +62,33 @@
     return guard;
 }
 
+/** Creates the quotas of a VM that knows no other VM. */
+export function createQuotas(options: Partial<QuotasOptions> = {}): Quotas {
+    return new Quotas({
+        vm: "v",
+        bounds: { windowMs: 8000, overage: 0.1, slack: 0 },
+        readBoot: () => performance.now(),
+        timers: processTimers,
+        listCandidates: () => ["v"],
+        countVms: () => 1,
+        isNeeded: () => true,
+        findLimit: () => undefined,
+        send: () => false,
+        ...options,
+    });
+}
+
+/** Creates the limiter of a VM that knows no other VM. */
+export function createLimiter(view: FleetView, quotas: Pick<Quotas, "claimAndWait"> = createQuotas()): UpstreamLimiter {
+    return new UpstreamLimiter({
+        limits: view.limits,
+        quotas,
+        readTime: () => performance.now(),
+        readBoot: () => performance.now(),
+        onVerdict: () => {},
+    });
+}
+
 /** Creates the entry of an engine. */
 export function createUpstream(id: string, upstream: Partial<Upstream> = {}): Upstream {
     return {
--- a/packages/node/test/metadata.test.ts
+++ b/packages/node/test/metadata.test.ts
@@ -3,8 +3,8 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { AnnouncementSharing } from "../src/knowledge/announcements.js";
 import { ClusterState } from "../src/knowledge/cluster.js";
-import { LeavingUpstreamSharing } from "../src/knowledge/leavingupstreams.js";
 import type { PeerMessage } from "../src/links/messages.js";
 import type { ResponseHead } from "../src/ports.js";
 import { readResponseMetadata } from "../src/requests/metadata.js";
@@ -102,7 +102,7 @@
                 for (const { to, message } of this.inTransit.splice(0)) {
                     assert.is(message.type, "upstreamsLeaving");
                     if (message.type === "upstreamsLeaving") {
-                        this.vms[to]!.sharing.receive("other", message.upstreams);
+                        this.vms[to]!.sharing.receiveLeaving("other", message.upstreams);
                         message.upstreams.forEach(id => this.vms[to]!.leaving.add(id));
                     }
                 }
@@ -129,12 +129,7 @@
             limit: { kind: "none" },
             ...head(name),
         }, { requestId: "q", upstreamName: name });
-        if (metadata.askedRestMs !== undefined) {
-            vm.view.backoffs.record(id, metadata.askedRestMs, this.now);
-        }
-        if (metadata.isLeaving) {
-            vm.sharing.recordResponse(id);
-        }
+        vm.sharing.recordResponse(id, metadata, vm.view.limits.countStatements(id));
         if (countsForUpstream && isLeaving) {
             vm.leaving.add(id);
         }
@@ -170,7 +165,7 @@
             onMember: () => {},
         });
         cluster.setReachable(true);
-        const sharing = new LeavingUpstreamSharing({
+        const sharing = new AnnouncementSharing({
             view,
             log,
             readTime: () => this.now,
@@ -178,7 +173,10 @@
                 this.inTransit.push({ to: 1 - index, message });
                 sentMessages.push(JSON.stringify(message));
             },
+            isForwarding: () => true,
             onChange: () => {},
+            onBackoff: () => {},
+            onUnreadableLimit: () => {},
         });
         /**
          * `leaving`: upstreams that announced to this VM or the other one that they are leaving; `backoffEnds`: ends of
