--- a/packages/node/test/accountworld.ts
+++ b/packages/node/test/accountworld.ts
@@ -2,13 +2,12 @@
 import type { Account, Route, Routing } from "@radishreel/routing";
 import * as assert from "uvu/assert";
 import { type AccountBounds, AccountGuard } from "../src/accounts/index.js";
-import { BootClock, type Timers } from "../src/clock.js";
 import { ClusterState } from "../src/knowledge/cluster.js";
 import type { PeerMessage } from "../src/links/messages.js";
 import type { CallerDemand, ClusterChange } from "../src/ports.js";
 import { findQuota, type QuotaMessage, Quotas } from "../src/quotas/index.js";
 import { createSilentLog } from "./fixtures.js";
-import { Schedule } from "./schedule.js";
+import { SimulatedNetwork, SimulatedProcess } from "./network.js";
 
 /** How long the store holds a read open, how long a VM waits beyond that, and the pause between reads, in ms. */
 const readWaitMs = 1000;
@@ -16,9 +15,6 @@
 const readPauseMs = 60;
 
 const storeDelayMs = 2;
-const linkDelayMs = 2;
-const linkSilenceMs = 6000;
-const linkBackoffMs = 500;
 const housekeepingMs = 250;
 
 /** Limits as an operator sets them. */
@@ -71,20 +67,15 @@
 }
 
 /** One process of a VM, with its account guard and the configuration that it has read. */
-class AccountVm {
-    isAlive = true;
-    frozenUntil = 0;
-    private frozenMs = 0;
+class AccountVm extends SimulatedProcess {
     readonly cluster: ClusterState;
     readonly guard: AccountGuard;
     readonly quotas: Quotas;
-    private readonly bootClock: BootClock;
 
-    constructor(readonly world: AccountWorld, readonly vm: string) {
-        const { schedule } = world;
+    constructor(readonly world: AccountWorld, vm: string) {
+        super(world, vm);
         const view = new FleetView();
-        const readSteady = (): number => schedule.now - this.frozenMs;
-        this.bootClock = new BootClock({ readSteady, readWall: () => schedule.now });
+        const readSteady = (): number => this.readSteady();
         this.cluster = new ClusterState({
             view,
             log: createSilentLog(readSteady),
@@ -120,27 +111,11 @@
         void this.follow();
     }
 
-    pause(ms: number): void {
-        this.frozenUntil = this.world.schedule.now + ms;
-        this.frozenMs += ms;
+    override removeVm(vm: string): void {
+        this.quotas.removeVm(vm);
     }
 
-    /** Runs a function in this process: now, or once the process resumes. */
-    schedule(run: () => void): void {
-        const waitMs = this.frozenUntil - this.world.schedule.now;
-        if (waitMs > 0) {
-            this.world.schedule.add(waitMs, () => this.schedule(run));
-        }
-        else if (this.isAlive) {
-            run();
-        }
-    }
-
-    wait(ms: number): Promise<void> {
-        return new Promise(resolve => this.world.schedule.add(ms, () => this.schedule(resolve)));
-    }
-
-    receive(from: string, message: PeerMessage): void {
+    override receive(from: string, message: PeerMessage): void {
         if (message.type === "changes") {
             this.cluster.applyChanges(message.changes, from);
             return;
@@ -250,42 +225,10 @@
             await this.wait(10);
         }
     }
-
-    private createTimers(): Timers {
-        return {
-            scheduleOnce: (run, waitMs) => {
-                let isCancelled = false;
-                this.world.schedule.add(waitMs, () =>
-                    this.schedule(() => {
-                        if (!isCancelled) {
-                            run();
-                        }
-                    }));
-                return {
-                    cancel: () => {
-                        isCancelled = true;
-                    },
-                };
-            },
-            scheduleEvery: () => {
-                throw new Error("AccountGuard must not schedule repeated timers");
-            },
-        };
-    }
-}
-
-/** The network path between two VMs. */
-interface Path {
-    cuts: number;
-    isCut: boolean;
-    isLinked: boolean;
-    delayedMessages: (() => void)[];
 }
 
 /** VMs in data centres, the store, and the paths between them, in simulated time. */
-export class AccountWorld {
-    readonly schedule = new Schedule();
-    readonly processes = new Map<string, AccountVm>();
+export class AccountWorld extends SimulatedNetwork<AccountVm> {
     readonly versions: AckedVersion[] = [];
     readonly arrived: ArrivedRequest[] = [];
     readonly refused: RefusedRequest[] = [];
@@ -293,9 +236,10 @@
     readonly cutOff = new Set<string>();
     /** Whether broadcasts are lost, so that VMs only learn of a configuration if they query other VMs. */
     losesBroadcasts = false;
-    private readonly paths = new Map<string, Path>();
 
-    constructor(readonly vms: readonly string[], private readonly readDataCentre: (vm: string) => string) {}
+    constructor(vms: readonly string[], private readonly readDataCentre: (vm: string) => string) {
+        super(vms);
+    }
 
     /** Starts all VMs, and waits until the quota balances are full. */
     async start(accounts: readonly Account[]): Promise<void> {
@@ -308,22 +252,7 @@
 
     startVm(vm: string): void {
         this.kill(vm);
-        this.processes.set(vm, new AccountVm(this, vm));
-        for (const other of this.vms) {
-            this.findPath(vm, other).isLinked = other !== vm && !this.findPath(vm, other).isCut;
-        }
-    }
-
-    kill(vm: string): void {
-        const vmProcess = this.processes.get(vm);
-        if (vmProcess === undefined) {
-            return;
-        }
-        vmProcess.isAlive = false;
-        this.processes.delete(vm);
-        for (const other of this.vms) {
-            this.closeLink(vm, other);
-        }
+        this.startProcess(new AccountVm(this, vm));
     }
 
     /** Writes a configuration with these accounts to the store. */
@@ -355,90 +284,23 @@
         );
     }
 
-    listLinked(vm: string): string[] {
-        return this.vms.filter(other => other !== vm && this.findPath(vm, other).isLinked && this.processes.has(other));
-    }
-
-    broadcast(from: AccountVm, message: PeerMessage): void {
-        if (this.losesBroadcasts) {
-            return;
+    override broadcast(from: AccountVm, message: PeerMessage): void {
+        if (!this.losesBroadcasts) {
+            super.broadcast(from, message);
         }
-        for (const vm of this.listLinked(from.vm)) {
-            this.send(from, vm, message);
-        }
-    }
-
-    send(from: AccountVm, to: string, message: PeerMessage): boolean {
-        const path = this.findPath(from.vm, to);
-        const target = this.processes.get(to);
-        if (!path.isLinked || target === undefined) {
-            return false;
-        }
-        const deliver = (): void =>
-            this.schedule.add(linkDelayMs, () => target.schedule(() => target.receive(from.vm, message)));
-        if (path.isCut) {
-            path.delayedMessages.push(deliver);
-        }
-        else {
-            deliver();
-        }
-        return true;
     }
 
     /** Disconnects VMs from all others, and from the store if `isFromStore`. */
     closePaths(vms: readonly string[], isFromStore: boolean): void {
-        for (const vm of vms) {
-            for (const other of this.vms.filter(each => !vms.includes(each))) {
-                this.closePath(vm, other);
-            }
-            if (isFromStore) {
-                this.cutOff.add(vm);
-            }
+        this.closePathsOf(vms);
+        if (isFromStore) {
+            vms.forEach(vm => this.cutOff.add(vm));
         }
     }
 
-    openPaths(): void {
+    override openPaths(): void {
         this.cutOff.clear();
-        for (const [key, path] of this.paths) {
-            if (path.isCut) {
-                path.isCut = false;
-                path.delayedMessages.splice(0).forEach(deliver => deliver());
-                const [vm, other] = key.split(" ") as [string, string];
-                this.schedule.add(linkBackoffMs, () => {
-                    path.isLinked = !path.isCut && this.processes.has(vm) && this.processes.has(other);
-                });
-            }
-        }
-    }
-
-    private closePath(vm: string, other: string): void {
-        const path = this.findPath(vm, other);
-        path.isCut = true;
-        path.cuts += 1;
-        const { cuts } = path;
-        this.schedule.add(linkSilenceMs, () => {
-            if (path.isCut && path.cuts === cuts) {
-                this.closeLink(vm, other);
-            }
-        });
-    }
-
-    private closeLink(vm: string, other: string): void {
-        const path = this.findPath(vm, other);
-        if (!path.isLinked) {
-            return;
-        }
-        path.isLinked = false;
-        path.delayedMessages = [];
-        this.processes.get(vm)?.schedule(() => this.processes.get(vm)?.quotas.removeVm(other));
-        this.processes.get(other)?.schedule(() => this.processes.get(other)?.quotas.removeVm(vm));
-    }
-
-    private findPath(vm: string, other: string): Path {
-        const key = vm < other ? `${vm} ${other}` : `${other} ${vm}`;
-        const path = this.paths.get(key) ?? { cuts: 0, isCut: false, isLinked: false, delayedMessages: [] };
-        this.paths.set(key, path);
-        return path;
+        super.openPaths();
     }
 
     /**
