--- a/packages/fleet/src/quotaqueue.ts
+++ b/packages/fleet/src/quotaqueue.ts
@@ -17,8 +17,13 @@
     readonly patienceMs: number;
 }
 
+/** Delay of the expected grant beyond the announced time from which on a new time is announced, in milliseconds. */
+const announcedDelayMs = 100;
+
 interface WaitingClaim extends QueuedClaim {
     readonly receivedAt: number;
+    /** When the claim is granted by what its VM was last told. */
+    announcedAt: number;
 }
 
 /** A verdict on a claim, and the VM that receives it. */
@@ -53,7 +58,7 @@
     enqueue(claim: QueuedClaim, now: number): QuotaVerdict {
         const queue = this.claims.get(claim.key) ?? [];
         const ahead = queue.filter(({ priority }) => priority <= claim.priority).length;
-        const granted = ahead === 0 ? this.claim({ ...claim, receivedAt: now }, now) : undefined;
+        const granted = ahead === 0 ? this.claim({ ...claim, receivedAt: now, announcedAt: now }, now) : undefined;
         if (granted !== undefined) {
             return granted;
         }
@@ -61,22 +66,25 @@
         if (expectedMs > claim.patienceMs) {
             return createRefusal(expectedMs);
         }
-        queue.splice(ahead, 0, { ...claim, receivedAt: now });
+        queue.splice(ahead, 0, { ...claim, receivedAt: now, announcedAt: now + expectedMs });
         this.claims.set(claim.key, queue);
         return { kind: "queued", expectedMs };
     }
 
-    /** Grants the claims for which quotas suffice, and refuses those that can no longer be granted in time. */
+    /**
+     * Grants the claims for which quotas suffice, and refuses those that can no longer be granted in time. Claims that
+     * others have overtaken stay queued, and their VMs are told the new time.
+     */
     advance(now: number): AddressedVerdict[] {
         const verdicts: AddressedVerdict[] = [];
         for (const [key, queue] of this.claims) {
             const waiting: WaitingClaim[] = [];
             for (const claim of queue) {
                 const verdict = this.checkWaiting(claim, waiting.length, now);
-                if (verdict === undefined) {
+                if (verdict === undefined || verdict.kind === "queued") {
                     waiting.push(claim);
                 }
-                else {
+                if (verdict !== undefined) {
                     verdicts.push({ vm: claim.vm, ticket: claim.ticket, verdict });
                 }
             }
@@ -109,7 +117,14 @@
         }
         const expectedMs = this.readWaitMs(claim, ahead + 1, now);
         const remainingMs = claim.receivedAt + claim.patienceMs - now;
-        return expectedMs > remainingMs + lateToleranceMs ? createRefusal(expectedMs) : undefined;
+        if (expectedMs > remainingMs + lateToleranceMs) {
+            return createRefusal(expectedMs);
+        }
+        if (now + expectedMs <= claim.announcedAt + announcedDelayMs) {
+            return undefined;
+        }
+        claim.announcedAt = now + expectedMs;
+        return { kind: "queued", expectedMs };
     }
 
     private claim(claim: WaitingClaim, now: number): QuotaVerdict | undefined {
--- a/packages/node/src/requests/chooser.ts
+++ b/packages/node/src/requests/chooser.ts
@@ -10,6 +10,7 @@
     prefillTokensPerMs,
     type PrefixCache,
     type UpstreamChoice,
+    type UpstreamLimit,
     type UpstreamState,
 } from "@radishreel/fleet";
 import { readPriority } from "@radishreel/routing";
@@ -96,6 +97,13 @@
     readonly onRedirect: () => void;
 }
 
+/** A limited upstream, and the expected wait for a part of its limit. */
+export interface SoonestLimit {
+    readonly upstream: string;
+    readonly limit: UpstreamLimit;
+    readonly waitMs: number;
+}
+
 /** Chooses the upstream for a request and waits until the request can be sent there. */
 export class UpstreamChooser {
     private readonly waiters = new Set<() => void>();
@@ -233,15 +241,19 @@
     }
 
     /**
-     * Finds how long a request would wait for a part of a limit, in milliseconds, if all upstreams that could serve it
-     * are limited; undefined if one is not, or if none is available.
+     * Finds the limit of which a request would be granted a part first, if all upstreams that could serve it are
+     * limited; undefined if one is not, or if none is available.
      */
-    findLimitWaitMs(job: Job, now: number): number | undefined {
-        const { view } = this.options;
-        const ids = view.listAvailable(job.service.name, now).map(({ upstream }) => upstream.id)
-            .filter(id => !isExcluded(job.tried.get(id)));
-        const isLimited = ids.length > 0 && ids.every(id => view.limits.find(id) !== undefined);
-        return isLimited ? Math.min(...ids.map(id => view.limits.readWaitMs(id, now))) : undefined;
+    findSoonestLimit(job: Job, now: number): SoonestLimit | undefined {
+        const { limits } = this.options.view;
+        const found = this.options.view.listAvailable(job.service.name, now).map(({ upstream }) => upstream.id)
+            .filter(id => !isExcluded(job.tried.get(id)))
+            .map(id => ({ upstream: id, limit: limits.find(id), waitMs: limits.readWaitMs(id, now) }));
+        if (found.some(({ limit }) => limit === undefined)) {
+            return undefined;
+        }
+        const [first] = found.sort((left, right) => left.waitMs - right.waitMs);
+        return first?.limit === undefined ? undefined : { ...first, limit: first.limit };
     }
 
     /**
--- a/packages/node/src/requests/limiter.ts
+++ b/packages/node/src/requests/limiter.ts
@@ -8,7 +8,12 @@
 const undecidedWaitMs = 100;
 
 /** How a claim on an upstream's limit ended, as the metrics count it. */
-export type LimitVerdict = "granted" | "refused" | "undecided";
+export type LimitVerdict =
+    | "granted"
+    /** Granted after a wait at the coordinator. */
+    | "deferred"
+    | "refused"
+    | "undecided";
 
 /** A part of an upstream's limit that one request may use. */
 export interface LimitGrant {
@@ -49,7 +54,7 @@
             switch (verdict.kind) {
                 case "granted": {
                     limits.recordGrantExpected(upstream, now + (verdict.nextMs ?? 0));
-                    onVerdict("granted");
+                    onVerdict((verdict.heldMs ?? 0) > 0 ? "deferred" : "granted");
                     const grantedAt = readBoot();
                     return {
                         get isValid() {
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -19,7 +19,7 @@
 import type { Admissions } from "./admissions.js";
 import { Attempt, type AttemptEnd, createBodyHeaders } from "./attempt.js";
 import type { CallerExchange, RefusalReason, RefusalResponse } from "./caller.js";
-import { UpstreamChooser } from "./chooser.js";
+import { type SoonestLimit, UpstreamChooser } from "./chooser.js";
 import type { ConnectionPool } from "./connections.js";
 import { RequestDigest } from "./digest.js";
 import { withdrawnDetail } from "./exchange.js";
@@ -612,11 +612,9 @@
             const bounded = Math.min(Math.max(halfSeconds, minFullRetrySeconds), maxFullRetrySeconds);
             return { status: 503, reason: "enginesFull", retryAfterSeconds: bounded };
         }
-        const limitWaitMs = this.chooser.findLimitWaitMs(job, now);
-        if (reason === undefined && limitWaitMs !== undefined) {
-            const limitSeconds = Math.max(retryAfterSeconds, Math.ceil(limitWaitMs / 10) / 100);
-            const bounded = Math.min(limitSeconds, maxBackoffRetrySeconds);
-            return { status: 503, reason: "upstreamsLimited", retryAfterSeconds: bounded, detail: { limitWaitMs } };
+        const limited = reason === undefined ? this.chooser.findSoonestLimit(job, now) : undefined;
+        if (limited !== undefined) {
+            return createLimitRefusal(limited, now);
         }
         const backoffEndAt = this.findBackoffEnd(job, now);
         if (reason === undefined && backoffEndAt !== undefined) {
@@ -683,6 +681,17 @@
     limitStatements: number;
 }
 
+/** Creates the response to a request whose upstreams are all limited. */
+function createLimitRefusal({ upstream, limit, waitMs }: SoonestLimit, now: number): RefusalResponse {
+    const waitSeconds = Math.max(retryAfterSeconds, Math.ceil(waitMs / 10) / 100);
+    return {
+        status: 503,
+        reason: "upstreamsLimited",
+        retryAfterSeconds: Math.min(waitSeconds, maxBackoffRetrySeconds),
+        detail: { upstream, limit: limit.perSecond, limitAgeMs: Math.round(now - limit.since) },
+    };
+}
+
 /** Releases what a request holds at an upstream to which it is not sent. */
 function releaseReady(ready: ReadyUpstream | undefined): void {
     ready?.admission?.finish();
--- a/packages/node/test/announcements.test.ts
+++ b/packages/node/test/announcements.test.ts
@@ -64,4 +64,41 @@
     assert.is(view.isUsable("e1@2"), true);
 });
 
+test("a limit that a response names is announced once, and logged by the VMs that learn it", () => {
+    const { view, sharing, sent, countChanges } = createSharing();
+    const limited = { limit: { kind: "limited", perSecond: 2 } } as const;
+    sharing.recordResponse("e1", limited, 0);
+    sharing.recordResponse("e1", limited, 1);
+    assert.is(view.limits.find("e1")?.perSecond, 2);
+    assert.equal(sent, [{ type: "upstreamLimits", limits: [{ upstream: "e1", perSecond: 2, revision: 1 }] }]);
+    assert.is(countChanges(), 1);
+    assert.equal(sharing.createInitialMessages(), sent);
+});
+
+test("an unreadable limit and a response that says nothing reliable change nothing", () => {
+    const { view, sharing, sent } = createSharing();
+    sharing.recordResponse("e1", { limit: { kind: "limited", perSecond: 2 } }, 0);
+    const statements = view.limits.countStatements("e1");
+    sharing.recordResponse("e1", { limit: { kind: "unreadable" } }, statements);
+    sharing.recordResponse("e1", { limit: undefined }, statements);
+    assert.equal([view.limits.find("e1")?.perSecond, sent.length], [2, 1]);
+});
+
+test("the response to an order does not end a limit", () => {
+    const { view, sharing } = createSharing();
+    sharing.recordResponse("e1", { limit: { kind: "limited", perSecond: 2 } }, 0);
+    sharing.recordResponse("e1", { limit: { kind: "none" } });
+    assert.is(view.limits.find("e1")?.perSecond, 2);
+});
+
+test("a change that another VM announces is forwarded once, so that it crosses a cut between two VMs", () => {
+    const { view, sharing, sent, countChanges } = createSharing();
+    const limits = [{ upstream: "e1", perSecond: 2, revision: 1 }];
+    sharing.receiveLimits("b", limits);
+    sharing.receiveLimits("c", limits);
+    assert.is(view.limits.find("e1")?.perSecond, 2);
+    assert.equal(sent, [{ type: "upstreamLimits", limits }]);
+    assert.is(countChanges(), 1);
+});
+
 test.run();
--- a/packages/node/test/metadata.test.ts
+++ b/packages/node/test/metadata.test.ts
@@ -193,6 +193,23 @@
     }
 }
 
+test("a limit counts only from a response that is signed or rejects the request", () => {
+    const limit = { kind: "limited", perSecond: 1 } as const;
+    const head = { requestId: "q", sentBy: undefined, isLeaving: false, askedRestMs: undefined, limit };
+    const expected = { requestId: "q", upstreamName: "e1" };
+    const read = (changes: object) =>
+        readResponseMetadata(
+            { ...head, isNotRun: false, isMisdirected: false, isSigned: false, ...changes },
+            expected,
+        ).limit;
+    assert.equal(read({ isSigned: true }), limit);
+    assert.equal(read({ isNotRun: true }), limit);
+    assert.is(read({}), undefined);
+    assert.is(read({ isSigned: true, requestId: "other" }), undefined);
+    assert.is(read({ isNotRun: true, isMisdirected: true }), undefined);
+    assert.equal(read({ isNotRun: true, isMisdirected: true, sentBy: "e1" }), limit);
+});
+
 test("over random histories exactly the upstreams that are not leaving or backing off may get requests", () => {
     fc.assert(
         fc.property(fc.array(stepArbitrary, { minLength: 1, maxLength: 40 }), steps => {
