--- a/packages/node/src/quotas/quotas.ts
+++ b/packages/node/src/quotas/quotas.ts
@@ -237,7 +237,9 @@
 
     private receiveClaim(vm: string, message: Extract<QuotaMessage, { type: "claimQuota"; }>): void {
         this.sendVerdict(vm, message.ticket, this.decide(vm, message));
-        this.scheduleQueues();
+        if (message.wait !== undefined) {
+            this.scheduleQueues();
+        }
     }
 
     /** The cost of a claim that timed out is not returned: its coordinator may count it or not, and it soon refills. */
--- a/packages/node/test/limitworld.ts
+++ b/packages/node/test/limitworld.ts
@@ -7,6 +7,7 @@
 import { type LimitVerdict, UpstreamLimiter } from "../src/requests/limiter.js";
 import { createSilentLog, createUpstream } from "./fixtures.js";
 import { SimulatedNetwork, SimulatedProcess } from "./network.js";
+import { createRandom } from "./random.js";
 
 const housekeepingMs = 250;
 
@@ -273,3 +274,13 @@
         return toleratedShare * highest * windowMs / 1000 + toleratedArrivals;
     }
 }
+
+export function listVms(count: number): string[] {
+    return Array.from({ length: count }, (_value, index) => `v${index}`);
+}
+
+/** Lets the limit take effect at all VMs, before it is measured. */
+export async function startLimit(world: LimitWorld, perSecond: number, vms: readonly string[]): Promise<void> {
+    world.setLimit(perSecond);
+    await world.runRequests(vms, Math.max(20, 3 * perSecond), 4000, createRandom(1));
+}
--- a/packages/node/test/quotas.test.ts
+++ b/packages/node/test/quotas.test.ts
@@ -1,6 +1,7 @@
 import { type QuotaBounds, QuotaPool } from "@radishreel/fleet";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { createRandom } from "./random.js";
 
 const bounds: QuotaBounds = { windowMs: 8000, overage: 0.1, slack: 110_000 };
 
@@ -74,15 +75,6 @@
     };
 }
 
-/** Creates a generator of numbers from 0 to 1, deterministic for each seed. */
-function createRandom(seed: number): () => number {
-    let state = seed;
-    return () => {
-        state = Math.imul(state, 1664525) + 1013904223 >>> 0;
-        return state / 2 ** 32;
-    };
-}
-
 interface RunResult {
     /** Fraction of the requests within the limit that were refused. */
     readonly refused: number;
