--- a/packages/fleet/src/quota.ts
+++ b/packages/fleet/src/quota.ts
@@ -59,14 +59,14 @@
     /** The claim waits at the coordinator and is expected to be granted after this time. */
     | { readonly kind: "queued"; readonly expectedMs: number; }
     /**
-     * The account is over its limit. `waitMs` is the time until a retry may succeed; undefined for a request that is
+     * The quota is used up. `waitMs` is the time until a retry may succeed; undefined for a request that is
      * too large.
      */
     | { readonly kind: "refused"; readonly balance: number; readonly waitMs?: number | undefined; }
     /** The coordinator cannot decide: it holds too few shares, or has not held them for long enough. */
     | { readonly kind: "unsure"; };
 
-/** Token bucket of one account at a coordinator. */
+/** Token bucket of one quota at a coordinator. */
 interface Balance {
     amount: number;
     /** Value of the pool's {@link QuotaPool.filledSeconds} at the last update of `amount`. */
@@ -89,7 +89,7 @@
 }
 
 /**
- * The quotas of a group of accounts at one coordinator. Each VM leases its equal share of the quotas to one coordinator
+ * A group of quotas at one coordinator. Each VM leases its equal share of the quotas to one coordinator
  * at a time, and a coordinator grants no more than the shares that it holds. In a network partition each side uses the
  * shares of its own VMs, and after a loss of all VMs balances start at 0. Times are boot time, so the leases of a
  * coordinator that was suspended have expired.
@@ -100,9 +100,9 @@
     /** Integral of the share over time, in seconds of the whole quotas. */
     private filledSeconds = 0;
     private advancedAt = -Infinity;
-    /** Share of an account's burst to which its balance is limited; see {@link boundUpdateStep}. */
+    /** Share of a quota's burst to which its balance is limited; see {@link boundUpdateStep}. */
     private boundShare = 0;
-    /** Value of {@link filledSeconds} from which the balances of new accounts are filled. */
+    /** Value of {@link filledSeconds} from which new balances are filled. */
     private newBalancesFilledAt = 0;
     /**
      * Value of {@link filledSeconds} since which the coordinator has held nearly all shares; undefined while it does
@@ -138,9 +138,9 @@
         return Math.min(1, held / Math.max(1, this.options.countVms()));
     }
 
-    /** Deducts a request's cost from its account's balance, if the balance allows it. */
-    claim(account: string, limit: QuotaLimit, cost: number, now: number): QuotaVerdict {
-        const balance = this.update(account, limit, now);
+    /** Deducts a request's cost from the balance of its quota, if the balance allows it. */
+    claim(key: string, limit: QuotaLimit, cost: number, now: number): QuotaVerdict {
+        const balance = this.update(key, limit, now);
         const overdraft = this.readOverdraft(limit, now);
         if (balance.amount + overdraft >= cost) {
             balance.amount -= cost;
@@ -163,8 +163,8 @@
      * Expected time until the balance covers a cost, in milliseconds; infinite if the coordinator holds too few shares
      * for any claim.
      */
-    readWaitMs(account: string, limit: QuotaLimit, cost: number, now: number): number {
-        const balance = this.update(account, limit, now);
+    readWaitMs(key: string, limit: QuotaLimit, cost: number, now: number): number {
+        const balance = this.update(key, limit, now);
         const share = this.readShare(now);
         const canGrant = readCapacity(limit, share) >= (limit.claimCost ?? 0) && share > 0;
         const missing = cost - balance.amount - this.readOverdraft(limit, now);
@@ -172,18 +172,18 @@
     }
 
     /** Refunds the cost of a request that was granted but has not run. */
-    addBack(account: string, cost: number): void {
-        const balance = this.balances.get(account);
+    addBack(key: string, cost: number): void {
+        const balance = this.balances.get(key);
         if (balance !== undefined) {
             balance.amount = Math.min(readCapacity(balance.limit, this.boundShare), balance.amount + cost);
         }
     }
 
-    /** Removes the balances of accounts that no longer exist. */
-    removeAccounts(isGone: (account: string) => boolean): void {
-        for (const account of this.balances.keys()) {
-            if (isGone(account)) {
-                this.balances.delete(account);
+    /** Removes the balances of quotas that no longer exist. */
+    removeBalances(isGone: (key: string) => boolean): void {
+        for (const key of this.balances.keys()) {
+            if (isGone(key)) {
+                this.balances.delete(key);
             }
         }
     }
@@ -241,17 +241,17 @@
         }
     }
 
-    /** Updates an account's balance to the current time. */
-    private update(account: string, limit: QuotaLimit, now: number): Balance {
+    /** Updates the balance of a quota to the current time. */
+    private update(key: string, limit: QuotaLimit, now: number): Balance {
         this.advance(now);
-        const known = this.balances.get(account);
+        const known = this.balances.get(key);
         const balance = known ?? { amount: 0, filledAt: this.newBalancesFilledAt, limit, deferredCost: 0 };
         const filled = (this.filledSeconds - balance.filledAt) * limit.perSecond;
         balance.amount = Math.min(readCapacity(limit, this.readShare(now)), balance.amount + filled);
         balance.deferredCost = Math.max(0, balance.deferredCost - filled);
         balance.filledAt = this.filledSeconds;
         balance.limit = limit;
-        this.balances.set(account, balance);
+        this.balances.set(key, balance);
         return balance;
     }
 }
--- a/packages/node/src/quotas/quotas.ts
+++ b/packages/node/src/quotas/quotas.ts
@@ -276,7 +276,7 @@
     expireOld(): void {
         const now = this.options.readBoot();
         for (const pool of this.pools) {
-            pool.removeAccounts(key => this.isExpired(key, now));
+            pool.removeBalances(key => this.isExpired(key, now));
         }
     }
 
