--- a/packages/fleet/src/limits.ts
+++ b/packages/fleet/src/limits.ts
@@ -35,7 +35,7 @@
 
 interface LimitState extends LimitChange {
     readonly since: number;
-    /** Number of times that this VM was told of the limit, by responses or by other VMs. */
+    /** Number of times that a response or another VM named the limit in force or a lower one to this VM. */
     statements: number;
     /** When the coordinator expects to grant a further request, by its last reply. */
     grantExpectedAt: number;
@@ -63,7 +63,7 @@
         return state?.perSecond === undefined ? undefined : { perSecond: state.perSecond, since: state.since };
     }
 
-    /** Number of statements about an upstream's limit so far, to be read when a request is written. */
+    /** Counts the statements about an upstream's limit so far. To be called when a request is written. */
     countStatements(id: string): number {
         return this.states.get(id)?.statements ?? 0;
     }
--- a/packages/fleet/src/quotaqueue.ts
+++ b/packages/fleet/src/quotaqueue.ts
@@ -3,6 +3,9 @@
 /** Time by which a claim may be expected late before it is refused, in milliseconds: expectations vary that much. */
 const lateToleranceMs = 50;
 
+/** Delay of an expected grant beyond its announced time from which on the new time is announced, in milliseconds. */
+const announcedDelayMs = 100;
+
 /** A claim that waits at the coordinator until its quota suffices. */
 export interface QueuedClaim {
     readonly vm: string;
@@ -17,12 +20,9 @@
     readonly patienceMs: number;
 }
 
-/** Delay of the expected grant beyond the announced time from which on a new time is announced, in milliseconds. */
-const announcedDelayMs = 100;
-
 interface WaitingClaim extends QueuedClaim {
     readonly receivedAt: number;
-    /** When the claim is granted by what its VM was last told. */
+    /** When its VM was last told to expect the grant. */
     announcedAt: number;
 }
 
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -601,7 +601,7 @@
 
     /** Sends a message to the owner of an engine, which may be this VM. */
     private sendToOwner(engine: string, message: PeerMessage): void {
-        const { owner } = this.view.findUpstream(engine) ?? {};
+        const owner = this.view.findUpstream(engine)?.owner;
         if (owner !== undefined) {
             this.sendToVm(owner, message);
         }
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -48,8 +48,8 @@
 const maxFullRetrySeconds = 2;
 
 /**
- * Maximum `Retry-After` when all upstreams are backing off or limited, in seconds. Meanwhile another VM may reach them, and
- * upstreams may be replaced or added.
+ * Maximum `Retry-After` when all upstreams are backing off or limited, in seconds. Meanwhile another VM may reach them,
+ * and upstreams may be replaced or added.
  */
 const maxBackoffRetrySeconds = 30;
 
