--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -200,9 +200,9 @@
         "packages/node/dist/test/leaving.test.js",
     ],
     [
-        "node/dist/src/requests/serving.js",
-        "&& view.isUsable(id) && !view.backoffs",
-        "&& !view.backoffs",
+        "fleet/dist/src/view.js",
+        "return this.isUsable(id) && !this.backoffs",
+        "return !this.backoffs",
         "packages/node/dist/test/leaving.test.js",
     ],
     [
