Tell in lines and metrics which era of the store is read, and how far each topic was read before

The timeline could not tell whether the records that the VMs missed were never read or read and rejected. The client reads Store-Era of all answers; a new era is logged once, and for each topic the offsets up to which it was read before and after. No logic changes.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -18,6 +18,7 @@
 export { type LoadRequest } from "./loadqueue.js";
 export { LoadTimes } from "./loadtimes.js";
 export type { EngineOrder, EngineReport, OrderAction, OrderOutcome, PlannerStep } from "./orders.js";
+export { createOrdinal, maxEra, readEra, readNumber } from "./ordinals.js";
 export { PauseThreshold, PromptHistory } from "./pausethreshold.js";
 export { PermitIssuer, type PermitIssuerOptions } from "./permits.js";
 export { PrefixCache } from "./prefixcache.js";
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -22,6 +22,7 @@
     SendOptions,
     ShardAssigner,
     ShardAssignment,
+    StoreEraEvent,
     UnreadableRecord,
 } from "./ports.js";
 export { NodeProgram } from "./program.js";
--- /dev/null
+++ b/packages/node/src/knowledge/ownentry.ts
@@ -0,0 +1,38 @@
+import type { ClusterStore, Member } from "../ports.js";
+
+/** Options of {@link OwnEntry}. */
+export interface OwnEntryOptions {
+    /** Identity of this VM in its entry. */
+    readonly self: Pick<Member, "id" | "dataCentre" | "address">;
+    readonly store: ClusterStore;
+}
+
+/** This VM's entry in the store's list of VMs. */
+export class OwnEntry {
+    private previousEntry: Member | undefined;
+    private hasReadPrevious = false;
+
+    constructor(private readonly options: OwnEntryOptions) {}
+
+    /** The entry that an earlier process of this VM wrote; undefined if there is none. */
+    get previous(): Member | undefined {
+        return this.previousEntry;
+    }
+
+    /** Records an entry of this VM that was read. Those that this process wrote are ignored. */
+    receiveEntry(member: Member): void {
+        if (!this.hasReadPrevious) {
+            this.previousEntry = member;
+        }
+    }
+
+    /** Called when all entries that were in the store at the start have been read. */
+    finishReading(): void {
+        this.hasReadPrevious = true;
+    }
+
+    /** Writes the entry, which replaces the earlier one. */
+    append(state: Pick<Member, "generation" | "hasLeft">): void {
+        this.options.store.appendMember({ ...this.options.self, ...state });
+    }
+}
--- /dev/null
+++ b/packages/node/src/knowledge/storereceiver.ts
@@ -0,0 +1,88 @@
+import type { CrashReport } from "@radishreel/fleet";
+import type { AccountGuard } from "../accounts/index.js";
+import type { DecisionLog } from "../decisions.js";
+import type { NodeMetrics } from "../metrics.js";
+import type { ClusterChange, ClusterReceiver, Member, StoreEraEvent, UnreadableRecord } from "../ports.js";
+import type { ClusterState } from "./cluster.js";
+import type { OwnEntry } from "./ownentry.js";
+import type { ChangeSharing } from "./sharing.js";
+
+/** Maximum logged length of the reason why a record is unreadable, in characters: other writers influence it. */
+const maxReasonChars = 300;
+
+/** Options of {@link StoreReceiver}. */
+export interface StoreReceiverOptions {
+    readonly log: DecisionLog;
+    readonly metrics: NodeMetrics;
+    readonly cluster: ClusterState;
+    readonly sharing: ChangeSharing;
+    readonly accounts: AccountGuard;
+    readonly ownEntry: OwnEntry;
+    readonly onChanges: (changes: readonly ClusterChange[]) => void;
+    readonly onCrashReports: (reports: readonly CrashReport[]) => void;
+    /** Called with the entry of this VM's earlier process, once all entries have been read. */
+    readonly onMembersRead: (previous: Member | undefined) => void;
+}
+
+/** Passes what is read from the store to the parts of this VM that use it. */
+export class StoreReceiver implements ClusterReceiver {
+    constructor(private readonly options: StoreReceiverOptions) {}
+
+    receiveChanges(changes: readonly ClusterChange[]): void {
+        this.options.onChanges(changes);
+    }
+
+    receiveUpstreamList(names: ReadonlySet<string>, position: number): void {
+        this.options.cluster.applyUpstreamList(names, position);
+    }
+
+    receiveCrashReports(reports: readonly CrashReport[]): void {
+        this.options.onCrashReports(reports);
+    }
+
+    receiveUnreadable(record: UnreadableRecord): void {
+        const { metrics, log } = this.options;
+        metrics.recordUnreadableRecord(record.topic);
+        log.recordImportant("recordUnreadable", { ...record, why: record.why.slice(0, maxReasonChars) });
+    }
+
+    receiveConfirmed(asOf: number): void {
+        this.options.accounts.recordConfirmed(asOf);
+    }
+
+    receiveMembersRead(): void {
+        const { ownEntry, log, onMembersRead } = this.options;
+        ownEntry.finishReading();
+        log.recordImportant("past", { ...ownEntry.previous });
+        onMembersRead(ownEntry.previous);
+    }
+
+    receiveReachable(isReachable: boolean, detail: string): void {
+        const { cluster, sharing, log } = this.options;
+        if (isReachable !== cluster.isStoreReachable) {
+            log.recordImportant(isReachable ? "storeRegained" : "storeLost", { detail });
+        }
+        cluster.setReachable(isReachable);
+        sharing.update();
+    }
+
+    receiveEraEvent(event: StoreEraEvent): void {
+        const { log, metrics } = this.options;
+        switch (event.kind) {
+            case "restored": {
+                const { era, previousEra } = event;
+                metrics.recordRestore(era);
+                log.recordImportant("storeRestored", { era, previousEra, from: "store" });
+                return;
+            }
+            case "topicRead": {
+                const { topic, era, endBefore, end, records } = event;
+                log.recordImportant("topicRead", { topic, era, endBefore, end, records });
+                return;
+            }
+            case "unreadable":
+                metrics.recordUnreadableEra();
+                return;
+        }
+    }
+}
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -64,6 +64,21 @@
         labelNames: ["kind"] as const,
         registers: [this.registry],
     });
+    private readonly storeEra = new Gauge({
+        name: "radishreel_node_store_era",
+        help: "Era of the store after its last restore from an older copy; 0 before the first one that this VM saw",
+        registers: [this.registry],
+    });
+    private readonly storeRestores = new Counter({
+        name: "radishreel_node_store_restores_total",
+        help: "Times that the store came back from an older copy of itself",
+        registers: [this.registry],
+    });
+    private readonly unreadableEras = new Counter({
+        name: "radishreel_node_store_eras_unreadable_total",
+        help: "Responses of the store whose era is missing or cannot be read",
+        registers: [this.registry],
+    });
     private readonly choices = new Counter({
         name: "radishreel_node_choices_total",
         help: "Times that all upstreams of a service were compared for one request",
@@ -183,6 +198,15 @@
         this.storeCalls.inc({ kind });
     }
 
+    recordRestore(era: number): void {
+        this.storeEra.set(era);
+        this.storeRestores.inc();
+    }
+
+    recordUnreadableEra(): void {
+        this.unreadableEras.inc();
+    }
+
     recordChoice(): void {
         this.choices.inc();
     }
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -144,8 +144,26 @@
     readonly why: string;
 }
 
+/** What the store's responses tell about its eras. */
+export type StoreEraEvent =
+    /** The store has come back from an older copy of itself: what it had confirmed since may be gone. */
+    | { readonly kind: "restored"; readonly era: number; readonly previousEra: number; }
+    /** A topic was read for the first time in an era after the first known one. */
+    | {
+        readonly kind: "topicRead";
+        readonly topic: string;
+        readonly era: number;
+        /** Offsets up to which the topic was read before, and is read now. */
+        readonly endBefore: number;
+        readonly end: number;
+        readonly records: number;
+    }
+    /** The era of a response is missing or cannot be read. */
+    | { readonly kind: "unreadable"; };
+
 /** Receives what is read from the store. */
 export interface ClusterReceiver {
+    receiveEraEvent(event: StoreEraEvent): void;
     receiveUnreadable(record: UnreadableRecord): void;
     receiveChanges(changes: readonly ClusterChange[]): void;
     /** Receives the names of all registered upstreams at a position; upstreams that are not among them are gone. */
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -10,7 +10,9 @@
 import { AnnouncementSharing } from "./knowledge/announcements.js";
 import { ClusterState } from "./knowledge/cluster.js";
 import { IsolationMonitor } from "./knowledge/isolation.js";
+import { OwnEntry } from "./knowledge/ownentry.js";
 import { ChangeSharing } from "./knowledge/sharing.js";
+import { StoreReceiver } from "./knowledge/storereceiver.js";
 import { programMachine } from "./lifecycle.js";
 import { Coordinators } from "./links/coordinators.js";
 import { PeerDispatcher } from "./links/dispatcher.js";
@@ -22,7 +24,7 @@
 import { defaultAccountBounds, type NodeOptions } from "./options.js";
 import { OverloadMonitor } from "./overload.js";
 import { type Handover, ShardOwnership } from "./ownership/ownership.js";
-import type { ClusterChange, ClusterReceiver, Member, UnreadableRecord } from "./ports.js";
+import type { ClusterChange, Member } from "./ports.js";
 import { findQuota, Quotas } from "./quotas/index.js";
 import { type AdmissionMessage, Admissions } from "./requests/admissions.js";
 import { RetryBudgets } from "./requests/budgets.js";
@@ -50,20 +52,18 @@
 /** Maximum wait for the release of shards in a planned stop, in milliseconds. */
 const maxReleaseWaitMs = 800;
 
-/** Maximum logged length of the reason why a record is unreadable, in characters: other writers influence it. */
-const maxReasonChars = 300;
-
 /** Minimum number of VMs among which the retry budget is divided, for use before other VMs are known. */
 const minAssumedVms = 4;
 
 /** The data path and the control path of one VM. */
-export class NodeProgram implements ClusterReceiver {
+export class NodeProgram {
     private readonly lifecycle = interpret(programMachine, () => {});
     private readonly log: DecisionLog;
     private readonly metrics = new NodeMetrics();
     private readonly view: FleetView;
     private readonly cluster: ClusterState;
     private readonly announcements: AnnouncementSharing;
+    private readonly ownEntry: OwnEntry;
     private readonly coordinators: Coordinators;
     private readonly quotas: Quotas;
     private readonly pool = new ConnectionPool(() => this.overloadMonitor.recordWork("upstream connection"));
@@ -85,8 +85,6 @@
     private readonly incarnation = Date.now();
     private readonly dispatcher: PeerDispatcher;
     private ownership: ShardOwnership | undefined;
-    private previousMember: Member | undefined;
-    private hasReadMembers = false;
     private stopping: Promise<void> | undefined;
 
     constructor(private readonly options: NodeOptions) {
@@ -117,6 +115,10 @@
             onMember: member => this.receiveMember(member),
         });
         this.announcements = this.createAnnouncementSharing();
+        this.ownEntry = new OwnEntry({
+            self: { id: settings.vm, dataCentre: settings.dataCentre, address: formatAddress(settings.peers) },
+            store: options.store,
+        });
         this.crashGuard = this.createCrashGuard();
         this.quotas = this.createQuotas();
         this.accountGuard = this.createAccountGuard();
@@ -216,7 +218,7 @@
         }
         this.setSeeds(settings.seeds);
         this.ownership = this.createOwnership();
-        store.start(this);
+        store.start(this.createStoreReceiver());
         this.timers.push(
             setInterval(() => this.runHousekeeping(), housekeepingMs),
         );
@@ -246,7 +248,7 @@
         this.overloadMonitor.recordWork(`store ${kind}`);
     }
 
-    receiveChanges(changes: readonly ClusterChange[], from?: string): void {
+    private receiveChanges(changes: readonly ClusterChange[], from?: string): void {
         const newChanges = this.cluster.applyChanges(changes, from);
         if (newChanges.length === 0) {
             return;
@@ -255,43 +257,20 @@
         this.receiveVersions(newChanges);
     }
 
-    receiveUpstreamList(names: ReadonlySet<string>, position: number): void {
-        this.cluster.applyUpstreamList(names, position);
-    }
-
-    receiveUnreadable(record: UnreadableRecord): void {
-        this.metrics.recordUnreadableRecord(record.topic);
-        this.log.recordImportant("recordUnreadable", { ...record, why: record.why.slice(0, maxReasonChars) });
-    }
-
-    receiveCrashReports(reports: readonly CrashReport[]): void {
+    private receiveCrashReports(reports: readonly CrashReport[]): void {
         const newReports = this.crashGuard.receiveReports(reports);
         if (newReports.length > 0) {
             this.changeSharing.forwardMessage({ type: "crashReports", reports: newReports });
         }
     }
 
-    receiveConfirmed(asOf: number): void {
-        this.accountGuard.recordConfirmed(asOf);
-    }
-
-    receiveMembersRead(): void {
-        this.hasReadMembers = true;
-        this.log.recordImportant("past", { ...this.previousMember });
-        if (this.previousMember?.generation !== undefined) {
+    private receiveMembersRead(previous: Member | undefined): void {
+        if (previous?.generation !== undefined) {
             // VMs that took over the shards of this VM must learn that this VM runs again, so this VM links to all VMs.
             this.peers.setHub(true);
         }
-        this.ownership?.start(this.previousMember);
-        this.appendMember({});
-    }
-
-    receiveReachable(isReachable: boolean, detail: string): void {
-        if (isReachable !== this.cluster.isStoreReachable) {
-            this.log.recordImportant(isReachable ? "storeRegained" : "storeLost", { detail });
-        }
-        this.cluster.setReachable(isReachable);
-        this.changeSharing.update();
+        this.ownership?.start(previous);
+        this.ownEntry.append({});
     }
 
     private receiveVersions(changes: readonly ClusterChange[]): void {
@@ -319,6 +298,21 @@
         this.serving.receiveChange();
     }
 
+    private createStoreReceiver(): StoreReceiver {
+        const { log, metrics, cluster, changeSharing: sharing, accountGuard: accounts, ownEntry } = this;
+        return new StoreReceiver({
+            log,
+            metrics,
+            cluster,
+            sharing,
+            accounts,
+            ownEntry,
+            onChanges: changes => this.receiveChanges(changes),
+            onCrashReports: reports => this.receiveCrashReports(reports),
+            onMembersRead: previous => this.receiveMembersRead(previous),
+        });
+    }
+
     private createServing(): Serving {
         const { settings, dialect } = this.options;
         return new Serving({
@@ -488,24 +482,17 @@
             readIncarnation: vm => this.peers.findIncarnation(vm),
             sendHandover: handover => this.sendHandover(handover),
             countOthers: () => this.peers.countMembers(),
-            recordGeneration: generation => this.appendMember({ generation }),
+            recordGeneration: generation => this.ownEntry.append({ generation }),
             onLeaseEvent: event => this.metrics.recordLeaseEvent(event),
         });
     }
 
-    /** Writes this VM's entry, which replaces the earlier one. */
-    private appendMember(state: { readonly generation?: number; readonly hasLeft?: boolean; }): void {
-        const { settings, store } = this.options;
-        const { vm: id, dataCentre, peers } = settings;
-        store.appendMember({ id, dataCentre, address: formatAddress(peers), ...state });
-    }
-
     private receiveMember(member: Member): void {
         if (member.id !== this.options.settings.vm) {
             this.peers.addPeer(member);
         }
-        else if (!this.hasReadMembers) {
-            this.previousMember = member;
+        else {
+            this.ownEntry.receiveEntry(member);
         }
     }
 
@@ -672,7 +659,7 @@
         this.serving.closeAfterResponses();
         const released = this.ownership?.stop() ?? Promise.resolve();
         this.peers.broadcast({ type: "leaving" });
-        this.appendMember({ hasLeft: true });
+        this.ownEntry.append({ hasLeft: true });
         await Promise.race([released, wait(maxReleaseWaitMs)]);
         await wait(Math.max(0, stoppedAt + balancerNoticeMs - readNow()));
         this.callerServer.close();
