Order what the store tells over its eras, and read all topics anew in each era

Callers saw requests handled by configurations that had been replaced for seconds, and requests at workers that had left, after the store had come back from an older copy of itself. Each VM kept reading at its old offset: records that others wrote below it were skipped in silence, and those that were read had offsets below the known ones and counted as old.

All numbers that the store gives out, offsets and generations, are now ordinals: the era, then the number. Positions between VMs, entries and removals, leases and fencing tokens compare ordinals, so nothing else had to learn of eras.

A restored copy is not all true. What the operator wrote is ordered by the operator's own versions, and what is kept takes over the position of the older record; that an upstream is leaving holds for its incarnation; an entry that had been removed counts only once it is written again or has outlasted the store's time-out for silent upstreams; an upstream that the copy lacks is kept for the time in which running ones register again. What is ours is written again: each VM its own entry, readers the crash reports that the copy lacks. Readers ask other VMs for what the copy lacks, and new links get it.

A list of upstreams that lacks a name now removes the name just before the end of the list and is forwarded: an entry written at that end was taken as removed, and followers kept the upstream.

The model of the random histories of announcements now keeps an entry's leaving forever, which is stricter.

--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -65,8 +65,11 @@
         this.versions = new AdapterVersions(options);
     }
 
-    /** Adds an upstream, or updates it to its newest entry. */
+    /** Adds an upstream, or updates it to its newest entry. No later entry revokes that it is leaving. */
     updateUpstream(upstream: Upstream, now: number): void {
+        if (upstream.isLeaving) {
+            this.leavingUpstreams.add(upstream.id);
+        }
         const shutdownAt = upstream.remainingMs === undefined ? undefined : now + upstream.remainingMs;
         const state = this.states.get(upstream.id);
         if (state === undefined) {
@@ -85,7 +88,9 @@
         }
         state.upstream = upstream;
         state.leavingSince = this.isLeaving(upstream) ? state.leavingSince ?? now : undefined;
-        state.shutdownAt = shutdownAt === undefined ? undefined : Math.min(shutdownAt, state.shutdownAt ?? shutdownAt);
+        state.shutdownAt = shutdownAt === undefined
+            ? state.shutdownAt
+            : Math.min(shutdownAt, state.shutdownAt ?? shutdownAt);
     }
 
     removeUpstream(id: string): void {
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -172,6 +172,14 @@
         return reports.filter(report => this.reports.applyReport(report));
     }
 
+    /** Writes reports again that a restored copy of the store lacks. @param stored Names of all stored reports. */
+    receiveStoredNames(stored: ReadonlySet<string>): void {
+        const names = this.reports.appendMissing(stored);
+        if (names.length > 0) {
+            this.options.log.recordImportant("storeRewritten", { what: "crashReports", names });
+        }
+    }
+
     receiveMessage(vm: string, message: PermitMessage): void {
         this.permits.receiveMessage(vm, message);
     }
--- a/packages/node/src/crashes/reports.ts
+++ b/packages/node/src/crashes/reports.ts
@@ -145,6 +145,19 @@
         return this.quarantine.listReports(this.readWall());
     }
 
+    /**
+     * Writes known reports again that a restored copy of the store lacks, also those of other VMs: they may be gone.
+     * @param stored Names of the reports that the store holds.
+     */
+    appendMissing(stored: ReadonlySet<string>): string[] {
+        const missing = this.quarantine.listReports(this.readWall()).filter(({ name }) => !stored.has(name));
+        for (const report of missing) {
+            this.namesToExpire.add(report.name);
+            void this.appendReport(report);
+        }
+        return missing.map(({ name }) => name);
+    }
+
     /** Drops expired reports, and deletes them from the store. */
     expireOld(): void {
         const now = this.readWall();
--- a/packages/node/src/knowledge/cluster.ts
+++ b/packages/node/src/knowledge/cluster.ts
@@ -1,20 +1,16 @@
-import type { FleetView, Upstream } from "@radishreel/fleet";
+import { type FleetView, readEra, type Upstream } from "@radishreel/fleet";
 import { RouteTable } from "@radishreel/routing";
 import type { DecisionLog } from "../decisions.js";
 import type { ReadPositions } from "../links/messages.js";
 import type { ClusterChange, Member } from "../ports.js";
+import { explainPosition, rewriteMs, StoreEra, storeOrigin } from "./eras.js";
+import { type OperatorChange, OperatorState } from "./operator.js";
 import { UpstreamRegistry } from "./registry.js";
 
-/**
- * How long an upstream whose entry lapsed during an outage of the store is kept after the outage, in milliseconds.
- * Running upstreams register again within about 2 s.
- */
-const lapsedEntryGraceMs = 2100;
+/** Default time after which the store removes the entry of a silent upstream, in milliseconds. */
+export const defaultEntryTimeoutMs = 3600;
 
-/** Key of changes of the configuration. */
-const routingChangeKey = "routing";
-
-type VersionChange = Extract<ClusterChange, { kind: "version"; }>;
+type RegistrationChange = Extract<ClusterChange, { kind: "upstream" | "upstreamGone"; }>;
 
 /** Options of {@link ClusterState}. */
 export interface ClusterStateOptions {
@@ -31,33 +27,55 @@
     /** Called when a version of an adapter is learned. */
     readonly onVersion?: (() => void) | undefined;
     readonly onMember: (member: Member) => void;
+    /** Called once for each era of the store after the first one that is known, before its changes are applied. */
+    readonly onRestored?: ((era: number) => void) | undefined;
+    /** Time after which the store removes the entry of a silent upstream, in milliseconds. @default 3600 */
+    readonly entryTimeoutMs?: number | undefined;
 }
 
 /**
  * The state of the cluster on this VM, as read from the store. Changes arrive from the store and from peers, in any
- * order and more than once. For each key only the change with the highest position is applied, so no state is ever
- * reverted to an earlier one. The {@link UpstreamRegistry} decides which incarnation of an upstream is valid.
+ * order and more than once. Positions order the changes of a key over all eras of the store, so no state is ever
+ * reverted to an earlier one. {@link OperatorState} and {@link UpstreamRegistry} decide which content is newer.
  */
 export class ClusterState {
     private routeTable: RouteTable | undefined;
-    private operatorPosition = -1;
     private upstreamPosition = -1;
-    private readonly positions = new Map<string, number>();
+    private readonly operator: OperatorState;
+    private readonly era: StoreEra;
+    /** Newest changes of upstreams and VMs. */
     private readonly newestChanges = new Map<string, ClusterChange>();
-    /**
-     * Versions before the newest, by adapter key, oldest first. A VM that lacks them must learn when the first was
-     * published.
-     */
-    private readonly olderVersions = new Map<string, VersionChange[]>();
     private readonly registry = new UpstreamRegistry();
     private readonly lapsedNames = new Set<string>();
+    /** Names with doubtful entries, and since when. */
+    private readonly doubtfulNames = new Map<string, number>();
     private hasReadUpstreams = false;
     private hasStoreContact = false;
     private storeRegainedAt = -Infinity;
-    private readonly readBoot: () => number;
 
     constructor(private readonly options: ClusterStateOptions) {
-        this.readBoot = options.readBoot ?? options.readTime;
+        const { view, readTime, readBoot = readTime, onVersion = () => {} } = options;
+        this.operator = new OperatorState({
+            versions: view.versions,
+            readBoot,
+            onRouting: ({ routing, position }) => this.applyRouting(new RouteTable(routing), position),
+            onVersion,
+        });
+        this.era = new StoreEra({
+            readTime,
+            onRestored: (era, previousEra, from) => {
+                const { operator, upstreams } = this.readPositions;
+                this.storeRegainedAt = readTime();
+                options.log.recordImportant("storeRestored", {
+                    era,
+                    previousEra,
+                    from,
+                    operator: explainPosition(operator),
+                    upstreams: explainPosition(upstreams),
+                });
+                options.onRestored?.(era);
+            },
+        });
     }
 
     /** Whether routes and upstreams are known. A newly started VM reads them within about 0.1 s. */
@@ -72,26 +90,35 @@
 
     /** Finds the newest configuration with its position; undefined until a configuration is known. */
     findRouting(): Extract<ClusterChange, { kind: "routing"; }> | undefined {
-        const change = this.newestChanges.get(routingChangeKey);
-        return change?.kind === "routing" ? change : undefined;
+        return this.operator.newestRouting;
     }
 
     /** Positions up to which changes were read from the store or from peers. */
     get readPositions(): ReadPositions {
-        return { operator: this.operatorPosition, upstreams: this.upstreamPosition };
+        return { operator: this.operator.position, upstreams: this.upstreamPosition };
+    }
+
+    /** Whether the store came back from an older copy just now, and may lack changes that VMs know. */
+    get isStoreIncomplete(): boolean {
+        return this.era.isIncomplete;
+    }
+
+    /** Records an era of the store. @param from Who told this VM: "store" or the name of a VM. */
+    updateEra(era: number, from = storeOrigin): void {
+        this.era.update(era, from);
     }
 
     /** Lists the changes that a VM which has read up to these positions lacks. */
     listChangesAfter(positions: ReadPositions): ClusterChange[] {
-        const olderVersions = [...this.olderVersions.values()].flat();
-        return [...olderVersions, ...this.newestChanges.values()]
-            .filter(change => change.position > readPositionFor(positions, change))
-            .map(change => this.updateAge(change));
+        return [
+            ...this.listOperatorChangesAfter(positions.operator),
+            ...[...this.newestChanges.values()].filter(change => change.position > positions.upstreams),
+        ];
     }
 
     /** Lists changes that the operator wrote after a position. */
     listOperatorChangesAfter(position: number): ClusterChange[] {
-        return this.listChangesAfter({ operator: position, upstreams: Infinity });
+        return this.operator.listChanges().filter(change => change.position > position);
     }
 
     /**
@@ -99,24 +126,27 @@
      * @param from Source of the changes, for the log: "store" or the name of the VM that forwarded them.
      * @returns The changes that were new, with ages as of now, to be forwarded to other VMs.
      */
-    applyChanges(changes: readonly ClusterChange[], from = "store"): ClusterChange[] {
-        const newChanges = changes.filter(change => this.applyChange(change, from));
+    applyChanges(changes: readonly ClusterChange[], from = storeOrigin): ClusterChange[] {
+        this.updateEra(Math.max(0, ...changes.map(({ position }) => readEra(position))), from);
+        const newChanges = changes.flatMap(change => this.applyChange(change, from));
         if (newChanges.length > 0) {
             this.options.onChange();
         }
-        return newChanges.map(change => this.updateAge(change));
+        return newChanges;
     }
 
-    /** Applies the complete list of registered upstreams: upstreams that are not in it are removed. */
-    applyUpstreamList(names: ReadonlySet<string>, position: number): void {
-        for (const { upstream } of this.options.view.listUpstreams()) {
-            const isOlder = this.registry.readEntryPosition(upstream.name) < position;
-            if (!names.has(upstream.name) && isOlder) {
-                this.applyRemoval(upstream.name, position);
-            }
-        }
+    /**
+     * Applies the complete list of registered upstreams: upstreams that are not in it are removed.
+     * @param end Position at which the list was read: records from there on are newer.
+     * @returns The removals that were new, to be forwarded to other VMs.
+     */
+    applyUpstreamList(names: ReadonlySet<string>, end: number): ClusterChange[] {
+        const removals = this.options.view.listUpstreams().map(({ upstream }) => upstream.name)
+            .filter(name => !names.has(name) && this.registry.readEntryPosition(name) < end)
+            .flatMap(name => this.applyChange({ kind: "upstreamGone", name, position: end - 1 }, storeOrigin));
         this.hasReadUpstreams = true;
         this.options.onChange();
+        return removals;
     }
 
     /** Records whether this VM reaches the store. */
@@ -132,120 +162,95 @@
     }
 
     /**
-     * Removes upstreams whose entries lapsed around an outage of the store and did not come back. The grace period
-     * starts at the end of the outage: an entry that is removed shortly after the outage must not be kept for a full
-     * period more, since its upstream is leaving.
+     * Removes upstreams whose entries lapsed around an outage of the store and did not come back, and uses upstreams
+     * whose doubtful entries outlasted the time after which the store removes entries of silent upstreams. The grace
+     * period starts at the end of the outage: an entry that is removed shortly after the outage must not be kept for a
+     * full period more, since its upstream is leaving.
      */
     expireLapsed(): void {
         const now = this.options.readTime();
-        if (!this.hasStoreContact || now < this.storeRegainedAt + lapsedEntryGraceMs) {
+        if (!this.hasStoreContact || now < this.storeRegainedAt + rewriteMs) {
             return;
         }
         for (const name of this.lapsedNames) {
             this.removeGoneUpstream(name, "entry lapsed and was not registered again");
         }
         this.lapsedNames.clear();
+        this.admitDoubtful(now);
     }
 
-    private applyChange(change: ClusterChange, from: string): boolean {
-        if (change.kind === "upstream" || change.kind === "upstreamGone") {
-            return this.applyRegistration(change, from);
-        }
-        const changeKey = formatChangeKey(change);
-        if ((this.positions.get(changeKey) ?? -1) >= change.position) {
-            if (change.kind === "version") {
-                this.applyOlderVersion(change);
+    private admitDoubtful(now: number): void {
+        const { entryTimeoutMs = defaultEntryTimeoutMs } = this.options;
+        for (const [name, since] of this.doubtfulNames) {
+            if (!this.registry.isDoubtful(name)) {
+                this.doubtfulNames.delete(name);
+                continue;
+            }
+            if (now < Math.max(since, this.storeRegainedAt) + rewriteMs + entryTimeoutMs) {
+                continue;
+            }
+            this.doubtfulNames.delete(name);
+            this.registry.admitEntry(name);
+            this.newestChanges.delete(formatChangeKey({ kind: "upstreamGone", name, position: -1 }));
+            const change = this.newestChanges.get(`upstream ${name}`);
+            if (change?.kind === "upstream") {
+                this.options.log.recordImportant("entryAdmitted", { upstream: change.upstream.id });
+                this.updateUpstream(change.upstream, change.position, storeOrigin);
+                this.options.onChange();
             }
-            return false;
-        }
-        this.recordOlderVersion(this.newestChanges.get(changeKey));
-        this.positions.set(changeKey, change.position);
-        this.newestChanges.set(changeKey, change);
-        this.recordPosition(change);
-        switch (change.kind) {
-            case "routing":
-                this.applyRouting(change);
-                break;
-            case "version":
-                this.applyVersion(change);
-                break;
-            case "member":
-                this.options.onMember(change.member);
-                break;
-        }
-        return true;
-    }
-
-    /** Applies a version as of the earliest time at which it may have been published, not of its arrival here. */
-    private applyVersion({ key, version, ageMs }: VersionChange): void {
-        const since = ageMs === undefined ? -Infinity : this.readBoot() - ageMs;
-        this.options.view.versions.update(key, version, since);
-        this.options.onVersion?.();
-    }
-
-    /**
-     * Applies a version older than the newest known one: the time since a replacement counts from the first newer
-     * version.
-     */
-    private applyOlderVersion(change: VersionChange): void {
-        if (!this.options.view.versions.has(change.key, change.version)) {
-            this.applyVersion(change);
-            this.recordOlderVersion(change);
         }
     }
 
-    private recordOlderVersion(change: ClusterChange | undefined): void {
-        if (change?.kind !== "version") {
-            return;
+    /** @returns What is known after the change, if the change was new. */
+    private applyChange(change: ClusterChange, from: string): ClusterChange[] {
+        switch (change.kind) {
+            case "upstream":
+            case "upstreamGone":
+                this.upstreamPosition = Math.max(this.upstreamPosition, change.position);
+                return this.applyRegistration(change, from);
+            case "member":
+                return this.applyMember(change);
+            default: {
+                const merged = this.operator.applyChange(change);
+                return merged === undefined ? [] : [merged];
+            }
         }
-        const { key } = change;
-        const known = [...this.olderVersions.get(key) ?? [], change].sort((left, right) =>
-            left.position - right.position
-        );
-        this.olderVersions.set(key, known.filter(({ version }) => this.options.view.versions.has(key, version)));
     }
 
-    /** Creates a copy of the change with the current age of its version. */
-    private updateAge(change: ClusterChange): ClusterChange {
-        if (change.kind !== "version") {
-            return change;
+    private applyMember(change: Extract<ClusterChange, { kind: "member"; }>): ClusterChange[] {
+        const key = formatChangeKey(change);
+        if ((this.newestChanges.get(key)?.position ?? -1) >= change.position) {
+            return [];
         }
-        const since = this.options.view.versions.findSince(change.key, change.version);
-        return { ...change, ageMs: since === undefined ? undefined : Math.max(0, this.readBoot() - since) };
+        this.newestChanges.set(key, change);
+        this.options.onMember(change.member);
+        return [change];
     }
 
-    private applyRegistration(
-        change: Extract<ClusterChange, { kind: "upstream" | "upstreamGone"; }>,
-        from: string,
-    ): boolean {
-        this.recordPosition(change);
+    private applyRegistration(change: RegistrationChange, from: string): ClusterChange[] {
         const isNew = change.kind === "upstream"
             ? this.applyEntry(change.upstream, change.position, from)
             : this.applyRemoval(change.name, change.position);
-        if (isNew) {
-            this.newestChanges.set(formatChangeKey(change), change);
-        }
-        return isNew;
-    }
-
-    private recordPosition(change: ClusterChange): void {
-        if (isOperatorChange(change)) {
-            this.operatorPosition = Math.max(this.operatorPosition, change.position);
+        if (!isNew) {
+            return [];
         }
-        else if (change.kind !== "member") {
-            this.upstreamPosition = Math.max(this.upstreamPosition, change.position);
+        this.newestChanges.set(formatChangeKey(change), change);
+        const name = change.kind === "upstream" ? change.upstream.name : change.name;
+        if (change.kind === "upstreamGone" || !this.registry.isDoubtful(name)) {
+            return [change];
         }
+        // Other VMs may not know that the entry was removed.
+        const removal: ClusterChange = { kind: "upstreamGone", name, position: change.position };
+        this.newestChanges.set(formatChangeKey(removal), removal);
+        return [change, removal];
     }
 
-    private applyRouting(change: Extract<ClusterChange, { kind: "routing"; }>): void {
-        if (change.routing.version < (this.routeTable?.routing.version ?? -Infinity)) {
-            return;
-        }
-        this.routeTable = new RouteTable(change.routing);
+    private applyRouting(table: RouteTable, position: number): void {
+        this.routeTable = table;
         this.options.log.recordImportant("routingInForce", {
-            version: change.routing.version,
-            position: change.position,
-            routes: change.routing.routes.length,
+            version: table.routing.version,
+            ...explainPosition(position),
+            routes: table.routing.routes.length,
         });
     }
 
@@ -259,10 +264,18 @@
         if (outcome === "known" || outcome === "earlier") {
             return false;
         }
+        if (outcome === "doubtful" && !this.lapsedNames.has(upstream.name)) {
+            this.recordDoubtful(upstream.name, position);
+            return true;
+        }
+        if (outcome === "doubtful") {
+            // The removal was an effect of the outage, and this VM still uses the upstream.
+            this.registry.admitEntry(upstream.name);
+        }
         if (known !== undefined && (known.id !== upstream.id || outcome === "gone")) {
             this.removeGoneUpstream(known.name, outcome === "gone" ? "entry removed" : "restarted");
         }
-        if (outcome === "present") {
+        if (outcome === "present" || outcome === "doubtful") {
             // A VM that starts during an outage of the store learns of upstreams from its peers.
             this.hasReadUpstreams = true;
             this.lapsedNames.delete(upstream.name);
@@ -278,7 +291,13 @@
         this.options.onUpstream?.(upstream);
         if (upstream.isLeaving && !wasLeaving) {
             const { id, service, remainingMs } = upstream;
-            log.recordImportant("upstreamLeaving", { upstream: id, service, position, from, remainingMs });
+            log.recordImportant("upstreamLeaving", {
+                upstream: id,
+                service,
+                ...explainPosition(position),
+                from,
+                remainingMs,
+            });
         }
     }
 
@@ -288,17 +307,29 @@
 
     private applyRemoval(name: string, position: number): boolean {
         const outcome = this.registry.applyRemoval(name, position);
-        if (outcome === "gone") {
+        if (outcome === "known") {
+            return false;
+        }
+        if (outcome === "doubtful") {
+            this.recordDoubtful(name, position);
+            this.removeGoneUpstream(name, "entry removed before the store was restored");
+        }
+        else {
             this.removeUnregisteredUpstream(name);
         }
-        return outcome === "gone";
+        return true;
+    }
+
+    private recordDoubtful(name: string, position: number): void {
+        this.doubtfulNames.set(name, this.options.readTime());
+        this.options.log.recordImportant("entryDoubtful", { name, ...explainPosition(position) });
     }
 
     private removeUnregisteredUpstream(name: string): void {
         const now = this.options.readTime();
         const reachableForMs = now - this.storeRegainedAt;
         const upstream = this.findUpstreamByName(name);
-        const isNearOutage = !this.hasStoreContact || reachableForMs < lapsedEntryGraceMs;
+        const isNearOutage = !this.hasStoreContact || reachableForMs < rewriteMs;
         // An upstream that announced that it is leaving is gone. Any other may still run and have failed to renew its
         // entry.
         if (isNearOutage && upstream !== undefined && this.options.view.isUsable(upstream.id)) {
@@ -319,25 +350,13 @@
     }
 }
 
-function isOperatorChange(change: ClusterChange): boolean {
-    return change.kind === "routing" || change.kind === "version";
-}
-
-function readPositionFor(positions: ReadPositions, change: ClusterChange): number {
-    return isOperatorChange(change) ? positions.operator : positions.upstreams;
-}
-
 /** Formats the key of a change: a change replaces earlier positions of the same key. */
-function formatChangeKey(change: ClusterChange): string {
+function formatChangeKey(change: Exclude<ClusterChange, OperatorChange>): string {
     switch (change.kind) {
-        case "routing":
-            return routingChangeKey;
         case "upstream":
             return `upstream ${change.upstream.name}`;
         case "upstreamGone":
             return `upstreamGone ${change.name}`;
-        case "version":
-            return `version ${change.key}`;
         case "member":
             return `member ${change.member.id}`;
     }
--- a/packages/node/src/knowledge/sharing.ts
+++ b/packages/node/src/knowledge/sharing.ts
@@ -3,6 +3,7 @@
 import type { PeerMessage, ReadPositions } from "../links/messages.js";
 import type { ClusterChange, ClusterStore } from "../ports.js";
 import type { ClusterState } from "./cluster.js";
+import { explainPosition } from "./eras.js";
 import { defaultEntriesPauseMs, StoreReaders } from "./readers.js";
 
 /**
@@ -34,6 +35,9 @@
 /** Number of VMs that are asked at once whether a configuration is the newest, if no VM reads for this VM. */
 const maxConfirmers = 2;
 
+/** Positions of a VM that has read nothing. */
+const unreadPositions: ReadPositions = { operator: -1, upstreams: -1 };
+
 /** Options of {@link ChangeSharing}. */
 export interface ChangeSharingOptions {
     readonly vm: string;
@@ -96,13 +100,32 @@
 
     /** Creates the messages for a VM whose link has just opened. */
     createInitialMessages(vm: string): PeerMessage[] {
+        const { cluster } = this.options;
         const isWanted = this.followedVms.has(vm);
         return [
             ...(isWanted ? [this.createFollow(true)] : []),
             this.createPositions(),
+            // The VM may have read a restored copy of the store that lacks changes which this VM knows.
+            ...(cluster.isStoreIncomplete
+                ? [{ type: "changes", changes: cluster.listChangesAfter(unreadPositions) } as const]
+                : []),
         ];
     }
 
+    /**
+     * Asks other VMs for changes beyond those that this VM has read. Called when the store came back from an older copy,
+     * before that is read: changes that it lacks cannot be read there, and positions do not show that they are missing.
+     */
+    askPeers(): void {
+        const { store, cluster, send } = this.options;
+        if (!store.isReading) {
+            return;
+        }
+        for (const vm of this.listConfirmers()) {
+            send(vm, { type: "pull", positions: cluster.readPositions });
+        }
+    }
+
     receivePositions(vm: string, dataCentre: string, positions: ReadPositions, canRead: boolean): void {
         this.readers.update(vm, dataCentre, canRead, this.options.readTime());
         if (this.isBehind(positions)) {
@@ -220,7 +243,11 @@
                 continue;
             }
             this.vmsAhead.set(vm, { positions, since: now });
-            this.options.log.recordImportant("behindPeer", { peer: vm, told: positions, own });
+            this.options.log.recordImportant("behindPeer", {
+                peer: vm,
+                told: explainPositions(positions),
+                own: explainPositions(own),
+            });
             this.options.send(
                 vm,
                 this.followedVms.has(vm) ? this.createFollow(true) : { type: "pull", positions: own },
@@ -262,6 +289,10 @@
     }
 }
 
+function explainPositions({ operator, upstreams }: ReadPositions): object {
+    return { operator: explainPosition(operator), upstreams: explainPosition(upstreams) };
+}
+
 /** Lists some of the VMs from a random start, so that a VM which does not reply is not asked alone repeatedly. */
 function listFromRandomStart(vms: readonly string[], count: number): string[] {
     const start = Math.floor(Math.random() * vms.length);
--- a/packages/node/src/knowledge/storereceiver.ts
+++ b/packages/node/src/knowledge/storereceiver.ts
@@ -1,9 +1,11 @@
 import type { CrashReport } from "@radishreel/fleet";
 import type { AccountGuard } from "../accounts/index.js";
+import type { CrashGuard } from "../crashes/index.js";
 import type { DecisionLog } from "../decisions.js";
 import type { NodeMetrics } from "../metrics.js";
 import type { ClusterChange, ClusterReceiver, Member, StoreEraEvent, UnreadableRecord } from "../ports.js";
 import type { ClusterState } from "./cluster.js";
+import { explainPosition } from "./eras.js";
 import type { OwnEntry } from "./ownentry.js";
 import type { ChangeSharing } from "./sharing.js";
 
@@ -17,6 +19,7 @@
     readonly cluster: ClusterState;
     readonly sharing: ChangeSharing;
     readonly accounts: AccountGuard;
+    readonly crashGuard: CrashGuard;
     readonly ownEntry: OwnEntry;
     readonly onChanges: (changes: readonly ClusterChange[]) => void;
     readonly onCrashReports: (reports: readonly CrashReport[]) => void;
@@ -33,17 +36,29 @@
     }
 
     receiveUpstreamList(names: ReadonlySet<string>, position: number): void {
-        this.options.cluster.applyUpstreamList(names, position);
+        const { cluster, sharing } = this.options;
+        const removals = cluster.applyUpstreamList(names, position);
+        if (removals.length > 0) {
+            sharing.forwardChanges(removals);
+        }
     }
 
     receiveCrashReports(reports: readonly CrashReport[]): void {
         this.options.onCrashReports(reports);
     }
 
+    receiveCrashReportNames(names: ReadonlySet<string>): void {
+        this.options.crashGuard.receiveStoredNames(names);
+    }
+
     receiveUnreadable(record: UnreadableRecord): void {
         const { metrics, log } = this.options;
         metrics.recordUnreadableRecord(record.topic);
-        log.recordImportant("recordUnreadable", { ...record, why: record.why.slice(0, maxReasonChars) });
+        log.recordImportant("recordUnreadable", {
+            ...record,
+            ...explainPosition(record.position),
+            why: record.why.slice(0, maxReasonChars),
+        });
     }
 
     receiveConfirmed(asOf: number): void {
@@ -67,19 +82,19 @@
     }
 
     receiveEraEvent(event: StoreEraEvent): void {
-        const { log, metrics } = this.options;
+        const { log, metrics, cluster } = this.options;
         switch (event.kind) {
-            case "restored": {
-                const { era, previousEra } = event;
-                metrics.recordRestore(era);
-                log.recordImportant("storeRestored", { era, previousEra, from: "store" });
+            case "restored":
+                cluster.updateEra(event.era);
                 return;
-            }
             case "topicRead": {
                 const { topic, era, endBefore, end, records } = event;
                 log.recordImportant("topicRead", { topic, era, endBefore, end, records });
                 return;
             }
+            case "memberRewritten":
+                log.recordImportant("storeRewritten", { what: "member", names: [event.id] });
+                return;
             case "unreadable":
                 metrics.recordUnreadableEra();
                 return;
--- a/packages/node/src/options.ts
+++ b/packages/node/src/options.ts
@@ -33,6 +33,8 @@
     readonly graceMs: number;
     /** Pause between two reads of upstream entries from the store, in milliseconds. @default 300 */
     readonly entriesPauseMs?: number;
+    /** Time after which the store removes the entry of a silent upstream, in milliseconds. @default 3600 */
+    readonly entryTimeoutMs?: number;
     /**
      * How long requests may start on an older adapter version once a new one is known, in milliseconds.
      * @default 5000
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -119,7 +119,7 @@
     readonly hasLeft?: boolean | undefined;
 }
 
-/** A change in the platform's store. */
+/** A change in the platform's store. Its position is the ordinal of an offset. */
 export type ClusterChange =
     | { readonly kind: "routing"; readonly routing: Routing; readonly position: number; }
     | { readonly kind: "upstream"; readonly upstream: Upstream; readonly position: number; }
@@ -148,7 +148,7 @@
 export type StoreEraEvent =
     /** The store has come back from an older copy of itself: what it had confirmed since may be gone. */
     | { readonly kind: "restored"; readonly era: number; readonly previousEra: number; }
-    /** A topic was read for the first time in an era after the first known one. */
+    /** A topic was read anew. */
     | {
         readonly kind: "topicRead";
         readonly topic: string;
@@ -158,6 +158,8 @@
         readonly end: number;
         readonly records: number;
     }
+    /** This VM's entry is written again, since a restored copy of the store may lack it. */
+    | { readonly kind: "memberRewritten"; readonly id: string; }
     /** The era of a response is missing or cannot be read. */
     | { readonly kind: "unreadable"; };
 
@@ -170,6 +172,8 @@
     receiveUpstreamList(names: ReadonlySet<string>, position: number): void;
     /** Receives crash reports of any VM. */
     receiveCrashReports(reports: readonly CrashReport[]): void;
+    /** Receives the names of all crash reports that a restored copy of the store holds, after the reports. */
+    receiveCrashReportNames(names: ReadonlySet<string>): void;
     /**
      * Called when the newest configuration in the store has been delivered.
      * @param asOf Boot time at which that configuration was certainly the newest, in milliseconds.
@@ -201,8 +205,9 @@
     appendMember(member: Member): void;
 }
 
-/** The shards that are assigned to a VM, and the generation of the assignment. */
+/** The shards that are assigned to a VM. */
 export interface ShardAssignment {
+    /** Ordinal of the assignment: it rises also if the store comes back from an older copy. */
     readonly generation: number;
     readonly shards: readonly number[];
 }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -113,6 +113,11 @@
             onUpstream: upstream => this.crashGuard.receiveEntry(upstream),
             onVersion: () => this.serving.receiveVersion(),
             onMember: member => this.receiveMember(member),
+            onRestored: era => {
+                this.metrics.recordRestore(era);
+                this.changeSharing.askPeers();
+            },
+            entryTimeoutMs: settings.entryTimeoutMs,
         });
         this.announcements = this.createAnnouncementSharing();
         this.ownEntry = new OwnEntry({
@@ -299,13 +304,14 @@
     }
 
     private createStoreReceiver(): StoreReceiver {
-        const { log, metrics, cluster, changeSharing: sharing, accountGuard: accounts, ownEntry } = this;
+        const { log, metrics, cluster, changeSharing: sharing, accountGuard: accounts, crashGuard, ownEntry } = this;
         return new StoreReceiver({
             log,
             metrics,
             cluster,
             sharing,
             accounts,
+            crashGuard,
             ownEntry,
             onChanges: changes => this.receiveChanges(changes),
             onCrashReports: reports => this.receiveCrashReports(reports),
--- a/packages/node/test/metadata.test.ts
+++ b/packages/node/test/metadata.test.ts
@@ -145,7 +145,10 @@
         assert.is(chosen !== undefined, available.size > 0);
         for (const { upstream } of view.listUpstreams()) {
             const { id } = upstream;
-            const mayServe = !upstream.isLeaving && !leaving.has(id);
+            if (upstream.isLeaving) {
+                leaving.add(id);
+            }
+            const mayServe = !leaving.has(id);
             assert.is(view.isUsable(id), mayServe);
             assert.is(available.has(id), mayServe && (backoffEnds.get(id) ?? 0) <= now);
         }
@@ -179,8 +182,8 @@
             onUnreadableLimit: () => {},
         });
         /**
-         * `leaving`: upstreams that announced to this VM or the other one that they are leaving; `backoffEnds`: ends of
-         * backoffs.
+         * `leaving`: upstreams that announced to this VM or the other one that they are leaving, or whose entry said so;
+         * `backoffEnds`: ends of backoffs.
          */
         return {
             view,
