--- a/packages/node/src/knowledge/eras.ts
+++ b/packages/node/src/knowledge/eras.ts
@@ -23,11 +23,16 @@
 
 /** The newest era of the store that this VM knows, from the store or from other VMs. */
 export class StoreEra {
-    private newest: number | undefined;
+    private newestEra: number | undefined;
     private restoredAt = -Infinity;
 
     constructor(private readonly options: StoreEraOptions) {}
 
+    /** The newest known era; 0 until one is known. */
+    get newest(): number {
+        return this.newestEra ?? 0;
+    }
+
     /** Whether a restored copy of the store may still lack what was written before. */
     get isIncomplete(): boolean {
         return this.options.readTime() - this.restoredAt < rewriteMs;
@@ -35,11 +40,11 @@
 
     /** @param from Who told this VM: the store, or the name of a VM. */
     update(era: number, from: string): void {
-        const previousEra = this.newest;
+        const previousEra = this.newestEra;
         if (previousEra !== undefined && era <= previousEra) {
             return;
         }
-        this.newest = era;
+        this.newestEra = era;
         if (previousEra !== undefined) {
             this.restoredAt = this.options.readTime();
             this.options.onRestored(era, previousEra, from);
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -66,7 +66,7 @@
     });
     private readonly storeEra = new Gauge({
         name: "radishreel_node_store_era",
-        help: "Era of the store after its last restore from an older copy; 0 before the first one that this VM saw",
+        help: "Newest known era of the store, which rises with each restore from an older copy",
         registers: [this.registry],
     });
     private readonly storeRestores = new Counter({
@@ -198,11 +198,14 @@
         this.storeCalls.inc({ kind });
     }
 
-    recordRestore(era: number): void {
-        this.storeEra.set(era);
+    recordRestore(): void {
         this.storeRestores.inc();
     }
 
+    setStoreEra(era: number): void {
+        this.storeEra.set(era);
+    }
+
     recordUnreadableEra(): void {
         this.unreadableEras.inc();
     }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -113,8 +113,8 @@
             onUpstream: upstream => this.crashGuard.receiveEntry(upstream),
             onVersion: () => this.serving.receiveVersion(),
             onMember: member => this.receiveMember(member),
-            onRestored: era => {
-                this.metrics.recordRestore(era);
+            onRestored: () => {
+                this.metrics.recordRestore();
                 this.changeSharing.askPeers();
             },
             entryTimeoutMs: settings.entryTimeoutMs,
@@ -635,6 +635,7 @@
         this.quotas.update();
         this.quotas.expireOld();
         this.metrics.setUpstreamLimits(this.view.limits.count);
+        this.metrics.setStoreEra(this.cluster.storeEra);
         this.metrics.setConfigurationAge(this.accountGuard.configurationAgeMs);
         this.ownership?.update();
         this.peers.setHub(this.hubMonitor.update(this.ownership?.engines.hasEngines ?? false, readNow()));
