--- a/packages/fleet/src/budget.ts
+++ b/packages/fleet/src/budget.ts
@@ -7,6 +7,15 @@
     readonly windowMs: number;
 }
 
+/** What a retry budget holds, for logs. */
+export interface RetryBudgetState {
+    /** Requests and retries of this VM in the window. */
+    readonly requests: number;
+    readonly retries: number;
+    /** Retries that this VM may have in the window. */
+    readonly allowed: number;
+}
+
 /**
  * Part of the shared ratio that VMs use. The rest covers requests that are counted in another window than their
  * retries: a clock difference of 1 s between VMs moves a tenth of a 10 s window.
@@ -44,6 +53,16 @@
         return true;
     }
 
+    /** Reads what the budget holds. @param vmCount As for {@link claimRetry}. */
+    explain(now: number, vmCount: number): RetryBudgetState {
+        this.expireOld(now);
+        return {
+            requests: this.requests.length,
+            retries: this.retries.length,
+            allowed: this.countAllowed(vmCount),
+        };
+    }
+
     private countAllowed(vmCount: number): number {
         const { ratio, slack } = this.options;
         return ratio * usableRatioShare * this.requests.length + slack / Math.max(1, vmCount);
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -28,6 +28,12 @@
         labelNames: ["after"] as const,
         registers: [this.registry],
     });
+    private readonly retryClaims = new Counter({
+        name: "radishreel_node_retry_claims_total",
+        help: "Retries that requests claimed from the budget of their service, by whether they were granted",
+        labelNames: ["service", "granted"] as const,
+        registers: [this.registry],
+    });
     private readonly unreadableRecords = new Counter({
         name: "radishreel_node_unreadable_records_total",
         help: "Records of the store that cannot be read, by topic",
@@ -186,6 +192,10 @@
         this.retries.inc({ after });
     }
 
+    recordRetryClaim(service: string, isGranted: boolean): void {
+        this.retryClaims.inc({ service, granted: String(isGranted) });
+    }
+
     recordFrame(direction: "sent" | "received", type: string): void {
         this.peerFrames.inc({ direction, type });
     }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -349,6 +349,7 @@
                 this.announcements.recordResponse(upstream, metadata, statementsAtWrite),
             onRefusal: reason => this.metrics.recordRefusal(reason),
             onRetry: after => this.metrics.recordRetry(after),
+            onRetryClaim: (service, isGranted) => this.metrics.recordRetryClaim(service, isGranted),
             onChoice: () => this.recordChoice(),
             onRedirect: () => this.metrics.recordRedirect(),
             startWaitMs: settings.startWaitMs,
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -105,6 +105,8 @@
     readonly onMetadata: (upstream: string, metadata: ResponseMetadata, statementsAtWrite: number) => void;
     readonly onRefusal: (reason: RefusalReason) => void;
     readonly onRetry: (reason: string) => void;
+    /** Called when a request claims a retry from the budget of its service. */
+    readonly onRetryClaim: (service: string, isGranted: boolean) => void;
     /** Called when all upstreams of a service are compared for one request. */
     readonly onChoice: () => void;
     /** Called when a request chooses again because its engine is busier than this VM knew. */
@@ -326,8 +328,20 @@
     }
 
     private claimRetry(job: Job): boolean {
-        const { budgets, readTime, countVms } = this.options;
-        return budgets(job.service.name).claimRetry(readTime(), countVms());
+        const { budgets, readTime, countVms, log, onRetryClaim } = this.options;
+        const service = job.service.name;
+        const vms = countVms();
+        const budget = budgets(service);
+        const isGranted = budget.claimRetry(readTime(), vms);
+        onRetryClaim(service, isGranted);
+        log.record("retryClaimed", {
+            request: job.demand.requestId,
+            service,
+            isGranted,
+            vms,
+            ...budget.explain(readTime(), vms),
+        });
+        return isGranted;
     }
 
     /** Whether another attempt is allowed and can still succeed in time. */
