Open connections to upstreams through a connector, and count how they end

For the VMs that are cut off from all upstreams: no metric told how many connections were tried and how they ended. node_upstream_connections_total does. Connections are opened by a connector whose sockets a test can replace. The planned stop moves to a module of its own. No decision changes.

--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { AccountVerdict } from "./accounts/index.js";
 import type { LeaseEvent } from "./ownership/ownership.js";
+import type { ConnectOutcome } from "./paths/index.js";
 import type { RefusalReason } from "./requests/caller.js";
 import type { LimitVerdict } from "./requests/limiter.js";
 
@@ -122,6 +123,12 @@
         labelNames: ["verdict"] as const,
         registers: [this.registry],
     });
+    private readonly connections = new Counter({
+        name: "radishreel_node_upstream_connections_total",
+        help: "Connections to upstreams that this VM tried to open, by outcome",
+        labelNames: ["outcome"] as const,
+        registers: [this.registry],
+    });
     private readonly suspectRequests = new Gauge({
         name: "radishreel_node_suspected_requests",
         help: "Requests under which upstreams have ended lately, as far as this VM knows",
@@ -244,6 +251,10 @@
         this.limitVerdicts.inc({ verdict });
     }
 
+    recordConnection(outcome: ConnectOutcome): void {
+        this.connections.inc({ outcome });
+    }
+
     recordUpstreamEnd(service: string): void {
         this.upstreamEnds.inc({ service });
     }
--- a/packages/node/src/options.ts
+++ b/packages/node/src/options.ts
@@ -2,6 +2,7 @@
 import type { AccountBounds } from "./accounts/index.js";
 import type { BootClock } from "./clock.js";
 import type { LineSink } from "./decisions.js";
+import type { OpenSocket } from "./paths/index.js";
 import type { ClusterStore, EngineOrders, RequestDialect, ShardAssigner } from "./ports.js";
 
 /** Settings of {@link NodeProgram}. */
@@ -52,6 +53,8 @@
     readonly orders: EngineOrders;
     readonly dialect: RequestDialect;
     readonly sink: LineSink;
+    /** Opens sockets to upstreams. @default a TCP connection */
+    readonly openSocket?: OpenSocket | undefined;
     /** Clock on which the store gives the time of its reads. @default a clock of this process */
     readonly bootClock?: BootClock;
 }
--- /dev/null
+++ b/packages/node/src/paths/index.ts
@@ -0,0 +1,11 @@
+export {
+    type ConnectOutcome,
+    type ConnectTarget,
+    DirectConnector,
+    type DirectConnectorOptions,
+    type OpenedConnection,
+    type OpenSocket,
+    openTcpSocket,
+    type UpstreamConnector,
+    waitUntilOpen,
+} from "./connector.js";
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,7 +1,6 @@
 import { type AdmissionReply, type CrashReport, type EngineStatus, FleetView, RetryBudgets } from "@radishreel/fleet";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { setTimeout as wait } from "node:timers/promises";
 import { interpret } from "robot3";
 import { AccountGuard } from "./accounts/index.js";
 import { BootClock, processTimers, readNow } from "./clock.js";
@@ -24,6 +23,7 @@
 import { defaultAccountBounds, type NodeOptions } from "./options.js";
 import { OverloadMonitor } from "./overload.js";
 import { type Handover, ShardOwnership } from "./ownership/ownership.js";
+import { DirectConnector } from "./paths/index.js";
 import type { ClusterChange, Member } from "./ports.js";
 import { findQuota, Quotas } from "./quotas/index.js";
 import { type AdmissionMessage, Admissions } from "./requests/admissions.js";
@@ -31,6 +31,7 @@
 import { ConnectionPool } from "./requests/connections.js";
 import { UpstreamLimiter } from "./requests/limiter.js";
 import { Serving } from "./requests/serving.js";
+import { runPlannedStop } from "./stop.js";
 
 /** Interval of housekeeping, in milliseconds. */
 const housekeepingMs = 250;
@@ -42,15 +43,6 @@
  */
 const firstStartLinkDelayMs = 500;
 
-/** Time until the load balancer sends no more callers to a stopping VM, in milliseconds: two failed checks. */
-const balancerNoticeMs = 2300;
-
-/** Share of the grace time after which running requests are cut off: the platform kills the process soon after. */
-const requestGraceShare = 0.93;
-
-/** Maximum wait for the release of shards in a planned stop, in milliseconds. */
-const maxReleaseWaitMs = 800;
-
 /** The data path and the control path of one VM. */
 export class NodeProgram {
     private readonly lifecycle = interpret(programMachine, () => {});
@@ -62,7 +54,7 @@
     private readonly ownEntry: OwnEntry;
     private readonly coordinators: Coordinators;
     private readonly quotas: Quotas;
-    private readonly pool = new ConnectionPool(() => this.overloadMonitor.recordWork("upstream connection"));
+    private readonly pool: ConnectionPool;
     private readonly crashGuard: CrashGuard;
     private readonly serving: Serving;
     private readonly peers: Peers;
@@ -92,6 +84,13 @@
             intervalMs: housekeepingMs,
             onLag: ms => this.metrics.recordTimerLag(ms),
         });
+        this.pool = new ConnectionPool({
+            connector: new DirectConnector({
+                openSocket: options.openSocket,
+                onOutcome: outcome => this.metrics.recordConnection(outcome),
+            }),
+            onOpen: () => this.overloadMonitor.recordWork("upstream connection"),
+        });
         this.budgets = new RetryBudgets({
             ratio: settings.retryRatio,
             slack: settings.retrySlack,
@@ -191,6 +190,11 @@
         return this.options.store.isReading;
     }
 
+    /** Counts the VMs with a link to this one. */
+    countLinkedVms(): number {
+        return this.peers.listConnected().length;
+    }
+
     /** Counts the requests whose response is not complete yet. */
     countOpenRequests(): number {
         return this.serving.openCount;
@@ -657,29 +661,25 @@
     }
 
     private async runStop(): Promise<void> {
-        const stoppedAt = readNow();
-        const { graceMs } = this.options.settings;
+        const { peers, serving, ownEntry, ownership, callerServer, readinessServer, options } = this;
         this.lifecycle.send("stop");
-        this.log.recordImportant("stop", { openRequests: this.serving.openCount });
-        this.serving.closeAfterResponses();
-        const released = this.ownership?.stop() ?? Promise.resolve();
-        this.peers.broadcast({ type: "leaving" });
-        this.ownEntry.append({ hasLeft: true });
-        await Promise.race([released, wait(maxReleaseWaitMs)]);
-        await wait(Math.max(0, stoppedAt + balancerNoticeMs - readNow()));
-        this.callerServer.close();
-        while (this.serving.openCount > 0 && readNow() - stoppedAt < graceMs * requestGraceShare) {
-            await wait(20);
-        }
-        this.log.recordImportant("stopped", { openRequests: this.serving.openCount });
-        this.callerServer.closeAllConnections();
-        this.readinessServer.close();
+        await runPlannedStop({
+            graceMs: options.settings.graceMs,
+            log: this.log,
+            readTime: readNow,
+            peers,
+            serving,
+            ownEntry,
+            ownership,
+            callerServer,
+        });
+        readinessServer.close();
         for (const timer of this.timers) {
             clearInterval(timer);
         }
         this.crashGuard.stop();
-        this.options.store.stop();
-        this.peers.stop();
+        options.store.stop();
+        peers.stop();
         this.pool.close();
         this.lifecycle.send("done");
     }
--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -1,10 +1,6 @@
-import { parseAddress } from "@radishreel/wire";
 import type { Socket } from "node:net";
-import { connect } from "node:net";
-import { Client, errors } from "undici";
-
-/** Maximum wait for a connection, in milliseconds. Connecting within a region takes some milliseconds. */
-const defaultConnectTimeoutMs = 400;
+import { Client } from "undici";
+import { type ConnectTarget, DirectConnector, type UpstreamConnector } from "../paths/index.js";
 
 /** Idle timeout of a connection if the upstream announces none, in milliseconds. */
 const keepAliveMs = 4000;
@@ -21,24 +17,30 @@
 /** Maximum number of idle connections to one upstream. */
 const maxIdle = 8;
 
+/** Options of {@link UpstreamConnection}. */
+export interface UpstreamConnectionOptions {
+    readonly target: ConnectTarget;
+    readonly connector: UpstreamConnector;
+}
+
 /** One connection to an upstream, which carries one request at a time. */
 export class UpstreamConnection {
     readonly client: Client;
+    private readonly opening = new AbortController();
+    private isOpened = false;
     private socket: Socket | undefined;
     private hasFailed = false;
     private lastUsedAt = 0;
 
-    /** @param connectTimeoutMs Maximum wait until the connection is open, in milliseconds. */
-    constructor(address: string, private readonly connectTimeoutMs = defaultConnectTimeoutMs) {
-        const { host, port } = parseAddress(address);
-        this.client = new Client(`http://${address}`, {
+    constructor(private readonly options: UpstreamConnectionOptions) {
+        this.client = new Client(`http://${options.target.address}`, {
             pipelining: 1,
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: keepAliveMs,
             keepAliveMaxTimeout: keepAliveMs * 4,
             keepAliveTimeoutThreshold: keepAliveMarginMs,
-            connect: (_options, callback) => this.openSocket(host, port, callback),
+            connect: (_options, callback) => void this.openSocket(callback),
         });
         this.client.on("disconnect", () => {
             this.hasFailed = true;
@@ -69,7 +71,7 @@
      * than the sender's current one.
      */
     cancel(): void {
-        if (this.socket !== undefined && !this.socket.connecting && !this.socket.destroyed) {
+        if (this.socket?.destroyed === false) {
             this.socket.resetAndDestroy();
         }
         this.close();
@@ -78,42 +80,48 @@
     /** Closes the connection immediately. */
     close(): void {
         this.hasFailed = true;
+        this.opening.abort();
         this.client.destroy().catch(() => {
             // The client is destroyed either way.
         });
     }
 
-    private openSocket(host: string, port: number, callback: (...args: [Error, null] | [null, Socket]) => void): void {
-        if (this.socket !== undefined) {
+    private async openSocket(callback: (...args: [Error, null] | [null, Socket]) => void): Promise<void> {
+        if (this.isOpened) {
             // A request was checked for this connection only; undici must not reconnect on its own.
             callback(new Error("connection closed"), null);
             return;
         }
-        const socket = connect({ host, port, noDelay: true });
-        this.socket = socket;
-        const timer = setTimeout(
-            () => socket.destroy(new errors.ConnectTimeoutError("connect timeout")),
-            this.connectTimeoutMs,
-        );
-        const fail = (error: Error): void => {
-            clearTimeout(timer);
-            callback(error, null);
-        };
-        socket.once("error", fail);
-        socket.once("connect", () => {
-            clearTimeout(timer);
-            socket.removeListener("error", fail);
+        this.isOpened = true;
+        const { target, connector } = this.options;
+        try {
+            const { socket } = await connector.open(target, this.opening.signal);
+            this.socket = socket;
             callback(null, socket);
-        });
+        }
+        catch (error) {
+            callback(error as Error, null);
+        }
     }
 }
 
+/** Options of {@link ConnectionPool}. */
+export interface ConnectionPoolOptions {
+    /** @default direct connections */
+    readonly connector?: UpstreamConnector | undefined;
+    /** Called for each new connection. */
+    readonly onOpen?: (() => void) | undefined;
+}
+
 /** Idle connections by upstream id. A new incarnation at an old address gets new connections. */
 export class ConnectionPool {
     private readonly idle = new Map<string, UpstreamConnection[]>();
 
-    /** @param onOpen Called for each new connection. */
-    constructor(private readonly onOpen: () => void = () => {}) {}
+    private readonly connector: UpstreamConnector;
+
+    constructor(private readonly options: ConnectionPoolOptions = {}) {
+        this.connector = options.connector ?? new DirectConnector();
+    }
 
     /**
      * Takes a connection out of the pool or opens a new one.
@@ -128,8 +136,8 @@
         if (found !== undefined) {
             return found;
         }
-        this.onOpen();
-        return new UpstreamConnection(address);
+        this.options.onOpen?.();
+        return new UpstreamConnection({ target: { upstream: upstreamId, address }, connector: this.connector });
     }
 
     /** Returns a connection to the pool after a complete response. */
