Connect to upstreams through another VM where a VM cannot connect itself

What callers saw: all requests at VMs without links to upstreams ended with 503, while the other VMs served theirs at the same upstreams.

Cause: a VM had one way to an upstream, its own connections. The class: a dependency that others still have, used on one path only.

That VM passes on bytes and decides nothing: what may be sent, what proves that a request was not run, limits and budgets stay with the VM that has the request. A tunnel never leads through a third VM, and a VM refuses at once what it could not reach itself. A reset of one side resets the other, and a response that only the close of a tunnel ends counts as truncated, since the VM between may have ended. A stopping VM refuses new tunnels and waits for open ones.

Probes now take the same paths, and a refusal counts only from a VM that reaches most upstreams.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -26,6 +26,7 @@
 export { LoadTimes } from "./loadtimes.js";
 export type { EngineOrder, EngineReport, OrderAction, OrderOutcome, PlannerStep } from "./orders.js";
 export { createOrdinal, maxEra, readEra, readNumber } from "./ordinals.js";
+export { DirectPaths, type PathFailure, type RelayCandidate, Relays } from "./paths.js";
 export { PauseThreshold, PromptHistory } from "./pausethreshold.js";
 export { PermitIssuer, type PermitIssuerOptions } from "./permits.js";
 export { PrefixCache } from "./prefixcache.js";
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -8,12 +8,13 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { DecisionLog } from "../decisions.js";
 import type { PeerMessage } from "../links/messages.js";
+import type { ProbeResult } from "../paths/index.js";
 import type { CrashReportStore } from "../ports.js";
 import type { AttemptEnd } from "../requests/attempt.js";
 import type { RefusalResponse } from "../requests/caller.js";
 import type { Job } from "../requests/job.js";
 import { readLastSendAt } from "../requests/timelimit.js";
-import { CrashMonitor, type ProbeResult, type UpstreamEnd } from "./monitor.js";
+import { CrashMonitor, type UpstreamEnd } from "./monitor.js";
 import { type PermitMessage, Permits } from "./permits.js";
 import { CrashReports } from "./reports.js";
 
@@ -41,8 +42,8 @@
     readonly onChange: () => void;
     /** Called when the process of an upstream ended while it ran requests of this VM. */
     readonly onUpstreamEnd: (service: string) => void;
-    /** @default opens a connection to the address and closes it */
-    readonly probe?: ((address: string) => Promise<ProbeResult>) | undefined;
+    /** Opens a connection to an upstream and closes it. */
+    readonly probe: (upstream: Upstream) => Promise<ProbeResult>;
 }
 
 /** When an attempt was sent, and when its first event arrived. */
--- a/packages/node/src/crashes/monitor.ts
+++ b/packages/node/src/crashes/monitor.ts
@@ -1,15 +1,11 @@
 import type { Upstream } from "@radishreel/fleet";
-import { parseAddress } from "@radishreel/wire";
-import { connect } from "node:net";
 import { processTimers, type Timers } from "../clock.js";
+import type { ProbeResult } from "../paths/index.js";
 import type { RequestDigest } from "../requests/digest.js";
 
 /** Delays before the probes of an upstream, in milliseconds; each further probe is only sent after a silent one. */
 const probeDelaysMs = [5, 250, 1000];
 
-/** Longest wait for the result of a probe, in milliseconds. */
-const probeTimeoutMs = 400;
-
 /** How long an upstream whose runs broke is watched for its end, in milliseconds: an upstream restarts within 5 s. */
 const watchLifetimeMs = 10_000;
 
@@ -19,9 +15,6 @@
  */
 const stableRunMs = 200;
 
-/** Result of a probe: the address refuses connections, accepts them, or does not respond. */
-export type ProbeResult = "refused" | "open" | "silent";
-
 /** A run whose connection broke before its response was complete. */
 export interface BrokenRun {
     readonly requestId: string | undefined;
@@ -42,8 +35,8 @@
 export interface CrashMonitorOptions {
     readonly readTime: () => number;
     readonly onEnd: (end: UpstreamEnd) => void;
-    /** @default opens a connection to the address and closes it */
-    readonly probe?: ((address: string) => Promise<ProbeResult>) | undefined;
+    /** Opens a connection to an upstream and closes it. */
+    readonly probe: (upstream: Upstream) => Promise<ProbeResult>;
     /** @default timers of this process */
     readonly timers?: Timers | undefined;
 }
@@ -130,8 +123,7 @@
         if (watched.state === "ended") {
             return;
         }
-        const { probe = openProbe } = this.options;
-        const result = await probe(watched.upstream.address);
+        const result = await this.options.probe(watched.upstream);
         switch (result) {
             case "refused":
                 this.recordUpstreamEnd(watched);
@@ -157,22 +149,3 @@
         watched.settle();
     }
 }
-
-/** Probes an address: opens a connection and closes it at once. */
-async function openProbe(address: string): Promise<ProbeResult> {
-    const { host, port } = parseAddress(address);
-    return new Promise(resolve => {
-        const socket = connect({ host, port });
-        const finish = (result: ProbeResult): void => {
-            clearTimeout(timer);
-            socket.destroy();
-            resolve(result);
-        };
-        const timer = setTimeout(() => finish("silent"), probeTimeoutMs);
-        socket.once("connect", () => finish("open"));
-        socket.once(
-            "error",
-            (error: NodeJS.ErrnoException) => finish(error.code === "ECONNREFUSED" ? "refused" : "silent"),
-        );
-    });
-}
--- a/packages/node/src/knowledge/isolation.ts
+++ b/packages/node/src/knowledge/isolation.ts
@@ -40,12 +40,15 @@
     /**
      * Updates the state. Two checks in a row must find silence: in the first check after a pause of the process, frames
      * that have arrived are not yet read.
+     * @returns Whether the state changed.
      */
-    update(signals: ReachabilitySignals): void {
+    update(signals: ReachabilitySignals): boolean {
         const silenceLimitMs = signals.isMesh ? meshSilenceLimitMs : hubSilenceLimitMs;
         const isSilent = signals.hasOthers && signals.othersQuietMs > silenceLimitMs
             && signals.storeQuietMs > silenceLimitMs;
+        const wasIsolated = this.isolated;
         this.isolated = isSilent && this.wasSilent;
         this.wasSilent = isSilent;
+        return this.isolated !== wasIsolated;
     }
 }
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -251,7 +251,7 @@
         this.limitVerdicts.inc({ verdict });
     }
 
-    recordConnection(outcome: ConnectOutcome): void {
+    recordConnection(outcome: ConnectOutcome | "tunnelled"): void {
         this.connections.inc({ outcome });
     }
 
--- a/packages/node/src/options.ts
+++ b/packages/node/src/options.ts
@@ -14,6 +14,11 @@
     readonly readiness: ListenAddress;
     readonly readinessPath: string;
     readonly peers: ListenAddress;
+    /**
+     * Where this VM carries connections of other VMs to upstreams. The port is the same on all VMs.
+     * @default VMs carry no connections for each other
+     */
+    readonly tunnels?: ListenAddress | undefined;
     /** Addresses of the peer listeners of some other VMs. */
     readonly seeds: readonly string[];
     /** Secret for links between VMs, the same on all VMs of a deployment. */
--- a/packages/node/src/paths/connector.ts
+++ b/packages/node/src/paths/connector.ts
@@ -28,6 +28,8 @@
 
 /** Opens connections to upstreams. */
 export interface UpstreamConnector {
+    /** Whether an idle connection may carry another request. @param via As for {@link OpenedConnection}. */
+    mayReuse(target: ConnectTarget, via: string | undefined): boolean;
     /** @param signal Cancels the connection while it is being opened. */
     open(target: ConnectTarget, signal: AbortSignal): Promise<OpenedConnection>;
 }
@@ -39,23 +41,27 @@
     /** @default 400 */
     readonly timeoutMs?: number | undefined;
     /** Called with the end of each attempt to open a connection. */
-    readonly onOutcome?: ((outcome: ConnectOutcome) => void) | undefined;
+    readonly onOutcome?: ((outcome: ConnectOutcome, target: ConnectTarget) => void) | undefined;
 }
 
 /** Opens connections from this VM to upstreams. */
 export class DirectConnector implements UpstreamConnector {
     constructor(private readonly options: DirectConnectorOptions = {}) {}
 
-    async open({ address }: ConnectTarget, signal: AbortSignal): Promise<OpenedConnection> {
+    mayReuse(): boolean {
+        return true;
+    }
+
+    async open(target: ConnectTarget, signal: AbortSignal): Promise<OpenedConnection> {
         const { openSocket = openTcpSocket, timeoutMs = defaultConnectTimeoutMs, onOutcome } = this.options;
-        const { host, port } = parseAddress(address);
+        const { host, port } = parseAddress(target.address);
         try {
             const socket = await waitUntilOpen(openSocket(host, port), timeoutMs, signal);
-            onOutcome?.("opened");
+            onOutcome?.("opened", target);
             return { socket };
         }
         catch (error) {
-            onOutcome?.(signal.aborted ? "cancelled" : decodeConnectError(error));
+            onOutcome?.(signal.aborted ? "cancelled" : decodeConnectError(error), target);
             throw error;
         }
     }
--- a/packages/node/src/paths/index.ts
+++ b/packages/node/src/paths/index.ts
@@ -2,10 +2,10 @@
     type ConnectOutcome,
     type ConnectTarget,
     DirectConnector,
-    type DirectConnectorOptions,
     type OpenedConnection,
     type OpenSocket,
     openTcpSocket,
     type UpstreamConnector,
-    waitUntilOpen,
 } from "./connector.js";
+export { checkListening, type ProbeResult } from "./probe.js";
+export { Tunnels } from "./tunnels.js";
--- /dev/null
+++ b/packages/node/src/paths/tunnelconnector.ts
@@ -0,0 +1,200 @@
+import type { DirectPaths, RelayCandidate, Relays } from "@radishreel/fleet";
+import { parseAddress } from "@radishreel/wire";
+import { request as openRequest } from "node:http";
+import type { Socket } from "node:net";
+import { setTimeout as wait } from "node:timers/promises";
+import { errors } from "undici";
+import type { ConnectTarget, OpenedConnection, UpstreamConnector } from "./connector.js";
+import { createAuthorization, tunnelStatus, upstreamHeader } from "./tunnelserver.js";
+
+/** Maximum wait for a tunnel, in milliseconds: a VM that can connect to the upstream replies within some milliseconds. */
+const tunnelTimeoutMs = 250;
+
+/** Maximum number of VMs that are asked to carry one connection. */
+const maxRelays = 6;
+
+/** A VM that may carry connections, and the address at which it does. */
+export interface TunnelRelay extends RelayCandidate {
+    /** `host:port`. */
+    readonly address: string;
+}
+
+/** Options of {@link TunnelConnector}. */
+export interface TunnelConnectorOptions {
+    /** Shared by all VMs of one deployment. */
+    readonly secret: string;
+    readonly paths: DirectPaths;
+    readonly relays: Relays;
+    /** Opens direct connections, and records their ends in `paths`. */
+    readonly direct: UpstreamConnector;
+    /** Lists the linked VMs that are not stopping. */
+    readonly listRelays: () => readonly TunnelRelay[];
+    readonly readTime: () => number;
+    /** Called when a connection through another VM has opened. */
+    readonly onTunnel: (target: ConnectTarget, via: string) => void;
+}
+
+/** No connection could be opened, neither directly nor through another VM. */
+export class NoPathError extends Error {
+    /** @param isRefused Whether the upstream itself refuses connections, as far as VMs that reach others can tell. */
+    constructor(message: string, readonly isRefused: boolean, readonly code: string | undefined) {
+        super(message);
+    }
+}
+
+/** A VM that was asked to carry a connection did not. */
+class TunnelError extends Error {
+    constructor(readonly vm: string, readonly status: number | undefined) {
+        super(`no tunnel through ${vm}: ${status ?? "no reply"}`);
+    }
+}
+
+/**
+ * Opens connections to upstreams directly, or through another VM if that fails. The VM that carries a connection passes
+ * on bytes only: what a request may do, and what the end of its attempt proves, is decided here as for a direct one.
+ */
+export class TunnelConnector implements UpstreamConnector {
+    constructor(private readonly options: TunnelConnectorOptions) {}
+
+    mayReuse(target: ConnectTarget, via: string | undefined): boolean {
+        const failure = this.options.paths.findFailure(target.upstream);
+        // Connections that were open before may live on while new ones are refused, but not while new ones get no reply.
+        return via === undefined
+            ? failure !== "silent"
+            : failure !== undefined && this.options.listRelays().some(({ vm }) => vm === via);
+    }
+
+    async open(target: ConnectTarget, signal: AbortSignal): Promise<OpenedConnection> {
+        const { paths, direct, listRelays, readTime } = this.options;
+        const candidates = listRelays();
+        if (candidates.length === 0) {
+            return direct.open(target, signal);
+        }
+        const { triesDirect, tunnelDelayMs } = paths.choose(target.upstream, readTime());
+        const attempts: Promise<OpenedConnection>[] = [];
+        if (triesDirect) {
+            attempts.push(direct.open(target, signal));
+        }
+        const losing = new AbortController();
+        const stopTunnel = (): void => losing.abort();
+        signal.addEventListener("abort", stopTunnel, { once: true });
+        attempts.push(this.openTunnel(target, candidates, losing.signal, tunnelDelayMs, attempts[0]));
+        try {
+            const winner = await Promise.any(attempts);
+            closeOthers(attempts, winner);
+            return winner;
+        }
+        catch (error) {
+            throw createNoPathError((error as AggregateError).errors as Error[]);
+        }
+        finally {
+            signal.removeEventListener("abort", stopTunnel);
+            stopTunnel();
+        }
+    }
+
+    /** Opens a connection through the first VM that can, after a delay or once the direct attempt has failed. */
+    private async openTunnel(
+        target: ConnectTarget,
+        candidates: readonly TunnelRelay[],
+        signal: AbortSignal,
+        delayMs: number,
+        direct: Promise<OpenedConnection> | undefined,
+    ): Promise<OpenedConnection> {
+        const { relays, readTime, onTunnel } = this.options;
+        if (delayMs > 0) {
+            await waitForFailure(direct, delayMs, signal);
+        }
+        const addresses = new Map(candidates.map(({ vm, address }) => [vm, address]));
+        let last = new TunnelError("any VM", undefined);
+        for (const vm of relays.rank(candidates, readTime()).slice(0, maxRelays)) {
+            try {
+                const socket = await this.sendConnect(vm, addresses.get(vm)!, target, signal);
+                relays.recordOpened(vm);
+                socket.once("close", () => relays.recordClosed(vm));
+                onTunnel(target, vm);
+                return { socket, via: vm };
+            }
+            catch (error) {
+                if (signal.aborted) {
+                    throw error;
+                }
+                last = error instanceof TunnelError ? error : new TunnelError(vm, undefined);
+                if (last.status === tunnelStatus.refused) {
+                    throw last;
+                }
+                // A VM that does not know this upstream may carry connections to others.
+                if (last.status !== tunnelStatus.forbidden) {
+                    relays.recordFailed(vm, readTime());
+                }
+            }
+        }
+        throw last;
+    }
+
+    private sendConnect(vm: string, relay: string, target: ConnectTarget, signal: AbortSignal): Promise<Socket> {
+        const { host, port } = parseAddress(relay);
+        return new Promise((resolve, reject) => {
+            const request = openRequest({
+                host,
+                port,
+                method: "CONNECT",
+                path: target.address,
+                headers: {
+                    "Proxy-Authorization": createAuthorization(this.options.secret),
+                    [upstreamHeader]: encodeURIComponent(target.upstream),
+                },
+                agent: false,
+                signal: AbortSignal.any([signal, AbortSignal.timeout(tunnelTimeoutMs)]),
+            });
+            request.once("connect", (response, socket: Socket) => {
+                if (response.statusCode !== tunnelStatus.opened) {
+                    socket.destroy();
+                    reject(new TunnelError(vm, response.statusCode));
+                    return;
+                }
+                socket.setNoDelay(true);
+                resolve(socket);
+            });
+            request.once("error", error => reject(signal.aborted ? error : new TunnelError(vm, undefined)));
+            request.end();
+        });
+    }
+}
+
+/** Waits until a connection has failed, or the time is over. */
+async function waitForFailure(
+    connection: Promise<OpenedConnection> | undefined,
+    ms: number,
+    signal: AbortSignal,
+): Promise<void> {
+    const failed = new Promise<void>(resolve => {
+        void connection?.catch(() => resolve());
+    });
+    await Promise.race([failed, wait(ms, undefined, { signal })]);
+}
+
+/** Closes the connections that open after another one was chosen. */
+function closeOthers(attempts: readonly Promise<OpenedConnection>[], winner: OpenedConnection): void {
+    for (const attempt of attempts) {
+        void attempt.then(
+            ({ socket }) => {
+                if (socket !== winner.socket) {
+                    socket.destroy();
+                }
+            },
+            () => {
+                // The attempt has failed and opened nothing.
+            },
+        );
+    }
+}
+
+function createNoPathError(failures: readonly Error[]): NoPathError {
+    const tunnel = failures.find(failure => failure instanceof TunnelError);
+    const direct = failures.find(failure => !(failure instanceof TunnelError));
+    const { code } = (direct ?? {}) as NodeJS.ErrnoException;
+    const isTimeout = direct instanceof errors.ConnectTimeoutError;
+    const message = [direct?.message, tunnel?.message].filter(part => part !== undefined).join("; ");
+    return new NoPathError(message, tunnel?.status === tunnelStatus.refused, isTimeout ? undefined : code);
+}
--- /dev/null
+++ b/packages/node/src/paths/tunnelserver.ts
@@ -0,0 +1,145 @@
+import type { DirectPaths } from "@radishreel/fleet";
+import type { ListenAddress } from "@radishreel/wire";
+import { createHmac, timingSafeEqual } from "node:crypto";
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { Socket } from "node:net";
+import type { UpstreamConnector } from "./connector.js";
+
+/** Maximum number of connections that this VM carries for others. Each takes two sockets and their buffers. */
+const maxTunnels = 250;
+
+/** Header with the id of the upstream incarnation that a tunnel leads to. */
+export const upstreamHeader = "x-upstream";
+
+/** Status of a refused tunnel. */
+export const tunnelStatus = {
+    opened: 200,
+    /** The sender does not know the secret, or the upstream is unknown here. */
+    forbidden: 403,
+    /** The upstream refuses connections of this VM, which reaches others. */
+    refused: 502,
+    /** This VM carries no connections at present. */
+    unavailable: 503,
+    /** This VM has not reached the upstream either. */
+    unreachable: 504,
+} as const;
+
+/** Options of {@link TunnelServer}. */
+export interface TunnelServerOptions {
+    /** Shared by all VMs of one deployment. */
+    readonly secret: string;
+    readonly paths: DirectPaths;
+    /** Opens direct connections only: a tunnel never leads through a third VM. */
+    readonly connector: UpstreamConnector;
+    /** Whether an upstream is registered under an id and an address. */
+    readonly isKnown: (upstream: string, address: string) => boolean;
+    readonly countUpstreams: () => number;
+}
+
+/** Carries connections of other VMs to upstreams (HTTP `CONNECT`), for VMs that cannot connect to them. */
+export class TunnelServer {
+    private readonly server: Server = createServer((_request, response) => response.writeHead(404).end());
+    private readonly sockets = new Set<Socket>();
+    private readonly closing = new AbortController();
+    private isPaused = false;
+
+    constructor(private readonly options: TunnelServerOptions) {
+        this.server.on("connect", (request, socket: Socket) => void this.receiveConnect(request, socket));
+    }
+
+    /** Number of connections that this VM carries. */
+    get count(): number {
+        return this.sockets.size;
+    }
+
+    async start({ host, port }: ListenAddress): Promise<void> {
+        await new Promise<void>(resolve => this.server.listen(port, host, resolve));
+    }
+
+    /** Refuses new tunnels. Open ones stay. */
+    pause(): void {
+        this.isPaused = true;
+    }
+
+    stop(): void {
+        this.closing.abort();
+        this.server.close();
+        this.sockets.forEach(socket => socket.resetAndDestroy());
+    }
+
+    private async receiveConnect(request: IncomingMessage, socket: Socket): Promise<void> {
+        socket.on("error", () => socket.destroy());
+        const address = request.url ?? "";
+        const upstream = decodeURIComponent(String(request.headers[upstreamHeader] ?? ""));
+        const refusal = this.findRefusal(request, upstream, address);
+        if (refusal !== undefined) {
+            sendStatus(socket, refusal);
+            return;
+        }
+        const { connector } = this.options;
+        try {
+            const opened = await connector.open({ upstream, address }, this.closing.signal);
+            this.startTunnel(socket, opened.socket);
+        }
+        catch {
+            sendStatus(socket, this.readFailureStatus(upstream));
+        }
+    }
+
+    private findRefusal(request: IncomingMessage, upstream: string, address: string): number | undefined {
+        const { secret, paths, isKnown } = this.options;
+        if (!checkAuthorization(request.headers["proxy-authorization"], secret) || !isKnown(upstream, address)) {
+            return tunnelStatus.forbidden;
+        }
+        if (this.isPaused || this.sockets.size >= maxTunnels) {
+            return tunnelStatus.unavailable;
+        }
+        return paths.findFailure(upstream) === undefined ? undefined : this.readFailureStatus(upstream);
+    }
+
+    /** A refusal proves that the upstream has ended only if this VM reaches most other upstreams. */
+    private readFailureStatus(upstream: string): number {
+        const { paths, countUpstreams } = this.options;
+        const isCutOff = paths.failedCount * 2 > countUpstreams();
+        return paths.findFailure(upstream) === "refused" && !isCutOff ? tunnelStatus.refused : tunnelStatus.unreachable;
+    }
+
+    /** Passes bytes both ways. A reset of one side resets the other, so that no response appears complete. */
+    private startTunnel(socket: Socket, upstreamSocket: Socket): void {
+        if (socket.destroyed) {
+            upstreamSocket.destroy();
+            return;
+        }
+        this.sockets.add(socket);
+        socket.setNoDelay(true);
+        socket.write("HTTP/1.1 200 Connection Established\r\n\r\n");
+        for (const [from, to] of [[socket, upstreamSocket], [upstreamSocket, socket]] as const) {
+            from.on("error", () => {
+                if (!to.destroyed) {
+                    to.resetAndDestroy();
+                }
+            });
+            from.pipe(to);
+        }
+        upstreamSocket.on("close", () => socket.end());
+        socket.on("close", () => {
+            this.sockets.delete(socket);
+            upstreamSocket.destroy();
+        });
+    }
+}
+
+/** Creates the value of the authorization header of a tunnel. */
+export function createAuthorization(secret: string): string {
+    return `Bearer ${createHmac("sha256", secret).update("tunnel").digest("hex")}`;
+}
+
+function checkAuthorization(value: string | undefined, secret: string): boolean {
+    const expected = Buffer.from(createAuthorization(secret));
+    const received = Buffer.from(value ?? "");
+    return received.length === expected.length && timingSafeEqual(received, expected);
+}
+
+function sendStatus(socket: Socket, status: number): void {
+    socket.end(`HTTP/1.1 ${status} Tunnel Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+}
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,4 +1,4 @@
-import { type AdmissionReply, type CrashReport, type EngineStatus, FleetView, RetryBudgets } from "@radishreel/fleet";
+import { type CrashReport, type EngineStatus, FleetView, RetryBudgets } from "@radishreel/fleet";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { interpret } from "robot3";
@@ -16,17 +16,20 @@
 import { Coordinators } from "./links/coordinators.js";
 import { PeerDispatcher } from "./links/dispatcher.js";
 import { HubMonitor } from "./links/hub.js";
+import { createInitialMessages } from "./links/initial.js";
 import type { PeerMessage } from "./links/messages.js";
+import { PeerMessenger } from "./links/messenger.js";
 import { Peers } from "./links/peers.js";
+import { applyEngineStatuses } from "./links/statuses.js";
 import { formatAddress, startCallerListener, startReadinessListener } from "./listeners.js";
 import { NodeMetrics } from "./metrics.js";
 import { defaultAccountBounds, type NodeOptions } from "./options.js";
 import { OverloadMonitor } from "./overload.js";
 import { type Handover, ShardOwnership } from "./ownership/ownership.js";
-import { DirectConnector } from "./paths/index.js";
+import { Tunnels } from "./paths/index.js";
 import type { ClusterChange, Member } from "./ports.js";
 import { findQuota, Quotas } from "./quotas/index.js";
-import { type AdmissionMessage, Admissions } from "./requests/admissions.js";
+import { Admissions } from "./requests/admissions.js";
 import type { CallerExchange } from "./requests/caller.js";
 import { ConnectionPool } from "./requests/connections.js";
 import { UpstreamLimiter } from "./requests/limiter.js";
@@ -55,6 +58,7 @@
     private readonly coordinators: Coordinators;
     private readonly quotas: Quotas;
     private readonly pool: ConnectionPool;
+    private readonly tunnels: Tunnels;
     private readonly crashGuard: CrashGuard;
     private readonly serving: Serving;
     private readonly peers: Peers;
@@ -67,6 +71,7 @@
     private readonly hubMonitor = new HubMonitor({ startedAt: readNow() });
     private readonly overloadMonitor: OverloadMonitor;
     private readonly admissions: Admissions;
+    private readonly messenger: PeerMessenger;
     private readonly bootClock: BootClock;
     private readonly accountGuard: AccountGuard;
     /** Distinguishes this process from other processes of the same VM. */
@@ -84,13 +89,6 @@
             intervalMs: housekeepingMs,
             onLag: ms => this.metrics.recordTimerLag(ms),
         });
-        this.pool = new ConnectionPool({
-            connector: new DirectConnector({
-                openSocket: options.openSocket,
-                onOutcome: outcome => this.metrics.recordConnection(outcome),
-            }),
-            onOpen: () => this.overloadMonitor.recordWork("upstream connection"),
-        });
         this.budgets = new RetryBudgets({
             ratio: settings.retryRatio,
             slack: settings.retrySlack,
@@ -99,13 +97,18 @@
         });
         this.bootClock = options.bootClock ?? new BootClock();
         this.view = new FleetView({ replacedMs: settings.replacedMs });
+        this.tunnels = this.createTunnels();
+        this.pool = new ConnectionPool({
+            connector: this.tunnels.connector,
+            onOpen: () => this.overloadMonitor.recordWork("upstream connection"),
+        });
         this.cluster = new ClusterState({
             view: this.view,
             log: this.log,
             readTime: readNow,
             readBoot: () => this.bootClock.read(),
             onChange: () => this.receiveClusterChange(),
-            onUpstreamGone: id => this.serving.removeUpstream(id),
+            onUpstreamGone: id => this.removeUpstream(id),
             onUpstream: upstream => this.crashGuard.receiveEntry(upstream),
             onVersion: () => this.serving.receiveVersion(),
             onMember: member => this.receiveMember(member),
@@ -123,7 +126,11 @@
         this.crashGuard = this.createCrashGuard();
         this.quotas = this.createQuotas();
         this.accountGuard = this.createAccountGuard();
-        this.admissions = new Admissions({ readTime: readNow, send: (vm, message) => this.sendAdmission(vm, message) });
+        this.messenger = this.createMessenger();
+        this.admissions = new Admissions({
+            readTime: readNow,
+            send: (vm, message) => this.messenger.sendAdmission(vm, message),
+        });
         this.serving = this.createServing();
         this.peers = this.createPeers();
         this.changeSharing = new ChangeSharing({
@@ -217,6 +224,7 @@
             listRefused: () => this.crashGuard.listRefused(),
             releaseRequest: digest => this.crashGuard.release(digest),
         });
+        await this.tunnels.start();
         await this.peers.start();
         if (settings.isFirstStart === true) {
             this.peers.pauseOpening();
@@ -337,8 +345,9 @@
             guard: this.crashGuard,
             accounts: this.accountGuard,
             isLinked: vm => vm === settings.vm || this.peers.isConnected(vm),
-            sendPreparation: ({ engine, want }) => this.sendToOwner(engine, { type: "prepare", engine, want }),
-            sendMissing: (engine, key) => this.sendToOwner(engine, { type: "missing", engine, key }),
+            sendPreparation: ({ engine, want }) =>
+                this.messenger.sendToOwner(engine, { type: "prepare", engine, want }),
+            sendMissing: (engine, key) => this.messenger.sendToOwner(engine, { type: "missing", engine, key }),
             limiter: new UpstreamLimiter({
                 limits: this.view.limits,
                 quotas: this.quotas,
@@ -357,6 +366,21 @@
         });
     }
 
+    private createTunnels(): Tunnels {
+        const { settings, openSocket } = this.options;
+        return new Tunnels({
+            dataCentre: settings.dataCentre,
+            address: settings.tunnels,
+            secret: settings.secret,
+            view: this.view,
+            peers: () => this.peers,
+            log: this.log,
+            readTime: readNow,
+            openSocket,
+            onOutcome: outcome => this.metrics.recordConnection(outcome),
+        });
+    }
+
     private createCrashGuard(): CrashGuard {
         const { settings, store } = this.options;
         return new CrashGuard({
@@ -366,11 +390,12 @@
             store,
             log: this.log,
             readTime: readNow,
-            send: (vm, message) => this.sendToVm(vm, message),
+            send: (vm, message) => this.messenger.send(vm, message),
             broadcast: message => this.peers.broadcast(message),
             listPermitIssuers: () => this.coordinators.list(),
             onChange: () => this.serving.receiveChange(),
             onUpstreamEnd: service => this.metrics.recordUpstreamEnd(service),
+            probe: upstream => this.tunnels.checkListening(upstream),
         });
     }
 
@@ -443,6 +468,17 @@
         });
     }
 
+    private createMessenger(): PeerMessenger {
+        return new PeerMessenger({
+            vm: this.options.settings.vm,
+            view: this.view,
+            peers: () => this.peers,
+            admissions: () => this.admissions,
+            readOwnership: () => this.ownership,
+            onOwnMessage: message => this.receivePeerMessage(this.options.settings.vm, message),
+        });
+    }
+
     private createDispatcher(): PeerDispatcher {
         const {
             peers,
@@ -481,7 +517,7 @@
             holderGapMs: settings.holderGapMs,
             findService: name => this.cluster.routes?.findService(name),
             sendStatuses: statuses => this.sendEngineStatuses(statuses),
-            sendReply: (vm, reply) => this.sendAdmissionReply(vm, reply),
+            sendReply: (vm, reply) => this.messenger.sendReply(vm, reply),
             onLeaving: engine => this.announcements.recordResponse(engine, { isLeaving: true }),
             sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
             sendQuery: query => this.peers.broadcast({ type: "claimQuery", ...query, givers: [...query.givers] }),
@@ -514,19 +550,15 @@
 
     private createInitialMessages(vm: string): PeerMessage[] {
         this.overloadMonitor.recordWork("link opened");
-        return [
-            ...this.changeSharing.createInitialMessages(vm),
-            ...this.announcements.createInitialMessages(),
-            { type: "news", news: this.ownership?.engines.listStatuses() ?? [] },
-            ...this.crashGuard.createInitialMessages(),
-            ...this.listEnginesOwnedBy(vm).map(engine => this.admissions.createRuns(engine, vm)),
-            ...(this.stopping === undefined ? [] : [{ type: "leaving" } as const]),
-        ];
-    }
-
-    /** Lists the engines that a VM owns, as far as this VM knows. */
-    private listEnginesOwnedBy(vm: string): string[] {
-        return this.view.listUpstreams().filter(({ owner }) => owner === vm).map(({ upstream }) => upstream.id);
+        return createInitialMessages(vm, {
+            view: this.view,
+            sharing: this.changeSharing,
+            announcements: this.announcements,
+            guard: this.crashGuard,
+            admissions: this.admissions,
+            engineStatuses: this.ownership?.engines.listStatuses() ?? [],
+            isStopping: this.stopping !== undefined,
+        });
     }
 
     private receivePeerMessage(vm: string, message: PeerMessage): void {
@@ -535,16 +567,8 @@
     }
 
     private receiveEngineStatuses(vm: string, statuses: readonly EngineStatus[]): void {
-        for (const status of statuses) {
-            const before = this.view.findUpstream(status.engine);
-            const known = { owner: before?.owner, fence: before?.status?.fence };
-            if (this.view.updateStatus(vm, status, readNow()) && status.isOwned) {
-                const isNewOwner = known.owner !== vm || known.fence !== status.fence;
-                if (isNewOwner) {
-                    this.admissions.updateOwner(status.engine, vm);
-                }
-            }
-        }
+        const { view, admissions } = this;
+        applyEngineStatuses({ vm, statuses, view, admissions, now: readNow() });
         this.serving.receiveEngineStatus();
     }
 
@@ -554,9 +578,16 @@
         this.removePeer(vm);
     }
 
+    private removeUpstream(id: string): void {
+        this.tunnels.removeUpstream(id);
+        this.serving.removeUpstream(id);
+    }
+
     /** Removes a VM that is gone or stopping. A stopping VM still claims quotas for its remaining requests. */
     private removePeer(vm: string): void {
         this.quotas.update();
+        this.pool.removeVm(vm);
+        this.tunnels.removeVm(vm);
         this.changeSharing.removeVm(vm);
         this.view.removeVm(vm);
         this.admissions.removeOwner(vm);
@@ -569,48 +600,6 @@
         this.peers.broadcast({ type: "news", news: statuses });
     }
 
-    /** Sends a message about a request of this VM to the owner of an engine, which may be this VM. */
-    private sendAdmission(vm: string, message: AdmissionMessage): boolean {
-        if (vm === this.options.settings.vm) {
-            this.receiveAdmission(vm, message);
-            return true;
-        }
-        return this.peers.send(vm, message);
-    }
-
-    private receiveAdmission(vm: string, message: AdmissionMessage): void {
-        if (this.ownership !== undefined) {
-            this.ownership.engines.receiveAdmissionMessage(vm, message);
-        }
-    }
-
-    /** Replies to a VM, which may be this VM, whose request asked for admission on an engine of this VM. */
-    private sendAdmissionReply(vm: string, reply: AdmissionReply): void {
-        if (vm === this.options.settings.vm) {
-            this.admissions.receiveReply(vm, reply);
-        }
-        else {
-            this.peers.send(vm, { type: "admission", answer: reply });
-        }
-    }
-
-    /** Sends a message to the owner of an engine, which may be this VM. */
-    private sendToOwner(engine: string, message: PeerMessage): void {
-        const owner = this.view.findUpstream(engine)?.owner;
-        if (owner !== undefined) {
-            this.sendToVm(owner, message);
-        }
-    }
-
-    /** Sends a message to a VM, which may be this VM. @returns Whether the message could be sent. */
-    private sendToVm(vm: string, message: PeerMessage): boolean {
-        if (vm === this.options.settings.vm) {
-            this.receivePeerMessage(vm, message);
-            return true;
-        }
-        return this.peers.send(vm, message);
-    }
-
     private sendHandover(handover: Handover): boolean {
         const [target] = this.peers.listHandoverTargets();
         return target !== undefined
@@ -647,16 +636,14 @@
 
     private updateIsolation(): void {
         const othersSilenceMs = this.peers.readOtherDataCentresSilenceMs();
-        const wasIsolated = this.isolationMonitor.isIsolated;
         const signals = {
             hasOthers: othersSilenceMs !== undefined,
             othersQuietMs: othersSilenceMs ?? 0,
             storeQuietMs: this.ownership?.renewalAgeMs ?? 0,
             isMesh: this.peers.isMesh,
         };
-        this.isolationMonitor.update(signals);
-        if (this.isolationMonitor.isIsolated !== wasIsolated) {
-            this.log.recordImportant(wasIsolated ? "isolationEnded" : "isolated", signals);
+        if (this.isolationMonitor.update(signals)) {
+            this.log.recordImportant(this.isolationMonitor.isIsolated ? "isolated" : "isolationEnded", signals);
         }
     }
 
@@ -672,6 +659,7 @@
             ownEntry,
             ownership,
             callerServer,
+            tunnels: this.tunnels,
         });
         readinessServer.close();
         for (const timer of this.timers) {
@@ -681,6 +669,7 @@
         options.store.stop();
         peers.stop();
         this.pool.close();
+        this.tunnels.stop();
         this.lifecycle.send("done");
     }
 }
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -141,6 +141,11 @@
         this.exchange.start();
     }
 
+    /** VM that carries the connection; undefined for a direct one. */
+    get via(): string | undefined {
+        return this.connection.via;
+    }
+
     /**
      * Updates the time limit for the start of a stream, since its adapter version may have been replaced after the
      * request was sent. Plain requests have no such limit: their responses don't show when the engine started to run
@@ -211,6 +216,11 @@
             });
             return;
         }
+        if (this.isCloseDelimited && this.connection.via !== undefined) {
+            // The VM that carries the connection may have ended, which looks like the end of the response.
+            this.finishBroken("truncatedAnswer", "the end of a tunnelled response is marked only by its close");
+            return;
+        }
         if (this.isStreaming()) {
             this.finishStream();
             return;
--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -27,6 +27,7 @@
 export class UpstreamConnection {
     readonly client: Client;
     private readonly opening = new AbortController();
+    private carrier: string | undefined;
     private isOpened = false;
     private socket: Socket | undefined;
     private hasFailed = false;
@@ -52,6 +53,11 @@
         return this.socket?.errored !== null && this.socket?.errored !== undefined;
     }
 
+    /** VM through which the connection goes; undefined for a direct one. */
+    get via(): string | undefined {
+        return this.carrier;
+    }
+
     get isUsable(): boolean {
         return !this.hasFailed && !this.client.closed && !this.client.destroyed;
     }
@@ -95,8 +101,9 @@
         this.isOpened = true;
         const { target, connector } = this.options;
         try {
-            const { socket } = await connector.open(target, this.opening.signal);
+            const { socket, via } = await connector.open(target, this.opening.signal);
             this.socket = socket;
+            this.carrier = via;
             callback(null, socket);
         }
         catch (error) {
@@ -129,7 +136,10 @@
      * closed.
      */
     claim(upstreamId: string, address: string, isFresh: boolean, now: number): UpstreamConnection {
-        const connections = (this.idle.get(upstreamId) ?? []).filter(connection => connection.isUsable);
+        const target = { upstream: upstreamId, address };
+        const connections = (this.idle.get(upstreamId) ?? []).filter(connection =>
+            this.checkReusable(connection, target)
+        );
         this.idle.set(upstreamId, connections);
         const index = isFresh ? -1 : connections.findIndex(connection => connection.isReusable(now));
         const [found] = index < 0 ? [] : connections.splice(index, 1);
@@ -137,7 +147,22 @@
             return found;
         }
         this.options.onOpen?.();
-        return new UpstreamConnection({ target: { upstream: upstreamId, address }, connector: this.connector });
+        return new UpstreamConnection({ target, connector: this.connector });
+    }
+
+    /** Closes a connection that must not be used again. */
+    private checkReusable(connection: UpstreamConnection, target: ConnectTarget): boolean {
+        if (connection.isUsable && !this.connector.mayReuse(target, connection.via)) {
+            connection.close();
+        }
+        return connection.isUsable;
+    }
+
+    /** Closes the idle connections that go through a VM. */
+    removeVm(vm: string): void {
+        for (const connections of this.idle.values()) {
+            connections.filter(({ via }) => via === vm).forEach(connection => connection.close());
+        }
     }
 
     /** Returns a connection to the pool after a complete response. */
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -343,6 +343,7 @@
             leavingSince: choice.state.leavingSince,
             limit: view.limits.find(upstream.id),
             limitStatements: 0,
+            via: undefined,
         };
         const { sentAt } = record;
         job.attempts += 1;
@@ -389,6 +390,7 @@
         this.attempts.add(attempt);
         const end = await attempt.end;
         this.attempts.delete(attempt);
+        record.via = attempt.via;
         load.finish();
         admission?.finish();
         if (record.writtenAt === undefined) {
@@ -417,6 +419,7 @@
             prefill: choice.prefillTokens,
             replacedMs: record.replacedMs,
             waitedMs: Math.round(job.waitedMs),
+            via: record.via,
             writtenMs: formatElapsed(sentAt, record.writtenAt),
             begunMs: formatElapsed(sentAt, record.responseStartedAt),
             ms: Math.round(this.options.readTime() - sentAt),
@@ -672,6 +675,8 @@
     readonly limit: UpstreamLimit | undefined;
     /** Number of statements about the upstream's limit when the request was written. */
     limitStatements: number;
+    /** VM that carried the connection; undefined for a direct one. */
+    via: string | undefined;
 }
 
 /** Creates the response to a request whose upstreams are all limited. */
--- a/packages/node/test/crashmonitor.test.ts
+++ b/packages/node/test/crashmonitor.test.ts
@@ -3,7 +3,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { Timers } from "../src/clock.js";
-import { type BrokenRun, CrashMonitor, type ProbeResult, type UpstreamEnd } from "../src/crashes/monitor.js";
+import { type BrokenRun, CrashMonitor, type UpstreamEnd } from "../src/crashes/monitor.js";
+import { checkListening, DirectConnector, type ProbeResult } from "../src/paths/index.js";
 import { createDigest, createUpstream } from "./fixtures.js";
 
 /** Creates a monitor whose timers and probe results are controlled by the test. */
@@ -22,7 +23,7 @@
     const monitor = new CrashMonitor({
         readTime: () => now,
         onEnd: end => ends.push({ upstream: end.upstream, runs: [...end.runs] }),
-        probe: async address => {
+        probe: async ({ address }) => {
             probedAddresses.push(address);
             return results.shift() ?? "silent";
         },
@@ -111,7 +112,12 @@
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     const ends: string[] = [];
-    const monitor = new CrashMonitor({ readTime: () => 0, onEnd: end => ends.push(end.upstream.id) });
+    const connector = new DirectConnector();
+    const monitor = new CrashMonitor({
+        readTime: () => 0,
+        onEnd: end => ends.push(end.upstream.id),
+        probe: upstream => checkListening(connector, upstream),
+    });
     await monitor.recordBrokenRun(createUpstream("listening", { address }), createRun("/a"));
     assert.equal(ends, []);
     await new Promise<void>(resolve => server.close(() => resolve()));
--- a/packages/node/test/fixtures.ts
+++ b/packages/node/test/fixtures.ts
@@ -34,6 +34,7 @@
         listPermitIssuers: () => ["v"],
         onChange: () => {},
         onUpstreamEnd: () => {},
+        probe: async () => "silent",
         ...options,
     });
 }
