--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -5,7 +5,13 @@
 export { rewriteMs } from "./knowledge/eras.js";
 export { defaultEntriesPauseMs } from "./knowledge/readers.js";
 export type { NodeOptions, NodeSettings } from "./options.js";
-export { DirectConnector, type OpenSocket, openTcpSocket, type UpstreamConnector } from "./paths/index.js";
+export {
+    createAuthorization,
+    DirectConnector,
+    type OpenSocket,
+    openTcpSocket,
+    type UpstreamConnector,
+} from "./paths/index.js";
 export type {
     CallerDemand,
     CallerIdentity,
--- a/packages/node/src/paths/index.ts
+++ b/packages/node/src/paths/index.ts
@@ -9,3 +9,4 @@
 } from "./connector.js";
 export { checkListening, type ProbeResult } from "./probe.js";
 export { Tunnels } from "./tunnels.js";
+export { createAuthorization } from "./tunnelserver.js";
--- a/packages/node/src/paths/tunnelconnector.ts
+++ b/packages/node/src/paths/tunnelconnector.ts
@@ -13,6 +13,9 @@
 /** Maximum number of VMs that are asked to carry one connection. */
 const maxRelays = 6;
 
+/** Number of VMs to which an upstream refuses connections before no further VM is asked: one may be cut off itself. */
+const maxRefusals = 2;
+
 /** A VM that may carry connections, and the address at which it does. */
 export interface TunnelRelay extends RelayCandidate {
     /** `host:port`. */
@@ -107,6 +110,7 @@
         }
         const addresses = new Map(candidates.map(({ vm, address }) => [vm, address]));
         let last = new TunnelError("any VM", undefined);
+        let refusals = 0;
         for (const vm of relays.rank(candidates, readTime()).slice(0, maxRelays)) {
             try {
                 const socket = await this.sendConnect(vm, addresses.get(vm)!, target, signal);
@@ -120,11 +124,12 @@
                     throw error;
                 }
                 last = error instanceof TunnelError ? error : new TunnelError(vm, undefined);
-                if (last.status === tunnelStatus.refused) {
+                refusals += last.status === tunnelStatus.refused ? 1 : 0;
+                if (refusals === maxRefusals) {
                     throw last;
                 }
-                // A VM that does not know this upstream may carry connections to others.
-                if (last.status !== tunnelStatus.forbidden) {
+                // A VM that does not know this upstream, or finds it to have ended, may carry connections to others.
+                if (last.status !== tunnelStatus.forbidden && last.status !== tunnelStatus.refused) {
                     relays.recordFailed(vm, readTime());
                 }
             }
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -393,14 +393,7 @@
         record.via = attempt.via;
         load.finish();
         admission?.finish();
-        if (record.writtenAt === undefined) {
-            grant?.release();
-            retry?.cancel();
-        }
-        else {
-            job.sends += 1;
-            retry?.confirm(readTime());
-        }
+        this.finishClaims(job, record, grant, retry);
         this.recordAttempt(job, choice, end, sentAt, record.metadata);
         this.recordAttemptLine(job, choice, end, record);
         const firstEventAt = record.responseStartedAt;
@@ -408,6 +401,22 @@
         return end;
     }
 
+    /** Returns what a request that was not written had claimed, and confirms the retry of one that was. */
+    private finishClaims(
+        job: Job,
+        { writtenAt }: AttemptRecord,
+        grant: LimitGrant | undefined,
+        retry: RetryClaim | undefined,
+    ): void {
+        if (writtenAt === undefined) {
+            grant?.release();
+            retry?.cancel();
+            return;
+        }
+        job.sends += 1;
+        retry?.confirm(this.options.readTime());
+    }
+
     private recordAttemptLine(job: Job, choice: UpstreamChoice, end: AttemptEnd, record: AttemptRecord): void {
         const { sentAt, metadata, limit } = record;
         this.options.log.record("attempt", {
