Tell the software version of upstreams and taken up streams in attempt lines

The lines could not tell which software version an attempt went to, nor that a request takes a stream up. The entry's version and the Resumes header are decoded and logged; nothing is decided by them.

--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -25,6 +25,8 @@
     /** `host:port`. Another upstream may use the address after this one is gone. */
     address: z.string(),
     dataCentre: z.string(),
+    /** Version of the program that this incarnation runs. Versions have no order. */
+    softwareVersion: z.string(),
     isLeaving: z.boolean(),
     /** Set when the upstream is shut down at short notice: time left when it announced this, in milliseconds. */
     remainingMs: z.number().optional(),
--- a/packages/fleet/test/choose.test.ts
+++ b/packages/fleet/test/choose.test.ts
@@ -33,6 +33,7 @@
         service: "llm",
         address: "127.0.0.1:1",
         dataCentre: "depot",
+        softwareVersion: "v1",
         isLeaving: false,
         slots: 64,
         models: [{ name: "base", version: 1, adapters: [] }],
--- a/packages/fleet/test/ordinals.test.ts
+++ b/packages/fleet/test/ordinals.test.ts
@@ -66,6 +66,7 @@
         service: "s",
         address: "127.0.0.1:1",
         dataCentre: "d",
+        softwareVersion: "v1",
         isLeaving: true,
         remainingMs: 1500,
         slots: 1,
--- a/packages/fleet/test/simulatedengine.ts
+++ b/packages/fleet/test/simulatedengine.ts
@@ -178,6 +178,7 @@
         service: "llm",
         address: "127.0.0.1:1",
         dataCentre: "z",
+        softwareVersion: "v1",
         isLeaving: false,
         slots: 48,
         models: [{ name: model, version: 1, adapters: [] }],
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -30,6 +30,8 @@
     readonly tokens?: number | undefined;
     /** Identifier of the last event that the caller received of the stream that it resumes. */
     readonly lastEventId: string | undefined;
+    /** Identifier of the caller's attempt that received the first event of the stream that this request resumes. */
+    readonly resumes?: string | undefined;
 }
 
 /** Identity of the caller, as sent to upstreams. */
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -344,6 +344,7 @@
             limit: view.limits.find(upstream.id),
             limitStatements: 0,
             via: undefined,
+            resumedEvents: job.progress.events,
         };
         const { sentAt } = record;
         job.attempts += 1;
@@ -422,6 +423,9 @@
         this.options.log.record("attempt", {
             request: job.demand.requestId,
             upstream: choice.state.upstream.id,
+            software: choice.state.upstream.softwareVersion,
+            resumes: job.demand.lastEventId === undefined ? undefined : job.demand.resumes ?? "unknown",
+            resumedEvents: record.resumedEvents === 0 ? undefined : record.resumedEvents,
             adapter: job.demand.model?.adapter,
             version: choice.version,
             costMs: Math.round(choice.costMs),
@@ -686,6 +690,8 @@
     limitStatements: number;
     /** VM that carried the connection; undefined for a direct one. */
     via: string | undefined;
+    /** Events that the caller had received in this response when the attempt started. */
+    readonly resumedEvents: number;
 }
 
 /** Creates the response to a request whose upstreams are all limited. */
--- a/packages/node/test/changingserver.ts
+++ b/packages/node/test/changingserver.ts
@@ -67,6 +67,7 @@
         isMisdirected: false,
         isSigned: true,
         sentBy: undefined,
+        softwareVersion: "v1",
         isLeaving: false,
         askedRestMs: undefined,
         limit: { kind: "none" },
--- a/packages/node/test/eraworld.ts
+++ b/packages/node/test/eraworld.ts
@@ -248,6 +248,7 @@
         const upstream = {
             entry: createUpstream(`${name}@${bornAt}`, { name, bornAt, service: "desk", models: [] }),
             isAlive: true,
+            softwareVersion: "v1",
             isLeaving: false,
             isDeregistered: false,
             beatAt: this.schedule.now,
--- a/packages/node/test/fixtures.ts
+++ b/packages/node/test/fixtures.ts
@@ -99,6 +99,7 @@
         service: "llm",
         address: "127.0.0.1:1",
         dataCentre: "z",
+        softwareVersion: "v1",
         isLeaving: false,
         slots: 64,
         models: [{ name: "base", version: 1, adapters: [] }],
--- a/packages/node/test/units.test.ts
+++ b/packages/node/test/units.test.ts
@@ -143,6 +143,7 @@
     service: "s",
     address: "127.0.0.1:1",
     dataCentre: "d",
+    softwareVersion: "v1",
     isLeaving: false,
     slots: 1,
     models: [],
