--- /dev/null
+++ b/packages/node/src/requests/attemptline.ts
@@ -0,0 +1,75 @@
+import type { UpstreamChoice, UpstreamLimit } from "@radishreel/fleet";
+import type { LimitStatement } from "../ports.js";
+import type { AttemptEnd } from "./attempt.js";
+import type { Job } from "./job.js";
+import type { ResponseMetadata } from "./metadata.js";
+
+/** What is known of one attempt for its log line. Times are in milliseconds. */
+export interface AttemptRecord {
+    readonly sentAt: number;
+    writtenAt: number | undefined;
+    responseStartedAt: number | undefined;
+    metadata: ResponseMetadata;
+    /** Time since the version of the choice was replaced. */
+    readonly replacedMs: number | undefined;
+    readonly leavingSince: number | undefined;
+    /** Limit of the upstream when the attempt started. */
+    readonly limit: UpstreamLimit | undefined;
+    /** Number of statements about the upstream's limit when the request was written. */
+    limitStatements: number;
+    /** VM that carried the connection; undefined for a direct one. */
+    via: string | undefined;
+    /** Events that the caller had received in this response when the attempt started. */
+    readonly resumedEvents: number;
+}
+
+/** One attempt that has ended. */
+export interface EndedAttempt {
+    readonly job: Job;
+    readonly choice: UpstreamChoice;
+    readonly end: AttemptEnd;
+    readonly record: AttemptRecord;
+    /** When the attempt ended, in milliseconds. */
+    readonly now: number;
+}
+
+/** Formats the fields of an attempt's log line. */
+export function formatAttempt({ job, choice, end, record, now }: EndedAttempt): object {
+    const { sentAt, metadata, limit } = record;
+    return {
+        request: job.demand.requestId,
+        upstream: choice.state.upstream.id,
+        software: choice.state.upstream.softwareVersion,
+        resumes: job.demand.lastEventId === undefined ? undefined : job.demand.resumes ?? "unknown",
+        resumedEvents: record.resumedEvents === 0 ? undefined : record.resumedEvents,
+        adapter: job.demand.model?.adapter,
+        version: choice.version,
+        costMs: Math.round(choice.costMs),
+        prefill: choice.prefillTokens,
+        replacedMs: record.replacedMs,
+        waitedMs: Math.round(job.waitedMs),
+        via: record.via,
+        writtenMs: formatElapsed(sentAt, record.writtenAt),
+        begunMs: formatElapsed(sentAt, record.responseStartedAt),
+        ms: Math.round(now - sentAt),
+        end: end.kind,
+        detail: "detail" in end ? end.detail : undefined,
+        status: "status" in end ? end.status : undefined,
+        leavingMs: formatElapsed(record.leavingSince, sentAt),
+        limit: limit?.perSecond,
+        limitAgeMs: formatElapsed(limit?.since, sentAt),
+        saysLeaving: metadata.isLeaving || undefined,
+        asksRestMs: metadata.askedRestMs,
+        saysLimit: formatLimit(metadata.limit),
+    };
+}
+
+/** Formats the time between two moments for the log, in milliseconds; undefined unless both are known. */
+export function formatElapsed(from: number | undefined, to: number | undefined): number | undefined {
+    return from === undefined || to === undefined ? undefined : Math.round(to - from);
+}
+
+/** Formats what a response says about its upstream's limit for the log; undefined if it names none. */
+function formatLimit(limit: LimitStatement | undefined): number | string | undefined {
+    return limit?.kind === "limited" ? limit.perSecond : limit?.kind === "unreadable" ? limit.kind : undefined;
+}
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -15,9 +15,10 @@
 import type { CrashGuard } from "../crashes/index.js";
 import type { DecisionLog } from "../decisions.js";
 import type { ClusterState } from "../knowledge/cluster.js";
-import type { CallerDemand, CallerIdentity, LimitStatement, RequestDialect } from "../ports.js";
+import type { CallerDemand, CallerIdentity, RequestDialect } from "../ports.js";
 import type { Admissions } from "./admissions.js";
 import { Attempt, type AttemptEnd, createBodyHeaders } from "./attempt.js";
+import { type AttemptRecord, formatAttempt, formatElapsed } from "./attemptline.js";
 import type { CallerExchange, RefusalReason, RefusalResponse } from "./caller.js";
 import { type SoonestLimit, UpstreamChooser } from "./chooser.js";
 import type { ConnectionPool } from "./connections.js";
@@ -396,7 +397,7 @@
         admission?.finish();
         this.finishClaims(job, record, grant, retry);
         this.recordAttempt(job, choice, end, sentAt, record.metadata);
-        this.recordAttemptLine(job, choice, end, record);
+        this.options.log.record("attempt", formatAttempt({ job, choice, end, record, now: readTime() }));
         const firstEventAt = record.responseStartedAt;
         await this.options.guard.recordEnd(job, upstream, end, { sentAt, firstEventAt });
         return end;
@@ -418,36 +419,6 @@
         retry?.confirm(this.options.readTime());
     }
 
-    private recordAttemptLine(job: Job, choice: UpstreamChoice, end: AttemptEnd, record: AttemptRecord): void {
-        const { sentAt, metadata, limit } = record;
-        this.options.log.record("attempt", {
-            request: job.demand.requestId,
-            upstream: choice.state.upstream.id,
-            software: choice.state.upstream.softwareVersion,
-            resumes: job.demand.lastEventId === undefined ? undefined : job.demand.resumes ?? "unknown",
-            resumedEvents: record.resumedEvents === 0 ? undefined : record.resumedEvents,
-            adapter: job.demand.model?.adapter,
-            version: choice.version,
-            costMs: Math.round(choice.costMs),
-            prefill: choice.prefillTokens,
-            replacedMs: record.replacedMs,
-            waitedMs: Math.round(job.waitedMs),
-            via: record.via,
-            writtenMs: formatElapsed(sentAt, record.writtenAt),
-            begunMs: formatElapsed(sentAt, record.responseStartedAt),
-            ms: Math.round(this.options.readTime() - sentAt),
-            end: end.kind,
-            detail: "detail" in end ? end.detail : undefined,
-            status: "status" in end ? end.status : undefined,
-            leavingMs: formatElapsed(record.leavingSince, sentAt),
-            limit: limit?.perSecond,
-            limitAgeMs: formatElapsed(limit?.since, sentAt),
-            saysLeaving: metadata.isLeaving || undefined,
-            asksRestMs: metadata.askedRestMs,
-            saysLimit: formatLimit(metadata.limit),
-        });
-    }
-
     /** Whether all conditions of a choice still hold in the step that writes the request. */
     private maySend(
         job: Job,
@@ -675,25 +646,6 @@
     }
 }
 
-/** What is known of one attempt for its log line. Times are in milliseconds. */
-interface AttemptRecord {
-    readonly sentAt: number;
-    writtenAt: number | undefined;
-    responseStartedAt: number | undefined;
-    metadata: ResponseMetadata;
-    /** Time since the version of the choice was replaced. */
-    readonly replacedMs: number | undefined;
-    readonly leavingSince: number | undefined;
-    /** Limit of the upstream when the attempt started. */
-    readonly limit: UpstreamLimit | undefined;
-    /** Number of statements about the upstream's limit when the request was written. */
-    limitStatements: number;
-    /** VM that carried the connection; undefined for a direct one. */
-    via: string | undefined;
-    /** Events that the caller had received in this response when the attempt started. */
-    readonly resumedEvents: number;
-}
-
 /** Creates the response to a request whose upstreams are all limited. */
 function createLimitRefusal({ upstream, limit, waitMs }: SoonestLimit, now: number): RefusalResponse {
     const waitSeconds = Math.max(retryAfterSeconds, Math.ceil(waitMs / 10) / 100);
@@ -710,13 +662,3 @@
     ready?.admission?.finish();
     ready?.grant?.release();
 }
-
-/** Formats the time between two moments for the log, in milliseconds; undefined unless both are known. */
-function formatElapsed(from: number | undefined, to: number | undefined): number | undefined {
-    return from === undefined || to === undefined ? undefined : Math.round(to - from);
-}
-
-/** Formats what a response says about its upstream's limit for the log; undefined if it names none. */
-function formatLimit(limit: LimitStatement | undefined): number | string | undefined {
-    return limit?.kind === "limited" ? limit.perSecond : limit?.kind === "unreadable" ? limit.kind : undefined;
-}
