--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -7,7 +7,6 @@
     PrefixCache,
     type RetryClaim,
     type UpstreamChoice,
-    type UpstreamLimit,
     type UpstreamState,
 } from "@radishreel/fleet";
 import { chooseTarget, isIdempotent, readPriority } from "@radishreel/routing";
