Test the guards of streams whose claims or records the store lacks

Claims before a stream begins, claims of a restarted VM, a read of the store that began before the request, new holders of records, and records that the store refused at first. Mutations of each were missed by the random histories.

--- a/packages/node/test/streamhistories.test.ts
+++ b/packages/node/test/streamhistories.test.ts
@@ -1,5 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { StreamHistoryReader } from "../src/streams/history.js";
 import { createRandom } from "./random.js";
 import { type SimulatedStream, startWorld, type StreamWorld } from "./streamworld.js";
 
@@ -108,6 +109,86 @@
     assert.equal(new Set(await Promise.all(ends)), new Set(["refused"]));
 });
 
+test("VMs that take over the records of streams from killed ones receive all of them", async () => {
+    const world = await startWorld(60, twoVersions, createRandom(1));
+    world.vms.forEach(vm => world.store.cutOffVms.add(vm));
+    const holders = world.listStreamHolders();
+    const others = world.vms.filter(vm => !holders.includes(vm));
+    const streams = others.slice(0, 20).map(vm => world.beginStream(world.processes.get(vm)!)!);
+    await world.schedule.advance(10);
+    holders.forEach(vm => world.kill(vm));
+    await world.schedule.advance(500);
+    others.slice(0, 20).forEach(vm => world.kill(vm));
+    world.store.cutOffVms.clear();
+    world.store.records.splice(0);
+    assert.ok(await world.measureResumed(streams) >= minShare);
+    world.checkStreams();
+});
+
+test("records that the store refused are written once it accepts them", async () => {
+    const world = await startWorld(7, twoVersions, createRandom(1));
+    world.store.isReadOnly = true;
+    const streams = world.beginStreams(50);
+    await world.schedule.advance(500);
+    world.store.isReadOnly = false;
+    await world.schedule.advance(300);
+    world.vms.forEach(vm => world.kill(vm));
+    world.vms.forEach(vm => world.startVm(vm));
+    await world.schedule.advance(300);
+    assert.is(await world.measureResumed(streams), 1);
+    world.checkStreams();
+});
+
+test("no stream begins at a version that the store holds no claim of", async () => {
+    const world = await startWorld(3, ["v1", "v1"], createRandom(1));
+    world.store.isReadOnly = true;
+    world.addWorker("v1.1");
+    world.addWorker("v1.1");
+    await world.schedule.advance(1000);
+    const vm = world.processes.get("vm000")!;
+    world.closePathsOf(["vm000"]);
+    const streams = Array.from({ length: 20 }, () => world.beginStream(vm)!);
+    world.kill("vm000");
+    assert.is(await world.measureResumed(streams), 1);
+    world.checkStreams();
+});
+
+test("a restarted VM that has not read the claims of its earlier process vouches for no version", async () => {
+    const world = await startWorld(3, ["v1", "v1"], createRandom(1));
+    world.store.cutOffVms.add("vm001").add("vm002");
+    world.closePathsOf(["vm000"]);
+    world.addWorker("v1.1");
+    await world.schedule.advance(1000);
+    const streams = Array.from({ length: 20 }, () => world.beginStream(world.processes.get("vm000")!)!);
+    world.kill("vm000");
+    world.store.cutOffVms.add("vm000");
+    world.openPaths();
+    world.startVm("vm000");
+    await world.schedule.advance(1000);
+    const ends = streams.map(stream => world.resumeStream(stream, world.processes.get("vm001")!, stream.id));
+    await world.schedule.advance(3000);
+    assert.equal(new Set(await Promise.all(ends)), new Set(["refused"]));
+});
+
+test("a request does not use a read of the store that began before it", async () => {
+    const answers: ((claims: { s: string[]; }[]) => void)[] = [];
+    const reader = new StreamHistoryReader({
+        readClaims: () => new Promise(resolve => answers.push(resolve)),
+        readStreams: () => Promise.resolve([]),
+    });
+    const first = reader.read();
+    await new Promise(resolve => setImmediate(resolve));
+    const second = reader.read();
+    const third = reader.read();
+    answers[0]!([{ s: ["v1"] }]);
+    assert.equal((await first)?.claims, [{ s: ["v1"] }]);
+    await new Promise(resolve => setImmediate(resolve));
+    answers[1]!([{ s: ["v1", "v2"] }]);
+    assert.equal((await second)?.claims, [{ s: ["v1", "v2"] }]);
+    assert.is(await third, await second);
+    assert.is(answers.length, 2);
+});
+
 test("two streams with the same identifier do not go on at each other's version", async () => {
     const world = await startWorld(3, twoVersions, createRandom(1));
     const [first, second] = [...world.processes.values()].map(({ streams }) => streams.directory);
--- a/packages/node/test/streamworld.ts
+++ b/packages/node/test/streamworld.ts
@@ -69,6 +69,8 @@
     readonly records: StreamRecord[] = [];
     /** VMs that do not reach the store. */
     readonly cutOffVms = new Set<string>();
+    /** Whether the store refuses all writes. */
+    isReadOnly = false;
     appends = 0;
 }
 
@@ -76,6 +78,7 @@
 class StreamVm extends SimulatedProcess {
     readonly view = new FleetView();
     readonly streams: Streams;
+    readonly coordinators: Coordinators;
     private members: Member[] = [];
     private hasReadMembers = false;
     private lastAppend = 0;
@@ -83,7 +86,7 @@
 
     constructor(readonly world: StreamWorld, vm: string) {
         super(world, vm);
-        const coordinators = new Coordinators({
+        this.coordinators = new Coordinators({
             vm,
             view: { listUpstreams: () => world.hubs.map(owner => ({ owner })) } as unknown as FleetView,
             peers: {
@@ -101,7 +104,7 @@
             readTime: () => this.readSteady(),
             timers: this.createAllTimers(),
             cluster: { routes: new RouteTable(routing), listMembers: () => this.members },
-            coordinators: () => coordinators,
+            coordinators: () => this.coordinators,
             peers: () => ({
                 listConnected: () => this.listConnected(),
                 listKnown: () => world.vms.filter(other => other !== vm),
@@ -160,7 +163,7 @@
     /** Reads the entries of workers and VMs again and again. */
     private async follow(): Promise<void> {
         while (this.isAlive) {
-            if (await this.reachStore()) {
+            if (await this.waitForStore()) {
                 this.readEntries();
             }
             await this.wait(readPauseMs);
@@ -186,7 +189,7 @@
         this.streams.update();
     }
 
-    private async reachStore(): Promise<boolean> {
+    private async waitForStore(): Promise<boolean> {
         const { store } = this.world;
         if (store.cutOffVms.has(this.vm)) {
             await this.wait(storeTimeoutMs);
@@ -200,7 +203,7 @@
         this.lastAppend += 1;
         const append = this.lastAppend;
         while (this.isAlive && this.lastAppend === append) {
-            if (await this.reachStore()) {
+            if (await this.waitForStore() && !this.world.store.isReadOnly) {
                 this.world.store.claims.set(this.vm, claims);
                 // The response may be lost although the write took effect.
                 if (!this.world.store.cutOffVms.has(this.vm) && this.lastAppend === append) {
@@ -215,9 +218,9 @@
     private createStore(): StreamHistoryStore {
         const { store } = this.world;
         return {
-            readClaims: async () => await this.reachStore() ? [...store.claims.values()] : undefined,
+            readClaims: async () => await this.waitForStore() ? [...store.claims.values()] : undefined,
             readStreams: async () => {
-                if (!await this.reachStore()) {
+                if (!await this.waitForStore()) {
                     return undefined;
                 }
                 const records = store.records.slice(this.streamsRead);
@@ -225,7 +228,7 @@
                 return records;
             },
             appendStreams: async records => {
-                if (!await this.reachStore()) {
+                if (!await this.waitForStore() || store.isReadOnly) {
                     return false;
                 }
                 store.records.push(...records);
@@ -293,6 +296,11 @@
         this.workers.splice(this.workers.indexOf(worker), 1);
     }
 
+    /** Lists the VMs that keep the records of streams. */
+    listStreamHolders(): string[] {
+        return this.processes.get(this.hubs[0]!)!.coordinators.listStreamHolders();
+    }
+
     choose<Item>(items: readonly Item[]): Item | undefined {
         return items[Math.floor(this.random() * items.length)];
     }
