Refuse a tunnel to an upstream whose id cannot be decoded

A CONNECT on the internal port whose X-Upstream is not valid percent-encoding ended the whole process, even without the secret: it was decoded in an async handler before any check.

--- a/packages/node/src/paths/tunnelserver.ts
+++ b/packages/node/src/paths/tunnelserver.ts
@@ -70,7 +70,7 @@
     private async receiveConnect(request: IncomingMessage, socket: Socket): Promise<void> {
         socket.on("error", () => socket.destroy());
         const address = request.url ?? "";
-        const upstream = decodeURIComponent(String(request.headers[upstreamHeader] ?? ""));
+        const upstream = decodeUpstream(request);
         const refusal = this.findRefusal(request, upstream, address);
         if (refusal !== undefined) {
             sendStatus(socket, refusal);
@@ -134,6 +134,16 @@
     return `Bearer ${createHmac("sha256", secret).update("tunnel").digest("hex")}`;
 }
 
+/** Decodes the id of the upstream that a tunnel leads to; empty if the request names none in a readable form. */
+function decodeUpstream({ headers }: IncomingMessage): string {
+    try {
+        return decodeURIComponent(String(headers[upstreamHeader] ?? ""));
+    }
+    catch {
+        return "";
+    }
+}
+
 function checkAuthorization(value: string | undefined, secret: string): boolean {
     const expected = Buffer.from(createAuthorization(secret));
     const received = Buffer.from(value ?? "");
