--- a/packages/node/test/streamhistories.test.ts
+++ b/packages/node/test/streamhistories.test.ts
@@ -139,6 +139,21 @@
     world.checkStreams();
 });
 
+test("a VM that takes over the writing of records writes those that the VM before it could not", async () => {
+    const world = await startWorld(3, twoVersions, createRandom(1));
+    world.store.cutOffVms.add("vm000");
+    const streams = Array.from({ length: 20 }, () => world.beginStream(world.processes.get("vm001")!)!);
+    await world.schedule.advance(300);
+    world.kill("vm000");
+    await world.schedule.advance(300);
+    world.vms.forEach(vm => world.kill(vm));
+    world.store.cutOffVms.clear();
+    world.vms.forEach(vm => world.startVm(vm));
+    await world.schedule.advance(300);
+    assert.is(await world.measureResumed(streams), 1);
+    world.checkStreams();
+});
+
 test("no stream begins at a version that the store holds no claim of", async () => {
     const world = await startWorld(3, ["v1", "v1"], createRandom(1));
     world.store.isReadOnly = true;
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -871,6 +871,96 @@
         "true",
         "platform/dist/test/clusterstore.test.js",
     ],
+    [
+        "node/dist/src/streams/claims.js",
+        "return this.claimedVersions.get(service)?.has(softwareVersion) === true;",
+        "return true;",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/streams/claims.js",
+        "return this.hasReadMembers\n",
+        "return true\n",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/streams/claims.js",
+        "versions.forEach(version => this.recordSeen(service, version));",
+        "",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/streams/resolver.js",
+        "listOtherVms().some(vm => !claims.has(vm))",
+        "false",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/streams/resolver.js",
+        "otherTargets.length + otherVersions.length > 0",
+        "otherTargets.length > 0",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/streams/history.js",
+        "this.nextRead = undefined;",
+        "setTimeout(() => this.nextRead = undefined, 0);",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "fleet/dist/src/streamrecords.js",
+        "isConflict ? undefined : origin",
+        "origin",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/streams/directory.js",
+        "sendToAll(listHolders(), {",
+        "sendToAll([], {",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/streams/directory.js",
+        "send(vm, { type: \"streamsBegun\", records: this.listForHolder() });",
+        "void send;",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/streams/directory.js",
+        "return records.length === 0 ?",
+        "return true ?",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/streams/recorder.js",
+        "this.writtenUntil = isWritten ? startedAt : this.writtenUntil;",
+        "this.writtenUntil = startedAt;",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/streams/recorder.js",
+        "services.length === 0 || !isRecorder()",
+        "true",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/streams/recorder.js",
+        "this.writtenUntil = -Infinity;",
+        "this.writtenUntil = readTime();",
+        "packages/node/dist/test/streamhistories.test.js",
+    ],
+    [
+        "node/dist/src/requests/chooser.js",
+        "return origin === undefined || origin.softwareVersion === softwareVersion;",
+        "return true;",
+        "platform/dist/test/softwareversions.test.js",
+    ],
+    [
+        "node/dist/src/requests/serving.js",
+        "job.origin ??= { service, softwareVersion };",
+        "",
+        "platform/dist/test/softwareversions.test.js",
+    ],
 ];
 
 /** Timeout of a test file of a package, in milliseconds. */
