Use no report of an engine that is older than the last order

Cause: a report that was asked for within 250 ms of the last accepted order was applied to the slots whose state was older than that, while the owner kept the sequence of its last order. Reports lag by some hundred ms, so a report from before a load freed the load's slot, and the engine accepted the next load, which named the current sequence. Change: a report with a lower sequence than the last accepted order is not used until 250 ms after that order, when its sequence is taken over with it; then an order that is based on it is rejected if it is too old.

The test failed before (5 adapters in 4 slots).

--- a/packages/fleet/src/orderscheduler.ts
+++ b/packages/fleet/src/orderscheduler.ts
@@ -95,14 +95,20 @@
     }
 
     /**
-     * Applies a report's sequence. Reports lag: a report that may be older than the last order must not lower the
-     * sequence.
+     * Applies a report's sequence. Reports lag: one that is older than the last order must not be combined with the
+     * sequence after that order, since the engine would accept orders that are based on the older state.
+     * @returns Whether the report may be used; otherwise another one is scheduled.
      */
-    applyReport(sequence: number, askedAt: number): void {
+    applyReport(sequence: number, askedAt: number, now: number): boolean {
+        const isSettled = askedAt - this.acceptedAt >= reportDelayMs || this.isSequenceUncertain;
+        if (sequence < this.acceptedCount && !isSettled) {
+            this.scheduleReport(now);
+            return false;
+        }
         this.mustReport = false;
-        const isCurrent = askedAt - this.acceptedAt >= reportDelayMs;
-        this.acceptedCount = isCurrent || this.isSequenceUncertain ? sequence : Math.max(this.acceptedCount, sequence);
+        this.acceptedCount = sequence;
         this.isSequenceUncertain = false;
+        return true;
     }
 
     /** Records that a requested report did not arrive. */
--- a/packages/fleet/src/slotplanner.ts
+++ b/packages/fleet/src/slotplanner.ts
@@ -268,7 +268,9 @@
     /** Applies the engine's report. @param askedAt When the report was requested. */
     applyReport(report: EngineReport, askedAt: number, now: number): void {
         this.scheduler.recordReached();
-        this.scheduler.applyReport(report.sequence, askedAt);
+        if (!this.scheduler.applyReport(report.sequence, askedAt, now)) {
+            return;
+        }
         this.models.update(report.models);
         const reported = new Map<string, number>();
         for (const model of report.models) {
--- a/packages/fleet/test/simulatedengine.ts
+++ b/packages/fleet/test/simulatedengine.ts
@@ -50,6 +50,9 @@
     private readonly loadingVersions = new Map<string, number>();
     readonly delayedOrders: DelayedOrder[] = [];
     overLimit = 0;
+    /** Age of the state that reports show, in milliseconds. */
+    reportLagMs = 0;
+    private readonly pastReports: { readonly at: number; readonly report: EngineReport; }[] = [];
     coldLoadMs = 250;
     warmLoadMs = 250;
     /** Number of running requests that use an adapter. */
@@ -95,6 +98,7 @@
     }
 
     advance(ms: number): void {
+        this.pastReports.push({ at: this.now, report: this.createReport() });
         this.now += ms;
         for (const [key, at] of this.loading) {
             if (at <= this.now) {
@@ -118,7 +122,15 @@
         }
     }
 
+    /** Returns the report as the engine was some time ago. */
     readReport(): EngineReport {
+        const asOf = this.now - this.reportLagMs;
+        return this.reportLagMs === 0
+            ? this.createReport()
+            : this.pastReports.findLast(({ at }) => at <= asOf)?.report ?? this.createReport();
+    }
+
+    private createReport(): EngineReport {
         const adapters = [...this.held].map(([key, version]) => ({ name: key.split("/")[1]!, version }));
         return {
             models: [{ name: model, version: 1, adapters }],
--- a/packages/fleet/test/slotplanner.test.ts
+++ b/packages/fleet/test/slotplanner.test.ts
@@ -61,6 +61,26 @@
     assert.is(engine.overLimit, 0);
 });
 
+test("a report older than the accepted orders frees no slot", () => {
+    const engine = new SimulatedEngine();
+    engine.reportLagMs = 400;
+    engine.coldLoadMs = 25;
+    engine.countRuns = key => engine.held.has(key) ? 1 : 0;
+    const warm = ["base/a1", "base/a2", "base/a3"];
+    const planner = new EngineSlotPlanner({ limits, models: engine.readReport().models, sequence: 0, now: 0, warm });
+    runFor(engine, planner, 1000);
+    for (const key of warm) {
+        addLoadRequest(planner, { key }, engine.now);
+    }
+    runFor(engine, planner, 300);
+    addLoadRequest(planner, { key: "base/a4" }, engine.now);
+    runFor(engine, planner, 50);
+    planner.recordMissing("base/a1", engine.now);
+    addLoadRequest(planner, { key: "base/a5" }, engine.now);
+    runFor(engine, planner, 2000);
+    assert.equal([engine.held.size, engine.overLimit], [4, 0]);
+});
+
 test("a restarted owner finds an adapter loaded from host memory within the time of such a load", () => {
     const engine = new SimulatedEngine();
     engine.warmLoadMs = 25;
