Test that the choice of an upstream keeps to the version of a stream

The mutation that lets a retry choose any version was not caught: the check before the first event then breaks the attempt, so that no stream was mixed, but the attempt was lost.

--- a/packages/node/test/chooser.test.ts
+++ b/packages/node/test/chooser.test.ts
@@ -101,6 +101,27 @@
     assert.ok(turns > 0);
 });
 
+test("a stream that has begun is sent only to its software version, and refused at once without an upstream of it", async () => {
+    const { chooser, view } = createChooser(["e1", "e2", "e3"], (message, admissions) => {
+        if (message.type === "admit") {
+            admissions.receiveReply("owner", { kind: "admitted", ticket: message.request.ticket, version: 3 });
+        }
+    });
+    view.updateUpstream({ ...createUpstream("e2"), softwareVersion: "v1.1" }, performance.now());
+    for (const [softwareVersion, engine] of [["v1", "e1"], ["v1.1", "e2"]] as const) {
+        const job = { ...createRequest(6000), origin: { service: "llm", softwareVersion } };
+        view.addOwnLoad({ upstream: engine, backlogTokens: 50_000, kvTokens: 0, hasLongAnswer: false }, 0);
+        view.addOwnLoad({ upstream: "e3", backlogTokens: 90_000, kvTokens: 0, hasLongAnswer: false }, 0);
+        assert.is((await chooser.chooseReady(job))?.choice.state.upstream.id, engine);
+    }
+    const gone = { ...createRequest(6000), origin: { service: "llm", softwareVersion: "v2" } };
+    let hasEnded = false;
+    void chooser.chooseReady(gone).then(ready => hasEnded = ready === undefined);
+    await new Promise(resolve => setImmediate(resolve));
+    assert.is(hasEnded, true);
+    assert.is(chooser.hasEndedStream(gone), true);
+});
+
 test("a waiting request compares engines once for a burst of engine status messages", async () => {
     const { chooser, view, counts } = createChooser(["e1"], (message, admissions) => {
         if (message.type === "admit") {
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -953,7 +953,7 @@
         "node/dist/src/requests/chooser.js",
         "return origin === undefined || origin.softwareVersion === softwareVersion;",
         "return true;",
-        "platform/dist/test/softwareversions.test.js",
+        "packages/node/dist/test/chooser.test.js",
     ],
     [
         "node/dist/src/requests/serving.js",
