Pin a stream to a version only when its first event is sent

A first event that was withheld, since another incarnation had registered under the upstream's name, still set the version at which the request's stream had begun, so that its next attempt could not go elsewhere although its caller had received nothing. A restart at the same version withheld it as well. The version is now set when the event is sent, and only a restart at another version withholds it.

Serving takes one option for streams in place of two, and what nothing outside its module uses is no longer exported.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -53,11 +53,9 @@
 export { type LeaseReason, maxOrderTransitMs, readShard, ShardLeases, type ShardLeasesOptions } from "./shardleases.js";
 export { EngineSlotPlanner, type EngineSlotPlannerOptions } from "./slotplanner.js";
 export {
-    isSameOrigin,
     type SoftwareClaims,
     softwareClaimsSchema,
     type StreamOrigin,
-    streamOriginSchema,
     type StreamRecord,
     StreamRecords,
     streamRecordSchema,
--- a/packages/fleet/src/streamrecords.ts
+++ b/packages/fleet/src/streamrecords.ts
@@ -4,7 +4,7 @@
 const maxRecords = 200_000;
 
 /** What produced the first event of a stream. Only upstreams of the same origin can continue the stream. */
-export const streamOriginSchema = z.object({ service: z.string(), softwareVersion: z.string() });
+const streamOriginSchema = z.object({ service: z.string(), softwareVersion: z.string() });
 
 /** See {@link streamOriginSchema}. */
 export type StreamOrigin = z.infer<typeof streamOriginSchema>;
@@ -29,7 +29,7 @@
 export type SoftwareClaims = z.infer<typeof softwareClaimsSchema>;
 
 /** Whether two origins are the same. */
-export function isSameOrigin(left: StreamOrigin | undefined, right: StreamOrigin | undefined): boolean {
+function isSameOrigin(left: StreamOrigin | undefined, right: StreamOrigin | undefined): boolean {
     return left?.service === right?.service && left?.softwareVersion === right?.softwareVersion;
 }
 
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -352,7 +352,6 @@
             guard: this.crashGuard,
             accounts: this.accountGuard,
             streams: this.streams,
-            versions: this.streams.claims,
             isLinked: vm => vm === settings.vm || this.peers.isConnected(vm),
             sendPreparation: ({ engine, want }) =>
                 this.messenger.sendToOwner(engine, { type: "prepare", engine, want }),
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -16,17 +16,12 @@
 import type { DecisionLog } from "../decisions.js";
 import type { ClusterState } from "../knowledge/cluster.js";
 import type { CallerDemand, CallerIdentity, RequestDialect } from "../ports.js";
-import {
-    endedRetrySeconds,
-    type StreamDirectory,
-    type StreamResolution,
-    type StreamResolver,
-} from "../streams/index.js";
+import { endedRetrySeconds, type StreamResolution, type Streams } from "../streams/index.js";
 import type { Admissions } from "./admissions.js";
 import { Attempt, type AttemptEnd, createBodyHeaders } from "./attempt.js";
 import { type AttemptRecord, formatAttempt, formatElapsed } from "./attemptline.js";
 import type { CallerExchange, RefusalReason, RefusalResponse } from "./caller.js";
-import { type SoonestLimit, UpstreamChooser, type UpstreamChooserOptions } from "./chooser.js";
+import { type SoonestLimit, UpstreamChooser } from "./chooser.js";
 import type { ConnectionPool } from "./connections.js";
 import { RequestDigest } from "./digest.js";
 import { withdrawnDetail } from "./exchange.js";
@@ -104,11 +99,7 @@
     readonly guard: CrashGuard;
     readonly accounts: AccountGuard;
     /** Where streams began; undefined if streams may go on at any upstream. */
-    readonly streams?: {
-        readonly directory: Pick<StreamDirectory, "recordBegin">;
-        readonly resolver: Pick<StreamResolver, "resolve">;
-    } | undefined;
-    readonly versions?: UpstreamChooserOptions["versions"];
+    readonly streams?: Pick<Streams, "directory" | "resolver" | "claims"> | undefined;
     /** Whether there is a link to a VM. */
     readonly isLinked: (vm: string) => boolean;
     readonly sendPreparation: (preparation: Preparation) => void;
@@ -144,6 +135,7 @@
         this.retries = new Retries(options);
         this.chooser = new UpstreamChooser({
             ...options,
+            versions: options.streams?.claims,
             prefixCache: this.prefixCache,
             longPromptThreshold: this.longPromptThreshold,
             mayRun: job => this.mayRun(job),
@@ -440,20 +432,23 @@
 
     /**
      * Records where the stream of a request begins, before its first event is sent to the caller.
-     * @returns Whether the event may be sent: false if another incarnation may have produced it, or if the stream began
-     * at another software version.
+     * @returns Whether the event may be sent: false if an incarnation of another software version may have produced it, or
+     * if the stream began at another one.
      */
     private recordFirstEvent(job: Job, { id, name, service, softwareVersion }: Upstream): boolean {
         const { view, streams } = this.options;
-        const isReplaced = view.listUpstreams().some(({ upstream }) => upstream.name === name && upstream.id !== id);
-        job.origin ??= { service, softwareVersion };
-        if (isReplaced || job.origin.softwareVersion !== softwareVersion) {
+        const isReplaced = view.listUpstreams().some(({ upstream }) =>
+            upstream.name === name && upstream.id !== id && upstream.softwareVersion !== softwareVersion
+        );
+        const origin = job.origin ?? { service, softwareVersion };
+        if (isReplaced || origin.softwareVersion !== softwareVersion) {
             return false;
         }
+        job.origin = origin;
         const { lastEventId, requestId, resumes, budgetMs = defaultStreamLifeMs } = job.demand;
         const stream = lastEventId === undefined ? requestId : resumes;
         if (stream !== undefined) {
-            streams?.directory.recordBegin(stream, job.origin, Math.min(budgetMs, maxStreamLifeMs));
+            streams?.directory.recordBegin(stream, origin, Math.min(budgetMs, maxStreamLifeMs));
         }
         return true;
     }
--- a/packages/node/src/streams/claims.ts
+++ b/packages/node/src/streams/claims.ts
@@ -5,7 +5,7 @@
  * How long a VM keeps the claim of a software version of which it sees no upstream any more, in milliseconds. Streams
  * that began at the version may be resumed until then.
  */
-export const claimLifetimeMs = 600_000;
+const claimLifetimeMs = 600_000;
 
 /** Options of {@link VersionClaims}. */
 export interface VersionClaimsOptions {
@@ -38,11 +38,6 @@
 
     constructor(private readonly options: VersionClaimsOptions) {}
 
-    /** This VM's claims, for its entry. */
-    get own(): SoftwareClaims {
-        return Object.fromEntries([...this.seenAt].map(([service, versions]) => [service, [...versions.keys()]]));
-    }
-
     /**
      * Called when the entries of all VMs have been read: writes this VM's entry with its claims.
      * @param previous Claims of an earlier process of this VM, whose streams may still be resumed.
@@ -100,7 +95,9 @@
 
     private append(): void {
         this.isUnwritten = false;
-        const claims = this.own;
+        const claims = Object.fromEntries(
+            [...this.seenAt].map(([service, versions]) => [service, [...versions.keys()]]),
+        );
         this.options.appendClaims(claims, () => {
             this.confirmedClaims = claims;
             this.updateClaimedVersions();
--- a/packages/node/src/streams/index.ts
+++ b/packages/node/src/streams/index.ts
@@ -1,4 +1,4 @@
 export type { VersionClaims } from "./claims.js";
 export type { StreamDirectory, StreamMessage } from "./directory.js";
-export { endedRetrySeconds, type OriginSource, type StreamResolution, type StreamResolver } from "./resolver.js";
+export { endedRetrySeconds, type OriginSource, type StreamResolution } from "./resolver.js";
 export { Streams } from "./streams.js";
