--- a/packages/fleet/test/slotplanner.test.ts
+++ b/packages/fleet/test/slotplanner.test.ts
@@ -77,6 +77,8 @@
     runFor(engine, planner, 50);
     planner.recordMissing("base/a1", engine.now);
     addLoadRequest(planner, { key: "base/a5" }, engine.now);
+    runFor(engine, planner, 10);
+    assert.equal(Object.keys(planner.listHeld()), warm);
     runFor(engine, planner, 2000);
     assert.equal([engine.held.size, engine.overLimit], [4, 0]);
 });
--- a/packages/node/test/chooser.test.ts
+++ b/packages/node/test/chooser.test.ts
@@ -4,7 +4,7 @@
 import * as assert from "uvu/assert";
 import { type AdmissionMessage, Admissions } from "../src/requests/admissions.js";
 import type { CallerExchange } from "../src/requests/caller.js";
-import { UpstreamChooser } from "../src/requests/chooser.js";
+import { UpstreamChooser, type UpstreamChooserOptions } from "../src/requests/chooser.js";
 import { createJob, type Job } from "../src/requests/job.js";
 import {
     createDigest,
@@ -34,6 +34,7 @@
     engines: string[],
     onMessage: (message: AdmissionMessage, admissions: Admissions) => void,
     readBoot?: () => number,
+    versions?: UpstreamChooserOptions["versions"],
 ) {
     const readTime = () => performance.now();
     const view = new FleetView();
@@ -61,6 +62,7 @@
         log: createSilentLog(readTime),
         readTime,
         readBoot,
+        versions,
         isLinked: () => true,
         sendPreparation: () => {},
         onChoice: () => {
@@ -122,6 +124,28 @@
     assert.is(chooser.hasEndedStream(gone), true);
 });
 
+test("a stream begins at a version with several upstreams rather than at one with a single one", async () => {
+    const versions = { mayBegin: () => true, hasSeveral: () => true };
+    for (const single of ["e1", "e2", "e3"]) {
+        const { chooser, view } = createChooser(
+            ["e1", "e2", "e3"],
+            (message, admissions) => {
+                if (message.type === "admit") {
+                    admissions.receiveReply("owner", { kind: "admitted", ticket: message.request.ticket, version: 3 });
+                }
+            },
+            undefined,
+            versions,
+        );
+        view.updateUpstream({ ...createUpstream(single), softwareVersion: "v1.1" }, performance.now());
+        for (const engine of ["e1", "e2", "e3"].filter(id => id !== single)) {
+            view.addOwnLoad({ upstream: engine, backlogTokens: 2000, kvTokens: 0, hasLongAnswer: false }, 0);
+        }
+        const ready = await chooser.chooseReady(createRequest(6000));
+        assert.is.not(ready?.choice.state.upstream.id, single);
+    }
+});
+
 test("a waiting request compares engines once for a burst of engine status messages", async () => {
     const { chooser, view, counts } = createChooser(["e1"], (message, admissions) => {
         if (message.type === "admit") {
