Keep the records of streams once in a VM

A VM kept those of its own streams a second time, to send only them to a new holder of records. A VM that is no holder has few others, and all of them are true, so it sends what it has.

--- a/packages/node/src/streams/directory.ts
+++ b/packages/node/src/streams/directory.ts
@@ -16,8 +16,6 @@
     readonly timers: Timers;
     /** Lists the other VMs that keep the records of this VM's streams. */
     readonly listHolders: () => string[];
-    /** Whether this VM keeps the records of other VMs' streams. */
-    readonly isHolder: () => boolean;
     /** Lists the VMs to which messages can be sent. */
     readonly listPeers: () => string[];
     /** @returns Whether the message could be sent. */
@@ -49,9 +47,7 @@
  */
 export class StreamDirectory {
     private readonly records = new StreamRecords();
-    /** Records of the streams that began at this VM. */
-    private readonly ownRecords = new StreamRecords();
-    /** Holders that have received all records that this VM sends to holders. */
+    /** Holders that have received all records of this VM. */
     private readonly informedHolders = new Set<string>();
     private readonly queries = new Map<number, OpenQuery>();
     private lastQuery = 0;
@@ -66,10 +62,8 @@
     /** Records the origin of a stream whose first event is about to be passed to its caller. */
     recordBegin(stream: string, origin: StreamOrigin, lifeMs: number): void {
         const { readTime, listHolders, sendToAll } = this.options;
-        const now = readTime();
         const record = { stream, origin, lifeMs };
-        this.ownRecords.merge(record, now);
-        if (this.records.merge(record, now)) {
+        if (this.records.merge(record, readTime())) {
             sendToAll(listHolders(), { type: "streamsBegun", records: [record] });
         }
     }
@@ -128,7 +122,7 @@
             return [];
         }
         this.informedHolders.add(vm);
-        const records = this.listForHolder();
+        const records = this.list();
         return records.length === 0 ? [] : [{ type: "streamsBegun", records }];
     }
 
@@ -136,7 +130,6 @@
     update(): void {
         const { readTime, listHolders, send } = this.options;
         this.records.expireOld(readTime());
-        this.ownRecords.expireOld(readTime());
         const holders = listHolders();
         for (const vm of this.informedHolders) {
             if (!holders.includes(vm)) {
@@ -145,7 +138,7 @@
         }
         for (const vm of holders.filter(holder => !this.informedHolders.has(holder))) {
             this.informedHolders.add(vm);
-            send(vm, { type: "streamsBegun", records: this.listForHolder() });
+            send(vm, { type: "streamsBegun", records: this.list() });
         }
     }
 
@@ -157,11 +150,6 @@
         }
     }
 
-    private listForHolder(): StreamRecord[] {
-        const { isHolder, readTime } = this.options;
-        return (isHolder() ? this.records : this.ownRecords).list(readTime());
-    }
-
     private async askVms(vms: readonly string[], stream: string | undefined): Promise<StreamReplies> {
         this.lastQuery += 1;
         const query = this.lastQuery;
--- a/packages/node/src/streams/streams.ts
+++ b/packages/node/src/streams/streams.ts
@@ -55,7 +55,6 @@
             readTime,
             timers,
             listHolders: () => coordinators().listStreamHolders().filter(holder => holder !== vm),
-            isHolder: () => coordinators().listStreamHolders().includes(vm),
             listPeers: () => peers().listConnected(),
             send: (to, message) => peers().send(to, message),
             sendToAll: (vms, message) => peers().sendToAll(vms, message),
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -921,7 +921,7 @@
     ],
     [
         "node/dist/src/streams/directory.js",
-        "send(vm, { type: \"streamsBegun\", records: this.listForHolder() });",
+        "send(vm, { type: \"streamsBegun\", records: this.list() });",
         "void send;",
         "packages/node/dist/test/streamhistories.test.js",
     ],
