Name the parts of prompts in the lines of upstreams that ended

No line told which part of their prompts the requests had in common that ran where an engine ended, so that a fatal part could not be told from engines that end because they are empty or overloaded. No change of logic: `parts` of each run in `upstreamEnded`, up to 16.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -70,6 +70,7 @@
     findAdapterKey,
     formatAdapterKey,
     type HeldModel,
+    listSharedParts,
     type ModelDemand,
     parseAdapterKey,
     type PromptPart,
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -56,6 +56,11 @@
     readonly parts: readonly PromptPart[];
 }
 
+/** Lists the ids of the parts of a prompt that other requests may share: all but the last, each once. */
+export function listSharedParts(demand: ModelDemand | undefined): string[] {
+    return demand === undefined ? [] : [...new Set(demand.parts.slice(0, -1).map(({ id }) => id))];
+}
+
 /** Formats the key of a model's adapter. */
 export function formatAdapterKey(model: string, adapter: string): string {
     return `${model}/${adapter}`;
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -1,6 +1,7 @@
 import {
     type CrashReport,
     type FleetView,
+    listSharedParts,
     rankByRendezvous,
     type RefusedRequest,
     type Upstream,
@@ -24,6 +25,9 @@
  */
 const probeResultWaitMs = 60;
 
+/** Most parts of a prompt that a log line names: a caller decides how many there are. */
+const maxLoggedParts = 16;
+
 /** Options of {@link CrashGuard}. */
 export interface CrashGuardOptions {
     readonly vm: string;
@@ -147,6 +151,7 @@
         const settled = this.monitor.recordBrokenRun(upstream, {
             requestId: job.demand.requestId,
             digest: job.digest,
+            parts: listSharedParts(job.demand.model),
             answeringMs: firstEventAt === undefined ? undefined : now - firstEventAt,
             sentMs: now - sentAt,
         });
@@ -216,9 +221,10 @@
         this.options.log.recordImportant("upstreamEnded", {
             upstream: upstream.id,
             service: upstream.service,
-            runs: runs.map(({ requestId, digest, sentMs, answeringMs }) => ({
+            runs: runs.map(({ requestId, digest, parts, sentMs, answeringMs }) => ({
                 request: requestId,
                 digest: digest.full,
+                parts: parts.length === 0 ? undefined : parts.slice(0, maxLoggedParts),
                 sentMs: Math.round(sentMs),
                 answeringMs: answeringMs === undefined ? undefined : Math.round(answeringMs),
             })),
--- a/packages/node/src/crashes/monitor.ts
+++ b/packages/node/src/crashes/monitor.ts
@@ -19,6 +19,8 @@
 export interface BrokenRun {
     readonly requestId: string | undefined;
     readonly digest: RequestDigest;
+    /** Ids of the parts of its prompt that other requests may share. */
+    readonly parts: readonly string[];
     /** Time since the first event arrived, in milliseconds; undefined if none had arrived. */
     readonly answeringMs: number | undefined;
     /** Time since the run was sent, in milliseconds. */
--- a/packages/node/test/crashmonitor.test.ts
+++ b/packages/node/test/crashmonitor.test.ts
@@ -42,7 +42,7 @@
 }
 
 function createRun(path: string, answeringMs?: number): BrokenRun {
-    return { requestId: path, digest: createDigest(path), answeringMs, sentMs: 100 };
+    return { requestId: path, digest: createDigest(path), parts: [], answeringMs, sentMs: 100 };
 }
 
 const upstream = createUpstream("e1", { address: "10.0.0.1:1" });
--- a/packages/node/test/crashreports.test.ts
+++ b/packages/node/test/crashreports.test.ts
@@ -42,6 +42,7 @@
             runs: paths.map(path => ({
                 requestId: path,
                 digest: createDigest(path),
+                parts: [],
                 answeringMs: undefined,
                 sentMs: 1,
             })),
