Quarantine parts of prompts that crash the engines that answer them

Cause: crashes were counted by the digest of a request, and no two of these requests are alike. The class is evidence that is kept under an identity which the next case does not have.

Change: crash reports carry the parts of the prompts that ran without an answer for 0.2 s where a process ended, without those that this VM has seen answered in the last 2 s. PartQuarantine decides from the reports, in any order: four ends without an answer since, two of them under no part that is condemned already. An answer that goes on for 0.2 s clears its parts, long before it is complete; pauses in which this process was suspended do not count. Parts that the same upstreams ended under are refused together until an end or an answer tells them apart. Condemned parts stay so over restarts and in other eras of the store; an operator can list and release them. Requests with them are refused before they wait, 503 with a Retry-After of half an hour; those that were sent and have not begun are canceled. Requests with a part that was never answered and that two ends count against get no second try.

--- a/packages/fleet/src/quarantine.ts
+++ b/packages/fleet/src/quarantine.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import { PartQuarantine } from "./partquarantine.js";
 
 /** Upstreams that must have ended while they ran a request before the request is refused. Users require this number. */
 const defaultMaxEnds = 3;
@@ -27,6 +28,8 @@
     at: z.number(),
     /** Digests of the suspect requests. */
     requests: z.array(z.string()),
+    /** Suspect parts of their prompts, one list a prompt; missing without any. */
+    prompts: z.array(z.array(z.string())).optional(),
 });
 
 /** See {@link crashSchema}. */
@@ -42,6 +45,16 @@
 /** See {@link clearanceSchema}. */
 export type Clearance = z.infer<typeof clearanceSchema>;
 
+/** A part of prompts on which an answer has gone on: it did not cause the ends before that. */
+export const partClearanceSchema = z.object({
+    part: z.string(),
+    /** Unix time in milliseconds. Ends up to this time do not count against the part. */
+    at: z.number(),
+});
+
+/** See {@link partClearanceSchema}. */
+export type PartClearance = z.infer<typeof partClearanceSchema>;
+
 /**
  * Crashes and clearances from one VM. Reports are immutable, so they may arrive over several paths and in any order.
  */
@@ -50,6 +63,7 @@
     name: z.string(),
     crashes: z.array(crashSchema),
     clearances: z.array(clearanceSchema),
+    partClearances: z.array(partClearanceSchema).optional(),
 });
 
 /** See {@link crashReportSchema}. */
@@ -96,6 +110,8 @@
  * Merging the reports of all VMs gives the same verdicts in any order.
  */
 export class Quarantine {
+    /** What the prompts of requests have in common that end upstreams. */
+    readonly parts: PartQuarantine = new PartQuarantine();
     private readonly maxEnds: number;
     private readonly lifeMs: number;
     private readonly maxRequests: number;
@@ -128,9 +144,10 @@
     }
 
     /** @param now Unix time in milliseconds, here and below. @returns Requests against which the crash newly counts. */
-    applyCrash({ upstream, at, requests }: Crash, now: number): string[] {
+    applyCrash({ upstream, at, requests, prompts = [] }: Crash, now: number): string[] {
         // Times are limited to the present: a VM with a fast clock must not make its reports count for longer.
         const endedAt = Math.min(at, now);
+        this.parts.applyEnd(upstream, endedAt, prompts, now);
         return at + this.lifeMs <= now ? [] : requests.filter(request => this.addCrash(request, upstream, endedAt));
     }
 
@@ -150,7 +167,10 @@
 
     /** @returns Whether the report is new and has not expired. */
     applyReport(report: CrashReport, now: number): boolean {
-        if (this.reports.has(report.name) || this.isExpired(report, now)) {
+        const isAboutParts = report.partClearances !== undefined
+            || report.crashes.some(({ prompts }) => prompts !== undefined);
+        // Parts may stay condemned for longer than a report counts, which is not known yet when a process starts.
+        if (this.reports.has(report.name) || (!isAboutParts && this.isExpired(report, now))) {
             return false;
         }
         this.reports.set(report.name, report);
@@ -160,6 +180,9 @@
         for (const clearance of report.clearances) {
             this.applyClearance(clearance, now);
         }
+        for (const { part, at } of report.partClearances ?? []) {
+            this.parts.applyClearance(part, Math.min(at, now));
+        }
         return true;
     }
 
@@ -225,6 +248,7 @@
                 this.clearedAt.delete(request);
             }
         }
+        this.parts.expireOld(now);
         for (const report of this.reports.values()) {
             if (this.isExpired(report, now)) {
                 this.reports.delete(report.name);
@@ -233,15 +257,25 @@
     }
 
     private isRelevant(report: CrashReport, now: number): boolean {
-        const isRecent = [...report.crashes, ...report.clearances].some(({ at }) => at + recentReportMs > now);
-        return isRecent
+        const isRecent = listTimes(report).some(at => at + recentReportMs > now);
+        return isRecent || this.hasPartEvidence(report, upstream => this.parts.isCondemnedFor(upstream))
             || report.crashes.some(({ requests }) =>
                 requests.some(request => this.findVerdict(request, now).kind === "refused")
             );
     }
 
-    private isExpired({ crashes, clearances }: CrashReport, now: number): boolean {
-        return [...crashes, ...clearances].every(({ at }) => at + this.lifeMs <= now);
+    private isExpired(report: CrashReport, now: number): boolean {
+        return listTimes(report).every(at => at + this.lifeMs <= now)
+            && !this.hasPartEvidence(report, upstream => this.parts.hasEnd(upstream));
+    }
+
+    /** Whether a report says something about parts of prompts, as far as the ends of upstreams in it matter. */
+    private hasPartEvidence(
+        { crashes, partClearances = [] }: CrashReport,
+        isEvidence: (upstream: string) => boolean,
+    ): boolean {
+        return crashes.some(({ upstream, prompts }) => prompts !== undefined && isEvidence(upstream))
+            || partClearances.some(({ part }) => this.parts.isTracked(part));
     }
 
     private addCrash(request: string, upstream: string, at: number): boolean {
@@ -293,6 +327,10 @@
     }
 }
 
+function listTimes({ crashes, clearances, partClearances = [] }: CrashReport): number[] {
+    return [...crashes, ...clearances, ...partClearances].map(({ at }) => at);
+}
+
 /** The part of a digest that covers everything but the body. */
 function readDigestHead(request: string): string {
     return request.slice(0, request.indexOf("."));
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -1,7 +1,9 @@
 import {
+    type CondemnedParts,
     type CrashReport,
     type FleetView,
     listSharedParts,
+    type ModelDemand,
     rankByRendezvous,
     type RefusedRequest,
     type Upstream,
@@ -11,7 +13,7 @@
 import type { PeerMessage } from "../links/messages.js";
 import type { ProbeResult } from "../paths/index.js";
 import type { CrashReportStore } from "../ports.js";
-import type { AttemptEnd } from "../requests/attempt.js";
+import type { AttemptEnd, BreakReason } from "../requests/attempt.js";
 import type { RefusalResponse } from "../requests/caller.js";
 import type { Job } from "../requests/job.js";
 import { readLastSendAt } from "../requests/timelimit.js";
@@ -25,6 +27,18 @@
  */
 const probeResultWaitMs = 60;
 
+/** Reasons for which this VM itself ends attempts. */
+const abortReasons: ReadonlySet<BreakReason> = new Set(["versionReplaced", "quarantined"]);
+
+/**
+ * `Retry-After` of a request that has a condemned part, in seconds. The part stays condemned until an operator releases
+ * it.
+ */
+const partRetryAfterSeconds = 1800;
+
+/** Ends that count against a part from which requests with it are not retried after a further end. */
+const minEndsWithoutRetry = 2;
+
 /** Most parts of a prompt that a log line names: a caller decides how many there are. */
 const maxLoggedParts = 16;
 
@@ -50,10 +64,10 @@
     readonly probe: (upstream: Upstream) => Promise<ProbeResult>;
 }
 
-/** When an attempt was sent, and when its first event arrived. */
+/** When an attempt was sent, and for how long events of its stream arrived, in milliseconds; undefined without any. */
 export interface AttemptTimes {
     readonly sentAt: number;
-    readonly firstEventAt: number | undefined;
+    readonly answeringMs: number | undefined;
 }
 
 /** Detects requests that end the upstream processes that run them, and refuses them. */
@@ -90,13 +104,36 @@
         return this.reports.droppedCount;
     }
 
-    /** Whether a request is quarantined: each upstream that ran it has ended. */
-    isRefused({ digest }: Job): boolean {
-        return this.reports.findVerdict(digest).kind === "refused";
+    /** Number of parts of prompts that are refused. */
+    get condemnedPartCount(): number {
+        return this.reports.listCondemned().length;
+    }
+
+    /** Whether a request is quarantined: each upstream that ran it, or a part of its prompt, has ended. */
+    isRefused({ digest, demand }: Job): boolean {
+        return this.findCondemnedParts(demand.model) !== undefined
+            || this.reports.findVerdict(digest).kind === "refused";
+    }
+
+    /** The response to a request that has a condemned part and has not run; undefined if it has no such part. */
+    findPartRefusal(model: ModelDemand | undefined): RefusalResponse | undefined {
+        const condemned = this.findCondemnedParts(model);
+        return condemned === undefined ? undefined : {
+            status: 503,
+            reason: "partEndsUpstreams",
+            retryAfterSeconds: condemned.until === undefined
+                ? partRetryAfterSeconds
+                : Math.max(0, condemned.until - Date.now()) / 1000,
+            detail: { parts: condemned.parts, upstreams: condemned.upstreams },
+        };
     }
 
     /** The response to a quarantined request; undefined if the request is not quarantined. */
     findRefusal(job: Job): RefusalResponse | undefined {
+        const partRefusal = this.findPartRefusal(job.demand.model);
+        if (partRefusal !== undefined) {
+            return job.runs > 0 ? { ...partRefusal, status: 502, retryAfterSeconds: undefined } : partRefusal;
+        }
         const verdict = this.reports.findVerdict(job.digest);
         if (verdict.kind !== "refused") {
             return undefined;
@@ -111,7 +148,7 @@
 
     /** Whether a request is suspect and has no permit to run. */
     isAwaitingPermit(job: Job): boolean {
-        return job.permit === undefined && this.reports.findVerdict(job.digest).kind === "suspected";
+        return job.permit === undefined && this.findPermitKey(job) !== undefined;
     }
 
     /** Whether a request needs a permit to run, and has time left to wait for it. */
@@ -121,8 +158,9 @@
 
     /** Waits until a suspect request has a permit to run, is cleared or refused, or runs out of time. */
     async waitForPermit(job: Job): Promise<void> {
-        if (this.mayWaitForPermit(job)) {
-            job.permit = await this.permits.claim(job.digest.full, () => this.mayWaitForPermit(job));
+        const key = this.findPermitKey(job);
+        if (key !== undefined && this.mayWaitForPermit(job)) {
+            job.permit = await this.permits.claim(key, () => this.mayWaitForPermit(job));
         }
     }
 
@@ -132,28 +170,43 @@
         job.permit = undefined;
     }
 
+    /** Whether a request whose run broke may be what ended its upstream, by a part that ended others before. */
+    isSuspect({ demand }: Job): boolean {
+        const { parts } = this.reports;
+        return listSharedParts(demand.model).some(part =>
+            parts.readSoundAt(part) === -Infinity && parts.countEnds(part) >= minEndsWithoutRetry
+        );
+    }
+
+    /** Records that an upstream has answered a request for a while, or completed it: its prompt is not fatal. */
+    recordAnswer({ demand }: Job): void {
+        this.reports.recordAnswer(listSharedParts(demand.model));
+    }
+
     /** Records the end of an attempt. Resolves once the upstream is probed, or after {@link probeResultWaitMs}. */
     async recordEnd(
         job: Job,
         upstream: Upstream,
         end: AttemptEnd,
-        { sentAt, firstEventAt }: AttemptTimes,
+        { sentAt, answeringMs }: AttemptTimes,
     ): Promise<void> {
         if (end.kind === "complete" || end.kind === "failed") {
             this.reports.recordCompletion(job.digest);
+            if (end.kind === "complete" && end.status < 300) {
+                this.recordAnswer(job);
+            }
             return;
         }
         // A leaving upstream ends as planned, and an attempt that this VM aborted shows nothing about it.
-        if (end.kind !== "broken" || end.reason === "versionReplaced" || !this.options.view.isUsable(upstream.id)) {
+        if (end.kind !== "broken" || abortReasons.has(end.reason) || !this.options.view.isUsable(upstream.id)) {
             return;
         }
-        const now = this.options.readTime();
         const settled = this.monitor.recordBrokenRun(upstream, {
             requestId: job.demand.requestId,
             digest: job.digest,
             parts: listSharedParts(job.demand.model),
-            answeringMs: firstEventAt === undefined ? undefined : now - firstEventAt,
-            sentMs: now - sentAt,
+            answeringMs,
+            sentMs: this.options.readTime() - sentAt,
         });
         await Promise.race([settled, wait(probeResultWaitMs)]);
     }
@@ -168,6 +221,16 @@
         return this.reports.release(request);
     }
 
+    /** Lists the condemned parts of prompts. */
+    listCondemnedParts(): readonly CondemnedParts[] {
+        return this.reports.listCondemned();
+    }
+
+    /** Releases a part of prompts from quarantine, on all VMs. @returns Whether the part was condemned. */
+    releasePart(part: string): boolean {
+        return this.reports.releasePart(part);
+    }
+
     /** Handles the announcement of an upstream. */
     receiveEntry(upstream: Upstream): void {
         this.monitor.receiveEntry(upstream);
@@ -232,6 +295,21 @@
         this.reports.recordUpstreamEnd(end);
     }
 
+    /** What a request has in common with others of which only one may run at a time; undefined without it. */
+    private findPermitKey({ digest, demand }: Job): string | undefined {
+        const trial = this.reports.parts.suspectCount === 0
+            ? undefined
+            : this.reports.findOnTrial(listSharedParts(demand.model));
+        if (trial !== undefined) {
+            return `parts/${trial.parts.join()}`;
+        }
+        return this.reports.findVerdict(digest).kind === "suspected" ? digest.full : undefined;
+    }
+
+    private findCondemnedParts(model: ModelDemand | undefined): CondemnedParts | undefined {
+        return this.reports.parts.suspectCount === 0 ? undefined : this.reports.findCondemned(listSharedParts(model));
+    }
+
     /** The VM that issues the permits of a suspect request for all VMs. */
     private findPermitIssuer(request: string): string | undefined {
         return rankByRendezvous(request, this.options.listPermitIssuers().map(id => ({ id })))[0]?.id;
--- a/packages/node/src/crashes/monitor.ts
+++ b/packages/node/src/crashes/monitor.ts
@@ -10,10 +10,10 @@
 const watchLifetimeMs = 10_000;
 
 /**
- * Time since its first event after which a run does not count as the cause of its upstream's end, in milliseconds: a
+ * Time for which events have arrived after which a run does not count as the cause of its upstream's end, in milliseconds: a
  * request that ends upstreams does so when it starts to run.
  */
-const stableRunMs = 200;
+export const stableRunMs = 200;
 
 /** A run whose connection broke before its response was complete. */
 export interface BrokenRun {
@@ -21,7 +21,7 @@
     readonly digest: RequestDigest;
     /** Ids of the parts of its prompt that other requests may share. */
     readonly parts: readonly string[];
-    /** Time since the first event arrived, in milliseconds; undefined if none had arrived. */
+    /** Time for which events had arrived, in milliseconds; undefined if none had arrived. */
     readonly answeringMs: number | undefined;
     /** Time since the run was sent, in milliseconds. */
     readonly sentMs: number;
--- a/packages/node/src/crashes/reports.ts
+++ b/packages/node/src/crashes/reports.ts
@@ -1,7 +1,10 @@
 import {
     type Clearance,
+    type CondemnedParts,
     type Crash,
     type CrashReport,
+    type PartClearance,
+    type PartQuarantine,
     Quarantine,
     type RefusedRequest,
     type RequestVerdict,
@@ -18,6 +21,15 @@
  */
 const clearanceBatchMs = 250;
 
+/**
+ * Most bytes of the ids of suspect parts in one report: about as many as the headers of one request can hold. A caller
+ * decides how many parts its prompts have.
+ */
+const maxPartBytes = 16 * 1024;
+
+/** Ends that count against a part from which its clearance is stored: VMs that start later must not condemn the part. */
+const minEndsToStore = 2;
+
 /** Interval at which expired reports are dropped, in milliseconds. */
 const expiryIntervalMs = 10_000;
 
@@ -50,6 +62,10 @@
     private readonly quarantine: Quarantine;
     private readonly readWall: () => number;
     private readonly pendingClearances = new Map<string, Clearance>();
+    private readonly pendingPartClearances = new Map<string, PartClearance>();
+    private arePartClearancesStored = false;
+    /** Condemned parts that were logged. */
+    private readonly loggedParts = new Set<string>();
     private clearanceTimer: NodeJS.Timeout | undefined;
     /** Names of the stored reports that this VM deletes once they expire: its own, and those of removed VMs. */
     private readonly namesToExpire = new Set<string>();
@@ -72,6 +88,25 @@
         return this.quarantine.droppedCount;
     }
 
+    /** Evidence about the parts of prompts. */
+    get parts(): PartQuarantine {
+        return this.quarantine.parts;
+    }
+
+    /** Finds the condemned parts for which a prompt is refused; undefined if it is not refused. */
+    findCondemned(parts: readonly string[]): CondemnedParts | undefined {
+        return this.parts.findCondemned(parts, this.readWall());
+    }
+
+    /** Finds the parts of a prompt whose refusal has ended without a verdict; undefined if it has none. */
+    findOnTrial(parts: readonly string[]): CondemnedParts | undefined {
+        return this.parts.findOnTrial(parts, this.readWall());
+    }
+
+    listCondemned(): readonly CondemnedParts[] {
+        return this.parts.listCondemned(this.readWall());
+    }
+
     /** The verdict on a request. Its body is only digested if a known request is equal in all other parts. */
     findVerdict(digest: RequestDigest): RequestVerdict {
         if (this.quarantine.requestCount === 0 || !this.quarantine.mayTrack(digest.head)) {
@@ -83,9 +118,16 @@
     /** Records that the process of an upstream ended while it ran requests of this VM. */
     recordUpstreamEnd({ upstream, runs }: UpstreamEnd): void {
         const now = this.readWall();
-        const crash: Crash = { upstream: upstream.id, at: now, requests: listDigests(runs) };
+        const prompts = listPrompts(runs.map(({ parts }) => this.parts.listSuspects(parts, now)));
+        const crash: Crash = {
+            upstream: upstream.id,
+            at: now,
+            requests: listDigests(runs),
+            prompts: prompts.length === 0 ? undefined : prompts,
+        };
         this.quarantine.applyCrash(crash, now);
         this.recordVerdicts(crash.requests);
+        this.recordCondemnedParts();
         this.sendReport({ crashes: [crash], clearances: [] }, true);
         this.options.onChange();
     }
@@ -105,7 +147,37 @@
             return;
         }
         this.pendingClearances.set(clearance.request, clearance);
-        this.clearanceTimer ??= setTimeout(() => this.sendClearances(), clearanceBatchMs);
+        this.scheduleClearances();
+    }
+
+    /** Records that an answer on these parts has gone on: none of them ends each upstream that answers it. */
+    recordAnswer(parts: readonly string[]): void {
+        const now = this.readWall();
+        const isCondemned = this.parts.findCondemned(parts, now) !== undefined;
+        this.arePartClearancesStored ||= parts.some(part => this.parts.countEnds(part) >= minEndsToStore);
+        for (const part of this.parts.recordAnswer(parts, now)) {
+            this.pendingPartClearances.set(part, { part, at: this.parts.readClearanceTime(part, now) });
+            this.scheduleClearances();
+        }
+        if (isCondemned) {
+            this.recordCondemnedParts();
+            this.options.onChange();
+        }
+    }
+
+    /** Releases a condemned part of prompts, on all VMs. @returns Whether the part was condemned. */
+    releasePart(part: string): boolean {
+        const now = this.readWall();
+        const condemned = this.parts.listCondemned(now).find(({ parts }) => parts.includes(part));
+        if (condemned === undefined) {
+            return false;
+        }
+        const partClearances = condemned.parts.map(id => ({ part: id, at: this.parts.readClearanceTime(id, now) }));
+        partClearances.forEach(({ part: id, at }) => this.parts.applyClearance(id, at));
+        this.options.log.recordImportant("partReleased", { ...condemned });
+        this.recordCondemnedParts();
+        this.sendReport({ crashes: [], clearances: [], partClearances }, true);
+        return true;
     }
 
     /** Releases a request from quarantine, on all VMs. @returns Whether the request was quarantined. */
@@ -134,7 +206,9 @@
         }
         const isNew = this.quarantine.applyReport(report, now);
         if (isNew) {
+            report.partClearances?.forEach(({ part }) => this.pendingPartClearances.delete(part));
             this.recordVerdicts(report.crashes.flatMap(({ requests }) => requests));
+            this.recordCondemnedParts();
             this.options.onChange();
         }
         return isNew;
@@ -179,11 +253,25 @@
         clearTimeout(this.clearanceTimer);
     }
 
+    private scheduleClearances(): void {
+        this.clearanceTimer ??= setTimeout(() => this.sendClearances(), clearanceBatchMs);
+    }
+
     private sendClearances(): void {
         this.clearanceTimer = undefined;
         const clearances = [...this.pendingClearances.values()];
+        const partClearances = [...this.pendingPartClearances.values()];
+        const isStored = this.arePartClearancesStored && partClearances.length > 0;
         this.pendingClearances.clear();
-        this.sendReport({ crashes: [], clearances }, false);
+        this.pendingPartClearances.clear();
+        this.arePartClearancesStored = false;
+        if (clearances.length > 0 || partClearances.length > 0) {
+            this.sendReport({
+                crashes: [],
+                clearances,
+                partClearances: partClearances.length === 0 ? undefined : partClearances,
+            }, isStored);
+        }
     }
 
     /** Broadcasts a report. @param isStored Whether the report is also written to the store. */
@@ -209,6 +297,23 @@
         }
     }
 
+    /** Logs which parts of prompts are condemned now and were not before, and the other way round. */
+    private recordCondemnedParts(): void {
+        const condemned = new Map(this.parts.listCondemned(this.readWall()).map(group => [group.parts.join(), group]));
+        for (const [name, group] of condemned) {
+            if (!this.loggedParts.has(name)) {
+                this.loggedParts.add(name);
+                this.options.log.recordImportant("partCondemned", { ...group });
+            }
+        }
+        for (const name of this.loggedParts) {
+            if (!condemned.has(name)) {
+                this.loggedParts.delete(name);
+                this.options.log.recordImportant("partCleared", { parts: name.split(",") });
+            }
+        }
+    }
+
     private recordVerdicts(requests: readonly string[]): void {
         const now = this.readWall();
         for (const request of requests) {
@@ -224,6 +329,24 @@
     }
 }
 
+/** Lists the distinct prompts that have parts, within the bound of a report: the first parts of each come first. */
+function listPrompts(prompts: readonly (readonly string[])[]): string[][] {
+    const distinct = [...new Map(prompts.map(parts => [parts.join(), parts])).values()];
+    const listed: string[][] = distinct.map(() => []);
+    const longest = Math.max(0, ...distinct.map(({ length }) => length));
+    let bytes = 0;
+    for (let position = 0; position < longest; position++) {
+        for (const [index, parts] of distinct.entries()) {
+            const part = parts[position];
+            if (part !== undefined && bytes + part.length <= maxPartBytes) {
+                bytes += part.length;
+                listed[index]!.push(part);
+            }
+        }
+    }
+    return listed.filter(({ length }) => length > 0);
+}
+
 function listDigests(runs: readonly BrokenRun[]): string[] {
     return [...new Set(runs.map(({ digest }) => digest.full))];
 }
--- a/packages/node/src/housekeeping.ts
+++ b/packages/node/src/housekeeping.ts
@@ -67,6 +67,7 @@
     private recordMetrics(): void {
         const { metrics, view, cluster, crashGuard, accountGuard, streams } = this.options;
         metrics.setSuspectRequests(crashGuard.requestCount, crashGuard.droppedCount);
+        metrics.setCondemnedParts(crashGuard.condemnedPartCount);
         metrics.setUpstreamLimits(view.limits.count);
         metrics.setStoreEra(cluster.storeEra);
         metrics.setConfigurationAge(accountGuard.configurationAgeMs);
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -1,4 +1,4 @@
-import type { RefusedRequest } from "@radishreel/fleet";
+import type { CondemnedParts, RefusedRequest } from "@radishreel/fleet";
 import type { ListenAddress } from "@radishreel/wire";
 import type { Server } from "node:http";
 import polka, { type Polka } from "polka";
@@ -15,6 +15,10 @@
     readonly listRefused: () => readonly RefusedRequest[];
     /** Releases a request from quarantine. @returns Whether the request was quarantined. */
     readonly releaseRequest: (digest: string) => boolean;
+    /** Lists parts of prompts whose requests are rejected because upstream processes ended under them. */
+    readonly listCondemnedParts: () => readonly CondemnedParts[];
+    /** Releases a part of prompts from quarantine. @returns Whether the part was condemned. */
+    readonly releasePart: (part: string) => boolean;
 }
 
 /** Starts the listener for callers. */
@@ -33,8 +37,9 @@
 export async function startReadinessListener(
     server: Server,
     address: ListenAddress,
-    { path, isReady, readMetrics, listRefused, releaseRequest }: ReadinessOptions,
+    options: ReadinessOptions,
 ): Promise<void> {
+    const { path, isReady, readMetrics, listRefused, releaseRequest, listCondemnedParts, releasePart } = options;
     const app = polka({ server });
     app.get(path, (_request, response) => {
         response.statusCode = isReady() ? 200 : 503;
@@ -46,6 +51,13 @@
     app.get("/quarantine", (_request, response) => {
         response.end(JSON.stringify(listRefused()));
     });
+    app.get("/quarantine/parts", (_request, response) => {
+        response.end(JSON.stringify(listCondemnedParts()));
+    });
+    app.delete("/quarantine/parts/:part", (request, response) => {
+        response.statusCode = releasePart(String(request.params["part"])) ? 204 : 404;
+        response.end();
+    });
     app.delete("/quarantine/:digest", (request, response) => {
         response.statusCode = releaseRequest(String(request.params["digest"])) ? 204 : 404;
         response.end();
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -146,6 +146,11 @@
         help: "Requests under which upstreams have ended lately, as far as this VM knows",
         registers: [this.registry],
     });
+    private readonly condemnedParts = new Gauge({
+        name: "radishreel_node_condemned_prompt_parts",
+        help: "Parts of prompts that are refused because upstreams ended under them",
+        registers: [this.registry],
+    });
     private readonly suspectRequestsDropped = new Gauge({
         name: "radishreel_node_suspected_requests_dropped",
         help: "Such requests that were forgotten for want of room since the start",
@@ -279,6 +284,10 @@
         this.upstreamEnds.inc({ service });
     }
 
+    setCondemnedParts(count: number): void {
+        this.condemnedParts.set(count);
+    }
+
     setSuspectRequests(count: number, dropped: number): void {
         this.suspectRequests.set(count);
         this.suspectRequestsDropped.set(dropped);
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -198,6 +198,11 @@
         return this.crashGuard.requestCount;
     }
 
+    /** Number of parts of prompts that this VM refuses. */
+    countCondemnedParts(): number {
+        return this.crashGuard.condemnedPartCount;
+    }
+
     /** Whether this VM reads the store itself instead of following another VM of its data centre. */
     get isReading(): boolean {
         return this.options.store.isReading;
@@ -230,6 +235,8 @@
             readMetrics: () => this.metrics.registry.metrics(),
             listRefused: () => this.crashGuard.listRefused(),
             releaseRequest: digest => this.crashGuard.release(digest),
+            listCondemnedParts: () => this.crashGuard.listCondemnedParts(),
+            releasePart: part => this.crashGuard.releasePart(part),
         });
         await this.tunnels.start();
         await this.peers.start();
@@ -426,7 +433,7 @@
             send: (vm, message) => this.messenger.send(vm, message),
             broadcast: message => this.peers.broadcast(message),
             listPermitIssuers: () => this.coordinators.list(),
-            onChange: () => this.serving.receiveChange(),
+            onChange: () => this.serving.receiveVerdicts(),
             onUpstreamEnd: service => this.metrics.recordUpstreamEnd(service),
             probe: upstream => this.tunnels.checkListening(upstream),
         });
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -1,4 +1,5 @@
 import { type Route } from "@radishreel/routing";
+import { stableRunMs } from "../crashes/index.js";
 import type { RawHeaders, RequestDialect, ResponseHead, SendOptions } from "../ports.js";
 import type { CallerExchange } from "./caller.js";
 import type { ConnectionPool, UpstreamConnection } from "./connections.js";
@@ -9,6 +10,12 @@
 /** Maximum bytes of a plain response that are buffered until it is complete; larger responses are streamed. */
 const maxBufferedBytes = 256 * 1024;
 
+/**
+ * Longest pause between two events that counts towards the time for which a stream has gone on, in milliseconds. Events
+ * that arrived while this process was suspended may be older than the end of their upstream.
+ */
+const maxCountedPauseMs = 50;
+
 /** How one attempt at an upstream ended. */
 export type AttemptEnd =
     /** The caller has received the complete response. */
@@ -35,7 +42,9 @@
     | "timeout"
     | "versionReplaced"
     /** It is not certain which software version the upstream runs. */
-    | "upstreamReplaced";
+    | "upstreamReplaced"
+    /** The request was quarantined before its response started. */
+    | "quarantined";
 
 /** Progress of a stream across all attempts of its request. */
 export interface StreamProgress {
@@ -84,6 +93,8 @@
     readonly checkFirstEvent?: (() => boolean) | undefined;
     /** Called when the first event of a stream arrives, or when a large plain response starts to be streamed. */
     readonly onStart: () => void;
+    /** Called when a stream has gone on for {@link stableRunMs}. */
+    readonly onStable?: (() => void) | undefined;
 }
 
 /**
@@ -112,6 +123,8 @@
     private bufferedBytes = 0;
     private wasWritten = false;
     private hasStarted = false;
+    private streamedMs: number | undefined;
+    private lastEventAt = 0;
     private hasPassedEvents = false;
     private isCloseDelimited = false;
     private isPassing = false;
@@ -154,6 +167,18 @@
         return this.connection.via;
     }
 
+    /** Time for which events of a stream have arrived, in milliseconds; undefined before the first. */
+    get answeringMs(): number | undefined {
+        return this.streamedMs;
+    }
+
+    /** Cancels an attempt whose request was quarantined, unless its response has started. */
+    cancelQuarantined(): void {
+        if (!this.isDone && !this.hasStarted && this.status === 0 && this.wasWritten) {
+            this.finishBroken("quarantined", "the request was quarantined before its response started");
+        }
+    }
+
     /**
      * Updates the time limit for the start of a stream, since its adapter version may have been replaced after the
      * request was sent. Plain requests have no such limit: their responses don't show when the engine started to run
@@ -267,9 +292,21 @@
             this.hasStarted = true;
             this.options.onStart();
         }
+        this.recordStreamed(this.options.readTime());
         this.passEvents(events);
     }
 
+    /** Records that events arrived. */
+    private recordStreamed(now: number): void {
+        const before = this.streamedMs;
+        const sinceLast = before === undefined ? 0 : Math.min(now - this.lastEventAt, maxCountedPauseMs);
+        this.streamedMs = (before ?? 0) + sinceLast;
+        this.lastEventAt = now;
+        if ((before ?? 0) < stableRunMs && this.streamedMs >= stableRunMs) {
+            this.options.onStable?.();
+        }
+    }
+
     private passEvents(events: StreamEvent[]): void {
         const { caller, progress, dialect } = this.options;
         const fresh = events.filter(event => !this.isRepeated(event));
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -18,6 +18,8 @@
     | "attemptsSpent"
     /** Each upstream process that ran the request has ended. */
     | "endsUpstreams"
+    /** Each upstream process that began to answer a part of the request's prompt has ended. */
+    | "partEndsUpstreams"
     /** No client account of the current configuration has the caller's key. */
     | "unknownKey"
     /** The configuration was last confirmed as current too long ago to tell whether the caller's key is still valid. */
@@ -35,6 +37,7 @@
     | "upstreamSilent"
     | "versionReplaced"
     | "upstreamReplaced"
+    | "quarantined"
     | "wrongAnswer"
     | "truncatedAnswer";
 
--- a/packages/node/src/requests/job.ts
+++ b/packages/node/src/requests/job.ts
@@ -66,6 +66,12 @@
     readonly grant?: LimitGrant | undefined;
 }
 
+/** Releases what a request holds at an upstream to which it is not sent. */
+export function releaseReady(ready: ReadyUpstream | undefined): void {
+    ready?.admission?.finish();
+    ready?.grant?.release();
+}
+
 /** Properties that are known when a job is created. */
 export type JobStart =
     & Pick<
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -21,38 +21,23 @@
 import { Attempt, type AttemptEnd, createBodyHeaders } from "./attempt.js";
 import { type AttemptRecord, formatAttempt, formatElapsed } from "./attemptline.js";
 import type { CallerExchange, RefusalReason, RefusalResponse } from "./caller.js";
-import { type SoonestLimit, UpstreamChooser } from "./chooser.js";
+import { UpstreamChooser } from "./chooser.js";
 import type { ConnectionPool } from "./connections.js";
 import { RequestDigest } from "./digest.js";
 import { withdrawnDetail } from "./exchange.js";
-import { createJob, type Job, type Preparation, type ReadyUpstream } from "./job.js";
+import { createJob, type Job, type Preparation, type ReadyUpstream, releaseReady } from "./job.js";
 import type { LimitGrant, UpstreamLimiter } from "./limiter.js";
 import { emptyMetadata, type ResponseMetadata } from "./metadata.js";
+import { createBackoffRefusal, createFullRefusal, createLimitRefusal, retryAfterSeconds } from "./refusals.js";
 import { Retries, type RetriesOptions } from "./retries.js";
 import { readLastSendAt } from "./timelimit.js";
 
-/** Default `Retry-After` of a refusal, in seconds. An owner or an upstream is replaced within some seconds. */
-const retryAfterSeconds = 0.5;
-
 /**
  * Maximum wait of requests until a newly started process has read routes and upstreams, in milliseconds. Reading takes
  * about 100 ms, less than the time after which refused callers would retry.
  */
 const defaultStartWaitMs = 300;
 
-/**
- * Bounds of `Retry-After` when all engines are full, in seconds. The caller is told to retry after half of the time
- * that its request would have to wait now, so that the remaining wait can fit within the caller's time limit.
- */
-const minFullRetrySeconds = 0.25;
-const maxFullRetrySeconds = 2;
-
-/**
- * Maximum `Retry-After` when all upstreams are backing off or limited, in seconds. Meanwhile another VM may reach them,
- * and upstreams may be replaced or added.
- */
-const maxBackoffRetrySeconds = 30;
-
 /**
  * Penalty of an upstream whose response to this request was a failure, in milliseconds. Failures often affect one run
  * only, so an engine that holds the adapter is tried again before a load of 250 ms elsewhere.
@@ -125,7 +110,7 @@
     private readonly prefixCache = new PrefixCache();
     private readonly longPromptThreshold = new PauseThreshold();
     private readonly openExchanges = new Set<CallerExchange>();
-    private readonly attempts = new Set<Attempt>();
+    private readonly attempts = new Map<Attempt, Job>();
     private readonly chooser: UpstreamChooser;
     private readonly retries: Retries;
     private readonly readBoot: () => number;
@@ -159,9 +144,19 @@
         this.chooser.receiveChange();
     }
 
+    /** Makes waiting requests check whether they are quarantined, and cancels those that no upstream has begun. */
+    receiveVerdicts(): void {
+        this.attempts.forEach((job, attempt) => {
+            if (this.options.guard.findPartRefusal(job.demand.model) !== undefined) {
+                attempt.cancelQuarantined();
+            }
+        });
+        this.chooser.receiveChange();
+    }
+
     /** Updates the start limits of running attempts, since a newly announced adapter version may replace theirs. */
     receiveVersion(): void {
-        this.attempts.forEach(attempt => attempt.updateStartLimit());
+        this.attempts.forEach((_job, attempt) => attempt.updateStartLimit());
     }
 
     /** Makes waiting requests choose again soon after the status of engines has changed. */
@@ -200,6 +195,11 @@
             this.refuse(caller, demand, { status: 404, reason: "unknownRoute" });
             return;
         }
+        const quarantined = this.options.guard.findPartRefusal(demand.model);
+        if (quarantined !== undefined) {
+            this.refuse(caller, demand, quarantined);
+            return;
+        }
         const resolution = await this.resolveStream(route, demand);
         if (resolution?.kind === "refused") {
             this.refuse(caller, demand, resolution.refusal);
@@ -330,7 +330,7 @@
                 this.recordEnd(job, last.kind, choice);
                 return;
             }
-            if (!this.retries.mayRetry(job, last)) {
+            if (!this.retries.mayRetry(job, last) || (last.kind === "broken" && guard.isSuspect(job))) {
                 this.finishUnserved(job, last);
                 return;
             }
@@ -415,8 +415,9 @@
                 admission?.start();
                 health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs));
             },
+            onStable: () => this.options.guard.recordAnswer(job),
         });
-        this.attempts.add(attempt);
+        this.attempts.set(attempt, job);
         const end = await attempt.end;
         this.attempts.delete(attempt);
         record.via = attempt.via;
@@ -425,8 +426,7 @@
         this.finishClaims(job, record, grant, retry);
         this.recordAttempt(job, choice, end, sentAt, record.metadata);
         this.options.log.record("attempt", formatAttempt({ job, choice, end, record, now: readTime() }));
-        const firstEventAt = record.responseStartedAt;
-        await this.options.guard.recordEnd(job, upstream, end, { sentAt, firstEventAt });
+        await this.options.guard.recordEnd(job, upstream, end, { sentAt, answeringMs: attempt.answeringMs });
         return end;
     }
 
@@ -568,7 +568,7 @@
             case "broken":
                 job.runs += 1;
                 job.tried.set(upstream.id, { costMs: Infinity, until: Infinity, hasDeclined: false });
-                if (end.reason !== "versionReplaced") {
+                if (end.reason !== "versionReplaced" && end.reason !== "quarantined") {
                     health.recordFailure(now);
                 }
                 return;
@@ -638,9 +638,7 @@
         }
         const now = this.options.readTime();
         if (reason === undefined && job.expectedAt !== undefined) {
-            const halfSeconds = (job.expectedAt - now) / 2 / 1000;
-            const bounded = Math.min(Math.max(halfSeconds, minFullRetrySeconds), maxFullRetrySeconds);
-            return { status: 503, reason: "enginesFull", retryAfterSeconds: bounded };
+            return createFullRefusal(job.expectedAt - now);
         }
         const limited = reason === undefined ? this.chooser.findSoonestLimit(job, now) : undefined;
         if (limited !== undefined) {
@@ -648,9 +646,7 @@
         }
         const backoffEndAt = this.findBackoffEnd(job, now);
         if (reason === undefined && backoffEndAt !== undefined) {
-            const backoffSeconds = Math.ceil((backoffEndAt - now) / 10) / 100;
-            const bounded = Math.min(backoffSeconds, maxBackoffRetrySeconds);
-            return { status: 503, reason: "upstreamsRest", retryAfterSeconds: bounded };
+            return createBackoffRefusal(backoffEndAt - now);
         }
         if (reason === undefined && this.chooser.hasEndedStream(job)) {
             return { status: 503, reason: "streamEnded", retryAfterSeconds: endedRetrySeconds };
@@ -698,20 +694,3 @@
         });
     }
 }
-
-/** Creates the response to a request whose upstreams are all limited. */
-function createLimitRefusal({ upstream, limit, waitMs }: SoonestLimit, now: number): RefusalResponse {
-    const waitSeconds = Math.max(retryAfterSeconds, Math.ceil(waitMs / 10) / 100);
-    return {
-        status: 503,
-        reason: "upstreamsLimited",
-        retryAfterSeconds: Math.min(waitSeconds, maxBackoffRetrySeconds),
-        detail: { upstream, limit: limit.perSecond, limitAgeMs: Math.round(now - limit.since) },
-    };
-}
-
-/** Releases what a request holds at an upstream to which it is not sent. */
-function releaseReady(ready: ReadyUpstream | undefined): void {
-    ready?.admission?.finish();
-    ready?.grant?.release();
-}
--- a/packages/node/test/attempt.test.ts
+++ b/packages/node/test/attempt.test.ts
@@ -1,5 +1,5 @@
 import type { Route } from "@radishreel/routing";
-import { createServer, type Server } from "node:http";
+import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -8,22 +8,35 @@
 import { ConnectionPool } from "../src/requests/connections.js";
 import { plainDialect, plainRouting } from "./changingserver.js";
 
-const readTime = () => performance.now();
-
 async function startServer(server: Server): Promise<string> {
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-/** Sends a request to an upstream that never responds. @param onArrival Called when the upstream has the request. */
-async function runUnresponsive(
-    kind: Route["kind"],
-    readStartLimitMs: () => number,
-    timeLeftMs: number,
-    onArrival: (attempt: Attempt) => void = () => {},
-): Promise<AttemptEnd> {
+interface RunOptions {
+    readonly kind: Route["kind"];
+    /** @default never */
+    readonly readStartLimitMs?: () => number;
+    /** @default 60000 */
+    readonly timeLeftMs?: number;
+    /** Called when the upstream has the request. */
+    readonly onArrival?: (attempt: Attempt, response: ServerResponse) => void;
+    readonly onStable?: () => void;
+    /** @default a steady clock */
+    readonly readTime?: () => number;
+}
+
+/** Sends a request to an upstream that does not respond by itself. */
+async function runUnresponsive({
+    kind,
+    readStartLimitMs = () => Infinity,
+    timeLeftMs = 60_000,
+    onArrival = () => {},
+    onStable,
+    readTime = () => performance.now(),
+}: RunOptions): Promise<AttemptEnd> {
     let sent: Attempt | undefined;
-    const upstream = createServer(() => onArrival(sent!));
+    const upstream = createServer((_request, response) => onArrival(sent!, response));
     const address = await startServer(upstream);
     const pool = new ConnectionPool();
     const front = createServer();
@@ -54,13 +67,14 @@
                     longestPauseMs: 0,
                 },
                 firstByteMs: 60_000,
-                readStartLimitMs: readStartLimitMs,
+                readStartLimitMs,
                 pauseMs: 60_000,
                 timeLeftMs,
                 readTime,
                 checkBeforeSend: () => true,
                 onMetadata: () => {},
                 onStart: () => {},
+                onStable,
             });
             sent = attempt;
             void attempt.end.then(end => {
@@ -80,23 +94,92 @@
 }
 
 test("a stream that its engine has not started is withdrawn when the adapter version expires", async () => {
-    const end = await runUnresponsive("stream", () => 20, 60_000);
+    const end = await runUnresponsive({ kind: "stream", readStartLimitMs: () => 20 });
     assert.is(end.kind, "broken");
     assert.is(end.kind === "broken" && end.reason, "versionReplaced");
 });
 
 test("a stream whose adapter version is replaced after it was sent is withdrawn", async () => {
     let startLimitMs = Infinity;
-    const end = await runUnresponsive("stream", () => startLimitMs, 60_000, attempt => {
-        startLimitMs = 0;
-        attempt.updateStartLimit();
+    const end = await runUnresponsive({
+        kind: "stream",
+        readStartLimitMs: () => startLimitMs,
+        onArrival: attempt => {
+            startLimitMs = 0;
+            attempt.updateStartLimit();
+        },
     });
     assert.is(end.kind === "broken" && end.reason, "versionReplaced");
 });
 
 test("a plain request, whose start is not visible, runs until its deadline although its version expires", async () => {
-    const end = await runUnresponsive("safe", () => 20, 60);
+    const end = await runUnresponsive({ kind: "safe", readStartLimitMs: () => 20, timeLeftMs: 60 });
     assert.is(end.kind === "broken" && end.reason, "timeout");
 });
 
+test("a request that is quarantined before its response has started is canceled and may have run", async () => {
+    for (const kind of ["stream", "safe"] as const) {
+        const end = await runUnresponsive({ kind, onArrival: attempt => attempt.cancelQuarantined() });
+        assert.is(end.kind === "broken" && end.reason, "quarantined");
+    }
+});
+
+test("a stream that has started goes on when its request is quarantined", async () => {
+    const end = await runUnresponsive({
+        kind: "stream",
+        onArrival: (attempt, response) => {
+            response.writeHead(200, { "X-Request-Id": "q", "X-Response-Signature": "s" });
+            response.write("id: 1\ndata: a\n\n");
+            const wait = (): void => {
+                if (attempt.answeringMs === undefined) {
+                    setImmediate(wait);
+                    return;
+                }
+                attempt.cancelQuarantined();
+                response.end("id: 2\ndata: b\n\n");
+            };
+            wait();
+        },
+    });
+    assert.is(end.kind, "complete");
+});
+
+test("a pause in which the process was suspended does not count as time for which a stream has gone on", async () => {
+    let now = 0;
+    const counted: (number | undefined)[] = [];
+    let stableCalls = 0;
+    await runUnresponsive({
+        kind: "stream",
+        readTime: () => now,
+        onStable: () => {
+            stableCalls += 1;
+        },
+        onArrival: (attempt, response) => {
+            response.writeHead(200, { "X-Request-Id": "q", "X-Response-Signature": "s" });
+            const pauses = [0, 3000, 20, 50, 50, 50];
+            const send = (): void => {
+                const known = attempt.answeringMs;
+                now += pauses[counted.length]!;
+                response.write(`id: ${counted.length + 1}\ndata: a\n\n`);
+                const wait = (): void => {
+                    if (attempt.answeringMs === known) {
+                        setImmediate(wait);
+                        return;
+                    }
+                    counted.push(attempt.answeringMs);
+                    if (counted.length < pauses.length) {
+                        send();
+                        return;
+                    }
+                    response.end();
+                };
+                wait();
+            };
+            send();
+        },
+    });
+    assert.equal(counted, [0, 50, 70, 120, 170, 220]);
+    assert.is(stableCalls, 1);
+});
+
 test.run();
--- a/packages/node/test/crashreports.test.ts
+++ b/packages/node/test/crashreports.test.ts
@@ -134,4 +134,51 @@
     assert.equal(offered, [{ name: "gone/1/1", isDropped: true }]);
 });
 
+test("parts of a prompt without an answer are reported in few bytes, those of all runs alike", async () => {
+    const { reports, sent, waitForOffers } = createReports();
+    const many = Array.from({ length: 3000 }, (_, index) => `${index}-${"x".repeat(20)}`);
+    reports.recordAnswer(["shared"]);
+    reports.recordUpstreamEnd({
+        upstream: createUpstream("e1"),
+        runs: [many, ["shared", "f"], ["shared", "f"], ["shared"]].map((parts, index) => ({
+            requestId: String(index),
+            digest: createDigest(`/${index}`),
+            parts,
+            answeringMs: undefined,
+            sentMs: 1,
+        })),
+    });
+    await waitForOffers(1);
+    const [crash] = sent[0]!.crashes;
+    assert.ok(JSON.stringify(crash).length < 24_000);
+    assert.equal(crash!.prompts!.slice(1), [["f"]]);
+    assert.equal(reports.parts.listSuspects(["shared"], 5000), []);
+});
+
+test("an end under parts that were just answered reports none of them", async () => {
+    const { reports, sent, recordEnd, waitForOffers } = createReports();
+    reports.recordAnswer(["shared"]);
+    recordEnd("e1", "/a");
+    await waitForOffers(1);
+    assert.is(sent[0]!.crashes[0]!.prompts, undefined);
+});
+
+test("the clearance of a part is sent, and stored if a VM that starts later might condemn the part", async () => {
+    const { reports, sent, offered, clock, waitForOffers } = createReports();
+    const recordPartEnd = (upstream: string): void =>
+        reports.recordUpstreamEnd({
+            upstream: createUpstream(upstream),
+            runs: [{ requestId: "a", digest: createDigest("/a"), parts: ["p"], answeringMs: undefined, sentMs: 1 }],
+        });
+    recordPartEnd("e1");
+    recordPartEnd("e2");
+    await waitForOffers(2);
+    clock.now += 10;
+    reports.recordAnswer(["p"]);
+    await waitForOffers(3);
+    assert.equal(sent[2]!.partClearances, [{ part: "p", at: clock.now }]);
+    assert.is(offered.length, 3);
+    assert.is(reports.parts.countEnds("p"), 0);
+});
+
 test.run();
