Show callers that a stream without a length has broken off

What callers saw: an upstream may end a stream with its connection. Where such a stream ended within an event, by a reset or because its engine crashed, callers on a route that may not be resumed got the events before that and a connection closed in order: the form in which a complete one ends. The same holds for all of them when the VM itself is killed.

Cause: our own response had neither a length nor chunks then, and destroying it only closed the connection.

Change: streams are sent in chunks, so that only a last chunk makes them complete. Callers of HTTP/1.0, which has no chunks, and of plain responses in that form get a reset in place of a close. Such a response counts as complete only if its upstream still accepts connections, since a process that crashes closes its connections in order too. A resumed stream may end with its connection now, as its caller is told of a break in any case.

--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -211,6 +211,11 @@
         await Promise.race([settled, wait(probeResultWaitMs)]);
     }
 
+    /** Checks whether the process of an upstream has ended. Waits for {@link probeResultWaitMs} at most. */
+    async checkEnded(upstream: Upstream): Promise<boolean> {
+        return await Promise.race([this.options.probe(upstream), wait(probeResultWaitMs)]) === "refused";
+    }
+
     /** Lists the quarantined requests. */
     listRefused(): RefusedRequest[] {
         return this.reports.listRefused();
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -93,6 +93,8 @@
     readonly checkFirstEvent?: (() => boolean) | undefined;
     /** Called when the first event of a stream arrives, or when a large plain response starts to be streamed. */
     readonly onStart: () => void;
+    /** Checks whether the process of the upstream has ended. @default nothing is checked */
+    readonly checkEnded?: (() => Promise<boolean>) | undefined;
     /** Called when a stream has gone on for {@link stableRunMs}. */
     readonly onStable?: (() => void) | undefined;
 }
@@ -201,7 +203,7 @@
         this.status = status;
         this.headers = headers;
         this.head = head;
-        this.isCloseDelimited = !hasMessageFraming(headers);
+        this.isCloseDelimited = hasBody(this.options.caller.method, status) && !hasMessageFraming(headers);
         const { requestId, send: { upstreamName } } = this.options;
         this.options.onMetadata(readResponseMetadata(head, { requestId, upstreamName }));
         if (head.requestId !== undefined && head.requestId !== this.options.requestId) {
@@ -249,16 +251,38 @@
             });
             return;
         }
-        if (this.isCloseDelimited && this.connection.via !== undefined) {
+        if (this.isCloseDelimited) {
+            void this.finishUnframed();
+            return;
+        }
+        this.finishResponse();
+    }
+
+    /** Finishes a response whose end is marked only by the close of its connection, unless that may show a failure. */
+    private async finishUnframed(): Promise<void> {
+        if (this.connection.via !== undefined) {
             // The VM that carries the connection may have ended, which looks like the end of the response.
             this.finishBroken("truncatedAnswer", "the end of a tunnelled response is marked only by its close");
             return;
         }
+        clearTimeout(this.silenceTimer);
+        const hasUpstreamEnded = await this.options.checkEnded?.() === true;
+        if (this.isDone) {
+            return;
+        }
+        if (hasUpstreamEnded) {
+            this.finishBroken("truncatedAnswer", "the upstream has ended with the connection");
+            return;
+        }
+        this.finishResponse();
+    }
+
+    private finishResponse(): void {
         if (this.isStreaming()) {
             this.finishStream();
             return;
         }
-        if (!head.isSigned && this.status < 400) {
+        if (!this.head!.isSigned && this.status < 400) {
             this.finishBroken("wrongAnswer", "the response is not signed");
             return;
         }
@@ -319,7 +343,7 @@
         }
         this.hasPassedEvents = true;
         if (!caller.hasResponseHead) {
-            caller.startResponse(this.status, dialect.listResponseHeaders(this.headers), this.isCloseDelimited);
+            caller.startResponse(this.status, dialect.listResponseHeaders(this.headers));
         }
         recordProgress(progress, fresh.length, this.options.readTime());
         progress.lastEventId = fresh.at(-1)!.id ?? progress.lastEventId;
@@ -348,7 +372,7 @@
         const { caller, dialect } = this.options;
         this.isPassing = true;
         this.options.onStart();
-        caller.startResponse(this.status, dialect.listResponseHeaders(this.headers), this.isCloseDelimited);
+        caller.startResponse(this.status, dialect.listResponseHeaders(this.headers));
         for (const chunk of this.bufferedChunks) {
             this.pass(chunk);
         }
@@ -361,13 +385,6 @@
             this.finishBroken("truncatedAnswer", "the stream ended before its first event or within an event");
             return;
         }
-        if (this.isCloseDelimited && !caller.isCloseDelimited) {
-            this.finishBroken(
-                "truncatedAnswer",
-                "the end of a resumed stream is marked only by the close of its connection",
-            );
-            return;
-        }
         caller.endResponse();
         this.finish({ kind: "complete", status: this.status });
     }
@@ -441,6 +458,11 @@
     progress.events += events;
 }
 
+/** Whether a response has a body, which some never have, whatever their headers say. */
+function hasBody(method: string, status: number): boolean {
+    return method !== "HEAD" && status !== 204 && status !== 304;
+}
+
 /** Whether the headers of a response define where its body ends. */
 function hasMessageFraming(headers: RawHeaders): boolean {
     return headers.some((name, index) =>
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -57,7 +57,7 @@
     readonly left: Promise<undefined>;
     private readonly leftListeners: (() => void)[] = [];
     private hasCallerLeft = false;
-    private isBodyCloseDelimited = false;
+    private hasMessageFraming = false;
     /** Number and total bytes of the chunks of an upstream's response that were written to this caller. */
     partsPassed = 0;
     bytesPassed = 0;
@@ -97,11 +97,6 @@
         return this.response.headersSent;
     }
 
-    /** Whether the end of the response is marked only by the close of its connection. */
-    get isCloseDelimited(): boolean {
-        return this.isBodyCloseDelimited;
-    }
-
     /** Registers a listener that is called once, when the caller disconnects. */
     onLeft(listener: () => void): void {
         this.leftListeners.push(listener);
@@ -138,9 +133,10 @@
     }
 
     /**
-     * Writes the head of an upstream's response.
-     * @param isCloseDelimited Whether the response has no length and ends with its connection. A complete response of
-     * this kind looks the same as a truncated one, so it is passed on in the same form and its end is not confirmed.
+     * Writes the head of an upstream's response. A body without a length is sent in chunks, so that the caller can tell a
+     * truncated response from a complete one, also if this process ends; callers of HTTP/1.0 get neither.
+     * @param isCloseDelimited Whether the response ends with its connection instead, as the upstream's did: a complete
+     * body of this kind looks the same as a truncated one, so its end is not confirmed.
      */
     startResponse(status: number, headers: readonly string[], isCloseDelimited = false): void {
         if (this.hasCallerLeft) {
@@ -150,7 +146,8 @@
             this.response.shouldKeepAlive = false;
             this.response.removeHeader("Transfer-Encoding");
         }
-        this.isBodyCloseDelimited = isCloseDelimited;
+        const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "content-length");
+        this.hasMessageFraming = !isCloseDelimited && (hasLength || this.request.httpVersion !== "1.0");
         this.response.writeHead(status, headers as string[]);
     }
 
@@ -176,6 +173,10 @@
 
     /** Aborts a response that has started, so that it cannot look complete. */
     cancelResponse(): void {
+        if (!this.hasMessageFraming) {
+            // The close of the connection would mark the end of the response.
+            this.request.socket.resetAndDestroy();
+        }
         this.response.destroy();
     }
 
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -415,6 +415,7 @@
                 admission?.start();
                 health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs));
             },
+            checkEnded: () => this.options.guard.checkEnded(upstream),
             onStable: () => this.options.guard.recordAnswer(job),
         });
         this.attempts.set(attempt, job);
