--- /dev/null
+++ b/packages/node/test/crashguard.test.ts
@@ -0,0 +1,92 @@
+import type { CrashReport } from "@radishreel/fleet";
+import type { Route, Service } from "@radishreel/routing";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { CallerExchange } from "../src/requests/caller.js";
+import { createJob, type Job } from "../src/requests/job.js";
+import { createCrashGuard, createDigest } from "./fixtures.js";
+
+let nextRequest = 1;
+
+/** Creates a request whose prompt has these parts and one of its own. */
+function createRequest(...parts: string[]): Job {
+    nextRequest += 1;
+    const promptParts = [...parts, `own${nextRequest}`].map(id => ({ id, tokens: 1 }));
+    return createJob({
+        caller: { hasLeft: false } as CallerExchange,
+        demand: {
+            requestId: String(nextRequest),
+            budgetMs: undefined,
+            lastEventId: undefined,
+            model: { model: "base", adapter: undefined, promptTokens: 9, outputTokens: 9, parts: promptParts },
+        },
+        route: {} as Route,
+        service: {} as Service,
+        body: undefined,
+        digest: createDigest(`/${nextRequest}`),
+        startedAt: performance.now(),
+        deadlineAt: performance.now() + 60_000,
+    });
+}
+
+/** Creates the report of an upstream that ended under prompts with these parts. */
+function createReport(upstream: string, at: number, ...prompts: string[][]): CrashReport {
+    return { name: upstream, crashes: [{ upstream, at, requests: [], prompts }], clearances: [] };
+}
+
+test("a waiting request with a condemned part may run no more, and one without may", () => {
+    const guard = createCrashGuard();
+    const [fatal, sound] = [createRequest("s", "f"), createRequest("s")];
+    assert.is(guard.isRefused(fatal), false);
+    guard.recordAnswer(createRequest("s"));
+    guard.receiveReports(["a", "b", "c", "d"].map(upstream => createReport(upstream, Date.now(), ["f"])));
+    assert.is(guard.isRefused(fatal), true);
+    assert.is(guard.isRefused(sound), false);
+    assert.is(guard.findRefusal(fatal)?.status, 503);
+    fatal.runs = 1;
+    assert.is(guard.findRefusal(fatal)?.status, 502);
+});
+
+test("a request with a part that was never answered is suspect once two ends count against the part", () => {
+    const guard = createCrashGuard();
+    guard.receiveReports([createReport("a", Date.now(), ["f"], ["s"])]);
+    assert.is(guard.isSuspect(createRequest("f")), false);
+    guard.receiveReports([createReport("b", Date.now(), ["f"], ["s"])]);
+    guard.recordAnswer(createRequest("s"));
+    assert.is(guard.isSuspect(createRequest("f")), true);
+    assert.is(guard.isSuspect(createRequest("s")), false);
+});
+
+test("parts whose refusal has ended without a verdict run one request at a time", async () => {
+    const guard = createCrashGuard({
+        send: (vm, message) => {
+            if (message.type === "claimPermit" || message.type === "permitAnswer" || message.type === "releasePermit") {
+                guard.receiveMessage(vm, message);
+            }
+            return true;
+        },
+    });
+    const endedAt = Date.now() - 60_000;
+    guard.receiveReports([
+        createReport("z", endedAt, ["f"]),
+        ...["a", "b", "c", "d", "e", "h"].map(upstream => createReport(upstream, endedAt, ["f"], ["g"])),
+    ]);
+    const [first, second] = [createRequest("g"), createRequest("x", "g")];
+    assert.is(guard.isRefused(first), false);
+    assert.is(guard.isAwaitingPermit(first), true);
+    await guard.waitForPermit(first);
+    assert.is(guard.isAwaitingPermit(first), false);
+    let hasPermit = false;
+    const waiting = guard.waitForPermit(second).then(() => {
+        hasPermit = true;
+    });
+    await new Promise(resolve => setImmediate(resolve));
+    assert.is(hasPermit, false);
+    guard.recordAnswer(first);
+    guard.endPermit(first);
+    await waiting;
+    assert.is(guard.isAwaitingPermit(second), false);
+    assert.is(guard.isAwaitingPermit(createRequest("g")), false);
+});
+
+test.run();
