Keep the claims of a VM that stops before it has read its entry

A VM that was told to stop within the first moments of a start wrote its entry anew, without the software versions that its earlier process had claimed. Streams of these versions that callers took up later were then refused where their records were lost. Now an entry is written only once the earlier one has been read; the entry that stays names the same VM. The test failed before.

--- a/packages/node/src/knowledge/ownentry.ts
+++ b/packages/node/src/knowledge/ownentry.ts
@@ -35,7 +35,7 @@
         this.hasReadPrevious = true;
     }
 
-    /** Writes the entry, which replaces the earlier one. */
+    /** Writes the entry, which replaces the earlier one; an earlier process's entry is replaced only once it was read. */
     append(state: Pick<Member, "generation" | "hasLeft">): void {
         this.state = state;
         this.write();
@@ -52,6 +52,10 @@
     }
 
     private write(): void {
+        if (!this.hasReadPrevious) {
+            // The entry would lose the claims of the earlier process, whose streams may still be resumed.
+            return;
+        }
         const { softwareClaims, onClaimsConfirmed } = this;
         this.options.store.appendMember({ ...this.options.self, ...this.state, softwareClaims }, onClaimsConfirmed);
     }
--- a/packages/node/test/streams.test.ts
+++ b/packages/node/test/streams.test.ts
@@ -2,7 +2,8 @@
 import type { Route } from "@radishreel/routing";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { CallerDemand } from "../src/ports.js";
+import { OwnEntry } from "../src/knowledge/ownentry.js";
+import type { CallerDemand, ClusterStore, Member } from "../src/ports.js";
 import { VersionClaims } from "../src/streams/claims.js";
 import { StreamResolver } from "../src/streams/resolver.js";
 import { createSilentLog, createUpstream } from "./fixtures.js";
@@ -94,4 +95,17 @@
     assert.is(claims.mayBegin("s", "v1"), false);
 });
 
+test("a VM that stops before it has read its entry keeps the claims of its earlier process", () => {
+    const written: Member[] = [];
+    const store = { appendMember: (member: Member) => written.push(member) } as unknown as ClusterStore;
+    const self = { id: "vm", address: "127.0.0.1:1" };
+    const entry = new OwnEntry({ self, store });
+    entry.append({ hasLeft: true });
+    assert.equal(written, []);
+    entry.receiveEntry({ ...self, softwareClaims: { s: ["v1"] } });
+    entry.finishReading();
+    entry.appendClaims(entry.previous!.softwareClaims!, () => {});
+    assert.equal(written, [{ ...self, hasLeft: true, softwareClaims: { s: ["v1"] } }]);
+});
+
 test.run();
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -967,6 +967,12 @@
         "return found;",
         "packages/node/dist/test/streams.test.js",
     ],
+    [
+        "node/dist/src/knowledge/ownentry.js",
+        "!this.hasReadPrevious) {\n            // The entry",
+        "false) {\n            // The entry",
+        "packages/node/dist/test/streams.test.js",
+    ],
     [
         "node/dist/src/streams/claims.js",
         "seenAt < minSeenAt",
