Order no load from what an engine's earlier owner, or an earlier report, showed

A load without an outcome keeps a slot and is sent again until its outcome is known. It is carried out once at most as long as it names the same sequence. After a report it named the reported one, and so was a new load, even where the report had shown all slots taken by others. Such loads are dropped now where there is no room.

A new owner may give orders before it has a report that shows all orders of the one before. An unload that this one had already done is answered as done and not counted by the engine, but the new owner raised its sequence; after two of these it was right by chance, and a load was accepted that was planned on old slots.

--- a/packages/fleet/src/orderscheduler.ts
+++ b/packages/fleet/src/orderscheduler.ts
@@ -29,6 +29,9 @@
      */
     private isSequenceUncertain = false;
     private acceptedAt = -Infinity;
+    /** Whether a report was requested so late that it shows all orders of earlier owners. */
+    private hasSettledReport: boolean;
+    private readonly startedAt: number;
     private reconnectPauseMs = minReconnectPauseMs;
     private isConnected = true;
     private orderNotBefore = -Infinity;
@@ -37,6 +40,8 @@
     constructor({ sequence, now }: OrderSchedulerOptions) {
         this.acceptedCount = sequence;
         this.reportAt = now;
+        this.startedAt = now;
+        this.hasSettledReport = sequence === 0;
     }
 
     /** Number of orders that the engine has accepted, as far as the owner knows. */
@@ -88,6 +93,18 @@
         this.acceptedAt = now;
     }
 
+    /**
+     * Records that the engine no longer holds what an order was to unload. Such an order is counted if it unloaded the
+     * adapter, but not if an order of an earlier owner had done so; the sequence is not raised where that is possible.
+     */
+    recordUnloaded(now: number): void {
+        if (this.hasSettledReport) {
+            this.recordAccepted(now);
+            return;
+        }
+        this.recordConflict(now);
+    }
+
     /** Records that the engine's sequence differs from the one that an order expected. */
     recordConflict(now: number): void {
         this.isSequenceUncertain = true;
@@ -108,6 +125,7 @@
         this.mustReport = false;
         this.acceptedCount = sequence;
         this.isSequenceUncertain = false;
+        this.hasSettledReport ||= askedAt - this.startedAt >= reportDelayMs;
         return true;
     }
 
--- a/packages/fleet/src/slotplanner.ts
+++ b/packages/fleet/src/slotplanner.ts
@@ -297,6 +297,7 @@
                 this.slots.update(key, this.queue.find(key)?.version ?? 0, "loading", now);
             }
         }
+        this.slots.removeUnknownBeyondLimit();
         if (report.isBusy) {
             this.scheduler.scheduleReport(now);
         }
@@ -345,7 +346,7 @@
         const slot = this.slots.find(key);
         if (outcome === "holds") {
             if (slot?.state !== "unloading") {
-                this.scheduler.recordAccepted(now);
+                this.scheduler.recordUnloaded(now);
             }
             this.slots.remove(key);
             return;
--- a/packages/fleet/src/slottable.ts
+++ b/packages/fleet/src/slottable.ts
@@ -121,6 +121,21 @@
         this.slots.delete(key);
     }
 
+    /**
+     * Drops loads with unknown outcome for which the engine has reported no room: they were ordered with an earlier
+     * sequence and can't be carried out any more. Sent again, they would be new loads.
+     */
+    removeUnknownBeyondLimit(): void {
+        for (const [key, { state }] of this.slots) {
+            if (this.free >= 0) {
+                return;
+            }
+            if (state === "unknown") {
+                this.slots.delete(key);
+            }
+        }
+    }
+
     /** Counts a request for an adapter. */
     recordUse(key: string, now: number): void {
         const slot = this.slots.get(key);
--- /dev/null
+++ b/packages/fleet/test/slothistories.test.ts
@@ -0,0 +1,144 @@
+/** Guards against orders for more adapters than an engine has slots, over random histories of one engine's owners. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type EngineOrder, EngineSlotPlanner, type OrderOutcome } from "../src/index.js";
+import { limits, model, SimulatedEngine } from "./simulatedengine.js";
+import { createRandom } from "./workload.js";
+
+/** Age of the state that reports show, in milliseconds. */
+const reportLagMs = 200;
+
+const adapters = 9;
+const rounds = 400;
+
+/** An engine whose orders get lost, arrive late or are rejected, and whose owner changes. */
+class SlotHistory {
+    readonly engine = new SimulatedEngine();
+    private readonly random: () => number;
+    private planner: EngineSlotPlanner;
+    /** Until when the engine rejects most calls. */
+    private shedsUntil = 0;
+
+    constructor(seed: number) {
+        this.random = createRandom(seed);
+        this.engine.reportLagMs = reportLagMs;
+        this.planner = new EngineSlotPlanner({ limits, models: this.engine.readReport().models, sequence: 0, now: 0 });
+    }
+
+    /** @returns Whether the engine was never ordered to load more than it holds. */
+    run(): boolean {
+        for (let round = 0; round < rounds && this.engine.overLimit === 0; round++) {
+            this.advance(Math.floor(this.random() * 60));
+            this.updateDemand();
+            this.runSteps();
+        }
+        return this.engine.overLimit === 0;
+    }
+
+    private updateDemand(): void {
+        const { engine, random } = this;
+        if (random() < 0.3) {
+            engine.coldLoadMs = [50, 250, 600, 1500][Math.floor(random() * 4)]!;
+        }
+        const run = this.chooseKey();
+        engine.runs.set(run, engine.held.has(run) && random() < 0.5 ? 1 : 0);
+        if (random() < 0.5) {
+            this.planner.addLoadRequest(
+                { key: this.chooseKey(), version: undefined, runMs: 500, onTimeMs: 0 },
+                engine.now,
+            );
+        }
+        if (random() < 0.1) {
+            this.planner.removeLoadRequest(this.chooseKey());
+        }
+        if (random() < 0.05) {
+            this.planner.recordMissing(this.chooseKey(), engine.now);
+        }
+        if (random() < 0.02) {
+            this.shedsUntil = engine.now + 500;
+        }
+        if (random() < 0.01) {
+            this.startNextOwner();
+        }
+    }
+
+    /** The next owner knows what the last one announced, and the sequence of an older entry. */
+    private startNextOwner(): void {
+        const held = this.planner.listHeld();
+        this.planner = new EngineSlotPlanner({
+            limits,
+            models: [{ name: model, version: 1, adapters: [] }],
+            held,
+            sequence: Math.max(0, this.engine.sequence - Math.floor(this.random() * 4)),
+            now: this.engine.now,
+        });
+    }
+
+    private runSteps(): void {
+        const { engine, planner } = this;
+        for (let steps = 0; steps < 6 && engine.overLimit === 0; steps++) {
+            const step = planner.decide(engine.now, key => engine.countRuns(key));
+            if (step.kind === "wait") {
+                return;
+            }
+            if (step.kind === "report") {
+                this.readReport();
+                continue;
+            }
+            planner.applyOutcome(step.order, this.sendOrder(step.order), engine.now);
+        }
+    }
+
+    private readReport(): void {
+        const { engine, random } = this;
+        if (this.isShed()) {
+            this.planner.recordReportFailure(true, engine.now);
+            return;
+        }
+        const askedAt = engine.now;
+        const report = engine.readReport();
+        this.advance(random() < 0.2 ? Math.floor(random() * 17) * 10 : 0);
+        this.planner.applyReport(report, askedAt, engine.now);
+    }
+
+    private sendOrder(order: EngineOrder): OrderOutcome {
+        const { engine, random } = this;
+        const fate = random();
+        if (engine.now < this.shedsUntil && fate < 0.8) {
+            return "unknown";
+        }
+        if (fate >= 0.75 && fate < 0.85) {
+            engine.apply(order);
+            return "unknown";
+        }
+        if (fate >= 0.85 && fate < 0.93) {
+            engine.delayedOrders.push({ order, at: engine.now + Math.floor(random() * 6000) });
+            return "unknown";
+        }
+        if (fate >= 0.93 && fate < 0.97) {
+            return fate < 0.95 ? "conflict" : "unreachable";
+        }
+        return engine.apply(order);
+    }
+
+    private isShed(): boolean {
+        return this.engine.now < this.shedsUntil && this.random() < 0.8;
+    }
+
+    private advance(ms: number): void {
+        for (let elapsed = 0; elapsed < ms; elapsed += 10) {
+            this.engine.advance(10);
+        }
+    }
+
+    private chooseKey(): string {
+        return `${model}/a${Math.floor(this.random() * adapters)}`;
+    }
+}
+
+test("an engine is never ordered to load more than it holds, whoever owns it and whatever becomes of orders", () => {
+    const failed = Array.from({ length: 1500 }, (_, index) => index + 1).filter(seed => !new SlotHistory(seed).run());
+    assert.equal(failed, []);
+});
+
+test.run();
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -1153,6 +1153,18 @@
         "if (false) {",
         "packages/node/dist/test/crashguard.test.js",
     ],
+    [
+        "fleet/dist/src/slottable.js",
+        "state === \"unknown\"",
+        "false",
+        "packages/fleet/dist/test/slothistories.test.js",
+    ],
+    [
+        "fleet/dist/src/orderscheduler.js",
+        "this.hasSettledReport = sequence === 0",
+        "this.hasSettledReport = true",
+        "packages/fleet/dist/test/slothistories.test.js",
+    ],
 ];
 
 /** Timeout of a test file of a package, in milliseconds. */
