Clear no parts by a response whose end only a close marked

A stream without a length that its crashing engine cut off at the end of an event may count as complete where the engine's address does not answer. It cleared the parts of its prompt, so that the fatal one among them counted as answered before. The test failed before. Beside it, names and comments of the quarantine of parts.

--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/partquarantine.ts
@@ -121,33 +121,34 @@
         return parts.filter(part => this.readSoundAt(part) + recentlySoundMs <= now);
     }
 
-    /** Adds an end that one VM noticed. @returns Whether anything about it is new. */
-    applyEnd(upstream: string, at: number, prompts: readonly (readonly string[])[], now: number): boolean {
+    /**
+     * Adds an end that one VM noticed.
+     * @param prompts The suspected parts of each prompt that the upstream may have begun to answer.
+     */
+    applyEnd(upstream: string, at: number, prompts: readonly (readonly string[])[], now: number): void {
         if (prompts.length === 0) {
-            return false;
+            return;
         }
         const end = this.ends.get(upstream)
             ?? { at: Infinity, knownSince: now, prompts: [], parts: new Set<string>() };
         this.ends.set(upstream, end);
         end.at = Math.min(end.at, at);
         end.prompts.push(...prompts);
-        const newParts = prompts.flat().filter(part => !end.parts.has(part));
-        for (const part of newParts) {
-            this.addSuspect(part, upstream, end);
+        for (const part of prompts.flat()) {
+            if (!end.parts.has(part)) {
+                this.addSuspect(part, upstream, end);
+            }
         }
         this.condemned = undefined;
         this.evictOldest(upstream);
-        return newParts.length > 0;
     }
 
-    /** Clears a part of the ends up to a point in time. @returns Whether this is new. */
-    applyClearance(part: string, at: number): boolean {
-        if (at <= (this.clearedAt.get(part) ?? -Infinity)) {
-            return false;
+    /** Clears a part of the ends up to a point in time. */
+    applyClearance(part: string, at: number): void {
+        if (at > (this.clearedAt.get(part) ?? -Infinity)) {
+            this.clearedAt.set(part, at);
+            this.condemned = undefined;
         }
-        this.clearedAt.set(part, at);
-        this.condemned = undefined;
-        return true;
     }
 
     /**
@@ -182,7 +183,7 @@
         return this.listCounted(part).length;
     }
 
-    /** Creates the time of a clearance that covers all known ends. */
+    /** Time of a clearance that covers all known ends, in Unix milliseconds. */
     readClearanceTime(part: string, now: number): number {
         const upstreams = [...this.upstreamsByPart.get(part) ?? []];
         return Math.max(now, ...upstreams.map(upstream => this.ends.get(upstream)!.at));
@@ -198,6 +199,7 @@
         return this.listAllCondemned().find(group => !isRefused(group, now) && isCovered(group, parts));
     }
 
+    /** Lists the parts that are refused. */
     listCondemned(now: number): readonly CondemnedParts[] {
         return this.listAllCondemned().filter(group => isRefused(group, now));
     }
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -30,10 +30,7 @@
 /** Reasons for which this VM itself ends attempts. */
 const abortReasons: ReadonlySet<BreakReason> = new Set(["versionReplaced", "quarantined"]);
 
-/**
- * `Retry-After` of a request that has a condemned part, in seconds. The part stays condemned until an operator releases
- * it.
- */
+/** `Retry-After` of a request that has a condemned part, in seconds: the part stays condemned until it is released. */
 const partRetryAfterSeconds = 1800;
 
 /** Ends that count against a part from which requests with it are not retried after a further end. */
@@ -192,7 +189,8 @@
     ): Promise<void> {
         if (end.kind === "complete" || end.kind === "failed") {
             this.reports.recordCompletion(job.digest);
-            if (end.kind === "complete" && end.status < 300) {
+            // A response that ends with its connection may have been cut off by the end of its upstream.
+            if (end.kind === "complete" && end.status < 300 && end.isCloseDelimited !== true) {
                 this.recordAnswer(job);
             }
             return;
--- a/packages/node/src/crashes/monitor.ts
+++ b/packages/node/src/crashes/monitor.ts
@@ -10,8 +10,8 @@
 const watchLifetimeMs = 10_000;
 
 /**
- * Time for which events have arrived after which a run does not count as the cause of its upstream's end, in milliseconds: a
- * request that ends upstreams does so when it starts to run.
+ * Time for which the events of a run must have arrived, in milliseconds, so that it does not count as the cause of its
+ * upstream's end: a request that ends upstreams does so when it starts to run.
  */
 export const stableRunMs = 200;
 
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -19,7 +19,12 @@
 /** How one attempt at an upstream ended. */
 export type AttemptEnd =
     /** The caller has received the complete response. */
-    | { readonly kind: "complete"; readonly status: number; }
+    | {
+        readonly kind: "complete";
+        readonly status: number;
+        /** Whether only the close of its connection marked the end of the response. @default false */
+        readonly isCloseDelimited?: boolean;
+    }
     /** The upstream confirms that it did not run the request, or nothing was sent to it. */
     | { readonly kind: "notRun"; readonly wasSent: boolean; readonly isMisdirected: boolean; readonly detail: string; }
     /** The upstream ran the request and failed with a complete response, which has not been sent to the caller. */
@@ -386,7 +391,7 @@
             return;
         }
         caller.endResponse();
-        this.finish({ kind: "complete", status: this.status });
+        this.finish({ kind: "complete", status: this.status, isCloseDelimited: this.isCloseDelimited });
     }
 
     private finishPlain(): void {
@@ -407,7 +412,7 @@
             caller.startResponse(this.status, createBodyHeaders(dialect.listResponseHeaders(this.headers), body));
             caller.endResponse(body);
         }
-        this.finish({ kind: "complete", status: this.status });
+        this.finish({ kind: "complete", status: this.status, isCloseDelimited: this.isCloseDelimited });
     }
 
     private startSilenceTimer(ms: number): void {
--- a/packages/node/test/crashguard.test.ts
+++ b/packages/node/test/crashguard.test.ts
@@ -4,7 +4,7 @@
 import * as assert from "uvu/assert";
 import type { CallerExchange } from "../src/requests/caller.js";
 import { createJob, type Job } from "../src/requests/job.js";
-import { createCrashGuard, createDigest } from "./fixtures.js";
+import { createCrashGuard, createDigest, createUpstream } from "./fixtures.js";
 
 let nextRequest = 1;
 
@@ -57,6 +57,16 @@
     assert.is(guard.isSuspect(createRequest("s")), false);
 });
 
+test("a complete response clears the parts of its prompt, unless only the close of its connection marked its end", async () => {
+    for (const isCloseDelimited of [true, false]) {
+        const guard = createCrashGuard();
+        guard.receiveReports(["a", "b"].map(upstream => createReport(upstream, Date.now(), ["f"])));
+        const end = { kind: "complete", status: 200, isCloseDelimited } as const;
+        await guard.recordEnd(createRequest("f"), createUpstream("e"), end, { sentAt: 0, answeringMs: 10 });
+        assert.is(guard.isSuspect(createRequest("f")), isCloseDelimited);
+    }
+});
+
 test("parts whose refusal has ended without a verdict run one request at a time", async () => {
     const guard = createCrashGuard({
         send: (vm, message) => {
