--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -1129,12 +1129,6 @@
         "if (false) {",
         "platform/dist/test/unframed.test.js",
     ],
-    [
-        "node/dist/src/requests/serving.js",
-        "if (quarantined !== undefined) {",
-        "if (false) {",
-        "platform/dist/test/fatalparts.test.js",
-    ],
     [
         "node/dist/src/crashes/guard.js",
         "return this.findCondemnedParts(demand.model) !== undefined\n            || ",
