Share what the simulations of crash reports have in common

CrashWorld and PartWorld each had their own virtual time, engines, links, store and restart, copied with two numbers changed. CrashSimulation has them now; what requests do stays with the two.

--- a/packages/fleet/test/partworld.ts
+++ b/packages/fleet/test/partworld.ts
@@ -1,13 +1,14 @@
-import { type CrashReport, PermitIssuer, Quarantine } from "../src/index.js";
-import { createRandom } from "./workload.js";
+import { type CrashReport, PermitIssuer } from "../src/index.js";
+import {
+    CrashSimulation,
+    type CrashSimulationOptions,
+    type Engine,
+    meshVms,
+    type SimulatedVm,
+} from "./crashsimulation.js";
 
 /** Options of a {@link PartWorld}. */
-export interface PartWorldOptions {
-    readonly seed: number;
-    readonly vms: number;
-    readonly engines: number;
-    /** Simulated time, in milliseconds. */
-    readonly lengthMs: number;
+export interface PartWorldOptions extends CrashSimulationOptions {
     /** Number of fatal parts. @default 1 */
     readonly fatalParts?: number;
     /** Mean time between two requests with a fatal part, in milliseconds. @default 200 */
@@ -16,12 +17,6 @@
     readonly fatalFrom?: number;
     /** Sound requests per second and engine. @default 6 */
     readonly requestsPerEngine?: number;
-    /** Mean time between two ends of engines for other reasons, in milliseconds. @default never */
-    readonly otherEndsMs?: number;
-    /** Start and end of the time in which the store is unreachable, in milliseconds. @default never */
-    readonly storeOutage?: readonly [number, number];
-    /** When all VMs are killed and restart, in milliseconds. @default never */
-    readonly restartAt?: number;
     /** Whether each fatal request also lists parts of sound requests that are seldom used. @default false */
     readonly listsOthers?: boolean;
 }
@@ -59,9 +54,6 @@
 /** How long VMs collect clearances before they send them, in milliseconds. */
 const clearanceBatchMs = 250;
 
-/** Largest number of VMs that form a full mesh. */
-const meshVms = 12;
-
 /** Prompts of sound requests begin with the part of one of these routes. */
 const routes = ["5c1e", "77aa"];
 
@@ -85,29 +77,13 @@
     readonly endsAt: number;
 }
 
-interface Engine {
-    readonly name: string;
-    incarnation: number;
-    isUp: boolean;
-    runs: Run[];
-}
-
-interface Vm {
-    readonly name: string;
-    readonly isHub: boolean;
-    readonly dataCentre: number;
-    incarnation: number;
-    reports: number;
-    quarantine: Quarantine;
+interface Vm extends SimulatedVm {
     pending: Map<string, number>;
     isPendingStored: boolean;
 }
 
-/**
- * Simulates VMs whose engines end under parts of prompts, in virtual time. Of the production code only the decisions run
- * here; engines, links and the store are simulated.
- */
-export class PartWorld {
+/** Simulates VMs whose engines end under parts of prompts. */
+export class PartWorld extends CrashSimulation<Vm, Run> {
     readonly tally: PartTally = {
         sound: 0,
         wronglyRefused: 0,
@@ -122,12 +98,6 @@
         messages: 0,
         records: 0,
     };
-    private now = 0;
-    private readonly events: (() => void)[][] = [];
-    private readonly random: () => number;
-    private readonly vms: Vm[];
-    private readonly engines: Engine[];
-    private readonly store: CrashReport[] = [];
     private readonly sessions: string[] = [];
     private readonly endsByPart = new Map<
         string,
@@ -138,28 +108,11 @@
     private nextPart = 0x1000;
 
     constructor(private readonly options: PartWorldOptions) {
-        this.random = createRandom(options.seed);
-        this.vms = Array.from({ length: options.vms }, (_, index) => ({
-            name: `v${index}`,
-            isHub: options.vms <= meshVms || index % 5 === 0,
-            dataCentre: index % 4,
-            incarnation: 1,
-            reports: 0,
-            quarantine: new Quarantine(),
-            pending: new Map<string, number>(),
-            isPendingStored: false,
-        }));
-        this.engines = Array.from({ length: options.engines }, (_, index) => ({
-            name: `e${index}`,
-            incarnation: 1,
-            isUp: true,
-            runs: [],
-        }));
+        super(options, [800, 3000]);
     }
 
     run(): PartTally {
-        const { lengthMs, restartAt, fatalMs = 200, fatalFrom = 2000, otherEndsMs, vms, engines } = this.options;
-        const { requestsPerEngine = 6, fatalParts = 1 } = this.options;
+        const { fatalMs = 200, fatalFrom = 2000, vms, engines, requestsPerEngine = 6, fatalParts = 1 } = this.options;
         const arrivalMs = 1000 * vms / (engines * requestsPerEngine);
         for (const vm of this.vms) {
             this.scheduleEvery(arrivalMs, () => this.arrive(vm, this.createSound()));
@@ -170,28 +123,31 @@
                 () => this.scheduleEvery(fatalMs, () => this.arrive(this.choose(this.vms), this.createFatal())),
             );
         }
-        if (otherEndsMs !== undefined) {
-            this.scheduleEvery(otherEndsMs, () => this.endAny());
-        }
-        if (restartAt !== undefined) {
-            this.schedule(restartAt, () => this.restartVms());
-        }
-        for (this.now = 0; this.now <= lengthMs; this.now++) {
-            // An event may schedule another one for the same millisecond.
-            const due = this.events[this.now] ?? [];
-            for (let index = 0; index < due.length; index++) {
-                due[index]!();
-            }
-            this.events[this.now] = [];
-        }
+        this.runEvents();
         this.tally.lateSends = Math.max(0, ...[...this.endsByPart.values()].map(({ lateSends }) => lateSends));
         this.tally.wronglyCondemned = Math.max(...this.vms.map(vm => this.countWronglyCondemned(vm)));
+        this.tally.messages = this.messages;
+        this.tally.records = this.records;
         return this.tally;
     }
 
+    protected override createVm(vm: SimulatedVm): Vm {
+        return { ...vm, pending: new Map<string, number>(), isPendingStored: false };
+    }
+
+    protected override receiveRestart(vm: Vm): void {
+        vm.pending = new Map();
+    }
+
+    protected override receiveReport(vm: Vm, report: CrashReport): void {
+        if (vm.quarantine.applyReport(report, this.now)) {
+            report.partClearances?.forEach(({ part }) => vm.pending.delete(part));
+        }
+    }
+
     private createSound(): Request {
         this.tally.sound += 1;
-        // A session has some requests; half of the sessions are new.
+        // Three of ten requests begin a session.
         if (this.sessions.length < 50 || this.random() < 0.3) {
             this.sessions.push(this.createPart());
         }
@@ -241,7 +197,7 @@
             }
             request.permit = trial.parts.join();
         }
-        const up = this.engines.filter(({ isUp }) => isUp);
+        const up = this.listUp();
         if (up.length === 0) {
             this.schedule(100, () => this.arrive(vm, request));
             return;
@@ -249,7 +205,7 @@
         this.send(vm, request, this.choose(up));
     }
 
-    private send(vm: Vm, request: Request, engine: Engine): void {
+    private send(vm: Vm, request: Request, engine: Engine<Run>): void {
         request.attempts += 1;
         this.recordSend(request);
         const startsAt = this.now + 40 + this.random() * 300;
@@ -260,7 +216,7 @@
         this.schedule(startsAt - this.now, () => isRunning() && this.begin(engine, run, isRunning));
     }
 
-    private begin(engine: Engine, run: Run, isRunning: () => boolean): void {
+    private begin(engine: Engine<Run>, run: Run, isRunning: () => boolean): void {
         const { request, vm } = run;
         if (request.fatal !== undefined) {
             this.schedule(30 + this.random() * 90, () => isRunning() && this.recordFatalEnd(engine, request.fatal!));
@@ -320,7 +276,7 @@
         vm.isPendingStored = false;
     }
 
-    private recordFatalEnd(engine: Engine, fatal: string): void {
+    private recordFatalEnd(engine: Engine<Run>, fatal: string): void {
         this.tally.fatalEnds += 1;
         const part = this.endsByPart.get(fatal) ?? { ends: 0, fifthAt: Infinity, lastAt: 0, lateSends: 0 };
         this.endsByPart.set(fatal, part);
@@ -332,36 +288,7 @@
         this.end(engine);
     }
 
-    private endAny(): void {
-        const up = this.engines.filter(({ isUp }) => isUp);
-        if (up.length > 0) {
-            this.tally.otherEnds += 1;
-            this.end(this.choose(up));
-        }
-    }
-
-    private end(engine: Engine): void {
-        engine.isUp = false;
-        const { runs } = engine;
-        engine.runs = [];
-        const upstream = `${engine.name}#${engine.incarnation}`;
-        this.schedule(800 + this.random() * 3000, () => {
-            engine.incarnation += 1;
-            engine.isUp = true;
-        });
-        // Each VM notices the end by itself, some milliseconds later.
-        for (const vm of new Set(runs.map(run => run.vm))) {
-            const { incarnation } = vm;
-            const broken = runs.filter(run => run.vm === vm);
-            const endedAt = this.now;
-            this.schedule(
-                5 + this.random() * 10,
-                () => vm.incarnation === incarnation && this.recordBreaks(vm, upstream, endedAt, broken),
-            );
-        }
-    }
-
-    private recordBreaks(vm: Vm, upstream: string, endedAt: number, runs: readonly Run[]): void {
+    protected override recordBreaks(vm: Vm, upstream: string, endedAt: number, runs: readonly Run[]): void {
         const { parts } = vm.quarantine;
         const prompts = runs.filter(run => endedAt - run.startsAt < stableRunMs)
             .map(({ request }) => parts.listSuspects(request.parts, this.now))
@@ -398,59 +325,6 @@
         }
     }
 
-    private sendReport(vm: Vm, content: Omit<CrashReport, "name">, isRecorded = true): void {
-        vm.reports += 1;
-        const report = { name: `${vm.name}/${vm.incarnation}/${vm.reports}`, ...content };
-        vm.quarantine.addReport(report);
-        for (const other of this.vms) {
-            const isLinked = vm.isHub || other.isHub || other.dataCentre === vm.dataCentre;
-            if (other !== vm && isLinked) {
-                this.tally.messages += 1;
-                this.forwardReport(other, report, 1 + this.random() * 30);
-            }
-        }
-        if (isRecorded) {
-            this.tally.records += 1;
-            this.appendReport(report);
-        }
-    }
-
-    private forwardReport(vm: Vm, report: CrashReport, delayMs: number): void {
-        const { incarnation } = vm;
-        this.schedule(delayMs, () => {
-            if (vm.incarnation === incarnation && vm.quarantine.applyReport(report, this.now)) {
-                report.partClearances?.forEach(({ part }) => vm.pending.delete(part));
-            }
-        });
-    }
-
-    /** Writes a report to the store as soon as the store is reachable; all VMs read the report within 0.7 s. */
-    private appendReport(report: CrashReport): void {
-        const [from, until] = this.options.storeOutage ?? [Infinity, Infinity];
-        if (this.now >= from && this.now < until) {
-            this.schedule(500, () => this.appendReport(report));
-            return;
-        }
-        this.store.push(report);
-        for (const vm of this.vms) {
-            this.forwardReport(vm, report, 200 + this.random() * 500);
-        }
-    }
-
-    private restartVms(): void {
-        for (const engine of this.engines) {
-            engine.runs = [];
-        }
-        for (const vm of this.vms) {
-            vm.incarnation += 1;
-            vm.quarantine = new Quarantine();
-            vm.pending = new Map();
-            for (const report of this.store) {
-                this.forwardReport(vm, report, 100 + this.random() * 300);
-            }
-        }
-    }
-
     private countWronglyCondemned({ quarantine }: Vm): number {
         return quarantine.parts.listCondemned(this.now).filter(({ parts }) => !parts.some(part => part.startsWith("f")))
             .length;
@@ -466,20 +340,4 @@
                 ...[...this.endsByPart.values()].map(({ fifthAt, lastAt }) => Math.min(fifthAt, lastAt)),
             );
     }
-
-    private choose<Item>(items: readonly Item[]): Item {
-        return items[Math.floor(this.random() * items.length)]!;
-    }
-
-    private scheduleEvery(meanMs: number, run: () => void): void {
-        this.schedule(-Math.log(1 - this.random()) * meanMs, () => {
-            run();
-            this.scheduleEvery(meanMs, run);
-        });
-    }
-
-    private schedule(waitMs: number, run: () => void): void {
-        const at = Math.ceil(this.now + waitMs);
-        (this.events[at] ??= []).push(run);
-    }
 }
