Look at the parts of a request only while some are condemned

They are listed while parts are condemned now. No verdict changes: without condemned parts the look found nothing.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -37,7 +37,6 @@
     type CrashReport,
     crashReportSchema,
     type PartClearance,
-    partClearanceSchema,
     Quarantine,
     type QuarantineOptions,
     type RefusedRequest,
--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/partquarantine.ts
@@ -1,5 +1,5 @@
 /** Upstreams that must have ended under a part that no upstream is known to have survived. */
-const defaultMinEnds = 4;
+const minEnds = 4;
 
 /** Of these, the upstreams that no other condemned part is known to have ended. */
 const minUnexplained = 2;
@@ -58,8 +58,6 @@
 
 /** Options of {@link PartQuarantine}. */
 export interface PartQuarantineOptions {
-    /** Upstreams that must have ended under a part that none is known to have survived. @default 4 */
-    readonly minEnds?: number | undefined;
     /** Most pairs of a part and an end that are tracked. @default 100000 */
     readonly maxEvidence?: number | undefined;
 }
@@ -96,7 +94,6 @@
  * A condemned part stays so until an answer or an operator clears it. Evidence gives the same result in any order.
  */
 export class PartQuarantine {
-    private readonly minEnds: number;
     private readonly maxEvidence: number;
     private readonly ends = new Map<string, UpstreamEnd>();
     private readonly upstreamsByPart = new Map<string, Set<string>>();
@@ -106,8 +103,7 @@
     private evidence = 0;
     private condemned: CondemnedParts[] | undefined = [];
 
-    constructor({ minEnds, maxEvidence }: PartQuarantineOptions = {}) {
-        this.minEnds = minEnds ?? defaultMinEnds;
+    constructor({ maxEvidence }: PartQuarantineOptions = {}) {
         this.maxEvidence = maxEvidence ?? defaultMaxEvidence;
     }
 
@@ -116,6 +112,11 @@
         return this.upstreamsByPart.size;
     }
 
+    /** Whether any parts are condemned, whether or not their refusal has ended. */
+    get hasCondemned(): boolean {
+        return this.listAllCondemned().length > 0;
+    }
+
     /** Lists the parts of a prompt that may have ended an upstream. @param now Unix time in milliseconds, here and below. */
     listSuspects(parts: readonly string[], now: number): string[] {
         return parts.filter(part => this.readSoundAt(part) + recentlySoundMs <= now);
@@ -275,7 +276,7 @@
     private listCandidates(explained: ReadonlySet<string>): Candidate[] {
         const candidates: Candidate[] = [];
         for (const [part, all] of this.upstreamsByPart) {
-            if (all.size < this.minEnds) {
+            if (all.size < minEnds) {
                 continue;
             }
             const upstreams = this.listCounted(part).sort();
@@ -295,7 +296,7 @@
     /** Whether ends show that a part ends upstreams that none is known to have survived. */
     private isConclusive({ upstreams, unexplained }: Candidate): boolean {
         return upstreams.length >= minEndsOfExplained
-            || (upstreams.length >= this.minEnds && unexplained.length >= minUnexplained);
+            || (upstreams.length >= minEnds && unexplained.length >= minUnexplained);
     }
 
     /** Whether ends show that a part ends upstreams now that have survived it before. */
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -300,9 +300,9 @@
 
     /** What a request has in common with others of which only one may run at a time; undefined without it. */
     private findPermitKey({ digest, demand }: Job): string | undefined {
-        const trial = this.reports.parts.suspectCount === 0
-            ? undefined
-            : this.reports.findOnTrial(listSharedParts(demand.model));
+        const trial = this.reports.parts.hasCondemned
+            ? this.reports.findOnTrial(listSharedParts(demand.model))
+            : undefined;
         if (trial !== undefined) {
             return `parts/${trial.parts.join()}`;
         }
@@ -310,7 +310,7 @@
     }
 
     private findCondemnedParts(model: ModelDemand | undefined): CondemnedParts | undefined {
-        return this.reports.parts.suspectCount === 0 ? undefined : this.reports.findCondemned(listSharedParts(model));
+        return this.reports.parts.hasCondemned ? this.reports.findCondemned(listSharedParts(model)) : undefined;
     }
 
     /** The VM that issues the permits of a suspect request for all VMs. */
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -1,7 +1,7 @@
 import { type Route } from "@radishreel/routing";
 import { stableRunMs } from "../crashes/index.js";
 import type { RawHeaders, RequestDialect, ResponseHead, SendOptions } from "../ports.js";
-import type { CallerExchange } from "./caller.js";
+import { type CallerExchange, hasHeader } from "./caller.js";
 import type { ConnectionPool, UpstreamConnection } from "./connections.js";
 import { EventSplitter, type StreamEvent } from "./events.js";
 import { Exchange, type ExchangePhase, type ExchangeReceiver } from "./exchange.js";
@@ -129,7 +129,6 @@
     private bufferedChunks: Buffer[] = [];
     private bufferedBytes = 0;
     private wasWritten = false;
-    private hasStarted = false;
     private streamedMs: number | undefined;
     private lastEventAt = 0;
     private hasPassedEvents = false;
@@ -179,9 +178,14 @@
         return this.streamedMs;
     }
 
+    /** Whether an event of a stream has arrived. */
+    private get hasStarted(): boolean {
+        return this.streamedMs !== undefined;
+    }
+
     /** Cancels an attempt whose request was quarantined, unless its response has started. */
     cancelQuarantined(): void {
-        if (!this.isDone && !this.hasStarted && this.status === 0 && this.wasWritten) {
+        if (!this.isDone && this.wasWritten && this.status === 0) {
             this.finishBroken("quarantined", "the request was quarantined before its response started");
         }
     }
@@ -318,7 +322,6 @@
         }
         this.startSilenceTimer(this.options.pauseMs);
         if (!this.hasStarted) {
-            this.hasStarted = true;
             this.options.onStart();
         }
         this.recordStreamed(this.options.readTime());
@@ -470,9 +473,7 @@
 
 /** Whether the headers of a response define where its body ends. */
 function hasMessageFraming(headers: RawHeaders): boolean {
-    return headers.some((name, index) =>
-        index % 2 === 0 && (name.toLowerCase() === "content-length" || name.toLowerCase() === "transfer-encoding")
-    );
+    return hasHeader(headers, "content-length") || hasHeader(headers, "transfer-encoding");
 }
 
 /** Returns the headers of a response with the length of its complete body. */
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -146,8 +146,8 @@
             this.response.shouldKeepAlive = false;
             this.response.removeHeader("Transfer-Encoding");
         }
-        const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "content-length");
-        this.hasMessageFraming = !isCloseDelimited && (hasLength || this.request.httpVersion !== "1.0");
+        const isFramed = hasHeader(headers, "content-length") || this.request.httpVersion !== "1.0";
+        this.hasMessageFraming = isFramed && !isCloseDelimited;
         this.response.writeHead(status, headers as string[]);
     }
 
@@ -209,3 +209,8 @@
         }
     }
 }
+
+/** Whether raw headers contain a header. @param name The name in lower case. */
+export function hasHeader(headers: RawHeaders, name: string): boolean {
+    return headers.some((text, index) => index % 2 === 0 && text.toLowerCase() === name);
+}
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -151,7 +151,7 @@
                 attempt.cancelQuarantined();
             }
         });
-        this.chooser.receiveChange();
+        this.receiveChange();
     }
 
     /** Updates the start limits of running attempts, since a newly announced adapter version may replace theirs. */
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -1113,7 +1113,7 @@
     ],
     [
         "node/dist/src/requests/attempt.js",
-        "!this.isDone && !this.hasStarted && this.status === 0 && this.wasWritten",
+        "!this.isDone && this.wasWritten && this.status === 0",
         "!this.isDone && this.wasWritten",
         "packages/node/dist/test/attempt.test.js",
     ],
