--- a/review/standins/rig.mjs
+++ b/review/standins/rig.mjs
@@ -82,6 +82,9 @@
         this.vms = vms.map(({ name, zone }, index) => ({ name, zone, host: `127.0.0.${11 + index}`, ends: [] }));
         const deploy = readFileSync(path.join(root, "deploy/system.toml"), "utf8");
         this.command = /^run = "([^"]+)"/m.exec(deploy)[1].split(" ");
+        // A script that is stopped from outside still ends all processes that it started.
+        process.once("SIGTERM", () => process.exit(2));
+        process.once("exit", () => this.vms.forEach(({ child }) => child?.kill("SIGKILL")));
     }
 
     async prepare() {
