--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -30,7 +30,7 @@
 let status = 2;
 try {
     await fleet.startAll();
-    const clients = new Clients({ fleet, count: 40, kinds: ["/draft/x", "/label/x"] });
+    const clients = new Clients({ fleet, count: 100, kinds: ["/draft/x", "/label/x"] });
     await wait(calmMs);
     recorder.write(`calm: ${clients.ends.length} requests ended`);
     const cuts = [];
