Show how long upstreams were silent, and which responses were cut off

The lines of a cut stream did not tell whether its upstream was silent for one run or for all, nor for how long, nor whether a refusal closed a connection in the middle of its answer. The line of an attempt now has `silentMs` and `upstreamSilentMs`, the line of a refusal `cutAfterBytes`, and `node_cut_responses_total` counts responses that were cut off by reason. A failure of the upstream at which a response was to go on closed the connection without any line; it is a refusal with the reason `upstreamFailed` now. No decision changes.

--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -1,3 +1,4 @@
+import { UpstreamActivity } from "./activity.js";
 import { type AdapterStatus, mergeAdapter } from "./adapterstatus.js";
 import { UpstreamBackoffs } from "./backoffs.js";
 import { UpstreamHealth } from "./health.js";
@@ -25,6 +26,7 @@
     /** This VM's own load on the engine when the newest status arrived; the owner has counted it. */
     ownLoadAtStatus: Readonly<UpstreamLoad>;
     readonly health: UpstreamHealth;
+    readonly activity: UpstreamActivity;
     /** Adapters that the engine held recently, by the status reports of its owners. */
     readonly warm: WarmAdapters;
     /** Prompts that the engine read recently, for all VMs. */
@@ -88,6 +90,7 @@
                 owner: undefined,
                 ownLoadAtStatus: idleLoad,
                 health: new UpstreamHealth(),
+                activity: new UpstreamActivity(),
                 warm: new WarmAdapters(),
                 prompts: new PromptHistory(),
             });
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -24,6 +24,12 @@
         labelNames: ["reason"] as const,
         registers: [this.registry],
     });
+    private readonly cutResponses = new Counter({
+        name: "radishreel_node_cut_responses_total",
+        help: "Responses that this program cut off after they had begun, by reason",
+        labelNames: ["reason"] as const,
+        registers: [this.registry],
+    });
     private readonly retries = new Counter({
         name: "radishreel_node_retries_total",
         help: "Attempts repeated inside the program, by what ended the one before",
@@ -208,8 +214,12 @@
         return account;
     }
 
-    recordRefusal(reason: RefusalReason): void {
+    /** @param isCut Whether the response had begun. @default false */
+    recordRefusal(reason: RefusalReason, isCut = false): void {
         this.refusals.inc({ reason });
+        if (isCut) {
+            this.cutResponses.inc({ reason });
+        }
     }
 
     recordRetry(after: string): void {
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -355,7 +355,7 @@
             }),
             onMetadata: (upstream, metadata, statementsAtWrite) =>
                 this.announcements.recordResponse(upstream, metadata, statementsAtWrite),
-            onRefusal: reason => this.metrics.recordRefusal(reason),
+            onRefusal: (reason, isCut) => this.metrics.recordRefusal(reason, isCut),
             onRetry: after => this.metrics.recordRetry(after),
             onRetryClaim: (service, isGranted) => this.metrics.recordRetryClaim(service, isGranted),
             onChoice: () => this.recordChoice(),
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -98,6 +98,8 @@
     readonly checkFirstEvent?: (() => boolean) | undefined;
     /** Called when the first event of a stream arrives, or when a large plain response starts to be streamed. */
     readonly onStart: () => void;
+    /** Called when more data arrives of a response that has started. */
+    readonly onProgress?: (() => void) | undefined;
     /** Checks whether the process of the upstream has ended. @default nothing is checked */
     readonly checkEnded?: (() => Promise<boolean>) | undefined;
     /** Called when a stream has gone on for {@link stableRunMs}. */
@@ -135,6 +137,8 @@
     private isCloseDelimited = false;
     private isPassing = false;
     private isDone = false;
+    private dataAt: number | undefined;
+    private longestSilence = 0;
 
     constructor(private readonly options: AttemptOptions) {
         this.end = new Promise(resolve => {
@@ -151,6 +155,7 @@
             receiver: this,
             checkBeforeSend: () => {
                 this.wasWritten = options.checkBeforeSend();
+                this.dataAt = this.wasWritten ? options.readTime() : undefined;
                 return this.wasWritten;
             },
         });
@@ -178,6 +183,11 @@
         return this.streamedMs;
     }
 
+    /** Longest time without data from the upstream since the request was written, in milliseconds. */
+    get longestSilenceMs(): number {
+        return this.longestSilence;
+    }
+
     /** Whether an event of a stream has arrived. */
     private get hasStarted(): boolean {
         return this.streamedMs !== undefined;
@@ -208,6 +218,7 @@
     }
 
     receiveHead(status: number, headers: RawHeaders): void {
+        this.recordData();
         const head = this.options.dialect.parseResponse(status, headers);
         this.status = status;
         this.headers = headers;
@@ -229,6 +240,7 @@
         if (this.isDone) {
             return;
         }
+        this.recordData();
         if (this.isStreaming()) {
             this.receiveStreamData(chunk);
             return;
@@ -328,6 +340,20 @@
         this.passEvents(events);
     }
 
+    /** Records that data arrived. */
+    private recordData(): void {
+        this.recordSilence();
+        this.dataAt = this.options.readTime();
+        if (this.hasStarted || this.isPassing) {
+            this.options.onProgress?.();
+        }
+    }
+
+    private recordSilence(): void {
+        const now = this.options.readTime();
+        this.longestSilence = Math.max(this.longestSilence, now - (this.dataAt ?? now));
+    }
+
     /** Records that events arrived. */
     private recordStreamed(now: number): void {
         const before = this.streamedMs;
@@ -444,6 +470,7 @@
             return;
         }
         this.isDone = true;
+        this.recordSilence();
         clearTimeout(this.deadlineTimer);
         clearTimeout(this.silenceTimer);
         clearTimeout(this.startLimitTimer);
--- a/packages/node/src/requests/attemptline.ts
+++ b/packages/node/src/requests/attemptline.ts
@@ -2,7 +2,10 @@
 import type { LimitStatement } from "../ports.js";
 import type { AttemptEnd } from "./attempt.js";
 import type { Job } from "./job.js";
-import type { ResponseMetadata } from "./metadata.js";
+import { emptyMetadata, type ResponseMetadata } from "./metadata.js";
+
+/** Shortest silence that the log line of an attempt names, in milliseconds. */
+const minLoggedSilenceMs = 200;
 
 /** What is known of one attempt for its log line. Times are in milliseconds. */
 export interface AttemptRecord {
@@ -19,10 +22,34 @@
     limitStatements: number;
     /** VM that carried the connection; undefined for a direct one. */
     via: string | undefined;
+    /** Longest time without data from the upstream since the request was written. */
+    silentMs: number;
+    /** Time for which no response of the upstream to this VM had made progress when the attempt ended. */
+    upstreamSilentMs: number;
     /** Events that the caller had received in this response when the attempt started. */
     readonly resumedEvents: number;
 }
 
+/** What is known of an attempt when it starts. */
+export type AttemptStart = Pick<
+    AttemptRecord,
+    "sentAt" | "replacedMs" | "leavingSince" | "limit" | "resumedEvents"
+>;
+
+/** Creates the record of an attempt that starts. */
+export function createAttemptRecord(start: AttemptStart): AttemptRecord {
+    return {
+        ...start,
+        writtenAt: undefined,
+        responseStartedAt: undefined,
+        metadata: emptyMetadata,
+        limitStatements: 0,
+        via: undefined,
+        silentMs: 0,
+        upstreamSilentMs: 0,
+    };
+}
+
 /** One attempt that has ended. */
 export interface EndedAttempt {
     readonly job: Job;
@@ -52,6 +79,8 @@
         writtenMs: formatElapsed(sentAt, record.writtenAt),
         begunMs: formatElapsed(sentAt, record.responseStartedAt),
         ms: Math.round(now - sentAt),
+        silentMs: record.silentMs < minLoggedSilenceMs ? undefined : Math.round(record.silentMs),
+        upstreamSilentMs: end.kind === "broken" ? Math.round(record.upstreamSilentMs) : undefined,
         end: end.kind,
         detail: "detail" in end ? end.detail : undefined,
         status: "status" in end ? end.status : undefined,
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -37,6 +37,8 @@
     | "timeout"
     | "connectionLost"
     | "upstreamSilent"
+    /** The upstream at which a response that had begun was to go on failed. */
+    | "upstreamFailed"
     | "versionReplaced"
     | "upstreamReplaced"
     | "quarantined"
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -19,7 +19,7 @@
 import { endedRetrySeconds, type StreamResolution, type Streams } from "../streams/index.js";
 import type { Admissions } from "./admissions.js";
 import { Attempt, type AttemptEnd, createBodyHeaders } from "./attempt.js";
-import { type AttemptRecord, formatAttempt, formatElapsed } from "./attemptline.js";
+import { type AttemptRecord, createAttemptRecord, formatAttempt, formatElapsed } from "./attemptline.js";
 import type { CallerExchange, RefusalReason, RefusalResponse } from "./caller.js";
 import { UpstreamChooser } from "./chooser.js";
 import type { ConnectionPool } from "./connections.js";
@@ -27,7 +27,7 @@
 import { withdrawnDetail } from "./exchange.js";
 import { cancelReturn, createJob, type Job, type Preparation, type ReadyUpstream, releaseReady } from "./job.js";
 import type { LimitGrant, UpstreamLimiter } from "./limiter.js";
-import { emptyMetadata, type ResponseMetadata } from "./metadata.js";
+import type { ResponseMetadata } from "./metadata.js";
 import { createBackoffRefusal, createDeclinedRefusal, createLimitRefusal, retryAfterSeconds } from "./refusals.js";
 import { recordResponseTime } from "./responsetimes.js";
 import { Retries, type RetriesOptions } from "./retries.js";
@@ -97,7 +97,8 @@
      * @param statementsAtWrite Number of statements about the upstream's limit when the request was written.
      */
     readonly onMetadata: (upstream: string, metadata: ResponseMetadata, statementsAtWrite: number) => void;
-    readonly onRefusal: (reason: RefusalReason) => void;
+    /** @param isCut Whether the response had begun, so that only the end of its connection tells the caller. */
+    readonly onRefusal: (reason: RefusalReason, isCut: boolean) => void;
     readonly onRetry: (reason: string) => void;
     /** Called when all upstreams of a service are compared for one request. */
     readonly onChoice: () => void;
@@ -360,22 +361,17 @@
         retry: RetryClaim | undefined,
     ): Promise<AttemptEnd> {
         const { readTime, view } = this.options;
-        const { upstream, health } = choice.state;
+        const { upstream, health, activity } = choice.state;
         const load = this.addLoad(job, choice);
         const identity = this.options.accounts.findIdentity(job);
         const key = findAdapterKey(job.demand.model);
-        const record: AttemptRecord = {
+        const record = createAttemptRecord({
             sentAt: readTime(),
-            writtenAt: undefined,
-            responseStartedAt: undefined,
-            metadata: emptyMetadata,
             replacedMs: this.readReplacedMs(key, choice),
             leavingSince: choice.state.leavingSince,
             limit: view.limits.find(upstream.id),
-            limitStatements: 0,
-            via: undefined,
             resumedEvents: job.progress.events,
-        };
+        });
         const { sentAt } = record;
         job.attempts += 1;
         const attempt = new Attempt({
@@ -414,10 +410,12 @@
             },
             onStart: () => {
                 record.responseStartedAt = readTime();
+                activity.recordStart(record.responseStartedAt);
                 load.finishPrefill();
                 admission?.start();
                 health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs));
             },
+            onProgress: () => activity.recordData(readTime()),
             checkEnded: () => this.options.guard.checkEnded(upstream),
             onStable: () => this.options.guard.recordAnswer(job),
         });
@@ -425,6 +423,11 @@
         const end = await attempt.end;
         this.attempts.delete(attempt);
         record.via = attempt.via;
+        record.silentMs = attempt.longestSilenceMs;
+        record.upstreamSilentMs = activity.readSilenceMs(readTime());
+        if (record.responseStartedAt !== undefined) {
+            activity.recordEnd();
+        }
         load.finish();
         admission?.finish();
         this.finishClaims(job, record, grant, retry);
@@ -610,7 +613,7 @@
         if (last?.kind === "failed") {
             const headers = this.options.dialect.listResponseHeaders(last.headers);
             if (job.caller.hasResponseHead) {
-                job.caller.cancelResponse();
+                this.refuse(job.caller, job.demand, { status: 502, reason: "upstreamFailed" });
                 return;
             }
             job.caller.startResponse(last.status, createBodyHeaders(headers, last.body));
@@ -657,12 +660,14 @@
     }
 
     private refuse(caller: CallerExchange, demand: CallerDemand, refusal: RefusalResponse): void {
-        this.options.onRefusal(refusal.reason);
+        const isCut = caller.hasResponseHead;
+        this.options.onRefusal(refusal.reason, isCut);
         this.options.log.recordImportant("refused", {
             request: demand.requestId,
             status: refusal.status,
             reason: refusal.reason,
             ...refusal.detail,
+            cutAfterBytes: isCut ? caller.bytesPassed : undefined,
             path: caller.path,
             routing: this.options.cluster.routes?.routing.version,
         });
