--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -8,7 +8,6 @@
     type RetryClaim,
     type Upstream,
     type UpstreamChoice,
-    type UpstreamState,
 } from "@radishreel/fleet";
 import { chooseTarget, isIdempotent, readPriority, type Route } from "@radishreel/routing";
 import type { AccountClaim, AccountGuard } from "../accounts/index.js";
@@ -24,12 +23,11 @@
 import { UpstreamChooser } from "./chooser.js";
 import type { ConnectionPool } from "./connections.js";
 import { RequestDigest } from "./digest.js";
-import { withdrawnDetail } from "./exchange.js";
 import { cancelReturn, createJob, type Job, type Preparation, type ReadyUpstream, releaseReady } from "./job.js";
 import type { LimitGrant, UpstreamLimiter } from "./limiter.js";
 import type { ResponseMetadata } from "./metadata.js";
 import { createBackoffRefusal, createDeclinedRefusal, createLimitRefusal, retryAfterSeconds } from "./refusals.js";
-import { recordResponseTime } from "./responsetimes.js";
+import { AttemptResults } from "./results.js";
 import { Retries, type RetriesOptions } from "./retries.js";
 import { createBusyRefusal } from "./returns.js";
 import { readLastSendAt } from "./timelimit.js";
@@ -40,15 +38,6 @@
  */
 const defaultStartWaitMs = 300;
 
-/**
- * Penalty of an upstream whose response to this request was a failure, in milliseconds. Failures often affect one run
- * only, so an engine that holds the adapter is tried again before a load of 250 ms elsewhere.
- */
-const failurePenaltyMs = 150;
-
-/** How long a request avoids an upstream that rejected it, in milliseconds: until its owner's message arrives. */
-const rejectedPauseMs = 60;
-
 /**
  * Maximum wait for the first byte before an idempotent request is retried elsewhere: a factor of the expected time,
  * with a minimum in milliseconds for servers and for engines. Engines under heavy load often take 0.9 s, and the part
@@ -116,11 +105,17 @@
     private readonly attempts = new Map<Attempt, Job>();
     private readonly chooser: UpstreamChooser;
     private readonly retries: Retries;
+    private readonly results: AttemptResults;
     private readonly readBoot: () => number;
 
     constructor(private readonly options: ServingOptions) {
         this.readBoot = options.readBoot ?? options.readTime;
         this.retries = new Retries(options);
+        this.results = new AttemptResults({
+            ...options,
+            prefixCache: this.prefixCache,
+            longPromptThreshold: this.longPromptThreshold,
+        });
         this.chooser = new UpstreamChooser({
             ...options,
             versions: options.streams?.claims,
@@ -431,7 +426,7 @@
         load.finish();
         admission?.finish();
         this.finishClaims(job, record, grant, retry);
-        this.recordAttempt(job, choice, end, sentAt, record.metadata);
+        this.results.record({ job, choice, end, sentAt, metadata: record.metadata });
         this.options.log.record("attempt", formatAttempt({ job, choice, end, record, now: readTime() }));
         await this.options.guard.recordEnd(job, upstream, end, { sentAt, answeringMs: attempt.answeringMs });
         return end;
@@ -543,68 +538,6 @@
         }, this.options.readTime());
     }
 
-    /** Updates health, prefix cache and the job's penalties from the end of an attempt. */
-    private recordAttempt(
-        job: Job,
-        choice: UpstreamChoice,
-        end: AttemptEnd,
-        sentAt: number,
-        { askedRestMs }: ResponseMetadata,
-    ): void {
-        const { readTime, sendMissing } = this.options;
-        const now = readTime();
-        const { upstream, health } = choice.state;
-        const { model } = job.demand;
-        const key = findAdapterKey(model);
-        switch (end.kind) {
-            case "complete":
-                health.recordResponse(now, recordResponseTime(this.options.view, job, upstream, now, now - sentAt));
-                if (model !== undefined) {
-                    this.prefixCache.record(upstream.id, model, now);
-                    this.recordPauses(job, choice.state, sentAt);
-                }
-                return;
-            case "failed":
-                job.runs += 1;
-                job.tried.set(upstream.id, { costMs: failurePenaltyMs, until: Infinity, hasDeclined: false });
-                if (askedRestMs === undefined) {
-                    health.recordFailure(now);
-                }
-                return;
-            case "broken":
-                job.runs += 1;
-                job.tried.set(upstream.id, { costMs: Infinity, until: Infinity, hasDeclined: false });
-                if (end.reason !== "versionReplaced" && end.reason !== "quarantined") {
-                    health.recordFailure(now);
-                }
-                return;
-            case "notRun":
-                job.rejections += 1;
-                if (!end.wasSent) {
-                    if (end.detail !== "connection closed" && end.detail !== withdrawnDetail) {
-                        health.recordUnreachable(now);
-                    }
-                    return;
-                }
-                // An upstream that requests backoff has not failed, and lacks no adapter that its owner could load.
-                if (key !== undefined && askedRestMs === undefined) {
-                    sendMissing(upstream.id, key);
-                }
-                job.tried.set(upstream.id, { costMs: Infinity, until: now + rejectedPauseMs, hasDeclined: false });
-                return;
-            case "callerLeft":
-                return;
-        }
-    }
-
-    /** Records whether a long response paused for longer than its target beside the largest other prompt. */
-    private recordPauses(job: Job, state: UpstreamState, sentAt: number): void {
-        const { gapAimMs } = job.route;
-        if (gapAimMs !== undefined && job.attempts === 1 && hasLongAnswer(job.demand.model)) {
-            this.longPromptThreshold.record(state.prompts.findLargest(sentAt), job.progress.longestPauseMs > gapAimMs);
-        }
-    }
-
     /** Finishes a request without a successful response. The last failure determines what the caller receives. */
     private finishUnserved(job: Job, last: AttemptEnd | undefined, reason?: RefusalReason): void {
         if (job.caller.hasLeft) {
