Let a silent attempt run until its successor is certain

Cause: an attempt ended itself 1.5 times `gap-aim-ms` after the last data. Only then an engine was chosen, asked for admission (1.3 s where the adapter had to be loaded) and the retry budget asked; each of these could refuse, and the run was gone. The class: a decision that cannot be taken back, taken on the lack of a sign, before what has to follow it is known to be possible.

Change: a silence ends nothing. After 1.5 s, or half of the time for which the caller waits for an event, the VM looks for a successor: an upstream that is not silent itself is chosen, admits the request, a retry is claimed (of which half of the slack is left to requests that have failed), and a connection opened. The silent attempt is reset in the step that writes the successor's request, so that no two upstreams work on one request. If it sends anything before, the search ends and what it holds is returned. Without a successor the attempt goes on to its deadline. Plain requests look for another server after 0.7 s as before, and never once a part of their response has been passed on, which could not be begun again. Time limits take effect after pending data is read, so that a VM that stood still does not end streams whose data lie in its sockets.

`silence` lines and `node_silences_total` tell how each silence ended.

--- a/packages/fleet/src/budget.ts
+++ b/packages/fleet/src/budget.ts
@@ -83,14 +83,18 @@
         this.updateCredit();
     }
 
-    /** Takes one retry from the budget; undefined if the budget does not allow it. */
-    claimRetry(now: number): RetryClaim | undefined {
+    /**
+     * Takes one retry from the budget; undefined if the budget does not allow it.
+     * @param reserveShare Share of this VM's part of the slack that has to be left. @default 0
+     */
+    claimRetry(now: number, reserveShare = 0): RetryClaim | undefined {
         this.advance(now);
-        const credit = Math.min(1, this.credit);
-        const slack = { amount: 1 - credit, until: Infinity };
-        if (slack.amount > this.readSlack(now) + roundingError) {
+        const reserve = this.readSlackShare(now) * reserveShare;
+        if (this.credit + this.readSlack(now) - 1 < reserve - roundingError) {
             return undefined;
         }
+        const credit = Math.min(1, this.credit);
+        const slack = { amount: 1 - credit, until: Infinity };
         this.credit -= credit;
         this.pendingCredit += credit;
         this.pendingCount += 1;
--- a/packages/fleet/test/budget.test.ts
+++ b/packages/fleet/test/budget.test.ts
@@ -120,4 +120,16 @@
     assert.is(countGranted(budget, windowMs), 1);
 });
 
+test("retries of requests that have not failed leave part of the slack to those that have", () => {
+    const budget = createBudgets(6).read("s");
+    const all = countGranted(createBudgets(6).read("s"), windowMs);
+    let optional = 0;
+    while (budget.claimRetry(windowMs, 0.5) !== undefined) {
+        optional += 1;
+    }
+    assert.is(all, 6);
+    assert.is(optional, 3);
+    assert.is(countGranted(budget, windowMs), 3);
+});
+
 test.run();
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -4,6 +4,7 @@
 import type { ConnectOutcome } from "./paths/index.js";
 import type { RefusalReason } from "./requests/caller.js";
 import type { LimitVerdict } from "./requests/limiter.js";
+import type { SilenceOutcome } from "./requests/successors.js";
 import type { OriginSource } from "./streams/index.js";
 
 /** Histogram buckets for the delay of timers, in seconds. The shortest latency target is about 0.12 s. */
@@ -30,6 +31,12 @@
         labelNames: ["reason"] as const,
         registers: [this.registry],
     });
+    private readonly silences = new Counter({
+        name: "radishreel_node_silences_total",
+        help: "Times that an upstream sent nothing for so long that another one was looked for, by how they ended",
+        labelNames: ["outcome"] as const,
+        registers: [this.registry],
+    });
     private readonly retries = new Counter({
         name: "radishreel_node_retries_total",
         help: "Attempts repeated inside the program, by what ended the one before",
@@ -222,6 +229,10 @@
         }
     }
 
+    recordSilence(outcome: SilenceOutcome): void {
+        this.silences.inc({ outcome });
+    }
+
     recordRetry(after: string): void {
         this.retries.inc({ after });
     }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -356,6 +356,7 @@
             onMetadata: (upstream, metadata, statementsAtWrite) =>
                 this.announcements.recordResponse(upstream, metadata, statementsAtWrite),
             onRefusal: (reason, isCut) => this.metrics.recordRefusal(reason, isCut),
+            onSilence: outcome => this.metrics.recordSilence(outcome),
             onRetry: after => this.metrics.recordRetry(after),
             onRetryClaim: (service, isGranted) => this.metrics.recordRetryClaim(service, isGranted),
             onChoice: () => this.recordChoice(),
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -4,8 +4,10 @@
 import { type CallerExchange, hasHeader } from "./caller.js";
 import type { ConnectionPool, UpstreamConnection } from "./connections.js";
 import { EventSplitter, type StreamEvent } from "./events.js";
-import { Exchange, type ExchangePhase, type ExchangeReceiver } from "./exchange.js";
+import { Exchange, type ExchangePhase, type ExchangeReceiver, withdrawnDetail } from "./exchange.js";
 import { readResponseMetadata, type ResponseMetadata } from "./metadata.js";
+import { SilenceWatch } from "./silence.js";
+import type { SilenceLimits } from "./timelimit.js";
 
 /** Maximum bytes of a plain response that are buffered until it is complete; larger responses are streamed. */
 const maxBufferedBytes = 256 * 1024;
@@ -79,12 +81,10 @@
     /** Whether the attempt must use a new connection. */
     readonly isFresh: boolean;
     readonly progress: StreamProgress;
-    /** Maximum wait for the first byte of the response, or for the first event of a stream, in milliseconds. */
-    readonly firstByteMs: number;
+    /** Times without data after which the upstream counts as silent, which alone does not end the attempt. */
+    readonly silenceLimits: SilenceLimits;
     /** Time left for a stream to start, in milliseconds; infinite for the newest version of an adapter. */
     readonly readStartLimitMs: () => number;
-    /** Maximum wait between two chunks of the response, in milliseconds. */
-    readonly pauseMs: number;
     /** Time left until the deadline of the request, in milliseconds. */
     readonly timeLeftMs: number;
     readonly readTime: () => number;
@@ -114,16 +114,20 @@
  * | no byte was written | not run |
  * | a response that says that the request was not run, or that another incarnation or adapter is there | not run |
  * | a complete response that echoes the request's id | complete, or failed from status 500 on |
- * | a response that is unsigned, truncated, stalled or has another id; a reset; a close | broken: it may have run |
+ * | a response that is unsigned, truncated or has another id; a reset; a close | broken: it may have run |
+ * | nothing: the upstream is silent | none, until another attempt goes on in its place or the deadline passes |
  */
 export class Attempt implements ExchangeReceiver {
     readonly end: Promise<AttemptEnd>;
+    /** Resolves once the request is written, or the attempt has ended without that, with whether it was written. */
+    readonly written: Promise<boolean>;
+    readonly silence = new SilenceWatch();
     private resolveEnd: (end: AttemptEnd) => void = () => {};
+    private resolveWritten: (wasWritten: boolean) => void = () => {};
     private readonly exchange: Exchange;
     private readonly connection: UpstreamConnection;
     private readonly splitter = new EventSplitter();
     private readonly deadlineTimer: NodeJS.Timeout;
-    private silenceTimer: NodeJS.Timeout | undefined;
     private startLimitTimer: NodeJS.Timeout | undefined;
     private status = 0;
     private headers: RawHeaders = [];
@@ -144,6 +148,9 @@
         this.end = new Promise(resolve => {
             this.resolveEnd = resolve;
         });
+        this.written = new Promise(resolve => {
+            this.resolveWritten = resolve;
+        });
         const { pool, send, upstreamId, address, caller, dialect } = options;
         this.connection = pool.claim(upstreamId, address, options.isFresh, options.readTime());
         this.exchange = new Exchange({
@@ -156,14 +163,16 @@
             checkBeforeSend: () => {
                 this.wasWritten = options.checkBeforeSend();
                 this.dataAt = this.wasWritten ? options.readTime() : undefined;
+                this.resolveWritten(this.wasWritten);
                 return this.wasWritten;
             },
         });
+        // The rest of the response may have arrived while this process was suspended, so pending data is read first.
         this.deadlineTimer = setTimeout(
-            () => this.finishBroken("timeout", "the request's deadline has passed"),
+            () => setImmediate(() => this.finishBroken("timeout", "the request's deadline has passed")),
             options.timeLeftMs,
         );
-        this.startSilenceTimer(options.firstByteMs);
+        this.silence.restart(options.silenceLimits.firstMs);
         this.updateStartLimit();
         caller.onLeft(() => this.finish({ kind: "callerLeft" }));
         if (caller.hasLeft) {
@@ -193,6 +202,44 @@
         return this.streamedMs !== undefined;
     }
 
+    /** Whether another upstream could still serve the request: the caller has no part of a plain response. */
+    get isReplaceable(): boolean {
+        return !this.isPassing;
+    }
+
+    get isEnded(): boolean {
+        return this.isDone;
+    }
+
+    /** Whether the request has been written. */
+    get isWritten(): boolean {
+        return this.wasWritten;
+    }
+
+    /**
+     * Ends the attempt in favour of another one, in the step that writes the other one's request.
+     * @returns False if the attempt has ended, or if its upstream is silent no more.
+     */
+    endSilent(): boolean {
+        if (this.isDone || !this.silence.isSilent) {
+            return false;
+        }
+        if (!this.wasWritten) {
+            this.cancelUnwritten();
+            return true;
+        }
+        const silentMs = Math.round(this.options.readTime() - (this.dataAt ?? 0));
+        this.finishBroken("upstreamSilent", `no data for ${silentMs} ms`);
+        return true;
+    }
+
+    /** Ends the attempt if its request was not written. */
+    cancelUnwritten(): void {
+        if (!this.wasWritten) {
+            this.finish({ kind: "notRun", wasSent: false, isMisdirected: false, detail: withdrawnDetail });
+        }
+    }
+
     /** Cancels an attempt whose request was quarantined, unless its response has started. */
     cancelQuarantined(): void {
         if (!this.isDone && this.wasWritten && this.status === 0) {
@@ -233,7 +280,7 @@
         if (this.isStreaming()) {
             return;
         }
-        this.startSilenceTimer(this.options.pauseMs);
+        this.restartSilence();
     }
 
     receiveData(chunk: Buffer): void {
@@ -245,7 +292,7 @@
             this.receiveStreamData(chunk);
             return;
         }
-        this.startSilenceTimer(this.options.pauseMs);
+        this.restartSilence();
         if (this.isPassing) {
             this.pass(chunk);
             return;
@@ -286,7 +333,7 @@
             this.finishBroken("truncatedAnswer", "the end of a tunnelled response is marked only by its close");
             return;
         }
-        clearTimeout(this.silenceTimer);
+        this.silence.pause();
         const hasUpstreamEnded = await this.options.checkEnded?.() === true;
         if (this.isDone) {
             return;
@@ -324,6 +371,7 @@
     }
 
     private receiveStreamData(chunk: Buffer): void {
+        this.restartSilence();
         const events = this.splitter.receive(chunk);
         if (this.splitter.isTooLong) {
             this.finishBroken("wrongAnswer", "an event exceeds the maximum size");
@@ -332,7 +380,6 @@
         if (events.length === 0) {
             return;
         }
-        this.startSilenceTimer(this.options.pauseMs);
         if (!this.hasStarted) {
             this.options.onStart();
         }
@@ -394,9 +441,9 @@
         const { caller } = this.options;
         if (!caller.pass(bytes)) {
             this.exchange.pause();
-            clearTimeout(this.silenceTimer);
+            this.silence.pause();
             caller.onDrain(() => {
-                this.startSilenceTimer(this.options.pauseMs);
+                this.restartSilence();
                 this.exchange.resume();
             });
         }
@@ -444,11 +491,8 @@
         this.finish({ kind: "complete", status: this.status, isCloseDelimited: this.isCloseDelimited });
     }
 
-    private startSilenceTimer(ms: number): void {
-        clearTimeout(this.silenceTimer);
-        if (!this.isDone) {
-            this.silenceTimer = setTimeout(() => this.finishBroken("upstreamSilent", `no data for ${ms} ms`), ms);
-        }
+    private restartSilence(): void {
+        this.silence.restart(this.options.silenceLimits.nextMs);
     }
 
     /** Cancels an attempt that was written. An unwritten request is withheld by the check in the step of the write. */
@@ -472,9 +516,10 @@
         this.isDone = true;
         this.recordSilence();
         clearTimeout(this.deadlineTimer);
-        clearTimeout(this.silenceTimer);
         clearTimeout(this.startLimitTimer);
-        if (end.kind === "broken" || end.kind === "callerLeft") {
+        this.silence.end();
+        this.resolveWritten(this.wasWritten);
+        if (end.kind === "broken" || end.kind === "callerLeft" || !this.wasWritten) {
             this.exchange.cancel();
             this.connection.cancel();
         }
--- a/packages/node/src/requests/chooser.ts
+++ b/packages/node/src/requests/chooser.ts
@@ -140,7 +140,7 @@
     /** Waits until the request can be sent to an upstream; undefined if no upstream is expected in time. */
     async chooseReady(job: Job): Promise<ReadyUpstream | undefined> {
         const { readTime } = this.options;
-        for (let now = readTime(); !job.caller.hasLeft && now <= readLastSendAt(job); now = readTime()) {
+        for (let now = readTime(); !job.claimant.hasLeft && now <= readLastSendAt(job); now = readTime()) {
             if (!this.mayRun(job)) {
                 return undefined;
             }
@@ -233,11 +233,11 @@
         while (outcome === undefined) {
             const leftMs = readLastSendAt(job) - readTime();
             const isChanged = view.limits.find(id) === undefined || !view.isAvailable(id, readTime());
-            if (job.caller.hasLeft || leftMs <= 0 || isChanged || !this.mayRun(job)) {
+            if (job.claimant.hasLeft || leftMs <= 0 || isChanged || !this.mayRun(job)) {
                 claim.cancel();
                 return undefined;
             }
-            await Promise.race([settled, this.waitForChange(Math.min(reviewIntervalMs, leftMs)), job.caller.left]);
+            await Promise.race([settled, this.waitForChange(Math.min(reviewIntervalMs, leftMs)), job.claimant.left]);
         }
         return outcome.grant;
     }
@@ -443,7 +443,7 @@
         const { readTime } = this.options;
         for (;;) {
             const leftMs = readLastSendAt(job) - readTime();
-            if (job.caller.hasLeft || leftMs <= 0 || !this.mayRun(job)) {
+            if (job.claimant.hasLeft || leftMs <= 0 || !this.mayRun(job)) {
                 return undefined;
             }
             const outcome = await this.waitAtMost(job, admission.outcome, Math.min(reviewIntervalMs, leftMs));
@@ -472,7 +472,7 @@
         const timeout = new Promise<undefined>(resolve => {
             timer = setTimeout(() => resolve(undefined), Math.max(1, ms));
         });
-        const result = await Promise.race([value, timeout, job.caller.left]);
+        const result = await Promise.race([value, timeout, job.claimant.left]);
         clearTimeout(timer);
         return result;
     }
--- a/packages/node/src/requests/job.ts
+++ b/packages/node/src/requests/job.ts
@@ -10,9 +10,19 @@
 import type { LimitGrant } from "./limiter.js";
 import type { ReservedReturn } from "./returns.js";
 
+/** For whom an upstream is looked for: the caller, or a silent attempt that another one could replace. */
+export interface Claimant {
+    /** Whether no upstream is needed any more. */
+    readonly hasLeft: boolean;
+    /** Resolves when no upstream is needed any more. */
+    readonly left: Promise<undefined>;
+}
+
 /** State of a request while it is being served. */
 export interface Job {
     readonly caller: CallerExchange;
+    /** For whom an upstream is looked for now. */
+    claimant: Claimant;
     readonly demand: CallerDemand;
     readonly route: Route;
     readonly service: Service;
@@ -100,6 +110,7 @@
         claim: undefined,
         origin: undefined,
         ...start,
+        claimant: start.caller,
         tried: new Map(),
         progress: {
             lastEventId: start.demand.lastEventId,
--- a/packages/node/src/requests/retries.ts
+++ b/packages/node/src/requests/retries.ts
@@ -8,6 +8,12 @@
 /** Maximum rejections of one request by upstreams before it is refused. Rejected requests did not run. */
 const maxRejections = 6;
 
+/**
+ * Share of a VM's part of the slack that is left to requests whose attempts have failed. All requests at an upstream ask
+ * for a retry at the same time when it falls silent.
+ */
+const optionalReserveShare = 0.5;
+
 /** Options of {@link Retries}. */
 export interface RetriesOptions {
     readonly budgets: (service: string) => RetryBudget;
@@ -34,10 +40,19 @@
 
     /** Claims a retry from the budget of the request's service; undefined if the budget does not allow it. */
     claim(job: Job): RetryClaim | undefined {
+        return this.claimFrom(job, 0);
+    }
+
+    /** Claims a retry of a request that has not failed, which leaves part of the budget to requests that have. */
+    claimOptional(job: Job): RetryClaim | undefined {
+        return this.claimFrom(job, optionalReserveShare);
+    }
+
+    private claimFrom(job: Job, reserveShare: number): RetryClaim | undefined {
         const { budgets, readTime, log, onRetryClaim } = this.options;
         const service = job.service.name;
         const budget = budgets(service);
-        const claim = budget.claimRetry(readTime());
+        const claim = budget.claimRetry(readTime(), reserveShare);
         const isGranted = claim !== undefined;
         onRetryClaim(service, isGranted);
         log.record("retryClaimed", {
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -30,7 +30,8 @@
 import { AttemptResults } from "./results.js";
 import { Retries, type RetriesOptions } from "./retries.js";
 import { createBusyRefusal } from "./returns.js";
-import { readLastSendAt } from "./timelimit.js";
+import { type FinishedAttempt, type RunningAttempt, type SilenceOutcome, Successors } from "./successors.js";
+import { readLastSendAt, readSilenceLimits, type SilenceLimits } from "./timelimit.js";
 
 /**
  * Maximum wait of requests until a newly started process has read routes and upstreams, in milliseconds. Reading takes
@@ -38,21 +39,6 @@
  */
 const defaultStartWaitMs = 300;
 
-/**
- * Maximum wait for the first byte before an idempotent request is retried elsewhere: a factor of the expected time,
- * with a minimum in milliseconds for servers and for engines. Engines under heavy load often take 0.9 s, and the part
- * of a prompt that they have read is lost with the attempt; servers respond within 0.1 s.
- */
-const firstByteFactor = 4;
-const minFirstByteMs = 700;
-const minFirstEventMs = 1500;
-
-/** Share of the remaining time after which a retry elsewhere can no longer help. */
-const lastRetryShare = 0.6;
-
-/** Pause after which a resumable stream is retried elsewhere, as a factor of the route's target for pauses. */
-const pauseFactor = 1.5;
-
 /**
  * How long the origin of a stream is kept, in milliseconds: as long as its caller waits, within a bound, or this long if
  * the caller names no time.
@@ -89,6 +75,8 @@
     /** @param isCut Whether the response had begun, so that only the end of its connection tells the caller. */
     readonly onRefusal: (reason: RefusalReason, isCut: boolean) => void;
     readonly onRetry: (reason: string) => void;
+    /** Called at the end of each silence of an upstream that was too long. */
+    readonly onSilence: (outcome: SilenceOutcome) => void;
     /** Called when all upstreams of a service are compared for one request. */
     readonly onChoice: () => void;
     /** Called when a request chooses again because its engine is busier than this VM knew. */
@@ -97,6 +85,16 @@
     readonly startWaitMs?: number | undefined;
 }
 
+/** An attempt that has started, and what it holds until its end. */
+interface StartedAttempt {
+    readonly job: Job;
+    readonly ready: ReadyUpstream;
+    readonly retry: RetryClaim | undefined;
+    readonly load: LoadHandle;
+    readonly attempt: Attempt;
+    readonly record: AttemptRecord;
+}
+
 /** Serves callers' requests: finds the route, chooses upstreams, and retries requests where that is allowed. */
 export class Serving {
     private readonly prefixCache = new PrefixCache();
@@ -105,6 +103,7 @@
     private readonly attempts = new Map<Attempt, Job>();
     private readonly chooser: UpstreamChooser;
     private readonly retries: Retries;
+    private readonly successors: Successors;
     private readonly results: AttemptResults;
     private readonly readBoot: () => number;
 
@@ -123,6 +122,16 @@
             longPromptThreshold: this.longPromptThreshold,
             mayRun: job => this.mayRun(job),
         });
+        this.successors = new Successors({
+            ...options,
+            chooser: this.chooser,
+            retries: this.retries,
+            startAttempt: (job, ready, retry, predecessor) => this.startAttempt(job, ready, retry, predecessor),
+            onReplaced: (job, replaced) => {
+                job.hasRun ||= replaced.end.kind !== "notRun";
+                this.recordRetry(job, replaced);
+            },
+        });
     }
 
     /** Number of requests without a complete response. */
@@ -314,7 +323,6 @@
                 this.finishUnserved(job, last);
                 return;
             }
-            const { choice } = ready;
             const isRetry = job.sends > 0;
             const retry = isRetry ? this.retries.claim(job) : undefined;
             if (isRetry && retry === undefined) {
@@ -322,26 +330,35 @@
                 this.finishUnserved(job, last, "retryBudgetSpent");
                 return;
             }
-            last = await this.runAttempt(job, ready, retry);
+            const finished = await this.successors.finish(job, this.startAttempt(job, ready, retry));
+            last = finished.end;
             job.hasRun ||= last.kind !== "notRun";
             guard.endPermit(job);
             if (last.kind === "complete" || last.kind === "callerLeft") {
-                this.recordEnd(job, last.kind, choice);
+                this.recordEnd(job, last.kind, finished.choice);
                 return;
             }
             if (!this.retries.mayRetry(job, last) || (last.kind === "broken" && guard.isSuspect(job))) {
                 this.finishUnserved(job, last);
                 return;
             }
-            this.options.onRetry(last.kind);
-            this.options.log.recordImportant("retry", {
-                request: job.demand.requestId,
-                upstream: choice.state.upstream.id,
-                why: last.kind,
-                detail: last.kind === "failed" ? last.status : last.detail,
-                events: job.progress.events,
-            });
+            this.recordRetry(job, finished);
+        }
+    }
+
+    /** Records that a request goes on at another upstream. */
+    private recordRetry(job: Job, { choice, end }: FinishedAttempt): void {
+        if (end.kind === "complete" || end.kind === "callerLeft") {
+            return;
         }
+        this.options.onRetry(end.kind);
+        this.options.log.recordImportant("retry", {
+            request: job.demand.requestId,
+            upstream: choice.state.upstream.id,
+            why: end.kind,
+            detail: end.kind === "failed" ? end.status : end.detail,
+            events: job.progress.events,
+        });
     }
 
     /** Whether the crash guard and the account guard currently allow a request to run. */
@@ -350,11 +367,14 @@
         return !guard.isRefused(job) && !guard.isAwaitingPermit(job) && accounts.findRefusal(job) === undefined;
     }
 
-    private async runAttempt(
+    /** @param predecessor The attempt that this one ends when it writes its request. */
+    private startAttempt(
         job: Job,
-        { choice, admission, grant }: ReadyUpstream,
+        ready: ReadyUpstream,
         retry: RetryClaim | undefined,
-    ): Promise<AttemptEnd> {
+        predecessor?: Attempt,
+    ): RunningAttempt {
+        const { choice, admission, grant } = ready;
         const { readTime, view } = this.options;
         const { upstream, health, activity } = choice.state;
         const load = this.addLoad(job, choice);
@@ -370,7 +390,8 @@
         const { sentAt } = record;
         job.attempts += 1;
         const attempt = new Attempt({
-            ...this.createAttemptTimes(job, choice, sentAt),
+            timeLeftMs: job.deadlineAt - sentAt,
+            silenceLimits: this.readSilenceLimits(job, choice, sentAt),
             readStartLimitMs: () => this.readStartLimitMs(key, choice),
             caller: job.caller,
             requestId: job.demand.requestId,
@@ -393,7 +414,8 @@
             readTime,
             // The state that the choice was based on may have changed by the time that the connection is open.
             checkBeforeSend: () => {
-                record.writtenAt = this.maySend(job, choice, identity, grant) ? readTime() : undefined;
+                const maySend = this.maySend(job, choice, identity, grant) && predecessor?.endSilent() !== false;
+                record.writtenAt = maySend ? readTime() : undefined;
                 record.limitStatements = view.limits.countStatements(upstream.id);
                 return record.writtenAt !== undefined;
             },
@@ -415,6 +437,14 @@
             onStable: () => this.options.guard.recordAnswer(job),
         });
         this.attempts.set(attempt, job);
+        return { attempt, choice, end: this.finishAttempt({ job, ready, retry, load, attempt, record }) };
+    }
+
+    /** Waits for the end of an attempt, and records it. */
+    private async finishAttempt(started: StartedAttempt): Promise<AttemptEnd> {
+        const { job, ready: { choice, admission, grant }, retry, load, attempt, record } = started;
+        const { upstream, activity } = choice.state;
+        const { readTime, guard, log } = this.options;
         const end = await attempt.end;
         this.attempts.delete(attempt);
         record.via = attempt.via;
@@ -426,9 +456,9 @@
         load.finish();
         admission?.finish();
         this.finishClaims(job, record, grant, retry);
-        this.results.record({ job, choice, end, sentAt, metadata: record.metadata });
-        this.options.log.record("attempt", formatAttempt({ job, choice, end, record, now: readTime() }));
-        await this.options.guard.recordEnd(job, upstream, end, { sentAt, answeringMs: attempt.answeringMs });
+        this.results.record({ job, choice, end, sentAt: record.sentAt, metadata: record.metadata });
+        log.record("attempt", formatAttempt({ job, choice, end, record, now: readTime() }));
+        await guard.recordEnd(job, upstream, end, { sentAt: record.sentAt, answeringMs: attempt.answeringMs });
         return end;
     }
 
@@ -509,23 +539,17 @@
         return service.engine === undefined ? undefined : readPriority(route.priority, account?.priority);
     }
 
-    private createAttemptTimes(
-        job: Job,
-        choice: UpstreamChoice,
+    private readSilenceLimits(
+        { route, deadlineAt, runs }: Job,
+        { costMs }: UpstreamChoice,
         now: number,
-    ): { firstByteMs: number; pauseMs: number; timeLeftMs: number; } {
-        const timeLeftMs = job.deadlineAt - now;
-        const canRetry = isIdempotent(job.route) && job.runs + 1 < job.route.maxAttempts;
-        if (!canRetry) {
-            return { firstByteMs: timeLeftMs + 1000, pauseMs: timeLeftMs + 1000, timeLeftMs };
-        }
-        const expectedMs = choice.costMs * firstByteFactor;
-        const gapMs = (job.route.gapAimMs ?? job.route.aimMs) * pauseFactor;
-        const minMs = job.service.engine === undefined ? minFirstByteMs : minFirstEventMs;
-        const firstByteMs = Math.max(minMs, expectedMs);
-        // Cancelling an attempt too late for another one only loses the work done.
-        const isWorthCutting = firstByteMs < timeLeftMs * lastRetryShare;
-        return { firstByteMs: isWorthCutting ? firstByteMs : timeLeftMs + 1000, pauseMs: gapMs, timeLeftMs };
+    ): SilenceLimits {
+        return readSilenceLimits({
+            route,
+            expectedMs: costMs,
+            timeLeftMs: deadlineAt - now,
+            mayRetry: isIdempotent(route) && runs + 1 < route.maxAttempts,
+        });
     }
 
     private addLoad(job: Job, choice: UpstreamChoice): LoadHandle {
--- a/packages/node/src/requests/timelimit.ts
+++ b/packages/node/src/requests/timelimit.ts
@@ -20,6 +20,64 @@
  */
 const refusalMarginMs = 150;
 
+/**
+ * Longest silence of a sound upstream, in milliseconds. Upstreams stop for a second now and then and go on with all
+ * their runs, so a shorter silence shows no failure.
+ */
+const soundSilenceMs = 1500;
+
+/** Share of the time for which callers wait for the next event after which another upstream is looked for. */
+const silentShare = 0.5;
+
+/**
+ * Maximum wait for a plain response before another server is looked for, in milliseconds. A plain request has lost no
+ * more than its turn when it is sent again; servers respond within 0.1 s.
+ */
+const plainSilenceMs = 700;
+
+/** Wait for the first byte after which another upstream is looked for, as a factor of the expected time. */
+const firstByteFactor = 4;
+
+/** Share of the remaining time after which an attempt elsewhere can no longer help. */
+const lastRetryShare = 0.6;
+
+/** Times without data after which an upstream counts as silent, in milliseconds; Infinity if no silence is too long. */
+export interface SilenceLimits {
+    /** From the start of the attempt until the first byte, or until the first event of a stream. */
+    readonly firstMs: number;
+    /** Between two chunks of the response. */
+    readonly nextMs: number;
+}
+
+/** Options of {@link readSilenceLimits}. */
+export interface SilenceLimitOptions {
+    readonly route: Route;
+    /** Expected time until the first byte, in milliseconds. */
+    readonly expectedMs: number;
+    /** Time until the deadline of the request, in milliseconds. */
+    readonly timeLeftMs: number;
+    /** Whether another attempt is allowed. */
+    readonly mayRetry: boolean;
+}
+
+/** Returns how long an upstream may be silent before another one is looked for. */
+export function readSilenceLimits(options: SilenceLimitOptions): SilenceLimits {
+    const { route, expectedMs, timeLeftMs, mayRetry } = options;
+    if (!mayRetry) {
+        return { firstMs: Infinity, nextMs: Infinity };
+    }
+    const limitMs = route.kind === "stream"
+        ? Math.max(soundSilenceMs, readCallerLimitMs(route) * silentShare)
+        : plainSilenceMs;
+    const firstMs = Math.max(limitMs, expectedMs * firstByteFactor);
+    return { firstMs: firstMs < timeLeftMs * lastRetryShare ? firstMs : Infinity, nextMs: limitMs };
+}
+
+/** Returns how long callers wait for the next event of a stream before they disconnect, in milliseconds. */
+function readCallerLimitMs({ aimMs, gapAimMs = 0 }: Route): number {
+    return Math.max(minCallerLimitMs, aimMs * latencyTargetFactor, gapAimMs * pauseTargetFactor);
+}
+
 /** The properties of a request that determine how long it may wait for an upstream. */
 export interface WaitingRequest {
     readonly route: Route;
@@ -40,12 +98,7 @@
     if (route.kind !== "stream") {
         return lastAttemptAt;
     }
-    const callerLimitMs = Math.max(
-        minCallerLimitMs,
-        route.aimMs * latencyTargetFactor,
-        (route.gapAimMs ?? 0) * pauseTargetFactor,
-    );
     const readMs = (demand.model?.promptTokens ?? 0) / prefillTokensPerMs;
     const lastReceivedAt = progress.events === 0 ? startedAt : progress.lastEventAt;
-    return Math.min(lastAttemptAt, lastReceivedAt + callerLimitMs - readMs - refusalMarginMs);
+    return Math.min(lastAttemptAt, lastReceivedAt + readCallerLimitMs(route) - readMs - refusalMarginMs);
 }
--- a/packages/node/test/changingserver.ts
+++ b/packages/node/test/changingserver.ts
@@ -195,6 +195,7 @@
         onMetadata: () => {},
         onRefusal: () => {},
         onRetry: () => {},
+        onSilence: () => {},
         onRetryClaim: () => {},
         onChoice: () => {},
         onRedirect: () => {},
