Send new requests past engines whose streams have all stopped

What callers saw: requests that came in while an engine was silent were sent there as before, and waited for the rest of the silence; a request that looked for a successor could be sent to another silent engine.

Cause: an engine's silence was only known to the attempts that it concerned, and entered the choice only as a failure, long after the engine was back.

Change: `UpstreamActivity` knows when any begun response of an upstream last made progress. From 400 ms on the silence adds its own length to the cost of the engine, 2 s at most, and the cost is gone with the next data.

--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -93,9 +93,25 @@
         + (isUnreachable ? unreachableCostMs : 0)
         + (state.status?.isReachable === false ? unreachableByOwnerCostMs : 0)
         + state.health.readFailureShare(now) * failingCostMs
+        + readSilenceCost(state, now)
         + view.limits.readWaitMs(state.upstream.id, now);
 }
 
+/**
+ * Silence of all streams of an engine from which on it counts as delayed, in milliseconds: prompts of other requests
+ * delay streams by less.
+ */
+const minSilenceMs = 400;
+
+/** Longest silence that adds to the cost, in milliseconds. Detection of failures takes over from then on. */
+const maxSilenceMs = 2000;
+
+/** Cost of an upstream whose responses have stopped: it is expected to be silent for as long again. */
+function readSilenceCost(state: UpstreamState, now: number): number {
+    const silenceMs = state.activity.readSilenceMs(now);
+    return silenceMs < minSilenceMs ? 0 : Math.min(silenceMs, maxSilenceMs);
+}
+
 /** Chooses a server of a plain service: the least loaded and fastest one that is available. */
 export function chooseServer(options: ChoiceOptions): UpstreamChoice | undefined {
     const { view, service, now, penalties, isEligible = () => true } = options;
--- a/packages/fleet/test/choose.test.ts
+++ b/packages/fleet/test/choose.test.ts
@@ -205,6 +205,24 @@
     assert.is(chooseServer({ ...options, penalties: new Map([["s2", Infinity]]) })?.state.upstream.id, "s1");
 });
 
+test("requests avoid an engine whose streams have all stopped, until data arrives", () => {
+    const view = createView(["e1", "e2"]);
+    for (const id of ["e1", "e2"]) {
+        view.updateStatus("vm", createStatus(id, { revision: 2, held: { "base/a1": 1 } }), 0);
+        view.findUpstream(id)!.activity.recordStart(0);
+    }
+    const chooseAt = (now: number): string | undefined => choose(view, createDemand(), now)?.state.upstream.id;
+    const usual = chooseAt(100);
+    const other = usual === "e1" ? "e2" : "e1";
+    view.findUpstream(other)!.activity.recordData(600);
+    assert.is(chooseAt(700), other);
+    view.findUpstream(usual!)!.activity.recordData(800);
+    assert.is(chooseAt(810), usual);
+    view.findUpstream(usual!)!.activity.recordEnd();
+    view.findUpstream(other)!.activity.recordData(2000);
+    assert.is(chooseAt(2000), usual);
+});
+
 test("an engine status from an earlier owner, or an older one from the same owner, is ignored", () => {
     const view = createView(["e1"]);
     assert.is(view.updateStatus("b", createStatus("e1", { fence: 3, revision: 0, held: { "base/a1": 1 } }), 0), true);
