End a silent attempt only when its successor has been accepted

Cause: what was taken for certain was the write. An engine may still reject the request (its owner may not have been asked), and the run that it replaced was gone by then.

Change: the silent attempt runs on until the head of the successor's response says that the request is accepted. A stream is taken over 300 ms after the write at the latest, since engines reject at once and no two may work on one stream for 400 ms. A plain request waits at both servers until one of them responds. Whichever goes on first cancels the other (`superseded`).

--- a/packages/fleet/src/activity.ts
+++ b/packages/fleet/src/activity.ts
@@ -1,9 +1,37 @@
+/** One response that an upstream is expected to go on with, while this VM reads it. */
+export class ResponseActivity {
+    private isCounted = false;
+
+    constructor(private readonly upstream: UpstreamActivity) {}
+
+    /** Records that data is expected from now on. */
+    start(now: number): void {
+        if (!this.isCounted) {
+            this.isCounted = true;
+            this.upstream.recordStart(now);
+        }
+    }
+
+    /** Records that no data is expected: the response has ended, or its caller does not read. */
+    pause(): void {
+        if (this.isCounted) {
+            this.isCounted = false;
+            this.upstream.recordEnd();
+        }
+    }
+}
+
 /** When the responses of one upstream to this VM last made progress. */
 export class UpstreamActivity {
     private count = 0;
     private progressAt = -Infinity;
 
-    /** Records that a response has begun, from which more data is expected. */
+    /** Creates the activity of one response. */
+    createResponse(): ResponseActivity {
+        return new ResponseActivity(this);
+    }
+
+    /** Records that data is expected from one more response. */
     recordStart(now: number): void {
         this.count += 1;
         this.progressAt = now;
@@ -14,7 +42,7 @@
         this.progressAt = now;
     }
 
-    /** Records the end of a response that had begun. */
+    /** Records that no more data is expected from one response. */
     recordEnd(): void {
         this.count -= 1;
     }
--- a/packages/fleet/src/budget.ts
+++ b/packages/fleet/src/budget.ts
@@ -85,12 +85,10 @@
 
     /**
      * Takes one retry from the budget; undefined if the budget does not allow it.
-     * @param reserveShare Share of this VM's part of the slack that has to be left. @default 0
+     * @param reserveShare Share of what this VM could save that has to be left. @default 0
      */
     claimRetry(now: number, reserveShare = 0): RetryClaim | undefined {
-        this.advance(now);
-        const reserve = this.readSlackShare(now) * reserveShare;
-        if (this.credit + this.readSlack(now) - 1 < reserve - roundingError) {
+        if (!this.mayClaim(now, reserveShare)) {
             return undefined;
         }
         const credit = Math.min(1, this.credit);
@@ -104,6 +102,13 @@
         return this.createClaim(credit, slack);
     }
 
+    /** Whether the budget currently allows a retry. @param reserveShare As for {@link claimRetry}. @default 0 */
+    mayClaim(now: number, reserveShare = 0): boolean {
+        this.advance(now);
+        const reserve = (this.readSlackShare(now) + this.readCreditLimit()) * reserveShare;
+        return this.credit + this.readSlack(now) - 1 >= reserve - roundingError;
+    }
+
     /** Reads what the budget holds, for logs. */
     explain(now: number): RetryBudgetState {
         this.advance(now);
@@ -152,10 +157,14 @@
         this.updateCredit();
     }
 
+    /** Largest credit that may be saved: what the requests of the window allow. */
+    private readCreditLimit(): number {
+        return this.usableRatio * savableShare * this.requests.length;
+    }
+
     /** Limits the saved credit to what the requests of the window allow. */
     private updateCredit(): void {
-        const limit = this.usableRatio * savableShare * this.requests.length;
-        this.credit = Math.max(0, Math.min(this.credit, limit - this.pendingCredit));
+        this.credit = Math.max(0, Math.min(this.credit, this.readCreditLimit() - this.pendingCredit));
     }
 }
 
--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -93,7 +93,6 @@
         + (isUnreachable ? unreachableCostMs : 0)
         + (state.status?.isReachable === false ? unreachableByOwnerCostMs : 0)
         + state.health.readFailureShare(now) * failingCostMs
-        + readSilenceCost(state, now)
         + view.limits.readWaitMs(state.upstream.id, now);
 }
 
@@ -106,7 +105,7 @@
 /** Longest silence that adds to the cost, in milliseconds. Detection of failures takes over from then on. */
 const maxSilenceMs = 2000;
 
-/** Cost of an upstream whose responses have stopped: it is expected to be silent for as long again. */
+/** Cost of an engine whose streams have stopped: it is expected to be silent for as long again. */
 function readSilenceCost(state: UpstreamState, now: number): number {
     const silenceMs = state.activity.readSilenceMs(now);
     return silenceMs < minSilenceMs ? 0 : Math.min(silenceMs, maxSilenceMs);
@@ -220,6 +219,7 @@
     const costMs = expectedMs
         + (exceedsCapacity ? preemptionCostMs : 0)
         + (isSecondCopy ? view.copies.secondCopyCostMs : 0)
+        + readSilenceCost(state, now)
         + readCommonCost(options, state);
     if (version !== undefined && !mayStartInTime(options, key, version, costMs)) {
         return createChoice({ ...candidate, version: undefined });
--- a/packages/fleet/test/budget.test.ts
+++ b/packages/fleet/test/budget.test.ts
@@ -132,4 +132,18 @@
     assert.is(countGranted(budget, windowMs), 3);
 });
 
+test("retries of requests that have not failed leave part of the credit to those that have", () => {
+    const budget = createBudgets(6).read("s");
+    for (let request = 0; request < 400; request++) {
+        budget.recordRequest(windowMs - 1);
+    }
+    const { credit } = budget.explain(windowMs);
+    assert.ok(credit > 4);
+    while (budget.claimRetry(windowMs, 0.5) !== undefined) {
+        // All that is granted is claimed.
+    }
+    const left = budget.explain(windowMs);
+    assert.ok(left.credit + left.slack >= credit / 2, `${left.credit + left.slack} of ${credit} are left`);
+});
+
 test.run();
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -4,7 +4,7 @@
 import { type CallerExchange, hasHeader } from "./caller.js";
 import type { ConnectionPool, UpstreamConnection } from "./connections.js";
 import { EventSplitter, type StreamEvent } from "./events.js";
-import { Exchange, type ExchangePhase, type ExchangeReceiver, withdrawnDetail } from "./exchange.js";
+import { Exchange, type ExchangePhase, type ExchangeReceiver } from "./exchange.js";
 import { readResponseMetadata, type ResponseMetadata } from "./metadata.js";
 import { SilenceWatch } from "./silence.js";
 import type { SilenceLimits } from "./timelimit.js";
@@ -29,7 +29,10 @@
     }
     /** The upstream confirms that it did not run the request, or nothing was sent to it. */
     | { readonly kind: "notRun"; readonly wasSent: boolean; readonly isMisdirected: boolean; readonly detail: string; }
-    /** The upstream ran the request and failed with a complete response, which has not been sent to the caller. */
+    /**
+     * The upstream ran the request and failed with a complete response, which has not been sent to the caller, or it
+     * responded otherwise than with the rest of a stream.
+     */
     | {
         readonly kind: "failed";
         readonly status: number;
@@ -38,7 +41,9 @@
     }
     /** Whether the request ran is unknown. */
     | { readonly kind: "broken"; readonly reason: BreakReason; readonly detail: string; }
-    | { readonly kind: "callerLeft"; };
+    | { readonly kind: "callerLeft"; }
+    /** Another attempt of the request went on, so that this one was cancelled before the caller received any of it. */
+    | { readonly kind: "superseded"; readonly wasSent: boolean; };
 
 /** Why an attempt ended with an unknown outcome. */
 export type BreakReason =
@@ -89,6 +94,14 @@
     readonly timeLeftMs: number;
     readonly readTime: () => number;
     readonly checkBeforeSend: () => boolean;
+    /**
+     * Called before the caller receives anything of this attempt, for streams when their head arrives. Ends the attempt
+     * that this one replaces.
+     * @returns Whether this attempt may go on: false if the other one has. @default it may
+     */
+    readonly takeOver?: (() => boolean) | undefined;
+    /** Called when the caller does not read fast enough, so that the upstream has to wait, and when it reads again. */
+    readonly onPaused?: ((isPaused: boolean) => void) | undefined;
     /** Called when the head of the response arrives, which for streams is long before their end. */
     readonly onMetadata: (metadata: ResponseMetadata) => void;
     /**
@@ -98,8 +111,8 @@
     readonly checkFirstEvent?: (() => boolean) | undefined;
     /** Called when the first event of a stream arrives, or when a large plain response starts to be streamed. */
     readonly onStart: () => void;
-    /** Called when more data arrives of a response that has started. */
-    readonly onProgress?: (() => void) | undefined;
+    /** Called when any data of the response arrives. */
+    readonly onData?: (() => void) | undefined;
     /** Checks whether the process of the upstream has ended. @default nothing is checked */
     readonly checkEnded?: (() => Promise<boolean>) | undefined;
     /** Called when a stream has gone on for {@link stableRunMs}. */
@@ -116,6 +129,7 @@
  * | a complete response that echoes the request's id | complete, or failed from status 500 on |
  * | a response that is unsigned, truncated or has another id; a reset; a close | broken: it may have run |
  * | nothing: the upstream is silent | none, until another attempt goes on in its place or the deadline passes |
+ * | the attempt that this one would have replaced goes on | superseded: it may have run if it was written |
  */
 export class Attempt implements ExchangeReceiver {
     readonly end: Promise<AttemptEnd>;
@@ -140,7 +154,9 @@
     private hasPassedEvents = false;
     private isCloseDelimited = false;
     private isPassing = false;
+    private hasTakenOver = false;
     private isDone = false;
+    private isBroken = false;
     private dataAt: number | undefined;
     private longestSilence = 0;
 
@@ -164,6 +180,9 @@
                 this.wasWritten = options.checkBeforeSend();
                 this.dataAt = this.wasWritten ? options.readTime() : undefined;
                 this.resolveWritten(this.wasWritten);
+                if (this.wasWritten) {
+                    this.silence.restart(options.silenceLimits.firstMs);
+                }
                 return this.wasWritten;
             },
         });
@@ -172,7 +191,6 @@
             () => setImmediate(() => this.finishBroken("timeout", "the request's deadline has passed")),
             options.timeLeftMs,
         );
-        this.silence.restart(options.silenceLimits.firstMs);
         this.updateStartLimit();
         caller.onLeft(() => this.finish({ kind: "callerLeft" }));
         if (caller.hasLeft) {
@@ -207,36 +225,27 @@
         return !this.isPassing;
     }
 
-    get isEnded(): boolean {
-        return this.isDone;
-    }
-
-    /** Whether the request has been written. */
-    get isWritten(): boolean {
-        return this.wasWritten;
+    /** Whether the attempt has ended, and whether it was broken; undefined while it runs. */
+    get ending(): "broken" | "other" | undefined {
+        return this.isDone ? this.isBroken ? "broken" : "other" : undefined;
     }
 
     /**
-     * Ends the attempt in favour of another one, in the step that writes the other one's request.
-     * @returns False if the attempt has ended, or if its upstream is silent no more.
+     * Ends the attempt in favour of another one, unless its upstream has gone on.
+     * @returns Whether the other attempt may go on: this one is broken, by this call or before.
      */
     endSilent(): boolean {
-        if (this.isDone || !this.silence.isSilent) {
-            return false;
-        }
-        if (!this.wasWritten) {
-            this.cancelUnwritten();
-            return true;
+        if (!this.isDone && this.silence.isSilent) {
+            const silentMs = Math.round(this.options.readTime() - (this.dataAt ?? 0));
+            this.finishBroken("upstreamSilent", `no data for ${silentMs} ms`);
         }
-        const silentMs = Math.round(this.options.readTime() - (this.dataAt ?? 0));
-        this.finishBroken("upstreamSilent", `no data for ${silentMs} ms`);
-        return true;
+        return this.isBroken;
     }
 
-    /** Ends the attempt if its request was not written. */
-    cancelUnwritten(): void {
-        if (!this.wasWritten) {
-            this.finish({ kind: "notRun", wasSent: false, isMisdirected: false, detail: withdrawnDetail });
+    /** Cancels the attempt, since the one that it would have replaced goes on. */
+    cancelSuperseded(): void {
+        if (!this.hasTakenOver) {
+            this.finish({ kind: "superseded", wasSent: this.wasWritten });
         }
     }
 
@@ -260,7 +269,11 @@
         clearTimeout(this.startLimitTimer);
         const startLimitMs = readStartLimitMs();
         if (startLimitMs !== Infinity) {
-            this.startLimitTimer = setTimeout(() => this.cancelUnstarted(), Math.max(0, startLimitMs));
+            // As with the deadline, the start may have arrived while this process was suspended.
+            this.startLimitTimer = setTimeout(
+                () => setImmediate(() => this.cancelUnstarted()),
+                Math.max(0, startLimitMs),
+            );
         }
     }
 
@@ -278,6 +291,8 @@
             return;
         }
         if (this.isStreaming()) {
+            this.silence.restart(this.options.silenceLimits.firstMs);
+            this.beginResponse();
             return;
         }
         this.restartSilence();
@@ -391,9 +406,7 @@
     private recordData(): void {
         this.recordSilence();
         this.dataAt = this.options.readTime();
-        if (this.hasStarted || this.isPassing) {
-            this.options.onProgress?.();
-        }
+        this.options.onData?.();
     }
 
     private recordSilence(): void {
@@ -442,14 +455,32 @@
         if (!caller.pass(bytes)) {
             this.exchange.pause();
             this.silence.pause();
+            this.options.onPaused?.(true);
             caller.onDrain(() => {
+                if (this.isDone) {
+                    return;
+                }
+                this.options.onPaused?.(false);
                 this.restartSilence();
                 this.exchange.resume();
             });
         }
     }
 
+    /** Makes this attempt the one that the caller receives. @returns Whether it still runs. */
+    private beginResponse(): boolean {
+        if (!this.hasTakenOver && this.options.takeOver?.() === false) {
+            this.cancelSuperseded();
+            return false;
+        }
+        this.hasTakenOver = true;
+        return true;
+    }
+
     private startPassing(): void {
+        if (!this.beginResponse()) {
+            return;
+        }
         const { caller, dialect } = this.options;
         this.isPassing = true;
         this.options.onStart();
@@ -473,10 +504,14 @@
     private finishPlain(): void {
         const { caller, dialect } = this.options;
         const body = Buffer.concat(this.bufferedChunks);
-        if (this.status >= 500 && !this.isPassing) {
+        // A plain response can't continue a stream that the caller has received a part of.
+        if (!this.isPassing && (this.status >= 500 || caller.hasResponseHead)) {
             this.finish({ kind: "failed", status: this.status, headers: this.headers, body });
             return;
         }
+        if (!this.beginResponse()) {
+            return;
+        }
         if (this.isPassing) {
             caller.endResponse();
         }
@@ -514,12 +549,13 @@
             return;
         }
         this.isDone = true;
+        this.isBroken = end.kind === "broken";
         this.recordSilence();
         clearTimeout(this.deadlineTimer);
         clearTimeout(this.startLimitTimer);
         this.silence.end();
         this.resolveWritten(this.wasWritten);
-        if (end.kind === "broken" || end.kind === "callerLeft" || !this.wasWritten) {
+        if (end.kind === "broken" || end.kind === "callerLeft" || end.kind === "superseded") {
             this.exchange.cancel();
             this.connection.cancel();
         }
--- a/packages/node/src/requests/chooser.ts
+++ b/packages/node/src/requests/chooser.ts
@@ -305,6 +305,11 @@
         return mayBegin && canContinue(job, upstream);
     }
 
+    private mayChoose({ claimant }: Job, { id }: Upstream): boolean {
+        const state = this.options.view.findUpstream(id);
+        return state === undefined || claimant.mayChoose?.(state) !== false;
+    }
+
     /**
      * Adds a cost to the upstreams of a software version that has no other upstream, for streams that begin: nowhere
      * else could such a stream go on.
@@ -343,7 +348,7 @@
             now,
             bootNow: this.readBoot(),
             penalties,
-            isEligible: (upstream: Upstream) => this.isEligible(job, upstream),
+            isEligible: (upstream: Upstream) => this.isEligible(job, upstream) && this.mayChoose(job, upstream),
             slackMs: job.startedAt + job.route.aimMs - now,
         };
         const { model } = job.demand;
--- a/packages/node/src/requests/job.ts
+++ b/packages/node/src/requests/job.ts
@@ -1,4 +1,4 @@
-import type { LoadRequest, StreamOrigin, UpstreamChoice } from "@radishreel/fleet";
+import type { LoadRequest, StreamOrigin, UpstreamChoice, UpstreamState } from "@radishreel/fleet";
 import type { Account, Route, Service } from "@radishreel/routing";
 import type { AccountClaim } from "../accounts/index.js";
 import type { Permit } from "../crashes/index.js";
@@ -16,6 +16,8 @@
     readonly hasLeft: boolean;
     /** Resolves when no upstream is needed any more. */
     readonly left: Promise<undefined>;
+    /** Whether an upstream may be chosen. @default all may */
+    readonly mayChoose?: ((state: UpstreamState) => boolean) | undefined;
 }
 
 /** State of a request while it is being served. */
--- a/packages/node/src/requests/results.ts
+++ b/packages/node/src/requests/results.ts
@@ -89,6 +89,9 @@
                 }
                 job.tried.set(upstream.id, { costMs: Infinity, until: now + rejectedPauseMs, hasDeclined: false });
                 return;
+            case "superseded":
+                job.runs += end.wasSent ? 1 : 0;
+                return;
             case "callerLeft":
                 return;
         }
--- a/packages/node/src/requests/retries.ts
+++ b/packages/node/src/requests/retries.ts
@@ -9,7 +9,7 @@
 const maxRejections = 6;
 
 /**
- * Share of a VM's part of the slack that is left to requests whose attempts have failed. All requests at an upstream ask
+ * Share of a VM's part of a budget that is left to requests whose attempts have failed. All requests at an upstream ask
  * for a retry at the same time when it falls silent.
  */
 const optionalReserveShare = 0.5;
@@ -43,6 +43,12 @@
         return this.claimFrom(job, 0);
     }
 
+    /** Whether the budget currently allows a retry of a request that has not failed. */
+    mayClaimOptional(job: Job): boolean {
+        const { budgets, readTime } = this.options;
+        return budgets(job.service.name).mayClaim(readTime(), optionalReserveShare);
+    }
+
     /** Claims a retry of a request that has not failed, which leaves part of the budget to requests that have. */
     claimOptional(job: Job): RetryClaim | undefined {
         return this.claimFrom(job, optionalReserveShare);
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -5,6 +5,7 @@
     type LoadHandle,
     PauseThreshold,
     PrefixCache,
+    type ResponseActivity,
     type RetryClaim,
     type Upstream,
     type UpstreamChoice,
@@ -91,6 +92,7 @@
     readonly ready: ReadyUpstream;
     readonly retry: RetryClaim | undefined;
     readonly load: LoadHandle;
+    readonly response: ResponseActivity;
     readonly attempt: Attempt;
     readonly record: AttemptRecord;
 }
@@ -126,7 +128,7 @@
             ...options,
             chooser: this.chooser,
             retries: this.retries,
-            startAttempt: (job, ready, retry, predecessor) => this.startAttempt(job, ready, retry, predecessor),
+            startAttempt: (job, ready, retry, takeOver) => this.startAttempt(job, ready, retry, takeOver),
             onReplaced: (job, replaced) => {
                 job.hasRun ||= replaced.end.kind !== "notRun";
                 this.recordRetry(job, replaced);
@@ -330,11 +332,11 @@
                 this.finishUnserved(job, last, "retryBudgetSpent");
                 return;
             }
-            const finished = await this.successors.finish(job, this.startAttempt(job, ready, retry));
+            const finished = await this.successors.waitForEnd(job, this.startAttempt(job, ready, retry));
             last = finished.end;
             job.hasRun ||= last.kind !== "notRun";
             guard.endPermit(job);
-            if (last.kind === "complete" || last.kind === "callerLeft") {
+            if (last.kind === "complete" || last.kind === "callerLeft" || last.kind === "superseded") {
                 this.recordEnd(job, last.kind, finished.choice);
                 return;
             }
@@ -348,7 +350,7 @@
 
     /** Records that a request goes on at another upstream. */
     private recordRetry(job: Job, { choice, end }: FinishedAttempt): void {
-        if (end.kind === "complete" || end.kind === "callerLeft") {
+        if (end.kind === "complete" || end.kind === "callerLeft" || end.kind === "superseded") {
             return;
         }
         this.options.onRetry(end.kind);
@@ -367,17 +369,18 @@
         return !guard.isRefused(job) && !guard.isAwaitingPermit(job) && accounts.findRefusal(job) === undefined;
     }
 
-    /** @param predecessor The attempt that this one ends when it writes its request. */
+    /** @param takeOver Ends the attempt that this one replaces; see {@link AttemptOptions}. */
     private startAttempt(
         job: Job,
         ready: ReadyUpstream,
         retry: RetryClaim | undefined,
-        predecessor?: Attempt,
+        takeOver?: () => boolean,
     ): RunningAttempt {
         const { choice, admission, grant } = ready;
         const { readTime, view } = this.options;
         const { upstream, health, activity } = choice.state;
         const load = this.addLoad(job, choice);
+        const response = activity.createResponse();
         const identity = this.options.accounts.findIdentity(job);
         const key = findAdapterKey(job.demand.model);
         const record = createAttemptRecord({
@@ -409,14 +412,18 @@
                 priority: this.readPriority(job),
                 identity,
             },
-            isFresh: !isIdempotent(job.route),
+            isFresh: !isIdempotent(job.route) || takeOver !== undefined,
+            takeOver,
             progress: job.progress,
             readTime,
             // The state that the choice was based on may have changed by the time that the connection is open.
             checkBeforeSend: () => {
-                const maySend = this.maySend(job, choice, identity, grant) && predecessor?.endSilent() !== false;
-                record.writtenAt = maySend ? readTime() : undefined;
+                record.writtenAt = this.maySend(job, choice, identity, grant) ? readTime() : undefined;
                 record.limitStatements = view.limits.countStatements(upstream.id);
+                if (record.writtenAt !== undefined && job.service.engine === undefined) {
+                    // Servers respond within a short time; engines may queue a request for longer.
+                    response.start(record.writtenAt);
+                }
                 return record.writtenAt !== undefined;
             },
             checkFirstEvent: () => this.recordFirstEvent(job, upstream),
@@ -427,22 +434,23 @@
             },
             onStart: () => {
                 record.responseStartedAt = readTime();
-                activity.recordStart(record.responseStartedAt);
+                response.start(record.responseStartedAt);
                 load.finishPrefill();
                 admission?.start();
                 health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs));
             },
-            onProgress: () => activity.recordData(readTime()),
+            onData: () => activity.recordData(readTime()),
+            onPaused: isPaused => isPaused ? response.pause() : response.start(readTime()),
             checkEnded: () => this.options.guard.checkEnded(upstream),
             onStable: () => this.options.guard.recordAnswer(job),
         });
         this.attempts.set(attempt, job);
-        return { attempt, choice, end: this.finishAttempt({ job, ready, retry, load, attempt, record }) };
+        return { attempt, choice, end: this.finishAttempt({ job, ready, retry, load, response, attempt, record }) };
     }
 
     /** Waits for the end of an attempt, and records it. */
     private async finishAttempt(started: StartedAttempt): Promise<AttemptEnd> {
-        const { job, ready: { choice, admission, grant }, retry, load, attempt, record } = started;
+        const { job, ready: { choice, admission, grant }, retry, load, response, attempt, record } = started;
         const { upstream, activity } = choice.state;
         const { readTime, guard, log } = this.options;
         const end = await attempt.end;
@@ -450,9 +458,7 @@
         record.via = attempt.via;
         record.silentMs = attempt.longestSilenceMs;
         record.upstreamSilentMs = activity.readSilenceMs(readTime());
-        if (record.responseStartedAt !== undefined) {
-            activity.recordEnd();
-        }
+        response.pause();
         load.finish();
         admission?.finish();
         this.finishClaims(job, record, grant, retry);
--- a/packages/node/src/requests/successors.ts
+++ b/packages/node/src/requests/successors.ts
@@ -1,19 +1,26 @@
-import type { RetryClaim, UpstreamChoice } from "@radishreel/fleet";
+import type { RetryClaim, UpstreamChoice, UpstreamState } from "@radishreel/fleet";
 import { isIdempotent } from "@radishreel/routing";
 import { setTimeout as wait } from "node:timers/promises";
 import type { CrashGuard } from "../crashes/index.js";
 import type { DecisionLog } from "../decisions.js";
 import type { Attempt, AttemptEnd } from "./attempt.js";
 import type { UpstreamChooser } from "./chooser.js";
-import { type Claimant, type Job, type ReadyUpstream, releaseReady } from "./job.js";
+import { cancelReturn, type Claimant, type Job, type ReadyUpstream, releaseReady } from "./job.js";
 import type { Retries } from "./retries.js";
+import { readLastSendAt } from "./timelimit.js";
 
 /** Interval at which another upstream is looked for again while one is silent, in milliseconds. */
 const searchIntervalMs = 100;
 
-/** Longest silence of an upstream that a request may go on at, in milliseconds: none that is silent itself. */
+/** Longest silence of an upstream at which a request may go on, in milliseconds. */
 const maxSuccessorSilenceMs = 400;
 
+/**
+ * Longest time for which two engines may work on the same stream, in milliseconds. Engines reject a request at once;
+ * one that has not done so until then has accepted it.
+ */
+const maxOverlapMs = 300;
+
 /** An attempt that has started. */
 export interface RunningAttempt {
     readonly attempt: Attempt;
@@ -40,50 +47,94 @@
 /** Options of {@link Successors}. */
 export interface SuccessorsOptions {
     readonly chooser: Pick<UpstreamChooser, "chooseReady">;
-    readonly retries: Retries;
+    readonly retries: Pick<Retries, "mayClaimOptional" | "claimOptional">;
     readonly guard: Pick<CrashGuard, "isSuspect">;
     readonly log: DecisionLog;
     readonly readTime: () => number;
-    /** Starts an attempt that ends another one in the step that writes its request. */
+    /** Starts an attempt. @param takeOver Ends the attempt that the new one replaces; see `AttemptOptions`. */
     readonly startAttempt: (
         job: Job,
         ready: ReadyUpstream,
         retry: RetryClaim | undefined,
-        predecessor: Attempt,
+        takeOver: () => boolean,
     ) => RunningAttempt;
     /** Called with the end of an attempt that was replaced. */
     readonly onReplaced: (job: Job, replaced: FinishedAttempt) => void;
     readonly onSilence: (outcome: SilenceOutcome) => void;
 }
 
-/** Looks for an upstream in place of a silent one, until the silent one goes on. */
+/**
+ * Looks for an upstream in place of a silent one, until the silent one goes on. The search outlasts a connection that
+ * breaks, since its request then needs another upstream all the more.
+ */
 class SuccessorSearch implements Claimant {
     readonly left: Promise<undefined>;
     private isOver = false;
 
-    constructor(private readonly job: Job, attempt: Attempt) {
-        const over = attempt.silence.waitForData().then(() => {
-            this.isOver = true;
-            return undefined;
-        });
-        this.left = Promise.race([over, job.caller.left]);
+    constructor(
+        private readonly job: Job,
+        private readonly silent: RunningAttempt,
+        private readonly readTime: () => number,
+    ) {
+        this.left = Promise.race([this.waitForRecovery(), job.caller.left]);
     }
 
     get hasLeft(): boolean {
         return this.isOver || this.job.caller.hasLeft;
     }
+
+    mayChoose({ upstream, activity }: UpstreamState): boolean {
+        return upstream.id !== this.silent.choice.state.upstream.id
+            && activity.readSilenceMs(this.readTime()) <= maxSuccessorSilenceMs;
+    }
+
+    private async waitForRecovery(): Promise<undefined> {
+        const { attempt } = this.silent;
+        await attempt.silence.waitForData();
+        if (attempt.ending === "broken") {
+            return this.job.caller.left;
+        }
+        this.isOver = true;
+        return undefined;
+    }
+}
+
+/** Ends a silent attempt in favour of its successor. */
+class Takeover {
+    readonly finished: Promise<void>;
+    private hasFinished = false;
+    private resolveFinished: () => void = () => {};
+
+    constructor(private readonly silent: Attempt) {
+        this.finished = new Promise(resolve => {
+            this.resolveFinished = resolve;
+        });
+    }
+
+    get isFinished(): boolean {
+        return this.hasFinished;
+    }
+
+    /** @returns Whether the successor has taken over; false if the silent attempt has gone on. */
+    finish(): boolean {
+        if (!this.hasFinished && this.silent.endSilent()) {
+            this.hasFinished = true;
+            this.resolveFinished();
+        }
+        return this.hasFinished;
+    }
 }
 
 /**
  * Lets requests go on at another upstream while theirs is silent. A silence proves nothing, so the silent attempt runs on
- * until its successor is certain: an upstream is chosen, has admitted the request and is connected, the retry is claimed,
- * and the silence lasts. Without a successor the silent attempt is left to its deadline.
+ * until its successor is certain: an upstream is chosen, the retry is claimed, and the upstream has the request and does
+ * not reject it. Without a successor the silent attempt is left to its deadline.
  */
 export class Successors {
     constructor(private readonly options: SuccessorsOptions) {}
 
     /** Waits for the end of an attempt, or of the last one that replaced it. */
-    async finish(job: Job, first: RunningAttempt): Promise<FinishedAttempt> {
+    async waitForEnd(job: Job, first: RunningAttempt): Promise<FinishedAttempt> {
         for (let running = first;;) {
             const next = await this.findSuccessor(job, running);
             const finished = { choice: running.choice, end: await running.end };
@@ -97,18 +148,19 @@
 
     /** Replaces an attempt while its upstream is silent; undefined if the attempt ends without that. */
     private async findSuccessor(job: Job, running: RunningAttempt): Promise<RunningAttempt | undefined> {
-        const { attempt } = running;
-        while (await attempt.silence.waitForSilence()) {
+        const { silence } = running.attempt;
+        while (await silence.waitForSilence()) {
             const silentSince = this.options.readTime();
             let searches = 0;
             let next: RunningAttempt | undefined;
-            while (next === undefined && attempt.silence.isSilent) {
-                if (this.mayReplace(job, attempt)) {
+            while (next === undefined && silence.isSilent) {
+                if (this.maySearch(job, running.attempt)) {
                     searches += 1;
-                    next = await this.startSearch(job, running);
+                    next = await this.findSuccessorOnce(job, running);
                 }
                 if (next === undefined) {
-                    await Promise.race([attempt.silence.waitForData(), wait(searchIntervalMs)]);
+                    this.endUnservable(job, running.attempt);
+                    await Promise.race([silence.waitForData(), wait(searchIntervalMs)]);
                 }
             }
             this.recordSilence(job, running, { silentSince, searches, isReplaced: next !== undefined });
@@ -119,59 +171,100 @@
         return undefined;
     }
 
-    private mayReplace(job: Job, attempt: Attempt): boolean {
+    private maySearch(job: Job, attempt: Attempt): boolean {
+        const { retries, guard } = this.options;
         return attempt.isReplaceable && isIdempotent(job.route) && job.runs + 1 < job.route.maxAttempts
-            && job.permit === undefined && !this.options.guard.isSuspect(job);
-    }
-
-    /** Looks for a successor once. @returns The successor, whose request is written; undefined if there is none. */
-    private async startSearch(job: Job, running: RunningAttempt): Promise<RunningAttempt | undefined> {
-        const { upstream } = running.choice.state;
-        const tried = job.tried.get(upstream.id);
-        job.tried.set(upstream.id, { costMs: Infinity, until: Infinity, hasDeclined: false });
-        job.claimant = new SuccessorSearch(job, running.attempt);
-        const next = await this.startSuccessor(job, running);
-        job.claimant = job.caller;
-        if (next !== undefined) {
-            return next;
+            && job.permit === undefined && !guard.isSuspect(job) && retries.mayClaimOptional(job);
+    }
+
+    /** Ends a stream that has not begun when its caller is about to leave: the caller can try again only if it is told. */
+    private endUnservable(job: Job, attempt: Attempt): void {
+        if (
+            job.route.kind === "stream" && !job.caller.hasResponseHead && this.options.readTime() > readLastSendAt(job)
+        ) {
+            attempt.endSilent();
         }
-        if (tried === undefined) {
-            job.tried.delete(upstream.id);
+    }
+
+    /** @returns The successor, which has taken over; undefined if there is none. */
+    private async findSuccessorOnce(job: Job, silent: RunningAttempt): Promise<RunningAttempt | undefined> {
+        try {
+            return await this.startSuccessor(job, silent);
         }
-        else {
-            job.tried.set(upstream.id, tried);
+        catch (error) {
+            // An error must not end a request whose attempt still runs.
+            const { requestId } = job.demand;
+            this.options.log.recordImportant("searchFailed", { request: requestId, why: (error as Error).message });
+            return undefined;
         }
-        return undefined;
     }
 
-    private async startSuccessor(job: Job, { attempt }: RunningAttempt): Promise<RunningAttempt | undefined> {
-        const { chooser, retries, startAttempt, readTime } = this.options;
-        const ready = await chooser.chooseReady(job);
-        if (ready === undefined) {
+    private async startSuccessor(job: Job, silent: RunningAttempt): Promise<RunningAttempt | undefined> {
+        const search = new SuccessorSearch(job, silent, this.options.readTime);
+        const ready = await this.chooseReady(job, search);
+        const isNeeded = ready !== undefined && !search.hasLeft && !this.options.guard.isSuspect(job);
+        const retry = isNeeded ? this.options.retries.claimOptional(job) : undefined;
+        if (ready === undefined || retry === undefined) {
+            releaseReady(ready);
             return undefined;
         }
-        const isSilent = ready.choice.state.activity.readSilenceMs(readTime()) > maxSuccessorSilenceMs;
-        const isRetry = job.sends > 0 || attempt.isWritten;
-        const retry = isRetry && !isSilent && !job.claimant.hasLeft ? retries.claimOptional(job) : undefined;
-        if (isSilent || job.claimant.hasLeft || (isRetry && retry === undefined)) {
+        const takeover = new Takeover(silent.attempt);
+        try {
+            const next = this.options.startAttempt(job, ready, retry, () => takeover.finish());
+            return await this.waitForTakeover(job, next, takeover, search);
+        }
+        catch (error) {
             releaseReady(ready);
-            return undefined;
+            retry.cancel();
+            throw error;
         }
-        const next = startAttempt(job, ready, retry, attempt);
-        void attempt.silence.waitForData().then(() => next.attempt.cancelUnwritten());
-        if (await next.attempt.written) {
+    }
+
+    /** Chooses an upstream for a search. What the search changes in the request's state is undone. */
+    private async chooseReady(job: Job, search: SuccessorSearch): Promise<ReadyUpstream | undefined> {
+        const { moves, redirects, expectedAt } = job;
+        job.claimant = search;
+        try {
+            return await this.options.chooser.chooseReady(job);
+        }
+        finally {
+            job.claimant = job.caller;
+            cancelReturn(job);
+            Object.assign(job, { moves, redirects, expectedAt });
+        }
+    }
+
+    /** Waits until a successor has taken over; undefined if it has ended before, or is needed no more. */
+    private async waitForTakeover(
+        job: Job,
+        next: RunningAttempt,
+        takeover: Takeover,
+        search: SuccessorSearch,
+    ): Promise<RunningAttempt | undefined> {
+        await Promise.race([takeover.finished, next.end, search.left, this.waitForOverlap(job, next.attempt)]);
+        if (takeover.isFinished || (next.attempt.ending === undefined && !search.hasLeft && takeover.finish())) {
             return next;
         }
+        next.attempt.cancelSuperseded();
         await next.end;
         return undefined;
     }
 
+    /** Waits until a stream has run at two engines for as long as it may; plain requests may do so until one responds. */
+    private async waitForOverlap({ route, caller }: Job, next: Attempt): Promise<void> {
+        if (route.kind !== "stream" || !await next.written) {
+            await caller.left;
+            return;
+        }
+        await wait(maxOverlapMs);
+    }
+
     private recordSilence(
         job: Job,
         { attempt, choice }: RunningAttempt,
         { silentSince, searches, isReplaced }: { silentSince: number; searches: number; isReplaced: boolean; },
     ): void {
-        const outcome = isReplaced ? "replaced" : attempt.isEnded ? "ended" : "recovered";
+        const outcome = isReplaced ? "replaced" : attempt.ending === undefined ? "recovered" : "ended";
         this.options.onSilence(outcome);
         this.options.log.record("silence", {
             request: job.demand.requestId,
--- a/packages/node/src/requests/timelimit.ts
+++ b/packages/node/src/requests/timelimit.ts
@@ -29,9 +29,12 @@
 /** Share of the time for which callers wait for the next event after which another upstream is looked for. */
 const silentShare = 0.5;
 
+/** Share of that time after which another upstream is looked for, however long the first event should take. */
+const lastSearchShare = 0.75;
+
 /**
- * Maximum wait for a plain response before another server is looked for, in milliseconds. A plain request has lost no
- * more than its turn when it is sent again; servers respond within 0.1 s.
+ * Maximum wait for a plain response before another server is looked for, in milliseconds. It waits at
+ * both servers until one of them responds; most respond within 0.1 s.
  */
 const plainSilenceMs = 700;
 
@@ -66,10 +69,11 @@
     if (!mayRetry) {
         return { firstMs: Infinity, nextMs: Infinity };
     }
-    const limitMs = route.kind === "stream"
-        ? Math.max(soundSilenceMs, readCallerLimitMs(route) * silentShare)
-        : plainSilenceMs;
-    const firstMs = Math.max(limitMs, expectedMs * firstByteFactor);
+    const callerLimitMs = readCallerLimitMs(route);
+    const isStream = route.kind === "stream";
+    const limitMs = isStream ? Math.max(soundSilenceMs, callerLimitMs * silentShare) : plainSilenceMs;
+    const lastMs = isStream ? callerLimitMs * lastSearchShare : Infinity;
+    const firstMs = Math.min(Math.max(limitMs, expectedMs * firstByteFactor), lastMs);
     return { firstMs: firstMs < timeLeftMs * lastRetryShare ? firstMs : Infinity, nextMs: limitMs };
 }
 
