--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -4,6 +4,7 @@
 import type { ConnectOutcome } from "./paths/index.js";
 import type { RefusalReason } from "./requests/caller.js";
 import type { LimitVerdict } from "./requests/limiter.js";
+import type { SilenceOutcome } from "./requests/successors.js";
 import type { OriginSource } from "./streams/index.js";
 
 /** Histogram buckets for the delay of timers, in seconds. The shortest latency target is about 0.12 s. */
@@ -24,6 +25,18 @@
         labelNames: ["reason"] as const,
         registers: [this.registry],
     });
+    private readonly cutResponses = new Counter({
+        name: "radishreel_node_cut_responses_total",
+        help: "Responses that this program cut off after they had begun, by reason",
+        labelNames: ["reason"] as const,
+        registers: [this.registry],
+    });
+    private readonly silences = new Counter({
+        name: "radishreel_node_silences_total",
+        help: "Times that an upstream sent nothing for so long that another one was looked for, by how they ended",
+        labelNames: ["outcome"] as const,
+        registers: [this.registry],
+    });
     private readonly retries = new Counter({
         name: "radishreel_node_retries_total",
         help: "Attempts repeated inside the program, by what ended the one before",
@@ -208,8 +221,16 @@
         return account;
     }
 
-    recordRefusal(reason: RefusalReason): void {
+    /** @param isCut Whether the response had begun. @default false */
+    recordRefusal(reason: RefusalReason, isCut = false): void {
         this.refusals.inc({ reason });
+        if (isCut) {
+            this.cutResponses.inc({ reason });
+        }
+    }
+
+    recordSilence(outcome: SilenceOutcome): void {
+        this.silences.inc({ outcome });
     }
 
     recordRetry(after: string): void {
