Count requests that one silence ends as one failure of their upstream

Callers saw a sound upstream avoided for seconds after it had been silent for a second: each request that was under way counted as a failure of its own, and each connection that failed with them doubled the pause. Eight requests made a share of failures of 0.736, which costs 880 ms and halves only every 3 s, and a pause of 1.6 s in place of 0.2 s.

A silence concerns all requests that are under way. A request now counts only if it was sent after the last counted silence, and the count is dropped with the next answer: 0.3 while the upstream is silent, 0 once it answers. If it answers other requests meanwhile, each request without an answer counts as before. An upstream that stays silent still costs more with each round, and pauses still double.

--- a/packages/fleet/src/health.ts
+++ b/packages/fleet/src/health.ts
@@ -16,10 +16,20 @@
 const maxSlowdown = 12;
 const minSlowdown = 0.5;
 
-/** Recent failures, latency and reachability of one upstream, as observed by one VM. */
+/** Time without any answer from which on an upstream counts as silent to all requests, in milliseconds. */
+const minSilenceMs = 300;
+
+/**
+ * Recent failures, latency and reachability of one upstream, as observed by one VM. Requests that were under way
+ * together when the upstream fell silent count as one observation.
+ */
 export class UpstreamHealth {
     private failures = 0;
     private successes = 0;
+    /** Failures by silence of the whole upstream, until it answers again. */
+    private silences = 0;
+    private silentAt = -Infinity;
+    private answeredAt = -Infinity;
     private decayedAt = 0;
     private slowdown = 1;
     private pauseMs = minPauseMs;
@@ -31,11 +41,14 @@
         this.successes += 1;
         this.pauseMs = minPauseMs;
         this.pausedUntil = 0;
-        this.recordSlowdown(slowdown);
+        this.recordSlowdown(slowdown, now);
     }
 
-    /** Records the time to a first byte, or the time already waited for it, as a factor of the expected time. */
-    recordSlowdown(slowdown: number): void {
+    /** Records the time to a first byte, as a factor of the expected time. */
+    recordSlowdown(slowdown: number, now: number): void {
+        this.advance(now);
+        this.answeredAt = now;
+        this.silences = 0;
         const bounded = Math.min(Math.max(slowdown, minSlowdown), maxSlowdown);
         this.slowdown += (bounded - this.slowdown) * slowdownWeight;
     }
@@ -46,9 +59,21 @@
         this.failures += 1;
     }
 
-    /** Records that no connection could be opened. */
-    recordUnreachable(now: number): void {
-        this.recordFailure(now);
+    /** Records a request that was ended since the upstream sent nothing. @param sentAt When the request was sent. */
+    recordSilence(now: number, sentAt: number): void {
+        if (now - this.answeredAt < minSilenceMs) {
+            // The upstream answers other requests.
+            this.recordFailure(now);
+            return;
+        }
+        this.countSilence(now, sentAt);
+    }
+
+    /** Records that no connection could be opened. @param sentAt When the request was about to be sent. */
+    recordUnreachable(now: number, sentAt: number): void {
+        if (!this.countSilence(now, sentAt)) {
+            return;
+        }
         this.pausedUntil = now + this.pauseMs;
         this.pauseMs = Math.min(this.pauseMs * 2, maxPauseMs);
     }
@@ -61,7 +86,8 @@
     /** Share of failed responses; close to 0 if there were few recent responses. */
     readFailureShare(now: number): number {
         this.advance(now);
-        return this.failures / (this.failures + this.successes + 2);
+        const failures = this.failures + this.silences;
+        return failures / (failures + this.successes + 2);
     }
 
     /** Duration of responses as a factor of the expected time: 1 is as expected. */
@@ -70,11 +96,23 @@
         return this.slowdown;
     }
 
+    /** @returns Whether the silence is a new observation: the request was sent after the last one. */
+    private countSilence(now: number, sentAt: number): boolean {
+        if (sentAt < this.silentAt) {
+            return false;
+        }
+        this.advance(now);
+        this.silentAt = now;
+        this.silences += 1;
+        return true;
+    }
+
     private advance(now: number): void {
         const factor = 0.5 ** (Math.max(0, now - this.decayedAt) / halfLifeMs);
         this.decayedAt = now;
         this.failures *= factor;
         this.successes *= factor;
+        this.silences *= factor;
         this.slowdown = 1 + (this.slowdown - 1) * factor;
     }
 }
--- a/packages/fleet/test/choose.test.ts
+++ b/packages/fleet/test/choose.test.ts
@@ -200,7 +200,7 @@
     view.updateUpstream(createUpstream("s1", { service: "desk", slots: 6 }), 0);
     view.updateUpstream(createUpstream("s2", { service: "desk", slots: 6 }), 0);
     const options = { view, service: desk, dataCentre: "depot", now: 100 };
-    view.findUpstream("s1")!.health.recordUnreachable(90);
+    view.findUpstream("s1")!.health.recordUnreachable(90, 80);
     assert.is(chooseServer({ ...options, penalties: new Map() })?.state.upstream.id, "s2");
     assert.is(chooseServer({ ...options, penalties: new Map([["s2", Infinity]]) })?.state.upstream.id, "s1");
 });
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -416,7 +416,7 @@
                 record.responseStartedAt = readTime();
                 load.finishPrefill();
                 admission?.start();
-                health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs));
+                health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs), readTime());
             },
             checkEnded: () => this.options.guard.checkEnded(upstream),
             onStable: () => this.options.guard.recordAnswer(job),
@@ -571,7 +571,10 @@
             case "broken":
                 job.runs += 1;
                 job.tried.set(upstream.id, { costMs: Infinity, until: Infinity, hasDeclined: false });
-                if (end.reason !== "versionReplaced" && end.reason !== "quarantined") {
+                if (end.reason === "upstreamSilent") {
+                    health.recordSilence(now, sentAt);
+                }
+                else if (end.reason !== "versionReplaced" && end.reason !== "quarantined") {
                     health.recordFailure(now);
                 }
                 return;
@@ -579,7 +582,7 @@
                 job.rejections += 1;
                 if (!end.wasSent) {
                     if (end.detail !== "connection closed" && end.detail !== withdrawnDetail) {
-                        health.recordUnreachable(now);
+                        health.recordUnreachable(now, sentAt);
                     }
                     return;
                 }
--- a/packages/node/test/restart.test.ts
+++ b/packages/node/test/restart.test.ts
@@ -33,7 +33,7 @@
     const { view, cluster, gone } = createVm();
     cluster.applyChanges([{ kind: "upstream", upstream: createIncarnation(1000, 9), position: 1 }]);
     view.updateStatus("owner", createEngineStatus("e1@1000", { revision: 5, held: { "m/a1": 1 } }), 0);
-    view.findUpstream("e1@1000")!.health.recordUnreachable(0);
+    view.findUpstream("e1@1000")!.health.recordUnreachable(0, 0);
     cluster.applyChanges([{ kind: "upstream", upstream: createIncarnation(2000, 0), position: 2 }]);
     assert.equal(gone, ["e1@1000"]);
     assert.equal(view.listUpstreams().map(({ upstream }) => upstream.id), ["e1@2000"]);
--- a/packages/node/test/versionvm.ts
+++ b/packages/node/test/versionvm.ts
@@ -519,7 +519,7 @@
                     hasStarted = true;
                     load.finishPrefill();
                     const paceMs = this.readTime() - attemptedAt;
-                    choice.state.health.recordSlowdown(paceMs / Math.max(30, choice.costMs));
+                    choice.state.health.recordSlowdown(paceMs / Math.max(30, choice.costMs), this.readTime());
                     if (ticket !== undefined) {
                         this.world.sendTo(
                             this.vm,
