Wait for a later request to confirm that an upstream has become slow

Callers saw a sound upstream get nothing for seconds after a silence. All requests that were under way are answered late together, and each of them moved the slowdown by 0.3 of 12 times the expected time: after eight it is 11.4, and as the upstream then gets no calls, only the half-life of 3 s lowers it.

A sample of more than 2.5 times the present estimate is now an outlier: it has effect at once, but with a half-life of 300 ms, and lasts only if a request sent after it is slow as well. Requests that were under way with it are no further evidence.

--- a/packages/fleet/src/health.ts
+++ b/packages/fleet/src/health.ts
@@ -16,6 +16,12 @@
 const maxSlowdown = 12;
 const minSlowdown = 0.5;
 
+/** Factor of the present estimate from which on a sample counts only if a later request confirms it. */
+const outlierFactor = 2.5;
+
+/** Half-life of a slowdown that no later request has confirmed, in milliseconds. */
+const outlierHalfLifeMs = 300;
+
 /** Time without any answer from which on an upstream counts as silent to all requests, in milliseconds. */
 const minSilenceMs = 300;
 
@@ -32,24 +38,44 @@
     private answeredAt = -Infinity;
     private decayedAt = 0;
     private slowdown = 1;
+    private outlier = 1;
+    private outlierAt = -Infinity;
     private pauseMs = minPauseMs;
     private pausedUntil = 0;
 
-    /** Records a complete response. @param slowdown Its duration as a factor of the expected time. */
-    recordResponse(now: number, slowdown: number): void {
+    /**
+     * Records a complete response.
+     * @param slowdown Its duration as a factor of the expected time.
+     * @param sentAt When the request was sent.
+     */
+    recordResponse(now: number, slowdown: number, sentAt: number): void {
         this.advance(now);
         this.successes += 1;
         this.pauseMs = minPauseMs;
         this.pausedUntil = 0;
-        this.recordSlowdown(slowdown, now);
+        this.recordSlowdown(slowdown, sentAt, now);
     }
 
-    /** Records the time to a first byte, as a factor of the expected time. */
-    recordSlowdown(slowdown: number, now: number): void {
+    /**
+     * Records the time to a first byte as a factor of the expected time. A silence delays the answers to all requests
+     * that are under way, so an outlier counts only if a request that was sent after it is slow as well.
+     */
+    recordSlowdown(slowdown: number, sentAt: number, now: number): void {
         this.advance(now);
         this.answeredAt = now;
         this.silences = 0;
         const bounded = Math.min(Math.max(slowdown, minSlowdown), maxSlowdown);
+        if (bounded > this.slowdown * outlierFactor) {
+            if (now - this.outlierAt > halfLifeMs) {
+                this.outlierAt = now;
+                this.outlier = this.slowdown + (bounded - this.slowdown) * slowdownWeight;
+                return;
+            }
+            if (sentAt < this.outlierAt) {
+                return;
+            }
+            this.slowdown = Math.max(this.slowdown, this.outlier);
+        }
         this.slowdown += (bounded - this.slowdown) * slowdownWeight;
     }
 
@@ -93,7 +119,8 @@
     /** Duration of responses as a factor of the expected time: 1 is as expected. */
     readSlowdown(now: number): number {
         this.advance(now);
-        return this.slowdown;
+        const outlier = 1 + (this.outlier - 1) * 0.5 ** (Math.max(0, now - this.outlierAt) / outlierHalfLifeMs);
+        return Math.max(this.slowdown, outlier);
     }
 
     /** @returns Whether the silence is a new observation: the request was sent after the last one. */
--- a/packages/fleet/test/serverworld.ts
+++ b/packages/fleet/test/serverworld.ts
@@ -86,7 +86,8 @@
             }, now);
             agenda.add(end, at => {
                 own.finish();
-                state.health.recordResponse(at, view.recordServerResponse(state.upstream, at - now, expectedMs, at));
+                const slowdown = view.recordServerResponse(state.upstream, at - now, expectedMs, at);
+                state.health.recordResponse(at, slowdown, now);
             });
         }
         if (now >= load.warmUpMs) {
--- a/packages/fleet/test/speedworld.ts
+++ b/packages/fleet/test/speedworld.ts
@@ -307,7 +307,7 @@
         this.agenda.add(receivedAt, sentAt =>
             this.send(engine, kind, demand, startedAt, sentAt, at => {
                 own.finishPrefill();
-                choice.state.health.recordSlowdown((at - sentAt) / Math.max(30, choice.costMs), at);
+                choice.state.health.recordSlowdown((at - sentAt) / Math.max(30, choice.costMs), sentAt, at);
                 this.agenda.add(at + transitMs, heardAt => engine.admission.finishPrefill(vm.name, ticket, heardAt));
             }, at => {
                 own.finish();
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -416,7 +416,7 @@
                 record.responseStartedAt = readTime();
                 load.finishPrefill();
                 admission?.start();
-                health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs), readTime());
+                health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs), sentAt, readTime());
             },
             checkEnded: () => this.options.guard.checkEnded(upstream),
             onStable: () => this.options.guard.recordAnswer(job),
@@ -555,7 +555,11 @@
         const key = findAdapterKey(model);
         switch (end.kind) {
             case "complete":
-                health.recordResponse(now, recordResponseTime(this.options.view, job, upstream, now, now - sentAt));
+                health.recordResponse(
+                    now,
+                    recordResponseTime(this.options.view, job, upstream, now, now - sentAt),
+                    sentAt,
+                );
                 if (model !== undefined) {
                     this.prefixCache.record(upstream.id, model, now);
                     this.recordPauses(job, choice.state, sentAt);
--- a/packages/node/test/versionvm.ts
+++ b/packages/node/test/versionvm.ts
@@ -519,7 +519,11 @@
                     hasStarted = true;
                     load.finishPrefill();
                     const paceMs = this.readTime() - attemptedAt;
-                    choice.state.health.recordSlowdown(paceMs / Math.max(30, choice.costMs), this.readTime());
+                    choice.state.health.recordSlowdown(
+                        paceMs / Math.max(30, choice.costMs),
+                        attemptedAt,
+                        this.readTime(),
+                    );
                     if (ticket !== undefined) {
                         this.world.sendTo(
                             this.vm,
