Count no run ended in a silence as the cause of its upstream's later end

A run that this VM ends since no data arrived is watched for the end of its upstream, as is a run whose connection broke. If the worker restarted within 10 s, for whatever reason, each request of the silence was reported as one that ends upstreams: callers that send it again wait for permits, and four workers restarted one after the other are enough to condemn a part of their prompts (`crashguard.test.ts`), after which requests with it are refused.

An upstream that ends closes its connections. One whose connection is still open when the run is ended, and which then accepts the probe, was alive; the run is dropped. If the probe is refused, or stays unanswered until another process uses the address, the run counts as before, and so does each run whose connection broke.

--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -30,6 +30,9 @@
 /** Reasons for which this VM itself ends attempts. */
 const abortReasons: ReadonlySet<BreakReason> = new Set(["versionReplaced", "quarantined"]);
 
+/** Reasons for which this VM ends attempts while the upstream may still run them. */
+const silenceReasons: ReadonlySet<BreakReason> = new Set(["upstreamSilent", "timeout"]);
+
 /** `Retry-After` of a request that has a condemned part, in seconds: the part stays condemned until it is released. */
 const partRetryAfterSeconds = 1800;
 
@@ -205,6 +208,7 @@
             parts: listSharedParts(job.demand.model),
             answeringMs,
             sentMs: this.options.readTime() - sentAt,
+            isSilent: silenceReasons.has(end.reason),
         });
         await Promise.race([settled, wait(probeResultWaitMs)]);
     }
--- a/packages/node/src/crashes/monitor.ts
+++ b/packages/node/src/crashes/monitor.ts
@@ -25,6 +25,8 @@
     readonly answeringMs: number | undefined;
     /** Time since the run was sent, in milliseconds. */
     readonly sentMs: number;
+    /** Whether this VM ended the run since no data arrived, while the connection was still open. @default false */
+    readonly isSilent?: boolean | undefined;
 }
 
 /** An upstream whose process ended, and the runs of this VM that broke with it. */
@@ -47,7 +49,7 @@
 interface WatchedUpstream {
     readonly upstream: Upstream;
     readonly brokenAt: number;
-    readonly runs: BrokenRun[];
+    runs: BrokenRun[];
     /**
      * `asked`: the outcome is unknown; `listening`: the address accepted connections; `ended`: the process has ended.
      */
@@ -132,6 +134,8 @@
                 break;
             case "open":
                 watched.state = "listening";
+                // The process was alive when this VM ended the run, so the run has not ended it.
+                watched.runs = watched.runs.filter(({ isSilent }) => isSilent !== true);
                 break;
             case "silent":
                 this.scheduleProbe(watched, index + 1);
--- a/packages/node/test/crashmonitor.test.ts
+++ b/packages/node/test/crashmonitor.test.ts
@@ -90,6 +90,26 @@
     assert.is(ends.length, 1);
 });
 
+test("runs ended in a silence of an upstream that accepts connections do not count when it restarts later", async () => {
+    for (const results of [["open"], ["silent", "open"]] as const) {
+        const { monitor, ends, runTimers } = createMonitor([...results]);
+        void monitor.recordBrokenRun(upstream, { ...createRun("/a"), isSilent: true });
+        void monitor.recordBrokenRun(upstream, createRun("/b"));
+        await runTimers();
+        await runTimers();
+        monitor.receiveEntry(createUpstream("e3", { address: "10.0.0.1:1" }));
+        assert.equal(ends.map(end => end.runs.map(run => run.requestId)), [["/b"]]);
+    }
+});
+
+test("a run ended in a silence counts if its upstream refuses the probe", async () => {
+    const { monitor, ends, runTimers } = createMonitor(["silent", "refused"]);
+    void monitor.recordBrokenRun(upstream, { ...createRun("/a"), isSilent: true });
+    await runTimers();
+    await runTimers();
+    assert.equal(ends.map(end => end.runs.map(run => run.requestId)), [["/a"]]);
+});
+
 test("an upstream whose end is not detected in time is no longer watched", async () => {
     const { monitor, ends, setTime } = createMonitor([]);
     void monitor.recordBrokenRun(upstream, createRun("/a"));
