Use no report requested within 250 ms after an order without a response

Once its engine could be reached again, an owner requested a report at once, also 60 ms after an order whose response was missing. Such a report may count the order, while the planner still keeps the adapter's slot as it was, since its state is newer than the report. The planner then sent the unload again, counted its outcome `holds` as a further accepted order, and expected a sequence one too high: the next order ended as a conflict, and a load that arrives late under the wrong sequence can be accepted when all slots are taken.

A report requested that soon is now put off by 250 ms, as it is after orders that were accepted or met a conflict.

The new test failed before (a conflict among the outcomes).

--- a/packages/fleet/src/orderscheduler.ts
+++ b/packages/fleet/src/orderscheduler.ts
@@ -29,6 +29,8 @@
      */
     private isSequenceUncertain = false;
     private acceptedAt = -Infinity;
+    /** When an order last got no response. */
+    private unansweredAt = -Infinity;
     /** Whether a report was requested so late that it shows all orders of earlier owners. */
     private hasSettledReport: boolean;
     private readonly startedAt: number;
@@ -105,6 +107,11 @@
         this.recordConflict(now);
     }
 
+    /** Records that an order got no response: the engine may have carried it out. */
+    recordUnanswered(now: number): void {
+        this.unansweredAt = now;
+    }
+
     /** Records that the engine's sequence differs from the one that an order expected. */
     recordConflict(now: number): void {
         this.isSequenceUncertain = true;
@@ -113,10 +120,15 @@
 
     /**
      * Applies a report's sequence. Reports lag: one that is older than the last order must not be combined with the
-     * sequence after that order, since the engine would accept orders that are based on the older state.
+     * sequence after that order, since the engine would accept orders that are based on the older state. The same holds
+     * for one that may show only a part of the effects of an order without a response.
      * @returns Whether the report may be used; otherwise another one is scheduled.
      */
     applyReport(sequence: number, askedAt: number, now: number): boolean {
+        if (askedAt - this.unansweredAt < reportDelayMs) {
+            this.scheduleReport(now);
+            return false;
+        }
         const isSettled = askedAt - this.acceptedAt >= reportDelayMs || this.isSequenceUncertain;
         if (sequence < this.acceptedCount && !isSettled) {
             this.scheduleReport(now);
--- a/packages/fleet/src/slotplanner.ts
+++ b/packages/fleet/src/slotplanner.ts
@@ -405,6 +405,7 @@
             this.scheduler.recordConflict(now);
             return;
         }
+        this.scheduler.recordUnanswered(now);
         this.scheduler.pause(resendPauseMs, now);
         if (order.action === "load" && order.adapter !== undefined) {
             const key = formatAdapterKey(order.model, order.adapter);
--- a/packages/fleet/test/slotplanner.test.ts
+++ b/packages/fleet/test/slotplanner.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type EngineOrder, EngineSlotPlanner, type LoadRequest } from "../src/index.js";
+import { type EngineOrder, EngineSlotPlanner, type LoadRequest, type OrderOutcome } from "../src/index.js";
 import { createPlanner, limits, type OrderFate, runPlan, SimulatedEngine } from "./simulatedengine.js";
 
 function addLoadRequest(
@@ -210,6 +210,34 @@
     assert.is(planner.isReachable, true);
 });
 
+test("a report requested soon after an order without a response is not combined with that order's effects", () => {
+    const engine = new SimulatedEngine();
+    ["a1", "a2", "a3", "a4"].forEach(adapter => engine.held.set(`base/${adapter}`, 1));
+    const planner = createPlanner(engine);
+    runPlan(engine, planner, () => "answered");
+    addLoadRequest(planner, { key: "base/a5", lifeMs: 5000 }, 0);
+    const outcomes: OrderOutcome[] = [];
+    while (engine.now < 2000) {
+        engine.advance(10);
+        const step = planner.decide(engine.now, () => 0);
+        if (step.kind === "report") {
+            planner.applyReport(engine.readReport(), engine.now, engine.now);
+        }
+        else if (step.kind === "order") {
+            outcomes.push(engine.apply(step.order));
+            const isFirst = outcomes.length === 1;
+            planner.applyOutcome(step.order, isFirst ? "unknown" : outcomes.at(-1)!, engine.now);
+            if (isFirst) {
+                // The next order cannot be sent, so that a report is requested before it.
+                planner.applyOutcome(step.order, "unreachable", engine.now + 5);
+                addLoadRequest(planner, { key: "base/a5", lifeMs: 5000 }, engine.now + 5);
+            }
+        }
+    }
+    assert.is(outcomes.includes("accepted"), true, outcomes.join());
+    assert.is(outcomes.includes("conflict"), false, outcomes.join());
+});
+
 test("orders never load more adapters than there are slots, even if responses are lost or orders arrive late", () => {
     const step = fc.record({
         name: fc.nat(9),
