Decline no request for an engine that opens no connection in time for a second

An owner waits 70 ms for the connection of an order or a report. One that was not opened in that time counted as proof that the engine cannot be reached: the load queue was emptied, all requests that waited for the engine were declined, and so was each further one, also for adapters that the engine holds, until it reported. Where several engines fall silent, callers were refused as `enginesFull` with a `Retry-After` of 0.5 s, although the engines went on by themselves.

A connection that is refused or has no route still proves it at once. One that is not opened in time (`silent`) proves it after 1.5 s of nothing else. Until then the queue and the waiting requests stay, the next step is a report, and other VMs learn at once, as before, that the owner does not reach the engine, so that they prefer other engines; they may still ask for this one.

New tests: an order to an engine that opens no connection failed as `unreachable` before; an engine that stays silent is found unreachable at 1.4 to 1.9 s, and keeps its queue until then (emptied at once before); one that reports after 1.1 s gets the queued load in the next step (nothing before); two requests at a silent engine are queued, at one that refuses connections they are declined at once as before.

--- a/packages/fleet/src/orders.ts
+++ b/packages/fleet/src/orders.ts
@@ -31,6 +31,8 @@
     | "rejected"
     /** No connection could be opened, so the order was not sent. */
     | "unreachable"
+    /** No connection was opened in time, so the order was not sent. */
+    | "silent"
     /** No response arrived: the engine may carry out the order, now or later. */
     | "unknown";
 
--- a/packages/fleet/src/orderscheduler.ts
+++ b/packages/fleet/src/orderscheduler.ts
@@ -13,6 +13,12 @@
 const minReconnectPauseMs = 60;
 const maxReconnectPauseMs = 240;
 
+/**
+ * Time for which an engine may open no connection until it counts as unreachable, in milliseconds: sound engines are
+ * silent for up to 1.5 s.
+ */
+const maxSilenceMs = 1500;
+
 /** Options of {@link OrderScheduler}. */
 export interface OrderSchedulerOptions {
     /** Number of orders that the engine has accepted, as last reported. */
@@ -36,6 +42,8 @@
     private readonly startedAt: number;
     private reconnectPauseMs = minReconnectPauseMs;
     private isConnected = true;
+    /** When the engine first opened no connection in time; undefined once it can be reached. */
+    private silentSince: number | undefined;
     private orderNotBefore = -Infinity;
     private reportAt: number;
 
@@ -56,14 +64,19 @@
         return this.mustReport;
     }
 
-    /** Whether the last attempt to reach the engine succeeded. */
+    /** Whether the engine can be reached, as far as the attempts to do so show. */
     get isReachable(): boolean {
         return this.isConnected;
     }
 
+    /** Whether the engine opened no connection in time, which a short silence also explains. */
+    get isSilent(): boolean {
+        return this.silentSince !== undefined;
+    }
+
     /** The step that must come before any order; undefined if an order may be sent now. */
     findStep(now: number): PlannerStep | undefined {
-        if (!this.isConnected) {
+        if (!this.isConnected || this.isSilent) {
             return now >= this.orderNotBefore ? { kind: "report" } : { kind: "wait", untilMs: this.orderNotBefore };
         }
         if (this.mustReport) {
@@ -148,11 +161,27 @@
 
     recordReached(): void {
         this.isConnected = true;
+        this.silentSince = undefined;
         this.reconnectPauseMs = minReconnectPauseMs;
     }
 
+    /** Records that the engine opened no connection in time. @returns Whether it now counts as unreachable. */
+    recordSilent(now: number): boolean {
+        this.silentSince ??= now;
+        if (!this.isConnected || now - this.silentSince >= maxSilenceMs) {
+            this.recordUnreachable(now);
+            return true;
+        }
+        this.scheduleReconnect(now);
+        return false;
+    }
+
     recordUnreachable(now: number): void {
         this.isConnected = false;
+        this.scheduleReconnect(now);
+    }
+
+    private scheduleReconnect(now: number): void {
         this.orderNotBefore = now + this.reconnectPauseMs;
         this.reconnectPauseMs = Math.min(this.reconnectPauseMs * 2, maxReconnectPauseMs);
     }
--- a/packages/fleet/src/slotplanner.ts
+++ b/packages/fleet/src/slotplanner.ts
@@ -90,11 +90,16 @@
         return this.scheduler.needsReport;
     }
 
-    /** Whether the last attempt to reach the engine succeeded. */
+    /** Whether the engine can be reached, as far as the attempts to do so show. */
     get isReachable(): boolean {
         return this.scheduler.isReachable;
     }
 
+    /** Whether the engine opened no connection in time, which a short silence also explains. */
+    get isSilent(): boolean {
+        return this.scheduler.isSilent;
+    }
+
     /** Versions by adapter key of the adapters that are loaded and not being evicted. */
     listHeld(): Record<string, number> {
         return this.slots.listHeld();
@@ -259,6 +264,10 @@
             this.recordUnreachable(now);
             return;
         }
+        if (outcome === "silent") {
+            this.recordSilent(now);
+            return;
+        }
         this.scheduler.recordReached();
         if (outcome === "gone") {
             this.scheduler.pause(gonePauseMs, now);
@@ -338,14 +347,24 @@
         }
     }
 
-    /** Records that a requested report did not arrive. @param wasReached Whether a connection could be opened. */
-    recordReportFailure(wasReached: boolean, now: number): void {
+    /** Records that a requested report did not arrive. */
+    recordReportFailure(failure: "unreachable" | "silent" | "unknown" | "replaced", now: number): void {
         this.scheduler.recordReportFailure(now);
-        if (!wasReached || !this.scheduler.isReachable) {
+        const isAnswerMissing = failure === "unknown" && (this.isSilent || !this.isReachable);
+        if (failure === "silent" || isAnswerMissing) {
+            this.recordSilent(now);
+        }
+        else if (failure !== "unknown") {
             this.recordUnreachable(now);
         }
     }
 
+    private recordSilent(now: number): void {
+        if (this.scheduler.recordSilent(now)) {
+            this.queue.removeAll();
+        }
+    }
+
     /**
      * Empties the load queue of an engine that cannot be reached, so that its requests try other engines at once. A
      * crashed engine keeps its registry entry for about 3 s, in which loads would queue for it in vain: eleven did so
--- a/packages/fleet/test/slothistories.test.ts
+++ b/packages/fleet/test/slothistories.test.ts
@@ -178,7 +178,7 @@
     private readReport(): void {
         const { engine, random } = this;
         if (this.isShed()) {
-            this.planner.recordReportFailure(true, engine.now);
+            this.planner.recordReportFailure("unknown", engine.now);
             return;
         }
         const askedAt = engine.now;
@@ -202,7 +202,7 @@
             return "unknown";
         }
         if (fate >= 0.93 && fate < 0.97) {
-            return fate < 0.95 ? "conflict" : "unreachable";
+            return fate < 0.95 ? "conflict" : fate < 0.96 ? "silent" : "unreachable";
         }
         return engine.apply(order);
     }
--- a/packages/fleet/test/slotplanner.test.ts
+++ b/packages/fleet/test/slotplanner.test.ts
@@ -204,7 +204,7 @@
     assert.equal(planner.listQueued(0), []);
     assert.is(planner.decide(10, () => 0).kind, "wait");
     assert.is(planner.decide(100, () => 0).kind, "report");
-    planner.recordReportFailure(false, 100);
+    planner.recordReportFailure("unreachable", 100);
     assert.is(planner.decide(150, () => 0).kind, "wait");
     planner.applyReport(engine.readReport(), 400, 400);
     assert.is(planner.isReachable, true);
@@ -238,6 +238,44 @@
     assert.is(outcomes.includes("conflict"), false, outcomes.join());
 });
 
+test("an engine that opens no connection for a second keeps its load queue, and for longer is unreachable", () => {
+    const engine = new SimulatedEngine();
+    const planner = createPlanner(engine);
+    runPlan(engine, planner, () => "answered");
+    addLoadRequest(planner, { key: "base/a1", lifeMs: 5000 }, 0);
+    const step = planner.decide(0, () => 0);
+    assert.is(step.kind, "order");
+    planner.applyOutcome((step as { order: EngineOrder; }).order, "silent", 0);
+    let now = 0;
+    let unreachableAt: number | undefined;
+    while (unreachableAt === undefined && now < 3000) {
+        now += 10;
+        if (planner.decide(now, () => 0).kind === "report") {
+            // A connection is waited for 70 ms.
+            now += 70;
+            planner.recordReportFailure("silent", now);
+        }
+        assert.is(planner.isSilent, true);
+        assert.is(planner.listQueued(now).length, planner.isReachable ? 1 : 0);
+        unreachableAt = planner.isReachable ? undefined : now;
+    }
+    assert.ok(unreachableAt! > 1400 && unreachableAt! <= 1900, `unreachable at ${unreachableAt} ms`);
+    planner.applyReport(engine.readReport(), now, now);
+    assert.equal([planner.isReachable, planner.isSilent], [true, false]);
+});
+
+test("an engine that is silent only for a second gets the queued load in the first step after its report", () => {
+    const engine = new SimulatedEngine();
+    const planner = createPlanner(engine);
+    runPlan(engine, planner, () => "answered");
+    addLoadRequest(planner, { key: "base/a1", lifeMs: 5000 }, 0);
+    const step = planner.decide(0, () => 0);
+    planner.applyOutcome((step as { order: EngineOrder; }).order, "silent", 0);
+    planner.recordReportFailure("silent", 500);
+    planner.applyReport(engine.readReport(), 1100, 1100);
+    assert.is(planner.decide(1101, () => 0).kind, "order");
+});
+
 test("orders never load more adapters than there are slots, even if responses are lost or orders arrive late", () => {
     const step = fc.record({
         name: fc.nat(9),
--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -74,6 +74,9 @@
     readonly transfers?: TransferSettings | undefined;
 }
 
+/** Whether an engine can be reached, and whether it opened no connection in time. */
+type EngineReach = Pick<EngineSlotPlanner, "isReachable" | "isSilent">;
+
 /** Statuses collected during an update of the owned engines, to be sent in one message. */
 interface PendingStatuses {
     readonly changed: Set<OwnedEngine>;
@@ -429,11 +432,11 @@
     private async runReport(owned: OwnedEngine, state: UpstreamState): Promise<void> {
         owned.isStepRunning = true;
         const askedAt = this.options.readTime();
-        const wasReachable = owned.planner.isReachable;
+        const before = readReach(owned);
         const report = await this.options.orders.readReport(state.upstream, () => this.options.onLeaving?.(owned.id));
         const now = this.options.readTime();
         if (report.isErr()) {
-            owned.planner.recordReportFailure(report.error === "unknown", now);
+            owned.planner.recordReportFailure(report.error, now);
             this.options.log.record("engineReport", { engine: owned.id, failure: report.error });
         }
         else {
@@ -442,7 +445,7 @@
             this.recordModels(owned, now);
             this.options.log.record("engineReport", { engine: owned.id, sequence, coming, held: models });
         }
-        this.finishStep(owned, wasReachable || report.isOk());
+        this.finishStep(owned, before);
     }
 
     private async runOrder(owned: OwnedEngine, state: UpstreamState, order: EngineOrder): Promise<void> {
@@ -450,7 +453,7 @@
         owned.isOrdering = true;
         owned.fence = Math.max(owned.fence, this.options.readFence(owned.name));
         const sentAt = this.options.readTime();
-        const wasReachable = owned.planner.isReachable;
+        const before = readReach(owned);
         const sending = this.options.orders.send(state.upstream, order, {
             holder: this.options.vm,
             fence: owned.fence,
@@ -473,14 +476,17 @@
             waiting: owned.admission.waitingCount,
             ms: Math.round(now - sentAt),
         });
-        this.finishStep(owned, wasReachable);
+        this.finishStep(owned, before);
     }
 
-    /** @param wasReachable Whether the engine was reachable before the step, or the step reached it. */
-    private finishStep(owned: OwnedEngine, wasReachable: boolean): void {
+    /** @param before Whether the engine could be reached, and was silent, before the step. */
+    private finishStep(owned: OwnedEngine, before: EngineReach): void {
         owned.isStepRunning = false;
-        if (wasReachable && !owned.planner.isReachable) {
+        const { isReachable, isSilent } = readReach(owned);
+        if (before.isReachable && !isReachable) {
             this.sendReplies(owned.admission.refuseAll(unusableExpectedMs));
+        }
+        if (before.isReachable !== isReachable || before.isSilent !== isSilent) {
             this.sendChanges([owned]);
         }
         this.advance(owned);
@@ -545,3 +551,7 @@
         return changed;
     }
 }
+
+function readReach({ planner: { isReachable, isSilent } }: OwnedEngine): EngineReach {
+    return { isReachable, isSilent };
+}
--- a/packages/node/src/ownership/enginestatus.ts
+++ b/packages/node/src/ownership/enginestatus.ts
@@ -20,7 +20,7 @@
         revision: owned.revision,
         isOwned: true,
         canOrder: owned.canOrder && planner.isReachable,
-        isReachable: planner.isReachable,
+        isReachable: planner.isReachable && !planner.isSilent,
         held: planner.listHeld(),
         coming: planner.listLoading(),
         waitMs: Math.round(admission.readNextLoadWaitMs(now)),
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -109,8 +109,11 @@
     readonly checkBeforeSend: () => boolean;
 }
 
-/** Why there is no report: the connection failed, no readable response arrived, or another incarnation responded. */
-export type ReportFailure = "unreachable" | "unknown" | "replaced";
+/**
+ * Why there is no report: the connection failed or was not opened in time, no readable response arrived, or another
+ * incarnation responded.
+ */
+export type ReportFailure = "unreachable" | "silent" | "unknown" | "replaced";
 
 /** Sends orders to engines. `onLeaving` is called if the response of an engine announces that it is leaving. */
 export interface EngineOrders {
--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -99,6 +99,23 @@
     assert.is(view.findUpstream("e1@1")?.owner, undefined);
 });
 
+test("an engine that opens no connection in time declines no request at once, and one that refuses them does", async () => {
+    for (const failure of ["silent", "unreachable"] as const) {
+        const orders = { send: () => Promise.resolve(failure), readReport: () => Promise.resolve(err(failure)) };
+        const { engines, statuses, replies } = createEngines({ orders });
+        engines.update(() => true);
+        engines.receiveAdmissionMessage("b", { type: "admit", engine: "e1@1", request });
+        await new Promise(resolve => setImmediate(resolve));
+        engines.receiveAdmissionMessage("b", { type: "admit", engine: "e1@1", request: { ...request, ticket: 2 } });
+        const expected = failure === "silent" ? ["queued", "queued"] : ["queued", "declined", "declined"];
+        assert.equal(replies.map(({ kind }) => kind), expected);
+        // Other VMs prefer other engines, but may still ask for this one.
+        const { isReachable, canOrder } = statuses.at(-1)!;
+        assert.equal([isReachable, canOrder], [false, failure === "silent"]);
+        engines.stop();
+    }
+});
+
 test("a declined request is told when it may return only with engine scheduling", () => {
     // Guards against an owner that does not reserve returns, and against replies that change without the feature.
     for (const hasEngineScheduling of [true, false]) {
