Skip a relay only for the upstream that it has not reached

A VM that asked another one to carry a connection to an upstream, and was told that this VM does not reach it either, asked that VM for no connection to any upstream for a second. A VM that is cut off from sound upstreams had no path to them until then, and its callers were refused.

The relay is now skipped for that upstream only. One that does not reply, or that carries no connections at present, is still skipped for all.

--- a/packages/fleet/src/paths.ts
+++ b/packages/fleet/src/paths.ts
@@ -8,7 +8,7 @@
 const minDirectPauseMs = 200;
 const maxDirectPauseMs = 800;
 
-/** How long a VM that could not carry a connection is not asked again, in milliseconds. */
+/** How long a VM that could not carry a connection, at all or to one upstream, is not asked again, in milliseconds. */
 const relaySkipMs = 1000;
 
 /** Why a direct connection failed. */
@@ -78,15 +78,18 @@
 /** Ranks the VMs that may carry connections of this VM to upstreams. */
 export class Relays {
     private readonly skippedUntil = new Map<string, number>();
+    /** Until when a VM is not asked for connections to one upstream, by VM and upstream. */
+    private readonly unreachedUntil = new Map<string, Map<string, number>>();
     private readonly tunnelCounts = new Map<string, number>();
 
     /** @param dataCentre Data centre of this VM. */
     constructor(private readonly dataCentre: string) {}
 
     /** Lists the VMs to ask: first those of the own data centre, then those that carry fewer connections of this VM. */
-    rank(candidates: readonly RelayCandidate[], now: number): string[] {
+    rank(candidates: readonly RelayCandidate[], upstream: string, now: number): string[] {
         return candidates
             .filter(({ vm }) => now >= (this.skippedUntil.get(vm) ?? -Infinity))
+            .filter(({ vm }) => now >= (this.unreachedUntil.get(vm)?.get(upstream) ?? -Infinity))
             .map(({ vm, dataCentre }) => ({
                 vm,
                 distance: dataCentre === this.dataCentre ? 0 : 1,
@@ -96,10 +99,17 @@
             .map(({ vm }) => vm);
     }
 
+    /** Records that a VM carries no connections at present. */
     recordFailed(vm: string, now: number): void {
         this.skippedUntil.set(vm, now + relaySkipMs);
     }
 
+    /** Records that a VM has not reached an upstream either: it may carry connections to others. */
+    recordUnreached(vm: string, upstream: string, now: number): void {
+        const known = [...this.unreachedUntil.get(vm) ?? []].filter(([, until]) => until > now);
+        this.unreachedUntil.set(vm, new Map([...known, [upstream, now + relaySkipMs]]));
+    }
+
     recordOpened(vm: string): void {
         this.tunnelCounts.set(vm, (this.tunnelCounts.get(vm) ?? 0) + 1);
     }
@@ -116,5 +126,6 @@
 
     removeVm(vm: string): void {
         this.skippedUntil.delete(vm);
+        this.unreachedUntil.delete(vm);
     }
 }
--- a/packages/fleet/test/paths.test.ts
+++ b/packages/fleet/test/paths.test.ts
@@ -28,17 +28,27 @@
     const candidates = ["a1", "b1", "a2", "b2"].map(vm => ({ vm, dataCentre: vm[0] }));
     relays.recordOpened("a1");
     relays.recordOpened("b1");
-    assert.equal(relays.rank(candidates, 0), ["a2", "a1", "b2", "b1"]);
+    assert.equal(relays.rank(candidates, "u", 0), ["a2", "a1", "b2", "b1"]);
     relays.recordClosed("a1");
-    assert.equal(relays.rank(candidates, 0), ["a1", "a2", "b2", "b1"]);
+    assert.equal(relays.rank(candidates, "u", 0), ["a1", "a2", "b2", "b1"]);
 });
 
 test("a relay that could not connect is skipped for a second", () => {
     const relays = new Relays("a");
     const candidates = [{ vm: "a1", dataCentre: "a" }];
     relays.recordFailed("a1", 0);
-    assert.equal(relays.rank(candidates, 999), []);
-    assert.equal(relays.rank(candidates, 1000), ["a1"]);
+    assert.equal(relays.rank(candidates, "u", 999), []);
+    assert.equal(relays.rank(candidates, "u", 1000), ["a1"]);
+});
+
+test("a relay that has not reached one upstream is skipped for a second for that upstream only", () => {
+    const relays = new Relays("a");
+    const candidates = ["a1", "a2"].map(vm => ({ vm, dataCentre: "a" }));
+    relays.recordUnreached("a1", "silent", 0);
+    relays.recordUnreached("a2", "silent", 0);
+    assert.equal(relays.rank(candidates, "silent", 999), []);
+    assert.equal(relays.rank(candidates, "other", 1), ["a1", "a2"]);
+    assert.equal(relays.rank(candidates, "silent", 1000), ["a1", "a2"]);
 });
 
 test.run();
--- a/packages/node/src/paths/tunnelconnector.ts
+++ b/packages/node/src/paths/tunnelconnector.ts
@@ -111,7 +111,7 @@
         const addresses = new Map(candidates.map(({ vm, address }) => [vm, address]));
         let last = new TunnelError("any VM", undefined);
         let refusals = 0;
-        for (const vm of relays.rank(candidates, readTime()).slice(0, maxRelays)) {
+        for (const vm of relays.rank(candidates, target.upstream, readTime()).slice(0, maxRelays)) {
             try {
                 const socket = await this.sendConnect(vm, addresses.get(vm)!, target, signal);
                 relays.recordOpened(vm);
@@ -128,8 +128,11 @@
                 if (refusals === maxRefusals) {
                     throw last;
                 }
-                // A VM that does not know this upstream, or finds it to have ended, may carry connections to others.
-                if (last.status !== tunnelStatus.forbidden && last.status !== tunnelStatus.refused) {
+                // A VM that does not know or reach this upstream, or finds it to have ended, may carry connections to others.
+                if (last.status === tunnelStatus.unreachable) {
+                    relays.recordUnreached(vm, target.upstream, readTime());
+                }
+                else if (last.status !== tunnelStatus.forbidden && last.status !== tunnelStatus.refused) {
                     relays.recordFailed(vm, readTime());
                 }
             }
