--- a/packages/fleet/test/slotplanner.test.ts
+++ b/packages/fleet/test/slotplanner.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type EngineOrder, EngineSlotPlanner, type LoadRequest } from "../src/index.js";
+import { type EngineOrder, EngineSlotPlanner, type LoadRequest, type OrderOutcome } from "../src/index.js";
 import { createPlanner, limits, type OrderFate, runPlan, SimulatedEngine } from "./simulatedengine.js";
 
 function addLoadRequest(
@@ -204,12 +204,78 @@
     assert.equal(planner.listQueued(0), []);
     assert.is(planner.decide(10, () => 0).kind, "wait");
     assert.is(planner.decide(100, () => 0).kind, "report");
-    planner.recordReportFailure(false, 100);
+    planner.recordReportFailure("unreachable", 100);
     assert.is(planner.decide(150, () => 0).kind, "wait");
     planner.applyReport(engine.readReport(), 400, 400);
     assert.is(planner.isReachable, true);
 });
 
+test("a report requested soon after an order without a response is not combined with that order's effects", () => {
+    const engine = new SimulatedEngine();
+    ["a1", "a2", "a3", "a4"].forEach(adapter => engine.held.set(`base/${adapter}`, 1));
+    const planner = createPlanner(engine);
+    runPlan(engine, planner, () => "answered");
+    addLoadRequest(planner, { key: "base/a5", lifeMs: 5000 }, 0);
+    const outcomes: OrderOutcome[] = [];
+    while (engine.now < 2000) {
+        engine.advance(10);
+        const step = planner.decide(engine.now, () => 0);
+        if (step.kind === "report") {
+            planner.applyReport(engine.readReport(), engine.now, engine.now);
+        }
+        else if (step.kind === "order") {
+            outcomes.push(engine.apply(step.order));
+            const isFirst = outcomes.length === 1;
+            planner.applyOutcome(step.order, isFirst ? "unknown" : outcomes.at(-1)!, engine.now);
+            if (isFirst) {
+                // The next order cannot be sent, so that a report is requested before it.
+                planner.applyOutcome(step.order, "unreachable", engine.now + 5);
+                addLoadRequest(planner, { key: "base/a5", lifeMs: 5000 }, engine.now + 5);
+            }
+        }
+    }
+    assert.is(outcomes.includes("accepted"), true, outcomes.join());
+    assert.is(outcomes.includes("conflict"), false, outcomes.join());
+});
+
+test("an engine that opens no connection for a second keeps its load queue, and for longer is unreachable", () => {
+    const engine = new SimulatedEngine();
+    const planner = createPlanner(engine);
+    runPlan(engine, planner, () => "answered");
+    addLoadRequest(planner, { key: "base/a1", lifeMs: 5000 }, 0);
+    const step = planner.decide(0, () => 0);
+    assert.is(step.kind, "order");
+    planner.applyOutcome((step as { order: EngineOrder; }).order, "silent", 0);
+    let now = 0;
+    let unreachableAt: number | undefined;
+    while (unreachableAt === undefined && now < 3000) {
+        now += 10;
+        if (planner.decide(now, () => 0).kind === "report") {
+            // A connection is waited for 70 ms.
+            now += 70;
+            planner.recordReportFailure("silent", now);
+        }
+        assert.is(planner.isSilent, true);
+        assert.is(planner.listQueued(now).length, planner.isReachable ? 1 : 0);
+        unreachableAt = planner.isReachable ? undefined : now;
+    }
+    assert.ok(unreachableAt! > 1400 && unreachableAt! <= 1900, `unreachable at ${unreachableAt} ms`);
+    planner.applyReport(engine.readReport(), now, now);
+    assert.equal([planner.isReachable, planner.isSilent], [true, false]);
+});
+
+test("an engine that is silent only for a second gets the queued load in the first step after its report", () => {
+    const engine = new SimulatedEngine();
+    const planner = createPlanner(engine);
+    runPlan(engine, planner, () => "answered");
+    addLoadRequest(planner, { key: "base/a1", lifeMs: 5000 }, 0);
+    const step = planner.decide(0, () => 0);
+    planner.applyOutcome((step as { order: EngineOrder; }).order, "silent", 0);
+    planner.recordReportFailure("silent", 500);
+    planner.applyReport(engine.readReport(), 1100, 1100);
+    assert.is(planner.decide(1101, () => 0).kind, "order");
+});
+
 test("orders never load more adapters than there are slots, even if responses are lost or orders arrive late", () => {
     const step = fc.record({
         name: fc.nat(9),
--- a/packages/node/src/paths/tunnelconnector.ts
+++ b/packages/node/src/paths/tunnelconnector.ts
@@ -68,14 +68,15 @@
     }
 
     async open(target: ConnectTarget, signal: AbortSignal): Promise<OpenedConnection> {
-        const { paths, direct, listRelays, readTime } = this.options;
+        const { paths, relays, direct, listRelays, readTime } = this.options;
         const candidates = listRelays();
         if (candidates.length === 0) {
             return direct.open(target, signal);
         }
         const { triesDirect, tunnelDelayMs } = paths.choose(target.upstream, readTime());
         const attempts: Promise<OpenedConnection>[] = [];
-        if (triesDirect) {
+        // While no relay may be asked, an upstream that answers again is reached directly first.
+        if (triesDirect || relays.rank(candidates, target.upstream, readTime()).length === 0) {
             attempts.push(direct.open(target, signal));
         }
         const losing = new AbortController();
@@ -111,7 +112,7 @@
         const addresses = new Map(candidates.map(({ vm, address }) => [vm, address]));
         let last = new TunnelError("any VM", undefined);
         let refusals = 0;
-        for (const vm of relays.rank(candidates, readTime()).slice(0, maxRelays)) {
+        for (const vm of relays.rank(candidates, target.upstream, readTime()).slice(0, maxRelays)) {
             try {
                 const socket = await this.sendConnect(vm, addresses.get(vm)!, target, signal);
                 relays.recordOpened(vm);
@@ -128,8 +129,11 @@
                 if (refusals === maxRefusals) {
                     throw last;
                 }
-                // A VM that does not know this upstream, or finds it to have ended, may carry connections to others.
-                if (last.status !== tunnelStatus.forbidden && last.status !== tunnelStatus.refused) {
+                // A VM that does not know or reach this upstream, or finds it to have ended, may carry connections to others.
+                if (last.status === tunnelStatus.unreachable) {
+                    relays.recordUnreached(vm, target.upstream, readTime());
+                }
+                else if (last.status !== tunnelStatus.forbidden && last.status !== tunnelStatus.refused) {
                     relays.recordFailed(vm, readTime());
                 }
             }
--- a/packages/node/src/requests/results.ts
+++ b/packages/node/src/requests/results.ts
@@ -55,7 +55,11 @@
         const key = findAdapterKey(model);
         switch (end.kind) {
             case "complete":
-                health.recordResponse(now, recordResponseTime(this.options.view, job, upstream, now, now - sentAt));
+                health.recordResponse(
+                    now,
+                    recordResponseTime(this.options.view, job, upstream, now, now - sentAt),
+                    sentAt,
+                );
                 if (model !== undefined) {
                     prefixCache.record(upstream.id, model, now);
                     this.recordPauses(job, choice.state, sentAt);
@@ -71,7 +75,10 @@
             case "broken":
                 job.runs += 1;
                 job.tried.set(upstream.id, { costMs: Infinity, until: Infinity, hasDeclined: false });
-                if (end.reason !== "versionReplaced" && end.reason !== "quarantined") {
+                if (end.reason === "upstreamSilent") {
+                    health.recordSilence(now, sentAt);
+                }
+                else if (end.reason !== "versionReplaced" && end.reason !== "quarantined") {
                     health.recordFailure(now);
                 }
                 return;
@@ -79,7 +86,7 @@
                 job.rejections += 1;
                 if (!end.wasSent) {
                     if (end.detail !== "connection closed" && end.detail !== withdrawnDetail) {
-                        health.recordUnreachable(now);
+                        health.recordUnreachable(now, sentAt);
                     }
                     return;
                 }
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -437,7 +437,7 @@
                 response.start(record.responseStartedAt);
                 load.finishPrefill();
                 admission?.start();
-                health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs));
+                health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs), sentAt, readTime());
             },
             onData: () => activity.recordData(readTime()),
             onPaused: isPaused => isPaused ? response.pause() : response.start(readTime()),
