Answer every request that a closing connection passes on

Cause: a response whose head was written before SIGTERM cannot say `Connection: close` any more, so the socket was ended behind it. The HTTP server still read from that socket until the caller closed its side, and what it read was served like any other request. The same class: requests that a caller sends ahead of a response were passed on at once, and lost their answer when that response closed the connection: with `Connection: close` (planned stop, VM that is cut off), by its end without a length, or by a break. And the end of the stop closed connections by what was running, not by what was sent: `close` of the HTTP server and `closeAllConnections` cut off complete responses that a slow caller had not read yet.

Change: `CallerConnections` serves the requests of one connection one after the other, and none once the connection can carry no response, so nothing reaches an upstream that cannot be answered. Whether a response closes its connection is decided when its head is written, and only the last of those that have arrived says so. A connection that carried a stream at SIGTERM stays open; its next response says that it closes. Once the balancer has noticed, connections are closed that have carried nothing for 200 ms, and the stop waits until responses are sent, not only written. The notice takes three quarters of the grace time at most, so that a short grace time is kept too.

Looked at and left: the idle timeout ends with the head of a request and is renewed by each byte before, so it closes only what was not read; the memory guard resets callers that do not read or send, and what waits behind such a request does not run now.

--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -35,12 +35,12 @@
 import { Tunnels } from "./paths/index.js";
 import type { Member } from "./ports.js";
 import { findQuota, Quotas } from "./quotas/index.js";
+import { Reception } from "./reception.js";
 import { Admissions } from "./requests/admissions.js";
-import type { CallerExchange } from "./requests/caller.js";
 import { ConnectionPool } from "./requests/connections.js";
 import { UpstreamLimiter } from "./requests/limiter.js";
 import { Serving } from "./requests/serving.js";
-import { runPlannedStop } from "./stop.js";
+import { findStopTimes, runPlannedStop } from "./stop.js";
 import { Streams } from "./streams/index.js";
 
 /** Interval of housekeeping, in milliseconds. */
@@ -87,6 +87,7 @@
     private readonly dispatcher: PeerDispatcher;
     private readonly housekeeping: Housekeeping;
     private readonly edge: EdgeGuard;
+    private readonly reception: Reception;
     private ownership: ShardOwnership | undefined;
     private stopping: Promise<void> | undefined;
 
@@ -165,6 +166,7 @@
         this.dispatcher = this.createDispatcher();
         this.edge = createEdgeGuard(settings, this.log, this.metrics);
         this.housekeeping = this.createHousekeeping();
+        this.reception = this.createReception();
     }
 
     /** `host:port` of the listener for callers; available once the listener has started. */
@@ -233,8 +235,8 @@
     async start(detail: object = {}): Promise<void> {
         const { settings, store } = this.options;
         this.log.recordImportant("start", { dataCentre: settings.dataCentre, pid: process.pid, ...detail });
-        this.callerServer.on("connection", () => this.overloadMonitor.recordWork("caller connection"));
-        await startCallerListener(this.callerServer, settings.callers, caller => this.handleCaller(caller));
+        this.reception.start(this.callerServer);
+        await startCallerListener(this.callerServer, settings.callers, caller => this.reception.receive(caller));
         await startReadinessListener(this.readinessServer, settings.readiness, {
             path: settings.readinessPath,
             isReady: () => this.isReady,
@@ -398,6 +400,12 @@
         return new Housekeeping({ ...parts, ...others, readTime: readNow, readOwnership: () => this.ownership });
     }
 
+    private createReception(): Reception {
+        const { cluster, edge, serving, overloadMonitor, metrics, log, options: { dialect } } = this;
+        const parts = { cluster, dialect, edge, serving, overloadMonitor, metrics, log };
+        return new Reception({ ...parts, readTime: readNow, isIsolated: () => this.housekeeping.isIsolated });
+    }
+
     private createTunnels(): Tunnels {
         const { settings, openSocket } = this.options;
         return new Tunnels({
@@ -574,16 +582,6 @@
         this.peers.addPeer(member);
     }
 
-    private handleCaller(caller: CallerExchange): void {
-        if (this.stopping !== undefined || this.housekeeping.isIsolated) {
-            caller.closeAfterResponse();
-        }
-        this.overloadMonitor.recordWork("request");
-        if (this.edge.handleCaller(caller)) {
-            void this.serving.handle(caller).finally(() => this.overloadMonitor.recordResponse(caller));
-        }
-    }
-
     private createInitialMessages(vm: string): PeerMessage[] {
         this.overloadMonitor.recordWork("link opened");
         return createInitialMessages(vm, {
@@ -649,9 +647,11 @@
 
     private async runStop(): Promise<void> {
         const { peers, serving, ownEntry, ownership, callerServer, readinessServer, options } = this;
+        const times = findStopTimes(readNow(), options.settings.graceMs);
         this.lifecycle.send("stop");
+        this.reception.stop(times);
         await runPlannedStop({
-            graceMs: options.settings.graceMs,
+            times,
             log: this.log,
             readTime: readNow,
             peers,
@@ -659,6 +659,7 @@
             ownEntry,
             ownership,
             callerServer,
+            callerConnections: this.reception.connections,
             tunnels: this.tunnels,
         });
         readinessServer.close();
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -16,6 +16,8 @@
     | "upstreamsLimited"
     /** This VM holds too many bytes for slow callers and upstreams. */
     | "memoryFull"
+    /** This process ends before the request's time is over. */
+    | "stopping"
     | "retryBudgetSpent"
     | "attemptsSpent"
     /** Each upstream process that ran the request has ended. */
@@ -76,6 +78,11 @@
     private hasMessageFraming = false;
     private meter: CallerMeter | undefined;
     private writtenBytes = 0;
+    private isLast = false;
+    /** Whether another request has arrived on the connection meanwhile, which is served after this one. */
+    hasSuccessor = false;
+    /** Time for which the request waited for the requests before it on its connection, in milliseconds. */
+    waitedMs = 0;
     /** The response to a request whose body was not read completely; undefined if the body is too large. */
     bodyRefusal: RefusalResponse | undefined;
     /** Number and total bytes of the chunks of an upstream's response that were written to this caller. */
@@ -176,14 +183,12 @@
         return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
     }
 
-    /** Closes the connection after this response, even if the head of the response has already been written. */
+    /**
+     * Makes the response say that its connection closes, unless its head was sent or another request waits behind it: the
+     * caller may send its next request at any time until it is told.
+     */
     closeAfterResponse(): void {
-        if (!this.response.headersSent) {
-            this.response.shouldKeepAlive = false;
-            return;
-        }
-        const { socket } = this.request;
-        this.response.once("finish", () => socket.end());
+        this.isLast = true;
     }
 
     /**
@@ -196,6 +201,9 @@
         if (this.hasCallerLeft) {
             return;
         }
+        if (this.isLast && !this.hasSuccessor) {
+            this.response.shouldKeepAlive = false;
+        }
         if (isCloseDelimited) {
             this.response.shouldKeepAlive = false;
             this.response.removeHeader("Transfer-Encoding");
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -139,7 +139,7 @@
         return this.openExchanges.size;
     }
 
-    /** Closes each connection that carries a request now after the response to that request. */
+    /** Makes the responses to open requests say that their connections close, where that can still be said. */
     closeAfterResponses(): void {
         for (const caller of this.openExchanges) {
             caller.closeAfterResponse();
@@ -189,7 +189,7 @@
 
     private async serve(caller: CallerExchange): Promise<void> {
         const { cluster, dialect } = this.options;
-        const startedAt = this.options.readTime();
+        const startedAt = this.options.readTime() - caller.waitedMs;
         const demand = dialect.parseDemand(caller.headers);
         await this.waitForStart(startedAt);
         const table = cluster.routes;
--- a/packages/node/src/stop.ts
+++ b/packages/node/src/stop.ts
@@ -1,10 +1,12 @@
 import type { Server } from "node:http";
+import { Server as SocketServer } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import type { DecisionLog } from "./decisions.js";
 import type { OwnEntry } from "./knowledge/ownentry.js";
 import type { Peers } from "./links/peers.js";
 import type { ShardOwnership } from "./ownership/ownership.js";
 import type { Tunnels } from "./paths/index.js";
+import type { CallerConnections } from "./requests/callerconnections.js";
 import type { Serving } from "./requests/serving.js";
 
 /** Time until the load balancer sends no more callers to a stopping VM, in milliseconds: two failed checks. */
@@ -13,13 +15,18 @@
 /** Share of the grace time after which running requests are cut off: the platform kills the process soon after. */
 const requestGraceShare = 0.93;
 
+/** Share of the grace time that the notice of the load balancer may take. */
+const noticeGraceShare = 0.75;
+
+/** Time for which a connection must carry nothing before it is closed: its caller may just send its next request. */
+const quietMs = 200;
+
 /** Maximum wait for the release of shards in a planned stop, in milliseconds. */
 const maxReleaseWaitMs = 800;
 
 /** Options of {@link runPlannedStop}. */
 export interface PlannedStopOptions {
-    /** Time between the stop signal and the end of the process, in milliseconds. */
-    readonly graceMs: number;
+    readonly times: StopTimes;
     readonly log: DecisionLog;
     readonly readTime: () => number;
     readonly peers: Pick<Peers, "broadcast">;
@@ -27,13 +34,30 @@
     readonly ownEntry: Pick<OwnEntry, "append">;
     readonly ownership: Pick<ShardOwnership, "stop"> | undefined;
     readonly callerServer: Server;
+    readonly callerConnections: Pick<CallerConnections, "closeIdle">;
     readonly tunnels: Pick<Tunnels, "pause" | "count">;
 }
 
+/** Times of a planned stop. */
+export interface StopTimes {
+    /** When the listener for callers closes. */
+    readonly closesAt: number;
+    /** When requests that still run are cut off. */
+    readonly endsAt: number;
+}
+
+/** Finds the times of a planned stop. @param graceMs Time until the platform kills the process, in milliseconds. */
+export function findStopTimes(stoppedAt: number, graceMs: number): StopTimes {
+    return {
+        closesAt: stoppedAt + Math.min(balancerNoticeMs, graceMs * noticeGraceShare),
+        endsAt: stoppedAt + graceMs * requestGraceShare,
+    };
+}
+
 /** Stops serving callers once running requests have finished or the grace time is over. */
 export async function runPlannedStop(options: PlannedStopOptions): Promise<void> {
-    const { graceMs, log, readTime, peers, serving, ownEntry, ownership, callerServer, tunnels } = options;
-    const stoppedAt = readTime();
+    const { times, log, readTime, peers, serving, ownEntry, ownership } = options;
+    const { callerServer, callerConnections, tunnels } = options;
     log.recordImportant("stop", { openRequests: serving.openCount });
     serving.closeAfterResponses();
     tunnels.pause();
@@ -41,9 +65,10 @@
     peers.broadcast({ type: "leaving" });
     ownEntry.append({ hasLeft: true });
     await Promise.race([released, wait(maxReleaseWaitMs)]);
-    await wait(Math.max(0, stoppedAt + balancerNoticeMs - readTime()));
-    callerServer.close();
-    while (serving.openCount + tunnels.count > 0 && readTime() - stoppedAt < graceMs * requestGraceShare) {
+    await wait(Math.max(0, times.closesAt - readTime()));
+    // The `close` of the HTTP server also destroys connections whose complete responses were not sent completely.
+    SocketServer.prototype.close.call(callerServer);
+    while ((callerConnections.closeIdle(quietMs) || tunnels.count > 0) && readTime() < times.endsAt) {
         await wait(20);
     }
     log.recordImportant("stopped", { openRequests: serving.openCount });
