Frame streams ourselves instead of by their first worker's length

With 232 bytes named and 302 sent the answer looked complete in the middle of an event and its rest followed as bytes that are no answer; with 372 named and 337 sent the end never came.

Cause: the head of the stream was passed on with the length, which is the first worker's and wrong once another worker's events follow, or repeated events are left out.

Change: `passEvents` starts the response without a length, so it is sent in chunks, and to callers of HTTP/1.0 with the end of the connection, which is a reset where the stream breaks off.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -424,7 +424,7 @@
         }
         this.hasPassedEvents = true;
         if (!caller.hasResponseHead) {
-            caller.startResponse(this.status, dialect.listResponseHeaders(this.headers));
+            caller.startResponse(this.status, createStreamHeaders(dialect.listResponseHeaders(this.headers)));
         }
         recordProgress(progress, fresh.length, this.options.readTime());
         progress.lastEventId = fresh.at(-1)!.id ?? progress.lastEventId;
@@ -550,11 +550,10 @@
 
 /** Returns the headers of a response with the length of its complete body. */
 export function createBodyHeaders(headers: readonly string[], body: Buffer): string[] {
-    const remaining = [...headers];
-    for (let index = remaining.length - 2; index >= 0; index -= 2) {
-        if (remaining[index]!.toLowerCase() === "content-length") {
-            remaining.splice(index, 2);
-        }
-    }
-    return [...remaining, "Content-Length", String(body.length)];
+    return [...createStreamHeaders(headers), "Content-Length", String(body.length)];
+}
+
+/** Returns the headers of a response whose length is not known: its upstream's length is wrong once it is resumed. */
+function createStreamHeaders(headers: readonly string[]): string[] {
+    return headers.filter((_text, index) => headers[index - index % 2]!.toLowerCase() !== "content-length");
 }
