--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,5 +1,5 @@
 /** Authenticated CBOR frames over TCP, checked against a schema and limited in size. */
-export { type ListenAddress, parseAddress } from "./address.js";
+export { isAddress, type ListenAddress, parseAddress } from "./address.js";
 export { LinkClient, type LinkClientOptions } from "./client.js";
 export { encodeFrame, frameHeaderBytes, FrameReader } from "./frame.js";
 export { checkProof, createHello, createProof, type Hello } from "./handshake.js";
