Open no link to an address of a VM that is none

The address of a VM comes from the seeds of the settings, from other VMs (`members`, `changes`) and from the identity with which a VM opens a link. `net.connect` throws for a port that is none, in the callback or timer that opens the link, which ends the process: a seed "vm01" without a port at its start, and again at each of its restarts.

Such addresses are now ignored: they count as no VM, and no link to them is opened; links that such a VM opens itself stay in use. The entries of VMs in the store were checked before.

--- a/packages/node/src/links/members.ts
+++ b/packages/node/src/links/members.ts
@@ -1,4 +1,4 @@
-import type { NodeIdentity } from "@radishreel/wire";
+import { isAddress, type NodeIdentity } from "@radishreel/wire";
 import type { Member } from "../ports.js";
 import type { KnownMember } from "./topology.js";
 
@@ -13,9 +13,9 @@
         return this.members.size;
     }
 
-    /** Adds a VM or its details. @returns Whether this changed what was known. */
+    /** Adds a VM or its details; ignores a VM without a usable address. @returns Whether this changed what was known. */
     update({ address, id, dataCentre, cores }: KnownMember): boolean {
-        if (address === this.self.address || address === "") {
+        if (address === this.self.address || !isAddress(address)) {
             return false;
         }
         const known = this.members.get(address);
--- a/packages/node/src/links/peers.ts
+++ b/packages/node/src/links/peers.ts
@@ -1,4 +1,12 @@
-import { encodeFrame, type Link, LinkClient, LinkServer, LinkTicker, type NodeIdentity } from "@radishreel/wire";
+import {
+    encodeFrame,
+    isAddress,
+    type Link,
+    LinkClient,
+    LinkServer,
+    LinkTicker,
+    type NodeIdentity,
+} from "@radishreel/wire";
 import type { DecisionLog } from "../decisions.js";
 import type { Member } from "../ports.js";
 import { AcceptedLinks } from "./accepted.js";
@@ -153,7 +161,7 @@
 
     private openLink(address: string): void {
         const { self, secret } = this.options;
-        if (this.peersByAddress.has(address)) {
+        if (this.peersByAddress.has(address) || !isAddress(address)) {
             return;
         }
         const client = new LinkClient<PeerMessage>({
--- a/packages/node/test/links.test.ts
+++ b/packages/node/test/links.test.ts
@@ -3,11 +3,12 @@
  * causes a new assignment of shards, so that most VMs own engines for a moment. Without the limits tested here each of
  * them opens links to all 194 others, each of the others opens a link back, and none of the links is closed again.
  */
+import { LinkClient, resolveLinkLimits } from "@radishreel/wire";
 import { setImmediate as waitTurn } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { HubMonitor } from "../src/links/hub.js";
-import type { PeerMessage } from "../src/links/messages.js";
+import { type PeerMessage, peerMessageSchema } from "../src/links/messages.js";
 import { Peers } from "../src/links/peers.js";
 import { type KnownMember, listDesiredLinks } from "../src/links/topology.js";
 import { createSilentLog } from "./fixtures.js";
@@ -216,4 +217,29 @@
     fleet.stop();
 });
 
+test("a VM of which seeds, other VMs or its own process name no usable address ends no process", async () => {
+    const fleet = new LinkedFleet();
+    const first = await fleet.start("vm00");
+    for (const address of ["vm01", "vm01:", "vm01:65536", "vm01:1e9", "vm\ufffd:1", ":1", ""]) {
+        first.peers.addPeer({ id: undefined, address });
+    }
+    assert.is(first.peers.countMembers(), 0);
+    const second = await fleet.start("vm01");
+    const link = new LinkClient<PeerMessage>({
+        address: first.address,
+        self: () => ({ id: "vm02", role: "node", dataCentre: "z", incarnation: 1, address: "vm02:99999" }),
+        secret: "secret",
+        schema: peerMessageSchema,
+        limits: resolveLinkLimits(),
+        events: { onOpen: opened => opened.send({ type: "leaving" }), onMessage: () => {}, onClose: () => {} },
+    });
+    link.start();
+    await waitUntil(() => first.received.length > 0);
+    first.peers.addPeer({ id: second.id, address: second.address, dataCentre: "z" });
+    await waitUntil(() => first.peers.isConnected(second.id));
+    assert.is(first.peers.countMembers(), 1);
+    link.stop();
+    fleet.stop();
+});
+
 test.run();
