Check the addresses of upstreams that other VMs forward

The entries of upstreams are decoded by the VM that reads the store and passed on.

Such an upstream now counts as removed, as if its entry were unreadable, and is counted and logged in the same way, under the topic `changes`. Refusing the message itself would close the link to the reader again and again.

--- a/packages/node/src/knowledge/storereceiver.ts
+++ b/packages/node/src/knowledge/storereceiver.ts
@@ -5,12 +5,9 @@
 import type { NodeMetrics } from "../metrics.js";
 import type { ClusterChange, ClusterReceiver, Member, StoreEraEvent, UnreadableRecord } from "../ports.js";
 import type { ClusterState } from "./cluster.js";
-import { explainPosition } from "./eras.js";
 import type { OwnEntry } from "./ownentry.js";
 import type { ChangeSharing } from "./sharing.js";
-
-/** Maximum logged length of the reason why a record is unreadable, in characters: other writers influence it. */
-const maxReasonChars = 300;
+import { recordUnreadable } from "./unreadable.js";
 
 /** Options of {@link StoreReceiver}. */
 export interface StoreReceiverOptions {
@@ -52,13 +49,7 @@
     }
 
     receiveUnreadable(record: UnreadableRecord): void {
-        const { metrics, log } = this.options;
-        metrics.recordUnreadableRecord(record.topic);
-        log.recordImportant("recordUnreadable", {
-            ...record,
-            ...explainPosition(record.position),
-            why: record.why.slice(0, maxReasonChars),
-        });
+        recordUnreadable(record, this.options);
     }
 
     receiveConfirmed(asOf: number): void {
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -306,8 +306,8 @@
     }
 
     private createChangeReceiver(): ChangeReceiver {
-        const { cluster, changeSharing: sharing, crashGuard, log } = this;
-        return new ChangeReceiver({ cluster, sharing, crashGuard, log, readOwnership: () => this.ownership });
+        const { cluster, changeSharing: sharing, crashGuard, log, metrics } = this;
+        return new ChangeReceiver({ cluster, sharing, crashGuard, log, metrics, readOwnership: () => this.ownership });
     }
 
     private createStoreReceiver(): StoreReceiver {
