Refuse requests that cannot be forwarded, and blame no upstream for them

Two `Host` headers of a caller, or an event id of an upstream that no `Last-Event-Id` can hold, make undici refuse to write the request. The attempt ended like one whose connection could not be opened: its upstream counted as unreachable, and the request went on to the next one, so that callers could make sound upstreams look unreachable.

Such an attempt now ends as `invalid`: it is not repeated, changes nothing about its upstream, and its caller gets 400 `requestInvalid`, or the end of its response where that had begun.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -27,6 +27,8 @@
     }
     /** The upstream confirms that it did not run the request, or nothing was sent to it. */
     | { readonly kind: "notRun"; readonly wasSent: boolean; readonly isMisdirected: boolean; readonly detail: string; }
+    /** The request cannot be written to any upstream, since it is not valid HTTP. */
+    | { readonly kind: "invalid"; readonly detail: string; }
     /** The upstream ran the request and failed with a complete response, which has not been sent to the caller. */
     | {
         readonly kind: "failed";
@@ -110,6 +112,7 @@
  * | observation | end |
  * | --- | --- |
  * | no byte was written | not run |
+ * | the request cannot be written as HTTP | invalid: not run |
  * | a response that says that the request was not run, or that another incarnation or adapter is there | not run |
  * | a complete response that echoes the request's id | complete, or failed from status 500 on |
  * | a response that is unsigned, truncated, stalled or has another id; a reset; a close | broken: it may have run |
@@ -299,6 +302,10 @@
     }
 
     receiveBreak(phase: ExchangePhase, detail: string): void {
+        if (phase === "invalid") {
+            this.finish({ kind: "invalid", detail });
+            return;
+        }
         if (phase === "connecting") {
             this.finish({ kind: "notRun", wasSent: false, isMisdirected: false, detail });
             return;
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -7,6 +7,8 @@
     | "unknownRoute"
     | "unknownService"
     | "bodyTooLarge"
+    /** The request cannot be forwarded, since it is not valid HTTP. */
+    | "requestInvalid"
     | "noUpstream"
     | "upstreamsBusy"
     | "enginesFull"
--- a/packages/node/src/requests/exchange.ts
+++ b/packages/node/src/requests/exchange.ts
@@ -7,6 +7,8 @@
 
 /** How far an exchange had progressed when it failed. */
 export type ExchangePhase =
+    /** The request cannot be written: its method, path or headers are not valid HTTP. */
+    | "invalid"
     /** No byte of the request has been written, so the request has not run. */
     | "connecting"
     /** Bytes may have been written; no part of a response has arrived. */
@@ -14,6 +16,9 @@
     /** The head of the response has arrived. */
     | "answering";
 
+/** Error codes of requests that undici refuses to write. */
+const invalidRequestCodes = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
+
 /** Receives the response of an upstream. Exactly one of `receiveEnd` and `receiveBreak` is called at the end. */
 export interface ExchangeReceiver {
     receiveHead(status: number, headers: RawHeaders): void;
@@ -50,7 +55,7 @@
             connection.client.dispatch({ method, path, headers, body }, this);
         }
         catch (error) {
-            this.finishBroken((error as Error).message);
+            this.receiveError(error as Error);
         }
     }
 
@@ -107,6 +112,13 @@
     }
 
     onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+        this.receiveError(error);
+    }
+
+    private receiveError(error: NodeJS.ErrnoException): void {
+        if (this.phase === "connecting" && invalidRequestCodes.has(error.code ?? "")) {
+            this.phase = "invalid";
+        }
         this.finishBroken(error.message);
     }
 
--- a/packages/node/src/requests/retries.ts
+++ b/packages/node/src/requests/retries.ts
@@ -23,7 +23,7 @@
 
     /** Whether another attempt is allowed and can still succeed in time. */
     mayRetry(job: Job, end: AttemptEnd): boolean {
-        if (job.deadlineAt - this.options.readTime() < minAttemptMs) {
+        if (end.kind === "invalid" || job.deadlineAt - this.options.readTime() < minAttemptMs) {
             return false;
         }
         if (end.kind === "notRun") {
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -327,7 +327,7 @@
                 return;
             }
             last = await this.runAttempt(job, ready, retry);
-            job.hasRun ||= last.kind !== "notRun";
+            job.hasRun ||= last.kind !== "notRun" && last.kind !== "invalid";
             guard.endPermit(job);
             if (last.kind === "complete" || last.kind === "callerLeft") {
                 this.recordEnd(job, last.kind, choice);
@@ -589,6 +589,7 @@
                 }
                 job.tried.set(upstream.id, { costMs: Infinity, until: now + rejectedPauseMs, hasDeclined: false });
                 return;
+            case "invalid":
             case "callerLeft":
                 return;
         }
@@ -631,6 +632,9 @@
         if (job.runs > 0) {
             return { status: 502, reason: reason ?? "attemptsSpent" };
         }
+        if (last?.kind === "invalid") {
+            return { status: 400, reason: "requestInvalid" };
+        }
         const now = this.options.readTime();
         if (reason === undefined && job.expectedAt !== undefined) {
             return createDeclinedRefusal(job, now);
