Pause the reading of upstreams below undici's parser

If a caller took its response too slowly, the response was paused by undici's controller. If the response also ended with its connection ("Connection: close", or no length), the process ended as soon as that connection ended, was reset, or was closed because the caller had left or its time was over: undici finishes its parser in the event handler of the socket, and asserts that the parser is not paused. Neither the caller nor the upstream has to be faulty for this.

Exchanges now pause by letting the socket return no bytes to undici, so that its parser is never paused; the end of the socket is seen once the caller has read on. A response that completes lifts the pause, since its connection goes back to the pool.

--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -31,6 +31,7 @@
     private isOpened = false;
     private socket: Socket | undefined;
     private hasFailed = false;
+    private isPaused = false;
     private lastUsedAt = 0;
 
     constructor(private readonly options: UpstreamConnectionOptions) {
@@ -62,6 +63,22 @@
         return !this.hasFailed && !this.client.closed && !this.client.destroyed;
     }
 
+    /**
+     * Pauses reading. The controllers of undici cannot be used for this: undici throws in an event handler if the socket
+     * of a response that ends with its connection ends, fails or is closed while its parser is paused.
+     */
+    pause(): void {
+        this.isPaused = true;
+    }
+
+    resume(): void {
+        if (this.isPaused) {
+            this.isPaused = false;
+            // The caller may be a callback of undici's parser, which must not be entered again.
+            process.nextTick(() => this.socket?.emit("readable"));
+        }
+    }
+
     /** Records that a request on this connection has finished. */
     recordUse(now: number): void {
         this.lastUsedAt = now;
@@ -103,6 +120,8 @@
         try {
             const { socket, via } = await connector.open(target, this.opening.signal);
             this.socket = socket;
+            const read = socket.read.bind(socket);
+            socket.read = (size): unknown => this.isPaused ? null : read(size);
             this.carrier = via;
             callback(null, socket);
         }
--- a/packages/node/src/requests/exchange.ts
+++ b/packages/node/src/requests/exchange.ts
@@ -45,7 +45,6 @@
 export class Exchange implements Dispatcher.DispatchHandler {
     private phase: ExchangePhase = "connecting";
     private hasEnded = false;
-    private controller: Dispatcher.DispatchController | undefined;
 
     constructor(private readonly options: ExchangeOptions) {}
 
@@ -69,15 +68,14 @@
     }
 
     pause(): void {
-        this.controller?.pause();
+        this.options.connection.pause();
     }
 
     resume(): void {
-        this.controller?.resume();
+        this.options.connection.resume();
     }
 
     onRequestStart(controller: Dispatcher.DispatchController): void {
-        this.controller = controller;
         if (this.hasEnded || this.options.checkBeforeSend?.() === false) {
             controller.abort(new Error(withdrawnDetail));
             return;
@@ -100,6 +98,7 @@
     }
 
     onResponseEnd(): void {
+        this.resume();
         if (this.hasEnded) {
             return;
         }
