Begin the response of a caller only once

A resumable stream that broke off is sent to another upstream. If that one answers with another status than 200, its answer was begun although the head of the stream had been sent: without a length, in a promise that nobody awaits, which ended the process ("Cannot remove headers after they are sent to the client"); with a length, within undici, which drops the exception, so that the attempt went on until its deadline.

Such an answer is now a wrong one, as an answer to another request is. Failures from status 500 on end as before.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -243,7 +243,8 @@
         }
         this.bufferedChunks.push(chunk);
         this.bufferedBytes += chunk.length;
-        if (this.bufferedBytes > maxBufferedBytes && this.head?.isSigned === true && this.status < 500) {
+        const mayPass = this.head?.isSigned === true && this.status < 500 && !this.options.caller.hasResponseHead;
+        if (this.bufferedBytes > maxBufferedBytes && mayPass) {
             this.startPassing();
         }
     }
@@ -294,6 +295,10 @@
             this.finishStream();
             return;
         }
+        if (this.options.caller.hasResponseHead && !this.isPassing && this.status < 500) {
+            this.finishBroken("wrongAnswer", "the response does not continue the stream");
+            return;
+        }
         if (!this.head!.isSigned && this.status < 400) {
             this.finishBroken("wrongAnswer", "the response is not signed");
             return;
--- a/packages/node/test/attempt.test.ts
+++ b/packages/node/test/attempt.test.ts
@@ -22,6 +22,8 @@
     /** Called when the upstream has the request. */
     readonly onArrival?: (attempt: Attempt, response: ServerResponse) => void;
     readonly onStable?: () => void;
+    /** Whether an earlier attempt has begun the response to the caller. @default false */
+    readonly isContinued?: boolean;
     /** @default a steady clock */
     readonly readTime?: () => number;
 }
@@ -33,6 +35,7 @@
     timeLeftMs = 60_000,
     onArrival = () => {},
     onStable,
+    isContinued = false,
     readTime = () => performance.now(),
 }: RunOptions): Promise<AttemptEnd> {
     let sent: Attempt | undefined;
@@ -42,8 +45,13 @@
     const front = createServer();
     const ended = new Promise<AttemptEnd>(resolve => {
         front.on("request", (request, response) => {
+            const caller = new CallerExchange(request, response);
+            if (isContinued) {
+                caller.startResponse(200, []);
+                caller.pass(Buffer.from("id: 1\ndata: x\n\n"));
+            }
             const attempt = new Attempt({
-                caller: new CallerExchange(request, response),
+                caller,
                 requestId: "q",
                 route: { ...plainRouting.routes[0]!, kind },
                 body: undefined,
@@ -182,4 +190,25 @@
     assert.is(stableCalls, 1);
 });
 
+for (const isFramed of [true, false]) {
+    const form = isFramed ? "with" : "without";
+    test(`a response ${form} a length that does not continue a stream is not begun a second time`, async () => {
+        const end = await runUnresponsive({
+            kind: "stream",
+            isContinued: true,
+            timeLeftMs: 2000,
+            onArrival: (_attempt, response) => {
+                response.shouldKeepAlive = false;
+                response.useChunkedEncodingByDefault = isFramed;
+                response.writeHead(404).end("none");
+            },
+        });
+        assert.equal(end, {
+            kind: "broken",
+            reason: "wrongAnswer",
+            detail: "the response does not continue the stream",
+        });
+    });
+}
+
 test.run();
