--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -29,10 +29,9 @@
     }
     /** The upstream confirms that it did not run the request, or nothing was sent to it. */
     | { readonly kind: "notRun"; readonly wasSent: boolean; readonly isMisdirected: boolean; readonly detail: string; }
-    /**
-     * The upstream ran the request and failed with a complete response, which has not been sent to the caller, or it
-     * responded otherwise than with the rest of a stream.
-     */
+    /** The request cannot be written to any upstream, since it is not valid HTTP. */
+    | { readonly kind: "invalid"; readonly detail: string; }
+    /** The upstream ran the request and failed with a complete response, which has not been sent to the caller. */
     | {
         readonly kind: "failed";
         readonly status: number;
@@ -125,6 +124,7 @@
  * | observation | end |
  * | --- | --- |
  * | no byte was written | not run |
+ * | the request cannot be written as HTTP | invalid: not run |
  * | a response that says that the request was not run, or that another incarnation or adapter is there | not run |
  * | a complete response that echoes the request's id | complete, or failed from status 500 on |
  * | a response that is unsigned, truncated or has another id; a reset; a close | broken: it may have run |
@@ -314,7 +314,8 @@
         }
         this.bufferedChunks.push(chunk);
         this.bufferedBytes += chunk.length;
-        if (this.bufferedBytes > maxBufferedBytes && this.head?.isSigned === true && this.status < 500) {
+        const mayPass = this.head?.isSigned === true && this.status < 500 && !this.options.caller.hasResponseHead;
+        if (this.bufferedBytes > maxBufferedBytes && mayPass) {
             this.startPassing();
         }
     }
@@ -365,6 +366,10 @@
             this.finishStream();
             return;
         }
+        if (this.options.caller.hasResponseHead && !this.isPassing && this.status < 500) {
+            this.finishBroken("wrongAnswer", "the response does not continue the stream");
+            return;
+        }
         if (!this.head!.isSigned && this.status < 400) {
             this.finishBroken("wrongAnswer", "the response is not signed");
             return;
@@ -373,6 +378,10 @@
     }
 
     receiveBreak(phase: ExchangePhase, detail: string): void {
+        if (phase === "invalid") {
+            this.finish({ kind: "invalid", detail });
+            return;
+        }
         if (phase === "connecting") {
             this.finish({ kind: "notRun", wasSent: false, isMisdirected: false, detail });
             return;
@@ -504,8 +513,7 @@
     private finishPlain(): void {
         const { caller, dialect } = this.options;
         const body = Buffer.concat(this.bufferedChunks);
-        // A plain response can't continue a stream that the caller has received a part of.
-        if (!this.isPassing && (this.status >= 500 || caller.hasResponseHead)) {
+        if (this.status >= 500 && !this.isPassing) {
             this.finish({ kind: "failed", status: this.status, headers: this.headers, body });
             return;
         }
--- a/packages/node/src/requests/results.ts
+++ b/packages/node/src/requests/results.ts
@@ -99,6 +99,7 @@
             case "superseded":
                 job.runs += end.wasSent ? 1 : 0;
                 return;
+            case "invalid":
             case "callerLeft":
                 return;
         }
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -334,7 +334,7 @@
             }
             const finished = await this.successors.waitForEnd(job, this.startAttempt(job, ready, retry));
             last = finished.end;
-            job.hasRun ||= last.kind !== "notRun";
+            job.hasRun ||= last.kind !== "notRun" && last.kind !== "invalid";
             guard.endPermit(job);
             if (last.kind === "complete" || last.kind === "callerLeft" || last.kind === "superseded") {
                 this.recordEnd(job, last.kind, finished.choice);
@@ -597,6 +597,9 @@
         if (job.runs > 0) {
             return { status: 502, reason: reason ?? "attemptsSpent" };
         }
+        if (last?.kind === "invalid") {
+            return { status: 400, reason: "requestInvalid" };
+        }
         const now = this.options.readTime();
         if (reason === undefined && job.expectedAt !== undefined) {
             return createDeclinedRefusal(job, now);
--- a/packages/node/test/attempt.test.ts
+++ b/packages/node/test/attempt.test.ts
@@ -28,6 +28,8 @@
     readonly firstSilenceMs?: number;
     /** @default direct connections */
     readonly connector?: UpstreamConnector;
+    /** Whether an earlier attempt has begun the response to the caller. @default false */
+    readonly isContinued?: boolean;
     /** @default a steady clock */
     readonly readTime?: () => number;
 }
@@ -41,6 +43,7 @@
     onStable,
     firstSilenceMs = 60_000,
     connector,
+    isContinued = false,
     readTime = () => performance.now(),
 }: RunOptions): Promise<AttemptEnd> {
     let sent: Attempt | undefined;
@@ -50,8 +53,13 @@
     const front = createServer();
     const ended = new Promise<AttemptEnd>(resolve => {
         front.on("request", (request, response) => {
+            const caller = new CallerExchange(request, response);
+            if (isContinued) {
+                caller.startResponse(200, []);
+                caller.pass(Buffer.from("id: 1\ndata: x\n\n"));
+            }
             const attempt = new Attempt({
-                caller: new CallerExchange(request, response),
+                caller,
                 requestId: "q",
                 route: { ...plainRouting.routes[0]!, kind },
                 body: undefined,
@@ -227,4 +235,25 @@
     assert.is(stableCalls, 1);
 });
 
+for (const isFramed of [true, false]) {
+    const form = isFramed ? "with" : "without";
+    test(`a response ${form} a length that does not continue a stream is not begun a second time`, async () => {
+        const end = await runUnresponsive({
+            kind: "stream",
+            isContinued: true,
+            timeLeftMs: 2000,
+            onArrival: (_attempt, response) => {
+                response.shouldKeepAlive = false;
+                response.useChunkedEncodingByDefault = isFramed;
+                response.writeHead(404).end("none");
+            },
+        });
+        assert.equal(end, {
+            kind: "broken",
+            reason: "wrongAnswer",
+            detail: "the response does not continue the stream",
+        });
+    });
+}
+
 test.run();
