Leave a stream that has not begun to its caller's own limit

A stream without a successor was refused shortly before its caller would leave, so that the caller could try again. That callers of such streams are told nothing remains open.

--- a/packages/node/src/requests/successors.ts
+++ b/packages/node/src/requests/successors.ts
@@ -7,7 +7,6 @@
 import type { UpstreamChooser } from "./chooser.js";
 import { cancelReturn, type Claimant, type Job, type ReadyUpstream, releaseReady } from "./job.js";
 import type { Retries } from "./retries.js";
-import { readLastSendAt } from "./timelimit.js";
 
 /** Interval at which another upstream is looked for again while one is silent, in milliseconds. */
 const searchIntervalMs = 100;
@@ -159,7 +158,6 @@
                     next = await this.findSuccessorOnce(job, running);
                 }
                 if (next === undefined) {
-                    this.endUnservable(job, running.attempt);
                     await Promise.race([silence.waitForData(), wait(searchIntervalMs)]);
                 }
             }
@@ -177,15 +175,6 @@
             && job.permit === undefined && !guard.isSuspect(job) && retries.mayClaimOptional(job);
     }
 
-    /** Ends a stream that has not begun when its caller is about to leave: the caller can try again only if it is told. */
-    private endUnservable(job: Job, attempt: Attempt): void {
-        if (
-            job.route.kind === "stream" && !job.caller.hasResponseHead && this.options.readTime() > readLastSendAt(job)
-        ) {
-            attempt.endSilent();
-        }
-    }
-
     /** @returns The successor, which has taken over; undefined if there is none. */
     private async findSuccessorOnce(job: Job, silent: RunningAttempt): Promise<RunningAttempt | undefined> {
         try {
