Take a stream over once its successor is written, even if it goes on

The successor was cancelled 280 ms after its write, but the first engine worked on for more than 400 ms after it.

Cause: either attempt could win after the write. The users' rule looks at the engine before: a stream that goes on elsewhere must not run there 400 ms later.

Only a successor that is rejected has not run, so that the first one goes on. Plain requests wait at both servers as before.

Shown: `packages/node/test/successors.test.ts`, "is taken over within 0.4 s", is new; the test of a silent attempt that goes on looks at a recovery before the write now.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -230,12 +230,17 @@
         return this.isDone ? this.isBroken ? "broken" : "other" : undefined;
     }
 
+    /** Whether the request has been written. */
+    get isWritten(): boolean {
+        return this.wasWritten;
+    }
+
     /**
-     * Ends the attempt in favour of another one, unless its upstream has gone on.
+     * Ends the attempt in favour of another one.
      * @returns Whether the other attempt may go on: this one is broken, by this call or before.
      */
-    endSilent(): boolean {
-        if (!this.isDone && this.silence.isSilent) {
+    endReplaced(): boolean {
+        if (!this.isDone) {
             const silentMs = Math.round(this.options.readTime() - (this.dataAt ?? 0));
             this.finishBroken("upstreamSilent", `no data for ${silentMs} ms`);
         }
--- a/packages/node/src/requests/successors.ts
+++ b/packages/node/src/requests/successors.ts
@@ -104,7 +104,7 @@
     private hasFinished = false;
     private resolveFinished: () => void = () => {};
 
-    constructor(private readonly silent: Attempt) {
+    constructor(readonly silent: Attempt) {
         this.finished = new Promise(resolve => {
             this.resolveFinished = resolve;
         });
@@ -114,9 +114,9 @@
         return this.hasFinished;
     }
 
-    /** @returns Whether the successor has taken over; false if the silent attempt has gone on. */
+    /** @returns Whether the successor has taken over; false if the silent attempt has ended in another way. */
     finish(): boolean {
-        if (!this.hasFinished && this.silent.endSilent()) {
+        if (!this.hasFinished && this.silent.endReplaced()) {
             this.hasFinished = true;
             this.resolveFinished();
         }
@@ -230,15 +230,32 @@
         takeover: Takeover,
         search: SuccessorSearch,
     ): Promise<RunningAttempt | undefined> {
-        await Promise.race([takeover.finished, next.end, search.left, this.waitForOverlap(job, next.attempt)]);
-        if (takeover.isFinished || (next.attempt.ending === undefined && !search.hasLeft && takeover.finish())) {
+        const { attempt } = next;
+        await Promise.race([
+            takeover.finished,
+            next.end,
+            this.waitForOverlap(job, attempt),
+            this.waitForRecovery(attempt, takeover, search),
+        ]);
+        if (takeover.isFinished || (attempt.ending === undefined && attempt.isWritten && takeover.finish())) {
             return next;
         }
-        next.attempt.cancelSuperseded();
+        attempt.cancelSuperseded();
         await next.end;
         return undefined;
     }
 
+    /**
+     * Waits until the silent attempt goes on, or, once its successor is written, until it ends: from then on the successor
+     * takes over unless it is rejected, since no two engines may work on one stream.
+     */
+    private async waitForRecovery(next: Attempt, { silent }: Takeover, search: SuccessorSearch): Promise<void> {
+        await search.left;
+        if (next.isWritten) {
+            await silent.end;
+        }
+    }
+
     /** Waits until a stream has run at two engines for as long as it may; plain requests may do so until one responds. */
     private async waitForOverlap({ route, caller }: Job, next: Attempt): Promise<void> {
         if (route.kind !== "stream" || !await next.written) {
--- a/packages/node/test/attempt.test.ts
+++ b/packages/node/test/attempt.test.ts
@@ -132,7 +132,7 @@
 });
 
 test("an attempt whose request was just written is not silent, however long its connection took", async () => {
-    let wasEnded: boolean | undefined;
+    let wasSilent: boolean | undefined;
     const direct = new DirectConnector();
     const end = await runUnresponsive({
         kind: "stream",
@@ -145,11 +145,11 @@
             },
         },
         onArrival: (attempt, response) => {
-            wasEnded = attempt.endSilent();
+            wasSilent = attempt.silence.isSilent;
             response.end();
         },
     });
-    assert.is(wasEnded, false, JSON.stringify(end));
+    assert.is(wasSilent, false, JSON.stringify(end));
 });
 
 test("a stream whose adapter version is replaced after it was sent is withdrawn", async () => {
--- a/packages/node/test/successors.test.ts
+++ b/packages/node/test/successors.test.ts
@@ -14,6 +14,7 @@
     readonly silence = new SilenceWatch();
     readonly end: Promise<AttemptEnd>;
     isReplaceable = true;
+    isWritten = true;
     ending: "broken" | "other" | undefined;
     written = Promise.resolve(true);
     private resolveEnd: (end: AttemptEnd) => void = () => {};
@@ -30,8 +31,8 @@
         this.resolveEnd(end);
     }
 
-    endSilent(): boolean {
-        if (this.silence.isSilent) {
+    endReplaced(): boolean {
+        if (this.ending === undefined) {
             this.finish({ kind: "broken", reason: "upstreamSilent", detail: "" });
         }
         return this.ending === "broken";
@@ -259,8 +260,8 @@
     for (const isRejected of [true, false]) {
         const search = new FakeSearch();
         const { attempt, successor } = search;
-        let takeOver: () => boolean = () => true;
-        search.startSuccessor = start => takeOver = start;
+        successor.isWritten = isRejected;
+        search.startSuccessor = () => {};
         const run = search.run();
         await attempt.startSilence();
         await search.waitForTurns();
@@ -271,13 +272,26 @@
         }
         attempt.silence.restart(60_000);
         await search.waitForTurns();
-        assert.is(takeOver(), false);
         assert.is((await successor.end).kind, isRejected ? "notRun" : "superseded");
         attempt.finish(complete);
         assert.equal((await run as { end: AttemptEnd; }).end, complete);
     }
 });
 
+test("a stream that goes on after its successor was written is taken over within 0.4 s", async () => {
+    const search = new FakeSearch();
+    Object.assign(search.job, { route: { ...search.job.route, kind: "stream", isResumable: true } });
+    search.startSuccessor = () => {};
+    const run = search.run();
+    await search.attempt.startSilence();
+    await search.waitForTurns();
+    search.attempt.silence.restart(60_000);
+    await new Promise(resolve => setTimeout(resolve, 360));
+    assert.is(search.attempt.ending, "broken");
+    search.successor.finish(complete);
+    assert.equal((await run as { end: AttemptEnd; }).end, complete);
+});
+
 test("a stream runs at two engines for 0.4 s at most, a plain request until one of them responds", async () => {
     for (const kind of ["stream", "safe"] as const) {
         const search = new FakeSearch();
