Refuse requests at a stopping VM as all others are refused

`Reception` wrote the metric, the log line and the response of a refusal again. It calls `Serving.refuse` now, which does the same: no change of behaviour.

--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -401,8 +401,8 @@
     }
 
     private createReception(): Reception {
-        const { cluster, edge, serving, overloadMonitor, metrics, log, options: { dialect } } = this;
-        const parts = { cluster, dialect, edge, serving, overloadMonitor, metrics, log };
+        const { cluster, edge, serving, overloadMonitor, options: { dialect } } = this;
+        const parts = { cluster, dialect, edge, serving, overloadMonitor };
         return new Reception({ ...parts, readTime: readNow, isIsolated: () => this.housekeeping.isIsolated });
     }
 
--- a/packages/node/src/reception.ts
+++ b/packages/node/src/reception.ts
@@ -1,8 +1,6 @@
 import type { Server } from "node:http";
-import type { DecisionLog } from "./decisions.js";
 import type { EdgeGuard } from "./edge/index.js";
 import type { ClusterState } from "./knowledge/cluster.js";
-import type { NodeMetrics } from "./metrics.js";
 import type { OverloadMonitor } from "./overload.js";
 import type { RequestDialect } from "./ports.js";
 import type { CallerExchange, RefusalResponse } from "./requests/caller.js";
@@ -18,10 +16,8 @@
     readonly cluster: Pick<ClusterState, "routes">;
     readonly dialect: Pick<RequestDialect, "parseDemand">;
     readonly edge: EdgeGuard;
-    readonly serving: Pick<Serving, "handle">;
+    readonly serving: Pick<Serving, "handle" | "refuse">;
     readonly overloadMonitor: Pick<OverloadMonitor, "recordWork" | "recordResponse">;
-    readonly metrics: Pick<NodeMetrics, "recordRefusal">;
-    readonly log: DecisionLog;
     readonly readTime: () => number;
     /** Whether this VM is cut off, so that callers should connect to another one. */
     readonly isIsolated: () => boolean;
@@ -55,12 +51,12 @@
     }
 
     private serve(caller: CallerExchange): void {
-        const { edge, serving, overloadMonitor, isIsolated } = this.options;
+        const { dialect, edge, serving, overloadMonitor, isIsolated } = this.options;
         if (this.stopTimes !== undefined || isIsolated()) {
             caller.closeAfterResponse();
         }
         if (!this.hasTime(caller)) {
-            this.refuse(caller);
+            serving.refuse(caller, dialect.parseDemand(caller.headers), stoppingRefusal);
             return;
         }
         if (edge.handleCaller(caller)) {
@@ -79,18 +75,4 @@
         const { budgetMs = Infinity } = dialect.parseDemand(caller.headers);
         return now + Math.min(budgetMs, timeoutMs) <= this.stopTimes.endsAt;
     }
-
-    private refuse(caller: CallerExchange): void {
-        const { cluster, dialect, log, metrics } = this.options;
-        const { status, reason } = stoppingRefusal;
-        metrics.recordRefusal(reason);
-        log.recordImportant("refused", {
-            request: dialect.parseDemand(caller.headers).requestId,
-            status,
-            reason,
-            path: caller.path,
-            routing: cluster.routes?.routing.version,
-        });
-        caller.refuse(stoppingRefusal);
-    }
 }
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -625,7 +625,8 @@
         return hasAvailable ? undefined : this.chooser.findBackoffEnd(job, now);
     }
 
-    private refuse(caller: CallerExchange, demand: CallerDemand, refusal: RefusalResponse): void {
+    /** Ends a request that this program does not serve. */
+    refuse(caller: CallerExchange, demand: CallerDemand, refusal: RefusalResponse): void {
         const isCut = caller.hasResponseHead;
         this.options.onRefusal(refusal.reason, isCut);
         this.options.log.recordImportant("refused", {
