Schedule what must wait for pending data in one place

No change of behaviour: a deadline that came due just as an attempt ended did nothing before, either.

--- a/packages/node/src/clock.ts
+++ b/packages/node/src/clock.ts
@@ -63,6 +63,23 @@
     scheduleEvery(run: () => void, intervalMs: number): ScheduledRun;
 }
 
+/**
+ * Schedules a callback that runs once pending data has been read: a process that was suspended finds its timers due
+ * before it reads what arrived in the meantime.
+ */
+export function scheduleAfterReads(run: () => void, waitMs: number): ScheduledRun {
+    let check: NodeJS.Immediate | undefined;
+    const timer = setTimeout(() => {
+        check = setImmediate(run);
+    }, waitMs);
+    return {
+        cancel: () => {
+            clearTimeout(timer);
+            clearImmediate(check);
+        },
+    };
+}
+
 /** Timers of this process. */
 export const processTimers: Timers = {
     scheduleOnce: (run, waitMs) => {
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -1,4 +1,5 @@
 import { type Route } from "@radishreel/routing";
+import { scheduleAfterReads, type ScheduledRun } from "../clock.js";
 import { stableRunMs } from "../crashes/index.js";
 import type { RawHeaders, RequestDialect, ResponseHead, SendOptions } from "../ports.js";
 import { type CallerExchange, hasHeader } from "./caller.js";
@@ -141,8 +142,8 @@
     private readonly exchange: Exchange;
     private readonly connection: UpstreamConnection;
     private readonly splitter = new EventSplitter();
-    private readonly deadlineTimer: NodeJS.Timeout;
-    private startLimitTimer: NodeJS.Timeout | undefined;
+    private readonly deadlineTimer: ScheduledRun;
+    private startLimitTimer: ScheduledRun | undefined;
     private status = 0;
     private headers: RawHeaders = [];
     private head: ResponseHead | undefined;
@@ -186,9 +187,8 @@
                 return this.wasWritten;
             },
         });
-        // The rest of the response may have arrived while this process was suspended, so pending data is read first.
-        this.deadlineTimer = setTimeout(
-            () => setImmediate(() => this.finishBroken("timeout", "the request's deadline has passed")),
+        this.deadlineTimer = scheduleAfterReads(
+            () => this.finishBroken("timeout", "the request's deadline has passed"),
             options.timeLeftMs,
         );
         this.updateStartLimit();
@@ -271,14 +271,10 @@
         if (this.isDone || this.hasStarted || route.kind !== "stream") {
             return;
         }
-        clearTimeout(this.startLimitTimer);
+        this.startLimitTimer?.cancel();
         const startLimitMs = readStartLimitMs();
         if (startLimitMs !== Infinity) {
-            // As with the deadline, the start may have arrived while this process was suspended.
-            this.startLimitTimer = setTimeout(
-                () => setImmediate(() => this.cancelUnstarted()),
-                Math.max(0, startLimitMs),
-            );
+            this.startLimitTimer = scheduleAfterReads(() => this.cancelUnstarted(), Math.max(0, startLimitMs));
         }
     }
 
@@ -564,8 +560,8 @@
         this.isDone = true;
         this.isBroken = end.kind === "broken";
         this.recordSilence();
-        clearTimeout(this.deadlineTimer);
-        clearTimeout(this.startLimitTimer);
+        this.deadlineTimer.cancel();
+        this.startLimitTimer?.cancel();
         this.silence.end();
         this.resolveWritten(this.wasWritten);
         if (end.kind === "broken" || end.kind === "callerLeft" || end.kind === "superseded") {
--- a/packages/node/src/requests/silence.ts
+++ b/packages/node/src/requests/silence.ts
@@ -1,10 +1,8 @@
-/**
- * Watches how long an upstream sends nothing. A silence is reported only after pending data has been read: a process that
- * was suspended finds its timers due before it reads what arrived in the meantime.
- */
+import { scheduleAfterReads, type ScheduledRun } from "../clock.js";
+
+/** Watches how long an upstream sends nothing. */
 export class SilenceWatch {
-    private timer: NodeJS.Timeout | undefined;
-    private check: NodeJS.Immediate | undefined;
+    private timer: ScheduledRun | undefined;
     private isUpstreamSilent = false;
     private hasEnded = false;
     private waiters: (() => void)[] = [];
@@ -18,16 +16,13 @@
     restart(limitMs: number): void {
         this.pause();
         if (!this.hasEnded && limitMs !== Infinity) {
-            this.timer = setTimeout(() => {
-                this.check = setImmediate(() => this.setSilent(true));
-            }, limitMs);
+            this.timer = scheduleAfterReads(() => this.setSilent(true), limitMs);
         }
     }
 
     /** Stops counting: nothing is expected from the upstream now. */
     pause(): void {
-        clearTimeout(this.timer);
-        clearImmediate(this.check);
+        this.timer?.cancel();
         this.setSilent(false);
     }
 
