Read the time once for each chunk, and look states up only for searches

Each chunk of a response read the clock three times to record that it had arrived, and each choice looked up the state of every candidate for a condition that only the search for a successor has. No change of behaviour.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -111,8 +111,8 @@
     readonly checkFirstEvent?: (() => boolean) | undefined;
     /** Called when the first event of a stream arrives, or when a large plain response starts to be streamed. */
     readonly onStart: () => void;
-    /** Called when any data of the response arrives. */
-    readonly onData?: (() => void) | undefined;
+    /** Called with the time when any data of the response arrives. */
+    readonly onData?: ((now: number) => void) | undefined;
     /** Checks whether the process of the upstream has ended. @default nothing is checked */
     readonly checkEnded?: (() => Promise<boolean>) | undefined;
     /** Called when a stream has gone on for {@link stableRunMs}. */
@@ -414,13 +414,13 @@
 
     /** Records that data arrived. */
     private recordData(): void {
-        this.recordSilence();
-        this.dataAt = this.options.readTime();
-        this.options.onData?.();
+        const now = this.options.readTime();
+        this.recordSilence(now);
+        this.dataAt = now;
+        this.options.onData?.(now);
     }
 
-    private recordSilence(): void {
-        const now = this.options.readTime();
+    private recordSilence(now: number): void {
         this.longestSilence = Math.max(this.longestSilence, now - (this.dataAt ?? now));
     }
 
@@ -559,7 +559,7 @@
         }
         this.isDone = true;
         this.isBroken = end.kind === "broken";
-        this.recordSilence();
+        this.recordSilence(this.options.readTime());
         this.deadlineTimer.cancel();
         this.startLimitTimer?.cancel();
         this.silence.end();
--- a/packages/node/src/requests/chooser.ts
+++ b/packages/node/src/requests/chooser.ts
@@ -306,7 +306,7 @@
     }
 
     private mayChoose({ claimant }: Job, { id }: Upstream): boolean {
-        const state = this.options.view.findUpstream(id);
+        const state = claimant.mayChoose === undefined ? undefined : this.options.view.findUpstream(id);
         return state === undefined || claimant.mayChoose?.(state) !== false;
     }
 
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -439,7 +439,7 @@
                 admission?.start();
                 health.recordSlowdown((readTime() - sentAt) / Math.max(30, choice.costMs), sentAt, readTime());
             },
-            onData: () => activity.recordData(readTime()),
+            onData: now => activity.recordData(now),
             onPaused: isPaused => isPaused ? response.pause() : response.start(readTime()),
             checkEnded: () => this.options.guard.checkEnded(upstream),
             onStable: () => this.options.guard.recordAnswer(job),
