--- a/packages/fleet/src/activity.ts
+++ b/packages/fleet/src/activity.ts
@@ -1,3 +1,9 @@
+/**
+ * Silence of all streams of an engine from which on it counts as silent, in milliseconds: prompts of other requests delay
+ * streams by less.
+ */
+export const engineSilenceMs = 400;
+
 /** One response that an upstream is expected to go on with, while this VM reads it. */
 export class ResponseActivity {
     private isCounted = false;
--- a/packages/fleet/src/choose.ts
+++ b/packages/fleet/src/choose.ts
@@ -1,4 +1,5 @@
 import type { EngineLimits, Service } from "@radishreel/routing";
+import { engineSilenceMs } from "./activity.js";
 import { prefillTokensPerMs, readQueueMs } from "./enginecosts.js";
 import { readLoadCost } from "./loadcost.js";
 import { readLongPromptCost } from "./longprompts.js";
@@ -96,19 +97,13 @@
         + view.limits.readWaitMs(state.upstream.id, now);
 }
 
-/**
- * Silence of all streams of an engine from which on it counts as delayed, in milliseconds: prompts of other requests
- * delay streams by less.
- */
-const minSilenceMs = 400;
-
 /** Longest silence that adds to the cost, in milliseconds. Detection of failures takes over from then on. */
 const maxSilenceMs = 2000;
 
 /** Cost of an engine whose streams have stopped: it is expected to be silent for as long again. */
 function readSilenceCost(state: UpstreamState, now: number): number {
     const silenceMs = state.activity.readSilenceMs(now);
-    return silenceMs < minSilenceMs ? 0 : Math.min(silenceMs, maxSilenceMs);
+    return silenceMs < engineSilenceMs ? 0 : Math.min(silenceMs, maxSilenceMs);
 }
 
 /** Chooses a server of a plain service: the least loaded and fastest one that is available. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,5 @@
 /** A VM's view of engines and services, and the decisions based on it. Pure: callers pass the time. */
-export { ResponseActivity, UpstreamActivity } from "./activity.js";
+export { engineSilenceMs, ResponseActivity, UpstreamActivity } from "./activity.js";
 export { EngineAdmission } from "./admission.js";
 export type { AddressedReply, EngineAdmissionOptions } from "./admissionoptions.js";
 export {
--- a/packages/node/src/requests/successors.ts
+++ b/packages/node/src/requests/successors.ts
@@ -1,4 +1,4 @@
-import type { RetryClaim, UpstreamChoice, UpstreamState } from "@radishreel/fleet";
+import { engineSilenceMs, type RetryClaim, type UpstreamChoice, type UpstreamState } from "@radishreel/fleet";
 import { isIdempotent } from "@radishreel/routing";
 import { setTimeout as wait } from "node:timers/promises";
 import type { CrashGuard } from "../crashes/index.js";
@@ -11,9 +11,6 @@
 /** Interval at which another upstream is looked for again while one is silent, in milliseconds. */
 const searchIntervalMs = 100;
 
-/** Longest silence of an upstream at which a request may go on, in milliseconds. */
-const maxSuccessorSilenceMs = 400;
-
 /**
  * Longest time for which two engines may work on the same stream, in milliseconds. Engines reject a request at once;
  * one that has not done so until then has accepted it.
@@ -84,7 +81,7 @@
 
     mayChoose({ upstream, activity }: UpstreamState): boolean {
         return upstream.id !== this.silent.choice.state.upstream.id
-            && activity.readSilenceMs(this.readTime()) <= maxSuccessorSilenceMs;
+            && activity.readSilenceMs(this.readTime()) <= engineSilenceMs;
     }
 
     private async waitForRecovery(): Promise<undefined> {
