Record in one place whether a request has run

Three places said which ends of an attempt mean that the request may have run, in different words, and none of them knew of `superseded`. So a request whose second attempt ran until the first went on, and whose first was then rejected, gave its quota back as if nothing had run. `AttemptResults` records it with the other consequences of an end now. An attempt keeps its end in place of two flags that follow from it.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -156,8 +156,7 @@
     private isCloseDelimited = false;
     private isPassing = false;
     private hasTakenOver = false;
-    private isDone = false;
-    private isBroken = false;
+    private ended: AttemptEnd | undefined;
     private dataAt: number | undefined;
     private longestSilence = 0;
 
@@ -225,9 +224,13 @@
         return !this.isPassing;
     }
 
+    private get isDone(): boolean {
+        return this.ended !== undefined;
+    }
+
     /** Whether the attempt has ended, and whether it was broken; undefined while it runs. */
     get ending(): "broken" | "other" | undefined {
-        return this.isDone ? this.isBroken ? "broken" : "other" : undefined;
+        return this.ended === undefined ? undefined : this.ended.kind === "broken" ? "broken" : "other";
     }
 
     /** Whether the request has been written. */
@@ -244,7 +247,7 @@
             const silentMs = Math.round(this.options.readTime() - (this.dataAt ?? 0));
             this.finishBroken("upstreamSilent", `no data for ${silentMs} ms`);
         }
-        return this.isBroken;
+        return this.ending === "broken";
     }
 
     /** Cancels the attempt, since the one that it would have replaced goes on. */
@@ -557,8 +560,7 @@
         if (this.isDone) {
             return;
         }
-        this.isDone = true;
-        this.isBroken = end.kind === "broken";
+        this.ended = end;
         this.recordSilence(this.options.readTime());
         this.deadlineTimer.cancel();
         this.startLimitTimer?.cancel();
--- a/packages/node/src/requests/results.ts
+++ b/packages/node/src/requests/results.ts
@@ -53,6 +53,7 @@
         const { upstream, health } = choice.state;
         const { model } = job.demand;
         const key = findAdapterKey(model);
+        job.hasRun ||= mayHaveRun(end);
         switch (end.kind) {
             case "complete":
                 health.recordResponse(
@@ -116,3 +117,19 @@
         }
     }
 }
+
+/** Whether an upstream may have run the request of an attempt. */
+function mayHaveRun(end: AttemptEnd): boolean {
+    switch (end.kind) {
+        case "notRun":
+        case "invalid":
+            return false;
+        case "superseded":
+            return end.wasSent;
+        case "complete":
+        case "failed":
+        case "broken":
+        case "callerLeft":
+            return true;
+    }
+}
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -129,10 +129,7 @@
             chooser: this.chooser,
             retries: this.retries,
             startAttempt: (job, ready, retry, takeOver) => this.startAttempt(job, ready, retry, takeOver),
-            onReplaced: (job, replaced) => {
-                job.hasRun ||= replaced.end.kind !== "notRun";
-                this.recordRetry(job, replaced);
-            },
+            onReplaced: (job, replaced) => this.recordRetry(job, replaced),
         });
     }
 
@@ -334,7 +331,6 @@
             }
             const finished = await this.successors.waitForEnd(job, this.startAttempt(job, ready, retry));
             last = finished.end;
-            job.hasRun ||= last.kind !== "notRun" && last.kind !== "invalid";
             guard.endPermit(job);
             if (last.kind === "complete" || last.kind === "callerLeft" || last.kind === "superseded") {
                 this.recordEnd(job, last.kind, finished.choice);
