Move ends, progress and headers of attempts to modules of their own

The file of attempts had grown to 606 lines, and the crash guard imported from it only for a type. The ends of attempts, the progress of streams, the headers of responses and the log line of a served request are modules of their own now, and whether a request may run again is decided once.

No behaviour changes.

--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -13,7 +13,7 @@
 import type { PeerMessage } from "../links/messages.js";
 import type { ProbeResult } from "../paths/index.js";
 import type { CrashReportStore } from "../ports.js";
-import type { AttemptEnd, BreakReason } from "../requests/attempt.js";
+import type { AttemptEnd, BreakReason } from "../requests/attemptend.js";
 import type { RefusalResponse } from "../requests/caller.js";
 import type { Job } from "../requests/job.js";
 import { readLastSendAt } from "../requests/timelimit.js";
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -2,11 +2,14 @@
 import { scheduleAfterReads, type ScheduledRun } from "../clock.js";
 import { stableRunMs } from "../crashes/index.js";
 import type { RawHeaders, RequestDialect, ResponseHead, SendOptions } from "../ports.js";
-import { type CallerExchange, hasHeader } from "./caller.js";
+import type { AttemptEnd, BreakReason } from "./attemptend.js";
+import type { CallerExchange } from "./caller.js";
 import type { ConnectionPool, UpstreamConnection } from "./connections.js";
 import { EventSplitter, type StreamEvent } from "./events.js";
 import { Exchange, type ExchangePhase, type ExchangeReceiver } from "./exchange.js";
 import { readResponseMetadata, type ResponseMetadata } from "./metadata.js";
+import { recordProgress, type StreamProgress } from "./progress.js";
+import { createBodyHeaders, createStreamHeaders, isEndedByClose } from "./responseheaders.js";
 import { SilenceWatch } from "./silence.js";
 import type { SilenceLimits } from "./timelimit.js";
 
@@ -19,58 +22,6 @@
  */
 const maxCountedPauseMs = 50;
 
-/** How one attempt at an upstream ended. */
-export type AttemptEnd =
-    /** The caller has received the complete response. */
-    | {
-        readonly kind: "complete";
-        readonly status: number;
-        /** Whether only the close of its connection marked the end of the response. @default false */
-        readonly isCloseDelimited?: boolean;
-    }
-    /** The upstream confirms that it did not run the request, or nothing was sent to it. */
-    | { readonly kind: "notRun"; readonly wasSent: boolean; readonly isMisdirected: boolean; readonly detail: string; }
-    /** The request cannot be written to any upstream, since it is not valid HTTP. */
-    | { readonly kind: "invalid"; readonly detail: string; }
-    /** The upstream ran the request and failed with a complete response, which has not been sent to the caller. */
-    | {
-        readonly kind: "failed";
-        readonly status: number;
-        readonly headers: RawHeaders;
-        readonly body: Buffer;
-    }
-    /** Whether the request ran is unknown. */
-    | { readonly kind: "broken"; readonly reason: BreakReason; readonly detail: string; }
-    | { readonly kind: "callerLeft"; }
-    /** Another attempt of the request went on, so that this one was cancelled before the caller received any of it. */
-    | { readonly kind: "superseded"; readonly wasSent: boolean; };
-
-/** Why an attempt ended with an unknown outcome. */
-export type BreakReason =
-    | "connectionLost"
-    | "upstreamSilent"
-    | "wrongAnswer"
-    | "truncatedAnswer"
-    | "timeout"
-    | "versionReplaced"
-    /** It is not certain which software version the upstream runs. */
-    | "upstreamReplaced"
-    /** The request was quarantined before its response started. */
-    | "quarantined";
-
-/** Progress of a stream across all attempts of its request. */
-export interface StreamProgress {
-    /** Id of the last event that was sent to the caller. */
-    lastEventId: string | undefined;
-    /** Number of events that were sent to the caller. */
-    events: number;
-    /** When the first event was sent to the caller; undefined before that. */
-    firstEventAt: number | undefined;
-    lastEventAt: number;
-    /** Longest pause between two events, in milliseconds. */
-    longestPauseMs: number;
-}
-
 /** Options of {@link Attempt}. */
 export interface AttemptOptions {
     readonly caller: CallerExchange;
@@ -287,7 +238,7 @@
         this.status = status;
         this.headers = headers;
         this.head = head;
-        this.isCloseDelimited = hasBody(this.options.caller.method, status) && !hasMessageFraming(headers);
+        this.isCloseDelimited = isEndedByClose(this.options.caller.method, status, headers);
         const { requestId, send: { upstreamName } } = this.options;
         this.options.onMetadata(readResponseMetadata(head, { requestId, upstreamName }));
         if (head.requestId !== undefined && head.requestId !== this.options.requestId) {
@@ -573,34 +524,3 @@
         this.resolveEnd(end);
     }
 }
-
-function recordProgress(progress: StreamProgress, events: number, now: number): void {
-    if (progress.firstEventAt === undefined) {
-        progress.firstEventAt = now;
-    }
-    else {
-        progress.longestPauseMs = Math.max(progress.longestPauseMs, now - progress.lastEventAt);
-    }
-    progress.lastEventAt = now;
-    progress.events += events;
-}
-
-/** Whether a response has a body, which some never have, whatever their headers say. */
-function hasBody(method: string, status: number): boolean {
-    return method !== "HEAD" && status !== 204 && status !== 304;
-}
-
-/** Whether the headers of a response define where its body ends. */
-function hasMessageFraming(headers: RawHeaders): boolean {
-    return hasHeader(headers, "content-length") || hasHeader(headers, "transfer-encoding");
-}
-
-/** Returns the headers of a response with the length of its complete body. */
-export function createBodyHeaders(headers: readonly string[], body: Buffer): string[] {
-    return [...createStreamHeaders(headers), "Content-Length", String(body.length)];
-}
-
-/** Returns the headers of a response whose length is not known: its upstream's length is wrong once it is resumed. */
-function createStreamHeaders(headers: readonly string[]): string[] {
-    return headers.filter((_text, index) => headers[index - index % 2]!.toLowerCase() !== "content-length");
-}
--- a/packages/node/src/requests/attemptline.ts
+++ b/packages/node/src/requests/attemptline.ts
@@ -1,6 +1,6 @@
 import type { UpstreamChoice, UpstreamLimit } from "@radishreel/fleet";
 import type { LimitStatement } from "../ports.js";
-import type { AttemptEnd } from "./attempt.js";
+import type { AttemptEnd } from "./attemptend.js";
 import type { Job } from "./job.js";
 import { emptyMetadata, type ResponseMetadata } from "./metadata.js";
 
@@ -102,3 +102,32 @@
 function formatLimit(limit: LimitStatement | undefined): number | string | undefined {
     return limit?.kind === "limited" ? limit.perSecond : limit?.kind === "unreadable" ? limit.kind : undefined;
 }
+
+/** A request whose last attempt has ended. */
+export interface EndedRequest {
+    readonly job: Job;
+    /** How its last attempt ended. */
+    readonly kind: AttemptEnd["kind"];
+    readonly choice: UpstreamChoice;
+    /** When it ended, in milliseconds. */
+    readonly now: number;
+}
+
+/** Formats the fields of the log line of a request that was served. */
+export function formatServed({ job, kind, choice, now }: EndedRequest): object {
+    const { startedAt, progress } = job;
+    return {
+        request: job.demand.requestId,
+        route: job.route.name,
+        account: job.account?.name,
+        cost: job.claim?.cost,
+        upstream: choice.state.upstream.id,
+        end: kind,
+        ms: Math.round(now - startedAt),
+        attempts: job.attempts,
+        events: progress.events,
+        firstEventMs: formatElapsed(startedAt, progress.firstEventAt),
+        longestPauseMs: Math.round(progress.longestPauseMs),
+        outputTokens: job.demand.model?.outputTokens,
+    };
+}
--- a/packages/node/src/requests/job.ts
+++ b/packages/node/src/requests/job.ts
@@ -1,13 +1,13 @@
 import type { LoadRequest, StreamOrigin, UpstreamChoice, UpstreamState } from "@radishreel/fleet";
-import type { Account, Route, Service } from "@radishreel/routing";
+import { type Account, isIdempotent, type Route, type Service } from "@radishreel/routing";
 import type { AccountClaim } from "../accounts/index.js";
 import type { Permit } from "../crashes/index.js";
 import type { CallerDemand } from "../ports.js";
 import type { Admission } from "./admissions.js";
-import type { StreamProgress } from "./attempt.js";
 import type { CallerExchange } from "./caller.js";
 import type { RequestDigest } from "./digest.js";
 import type { LimitGrant } from "./limiter.js";
+import type { StreamProgress } from "./progress.js";
 import type { ReservedReturn } from "./returns.js";
 
 /** For whom an upstream is looked for: the caller, or a silent attempt that another one could replace. */
@@ -86,6 +86,11 @@
     readonly grant?: LimitGrant | undefined;
 }
 
+/** Whether a request may run once more if its current attempt fails. */
+export function mayRunAgain({ route, runs }: Pick<Job, "route" | "runs">): boolean {
+    return isIdempotent(route) && runs + 1 < route.maxAttempts;
+}
+
 /** Releases what a request holds at an upstream to which it is not sent. */
 export function releaseReady(ready: ReadyUpstream | undefined): void {
     ready?.admission?.finish();
--- a/packages/node/src/requests/results.ts
+++ b/packages/node/src/requests/results.ts
@@ -7,7 +7,7 @@
     type UpstreamChoice,
     type UpstreamState,
 } from "@radishreel/fleet";
-import type { AttemptEnd } from "./attempt.js";
+import type { AttemptEnd } from "./attemptend.js";
 import { withdrawnDetail } from "./exchange.js";
 import type { Job } from "./job.js";
 import type { ResponseMetadata } from "./metadata.js";
--- a/packages/node/src/requests/retries.ts
+++ b/packages/node/src/requests/retries.ts
@@ -1,7 +1,7 @@
 import type { RetryBudget, RetryClaim } from "@radishreel/fleet";
 import { isIdempotent } from "@radishreel/routing";
 import type { DecisionLog } from "../decisions.js";
-import type { AttemptEnd } from "./attempt.js";
+import type { AttemptEnd } from "./attemptend.js";
 import type { Job } from "./job.js";
 import { minAttemptMs } from "./timelimit.js";
 
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -18,16 +18,26 @@
 import type { CallerDemand, CallerIdentity, RequestDialect } from "../ports.js";
 import { endedRetrySeconds, type StreamResolution, type Streams } from "../streams/index.js";
 import type { Admissions } from "./admissions.js";
-import { Attempt, type AttemptEnd, createBodyHeaders } from "./attempt.js";
-import { type AttemptRecord, createAttemptRecord, formatAttempt, formatElapsed } from "./attemptline.js";
+import { Attempt } from "./attempt.js";
+import type { AttemptEnd } from "./attemptend.js";
+import { type AttemptRecord, createAttemptRecord, formatAttempt, formatElapsed, formatServed } from "./attemptline.js";
 import type { CallerExchange, RefusalReason, RefusalResponse } from "./caller.js";
 import { UpstreamChooser } from "./chooser.js";
 import type { ConnectionPool } from "./connections.js";
 import { RequestDigest } from "./digest.js";
-import { cancelReturn, createJob, type Job, type Preparation, type ReadyUpstream, releaseReady } from "./job.js";
+import {
+    cancelReturn,
+    createJob,
+    type Job,
+    mayRunAgain,
+    type Preparation,
+    type ReadyUpstream,
+    releaseReady,
+} from "./job.js";
 import type { LimitGrant, UpstreamLimiter } from "./limiter.js";
 import type { ResponseMetadata } from "./metadata.js";
 import { createBackoffRefusal, createDeclinedRefusal, createLimitRefusal, retryAfterSeconds } from "./refusals.js";
+import { createBodyHeaders } from "./responseheaders.js";
 import { AttemptResults } from "./results.js";
 import { Retries, type RetriesOptions } from "./retries.js";
 import { createBusyRefusal } from "./returns.js";
@@ -541,16 +551,12 @@
         return service.engine === undefined ? undefined : readPriority(route.priority, account?.priority);
     }
 
-    private readSilenceLimits(
-        { route, deadlineAt, runs }: Job,
-        { costMs }: UpstreamChoice,
-        now: number,
-    ): SilenceLimits {
+    private readSilenceLimits(job: Job, { costMs }: UpstreamChoice, now: number): SilenceLimits {
         return readSilenceLimits({
-            route,
+            route: job.route,
             expectedMs: costMs,
-            timeLeftMs: deadlineAt - now,
-            mayRetry: isIdempotent(route) && runs + 1 < route.maxAttempts,
+            timeLeftMs: job.deadlineAt - now,
+            mayRetry: mayRunAgain(job),
         });
     }
 
@@ -637,22 +643,9 @@
         caller.refuse(refusal);
     }
 
-    private recordEnd(job: Job, kind: string, choice: UpstreamChoice): void {
-        const { firstEventAt } = job.progress;
-        this.options.log.record("served", {
-            request: job.demand.requestId,
-            route: job.route.name,
-            account: job.account?.name,
-            cost: job.claim?.cost,
-            upstream: choice.state.upstream.id,
-            end: kind,
-            ms: Math.round(this.options.readTime() - job.startedAt),
-            attempts: job.attempts,
-            events: job.progress.events,
-            firstEventMs: firstEventAt === undefined ? undefined : Math.round(firstEventAt - job.startedAt),
-            longestPauseMs: Math.round(job.progress.longestPauseMs),
-            outputTokens: job.demand.model?.outputTokens,
-            longPromptTokens: Math.round(this.longPromptThreshold.tokens),
-        });
+    private recordEnd(job: Job, kind: AttemptEnd["kind"], choice: UpstreamChoice): void {
+        const longPromptTokens = Math.round(this.longPromptThreshold.tokens);
+        const now = this.options.readTime();
+        this.options.log.record("served", { ...formatServed({ job, kind, choice, now }), longPromptTokens });
     }
 }
--- a/packages/node/src/requests/timelimit.ts
+++ b/packages/node/src/requests/timelimit.ts
@@ -1,7 +1,7 @@
 import { prefillTokensPerMs } from "@radishreel/fleet";
 import type { Route } from "@radishreel/routing";
 import type { CallerDemand } from "../ports.js";
-import type { StreamProgress } from "./attempt.js";
+import type { StreamProgress } from "./progress.js";
 
 /** Minimum time that must be left before a request's deadline for another attempt, in milliseconds. */
 export const minAttemptMs = 60;
--- a/packages/node/test/results.test.ts
+++ b/packages/node/test/results.test.ts
@@ -1,7 +1,7 @@
 import { FleetView, PauseThreshold, PrefixCache } from "@radishreel/fleet";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { AttemptEnd } from "../src/requests/attempt.js";
+import type { AttemptEnd } from "../src/requests/attemptend.js";
 import type { Job } from "../src/requests/job.js";
 import { emptyMetadata } from "../src/requests/metadata.js";
 import { AttemptResults } from "../src/requests/results.js";
--- a/packages/node/test/successors.test.ts
+++ b/packages/node/test/successors.test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { Attempt, AttemptEnd } from "../src/requests/attempt.js";
+import type { Attempt } from "../src/requests/attempt.js";
+import type { AttemptEnd } from "../src/requests/attemptend.js";
 import type { Job, ReadyUpstream } from "../src/requests/job.js";
 import { SilenceWatch } from "../src/requests/silence.js";
 import { type RunningAttempt, Successors } from "../src/requests/successors.js";
