Cut off the body of a response that has no end and is passed on to nobody

What callers saw: a worker that answers with a failure and a body that never ends took the whole time of each request sent to it: 504 after 3.0 s, also where the head had said that the request did not run. The VM read 0.9 to 1.5 GB meanwhile and kept all of it (one request, loopback: memory +901 to +1,536 MB in nine cases), which ends a VM of the users' size with all its requests.

Cause: an attempt buffers the body of every response that it does not pass on as it arrives, until the body ends. Only signed responses below 500 were passed on from 256 KB on. Each byte also counted as progress, so that one byte in 100 ms kept a request from another server for its whole time.

Change: what is buffered is bounded (256 KB). Beyond that, a signed response is passed on; a failure as well if no other attempt may follow, up to 16 MB. Any other one is cut off and its connection reset, and the head decides: not run, failed, or no answer. The rest of a rejection is waited for 100 ms, of another failure 1.5 s. Less than 1 KB is no progress. A worker whose rejection was cut off has failed for its health.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -3,6 +3,7 @@
 import { stableRunMs } from "../crashes/index.js";
 import type { RawHeaders, RequestDialect, ResponseHead, SendOptions } from "../ports.js";
 import type { AttemptEnd, BreakReason } from "./attemptend.js";
+import { BufferedBody, readBodyLimitMs } from "./body.js";
 import type { CallerExchange } from "./caller.js";
 import type { ConnectionPool, UpstreamConnection } from "./connections.js";
 import { EventSplitter, type StreamEvent } from "./events.js";
@@ -13,9 +14,6 @@
 import { SilenceWatch } from "./silence.js";
 import type { SilenceLimits } from "./timelimit.js";
 
-/** Maximum bytes of a plain response that are buffered until it is complete; larger responses are streamed. */
-const maxBufferedBytes = 256 * 1024;
-
 /**
  * Longest pause between two events that counts towards the time for which a stream has gone on, in milliseconds. Events
  * that arrived while this process was suspended may be older than the end of their upstream.
@@ -37,8 +35,10 @@
     /** Whether the attempt must use a new connection. */
     readonly isFresh: boolean;
     readonly progress: StreamProgress;
-    /** Times without data after which the upstream counts as silent, which alone does not end the attempt. */
+    /** Times without progress after which the upstream counts as silent, which alone does not end the attempt. */
     readonly silenceLimits: SilenceLimits;
+    /** Whether the caller receives a failure of this attempt, since no other attempt may follow. @default false */
+    readonly isLast?: boolean | undefined;
     /** Time left for a stream to start, in milliseconds; infinite for the newest version of an adapter. */
     readonly readStartLimitMs: () => number;
     /** Time left until the deadline of the request, in milliseconds. */
@@ -62,7 +62,7 @@
     readonly checkFirstEvent?: (() => boolean) | undefined;
     /** Called when the first event of a stream arrives, or when a large plain response starts to be streamed. */
     readonly onStart: () => void;
-    /** Called with the time when any data of the response arrives. */
+    /** Called with the time when the response makes progress. */
     readonly onData?: ((now: number) => void) | undefined;
     /** Checks whether the process of the upstream has ended. @default nothing is checked */
     readonly checkEnded?: (() => Promise<boolean>) | undefined;
@@ -78,6 +78,8 @@
  * | no byte was written | not run |
  * | the request cannot be written as HTTP | invalid: not run |
  * | a response that says that the request was not run, or that another incarnation or adapter is there | not run |
+ * | any other failure whose body has no end | failed, without the body |
+ * | other bytes without end that bring the response no closer to its own | broken: it may have run |
  * | a complete response that echoes the request's id | complete, or failed from status 500 on |
  * | a response that is unsigned, truncated or has another id; a reset; a close | broken: it may have run |
  * | nothing: the upstream is silent | none, until another attempt goes on in its place or the deadline passes |
@@ -98,8 +100,8 @@
     private status = 0;
     private headers: RawHeaders = [];
     private head: ResponseHead | undefined;
-    private bufferedChunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    private readonly body = new BufferedBody();
+    private bodyTimer: ScheduledRun | undefined;
     private wasWritten = false;
     private streamedMs: number | undefined;
     private lastEventAt = 0;
@@ -251,28 +253,64 @@
             return;
         }
         this.restartSilence();
+        const bodyLimitMs = readBodyLimitMs(status, head.isNotRun);
+        if (bodyLimitMs !== Infinity && !this.mayPassPart()) {
+            this.bodyTimer = scheduleAfterReads(() => this.finishWithoutBody(), bodyLimitMs);
+        }
     }
 
     receiveData(chunk: Buffer): void {
         if (this.isDone) {
             return;
         }
-        this.recordData();
         if (this.isStreaming()) {
             this.receiveStreamData(chunk);
             return;
         }
-        this.restartSilence();
+        if (this.body.recordData(chunk.length)) {
+            this.recordData();
+            this.restartSilence();
+        }
+        if (this.isPassing && this.status >= 500 && this.body.isTooLongForFailure) {
+            this.finishBroken("wrongAnswer", "the body of a failure exceeds the maximum size");
+            return;
+        }
         if (this.isPassing) {
             this.pass(chunk);
             return;
         }
-        this.bufferedChunks.push(chunk);
-        this.bufferedBytes += chunk.length;
-        const mayPass = this.head?.isSigned === true && this.status < 500 && !this.options.caller.hasResponseHead;
-        if (this.bufferedBytes > maxBufferedBytes && mayPass) {
+        this.body.push(chunk);
+        if (!this.body.isTooLong) {
+            return;
+        }
+        if (this.mayPassPart()) {
             this.startPassing();
         }
+        else {
+            this.finishWithoutBody();
+        }
+    }
+
+    /** Whether the caller may receive a part of a plain response before the response is complete. */
+    private mayPassPart(): boolean {
+        const { caller, isLast = false } = this.options;
+        const { isSigned = false, isNotRun = false } = this.head ?? {};
+        return isSigned && !isNotRun && !caller.hasResponseHead && (this.status < 500 || isLast);
+    }
+
+    /** Ends an attempt by the head of its response, since the body does not end. */
+    private finishWithoutBody(): void {
+        const detail = `the response with status ${this.status} does not end`;
+        const { isNotRun, isMisdirected } = this.head!;
+        if (isNotRun) {
+            this.finish({ kind: "notRun", wasSent: true, isMisdirected, detail, wasCut: true });
+        }
+        else if (this.status >= 500) {
+            this.finish({ kind: "failed", status: this.status, headers: this.headers, body: undefined });
+        }
+        else {
+            this.finishBroken("wrongAnswer", detail);
+        }
     }
 
     receiveEnd(): void {
@@ -350,6 +388,7 @@
     }
 
     private receiveStreamData(chunk: Buffer): void {
+        this.recordData();
         this.restartSilence();
         const events = this.splitter.receive(chunk);
         if (this.splitter.isTooLong) {
@@ -366,7 +405,7 @@
         this.passEvents(events);
     }
 
-    /** Records that data arrived. */
+    /** Records that the response made progress. */
     private recordData(): void {
         const now = this.options.readTime();
         this.recordSilence(now);
@@ -449,10 +488,7 @@
         this.isPassing = true;
         this.options.onStart();
         caller.startResponse(this.status, dialect.listResponseHeaders(this.headers));
-        for (const chunk of this.bufferedChunks) {
-            this.pass(chunk);
-        }
-        this.bufferedChunks = [];
+        this.body.popAll().forEach(chunk => this.pass(chunk));
     }
 
     private finishStream(): void {
@@ -467,7 +503,7 @@
 
     private finishPlain(): void {
         const { caller, dialect } = this.options;
-        const body = Buffer.concat(this.bufferedChunks);
+        const body = Buffer.concat(this.body.popAll());
         if (this.status >= 500 && !this.isPassing) {
             this.finish({ kind: "failed", status: this.status, headers: this.headers, body });
             return;
@@ -515,10 +551,11 @@
         this.recordSilence(this.options.readTime());
         this.deadlineTimer.cancel();
         this.startLimitTimer?.cancel();
+        this.bodyTimer?.cancel();
         this.silence.end();
         this.resolveWritten(this.wasWritten);
+        this.exchange.cancel();
         if (end.kind === "broken" || end.kind === "callerLeft" || end.kind === "superseded") {
-            this.exchange.cancel();
             this.connection.cancel();
         }
         this.resolveEnd(end);
--- a/packages/node/src/requests/attemptend.ts
+++ b/packages/node/src/requests/attemptend.ts
@@ -10,15 +10,23 @@
         readonly isCloseDelimited?: boolean;
     }
     /** The upstream confirms that it did not run the request, or nothing was sent to it. */
-    | { readonly kind: "notRun"; readonly wasSent: boolean; readonly isMisdirected: boolean; readonly detail: string; }
+    | {
+        readonly kind: "notRun";
+        readonly wasSent: boolean;
+        readonly isMisdirected: boolean;
+        readonly detail: string;
+        /** Whether the response was cut off, since its body had no end. @default false */
+        readonly wasCut?: boolean;
+    }
     /** The request cannot be written to any upstream, since it is not valid HTTP. */
     | { readonly kind: "invalid"; readonly detail: string; }
-    /** The upstream ran the request and failed with a complete response, which has not been sent to the caller. */
+    /** The upstream ran the request and failed with a response that has not been sent to the caller. */
     | {
         readonly kind: "failed";
         readonly status: number;
         readonly headers: RawHeaders;
-        readonly body: Buffer;
+        /** Undefined if the response was cut off, since its body had no end. */
+        readonly body: Buffer | undefined;
     }
     /** Whether the request ran is unknown. */
     | { readonly kind: "broken"; readonly reason: BreakReason; readonly detail: string; }
--- a/packages/node/src/requests/results.ts
+++ b/packages/node/src/requests/results.ts
@@ -56,6 +56,11 @@
         job.hasRun ||= mayHaveRun(end);
         switch (end.kind) {
             case "complete":
+                if (end.status >= 500) {
+                    // The caller has received a failure that was too long to buffer.
+                    health.recordFailure(now);
+                    return;
+                }
                 health.recordResponse(
                     now,
                     recordResponseTime(this.options.view, job, upstream, now, now - sentAt),
@@ -69,7 +74,7 @@
             case "failed":
                 job.runs += 1;
                 job.tried.set(upstream.id, { costMs: failurePenaltyMs, until: Infinity, hasDeclined: false });
-                if (askedRestMs === undefined) {
+                if (askedRestMs === undefined || end.body === undefined) {
                     health.recordFailure(now);
                 }
                 return;
@@ -91,6 +96,9 @@
                     }
                     return;
                 }
+                if (end.wasCut === true) {
+                    health.recordFailure(now);
+                }
                 // An upstream that requests backoff has not failed, and lacks no adapter that its owner could load.
                 if (key !== undefined && askedRestMs === undefined) {
                     sendMissing(upstream.id, key);
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -401,6 +401,7 @@
         const attempt = new Attempt({
             timeLeftMs: job.deadlineAt - sentAt,
             silenceLimits: this.readSilenceLimits(job, choice, sentAt),
+            isLast: !mayRunAgain(job),
             readStartLimitMs: () => this.readStartLimitMs(key, choice),
             caller: job.caller,
             requestId: job.demand.requestId,
@@ -577,7 +578,7 @@
         }
         if (last?.kind === "failed") {
             const headers = this.options.dialect.listResponseHeaders(last.headers);
-            if (job.caller.hasResponseHead) {
+            if (job.caller.hasResponseHead || last.body === undefined) {
                 this.refuse(job.caller, job.demand, { status: 502, reason: "upstreamFailed" });
                 return;
             }
