Reset connections whose bytes are no content of a response

What callers saw: informational heads, a chunk's extension or a chunk size that never end held a request for its time: 504 after 3.0 s for one that may run once, 0.8 and 1.8 s for others. The VM read up to 1,160 MB meanwhile (one request, loopback).

Cause: the HTTP client limits heads that have an end, but neither the number of informational heads nor the framing of a body, and reports neither. No limit of ours saw these bytes.

Change: a connection counts what it reads and what of it is content. 64 KB, and 16 bytes for each byte of content, may be heads and framing; a chunk of one byte takes five. Beyond that the connection is reset, and the attempt is broken as by a wrong answer, which the upstream's health is told.

A tunnel is reset from its near end: the VM in between keeps nothing.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -375,6 +375,10 @@
             this.finish({ kind: "invalid", detail });
             return;
         }
+        if (phase === "overrun") {
+            this.finishBroken("wrongAnswer", detail);
+            return;
+        }
         if (phase === "connecting") {
             this.finish({ kind: "notRun", wasSent: false, isMisdirected: false, detail });
             return;
--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import { Client } from "undici";
 import { type ConnectTarget, DirectConnector, type UpstreamConnector } from "../paths/index.js";
+import { FramingLimit } from "./framinglimit.js";
 
 /** Idle timeout of a connection if the upstream announces none, in milliseconds. */
 const keepAliveMs = 4000;
@@ -33,6 +34,8 @@
     private hasFailed = false;
     private isPaused = false;
     private lastUsedAt = 0;
+    private readonly framing = new FramingLimit();
+    private onOverrun: () => void = () => {};
 
     constructor(private readonly options: UpstreamConnectionOptions) {
         this.client = new Client(`http://${options.target.address}`, {
@@ -79,6 +82,20 @@
         }
     }
 
+    /**
+     * Starts to count the bytes of another response.
+     * @param onOverrun Called once too many of them are no content; the connection is reset afterwards.
+     */
+    beginExchange(onOverrun: () => void = () => {}): void {
+        this.framing.restart();
+        this.onOverrun = onOverrun;
+    }
+
+    /** Records bytes of the body of a response. */
+    recordContent(bytes: number): void {
+        this.framing.recordContent(bytes);
+    }
+
     /** Records that a request on this connection has finished. */
     recordUse(now: number): void {
         this.lastUsedAt = now;
@@ -109,6 +126,20 @@
         });
     }
 
+    /** Counts bytes that were read. @returns The bytes; null if those before were too many that are no content. */
+    private checkRead(bytes: unknown): unknown {
+        if (bytes === null) {
+            return null;
+        }
+        if (this.framing.isExceeded) {
+            this.onOverrun();
+            this.cancel();
+            return null;
+        }
+        this.framing.recordReceived((bytes as Buffer).length);
+        return bytes;
+    }
+
     private async openSocket(callback: (...args: [Error, null] | [null, Socket]) => void): Promise<void> {
         if (this.isOpened) {
             // A request was checked for this connection only; undici must not reconnect on its own.
@@ -121,7 +152,7 @@
             const { socket, via } = await connector.open(target, this.opening.signal);
             this.socket = socket;
             const read = socket.read.bind(socket);
-            socket.read = (size): unknown => this.isPaused ? null : read(size);
+            socket.read = (size): unknown => this.isPaused ? null : this.checkRead(read(size));
             this.carrier = via;
             callback(null, socket);
         }
--- a/packages/node/src/requests/exchange.ts
+++ b/packages/node/src/requests/exchange.ts
@@ -14,7 +14,9 @@
     /** Bytes may have been written; no part of a response has arrived. */
     | "waiting"
     /** The head of the response has arrived. */
-    | "answering";
+    | "answering"
+    /** The upstream has sent more bytes beside the content of a response than any response needs. */
+    | "overrun";
 
 /** Error codes of requests that undici refuses to write. */
 const invalidRequestCodes = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
@@ -81,6 +83,10 @@
             return;
         }
         this.phase = "waiting";
+        this.options.connection.beginExchange(() => {
+            this.phase = "overrun";
+            this.finishBroken("too many bytes that are no content of a response");
+        });
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
@@ -92,6 +98,7 @@
     }
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.options.connection.recordContent(chunk.length);
         if (!this.hasEnded) {
             this.options.receiver.receiveData(chunk);
         }
