End a stream that sends bytes but no new event

What callers saw: a stream whose worker sends comments, or an event again, without end was passed on until the request's deadline (35 MB in 3 s, loopback) and then cut, although another worker could go on with it. One byte in 100 ms did the same.

Cause: a comment counted as an event, and any byte as progress, so that neither the bound of an event nor the limit of a silence applied.

Change: only an event with data or a higher id is new. 256 KB without a new event break the attempt, and only a new event ends a silence, so that a slow worker is replaced like a silent one.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -392,16 +392,18 @@
     }
 
     private receiveStreamData(chunk: Buffer): void {
-        this.recordData();
-        this.restartSilence();
         const events = this.splitter.receive(chunk);
         if (this.splitter.isTooLong) {
-            this.finishBroken("wrongAnswer", "an event exceeds the maximum size");
+            this.finishBroken("wrongAnswer", "an event, or what comes between two events, exceeds the maximum size");
             return;
         }
         if (events.length === 0) {
             return;
         }
+        if (events.some(({ isNew }) => isNew)) {
+            this.recordData();
+            this.restartSilence();
+        }
         if (!this.hasStarted) {
             this.options.onStart();
         }
--- a/packages/node/src/requests/events.ts
+++ b/packages/node/src/requests/events.ts
@@ -1,31 +1,40 @@
 /** Maximum size of one event, in bytes. An attempt fails if its stream sends more without ending the event. */
 const maxEventBytes = 1024 * 1024;
 
+/** Maximum bytes between two new events: comments, and events that were already received. */
+const maxBytesBetweenEvents = 256 * 1024;
+
 /** One complete event of a stream. */
 export interface StreamEvent {
     /** Bytes of the event, including the empty line at its end. */
     readonly bytes: Buffer;
     /** Value of the event's `id` field; undefined if it has none. */
     readonly id: string | undefined;
+    /** Whether the stream makes progress by the event: it is no comment, and has not been received before. */
+    readonly isNew: boolean;
 }
 
 const lineFeed = 10;
 
+const fieldPatterns = { id: /(?:^|\n)id: ?([^\r\n]*)/, data: /(?:^|\n)data: ?([^\r\n]*)/ };
+
 /**
  * Splits a stream of server-sent events into complete events. Bytes after the last complete event are buffered, so that
  * an event that an upstream did not finish never reaches a caller.
  */
 export class EventSplitter {
     private pendingBytes: Buffer = Buffer.alloc(0);
+    private bytesSinceNew = 0;
+    private lastId = -Infinity;
 
     /** Whether the bytes received so far end with a complete event. */
     get isAtBoundary(): boolean {
         return this.pendingBytes.length === 0;
     }
 
-    /** Whether the unfinished event exceeds the maximum size. */
+    /** Whether the unfinished event, or what came since the last new event, exceeds its maximum size. */
     get isTooLong(): boolean {
-        return this.pendingBytes.length > maxEventBytes;
+        return this.pendingBytes.length > maxEventBytes || this.bytesSinceNew > maxBytesBetweenEvents;
     }
 
     receive(chunk: Buffer): StreamEvent[] {
@@ -34,12 +43,28 @@
         let start = 0;
         for (let end = findEventEnd(bytes, start); end >= 0; end = findEventEnd(bytes, start)) {
             const event = bytes.subarray(start, end);
-            events.push({ bytes: event, id: parseEventId(event) });
+            const text = event.toString("latin1");
+            const id = parseField(text, "id");
+            const isNew = this.isNew(id, text);
+            this.bytesSinceNew = isNew ? 0 : this.bytesSinceNew + event.length;
+            events.push({ bytes: event, id, isNew });
             start = end;
         }
         this.pendingBytes = bytes.subarray(start);
         return events;
     }
+
+    private isNew(id: string | undefined, text: string): boolean {
+        const number = Number(id);
+        if (id === undefined || Number.isNaN(number)) {
+            return parseField(text, "data") !== undefined;
+        }
+        if (number <= this.lastId) {
+            return false;
+        }
+        this.lastId = number;
+        return true;
+    }
 }
 
 /** Finds the position after the empty line that ends the event at `start`; -1 if the empty line has not arrived yet. */
@@ -55,7 +80,8 @@
     return -1;
 }
 
-function parseEventId(event: Buffer): string | undefined {
-    const match = /(?:^|\n)id: ?([^\r\n]*)/.exec(event.toString("latin1"));
+/** Parses a field of an event; undefined if the event has none. */
+function parseField(event: string, name: "id" | "data"): string | undefined {
+    const match = fieldPatterns[name].exec(event);
     return match?.[1];
 }
