--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -22,6 +22,8 @@
 export interface UpstreamConnectionOptions {
     readonly target: ConnectTarget;
     readonly connector: UpstreamConnector;
+    /** Maximum bytes of the body of a response. @default unlimited */
+    readonly maxBodyBytes?: number;
 }
 
 /** One connection to an upstream, which carries one request at a time. */
@@ -45,6 +47,7 @@
             keepAliveTimeout: keepAliveMs,
             keepAliveMaxTimeout: keepAliveMs * 4,
             keepAliveTimeoutThreshold: keepAliveMarginMs,
+            maxResponseSize: options.maxBodyBytes ?? -1,
             connect: (_options, callback) => void this.openSocket(callback),
         });
         this.client.on("disconnect", () => {
