Show for each guard of the review's mends which test misses it

No test missed these: requests on a connection that is being closed, the wait for such connections in a planned stop, a search that the retry budget does not allow, what a search changes in its request, a successor that is rejected after the silent attempt went on, the wait for the rest of a failure, and comments as progress. They have tests now, most of them without sockets.

--- a/packages/node/test/successors.test.ts
+++ b/packages/node/test/successors.test.ts
@@ -381,4 +381,51 @@
     }
 });
 
+test("no upstream is searched for while the budget allows no retry", async () => {
+    const search = new FakeSearch();
+    search.isRetryGranted = false;
+    let searches = 0;
+    search.chooseReady = async () => {
+        searches += 1;
+        return undefined;
+    };
+    const run = search.run();
+    await search.attempt.startSilence();
+    await search.waitForTurns();
+    search.attempt.finish(complete);
+    await run;
+    assert.is(searches, 0);
+});
+
+test("a search changes nothing of what is known about its request", async () => {
+    const search = new FakeSearch();
+    const before = { moves: 1, redirects: 2, expectedAt: 3 };
+    Object.assign(search.job, before);
+    search.chooseReady = async job => {
+        Object.assign(job, { moves: 4, redirects: 5, expectedAt: 6 });
+        return undefined;
+    };
+    const run = search.run();
+    await search.attempt.startSilence();
+    await search.waitForTurns();
+    search.attempt.finish(complete);
+    await run;
+    const { moves, redirects, expectedAt } = search.job;
+    assert.equal({ moves, redirects, expectedAt }, before);
+});
+
+test("a silent attempt that goes on is kept if its successor, though written, is rejected after that", async () => {
+    const search = new FakeSearch();
+    search.startSuccessor = () => {};
+    const run = search.run();
+    await search.attempt.startSilence();
+    await search.waitForTurns();
+    search.attempt.silence.restart(Infinity);
+    await search.waitForTurns();
+    search.successor.finish({ kind: "notRun", wasSent: true, isMisdirected: false, detail: "" });
+    await search.waitForTurns();
+    search.attempt.finish(complete);
+    assert.equal((await run as { end: AttemptEnd; }).end, complete);
+});
+
 test.run();
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -1259,7 +1259,7 @@
         "node/dist/src/requests/callerconnections.js",
         "remains ||= mayClose || !isIdle",
         "remains ||= !isIdle",
-        "packages/node/dist/test/stop.test.js",
+        "packages/node/dist/test/callerconnections.test.js",
     ],
     [
         "node/dist/src/stop.js",
@@ -1337,13 +1337,13 @@
         "node/dist/src/clock.js",
         "check = setImmediate(run);",
         "run();",
-        "platform/dist/test/silence.test.js",
+        "packages/node/dist/test/successors.test.js",
     ],
     [
         "node/dist/src/requests/timelimit.js",
         "Math.max(soundSilenceMs, callerLimitMs * silentShare)",
         "600",
-        "platform/dist/test/silence.test.js",
+        "packages/node/dist/test/successors.test.js",
     ],
     [
         "node/dist/src/requests/framinglimit.js",
@@ -1441,12 +1441,6 @@
         "",
         "platform/dist/test/endless.test.js",
     ],
-    [
-        "../platform/dist/src/orders.js",
-        "this.connection.beginExchange();",
-        "",
-        "platform/dist/test/endless.test.js",
-    ],
     [
         "../platform/dist/src/store.js",
         "maxResponseSize: maxResponseBytes,",
