Use the one check whether a request may run again in the search for successors

The search for the successor of a silent attempt held a copy of the condition that `mayRunAgain` has had since the ends of attempts were moved. No behaviour changes.

--- a/packages/node/src/requests/successors.ts
+++ b/packages/node/src/requests/successors.ts
@@ -1,12 +1,11 @@
 import { engineSilenceMs, type RetryClaim, type UpstreamChoice, type UpstreamState } from "@radishreel/fleet";
-import { isIdempotent } from "@radishreel/routing";
 import { setTimeout as wait } from "node:timers/promises";
 import type { CrashGuard } from "../crashes/index.js";
 import type { DecisionLog } from "../decisions.js";
 import type { Attempt } from "./attempt.js";
 import type { AttemptEnd } from "./attemptend.js";
 import type { UpstreamChooser } from "./chooser.js";
-import { cancelReturn, type Claimant, type Job, type ReadyUpstream, releaseReady } from "./job.js";
+import { cancelReturn, type Claimant, type Job, mayRunAgain, type ReadyUpstream, releaseReady } from "./job.js";
 import type { Retries } from "./retries.js";
 
 /** Interval at which another upstream is looked for again while one is silent, in milliseconds. */
@@ -169,7 +168,7 @@
 
     private maySearch(job: Job, attempt: Attempt): boolean {
         const { retries, guard } = this.options;
-        return attempt.isReplaceable && isIdempotent(job.route) && job.runs + 1 < job.route.maxAttempts
+        return attempt.isReplaceable && mayRunAgain(job)
             && job.permit === undefined && !guard.isSuspect(job) && retries.mayClaimOptional(job);
     }
 
