--- /dev/null
+++ b/review/standins-2/deployment.mjs
@@ -0,0 +1,69 @@
+// A small deployment: the store, workers, two VMs, and the configuration that the operator has written.
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { Store } from "./store.mjs";
+import { Vm } from "./vm.mjs";
+
+/** The places of the deployment; VMs stand in the first two. */
+export const zones = ["zu-depot", "sain-hall", "zu-yard", "ulaan-hall"];
+
+const limits = {
+    "max-header-bytes": 16_384,
+    "max-body-bytes": 4_194_304,
+    "header-timeout-ms": 3000,
+    "idle-timeout-ms": 15_000,
+};
+
+/** Creates a worker's entry in the store. */
+export function createEntry(worker, { service, zone, slots, models = [] }) {
+    const { address } = worker;
+    return {
+        service,
+        address,
+        zone,
+        version: "v1",
+        slots,
+        state: "ready",
+        "cold-remaining-ms": 0,
+        stage: "both",
+        models,
+        sequence: 0,
+    };
+}
+
+export class Deployment {
+    store = new Store();
+    workers = [];
+    vms = [];
+
+    constructor() {
+        this.folder = mkdtempSync(path.join(tmpdir(), "review-"));
+    }
+
+    /** Starts everything, and waits until the VMs are ready. */
+    async start({ routes, services, workers, vmCount }) {
+        await this.store.start();
+        this.store.put("keyed.op", "config", { version: 7, routes, services, limits });
+        for (const { worker, entry } of workers) {
+            await worker.start();
+            this.workers.push(worker);
+            this.store.put("keyed.servers", worker.id, createEntry(worker, entry));
+        }
+        for (let index = 0; index < vmCount; index++) {
+            const zone = zones[index];
+            const vm = new Vm({ name: `front-${zone}-1`, zone, folder: this.folder, store: this.store });
+            await vm.prepare();
+            this.vms.push(vm);
+        }
+        const seeds = this.vms.map(vm => vm.seed);
+        this.vms.forEach(vm => vm.start(seeds));
+        await Promise.all(this.vms.map(vm => vm.waitUntilReady()));
+    }
+
+    /** Ends all processes that were started, and removes their files. */
+    stop() {
+        this.vms.forEach(vm => vm.stop());
+        rmSync(this.folder, { recursive: true, force: true });
+    }
+}
