--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -39,6 +39,12 @@
 
     constructor() {
         this.folder = mkdtempSync(path.join(tmpdir(), "review-"));
+        for (const signal of ["SIGINT", "SIGTERM"]) {
+            process.on(signal, () => {
+                this.stop();
+                process.exit(2);
+            });
+        }
     }
 
     /** Starts everything, and waits until the VMs are ready. */
