--- a/review/5/scenario.mjs
+++ b/review/5/scenario.mjs
@@ -40,6 +40,6 @@
         { path: "/label/1", perSecond: 3, budgetMs: deadlineMs, isKept: true },
         { path: "/parcel/1", perSecond: 3, budgetMs: deadlineMs, method: "GET" },
     ],
-    trouble: { worker: workers[0].worker, pieceBytes },
+    trouble: { workers: [workers[0].worker], pieceBytes },
     checked: { path: "/label/1", timeoutMs },
 });
--- a/review/standins-2/trouble.mjs
+++ b/review/standins-2/trouble.mjs
@@ -1,4 +1,4 @@
-// The scenario of cases 5 and 6: one worker is in trouble for some seconds, while clients send requests at steady rates.
+// The scenario of cases 5 and 6: some workers are in trouble for some seconds, while clients send requests at steady rates.
 import { createKeptConnection, sendRequest } from "./caller.mjs";
 import { Deployment } from "./deployment.mjs";
 import { wait } from "./net.mjs";
@@ -35,13 +35,14 @@
 
 /**
  * Runs a scenario and returns the exit code.
- * @param scenario `deployment`: see {@link Deployment.start}; `traffic`: requests to each VM; `trouble`: the worker in
- * trouble and the size of the pieces that it sends; `checked`: the path and the timeout of the route that is checked.
+ * @param scenario `deployment`: see {@link Deployment.start}; `traffic`: requests to each VM; `trouble`: the
+ * workers in trouble and the size of the pieces that they send; `checked`: the path and the timeout of the route that is checked.
  */
 async function runScenario({ folder, deployment: options, traffic, trouble, checked }) {
     const record = new Record();
     const deployment = new Deployment();
     const hasTrouble = process.env["TROUBLE"] !== "0";
+    const names = trouble.workers.map(({ id }) => id).join(", ");
     const results = [];
     try {
         await deployment.start(options);
@@ -52,17 +53,19 @@
         );
         await wait(troubleAtMs);
         if (hasTrouble) {
-            record.add(`the bodies of ${trouble.worker.id} have no end from now on`);
-            trouble.worker.endlessPieceBytes = trouble.pieceBytes;
+            record.add(`the bodies of ${names} have no end from now on`);
+            trouble.workers.forEach(worker => worker.beginTrouble(trouble.pieceBytes));
         }
         await wait(troubleMs);
         if (hasTrouble) {
-            record.add(`${trouble.worker.id} is sound again for new requests`);
-            trouble.worker.endlessPieceBytes = undefined;
+            record.add(`${names} answer new requests soundly again`);
+            trouble.workers.forEach(worker => worker.endTrouble());
         }
         await Promise.all(sending);
         record.addTraffic(results, deployment.workers);
-        record.add(`${trouble.worker.id} has sent ${trouble.worker.endlessBytes} bytes in bodies without end`);
+        for (const { id, endlessBytes } of trouble.workers) {
+            record.add(`${id} has sent ${endlessBytes} bytes in bodies without end`);
+        }
         const isBroken = deployment.vms.map(vm => checkVm(vm, results, checked, record)).includes(true);
         record.add(isBroken ? "the rule is broken" : "the rule held");
         return isBroken ? codes.broken : codes.held;
--- a/review/standins-2/worker.mjs
+++ b/review/standins-2/worker.mjs
@@ -19,6 +19,15 @@
         Object.assign(this, { id, answer, models });
     }
 
+    /** Lets the bodies of all further responses have no end. */
+    beginTrouble(pieceBytes) {
+        this.endlessPieceBytes = pieceBytes;
+    }
+
+    endTrouble() {
+        this.endlessPieceBytes = undefined;
+    }
+
     async start() {
         this.server = createServer((request, response) => void this.receive(request, response));
         this.server.keepAliveTimeout = 10_000;
