--- a/review/standins-2/caller.mjs
+++ b/review/standins-2/caller.mjs
@@ -1,6 +1,5 @@
 // Sends requests as the platform's clients do, and reports what they receive.
 import { Agent, request as openRequest } from "node:http";
-import { host } from "./net.mjs";
 
 let lastId = 0;
 
@@ -42,7 +41,7 @@
             clearTimeout(timer);
             resolve({ ...result, ms: Date.now() - sentAt, why });
         };
-        const options = { host, port: vm.callerPort, path, method, headers: allHeaders, agent };
+        const options = { host: vm.host, port: vm.ports.callers, path, method, headers: allHeaders, agent };
         const request = openRequest(options, response => {
             result.status = response.statusCode;
             response.on("data", chunk => {
--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -2,6 +2,7 @@
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import path from "node:path";
+import { findFreePort } from "./net.mjs";
 import { Store } from "./store.mjs";
 import { Vm } from "./vm.mjs";
 
@@ -56,12 +57,18 @@
             this.workers.push(worker);
             this.store.put("keyed.servers", worker.id, createEntry(worker, entry));
         }
-        for (let index = 0; index < vmCount; index++) {
+        const { folder, store } = this;
+        const hosts = Array.from({ length: vmCount }, (_, index) => `127.0.1.${index + 1}`);
+        const ports = {
+            callers: await findFreePort(hosts),
+            ready: await findFreePort(hosts),
+            control: await findFreePort(hosts),
+            internal: await findFreePort(hosts),
+        };
+        this.vms = hosts.map((host, index) => {
             const zone = zones[index];
-            const vm = new Vm({ name: `front-${zone}-1`, zone, folder: this.folder, store: this.store });
-            await vm.prepare();
-            this.vms.push(vm);
-        }
+            return new Vm({ name: `front-${zone}-1`, zone, host, ports, folder, store });
+        });
         const seeds = this.vms.map(vm => vm.seed);
         this.vms.forEach(vm => vm.start(seeds));
         await Promise.all(this.vms.map(vm => vm.waitUntilReady()));
--- a/review/standins-2/unframedworker.mjs
+++ b/review/standins-2/unframedworker.mjs
@@ -5,6 +5,9 @@
 
 const { id, model, events, firstMs, gapMs } = JSON.parse(process.argv[2]);
 
+/** Whether the worker says in all its responses that it leaves. */
+let isLeaving = false;
+
 function createReport() {
     return {
         stage: "both",
@@ -25,6 +28,7 @@
     await wait(firstMs);
     socket.write(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
+            + (isLeaving ? "Server-Leaving: 1\r\n" : "")
             + `X-Request-Id: ${requestId}\r\nX-Response-Signature: signature.${id}.${requestId}\r\n\r\n`,
     );
     for (let event = 1; event <= events && !socket.destroyed; event++) {
@@ -38,6 +42,9 @@
     if (await readBody(request) === undefined) {
         return;
     }
+    if (isLeaving) {
+        response.setHeader("Server-Leaving", "1");
+    }
     const expected = request.headers["x-expect-instance"];
     if (expected !== undefined && expected !== id) {
         response.writeHead(421, { "X-Instance-Id": id, "X-Not-Executed": "1" }).end();
@@ -58,4 +65,7 @@
 
 const server = createServer((request, response) => void receive(request, response));
 process.send({ kind: "listening", port: await listen(server) });
+process.on("message", () => {
+    isLeaving = true;
+});
 process.on("disconnect", () => process.exit(0));
--- a/review/standins-2/vm.mjs
+++ b/review/standins-2/vm.mjs
@@ -4,7 +4,7 @@
 import { request as openRequest } from "node:http";
 import path from "node:path";
 import { fileURLToPath } from "node:url";
-import { findFreePort, host, wait } from "./net.mjs";
+import { wait } from "./net.mjs";
 
 const repository = fileURLToPath(new URL("../../", import.meta.url));
 
@@ -17,9 +17,9 @@
     return /^run = "(.*)"$/m.exec(text)[1].split(" ");
 }
 
-function sendCheck(port) {
+function sendCheck({ host, ports }) {
     return new Promise(resolve => {
-        const request = openRequest({ host, port, path: "/v1/readiness", agent: false }, response => {
+        const request = openRequest({ host, port: ports.ready, path: "/v1/readiness", agent: false }, response => {
             response.resume();
             resolve(response.statusCode === 200);
         });
@@ -33,23 +33,17 @@
     /** How the process ended; undefined while it runs. */
     end;
 
-    constructor({ name, zone, folder, store }) {
-        Object.assign(this, { name, zone, folder, store });
-    }
-
-    /** Chooses the ports of the VM. */
-    async prepare() {
-        this.callerPort = await findFreePort();
-        this.readyPort = await findFreePort();
-        this.controlPort = await findFreePort();
-        this.internalPort = await findFreePort();
+    /** @param ports Ports for callers, readiness, control and between VMs: the same on all VMs, each at its own host. */
+    constructor({ name, zone, host, ports, folder, store }) {
+        Object.assign(this, { name, zone, host, ports, folder, store });
     }
 
     get seed() {
-        return `${host}:${this.controlPort}`;
+        return `${this.host}:${this.ports.control}`;
     }
 
     formatSettings(seeds) {
+        const { host, ports } = this;
         return [
             `node=${this.name}`,
             "role=radishreel",
@@ -58,10 +52,10 @@
             `ip=${host}`,
             `zone=${this.zone}`,
             "region=dornogovi",
-            `listen.front=${host}:${this.callerPort}`,
-            `listen.ready=${host}:${this.readyPort}`,
+            `listen.front=${host}:${ports.callers}`,
+            `listen.ready=${host}:${ports.ready}`,
             `listen.control=${this.seed}`,
-            `internal-ports=${this.internalPort},${this.internalPort + 15}`,
+            `internal-ports=${ports.internal},${ports.internal + 15}`,
             `seeds=${seeds.join(",")}`,
             "bootstrap=true",
             "limits.cpu-share=0.675",
@@ -105,7 +99,7 @@
 
     async waitUntilReady() {
         const endAt = Date.now() + startTimeoutMs;
-        while (!await sendCheck(this.readyPort)) {
+        while (!await sendCheck(this)) {
             if (Date.now() > endAt || this.end !== undefined) {
                 throw new Error(`${this.name} does not become ready`);
             }
