Log each shard lease from its begin to its end, and the lease of each order

The record of two VMs that took turns at one engine holds nothing of leases: their begin and end had no lines, and the line of an order said neither its shard nor under which generation and for which reason it was sent. Whether the third order was late (lower token) or sent under a new lease (higher token) could not be told from the lines of the VMs.

--- a/packages/fleet/src/shardleases.ts
+++ b/packages/fleet/src/shardleases.ts
@@ -22,11 +22,12 @@
 export type LeaseReason = "waited" | "released" | "recorded" | "handover";
 
 /** The lease of one shard of the engines. */
-interface Lease {
+export interface ShardLease {
     /** The reason for `mayOrderAt`. */
     readonly reason: LeaseReason;
     /** The generation in which this VM first held the shard. */
     readonly generation: number;
+    /** Earliest time of the first order under this lease. */
     readonly mayOrderAt: number;
     /** Number of handovers of the shard within the generation, part of the fencing token. */
     readonly handoverDepth: number;
@@ -62,7 +63,7 @@
  * plus the safety margin after it learned of its assignment.
  */
 export class ShardLeases {
-    private readonly leases = new Map<number, Lease>();
+    private readonly leases = new Map<number, ShardLease>();
     /** Newest generation whose holder has announced that it gives no more orders, by shard. */
     private readonly releasedGenerations = new Map<number, number>();
     private readonly lastOrderAt = new Map<number, number>();
@@ -402,6 +403,11 @@
     listShards(): number[] {
         return [...this.leases.keys()];
     }
+
+    /** The leases of this VM, by shard. */
+    listLeases(): ReadonlyMap<number, ShardLease> {
+        return this.leases;
+    }
 }
 
 /** Fencing token of a lease: it rises with each generation, and with each handover within a generation. */
--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -58,6 +58,8 @@
     readonly readFence: (name: string) => number;
     /** Fields of the log line which explain why orders to an engine are allowed from now on. */
     readonly explainOrders?: (name: string) => object;
+    /** Fields of the log line of an order: the shard of its engine, and the lease under which it was sent. */
+    readonly readLeaseFields?: (name: string) => object;
     /** @default the timers of this process */
     readonly timers?: Timers;
     readonly sendStatuses: (statuses: EngineStatus[]) => void;
@@ -453,6 +455,7 @@
         owned.isOrdering = true;
         owned.fence = Math.max(owned.fence, this.options.readFence(owned.name));
         const sentAt = this.options.readTime();
+        const lease = this.options.readLeaseFields?.(owned.name);
         const before = readReach(owned);
         const sending = this.options.orders.send(state.upstream, order, {
             holder: this.options.vm,
@@ -471,6 +474,7 @@
             version: order.version,
             sequence: order.expectedSequence,
             fence: owned.fence,
+            ...lease,
             answer: outcome,
             places: owned.planner.countSlots(now, key => owned.admission.countUses(key)),
             waiting: owned.admission.waitingCount,
--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -2,6 +2,7 @@
 import { BootClock, processTimers, type ScheduledRun, type Timers } from "../clock.js";
 import type { Member, ShardAssigner } from "../ports.js";
 import { OwnedEngines, type OwnedEnginesOptions } from "./engines.js";
+import { LeaseLog } from "./leaselog.js";
 import type { Handover, HandoverSource, LeaseEvent, LeaseQuery, LeaseState } from "./leasemessages.js";
 
 /** Interval of lease renewals, in milliseconds: two renewals may be lost before a lease expires. */
@@ -67,7 +68,7 @@
 type ReleaseReason = "stop" | "renewal" | "toldByPeer";
 
 /** Options of owned engines that {@link ShardOwnership} sets itself. */
-type InternalOption = "mayOrder" | "readFence" | "explainOrders" | "readBoot";
+type InternalOption = "mayOrder" | "readFence" | "explainOrders" | "readLeaseFields" | "readBoot";
 
 /** Options of {@link ShardOwnership}. */
 export interface ShardOwnershipOptions extends Omit<OwnedEnginesOptions, InternalOption> {
@@ -108,6 +109,7 @@
 export class ShardOwnership {
     readonly engines: OwnedEngines;
     private readonly leases: ShardLeases;
+    private readonly leaseLog: LeaseLog;
     private readonly timers: Timers;
     private renewTimer: ScheduledRun | undefined;
     private isRenewing = false;
@@ -148,12 +150,14 @@
             holderGapMs: options.holderGapMs,
             startedAt: this.bootClock.read(),
         });
+        this.leaseLog = new LeaseLog(options.log);
         this.engines = new OwnedEngines({
             ...options,
             readBoot: () => this.bootClock.read(),
             mayOrder: name => this.mayOrder(name),
             readFence: name => this.leases.readFence(this.findShard(name)),
             explainOrders: name => this.explainOrders(name),
+            readLeaseFields: name => this.readLeaseFields(name),
         });
     }
 
@@ -232,6 +236,7 @@
         };
         const isCutOff = now - this.renewedAt > peerQueryAfterMs;
         this.leases.releaseAll(now);
+        this.leaseLog.update(this.leases.listLeases(), now);
         this.engines.stop();
         await this.waitOrders([...releasableShards, ...usableShards]);
         if (isCutOff && this.sendHandover(handover)) {
@@ -320,6 +325,7 @@
         if (this.isStopped) {
             return;
         }
+        this.leaseLog.update(this.leases.listLeases(), this.bootClock.read());
         const shards = new Set(this.leases.listShards());
         if (shards.size === 0 && !this.engines.hasEngines) {
             return;
@@ -339,6 +345,11 @@
         return { ...lease, renewalAgeMs: Math.round(this.renewalAgeMs) };
     }
 
+    private readLeaseFields(name: string): object {
+        const shard = this.findShard(name);
+        return { shard, ...this.leases.explainLease(shard) };
+    }
+
     /**
      * Notifies the other VMs of released shards, once the last orders to their engines cannot arrive any more: the next
      * holder starts at once, and its first order could overtake an order in flight.
