Let no VM give orders while those of the holder before may still arrive

Users saw one VM, another, and the first again give orders to one engine within 3 s. In tests with whole VMs, in real and in simulated time, this comes about as follows: an order of the holder gets no answer, its shard is assigned to another VM, the holder releases it 250 ms later, the other VM orders at once, and then the first one's order arrives.

Cause: an order without an answer counted as over after 250 ms, what a lossy link takes on one network, and its connection was reset, after which nobody could learn whether it had arrived.

Now an order is over when its engine has answered it, or the holder gap after it was given up. A connection whose answer is late stays open for it, and is reset 0.7 s after the lease has ended, so that nothing stays in a send buffer. A release says to which shards an order may still be under way and for how long, and is followed by another once it has arrived; the next holder, or any later one, waits for that. So does the receiver of a handover. A VM that must give back what it took over reports its orders without a release. The holder gap counts from the last arrival.

An order that is later than the gap cannot be kept from arriving with a lower token, but a single one makes no turns within the gap.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -78,14 +78,7 @@
     type UrgencyOrderOptions,
     type WaitingLoad,
 } from "./scheduling/index.js";
-export {
-    type LeaseReason,
-    maxOrderTransitMs,
-    readShard,
-    type ShardLease,
-    ShardLeases,
-    type ShardLeasesOptions,
-} from "./shardleases.js";
+export { type LeaseReason, readShard, type ShardLease, ShardLeases, type ShardLeasesOptions } from "./shardleases.js";
 export {
     AccountLedger,
     type AccountStarts,
--- a/packages/fleet/src/shardleases.ts
+++ b/packages/fleet/src/shardleases.ts
@@ -1,3 +1,5 @@
+import { OrderArrivals } from "./orderarrivals.js";
+
 /** Options of {@link ShardLeases}. */
 export interface ShardLeasesOptions {
     /** Duration of a lease, in milliseconds, counted from when its renewal was sent. */
@@ -48,11 +50,10 @@
 const restartPauseMs = 800;
 
 /**
- * Longest time for which an order is in transit, in milliseconds, whether or not its sender still waits for the
- * response. A lossy link retransmits after about 200 ms, even if the connection was reset meanwhile: at a loss rate of
- * 3 in 100 orders arrive up to 203 ms after they were sent. An order that is lost twice arrives later still.
+ * Time within which an order has an outcome after its lease has ended, in milliseconds: connecting takes up to 70 ms,
+ * the answer up to 90 ms. Orders without an answer are recorded by {@link ShardLeases.recordOwnArrivals}.
  */
-export const maxOrderTransitMs = 250;
+const orderOutcomeMs = 250;
 
 /**
  * Tracks which shards this VM holds, and when it may give orders to their engines. All times must come from a clock
@@ -67,6 +68,8 @@
     /** Newest generation whose holder has announced that it gives no more orders, by shard. */
     private readonly releasedGenerations = new Map<number, number>();
     private readonly lastOrderAt = new Map<number, number>();
+    /** Orders of other VMs that may still arrive. */
+    private readonly arrivals = new OrderArrivals();
     private recordedGeneration: number | undefined;
     private firstGeneration: number | undefined;
     private validUntil = 0;
@@ -82,7 +85,7 @@
     private handoversValidUntil = 0;
 
     constructor(private readonly options: ShardLeasesOptions) {
-        this.previousProcessOrderAt = options.startedAt + maxOrderTransitMs;
+        this.previousProcessOrderAt = options.startedAt + orderOutcomeMs;
     }
 
     /** The generation that this VM saw last; it rises with every change of any shard's holder. */
@@ -201,6 +204,19 @@
         return this.reportedGeneration > this.generation ? 0 : this.renewUntil(askedAt);
     }
 
+    /**
+     * Records until when orders of another VM may still arrive at a shard. No orders are given to it before: they could
+     * arrive earlier than those of the VM that held the shard before.
+     */
+    recordArrivals(shard: number, vm: string, end: number): void {
+        this.arrivals.record(shard, vm, end);
+    }
+
+    /** Records until when orders that this VM gave may arrive at a shard, from which the holder gap counts. */
+    recordOwnArrivals(shard: number, end: number): void {
+        this.lastOrderAt.set(shard, Math.max(end, this.lastOrderAt.get(shard) ?? -Infinity));
+    }
+
     /** Records the newest generation that another VM knows of. */
     recordGeneration(generation: number): void {
         this.reportedGeneration = Math.max(this.reportedGeneration, generation);
@@ -251,7 +267,7 @@
 
     private endLease(shard: number, now: number): boolean {
         // An order in transit arrives at the engine later than now, and the holder gap counts from its arrival.
-        this.lastOrderAt.set(shard, now + maxOrderTransitMs);
+        this.recordOwnArrivals(shard, now + orderOutcomeMs);
         return this.leases.delete(shard);
     }
 
@@ -331,7 +347,7 @@
     recordStartKnown(now: number, wasTakenOver: boolean): void {
         const atOnce = Math.min(this.startConfirmedAt, now);
         const afterGap = Math.max(
-            now + this.options.leaseMs + maxOrderTransitMs,
+            now + this.options.leaseMs + orderOutcomeMs,
             this.previousProcessOrderAt + this.options.holderGapMs,
         );
         this.startConfirmedAt = wasTakenOver ? Math.min(this.startConfirmedAt, afterGap) : atOnce;
@@ -378,21 +394,24 @@
     /** Whether this VM may give orders to the engines of a shard now. */
     canOrder(shard: number, now: number): boolean {
         const lease = this.leases.get(shard);
-        return lease !== undefined && now < this.validUntil && now >= lease.mayOrderAt
-            && (lease.generation !== this.firstGeneration || this.isStartConfirmed(now))
+        return lease !== undefined && now < this.validUntil && this.mayBegin(shard, lease, now)
             && (!lease.isHandover || now < this.handoversValidUntil);
     }
 
+    /** Whether all earlier holders of a shard have stopped, and none of their orders can still arrive. */
+    private mayBegin(shard: number, lease: ShardLease, now: number): boolean {
+        return now >= lease.mayOrderAt && now >= this.arrivals.readEnd(shard)
+            && (lease.generation !== this.firstGeneration || this.isStartConfirmed(now));
+    }
+
     /**
      * Shards whose release this VM may announce: those whose earlier holders have all stopped. A shard that this VM
      * still waits for may be in use by the previous holder, and a handed-over shard by the VM to which the store
      * assigned it.
      */
     listReleasable(now: number): number[] {
-        return [...this.leases].filter(([, lease]) =>
-            now >= lease.mayOrderAt && !lease.isHandover
-            && (lease.generation !== this.firstGeneration || this.isStartConfirmed(now))
-        ).map(([shard]) => shard);
+        return [...this.leases].filter(([shard, lease]) => !lease.isHandover && this.mayBegin(shard, lease, now))
+            .map(([shard]) => shard);
     }
 
     /** Shards to which this VM may give orders now, and which it may therefore hand over. */
--- a/packages/node/src/links/dispatcher.ts
+++ b/packages/node/src/links/dispatcher.ts
@@ -138,7 +138,7 @@
                 ownership?.engines.receiveLoadMessage(message);
                 return;
             case "release":
-                ownership?.recordRelease(vm, message.shards, message.generation);
+                ownership?.recordRelease(vm, message);
                 return;
             case "handover":
                 ownership?.receiveHandover(message);
--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -48,6 +48,9 @@
 /** A process of a VM that handed over its shards. */
 const handoverSourceSchema = z.object({ vm: z.string(), incarnation: z.number() });
 
+/** See `ShardInTransit` in leasemessages.ts. */
+const inTransitSchema = z.array(z.object({ shard: z.number(), forMs: z.number().nonnegative() })).optional();
+
 /** See `QuotaVerdict` in quota.ts. */
 const quotaVerdictSchema = z.discriminatedUnion("kind", [
     z.object({
@@ -117,8 +120,13 @@
     z.object({ type: z.literal("missing"), engine: z.string(), key: z.string() }),
     /** To the other owners of engines: usage of engines by account since the last report. */
     z.object({ type: z.literal("accountUse"), usage: usageReportSchema }),
-    /** The sender gives no more orders to the engines of these shards. */
-    z.object({ type: z.literal("release"), shards: z.array(z.number()), generation: z.number() }),
+    /** The sender gives no more orders to the engines of these shards; earlier ones may still arrive. */
+    z.object({
+        type: z.literal("release"),
+        shards: z.array(z.number()),
+        generation: z.number(),
+        inTransit: inTransitSchema,
+    }),
     /** The sender stops while the store is unreachable, and hands these shards over to the receiver alone. */
     z.object({
         type: z.literal("handover"),
@@ -126,6 +134,7 @@
         deal: z.number(),
         depth: z.number(),
         givers: z.array(handoverSourceSchema),
+        inTransit: inTransitSchema,
     }),
     /** Lease query. The sender has started, cannot renew its leases, or holds shards that were handed over to it. */
     z.object({
--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -17,7 +17,7 @@
 import type { AdmissionMessage } from "../requests/admissions.js";
 import { type AdmissionSettings, createAdmission } from "./admission.js";
 import { createStatus } from "./enginestatus.js";
-import { OrdersInFlight } from "./ordersinflight.js";
+import type { OrdersInFlight } from "./ordersinflight.js";
 import type { OwnedEngine } from "./ownedengine.js";
 import { RoomWaitLog } from "./roomwaits.js";
 import { OwnedTransfers, type TransferSettings } from "./transfers.js";
@@ -56,6 +56,8 @@
     readonly mayOrder: (name: string) => boolean;
     /** Fencing token for the orders to an engine. */
     readonly readFence: (name: string) => number;
+    /** Records the orders that are sent. @default they are not recorded */
+    readonly ordersInFlight?: Pick<OrdersInFlight, "record">;
     /** Fields of the log line which explain why orders to an engine are allowed from now on. */
     readonly explainOrders?: (name: string) => object;
     /** Fields of the log line of an order: the shard of its engine, and the lease under which it was sent. */
@@ -94,7 +96,6 @@
     private statusTimer: ScheduledRun | undefined;
     /** Interval of the status timer, in milliseconds; 0 while it is stopped. */
     private statusIntervalMs = 0;
-    private readonly ordersInFlight: OrdersInFlight;
     /** Undefined if the feature is off. */
     private readonly transfers: OwnedTransfers | undefined;
     private isStopped = false;
@@ -103,7 +104,6 @@
 
     constructor(private readonly options: OwnedEnginesOptions) {
         this.timers = options.timers ?? processTimers;
-        this.ordersInFlight = new OrdersInFlight(this.timers);
         this.readBoot = options.readBoot ?? options.readTime;
         const sendReport = (ids: readonly string[]): void => this.sendToOwners(ids);
         this.transfers = options.transfers && new OwnedTransfers({ ...options, timers: this.timers, sendReport });
@@ -162,11 +162,6 @@
         }
     }
 
-    /** Waits until no order to the selected engines can still arrive: usually some 5 ms, at most 0.34 s. */
-    async waitOrders(isSelected: (name: string) => boolean): Promise<void> {
-        await this.ordersInFlight.wait(isSelected);
-    }
-
     /** Handles a message about a request from the VM that serves it. */
     receiveAdmissionMessage(vm: string, message: AdmissionMessage): void {
         const owned = this.engines.get(message.engine);
@@ -457,12 +452,21 @@
         const sentAt = this.options.readTime();
         const lease = this.options.readLeaseFields?.(owned.name);
         const before = readReach(owned);
+        const { fence } = owned;
         const sending = this.options.orders.send(state.upstream, order, {
             holder: this.options.vm,
-            fence: owned.fence,
+            fence,
             checkBeforeSend: () => this.options.mayOrder(owned.name),
+            onLateAnswer: () => {
+                this.options.log.record("lateAnswer", {
+                    engine: owned.id,
+                    fence,
+                    ms: Math.round(this.options.readTime() - sentAt),
+                });
+                recordArrival?.();
+            },
         }, () => this.options.onLeaving?.(owned.id));
-        this.ordersInFlight.record(owned.name, sending);
+        const recordArrival = this.options.ordersInFlight?.record(owned.name, sending);
         const outcome = await sending;
         owned.isOrdering = false;
         const now = this.options.readTime();
--- a/packages/node/src/ownership/leasemessages.ts
+++ b/packages/node/src/ownership/leasemessages.ts
@@ -18,6 +18,13 @@
     | "prolongedByAllClear"
     | `${LeaseReason}Claim`;
 
+/** A shard to whose engines an order of the sender may still arrive. */
+export interface ShardInTransit {
+    readonly shard: number;
+    /** For how long, in milliseconds; 0 if none can arrive any more. */
+    readonly forMs: number;
+}
+
 /** Shards that a stopping VM hands over while the store is unreachable. */
 export interface Handover {
     readonly shards: number[];
@@ -27,6 +34,8 @@
     readonly depth: number;
     /** Processes that handed the shards over, one after the other. */
     readonly givers: readonly HandoverSource[];
+    /** Orders of the sender that may still arrive. */
+    readonly inTransit?: ShardInTransit[] | undefined;
 }
 
 /** A process that handed its shards over. */
--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -3,7 +3,9 @@
 import type { Member, ShardAssigner } from "../ports.js";
 import { OwnedEngines, type OwnedEnginesOptions } from "./engines.js";
 import { LeaseLog } from "./leaselog.js";
-import type { Handover, HandoverSource, LeaseEvent, LeaseQuery, LeaseState } from "./leasemessages.js";
+import type { Handover, HandoverSource, LeaseEvent, LeaseQuery, LeaseState, ShardInTransit } from "./leasemessages.js";
+import { OrdersInFlight } from "./ordersinflight.js";
+import { type Release, ShardReleases } from "./releases.js";
 
 /** Interval of lease renewals, in milliseconds: two renewals may be lost before a lease expires. */
 const renewMs = 400;
@@ -64,11 +66,14 @@
 /** Highest reported age of the last renewal, also reported if there was none, in milliseconds. */
 const maxRenewalAgeMs = 1_000_000;
 
-/** Why a VM released shards. */
-type ReleaseReason = "stop" | "renewal" | "toldByPeer";
-
 /** Options of owned engines that {@link ShardOwnership} sets itself. */
-type InternalOption = "mayOrder" | "readFence" | "explainOrders" | "readLeaseFields" | "readBoot";
+type InternalOption =
+    | "mayOrder"
+    | "readFence"
+    | "ordersInFlight"
+    | "explainOrders"
+    | "readLeaseFields"
+    | "readBoot";
 
 /** Options of {@link ShardOwnership}. */
 export interface ShardOwnershipOptions extends Omit<OwnedEnginesOptions, InternalOption> {
@@ -79,7 +84,7 @@
     readonly readIncarnation: (vm: string) => number | undefined;
     /** Minimum time between orders of two holders of one engine, in milliseconds. */
     readonly holderGapMs: number;
-    readonly sendRelease: (shards: number[], generation: number) => void;
+    readonly sendRelease: (release: Release) => void;
     readonly sendQuery: (query: LeaseQuery) => void;
     /** Hands shards over to one other VM. @returns Whether a VM was available. */
     readonly sendHandover: (handover: Handover) => boolean;
@@ -110,6 +115,7 @@
     readonly engines: OwnedEngines;
     private readonly leases: ShardLeases;
     private readonly leaseLog: LeaseLog;
+    private readonly releases: ShardReleases;
     private readonly timers: Timers;
     private renewTimer: ScheduledRun | undefined;
     private isRenewing = false;
@@ -151,9 +157,16 @@
             startedAt: this.bootClock.read(),
         });
         this.leaseLog = new LeaseLog(options.log);
+        const readTime = (): number => this.bootClock.read();
+        // An order that arrives later than the holder gap cannot make two holders take turns within the gap.
+        const maxTransitMs = options.holderGapMs;
+        const ordersInFlight = new OrdersInFlight({ timers: this.timers, readTime, maxTransitMs });
+        const findShard = (name: string): number => this.findShard(name);
+        this.releases = new ShardReleases({ ...options, leases: this.leases, ordersInFlight, readTime, findShard });
         this.engines = new OwnedEngines({
             ...options,
-            readBoot: () => this.bootClock.read(),
+            readBoot: readTime,
+            ordersInFlight,
             mayOrder: name => this.mayOrder(name),
             readFence: name => this.leases.readFence(this.findShard(name)),
             explainOrders: name => this.explainOrders(name),
@@ -228,17 +241,19 @@
         const usableShards = this.leases.listUsable(now);
         const generation = this.leases.currentGeneration;
         const handoverDepth = 1 + Math.max(0, ...usableShards.map(shard => this.leases.readHandoverDepth(shard)));
+        const givers = this.listHandoverSources();
+        const isCutOff = now - this.renewedAt > peerQueryAfterMs;
+        this.leases.releaseAll(now);
+        this.leaseLog.update(this.leases.listLeases(), now);
+        this.engines.stop();
+        await this.releases.waitOutcomes([...releasableShards, ...usableShards]);
         const handover: Handover = {
             shards: usableShards,
             deal: generation,
             depth: handoverDepth,
-            givers: this.listHandoverSources(),
+            givers,
+            inTransit: this.releases.listInTransit(usableShards),
         };
-        const isCutOff = now - this.renewedAt > peerQueryAfterMs;
-        this.leases.releaseAll(now);
-        this.leaseLog.update(this.leases.listLeases(), now);
-        this.engines.stop();
-        await this.waitOrders([...releasableShards, ...usableShards]);
         if (isCutOff && this.sendHandover(handover)) {
             return;
         }
@@ -249,7 +264,7 @@
             return;
         }
         if (await this.options.shardAssigner.release()) {
-            await this.sendRelease(releasableShards, generation, "stop");
+            await this.releases.release(releasableShards, generation, "stop");
         }
         else if (!isCutOff) {
             // The store became unreachable just now. If it reassigned the shards nevertheless, the receiver learns the
@@ -288,6 +303,10 @@
             // Earlier handovers ended with their generation.
             this.handoverSources.clear();
         }
+        const [sender] = handover.givers;
+        if (sender !== undefined) {
+            this.recordArrivals(sender.vm, handover.inTransit);
+        }
         this.leases.applyHandover(handover.shards, handover.deal, handover.depth, now);
         for (const { vm, incarnation } of handover.givers) {
             this.handoverSources.set(vm, incarnation);
@@ -303,23 +322,35 @@
         if (revoked.length > 0) {
             this.options.log.recordImportant("handoverEnded", { shards: revoked });
             this.update();
+            void this.releases.sendArrivals(revoked, this.leases.currentGeneration);
         }
     }
 
-    recordRelease(vm: string, shards: readonly number[], generation: number): void {
+    /** Handles a release of shards by another VM. */
+    recordRelease(vm: string, { shards, generation, inTransit }: Release): void {
         const now = this.bootClock.read();
+        this.recordArrivals(vm, inTransit);
         const shortened = shards.filter(shard => this.leases.recordRelease(shard, generation, now));
         this.options.onLeaseEvent?.(shortened.length > 0 ? "releaseUsed" : "releaseUnused");
         this.options.log.record("releaseTaken", {
             vm,
             shards,
             generation,
+            inTransit,
             ownDeal: this.leases.currentGeneration,
             shortened,
         });
         this.update();
     }
 
+    /** Records how long orders of another VM may still arrive. */
+    private recordArrivals(vm: string, inTransit: readonly ShardInTransit[] = []): void {
+        const now = this.bootClock.read();
+        for (const { shard, forMs } of inTransit) {
+            this.leases.recordArrivals(shard, vm, now + Math.min(forMs, this.options.holderGapMs));
+        }
+    }
+
     /** Updates the owned engines after a change of the leases or of the known engines. */
     update(): void {
         if (this.isStopped) {
@@ -350,24 +381,6 @@
         return { shard, ...this.leases.explainLease(shard) };
     }
 
-    /**
-     * Notifies the other VMs of released shards, once the last orders to their engines cannot arrive any more: the next
-     * holder starts at once, and its first order could overtake an order in flight.
-     */
-    private async sendRelease(shards: number[], generation: number, why: ReleaseReason): Promise<void> {
-        if (shards.length === 0) {
-            return;
-        }
-        await this.waitOrders(shards);
-        this.options.onLeaseEvent?.("releaseSent");
-        this.options.log.recordImportant("releaseSent", { shards, generation, why });
-        this.options.sendRelease(shards, generation);
-    }
-
-    private async waitOrders(shards: readonly number[]): Promise<void> {
-        await this.engines.waitOrders(name => shards.includes(this.findShard(name)));
-    }
-
     private mayOrder(name: string): boolean {
         this.checkSuspension();
         return this.leases.canOrder(this.findShard(name), this.bootClock.read());
@@ -454,7 +467,7 @@
         if (revoked.length > 0) {
             this.options.log.recordImportant("shardsLost", { to: vm, shards: revoked, generation: state.generation });
             this.update();
-            void this.sendRelease(
+            void this.releases.release(
                 revoked.filter(shard => releasable.includes(shard)),
                 this.leases.currentGeneration,
                 "toldByPeer",
@@ -633,6 +646,6 @@
             this.sendQuery(this.bootClock.read());
         }
         const lostShards = held.filter(shard => !assignment.shards.includes(shard));
-        void this.sendRelease(lostShards, previousGeneration, "renewal");
+        void this.releases.release(lostShards, previousGeneration, "renewal");
     }
 }
--- /dev/null
+++ b/packages/node/src/ownership/releases.ts
@@ -0,0 +1,92 @@
+import type { ShardLeases } from "@radishreel/fleet";
+import type { DecisionLog } from "../decisions.js";
+import type { LeaseEvent, ShardInTransit } from "./leasemessages.js";
+import type { OrdersInFlight } from "./ordersinflight.js";
+
+/** Why a VM released shards. */
+export type ReleaseReason = "stop" | "renewal" | "toldByPeer";
+
+/** A message to all other VMs about shards that this VM no longer holds. */
+export interface Release {
+    /** Shards to which this VM gives no more orders. */
+    readonly shards: number[];
+    readonly generation: number;
+    /** Shards to whose engines an order of this VM may still arrive. @default none */
+    readonly inTransit?: ShardInTransit[] | undefined;
+}
+
+/** Options of {@link ShardReleases}. */
+export interface ShardReleasesOptions {
+    readonly log: DecisionLog;
+    readonly leases: Pick<ShardLeases, "recordOwnArrivals">;
+    readonly ordersInFlight: OrdersInFlight;
+    /** Time in milliseconds that includes suspension of the VM. */
+    readonly readTime: () => number;
+    /** Shard of an engine, by its name. */
+    readonly findShard: (name: string) => number;
+    readonly sendRelease: (release: Release) => void;
+    readonly onLeaseEvent?: ((event: LeaseEvent) => void) | undefined;
+}
+
+/** Notifies the other VMs of shards that this VM no longer holds, and of its orders that may still arrive there. */
+export class ShardReleases {
+    constructor(private readonly options: ShardReleasesOptions) {}
+
+    /**
+     * Releases shards once the outcomes of the last orders to their engines are known. The next holder starts at once,
+     * except where an order without an answer may still arrive; it is told when that order has arrived.
+     */
+    async release(shards: number[], generation: number, why: ReleaseReason): Promise<void> {
+        if (shards.length === 0) {
+            return;
+        }
+        await this.waitOutcomes(shards);
+        const inTransit = this.listInTransit(shards);
+        this.options.onLeaseEvent?.("releaseSent");
+        this.send({ shards, generation, inTransit }, why);
+    }
+
+    /** Notifies the other VMs only of orders that may still arrive: shards that were taken over are not released. */
+    async sendArrivals(shards: readonly number[], generation: number): Promise<void> {
+        await this.waitOutcomes(shards);
+        const inTransit = this.listInTransit(shards);
+        if (inTransit.length > 0) {
+            this.send({ shards: [], generation, inTransit }, "handoverEnded");
+        }
+    }
+
+    /** Waits until the outcomes of the orders to the engines of shards are known, `unknown` included. */
+    async waitOutcomes(shards: readonly number[]): Promise<void> {
+        await this.options.ordersInFlight.waitOutcomes(name => shards.includes(this.options.findShard(name)));
+    }
+
+    /** Lists the shards to whose engines an order of this VM may still arrive. */
+    listInTransit(shards: readonly number[]): ShardInTransit[] {
+        const { findShard, leases, ordersInFlight, readTime } = this.options;
+        return shards.flatMap(shard => {
+            const end = ordersInFlight.findLastArrival(name => findShard(name) === shard);
+            if (end === undefined) {
+                return [];
+            }
+            leases.recordOwnArrivals(shard, end);
+            return [{ shard, forMs: Math.max(0, end - readTime()) }];
+        });
+    }
+
+    private send(release: Release, why: ReleaseReason | "handoverEnded" | "ordersArrived"): void {
+        this.options.log.recordImportant("releaseSent", { ...release, why });
+        this.options.sendRelease(release);
+        for (const { shard, forMs } of release.inTransit ?? []) {
+            if (forMs > 0) {
+                void this.sendArrival(release, shard);
+            }
+        }
+    }
+
+    /** Tells the other VMs when no order of this VM to a shard can arrive any more. */
+    private async sendArrival({ shards, generation }: Release, shard: number): Promise<void> {
+        await this.options.ordersInFlight.waitArrivals(name => this.options.findShard(name) === shard);
+        const released = shards.includes(shard) ? [shard] : [];
+        this.send({ shards: released, generation, inTransit: [{ shard, forMs: 0 }] }, "ordersArrived");
+    }
+}
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -105,8 +105,13 @@
 export interface OrderGuard {
     readonly holder: string;
     readonly fence: number;
-    /** Called in the same tick as the write; nothing is sent if it returns false. */
+    /**
+     * Called in the same tick as the write; nothing is sent if it returns false. Called again while an answer is
+     * missing, which is not waited for much longer once it returns false.
+     */
     readonly checkBeforeSend: () => boolean;
+    /** Called if the engine answers after the outcome was `unknown`. */
+    readonly onLateAnswer?: () => void;
 }
 
 /**
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -559,7 +559,7 @@
             sendToOwners: statuses => this.messenger.sendToOwners(statuses),
             sendReply: (vm, reply) => this.messenger.sendReply(vm, reply),
             onLeaving: engine => this.announcements.recordResponse(engine, { isLeaving: true }),
-            sendRelease: (shards, generation) => this.peers.broadcast({ type: "release", shards, generation }),
+            sendRelease: release => this.peers.broadcast({ type: "release", ...release }),
             sendQuery: query => this.peers.broadcast({ type: "claimQuery", ...query, givers: [...query.givers] }),
             incarnation: this.incarnation,
             bootClock: this.bootClock,
--- a/packages/node/test/shardgroup.ts
+++ b/packages/node/test/shardgroup.ts
@@ -4,7 +4,8 @@
 import { BootClock, type Timers } from "../src/clock.js";
 import type { Handover, LeaseQuery, LeaseState } from "../src/ownership/leasemessages.js";
 import { ShardOwnership } from "../src/ownership/ownership.js";
-import type { EngineOrders, Member, ShardAssignment } from "../src/ports.js";
+import type { Release } from "../src/ownership/releases.js";
+import type { EngineOrders, Member, OrderGuard, ShardAssignment } from "../src/ports.js";
 import { createSilentLog, createUpstream, engineService } from "./fixtures.js";
 import { Schedule } from "./schedule.js";
 
@@ -15,6 +16,8 @@
 const membershipMs = 2800;
 const replyTimeoutMs = 700;
 const orderTimeoutMs = 90;
+/** How long the answer to an order is waited for once its lease has ended. */
+const lateAnswerMs = 700;
 const linkSilenceMs = 1500;
 const linkBackoffMs = 500;
 const loadRequestIntervalMs = 60;
@@ -38,7 +41,7 @@
 }
 
 type GroupMessage =
-    | { readonly kind: "release"; readonly shards: number[]; readonly generation: number; }
+    | { readonly kind: "release"; readonly release: Release; }
     | { readonly kind: "handover"; readonly handover: Handover; }
     | { readonly kind: "query"; readonly query: LeaseQuery; }
     | { readonly kind: "state"; readonly state: LeaseState; }
@@ -100,7 +103,7 @@
             findService: () => engineService,
             sendStatuses: () => {},
             sendReply: () => {},
-            sendRelease: (shards, generation) => this.broadcast({ kind: "release", shards, generation }),
+            sendRelease: release => this.broadcast({ kind: "release", release }),
             sendQuery: query => this.broadcast({ kind: "query", query }),
             sendHandover: handover => this.sendHandover(handover),
             countOthers: () => world.vms.length - 1,
@@ -134,7 +137,7 @@
     receive(from: VmProcess, message: GroupMessage): void {
         switch (message.kind) {
             case "release":
-                this.ownership.recordRelease(from.vm, message.shards, message.generation);
+                this.ownership.recordRelease(from.vm, message.release);
                 return;
             case "handover":
                 this.ownership.receiveHandover(message.handover);
@@ -192,6 +195,22 @@
         };
     }
 
+    /** Answers an order after its sender gave it up, unless the sender has reset the connection meanwhile. */
+    private addLateAnswer(transitMs: number, guard: OrderGuard): void {
+        const check = (waitedMs: number, leasedMs: number): void => {
+            const lastLeasedMs = guard.checkBeforeSend() ? waitedMs : leasedMs;
+            if (waitedMs - lastLeasedMs > lateAnswerMs) {
+                return;
+            }
+            if (waitedMs >= transitMs) {
+                guard.onLateAnswer?.();
+                return;
+            }
+            this.world.schedule.add(50, () => this.schedule(() => check(waitedMs + 50, lastLeasedMs)));
+        };
+        check(0, 0);
+    }
+
     /** Creates orders as specified by `EngineOrders`: the guard is checked in the same step as the write. */
     private createOrders(): EngineOrders {
         const { world } = this;
@@ -210,6 +229,9 @@
                         () => world.arrived.push({ engine: name, holder, fence, at: world.schedule.now }),
                     );
                 }
+                if (transitMs >= orderTimeoutMs && transitMs < world.lostOrderMs) {
+                    this.addLateAnswer(transitMs, guard);
+                }
                 await world.wait(this, Math.min(transitMs, orderTimeoutMs));
                 return transitMs < orderTimeoutMs ? "holds" : "unknown";
             },
