Keep the holder gap after a start without an entry

The lack of a record was taken as proof that nothing had happened. Only the first start of the whole system, which the platform's settings tell, now counts as a first process; any other start keeps the gap.

The new test failed before: 1.8 s between two orders of one VM, with another VM's between them.

--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -92,6 +92,8 @@
     readonly recordGeneration: (generation: number) => void;
     /** Counts events of shard leases. */
     readonly onLeaseEvent?: (event: LeaseEvent) => void;
+    /** Whether the whole system starts for the first time. @default false */
+    readonly isFirstStart?: boolean | undefined;
     /** Whether this VM is to own engines. Once it owns some, it stays an owner. @default always */
     readonly isCandidate?: () => boolean;
     /** @default a clock of this process */
@@ -176,14 +178,20 @@
 
     /**
      * Starts to lease shards.
-     * @param previousEntry This VM's entry from before its start; undefined if the VM never ran. A planned stop
+     * @param previousEntry This VM's entry from before its start; undefined if the VM never ran, or its entry was lost
+     * or never written. Only at the first start of the whole system no process has given orders before. A planned stop
      * released the shards of this VM to other VMs. After such a stop, this VM joins the group only once it may use
      * shards, so that the other VMs use these shards until then.
      */
     start(previousEntry: Member | undefined): void {
         if (previousEntry === undefined) {
-            this.leases.setFirstProcess();
             this.isStartConfirmed = true;
+            if (this.options.isFirstStart === true) {
+                this.leases.setFirstProcess();
+            }
+            else {
+                this.leases.setStartConfirmed();
+            }
         }
         else {
             this.sendStartQueries(this.bootClock.read() + startQueryPeriodMs);
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -562,6 +562,7 @@
             sendRelease: release => this.peers.broadcast({ type: "release", ...release }),
             sendQuery: query => this.peers.broadcast({ type: "claimQuery", ...query, givers: [...query.givers] }),
             incarnation: this.incarnation,
+            isFirstStart: settings.isFirstStart,
             bootClock: this.bootClock,
             readIncarnation: vm => this.peers.findIncarnation(vm),
             sendHandover: handover => this.messenger.sendHandover(handover),
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -404,6 +404,24 @@
     world.checkOrders();
 });
 
+// Guards against turns at one engine: a VM that finds no entry of its own counts as one that never gave orders.
+test("a VM that restarts without its entry keeps the holder gap after its earlier orders", async () => {
+    for (let downMs = 50; downMs < 700; downMs += 100) {
+        const world = await createWorld(["a", "b", "c"]);
+        world.planAssignment(() => "b");
+        await world.schedule.advance(500);
+        world.kill("a");
+        world.entries.delete("a");
+        await world.schedule.advance(downMs);
+        world.start("a");
+        await world.schedule.advance(50);
+        world.planAssignment(() => "a");
+        await world.schedule.advance(8000);
+        assert.equal(world.listHolders(0, world.schedule.now - 500), ["a"]);
+        world.checkOrders();
+    }
+});
+
 const vms = ["a", "b", "c", "d", "e"];
 
 /** One event of a random history, and the time after it. */
--- a/packages/node/test/shardgroup.ts
+++ b/packages/node/test/shardgroup.ts
@@ -99,6 +99,7 @@
             bootClock: new BootClock({ readSteady: readTime, readWall: () => world.schedule.now }),
             holderGapMs,
             incarnation: this.incarnation,
+            isFirstStart: world.schedule.now === 0,
             readIncarnation: other => this.knownIncarnations.get(other),
             findService: () => engineService,
             sendStatuses: () => {},
