Keep plain responses by their bytes, and wait for their callers once

Change: ByteBuffer (packages/wire) copies pieces into blocks, so that what is kept follows bytes, and BufferedBody keeps its bytes there. An attempt waits for its caller with one listener at a time, and does not count silence meanwhile: before, a chunk that arrived while the attempt waited started the count again until it was passed on.

Why it holds: the work for a piece is a copy of its bytes; the number of writes and listeners follows bytes and reads.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -108,6 +108,8 @@
     private hasPassedEvents = false;
     private isCloseDelimited = false;
     private isPassing = false;
+    /** Whether the upstream waits for the caller to read, which one drain listener ends. */
+    private isPaused = false;
     private hasTakenOver = false;
     private ended: AttemptEnd | undefined;
     private dataAt: number | undefined;
@@ -461,19 +463,25 @@
 
     private pass(bytes: Buffer): void {
         const { caller } = this.options;
-        if (!caller.pass(bytes)) {
-            this.exchange.pause();
-            this.silence.pause();
-            this.options.onPaused?.(true);
-            caller.onDrain(() => {
-                if (this.isDone) {
-                    return;
-                }
-                this.options.onPaused?.(false);
-                this.restartSilence();
-                this.exchange.resume();
-            });
+        if (caller.pass(bytes) || this.isPaused) {
+            return;
+        }
+        this.isPaused = true;
+        this.exchange.pause();
+        this.silence.pause();
+        this.options.onPaused?.(true);
+        caller.onDrain(() => this.resume());
+    }
+
+    /** Reads on, since the caller has read what was written. */
+    private resume(): void {
+        this.isPaused = false;
+        if (this.isDone) {
+            return;
         }
+        this.options.onPaused?.(false);
+        this.restartSilence();
+        this.exchange.resume();
     }
 
     /** Makes this attempt the one that the caller receives. @returns Whether it still runs. */
@@ -494,7 +502,7 @@
         this.isPassing = true;
         this.options.onStart();
         caller.startResponse(this.status, dialect.listResponseHeaders(this.headers));
-        this.body.popAll().forEach(chunk => this.pass(chunk));
+        this.pass(this.body.popAll());
     }
 
     private finishStream(): void {
@@ -509,7 +517,7 @@
 
     private finishPlain(): void {
         const { caller, dialect } = this.options;
-        const body = Buffer.concat(this.body.popAll());
+        const body = this.body.popAll();
         if (this.status >= 500 && !this.isPassing) {
             this.finish({ kind: "failed", status: this.status, headers: this.headers, body });
             return;
@@ -532,6 +540,9 @@
     }
 
     private restartSilence(): void {
+        if (this.isPaused) {
+            return;
+        }
         this.silence.restart(this.options.silenceLimits.nextMs);
     }
 
--- a/packages/node/src/requests/body.ts
+++ b/packages/node/src/requests/body.ts
@@ -1,3 +1,5 @@
+import { ByteBuffer } from "@radishreel/wire";
+
 /** Maximum bytes of a plain response that are buffered until it is complete; larger responses are streamed. */
 const maxBufferedBytes = 256 * 1024;
 
@@ -20,7 +22,7 @@
 
 /** Counts the body of a plain response, and buffers it until it is complete or too long. */
 export class BufferedBody {
-    private chunks: Buffer[] = [];
+    private readonly bytes = new ByteBuffer();
     private receivedBytes = 0;
     private bytesWithoutProgress = 0;
 
@@ -35,7 +37,7 @@
     }
 
     push(chunk: Buffer): void {
-        this.chunks.push(chunk);
+        this.bytes.push(chunk);
     }
 
     /** Records data of the body. @returns Whether enough has arrived since the last progress to count as progress. */
@@ -49,10 +51,8 @@
         return true;
     }
 
-    /** Returns the buffered chunks, which are no longer kept here. */
-    popAll(): Buffer[] {
-        const { chunks } = this;
-        this.chunks = [];
-        return chunks;
+    /** Returns the buffered bytes, which are no longer kept here. */
+    popAll(): Buffer {
+        return this.bytes.popAll();
     }
 }
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { RawHeaders } from "../ports.js";
+import { ResponseWriter } from "./responsewriter.js";
 
 /** Why this program ends a request itself. Each reason is a metric label. */
 export type RefusalReason =
@@ -79,6 +80,7 @@
     private hasCallerLeft = false;
     private hasMessageFraming = false;
     private meter: CallerMeter | undefined;
+    private readonly writer: ResponseWriter;
     private writtenBytes = 0;
     private isLast = false;
     /** Whether another request has arrived on the connection meanwhile, which is served after this one. */
@@ -96,6 +98,7 @@
         private readonly response: ServerResponse,
     ) {
         this.left = new Promise(resolve => this.leftListeners.push(() => resolve(undefined)));
+        this.writer = new ResponseWriter(response);
         response.on("close", () => this.receiveClose());
         response.sendDate = false;
     }
@@ -134,7 +137,7 @@
 
     /** Bytes of the response that wait until the caller's connection takes them. */
     get unreadBytes(): number {
-        return this.response.writableLength;
+        return this.writer.unreadBytes;
     }
 
     /** Bytes of the response that the caller's connection has taken, within some bytes of framing. */
@@ -223,7 +226,7 @@
         this.partsPassed += 1;
         this.bytesPassed += bytes.length;
         this.writtenBytes += bytes.length;
-        const mayContinue = this.response.write(bytes);
+        const mayContinue = this.writer.push(bytes);
         return (this.meter?.recordWrite() ?? true) && mayContinue;
     }
 
@@ -238,7 +241,7 @@
 
     /** Completes the response. */
     endResponse(bytes?: Buffer): void {
-        this.response.end(bytes);
+        this.writer.end(bytes);
         this.writtenBytes += bytes?.length ?? 0;
         this.meter?.recordWrite();
     }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,5 +1,6 @@
 /** Authenticated CBOR frames over TCP, checked against a schema and limited in size. */
 export { isAddress, type ListenAddress, parseAddress } from "./address.js";
+export { ByteBuffer } from "./bytebuffer.js";
 export { LinkClient, type LinkClientOptions } from "./client.js";
 export { encodeFrame, frameHeaderBytes, FrameReader } from "./frame.js";
 export { checkProof, createHello, createProof, type Hello } from "./handshake.js";
