Look at each byte of an unfinished event once

Change: EventEndFinder keeps the state of the unfinished line, so that it searches a chunk only, and the bytes of the unfinished event are kept in a ByteBuffer, which copies a chunk once and the event once when it ends.

--- a/packages/node/src/requests/events.ts
+++ b/packages/node/src/requests/events.ts
@@ -1,3 +1,6 @@
+import { ByteBuffer } from "@radishreel/wire";
+import { EventEndFinder } from "./eventend.js";
+
 /** Maximum size of one event, in bytes. An attempt fails if its stream sends more without ending the event. */
 const maxEventBytes = 1024 * 1024;
 
@@ -14,8 +17,6 @@
     readonly isNew: boolean;
 }
 
-const lineFeed = 10;
-
 const fieldPatterns = { id: /(?:^|\n)id: ?([^\r\n]*)/, data: /(?:^|\n)data: ?([^\r\n]*)/ };
 
 /**
@@ -23,7 +24,8 @@
  * an event that an upstream did not finish never reaches a caller.
  */
 export class EventSplitter {
-    private pendingBytes: Buffer = Buffer.alloc(0);
+    private readonly pendingBytes = new ByteBuffer();
+    private readonly finder = new EventEndFinder();
     private bytesSinceNew = 0;
     private lastId = -Infinity;
 
@@ -38,22 +40,33 @@
     }
 
     receive(chunk: Buffer): StreamEvent[] {
-        const bytes = this.pendingBytes.length === 0 ? chunk : Buffer.concat([this.pendingBytes, chunk]);
         const events: StreamEvent[] = [];
         let start = 0;
-        for (let end = findEventEnd(bytes, start); end >= 0; end = findEventEnd(bytes, start)) {
-            const event = bytes.subarray(start, end);
-            const text = event.toString("latin1");
-            const id = parseField(text, "id");
-            const isNew = this.isNew(id, text);
-            this.bytesSinceNew = isNew ? 0 : this.bytesSinceNew + event.length;
-            events.push({ bytes: event, id, isNew });
+        for (let end = this.finder.find(chunk, start); end >= 0; end = this.finder.find(chunk, start)) {
+            events.push(this.parseEvent(this.finishEvent(chunk.subarray(start, end))));
             start = end;
         }
-        this.pendingBytes = bytes.subarray(start);
+        this.pendingBytes.push(chunk.subarray(start));
         return events;
     }
 
+    /** Returns the bytes of an event whose last bytes have arrived. */
+    private finishEvent(last: Buffer): Buffer {
+        if (this.pendingBytes.length === 0) {
+            return last;
+        }
+        this.pendingBytes.push(last);
+        return this.pendingBytes.popAll();
+    }
+
+    private parseEvent(bytes: Buffer): StreamEvent {
+        const text = bytes.toString("latin1");
+        const id = parseField(text, "id");
+        const isNew = this.isNew(id, text);
+        this.bytesSinceNew = isNew ? 0 : this.bytesSinceNew + bytes.length;
+        return { bytes, id, isNew };
+    }
+
     private isNew(id: string | undefined, text: string): boolean {
         const number = Number(id);
         if (id === undefined || Number.isNaN(number)) {
@@ -67,19 +80,6 @@
     }
 }
 
-/** Finds the position after the empty line that ends the event at `start`; -1 if the empty line has not arrived yet. */
-function findEventEnd(bytes: Buffer, start: number): number {
-    let lineStart = start;
-    for (let feed = bytes.indexOf(lineFeed, start); feed >= 0; feed = bytes.indexOf(lineFeed, feed + 1)) {
-        const isEmptyLine = feed === lineStart || (feed === lineStart + 1 && bytes[lineStart] === 13);
-        if (isEmptyLine && lineStart > start) {
-            return feed + 1;
-        }
-        lineStart = feed + 1;
-    }
-    return -1;
-}
-
 /** Parses a field of an event; undefined if the event has none. */
 function parseField(event: string, name: "id" | "data"): string | undefined {
     const match = fieldPatterns[name].exec(event);
--- a/packages/node/test/units.test.ts
+++ b/packages/node/test/units.test.ts
@@ -35,6 +35,50 @@
     );
 });
 
+test("an event splitter finds the same events as a search of the whole text, with empty lines and line ends of any kind", () => {
+    fc.assert(
+        fc.property(
+            fc.array(fc.constantFrom("\n", "\r", "\r\n", "id: 1", "data: a", "x"), { maxLength: 40 }),
+            fc.integer({ min: 1, max: 9 }),
+            (words, size) => {
+                const bytes = Buffer.from(words.join(""));
+                const splitter = new EventSplitter();
+                const events: string[] = [];
+                for (let at = 0; at < bytes.length; at += size) {
+                    events.push(
+                        ...splitter.receive(bytes.subarray(at, at + size)).map(event => event.bytes.toString()),
+                    );
+                }
+                // An event is a line, further lines that are not empty, and an empty line.
+                assert.equal(events, bytes.toString().match(/[^\n]*\n(?:(?!\r?\n)[^\n]*\n)*\r?\n/g) ?? []);
+            },
+        ),
+        { seed: 6, numRuns: 2000 },
+    );
+});
+
+test("an event splitter does not copy an unfinished event for each of its pieces", () => {
+    const splitter = new EventSplitter();
+    const piece = Buffer.from("x".repeat(55));
+    const concat = Buffer.concat.bind(Buffer);
+    let copiedBytes = 0;
+    Buffer.concat = (list: readonly Uint8Array[], length?: number) => {
+        const whole = concat(list, length);
+        copiedBytes += whole.length;
+        return whole;
+    };
+    let sentBytes = 0;
+    try {
+        for (; !splitter.isTooLong; sentBytes += piece.length) {
+            splitter.receive(piece);
+        }
+    }
+    finally {
+        Buffer.concat = concat;
+    }
+    assert.ok(copiedBytes <= 2 * sentBytes, `${copiedBytes} bytes copied for ${sentBytes}`);
+});
+
 test("an event splitter holds an unfinished event back", () => {
     const splitter = new EventSplitter();
     assert.is(splitter.receive(Buffer.from("id: 1\ndata: a\n\nid: 2\nda")).length, 1);
