Join the pieces of a frame on a link once

No caller is known to have seen it: the other side of a link is a VM, whose frames arrive in reads of up to 64 KB. Now the pieces are kept in a ByteBuffer and joined when the length, and then the whole frame, has arrived.

--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -1,5 +1,6 @@
 import { Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
+import { ByteBuffer } from "./bytebuffer.js";
 
 /** Size of the big-endian length prefix of a frame, in bytes. */
 export const frameHeaderBytes = 4;
@@ -17,24 +18,28 @@
 
 /** Splits a byte stream into decoded frames. Buffers at most one incomplete frame. */
 export class FrameReader {
-    private chunks: Buffer[] = [];
-    private length = 0;
+    private readonly pendingBytes = new ByteBuffer();
+    /** Bytes of the incomplete frame, as far as its length is known. */
+    private neededBytes = frameHeaderBytes;
 
     constructor(private readonly maxFrameBytes: number) {}
 
     /** Consumes received bytes and returns the messages that they complete, or why the stream is unusable. */
     receive(chunk: Buffer): Result<unknown[], "oversizedFrame" | "malformedFrame"> {
-        this.chunks.push(chunk);
-        this.length += chunk.length;
+        if (this.pendingBytes.length + chunk.length < this.neededBytes) {
+            this.pendingBytes.push(chunk);
+            return ok([]);
+        }
         const messages: unknown[] = [];
-        while (this.length >= frameHeaderBytes) {
-            const bytes = this.mergeChunks();
+        let bytes = this.popWith(chunk);
+        while (bytes.length >= frameHeaderBytes) {
             const bodyLength = bytes.readUInt32BE(0);
             if (bodyLength > this.maxFrameBytes) {
                 return err("oversizedFrame");
             }
             const end = frameHeaderBytes + bodyLength;
             if (bytes.length < end) {
+                this.neededBytes = end;
                 break;
             }
             try {
@@ -43,19 +48,19 @@
             catch {
                 return err("malformedFrame");
             }
-            this.chunks = [bytes.subarray(end)];
-            this.length = bytes.length - end;
+            bytes = bytes.subarray(end);
+            this.neededBytes = frameHeaderBytes;
         }
+        this.pendingBytes.push(bytes);
         return ok(messages);
     }
 
-    private mergeChunks(): Buffer {
-        const [first] = this.chunks;
-        if (this.chunks.length === 1 && first !== undefined) {
-            return first;
+    /** Returns all bytes that have not been decoded. */
+    private popWith(chunk: Buffer): Buffer {
+        if (this.pendingBytes.length === 0) {
+            return chunk;
         }
-        const merged = Buffer.concat(this.chunks);
-        this.chunks = [merged];
-        return merged;
+        this.pendingBytes.push(chunk);
+        return this.pendingBytes.popAll();
     }
 }
--- a/packages/wire/test/link.test.ts
+++ b/packages/wire/test/link.test.ts
@@ -224,6 +224,31 @@
     }
 });
 
+test("the work for a small piece of a frame does not grow with the bytes that have arrived", () => {
+    const message = { type: "word", text: "x".repeat(256 * 1024) };
+    const frame = encodeFrame(message);
+    const reader = new FrameReader(frame.length);
+    const pieceBytes = 512;
+    let copiedBytes = 0;
+    const concat = Buffer.concat.bind(Buffer);
+    Buffer.concat = (list: readonly Uint8Array[], length?: number) => {
+        const whole = concat(list, length);
+        copiedBytes += whole.length;
+        return whole;
+    };
+    const messages: unknown[] = [];
+    try {
+        for (let at = 0; at < frame.length; at += pieceBytes) {
+            messages.push(...reader.receive(frame.subarray(at, at + pieceBytes))._unsafeUnwrap());
+        }
+    }
+    finally {
+        Buffer.concat = concat;
+    }
+    assert.equal(messages, [message]);
+    assert.ok(copiedBytes <= 2 * frame.length, `${copiedBytes} bytes copied for a frame of ${frame.length}`);
+});
+
 /** Starts a proxy that can stop forwarding bytes while its connections stay open. */
 async function startProxy(
     target: number,
