--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -1,3 +1,4 @@
+import { ByteBuffer } from "@radishreel/wire";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { RawHeaders } from "../ports.js";
 import { ResponseWriter } from "./responsewriter.js";
@@ -167,17 +168,15 @@
 
     /** Reads the whole body; undefined if it is longer than allowed or the caller disconnected. */
     async readBody(maxBytes: number): Promise<Buffer | undefined> {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const bytes = new ByteBuffer();
         try {
             // An incomplete request must not be destroyed before its refusal was sent.
             for await (const chunk of this.meter === undefined ? this.request : this.createBodyIterator()) {
-                length += (chunk as Buffer).length;
+                bytes.push(chunk as Buffer);
                 this.bodyRefusal = this.meter?.recordBody((chunk as Buffer).length);
-                if (length > maxBytes || this.bodyRefusal !== undefined) {
+                if (bytes.length > maxBytes || this.bodyRefusal !== undefined) {
                     return undefined;
                 }
-                chunks.push(chunk as Buffer);
             }
         }
         catch {
@@ -185,7 +184,7 @@
             return undefined;
         }
         this.meter?.finishBody();
-        return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+        return bytes.popAll();
     }
 
     /**
