--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -1,5 +1,7 @@
+import { ByteBuffer } from "@radishreel/wire";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { RawHeaders } from "../ports.js";
+import { ResponseWriter } from "./responsewriter.js";
 
 /** Why this program ends a request itself. Each reason is a metric label. */
 export type RefusalReason =
@@ -79,6 +81,7 @@
     private hasCallerLeft = false;
     private hasMessageFraming = false;
     private meter: CallerMeter | undefined;
+    private readonly writer: ResponseWriter;
     private writtenBytes = 0;
     private isLast = false;
     /** Whether another request has arrived on the connection meanwhile, which is served after this one. */
@@ -96,6 +99,7 @@
         private readonly response: ServerResponse,
     ) {
         this.left = new Promise(resolve => this.leftListeners.push(() => resolve(undefined)));
+        this.writer = new ResponseWriter(response);
         response.on("close", () => this.receiveClose());
         response.sendDate = false;
     }
@@ -134,7 +138,7 @@
 
     /** Bytes of the response that wait until the caller's connection takes them. */
     get unreadBytes(): number {
-        return this.response.writableLength;
+        return this.writer.unreadBytes;
     }
 
     /** Bytes of the response that the caller's connection has taken, within some bytes of framing. */
@@ -164,17 +168,15 @@
 
     /** Reads the whole body; undefined if it is longer than allowed or the caller disconnected. */
     async readBody(maxBytes: number): Promise<Buffer | undefined> {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const bytes = new ByteBuffer();
         try {
             // An incomplete request must not be destroyed before its refusal was sent.
             for await (const chunk of this.meter === undefined ? this.request : this.createBodyIterator()) {
-                length += (chunk as Buffer).length;
+                bytes.push(chunk as Buffer);
                 this.bodyRefusal = this.meter?.recordBody((chunk as Buffer).length);
-                if (length > maxBytes || this.bodyRefusal !== undefined) {
+                if (bytes.length > maxBytes || this.bodyRefusal !== undefined) {
                     return undefined;
                 }
-                chunks.push(chunk as Buffer);
             }
         }
         catch {
@@ -182,7 +184,7 @@
             return undefined;
         }
         this.meter?.finishBody();
-        return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+        return bytes.popAll();
     }
 
     /**
@@ -223,7 +225,7 @@
         this.partsPassed += 1;
         this.bytesPassed += bytes.length;
         this.writtenBytes += bytes.length;
-        const mayContinue = this.response.write(bytes);
+        const mayContinue = this.writer.push(bytes);
         return (this.meter?.recordWrite() ?? true) && mayContinue;
     }
 
@@ -238,7 +240,7 @@
 
     /** Completes the response. */
     endResponse(bytes?: Buffer): void {
-        this.response.end(bytes);
+        this.writer.end(bytes);
         this.writtenBytes += bytes?.length ?? 0;
         this.meter?.recordWrite();
     }
