Say in the log why the end of a response that its connection ends was in doubt

Two causes were possible: other VMs' 403 hides that the worker refuses connections, or the check gives up after 60 ms or reaches a port that still accepts. The log told of neither: `pathLost` says that the direct attempt was refused, but not what the check of the end made of it.

`endDoubted` names the result of the check and its time.

--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -215,7 +215,13 @@
 
     /** Checks whether the process of an upstream has ended. Waits for {@link probeResultWaitMs} at most. */
     async checkEnded(upstream: Upstream): Promise<boolean> {
-        return await Promise.race([this.options.probe(upstream), wait(probeResultWaitMs)]) === "refused";
+        const { probe, readTime, log } = this.options;
+        const startedAt = readTime();
+        const result = await Promise.race([probe(upstream), wait(probeResultWaitMs)]) ?? "late";
+        if (result !== "open") {
+            log.record("endDoubted", { upstream: upstream.id, result, ms: Math.round(readTime() - startedAt) });
+        }
+        return result === "refused";
     }
 
     /** Lists the quarantined requests. */
--- a/packages/node/test/crashguard.test.ts
+++ b/packages/node/test/crashguard.test.ts
@@ -2,6 +2,7 @@
 import type { Route, Service } from "@radishreel/routing";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { DecisionLog } from "../src/decisions.js";
 import type { CallerExchange } from "../src/requests/caller.js";
 import { createJob, type Job } from "../src/requests/job.js";
 import { createCrashGuard, createDigest, createUpstream } from "./fixtures.js";
@@ -99,4 +100,20 @@
     assert.is(guard.isAwaitingPermit(createRequest("g")), false);
 });
 
+test("the log tells why the end of a response that its connection ends was in doubt", async () => {
+    const lines: { event: string; result?: string; }[] = [];
+    const sink = {
+        writableLength: 0,
+        write: (line: string) => lines.push(JSON.parse(line) as typeof lines[number]) > 0,
+    };
+    const log = new DecisionLog({ program: "p", vm: "v", sink, readTime: () => 0 });
+    for (const result of ["open", "silent", "refused"] as const) {
+        await createCrashGuard({ log, probe: async () => result }).checkEnded(createUpstream("u"));
+    }
+    assert.equal(lines.map(({ event, result }) => [event, result]), [["endDoubted", "silent"], [
+        "endDoubted",
+        "refused",
+    ]]);
+});
+
 test.run();
