Do not let what another VM does not know hide that an upstream refuses connections

The other VMs were then asked for a tunnel; they had removed the entry and answered 403, and only the last answer of other VMs decided whether the upstream refuses connections. This VM's own refusal counted for nothing, and so did that of a third VM if one that knows nothing answered after it.

Change: a refusal by any VM that was asked decides, whoever answers after it. Where others know nothing (403, 503, no reply), this VM's own refusal counts, by the same rule as that of a VM that is asked: only if it connects to most upstreams, and only if no VM has said of late that it has not reached the upstream either (504), since that is what a partition of several VMs looks like in its first moments. The crash monitor uses the same result, and no more than that.

Existing tests in tunnels.test.ts only pass the new option countUpstreams.

--- a/packages/fleet/src/paths.ts
+++ b/packages/fleet/src/paths.ts
@@ -64,6 +64,14 @@
         return this.failed.get(upstream)?.failure;
     }
 
+    /**
+     * Whether this VM seems to be cut off: it cannot connect to most of its upstreams. What refuses its connections may
+     * run all the same.
+     */
+    isCutOff(upstreamCount: number): boolean {
+        return this.failed.size * 2 > upstreamCount;
+    }
+
     remove(upstream: string): void {
         this.failed.delete(upstream);
     }
@@ -110,6 +118,11 @@
         this.unreachedUntil.set(vm, new Map([...known, [upstream, now + relaySkipMs]]));
     }
 
+    /** Whether one of these VMs was asked of late and has not reached the upstream either. */
+    hasUnreached(candidates: readonly RelayCandidate[], upstream: string, now: number): boolean {
+        return candidates.some(({ vm }) => now < (this.unreachedUntil.get(vm)?.get(upstream) ?? -Infinity));
+    }
+
     recordOpened(vm: string): void {
         this.tunnelCounts.set(vm, (this.tunnelCounts.get(vm) ?? 0) + 1);
     }
--- a/packages/node/src/paths/tunnelconnector.ts
+++ b/packages/node/src/paths/tunnelconnector.ts
@@ -32,6 +32,7 @@
     readonly direct: UpstreamConnector;
     /** Lists the linked VMs that are not stopping. */
     readonly listRelays: () => readonly TunnelRelay[];
+    readonly countUpstreams: () => number;
     readonly readTime: () => number;
     /** Called when a connection through another VM has opened. */
     readonly onTunnel: (target: ConnectTarget, via: string) => void;
@@ -89,7 +90,8 @@
             return winner;
         }
         catch (error) {
-            throw createNoPathError((error as AggregateError).errors as Error[]);
+            const failures = (error as AggregateError).errors as Error[];
+            throw createNoPathError(failures, this.hasRefusal(target, candidates, failures));
         }
         finally {
             signal.removeEventListener("abort", stopTunnel);
@@ -97,6 +99,27 @@
         }
     }
 
+    /**
+     * Whether an upstream that no VM has reached refuses connections. What another VM does not know says nothing, and
+     * hides no refusal: neither of this VM nor of a third one.
+     */
+    private hasRefusal(
+        { upstream }: ConnectTarget,
+        candidates: readonly TunnelRelay[],
+        failures: readonly Error[],
+    ): boolean {
+        const { paths, relays, countUpstreams, readTime } = this.options;
+        if (failures.some(failure => failure instanceof TunnelError && failure.status === tunnelStatus.refused)) {
+            return true;
+        }
+        const direct = failures.find(failure => !(failure instanceof TunnelError));
+        const isRefusedHere = direct === undefined
+            ? paths.findFailure(upstream) === "refused"
+            : (direct as NodeJS.ErrnoException).code === "ECONNREFUSED";
+        return isRefusedHere && !paths.isCutOff(countUpstreams())
+            && !relays.hasUnreached(candidates, upstream, readTime());
+    }
+
     /** Opens a connection through the first VM that can, after a delay or once the direct attempt has failed. */
     private async openTunnel(
         target: ConnectTarget,
@@ -138,7 +161,7 @@
                 }
             }
         }
-        throw last;
+        throw refusals > 0 ? new TunnelError(last.vm, tunnelStatus.refused) : last;
     }
 
     private sendConnect(vm: string, relay: string, target: ConnectTarget, signal: AbortSignal): Promise<Socket> {
@@ -199,11 +222,11 @@
     }
 }
 
-function createNoPathError(failures: readonly Error[]): NoPathError {
+function createNoPathError(failures: readonly Error[], isRefused: boolean): NoPathError {
     const tunnel = failures.find(failure => failure instanceof TunnelError);
     const direct = failures.find(failure => !(failure instanceof TunnelError));
     const { code } = (direct ?? {}) as NodeJS.ErrnoException;
     const isTimeout = direct instanceof errors.ConnectTimeoutError;
     const message = [direct?.message, tunnel?.message].filter(part => part !== undefined).join("; ");
-    return new NoPathError(message, tunnel?.status === tunnelStatus.refused, isTimeout ? undefined : code);
+    return new NoPathError(message, isRefused, isTimeout ? undefined : code);
 }
--- a/packages/node/src/paths/tunnels.ts
+++ b/packages/node/src/paths/tunnels.ts
@@ -40,13 +40,14 @@
 
     constructor(private readonly options: TunnelsOptions) {
         const { secret, view, dataCentre, readTime } = options;
+        const countUpstreams = (): number => view.listUpstreams().length;
         this.relays = new Relays(dataCentre);
         this.server = new TunnelServer({
             secret,
             paths: this.paths,
             connector: this.createDirect(carriedTimeoutMs),
             isKnown: (upstream, address) => view.findUpstream(upstream)?.upstream.address === address,
-            countUpstreams: () => view.listUpstreams().length,
+            countUpstreams,
         });
         this.connector = new TunnelConnector({
             secret,
@@ -54,6 +55,7 @@
             relays: this.relays,
             direct: this.createDirect(),
             listRelays: () => this.listRelays(),
+            countUpstreams,
             readTime,
             onTunnel: () => options.onOutcome("tunnelled"),
         });
--- a/packages/node/src/paths/tunnelserver.ts
+++ b/packages/node/src/paths/tunnelserver.ts
@@ -100,8 +100,8 @@
     /** A refusal proves that the upstream has ended only if this VM reaches most other upstreams. */
     private readFailureStatus(upstream: string): number {
         const { paths, countUpstreams } = this.options;
-        const isCutOff = paths.failedCount * 2 > countUpstreams();
-        return paths.findFailure(upstream) === "refused" && !isCutOff ? tunnelStatus.refused : tunnelStatus.unreachable;
+        const isProof = paths.findFailure(upstream) === "refused" && !paths.isCutOff(countUpstreams());
+        return isProof ? tunnelStatus.refused : tunnelStatus.unreachable;
     }
 
     /** Passes bytes both ways. A reset of one side resets the other, so that no response appears complete. */
--- a/packages/node/test/tunnels.test.ts
+++ b/packages/node/test/tunnels.test.ts
@@ -3,6 +3,7 @@
 import { type AddressInfo, Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { checkListening } from "../src/paths/index.js";
 import { TunnelConnector } from "../src/paths/tunnelconnector.js";
 import { tunnelStatus, upstreamHeader } from "../src/paths/tunnelserver.js";
 
@@ -19,6 +20,7 @@
         relays: new Relays("a"),
         direct: { mayReuse: () => true, open: () => Promise.reject(new Error("no path")) },
         listRelays: () => [{ vm: "b", dataCentre: "a", address }],
+        countUpstreams: () => 9,
         readTime: () => 0,
         onTunnel: () => {},
     });
@@ -64,6 +66,7 @@
             },
         },
         listRelays: () => [{ vm: "b", dataCentre: "a", address }],
+        countUpstreams: () => 9,
         readTime: () => now,
         onTunnel: () => {},
     });
@@ -76,4 +79,73 @@
     relay.close();
 });
 
+interface RefusalCase {
+    /** Statuses of the other VMs, in the order in which they are asked. */
+    readonly statuses: readonly number[];
+    /** How direct connections of this VM fail. */
+    readonly code?: string;
+    readonly failedUpstreams?: number;
+}
+
+/** Probes an upstream twice at once and once more, which other VMs and this one fail to reach. */
+async function listProbeResults({ statuses, code = "ECONNREFUSED", failedUpstreams = 0 }: RefusalCase) {
+    const servers = statuses.map(status =>
+        createServer().on("connect", (_request, socket) => {
+            socket.end(`HTTP/1.1 ${status} Tunnel\r\nContent-Length: 0\r\n\r\n`);
+        })
+    );
+    await Promise.all(servers.map(server => new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))));
+    const paths = new DirectPaths();
+    for (let index = 0; index < failedUpstreams; index += 1) {
+        paths.recordFailed(`other-${index}`, "refused", 0);
+    }
+    const connector = new TunnelConnector({
+        secret: "secret",
+        paths,
+        relays: new Relays("a"),
+        direct: {
+            mayReuse: () => true,
+            open: ({ upstream }) => {
+                paths.recordFailed(upstream, code === "ECONNREFUSED" ? "refused" : "silent", 0);
+                return Promise.reject(Object.assign(new Error("no path"), { code }));
+            },
+        },
+        listRelays: () =>
+            servers.map((server, index) => ({
+                vm: `b${index}`,
+                dataCentre: "a",
+                address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+            })),
+        countUpstreams: () => 9,
+        readTime: () => 0,
+        onTunnel: () => {},
+    });
+    const probe = () => checkListening(connector, { id: "u", address: "127.0.0.1:1" });
+    const results = [...await Promise.all([probe(), probe()]), await probe()];
+    servers.forEach(server => server.close());
+    return results;
+}
+
+const { forbidden, refused, unavailable, unreachable } = tunnelStatus;
+
+test("other VMs that know nothing of an upstream do not hide that this VM is refused", async () => {
+    for (const statuses of [[forbidden], [forbidden, forbidden], [unavailable], [forbidden, unavailable]]) {
+        assert.equal(await listProbeResults({ statuses }), ["refused", "refused", "refused"], statuses.join());
+    }
+});
+
+test("a VM that knows nothing of an upstream does not hide that another one is refused", async () => {
+    for (const statuses of [[refused, forbidden], [forbidden, refused], [refused, unreachable]]) {
+        const results = await listProbeResults({ statuses, code: "ENETUNREACH" });
+        assert.is(results[0], "refused", statuses.join());
+    }
+});
+
+test("a refusal proves nothing if this VM is cut off, or others have not reached the upstream either", async () => {
+    const silent = ["silent", "silent", "silent"];
+    assert.equal(await listProbeResults({ statuses: [unreachable] }), silent);
+    assert.equal(await listProbeResults({ statuses: [forbidden], failedUpstreams: 5 }), silent);
+    assert.equal(await listProbeResults({ statuses: [forbidden], code: "ENETUNREACH" }), silent);
+});
+
 test.run();
