Do not count upstreams that were removed among the paths that a VM has lost

A VM that checks the end of a response opens a connection to an upstream whose entry may be gone already. If that was refused, the upstream stayed among the lost paths for good: only its removal, which had passed, or a connection that opens would have forgotten it. By the code, a VM at which enough upstreams had left so would take itself for cut off: it would tell other VMs 504 in place of 502, and trust no refusal of its own.

Only outcomes of known upstreams are recorded. A VM whose upstream is removed while it connects to it for another one answers 403 (it does not know it), not 504 (it has not reached it), which would hide the refusal that the other one saw.

--- a/packages/node/src/paths/tunnels.ts
+++ b/packages/node/src/paths/tunnels.ts
@@ -105,9 +105,10 @@
     }
 
     private recordOutcome(outcome: ConnectOutcome, { upstream }: ConnectTarget): void {
-        const { onOutcome, log, readTime } = this.options;
+        const { onOutcome, log, readTime, view } = this.options;
         onOutcome(outcome);
-        if (outcome === "cancelled") {
+        // A removed upstream that has left tells nothing about the paths of this VM, and nothing would forget it again.
+        if (outcome === "cancelled" || view.findUpstream(upstream) === undefined) {
             return;
         }
         const before = this.paths.findFailure(upstream);
--- a/packages/node/src/paths/tunnelserver.ts
+++ b/packages/node/src/paths/tunnelserver.ts
@@ -100,7 +100,12 @@
     /** A refusal proves that the upstream has ended only if this VM reaches most other upstreams. */
     private readFailureStatus(upstream: string): number {
         const { paths, countUpstreams } = this.options;
-        const isProof = paths.findFailure(upstream) === "refused" && !paths.isCutOff(countUpstreams());
+        const failure = paths.findFailure(upstream);
+        if (failure === undefined) {
+            // The upstream was removed while this VM connected to it.
+            return tunnelStatus.forbidden;
+        }
+        const isProof = failure === "refused" && !paths.isCutOff(countUpstreams());
         return isProof ? tunnelStatus.refused : tunnelStatus.unreachable;
     }
 
--- a/packages/node/test/tunnels.test.ts
+++ b/packages/node/test/tunnels.test.ts
@@ -1,11 +1,13 @@
-import { DirectPaths, Relays } from "@radishreel/fleet";
+import { DirectPaths, FleetView, Relays } from "@radishreel/fleet";
 import { createServer } from "node:http";
 import { type AddressInfo, Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { checkListening } from "../src/paths/index.js";
+import { DecisionLog } from "../src/decisions.js";
+import { checkListening, Tunnels } from "../src/paths/index.js";
 import { TunnelConnector } from "../src/paths/tunnelconnector.js";
 import { tunnelStatus, upstreamHeader } from "../src/paths/tunnelserver.js";
+import { createUpstream } from "./fixtures.js";
 
 test("an upstream that a relay does not reach takes no other upstream's tunnel through that relay", async () => {
     const relay = createServer().on("connect", ({ headers }, socket) => {
@@ -148,4 +150,34 @@
     assert.equal(await listProbeResults({ statuses: [forbidden], code: "ENETUNREACH" }), silent);
 });
 
+test("upstreams that were removed and have ended do not make a VM believe that it is cut off", async () => {
+    const lines: { upstream: string; failed: number; }[] = [];
+    const sink = {
+        writableLength: 0,
+        write: (line: string) => lines.push(JSON.parse(line) as typeof lines[number]) > 0,
+    };
+    const view = new FleetView();
+    const address = "127.0.0.1:1";
+    view.updateUpstream(createUpstream("known", { address }), 0);
+    const tunnels = new Tunnels({
+        dataCentre: "a",
+        address: undefined,
+        secret: "secret",
+        view,
+        peers: () => ({ listMembers: () => [], listHandoverTargets: () => [] }),
+        log: new DecisionLog({ program: "p", vm: "v", sink, readTime: () => 0 }),
+        readTime: () => 0,
+        openSocket: () => {
+            const socket = new Socket();
+            setImmediate(() => socket.destroy(Object.assign(new Error("refused"), { code: "ECONNREFUSED" })));
+            return socket;
+        },
+        onOutcome: () => {},
+    });
+    for (const id of ["removed-1", "removed-2", "known"]) {
+        assert.is(await tunnels.checkListening(createUpstream(id, { address })), "refused");
+    }
+    assert.equal(lines.map(({ upstream, failed }) => [upstream, failed]), [["known", 1]]);
+});
+
 test.run();
