Take the end of a response that its connection ends as complete only if its upstream still accepts connections

A stream or a plain answer without a length counted as complete unless its upstream was proven to have ended within 60 ms.

Cause: one result served two questions. For the crash monitor doubt must mean "not proven": it blames a request. For an answer whose end nothing marks doubt must mean "not complete".

Change: the end is complete only if the upstream, or another VM that reaches it, accepts a connection. The check waits up to 1 s for that, and not for the result of 60 ms that retries wait for. A sound worker accepts within milliseconds, so whole answers pass as before; while a VM is cut off from it, another VM's connection shows that it runs.

Two tests that passed before hold the other side: a whole stream that ends while only its VM is cut off, by refusals or without replies, is complete.

--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -27,6 +27,12 @@
  */
 const probeResultWaitMs = 60;
 
+/**
+ * Longest wait for the check of an upstream whose response was ended by its connection, in milliseconds: time for a
+ * direct connection that gets no reply, and for other VMs that are asked meanwhile.
+ */
+const endCheckMs = 1000;
+
 /** Reasons for which this VM itself ends attempts. */
 const abortReasons: ReadonlySet<BreakReason> = new Set(["versionReplaced", "quarantined"]);
 
@@ -213,15 +219,22 @@
         await Promise.race([settled, wait(probeResultWaitMs)]);
     }
 
-    /** Checks whether the process of an upstream has ended. Waits for {@link probeResultWaitMs} at most. */
+    /**
+     * Checks whether the process of an upstream may have ended: it accepts no connection, as far as any VM can tell
+     * within {@link endCheckMs}. Unlike a crash, which is only counted if it is proven, an end is doubted without proof.
+     */
     async checkEnded(upstream: Upstream): Promise<boolean> {
         const { probe, readTime, log } = this.options;
         const startedAt = readTime();
-        const result = await Promise.race([probe(upstream), wait(probeResultWaitMs)]) ?? "late";
-        if (result !== "open") {
-            log.record("endDoubted", { upstream: upstream.id, result, ms: Math.round(readTime() - startedAt) });
+        const giveUp = new AbortController();
+        const late = wait(endCheckMs, "late" as const, { signal: giveUp.signal }).catch(() => "late" as const);
+        const result = await Promise.race([probe(upstream), late]);
+        giveUp.abort();
+        if (result === "open") {
+            return false;
         }
-        return result === "refused";
+        log.record("endDoubted", { upstream: upstream.id, result, ms: Math.round(readTime() - startedAt) });
+        return true;
     }
 
     /** Lists the quarantined requests. */
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -64,7 +64,7 @@
     readonly onStart: () => void;
     /** Called with the time when the response makes progress. */
     readonly onData?: ((now: number) => void) | undefined;
-    /** Checks whether the process of the upstream has ended. @default nothing is checked */
+    /** Checks whether the process of the upstream may have ended. @default nothing is checked */
     readonly checkEnded?: (() => Promise<boolean>) | undefined;
     /** Called when a stream has gone on for {@link stableRunMs}. */
     readonly onStable?: (() => void) | undefined;
@@ -343,12 +343,12 @@
             return;
         }
         this.silence.pause();
-        const hasUpstreamEnded = await this.options.checkEnded?.() === true;
+        const mayHaveEnded = await this.options.checkEnded?.() === true;
         if (this.isDone) {
             return;
         }
-        if (hasUpstreamEnded) {
-            this.finishBroken("truncatedAnswer", "the upstream has ended with the connection");
+        if (mayHaveEnded) {
+            this.finishBroken("truncatedAnswer", "the upstream may have ended with the connection");
             return;
         }
         this.finishResponse();
--- a/packages/node/test/crashguard.test.ts
+++ b/packages/node/test/crashguard.test.ts
@@ -1,8 +1,10 @@
 import type { CrashReport } from "@radishreel/fleet";
 import type { Route, Service } from "@radishreel/routing";
+import { setTimeout as wait } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { DecisionLog } from "../src/decisions.js";
+import type { ProbeResult } from "../src/paths/index.js";
 import type { CallerExchange } from "../src/requests/caller.js";
 import { createJob, type Job } from "../src/requests/job.js";
 import { createCrashGuard, createDigest, createUpstream } from "./fixtures.js";
@@ -116,4 +118,19 @@
     ]]);
 });
 
+test("an upstream that nobody can connect to may have ended, one that accepts a connection late has not", async () => {
+    const results = {
+        refused: async () => "refused",
+        silent: async () => "silent",
+        never: () => new Promise(() => {}),
+        late: async () => wait(100, "open"),
+    } as const;
+    const checks = Object.entries(results).map(async ([name, probe]) => [
+        name,
+        await createCrashGuard({ probe: probe as () => Promise<ProbeResult> }).checkEnded(createUpstream("u")),
+    ]);
+    const expected = { refused: true, silent: true, never: true, late: false };
+    assert.equal(Object.fromEntries(await Promise.all(checks)), expected);
+});
+
 test.run();
