Probe a leaving upstream once more when its connection has ended a response

An answer without a length that ends while its worker exits could still look complete: the kernel, or the worker, may close connections some time before the port, and the probe that follows within a millisecond is accepted.

This delays the ends of answers without a length from leaving workers only, and costs one more connection for each; answers of other workers are probed once, as before. A worker that crashes without notice gets no second probe: it would delay every such answer.

--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -17,6 +17,7 @@
 import type { RefusalResponse } from "../requests/caller.js";
 import type { Job } from "../requests/job.js";
 import { readLastSendAt } from "../requests/timelimit.js";
+import { checkEndedResponse } from "./endcheck.js";
 import { CrashMonitor, type UpstreamEnd } from "./monitor.js";
 import { type PermitMessage, Permits } from "./permits.js";
 import { CrashReports } from "./reports.js";
@@ -27,12 +28,6 @@
  */
 const probeResultWaitMs = 60;
 
-/**
- * Longest wait for the check of an upstream whose response was ended by its connection, in milliseconds: time for a
- * direct connection that gets no reply, and for other VMs that are asked meanwhile.
- */
-const endCheckMs = 1000;
-
 /** Reasons for which this VM itself ends attempts. */
 const abortReasons: ReadonlySet<BreakReason> = new Set(["versionReplaced", "quarantined"]);
 
@@ -219,17 +214,14 @@
         await Promise.race([settled, wait(probeResultWaitMs)]);
     }
 
-    /**
-     * Checks whether the process of an upstream may have ended: it accepts no connection, as far as any VM can tell
-     * within {@link endCheckMs}. Unlike a crash, which is only counted if it is proven, an end is doubted without proof.
-     */
+    /** Checks whether the process of an upstream may have ended, when a response was ended by its connection. */
     async checkEnded(upstream: Upstream): Promise<boolean> {
-        const { probe, readTime, log } = this.options;
+        const { probe, view, readTime, log } = this.options;
         const startedAt = readTime();
-        const giveUp = new AbortController();
-        const late = wait(endCheckMs, "late" as const, { signal: giveUp.signal }).catch(() => "late" as const);
-        const result = await Promise.race([probe(upstream), late]);
-        giveUp.abort();
+        const result = await checkEndedResponse({
+            probe: () => probe(upstream),
+            isLeaving: () => !view.isUsable(upstream.id),
+        });
         if (result === "open") {
             return false;
         }
--- a/packages/node/test/crashguard.test.ts
+++ b/packages/node/test/crashguard.test.ts
@@ -1,4 +1,4 @@
-import type { CrashReport } from "@radishreel/fleet";
+import { type CrashReport, FleetView } from "@radishreel/fleet";
 import type { Route, Service } from "@radishreel/routing";
 import { setTimeout as wait } from "node:timers/promises";
 import { test } from "uvu";
@@ -11,6 +11,13 @@
 
 let nextRequest = 1;
 
+/** Creates a view that knows one upstream. */
+function createView(id: string, isLeaving = false): FleetView {
+    const view = new FleetView();
+    view.updateUpstream(createUpstream(id, { isLeaving }), 0);
+    return view;
+}
+
 /** Creates a request whose prompt has these parts and one of its own. */
 function createRequest(...parts: string[]): Job {
     nextRequest += 1;
@@ -110,7 +117,8 @@
     };
     const log = new DecisionLog({ program: "p", vm: "v", sink, readTime: () => 0 });
     for (const result of ["open", "silent", "refused"] as const) {
-        await createCrashGuard({ log, probe: async () => result }).checkEnded(createUpstream("u"));
+        const guard = createCrashGuard({ log, view: createView("u"), probe: async () => result });
+        await guard.checkEnded(createUpstream("u"));
     }
     assert.equal(lines.map(({ event, result }) => [event, result]), [["endDoubted", "silent"], [
         "endDoubted",
@@ -127,10 +135,36 @@
     } as const;
     const checks = Object.entries(results).map(async ([name, probe]) => [
         name,
-        await createCrashGuard({ probe: probe as () => Promise<ProbeResult> }).checkEnded(createUpstream("u")),
+        await createCrashGuard({ view: createView("u"), probe: probe as () => Promise<ProbeResult> })
+            .checkEnded(createUpstream("u")),
     ]);
     const expected = { refused: true, silent: true, never: true, late: false };
     assert.equal(Object.fromEntries(await Promise.all(checks)), expected);
 });
 
+for (const kind of ["announced", "registered as leaving", "removed"]) {
+    test(`a leaving upstream (${kind}) whose port closes after its connections has ended`, async () => {
+        const view = kind === "removed" ? new FleetView() : createView("u", kind === "registered as leaving");
+        if (kind === "announced") {
+            view.recordLeaving("u", 0);
+        }
+        const results: ProbeResult[] = ["open", "refused"];
+        const guard = createCrashGuard({ view, probe: async () => results.shift()! });
+        assert.is(await guard.checkEnded(createUpstream("u")), true);
+    });
+}
+
+test("a leaving upstream that goes on accepting connections has not ended, and others are probed once", async () => {
+    for (const isLeaving of [true, false]) {
+        let probes = 0;
+        const probe = async (): Promise<ProbeResult> => {
+            probes += 1;
+            return "open";
+        };
+        const guard = createCrashGuard({ view: createView("u", isLeaving), probe });
+        assert.is(await guard.checkEnded(createUpstream("u")), false);
+        assert.is(probes, isLeaving ? 2 : 1);
+    }
+});
+
 test.run();
