Let a VM try an upstream again before it tells others that it was refused

A VM that carries connections for others answered from its memory of lost paths, whose entries have no age: an upstream that refused it once, and to which it has sent nothing since, was reported as refused (502) for as long as both run. Two such answers end the search of the VM that asks, and count as proof that the upstream has ended: a whole answer without a length would be broken off, and a request blamed for a crash.

A refusal now holds for the pause between two direct attempts (0.2 to 0.8 s), as for the VM's own connections. A path that gets no reply is still answered from memory, with 504, which proves nothing and costs no 150 ms.

The test failed before (6 passed, 1 failed). `node scripts/test.mjs dist/test/tunnels dist/test/paths`: 24 passed.

--- a/packages/node/src/paths/tunnels.ts
+++ b/packages/node/src/paths/tunnels.ts
@@ -48,6 +48,7 @@
             connector: this.createDirect(carriedTimeoutMs),
             isKnown: (upstream, address) => view.findUpstream(upstream)?.upstream.address === address,
             countUpstreams,
+            readTime,
         });
         this.connector = new TunnelConnector({
             secret,
--- a/packages/node/src/paths/tunnelserver.ts
+++ b/packages/node/src/paths/tunnelserver.ts
@@ -34,6 +34,7 @@
     /** Whether an upstream is registered under an id and an address. */
     readonly isKnown: (upstream: string, address: string) => boolean;
     readonly countUpstreams: () => number;
+    readonly readTime: () => number;
 }
 
 /** Carries connections of other VMs to upstreams (HTTP `CONNECT`), for VMs that cannot connect to them. */
@@ -87,14 +88,21 @@
     }
 
     private findRefusal(request: IncomingMessage, upstream: string, address: string): number | undefined {
-        const { secret, paths, isKnown } = this.options;
+        const { secret, isKnown } = this.options;
         if (!checkAuthorization(request.headers["proxy-authorization"], secret) || !isKnown(upstream, address)) {
             return tunnelStatus.forbidden;
         }
         if (this.isPaused || this.sockets.size >= maxTunnels) {
             return tunnelStatus.unavailable;
         }
-        return paths.findFailure(upstream) === undefined ? undefined : this.readFailureStatus(upstream);
+        return this.mayTry(upstream) ? undefined : this.readFailureStatus(upstream);
+    }
+
+    /** Whether to connect to an upstream: an earlier refusal holds for a pause only, a path without replies for longer. */
+    private mayTry(upstream: string): boolean {
+        const { paths, readTime } = this.options;
+        const failure = paths.findFailure(upstream);
+        return failure === undefined || (failure === "refused" && paths.choose(upstream, readTime()).triesDirect);
     }
 
     /** A refusal proves that the upstream has ended only if this VM reaches most other upstreams. */
--- a/packages/node/test/tunnels.test.ts
+++ b/packages/node/test/tunnels.test.ts
@@ -1,12 +1,12 @@
 import { DirectPaths, FleetView, Relays } from "@radishreel/fleet";
-import { createServer } from "node:http";
+import { createServer, request as openRequest } from "node:http";
 import { type AddressInfo, Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { DecisionLog } from "../src/decisions.js";
-import { checkListening, Tunnels } from "../src/paths/index.js";
+import { checkListening, DirectConnector, Tunnels } from "../src/paths/index.js";
 import { TunnelConnector } from "../src/paths/tunnelconnector.js";
-import { tunnelStatus, upstreamHeader } from "../src/paths/tunnelserver.js";
+import { createAuthorization, TunnelServer, tunnelStatus, upstreamHeader } from "../src/paths/tunnelserver.js";
 import { createUpstream } from "./fixtures.js";
 
 test("an upstream that a relay does not reach takes no other upstream's tunnel through that relay", async () => {
@@ -81,6 +81,14 @@
     relay.close();
 });
 
+async function findFreePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
 interface RefusalCase {
     /** Statuses of the other VMs, in the order in which they are asked. */
     readonly statuses: readonly number[];
@@ -180,4 +188,39 @@
     assert.equal(lines.map(({ upstream, failed }) => [upstream, failed]), [["known", 1]]);
 });
 
+test("a VM that an upstream refused long ago does not tell others that it has ended", async () => {
+    const upstream = createServer();
+    await new Promise<void>(resolve => upstream.listen(0, "127.0.0.1", resolve));
+    const address = `127.0.0.1:${(upstream.address() as AddressInfo).port}`;
+    const paths = new DirectPaths();
+    paths.recordFailed("u", "refused", 0);
+    let now = 0;
+    const server = new TunnelServer({
+        secret: "secret",
+        paths,
+        connector: new DirectConnector({ onOutcome: () => paths.recordOpened("u") }),
+        isKnown: () => true,
+        countUpstreams: () => 9,
+        readTime: () => now,
+    });
+    const port = await findFreePort();
+    await server.start({ host: "127.0.0.1", port });
+    const sendConnect = (): Promise<number | undefined> =>
+        new Promise((resolve, reject) => {
+            const headers = { [upstreamHeader]: "u", "Proxy-Authorization": createAuthorization("secret") };
+            const request = openRequest({ host: "127.0.0.1", port, method: "CONNECT", path: address, headers });
+            request.once("connect", (response, socket) => {
+                socket.destroy();
+                resolve(response.statusCode);
+            });
+            request.once("error", reject);
+            request.end();
+        });
+    const first = await sendConnect();
+    now = 1000;
+    assert.equal([first, await sendConnect()], [refused, tunnelStatus.opened]);
+    server.stop();
+    upstream.close();
+});
+
 test.run();
