--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -17,6 +17,7 @@
 import type { RefusalResponse } from "../requests/caller.js";
 import type { Job } from "../requests/job.js";
 import { readLastSendAt } from "../requests/timelimit.js";
+import { checkEndedResponse } from "./endcheck.js";
 import { CrashMonitor, type UpstreamEnd } from "./monitor.js";
 import { type PermitMessage, Permits } from "./permits.js";
 import { CrashReports } from "./reports.js";
@@ -213,9 +214,19 @@
         await Promise.race([settled, wait(probeResultWaitMs)]);
     }
 
-    /** Checks whether the process of an upstream has ended. Waits for {@link probeResultWaitMs} at most. */
+    /** Checks whether the process of an upstream may have ended, when a response was ended by its connection. */
     async checkEnded(upstream: Upstream): Promise<boolean> {
-        return await Promise.race([this.options.probe(upstream), wait(probeResultWaitMs)]) === "refused";
+        const { probe, view, readTime, log } = this.options;
+        const startedAt = readTime();
+        const result = await checkEndedResponse({
+            probe: () => probe(upstream),
+            isLeaving: () => !view.isUsable(upstream.id),
+        });
+        if (result === "open") {
+            return false;
+        }
+        log.record("endDoubted", { upstream: upstream.id, result, ms: Math.round(readTime() - startedAt) });
+        return true;
     }
 
     /** Lists the quarantined requests. */
--- a/packages/node/src/paths/tunnels.ts
+++ b/packages/node/src/paths/tunnels.ts
@@ -40,13 +40,15 @@
 
     constructor(private readonly options: TunnelsOptions) {
         const { secret, view, dataCentre, readTime } = options;
+        const countUpstreams = (): number => view.listUpstreams().length;
         this.relays = new Relays(dataCentre);
         this.server = new TunnelServer({
             secret,
             paths: this.paths,
             connector: this.createDirect(carriedTimeoutMs),
             isKnown: (upstream, address) => view.findUpstream(upstream)?.upstream.address === address,
-            countUpstreams: () => view.listUpstreams().length,
+            countUpstreams,
+            readTime,
         });
         this.connector = new TunnelConnector({
             secret,
@@ -54,6 +56,7 @@
             relays: this.relays,
             direct: this.createDirect(),
             listRelays: () => this.listRelays(),
+            countUpstreams,
             readTime,
             onTunnel: () => options.onOutcome("tunnelled"),
         });
@@ -103,9 +106,10 @@
     }
 
     private recordOutcome(outcome: ConnectOutcome, { upstream }: ConnectTarget): void {
-        const { onOutcome, log, readTime } = this.options;
+        const { onOutcome, log, readTime, view } = this.options;
         onOutcome(outcome);
-        if (outcome === "cancelled") {
+        // A removed upstream that has left tells nothing about the paths of this VM, and nothing would forget it again.
+        if (outcome === "cancelled" || view.findUpstream(upstream) === undefined) {
             return;
         }
         const before = this.paths.findFailure(upstream);
--- a/packages/node/test/tunnels.test.ts
+++ b/packages/node/test/tunnels.test.ts
@@ -1,10 +1,13 @@
-import { DirectPaths, Relays } from "@radishreel/fleet";
-import { createServer } from "node:http";
+import { DirectPaths, FleetView, Relays } from "@radishreel/fleet";
+import { createServer, request as openRequest } from "node:http";
 import { type AddressInfo, Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { DecisionLog } from "../src/decisions.js";
+import { checkListening, DirectConnector, Tunnels } from "../src/paths/index.js";
 import { TunnelConnector } from "../src/paths/tunnelconnector.js";
-import { tunnelStatus, upstreamHeader } from "../src/paths/tunnelserver.js";
+import { createAuthorization, TunnelServer, tunnelStatus, upstreamHeader } from "../src/paths/tunnelserver.js";
+import { createUpstream } from "./fixtures.js";
 
 test("an upstream that a relay does not reach takes no other upstream's tunnel through that relay", async () => {
     const relay = createServer().on("connect", ({ headers }, socket) => {
@@ -19,6 +22,7 @@
         relays: new Relays("a"),
         direct: { mayReuse: () => true, open: () => Promise.reject(new Error("no path")) },
         listRelays: () => [{ vm: "b", dataCentre: "a", address }],
+        countUpstreams: () => 9,
         readTime: () => 0,
         onTunnel: () => {},
     });
@@ -64,6 +68,7 @@
             },
         },
         listRelays: () => [{ vm: "b", dataCentre: "a", address }],
+        countUpstreams: () => 9,
         readTime: () => now,
         onTunnel: () => {},
     });
@@ -76,4 +81,146 @@
     relay.close();
 });
 
+async function findFreePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+interface RefusalCase {
+    /** Statuses of the other VMs, in the order in which they are asked. */
+    readonly statuses: readonly number[];
+    /** How direct connections of this VM fail. */
+    readonly code?: string;
+    readonly failedUpstreams?: number;
+}
+
+/** Probes an upstream twice at once and once more, which other VMs and this one fail to reach. */
+async function listProbeResults({ statuses, code = "ECONNREFUSED", failedUpstreams = 0 }: RefusalCase) {
+    const servers = statuses.map(status =>
+        createServer().on("connect", (_request, socket) => {
+            socket.end(`HTTP/1.1 ${status} Tunnel\r\nContent-Length: 0\r\n\r\n`);
+        })
+    );
+    await Promise.all(servers.map(server => new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))));
+    const paths = new DirectPaths();
+    for (let index = 0; index < failedUpstreams; index += 1) {
+        paths.recordFailed(`other-${index}`, "refused", 0);
+    }
+    const connector = new TunnelConnector({
+        secret: "secret",
+        paths,
+        relays: new Relays("a"),
+        direct: {
+            mayReuse: () => true,
+            open: ({ upstream }) => {
+                paths.recordFailed(upstream, code === "ECONNREFUSED" ? "refused" : "silent", 0);
+                return Promise.reject(Object.assign(new Error("no path"), { code }));
+            },
+        },
+        listRelays: () =>
+            servers.map((server, index) => ({
+                vm: `b${index}`,
+                dataCentre: "a",
+                address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+            })),
+        countUpstreams: () => 9,
+        readTime: () => 0,
+        onTunnel: () => {},
+    });
+    const probe = () => checkListening(connector, { id: "u", address: "127.0.0.1:1" });
+    const results = [...await Promise.all([probe(), probe()]), await probe()];
+    servers.forEach(server => server.close());
+    return results;
+}
+
+const { forbidden, refused, unavailable, unreachable } = tunnelStatus;
+
+test("other VMs that know nothing of an upstream do not hide that this VM is refused", async () => {
+    for (const statuses of [[forbidden], [forbidden, forbidden], [unavailable], [forbidden, unavailable]]) {
+        assert.equal(await listProbeResults({ statuses }), ["refused", "refused", "refused"], statuses.join());
+    }
+});
+
+test("a VM that knows nothing of an upstream does not hide that another one is refused", async () => {
+    for (const statuses of [[refused, forbidden], [forbidden, refused], [refused, unreachable]]) {
+        const results = await listProbeResults({ statuses, code: "ENETUNREACH" });
+        assert.is(results[0], "refused", statuses.join());
+    }
+});
+
+test("a refusal proves nothing if this VM is cut off, or others have not reached the upstream either", async () => {
+    const silent = ["silent", "silent", "silent"];
+    assert.equal(await listProbeResults({ statuses: [unreachable] }), silent);
+    assert.equal(await listProbeResults({ statuses: [forbidden], failedUpstreams: 5 }), silent);
+    assert.equal(await listProbeResults({ statuses: [forbidden], code: "ENETUNREACH" }), silent);
+});
+
+test("upstreams that were removed and have ended do not make a VM believe that it is cut off", async () => {
+    const lines: { upstream: string; failed: number; }[] = [];
+    const sink = {
+        writableLength: 0,
+        write: (line: string) => lines.push(JSON.parse(line) as typeof lines[number]) > 0,
+    };
+    const view = new FleetView();
+    const address = "127.0.0.1:1";
+    view.updateUpstream(createUpstream("known", { address }), 0);
+    const tunnels = new Tunnels({
+        dataCentre: "a",
+        address: undefined,
+        secret: "secret",
+        view,
+        peers: () => ({ listMembers: () => [], listHandoverTargets: () => [] }),
+        log: new DecisionLog({ program: "p", vm: "v", sink, readTime: () => 0 }),
+        readTime: () => 0,
+        openSocket: () => {
+            const socket = new Socket();
+            setImmediate(() => socket.destroy(Object.assign(new Error("refused"), { code: "ECONNREFUSED" })));
+            return socket;
+        },
+        onOutcome: () => {},
+    });
+    for (const id of ["removed-1", "removed-2", "known"]) {
+        assert.is(await tunnels.checkListening(createUpstream(id, { address })), "refused");
+    }
+    assert.equal(lines.map(({ upstream, failed }) => [upstream, failed]), [["known", 1]]);
+});
+
+test("a VM that an upstream refused long ago does not tell others that it has ended", async () => {
+    const upstream = createServer();
+    await new Promise<void>(resolve => upstream.listen(0, "127.0.0.1", resolve));
+    const address = `127.0.0.1:${(upstream.address() as AddressInfo).port}`;
+    const paths = new DirectPaths();
+    paths.recordFailed("u", "refused", 0);
+    let now = 0;
+    const server = new TunnelServer({
+        secret: "secret",
+        paths,
+        connector: new DirectConnector({ onOutcome: () => paths.recordOpened("u") }),
+        isKnown: () => true,
+        countUpstreams: () => 9,
+        readTime: () => now,
+    });
+    const port = await findFreePort();
+    await server.start({ host: "127.0.0.1", port });
+    const sendConnect = (): Promise<number | undefined> =>
+        new Promise((resolve, reject) => {
+            const headers = { [upstreamHeader]: "u", "Proxy-Authorization": createAuthorization("secret") };
+            const request = openRequest({ host: "127.0.0.1", port, method: "CONNECT", path: address, headers });
+            request.once("connect", (response, socket) => {
+                socket.destroy();
+                resolve(response.statusCode);
+            });
+            request.once("error", reject);
+            request.end();
+        });
+    const first = await sendConnect();
+    now = 1000;
+    assert.equal([first, await sendConnect()], [refused, tunnelStatus.opened]);
+    server.stop();
+    upstream.close();
+});
+
 test.run();
