Report orders that may still arrive for each shard that is lost

Orders under way were reported for released shards and at the start of another VM only. A VM that held shards by a handover loses them by a new assignment without a release, and said nothing of its orders there; neither did one that had stopped because of a late report.

Each loss now reports the orders to all lost shards, and releases those whose earlier holders have stopped. Found by review; the new test failed before: a lower token arrived 3 ms after the next holder's first order.

--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -160,7 +160,7 @@
         });
         this.leaseLog = new LeaseLog(options.log);
         const readTime = (): number => this.bootClock.read();
-        // An order that arrives later than the holder gap cannot make two holders take turns within the gap.
+        // An order that arrives even later has a lower token than those of the next holder.
         const maxTransitMs = options.holderGapMs;
         const ordersInFlight = new OrdersInFlight({ timers: this.timers, readTime, maxTransitMs });
         const findShard = (name: string): number => this.findShard(name);
@@ -272,7 +272,8 @@
             return;
         }
         if (await this.options.shardAssigner.release()) {
-            await this.releases.release(releasableShards, generation, "stop");
+            const lostShards = [...new Set([...releasableShards, ...usableShards])];
+            await this.releases.release(lostShards, releasableShards, generation, "stop");
         }
         else if (!isCutOff) {
             // The store became unreachable just now. If it reassigned the shards nevertheless, the receiver learns the
@@ -330,7 +331,7 @@
         if (revoked.length > 0) {
             this.options.log.recordImportant("handoverEnded", { shards: revoked });
             this.update();
-            void this.releases.sendArrivals(revoked, this.leases.currentGeneration);
+            void this.releases.release(revoked, [], this.leases.currentGeneration, "handoverEnded");
         }
     }
 
@@ -476,6 +477,7 @@
             this.options.log.recordImportant("shardsLost", { to: vm, shards: revoked, generation: state.generation });
             this.update();
             void this.releases.release(
+                revoked,
                 revoked.filter(shard => releasable.includes(shard)),
                 this.leases.currentGeneration,
                 "toldByPeer",
@@ -641,7 +643,8 @@
         if (assignment.generation !== this.leases.currentGeneration) {
             this.options.log.recordImportant("shardsDealt", assignment);
         }
-        const held = this.leases.listReleasable(this.bootClock.read());
+        const held = this.leases.listShards();
+        const releasable = this.leases.listReleasable(this.bootClock.read());
         const previousGeneration = this.leases.currentGeneration;
         this.renewedAt = sentAt;
         if (!this.leases.applyRenewal(assignment.generation, assignment.shards, sentAt, this.bootClock.read())) {
@@ -653,7 +656,7 @@
             // this VM learns it from other VMs, and stops before the wait of this VM ends.
             this.sendQuery(this.bootClock.read());
         }
-        const lostShards = held.filter(shard => !assignment.shards.includes(shard));
-        void this.releases.release(lostShards, previousGeneration, "renewal");
+        const isLost = (shard: number): boolean => !assignment.shards.includes(shard);
+        void this.releases.release(held.filter(isLost), releasable.filter(isLost), previousGeneration, "renewal");
     }
 }
--- a/packages/node/src/ownership/releases.ts
+++ b/packages/node/src/ownership/releases.ts
@@ -4,7 +4,7 @@
 import type { OrdersInFlight } from "./ordersinflight.js";
 
 /** Why a VM released shards. */
-export type ReleaseReason = "stop" | "renewal" | "toldByPeer";
+export type ReleaseReason = "stop" | "renewal" | "toldByPeer" | "handoverEnded";
 
 /** A message to all other VMs about shards that this VM no longer holds. */
 export interface Release {
@@ -33,26 +33,23 @@
     constructor(private readonly options: ShardReleasesOptions) {}
 
     /**
-     * Releases shards once the outcomes of the last orders to their engines are known. The next holder starts at once,
-     * except where an order without an answer may still arrive; it is told when that order has arrived.
+     * Notifies the other VMs of lost shards once the outcomes of the last orders to their engines are known. The next
+     * holder of a released shard starts at once, except where an order without an answer may still arrive; it is told
+     * when that order has arrived.
+     * @param lost All shards that this VM held until now. Orders that may arrive are reported for each of them.
+     * @param released Those whose earlier holders have all stopped as well, which does not hold for handed-over shards.
      */
-    async release(shards: number[], generation: number, why: ReleaseReason): Promise<void> {
-        if (shards.length === 0) {
+    async release(lost: readonly number[], released: number[], generation: number, why: ReleaseReason): Promise<void> {
+        if (lost.length === 0) {
             return;
         }
-        await this.waitOutcomes(shards);
-        const inTransit = this.listInTransit(shards);
-        this.options.onLeaseEvent?.("releaseSent");
-        this.send({ shards, generation, inTransit }, why);
-    }
-
-    /** Notifies the other VMs only of orders that may still arrive: shards that were taken over are not released. */
-    async sendArrivals(shards: readonly number[], generation: number): Promise<void> {
-        await this.waitOutcomes(shards);
-        const inTransit = this.listInTransit(shards);
-        if (inTransit.length > 0) {
-            this.send({ shards: [], generation, inTransit }, "handoverEnded");
+        await this.waitOutcomes(lost);
+        const inTransit = this.listInTransit(lost);
+        if (released.length === 0 && inTransit.length === 0) {
+            return;
         }
+        this.options.onLeaseEvent?.("releaseSent");
+        this.send({ shards: released, generation, inTransit }, why);
     }
 
     /** Waits until the outcomes of the orders to the engines of shards are known, `unknown` included. */
@@ -73,7 +70,7 @@
         });
     }
 
-    private send(release: Release, why: ReleaseReason | "handoverEnded" | "ordersArrived"): void {
+    private send(release: Release, why: ReleaseReason | "ordersArrived"): void {
         this.options.log.recordImportant("releaseSent", { ...release, why });
         this.options.sendRelease(release);
         for (const { shard, forMs } of release.inTransit ?? []) {
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -404,6 +404,21 @@
     world.checkOrders();
 });
 
+// Guards against an order to a handed-over shard that arrives after those of the VM to which the store assigns it.
+test("late orders to handed-over shards do not arrive after those of the next holder", async () => {
+    for (let seed = 1; seed <= 8; seed++) {
+        const choose = createRandom(seed);
+        const world = await createHandover();
+        world.lostOrderMs = Infinity;
+        world.chooseTransitMs = vm => vm === "b" ? 2000 + choose() * 900 : 3;
+        await world.schedule.advance(1000 + choose() * 400);
+        world.endOutage(true);
+        world.planAssignment(() => "c");
+        await world.schedule.advance(8000);
+        world.checkOrders();
+    }
+});
+
 // Guards against turns at one engine: a VM that finds no entry of its own counts as one that never gave orders.
 test("a VM that restarts without its entry keeps the holder gap after its earlier orders", async () => {
     for (let downMs = 50; downMs < 700; downMs += 100) {
