Report late orders to handed-over shards only once they are lost

A shard that a VM had taken over and still held was not in the store's assignment, so that each confirmed renewal of the same generation counted it as lost: its unanswered orders were reported to all VMs again and again. No order was given wrongly.

--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -656,7 +656,8 @@
             // this VM learns it from other VMs, and stops before the wait of this VM ends.
             this.sendQuery(this.bootClock.read());
         }
-        const isLost = (shard: number): boolean => !assignment.shards.includes(shard);
+        const kept = this.leases.listShards();
+        const isLost = (shard: number): boolean => !kept.includes(shard);
         void this.releases.release(held.filter(isLost), releasable.filter(isLost), previousGeneration, "renewal");
     }
 }
