Use what confirms a start, and name the shards of a stop once

setStartConfirmed did what recordStartKnown does without a takeover. A planned stop computed the shards that it loses twice, and left out those that it still waited for, whose orders the report may name as well.

--- a/packages/fleet/src/shardleases.ts
+++ b/packages/fleet/src/shardleases.ts
@@ -336,11 +336,6 @@
     /** Declares that this VM had no earlier process, so that no shard can come back to it. */
     setFirstProcess(): void {
         this.previousProcessOrderAt = -Infinity;
-        this.setStartConfirmed();
-    }
-
-    /** Declares that no other VM holds shards for an earlier process of this VM, which may have given orders. */
-    setStartConfirmed(): void {
         this.startConfirmedAt = -Infinity;
     }
 
--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -186,12 +186,10 @@
     start(previousEntry: Member | undefined): void {
         if (previousEntry === undefined) {
             this.isStartConfirmed = true;
+            this.leases.recordStartKnown(this.bootClock.read(), false);
             if (this.options.isFirstStart === true) {
                 this.leases.setFirstProcess();
             }
-            else {
-                this.leases.setStartConfirmed();
-            }
         }
         else {
             this.sendStartQueries(this.bootClock.read() + startQueryPeriodMs);
@@ -245,6 +243,7 @@
         this.renewTimer?.cancel();
         this.startTimer?.cancel();
         const now = this.bootClock.read();
+        const heldShards = this.leases.listShards();
         const releasableShards = this.leases.listReleasable(now);
         const usableShards = this.leases.listUsable(now);
         const generation = this.leases.currentGeneration;
@@ -254,7 +253,7 @@
         this.leases.releaseAll(now);
         this.leaseLog.update(this.leases.listLeases(), now);
         this.engines.stop();
-        await this.releases.waitOutcomes([...releasableShards, ...usableShards]);
+        await this.releases.waitOutcomes(heldShards);
         const handover: Handover = {
             shards: usableShards,
             deal: generation,
@@ -272,8 +271,7 @@
             return;
         }
         if (await this.options.shardAssigner.release()) {
-            const lostShards = [...new Set([...releasableShards, ...usableShards])];
-            await this.releases.release(lostShards, releasableShards, generation, "stop");
+            await this.releases.release(heldShards, releasableShards, generation, "stop");
         }
         else if (!isCutOff) {
             // The store became unreachable just now. If it reassigned the shards nevertheless, the receiver learns the
