--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -78,7 +78,8 @@
     type UrgencyOrderOptions,
     type WaitingLoad,
 } from "./scheduling/index.js";
-export { type LeaseReason, readShard, type ShardLease, ShardLeases, type ShardLeasesOptions } from "./shardleases.js";
+export { type LeaseReason, type ShardLease } from "./shardlease.js";
+export { readShard, ShardLeases, type ShardLeasesOptions } from "./shardleases.js";
 export {
     AccountLedger,
     type AccountStarts,
--- a/packages/fleet/src/shardleases.ts
+++ b/packages/fleet/src/shardleases.ts
@@ -1,4 +1,5 @@
 import { OrderArrivals } from "./orderarrivals.js";
+import { createFence, type LeaseReason, maxHandoverDepth, type ShardLease } from "./shardlease.js";
 
 /** Options of {@link ShardLeases}. */
 export interface ShardLeasesOptions {
@@ -17,31 +18,6 @@
     readonly startedAt: number;
 }
 
-/**
- * Why a VM may give orders to a shard: it waited until all earlier leases had lapsed, the previous holder released the
- * shard, the VM recorded the same generation before a restart, or the holder handed the shard over.
- */
-export type LeaseReason = "waited" | "released" | "recorded" | "handover";
-
-/** The lease of one shard of the engines. */
-export interface ShardLease {
-    /** The reason for `mayOrderAt`. */
-    readonly reason: LeaseReason;
-    /** The generation in which this VM first held the shard. */
-    readonly generation: number;
-    /** Earliest time of the first order under this lease. */
-    readonly mayOrderAt: number;
-    /** Number of handovers of the shard within the generation, part of the fencing token. */
-    readonly handoverDepth: number;
-    /** Fencing token of the orders under this lease. */
-    readonly fence: number;
-    /** Whether the shard was handed over by the VM to which the store assigned it. */
-    readonly isHandover: boolean;
-}
-
-/** Largest number of handovers within one generation: fencing tokens reserve this range for each generation. */
-const maxHandoverDepth = 15;
-
 /**
  * Pause after the start of a process before it gives orders under a recorded generation, in milliseconds. In this time
  * a VM that took over the shards learns of the start. Together with the 2.3 s of a planned stop the pause keeps
@@ -429,11 +405,6 @@
     }
 }
 
-/** Fencing token of a lease: it rises with each generation, and with each handover within a generation. */
-function createFence(generation: number, depth: number): number {
-    return generation * (maxHandoverDepth + 1) + depth;
-}
-
 /** The shard of an engine, or the group of an account. */
 export function readShard(name: string, shardCount: number): number {
     let hash = 2166136261;
--- a/packages/node/src/crashes/endcheck.ts
+++ b/packages/node/src/crashes/endcheck.ts
@@ -1,4 +1,6 @@
+import type { FleetView, Upstream } from "@radishreel/fleet";
 import { setTimeout as wait } from "node:timers/promises";
+import type { DecisionLog } from "../decisions.js";
 import type { ProbeResult } from "../paths/index.js";
 
 /**
@@ -15,23 +17,34 @@
 
 /** Options of {@link checkEndedResponse}. */
 export interface EndCheckOptions {
-    /** Opens a connection to the upstream and closes it. */
-    readonly probe: () => Promise<ProbeResult>;
-    /** Whether the upstream is leaving, or no longer registered. */
-    readonly isLeaving: () => boolean;
+    readonly view: Pick<FleetView, "isUsable">;
+    readonly log: Pick<DecisionLog, "record">;
+    readonly readTime: () => number;
+    /** Opens a connection to an upstream and closes it. */
+    readonly probe: (upstream: Upstream) => Promise<ProbeResult>;
 }
 
 /**
- * Checks whether an upstream still runs after its connection has ended a response. Unlike a crash, which only counts if
- * it is proven, such an end is doubted without proof: the response is complete only if the result is "open".
+ * Checks whether an upstream may have ended when its connection has ended a response. Unlike a crash, which only counts
+ * if it is proven, such an end is doubted without proof: the response is complete only if the upstream opens another
+ * connection.
  */
-export async function checkEndedResponse({ probe, isLeaving }: EndCheckOptions): Promise<ProbeResult | "late"> {
-    const result = await runProbe(probe);
-    if (result !== "open" || !isLeaving()) {
-        return result;
+export async function checkEndedResponse(
+    upstream: Upstream,
+    { view, log, readTime, probe }: EndCheckOptions,
+): Promise<boolean> {
+    const startedAt = readTime();
+    let result = await runProbe(() => probe(upstream));
+    // A leaving upstream, or one that is no longer registered, may be about to exit.
+    if (result === "open" && !view.isUsable(upstream.id)) {
+        await wait(exitMs);
+        result = await runProbe(() => probe(upstream));
     }
-    await wait(exitMs);
-    return runProbe(probe);
+    if (result === "open") {
+        return false;
+    }
+    log.record("endDoubted", { upstream: upstream.id, result, ms: Math.round(readTime() - startedAt) });
+    return true;
 }
 
 async function runProbe(probe: () => Promise<ProbeResult>): Promise<ProbeResult | "late"> {
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -216,17 +216,7 @@
 
     /** Checks whether the process of an upstream may have ended, when a response was ended by its connection. */
     async checkEnded(upstream: Upstream): Promise<boolean> {
-        const { probe, view, readTime, log } = this.options;
-        const startedAt = readTime();
-        const result = await checkEndedResponse({
-            probe: () => probe(upstream),
-            isLeaving: () => !view.isUsable(upstream.id),
-        });
-        if (result === "open") {
-            return false;
-        }
-        log.record("endDoubted", { upstream: upstream.id, result, ms: Math.round(readTime() - startedAt) });
-        return true;
+        return checkEndedResponse(upstream, this.options);
     }
 
     /** Lists the quarantined requests. */
--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -18,7 +18,7 @@
 import { type AdmissionSettings, createAdmission } from "./admission.js";
 import { createStatus } from "./enginestatus.js";
 import type { OrdersInFlight } from "./ordersinflight.js";
-import type { OwnedEngine } from "./ownedengine.js";
+import { type EngineReach, type OwnedEngine, readReach } from "./ownedengine.js";
 import { RoomWaitLog } from "./roomwaits.js";
 import { OwnedTransfers, type TransferSettings } from "./transfers.js";
 
@@ -78,9 +78,6 @@
     readonly transfers?: TransferSettings | undefined;
 }
 
-/** Whether an engine can be reached, and whether it opened no connection in time. */
-type EngineReach = Pick<EngineSlotPlanner, "isReachable" | "isSilent">;
-
 /** Statuses collected during an update of the owned engines, to be sent in one message. */
 interface PendingStatuses {
     readonly changed: Set<OwnedEngine>;
@@ -458,11 +455,8 @@
             fence,
             checkBeforeSend: () => this.options.mayOrder(owned.name),
             onLateAnswer: () => {
-                this.options.log.record("lateAnswer", {
-                    engine: owned.id,
-                    fence,
-                    ms: Math.round(this.options.readTime() - sentAt),
-                });
+                const ms = Math.round(this.options.readTime() - sentAt);
+                this.options.log.record("lateAnswer", { engine: owned.id, fence, ms });
                 recordArrival?.();
             },
         }, () => this.options.onLeaving?.(owned.id));
@@ -559,7 +553,3 @@
         return changed;
     }
 }
-
-function readReach({ planner: { isReachable, isSilent } }: OwnedEngine): EngineReach {
-    return { isReachable, isSilent };
-}
--- a/packages/node/src/ownership/ownedengine.ts
+++ b/packages/node/src/ownership/ownedengine.ts
@@ -24,3 +24,11 @@
     /** Whether the engine's last report listed no base model. */
     wasEmpty: boolean;
 }
+
+/** Whether an engine can be reached, and whether it opened no connection in time. */
+export type EngineReach = Pick<EngineSlotPlanner, "isReachable" | "isSilent">;
+
+/** Reads whether an owned engine can be reached. */
+export function readReach({ planner: { isReachable, isSilent } }: OwnedEngine): EngineReach {
+    return { isReachable, isSilent };
+}
--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -2,8 +2,9 @@
 import { BootClock, processTimers, type ScheduledRun, type Timers } from "../clock.js";
 import type { Member, ShardAssigner } from "../ports.js";
 import { OwnedEngines, type OwnedEnginesOptions } from "./engines.js";
+import { HandoverSources } from "./handoversources.js";
 import { LeaseLog } from "./leaselog.js";
-import type { Handover, HandoverSource, LeaseEvent, LeaseQuery, LeaseState, ShardInTransit } from "./leasemessages.js";
+import type { Handover, HandoverSource, LeaseEvent, LeaseQuery, LeaseState } from "./leasemessages.js";
 import { OrdersInFlight } from "./ordersinflight.js";
 import { type Release, ShardReleases } from "./releases.js";
 
@@ -34,13 +35,6 @@
  */
 const recentAttemptMs = 1600;
 
-/**
- * How long a report counts that one VM holds the shards handed over by another, in milliseconds. The receiver of the
- * handover sends queries every 0.4 s, may use the shards for 1.3 s, and its last order must be 3 s old before another
- * holder's.
- */
-const takeoverReportValidMs = 5000;
-
 /**
  * Interval and duration of the queries by which a new process asks whether its shards were taken over, in milliseconds.
  */
@@ -138,10 +132,7 @@
     private startTimer: ScheduledRun | undefined;
     /** Since when this VM holds shards that it may not use until most VMs know that it has started. */
     private unusableSince: number | undefined;
-    /** Incarnations of the processes whose shards this VM took over, by VM. */
-    private readonly handoverSources = new Map<string, number>();
-    /** When another VM last reported that it took over shards of a VM, by the latter. */
-    private readonly takeoverReportedAt = new Map<string, number>();
+    private readonly handoverSources: HandoverSources;
     private recordedGeneration = -1;
     private renewalCount = 0;
     /** Whether this process has joined the group of owners, and whether it has asked to. */
@@ -151,6 +142,7 @@
     constructor(private readonly options: ShardOwnershipOptions) {
         this.bootClock = options.bootClock ?? new BootClock();
         this.timers = options.timers ?? processTimers;
+        this.handoverSources = new HandoverSources(options.readIncarnation);
         this.openQuery = this.createQuery(options.incarnation * queriesPerIncarnation);
         this.leases = new ShardLeases({
             leaseMs,
@@ -161,8 +153,7 @@
         this.leaseLog = new LeaseLog(options.log);
         const readTime = (): number => this.bootClock.read();
         // An order that arrives even later has a lower token than those of the next holder.
-        const maxTransitMs = options.holderGapMs;
-        const ordersInFlight = new OrdersInFlight({ timers: this.timers, readTime, maxTransitMs });
+        const ordersInFlight = new OrdersInFlight({ timers: this.timers, readTime, maxTransitMs: options.holderGapMs });
         const findShard = (name: string): number => this.findShard(name);
         this.releases = new ShardReleases({ ...options, leases: this.leases, ordersInFlight, readTime, findShard });
         this.engines = new OwnedEngines({
@@ -296,7 +287,7 @@
             this.options.log.recordImportant("handoverPassedOn", { ...handover, isPassedOn });
             return;
         }
-        const isOld = this.hasAnyRestarted(handover.givers);
+        const isOld = this.handoverSources.hasAnyRestarted(handover.givers);
         this.options.log.recordImportant("handoverReceived", {
             ...handover,
             ownDeal: this.leases.currentGeneration,
@@ -308,23 +299,21 @@
         const now = this.bootClock.read();
         if (!this.leases.hasHandovers) {
             // Earlier handovers ended with their generation.
-            this.handoverSources.clear();
+            this.handoverSources.removeAll();
         }
         const [sender] = handover.givers;
         if (sender !== undefined) {
-            this.recordArrivals(sender.vm, handover.inTransit);
+            this.releases.recordReport(sender.vm, handover.inTransit);
         }
         this.leases.applyHandover(handover.shards, handover.deal, handover.depth, now);
-        for (const { vm, incarnation } of handover.givers) {
-            this.handoverSources.set(vm, incarnation);
-        }
+        this.handoverSources.add(handover.givers);
         this.update();
         this.sendQuery(now);
     }
 
     /** Handles the start of a VM: ends the use of all shards taken over, from that VM or any other. */
     receiveStart(): void {
-        this.handoverSources.clear();
+        this.handoverSources.removeAll();
         const revoked = this.leases.revokeHandovers(this.bootClock.read());
         if (revoked.length > 0) {
             this.options.log.recordImportant("handoverEnded", { shards: revoked });
@@ -336,7 +325,7 @@
     /** Handles a release of shards by another VM. */
     recordRelease(vm: string, { shards, generation, inTransit }: Release): void {
         const now = this.bootClock.read();
-        this.recordArrivals(vm, inTransit);
+        this.releases.recordReport(vm, inTransit);
         const shortened = shards.filter(shard => this.leases.recordRelease(shard, generation, now));
         this.options.onLeaseEvent?.(shortened.length > 0 ? "releaseUsed" : "releaseUnused");
         this.options.log.record("releaseTaken", {
@@ -350,14 +339,6 @@
         this.update();
     }
 
-    /** Records how long orders of another VM may still arrive. */
-    private recordArrivals(vm: string, inTransit: readonly ShardInTransit[] = []): void {
-        const now = this.bootClock.read();
-        for (const { shard, forMs } of inTransit) {
-            this.leases.recordArrivals(shard, vm, now + Math.min(forMs, this.options.holderGapMs));
-        }
-    }
-
     /** Updates the owned engines after a change of the leases or of the known engines. */
     update(): void {
         if (this.isStopped) {
@@ -424,22 +405,7 @@
     /** This process, and those whose shards it took over. */
     private listHandoverSources(): HandoverSource[] {
         const { vm, incarnation } = this.options;
-        const sources = this.leases.hasHandovers ? [...this.handoverSources] : [];
-        return [
-            { vm, incarnation },
-            ...sources.map(([vmId, sourceIncarnation]) => ({ vm: vmId, incarnation: sourceIncarnation })),
-        ];
-    }
-
-    /** Whether a newer process is known for the VM of one of these processes. */
-    private hasAnyRestarted(sources: readonly HandoverSource[]): boolean {
-        return sources.some(({ vm, incarnation }) => (this.options.readIncarnation(vm) ?? incarnation) !== incarnation);
-    }
-
-    private recordTakeovers(sources: readonly HandoverSource[], now: number): void {
-        for (const { vm } of sources) {
-            this.takeoverReportedAt.set(vm, now);
-        }
+        return [{ vm, incarnation }, ...this.leases.hasHandovers ? this.handoverSources.list() : []];
     }
 
     /**
@@ -449,7 +415,7 @@
     readLeaseState(vm: string, { query, givers, newestDeal }: LeaseQuery): LeaseState {
         const now = this.bootClock.read();
         this.leases.recordGeneration(newestDeal);
-        this.recordTakeovers(givers, now);
+        this.handoverSources.recordTakeovers(givers, now);
         if (this.hasStarted && this.renewalAgeMs > peerQueryAfterMs && now - this.attemptedAt >= renewMs) {
             void this.renew();
         }
@@ -460,9 +426,9 @@
             shards: this.leases.listShards(),
             renewalAgeMs: this.renewalAgeMs,
             isCutOff: this.isCutOff,
-            giversHaveStarted: this.hasAnyRestarted(givers),
-            giversAreGone: givers.every(source => this.options.readIncarnation(source.vm) === source.incarnation),
-            isTakenOver: now - (this.takeoverReportedAt.get(vm) ?? -Infinity) < takeoverReportValidMs,
+            giversHaveStarted: this.handoverSources.hasAnyRestarted(givers),
+            giversAreGone: this.handoverSources.hasNoneRestarted(givers),
+            isTakenOver: this.handoverSources.isTakenOver(vm, now),
         };
     }
 
@@ -585,7 +551,7 @@
     private sendQuery(now: number): void {
         this.openQuery = { ...this.createQuery(this.openQuery.query + 1), askedAt: now };
         const [, ...sources] = this.listHandoverSources();
-        this.recordTakeovers(sources, now);
+        this.handoverSources.recordTakeovers(sources, now);
         this.options.sendQuery({
             query: this.openQuery.query,
             newestDeal: this.leases.newestGeneration,
--- a/packages/node/src/ownership/releases.ts
+++ b/packages/node/src/ownership/releases.ts
@@ -18,7 +18,9 @@
 /** Options of {@link ShardReleases}. */
 export interface ShardReleasesOptions {
     readonly log: DecisionLog;
-    readonly leases: Pick<ShardLeases, "recordOwnArrivals">;
+    readonly leases: Pick<ShardLeases, "recordArrivals" | "recordOwnArrivals">;
+    /** Longest time for which reported orders are waited for, in milliseconds. */
+    readonly holderGapMs: number;
     readonly ordersInFlight: OrdersInFlight;
     /** Time in milliseconds that includes suspension of the VM. */
     readonly readTime: () => number;
@@ -70,6 +72,14 @@
         });
     }
 
+    /** Records how long orders of another VM may still arrive. */
+    recordReport(vm: string, inTransit: readonly ShardInTransit[] = []): void {
+        const { leases, holderGapMs, readTime } = this.options;
+        for (const { shard, forMs } of inTransit) {
+            leases.recordArrivals(shard, vm, readTime() + Math.min(forMs, holderGapMs));
+        }
+    }
+
     private send(release: Release, why: ReleaseReason | "ordersArrived"): void {
         this.options.log.recordImportant("releaseSent", { ...release, why });
         this.options.sendRelease(release);
