--- a/packages/node/test/tunnels.test.ts
+++ b/packages/node/test/tunnels.test.ts
@@ -1,5 +1,5 @@
 import { DirectPaths, FleetView, Relays } from "@radishreel/fleet";
-import { createServer, request as openRequest } from "node:http";
+import { createServer, request as openRequest, type Server } from "node:http";
 import { type AddressInfo, Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -9,13 +9,29 @@
 import { createAuthorization, TunnelServer, tunnelStatus, upstreamHeader } from "../src/paths/tunnelserver.js";
 import { createUpstream } from "./fixtures.js";
 
-test("an upstream that a relay does not reach takes no other upstream's tunnel through that relay", async () => {
+const { forbidden, opened, refused, unavailable, unreachable } = tunnelStatus;
+
+function startListening(server: Server): Promise<void> {
+    return new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
+}
+
+function readAddress(server: Server): string {
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** Starts a VM that answers each request for a tunnel with a status. */
+async function startRelay(chooseStatus: (upstream: string) => number): Promise<Server> {
     const relay = createServer().on("connect", ({ headers }, socket) => {
-        const status = headers[upstreamHeader] === "silent" ? tunnelStatus.unreachable : tunnelStatus.opened;
+        const status = chooseStatus(String(headers[upstreamHeader]));
         socket.end(`HTTP/1.1 ${status} Tunnel\r\nContent-Length: 0\r\n\r\n`);
     });
-    await new Promise<void>(resolve => relay.listen(0, "127.0.0.1", resolve));
-    const address = `127.0.0.1:${(relay.address() as AddressInfo).port}`;
+    await startListening(relay);
+    return relay;
+}
+
+test("an upstream that a relay does not reach takes no other upstream's tunnel through that relay", async () => {
+    const relay = await startRelay(upstream => upstream === "silent" ? unreachable : opened);
+    const address = readAddress(relay);
     const connector = new TunnelConnector({
         secret: "secret",
         paths: new DirectPaths(),
@@ -44,11 +60,8 @@
 });
 
 test("an upstream that no VM has reached is connected to at once when it answers again", async () => {
-    const relay = createServer().on("connect", (_request, socket) => {
-        socket.end(`HTTP/1.1 ${tunnelStatus.unreachable} Tunnel\r\nContent-Length: 0\r\n\r\n`);
-    });
-    await new Promise<void>(resolve => relay.listen(0, "127.0.0.1", resolve));
-    const address = `127.0.0.1:${(relay.address() as AddressInfo).port}`;
+    const relay = await startRelay(() => unreachable);
+    const address = readAddress(relay);
     const paths = new DirectPaths();
     let now = 0;
     let isSilent = true;
@@ -83,7 +96,7 @@
 
 async function findFreePort(): Promise<number> {
     const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    await startListening(server);
     const { port } = server.address() as AddressInfo;
     await new Promise(resolve => server.close(resolve));
     return port;
@@ -99,12 +112,7 @@
 
 /** Probes an upstream twice at once and once more, which other VMs and this one fail to reach. */
 async function listProbeResults({ statuses, code = "ECONNREFUSED", failedUpstreams = 0 }: RefusalCase) {
-    const servers = statuses.map(status =>
-        createServer().on("connect", (_request, socket) => {
-            socket.end(`HTTP/1.1 ${status} Tunnel\r\nContent-Length: 0\r\n\r\n`);
-        })
-    );
-    await Promise.all(servers.map(server => new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))));
+    const servers = await Promise.all(statuses.map(status => startRelay(() => status)));
     const paths = new DirectPaths();
     for (let index = 0; index < failedUpstreams; index += 1) {
         paths.recordFailed(`other-${index}`, "refused", 0);
@@ -124,7 +132,7 @@
             servers.map((server, index) => ({
                 vm: `b${index}`,
                 dataCentre: "a",
-                address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+                address: readAddress(server),
             })),
         countUpstreams: () => 9,
         readTime: () => 0,
@@ -136,8 +144,6 @@
     return results;
 }
 
-const { forbidden, refused, unavailable, unreachable } = tunnelStatus;
-
 test("other VMs that know nothing of an upstream do not hide that this VM is refused", async () => {
     for (const statuses of [[forbidden], [forbidden, forbidden], [unavailable], [forbidden, unavailable]]) {
         assert.equal(await listProbeResults({ statuses }), ["refused", "refused", "refused"], statuses.join());
@@ -190,8 +196,8 @@
 
 test("a VM that an upstream refused long ago does not tell others that it has ended", async () => {
     const upstream = createServer();
-    await new Promise<void>(resolve => upstream.listen(0, "127.0.0.1", resolve));
-    const address = `127.0.0.1:${(upstream.address() as AddressInfo).port}`;
+    await startListening(upstream);
+    const address = readAddress(upstream);
     const paths = new DirectPaths();
     paths.recordFailed("u", "refused", 0);
     let now = 0;
@@ -218,7 +224,7 @@
         });
     const first = await sendConnect();
     now = 1000;
-    assert.equal([first, await sendConnect()], [refused, tunnelStatus.opened]);
+    assert.equal([first, await sendConnect()], [refused, opened]);
     server.stop();
     upstream.close();
 });
