Ask other VMs for a takeover also at a start without an entry

The store is away, VM a stops and hands its shards to b. a comes back without its entry, in touch with the store and cut off from the other VMs, while the store still assigns the shards to a. From 3.3 s after the start on, a and b both ordered at one engine, 278 changes of the holder in 9 s.

Cause: a start without an entry counted as confirmed at once, so nobody was asked whether another VM holds the shards. The lack of an entry was taken for proof that no VM had taken over, the class of the late orders.

Now only the first start of the whole system is confirmed without replies. Any other one needs the replies of most VMs, as with an entry, or a new assignment after 3 s.

--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -175,12 +175,9 @@
      * shards, so that the other VMs use these shards until then.
      */
     start(previousEntry: Member | undefined): void {
-        if (previousEntry === undefined) {
+        if (previousEntry === undefined && this.options.isFirstStart === true) {
             this.isStartConfirmed = true;
-            this.leases.recordStartKnown(this.bootClock.read(), false);
-            if (this.options.isFirstStart === true) {
-                this.leases.setFirstProcess();
-            }
+            this.leases.setFirstProcess();
         }
         else {
             this.sendStartQueries(this.bootClock.read() + startQueryPeriodMs);
