Let a VM that waits for late orders hand its shards on

A VM handed over only shards to which it may give orders at that moment, and the receiver of a handover may not while an order of the giver may still arrive. If it stopped in these 3 s, nobody got the shards.

Now a shard can be handed over if all its earlier holders have stopped; the handover names the orders of this VM and of earlier ones that may still arrive, and for how long, so the receiver waits for them. The test failed before (no holder in place of c).

--- a/packages/fleet/src/shardleases.ts
+++ b/packages/fleet/src/shardleases.ts
@@ -369,14 +369,19 @@
 
     /** Whether this VM may give orders to the engines of a shard now. */
     canOrder(shard: number, now: number): boolean {
+        return this.mayHandOver(shard, now) && now >= this.arrivals.readEnd(shard);
+    }
+
+    /** Whether this VM may give orders to the engines of a shard as soon as those of earlier holders have arrived. */
+    private mayHandOver(shard: number, now: number): boolean {
         const lease = this.leases.get(shard);
-        return lease !== undefined && now < this.validUntil && this.mayBegin(shard, lease, now)
+        return lease !== undefined && now < this.validUntil && this.hasTurn(lease, now)
             && (!lease.isHandover || now < this.handoversValidUntil);
     }
 
-    /** Whether all earlier holders of a shard have stopped, and none of their orders can still arrive. */
-    private mayBegin(shard: number, lease: ShardLease, now: number): boolean {
-        return now >= lease.mayOrderAt && now >= this.arrivals.readEnd(shard)
+    /** Whether all earlier holders of a shard have stopped. */
+    private hasTurn(lease: ShardLease, now: number): boolean {
+        return now >= lease.mayOrderAt
             && (lease.generation !== this.firstGeneration || this.isStartConfirmed(now));
     }
 
@@ -386,13 +391,21 @@
      * assigned it.
      */
     listReleasable(now: number): number[] {
-        return [...this.leases].filter(([shard, lease]) => !lease.isHandover && this.mayBegin(shard, lease, now))
+        return [...this.leases]
+            .filter(([shard, lease]) =>
+                !lease.isHandover && this.hasTurn(lease, now) && now >= this.arrivals.readEnd(shard)
+            )
             .map(([shard]) => shard);
     }
 
-    /** Shards to which this VM may give orders now, and which it may therefore hand over. */
-    listUsable(now: number): number[] {
-        return this.listShards().filter(shard => this.canOrder(shard, now));
+    /** Shards that this VM may hand over: all earlier holders have stopped, although their orders may still arrive. */
+    listTransferable(now: number): number[] {
+        return this.listShards().filter(shard => this.mayHandOver(shard, now));
+    }
+
+    /** Latest time at which an order that another VM has reported may arrive, in milliseconds; -Infinity without one. */
+    readArrivalEnd(shard: number): number {
+        return this.arrivals.readEnd(shard);
     }
 
     listShards(): number[] {
--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -233,9 +233,9 @@
         const now = this.bootClock.read();
         const heldShards = this.leases.listShards();
         const releasableShards = this.leases.listReleasable(now);
-        const usableShards = this.leases.listUsable(now);
+        const transferableShards = this.leases.listTransferable(now);
         const generation = this.leases.currentGeneration;
-        const handoverDepth = 1 + Math.max(0, ...usableShards.map(shard => this.leases.readHandoverDepth(shard)));
+        const handoverDepth = 1 + Math.max(0, ...transferableShards.map(shard => this.leases.readHandoverDepth(shard)));
         const givers = this.listHandoverSources();
         const isCutOff = now - this.renewedAt > peerQueryAfterMs;
         this.leases.releaseAll(now);
@@ -243,11 +243,11 @@
         this.engines.stop();
         await this.releases.waitOutcomes(heldShards);
         const handover: Handover = {
-            shards: usableShards,
+            shards: transferableShards,
             deal: generation,
             depth: handoverDepth,
             givers,
-            inTransit: this.releases.listInTransit(usableShards),
+            inTransit: this.releases.listAllInTransit(heldShards),
         };
         if (isCutOff && this.sendHandover(handover)) {
             return;
--- a/packages/node/src/ownership/releases.ts
+++ b/packages/node/src/ownership/releases.ts
@@ -18,7 +18,7 @@
 /** Options of {@link ShardReleases}. */
 export interface ShardReleasesOptions {
     readonly log: DecisionLog;
-    readonly leases: Pick<ShardLeases, "recordArrivals" | "recordOwnArrivals">;
+    readonly leases: Pick<ShardLeases, "recordArrivals" | "recordOwnArrivals" | "readArrivalEnd">;
     /** Longest time for which reported orders are waited for, in milliseconds. */
     readonly holderGapMs: number;
     readonly ordersInFlight: OrdersInFlight;
@@ -72,6 +72,17 @@
         });
     }
 
+    /** Lists the shards to whose engines an order of this VM or of an earlier holder may still arrive. */
+    listAllInTransit(shards: readonly number[]): ShardInTransit[] {
+        const { leases, readTime } = this.options;
+        const own = this.listInTransit(shards);
+        return shards.flatMap(shard => {
+            const ownMs = own.find(entry => entry.shard === shard)?.forMs ?? 0;
+            const forMs = Math.max(ownMs, leases.readArrivalEnd(shard) - readTime());
+            return forMs > 0 ? [{ shard, forMs }] : [];
+        });
+    }
+
     /** Records how long orders of another VM may still arrive. */
     recordReport(vm: string, inTransit: readonly ShardInTransit[] = []): void {
         const { leases, holderGapMs, readTime } = this.options;
--- a/packages/node/test/handovers.test.ts
+++ b/packages/node/test/handovers.test.ts
@@ -1,9 +1,32 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { createHandover } from "./shardworlds.js";
+import { createHandover, createWorld } from "./shardworlds.js";
 
 const vms = ["a", "b", "c", "d", "e"];
 
+/** Stops the holder with an order under way during an outage, and then the VM that took its shards over. */
+async function listNextHolders(transitMs: number, stopAfterMs: number, lengthMs: number): Promise<string[]> {
+    const world = await createWorld(vms);
+    world.startOutage();
+    await world.schedule.advance(2500);
+    world.lostOrderMs = Infinity;
+    world.chooseTransitMs = vm => vm === "a" ? transitMs : 3;
+    await world.schedule.advance(100);
+    world.stop("a");
+    await world.schedule.advance(stopAfterMs);
+    world.stop("b");
+    await world.schedule.advance(lengthMs);
+    world.checkOrders();
+    return world.listHolders(0, world.schedule.now - 500);
+}
+
+// Guards against shards without an owner until the store is back, in a rolling restart beside a late order.
+test("a VM that still waits for an order of the giver hands its shards on when it stops", async () => {
+    for (const stopAfterMs of [1000, 2000]) {
+        assert.equal(await listNextHolders(2900, stopAfterMs, 8000), ["c"]);
+    }
+});
+
 // Guards against two holders: a VM without its entry does not ask whether its shards were taken over.
 test("a VM that restarts without its entry, cut off from the others, does not order beside the VM that took over", async () => {
     const world = await createHandover();
--- a/packages/node/test/releases.test.ts
+++ b/packages/node/test/releases.test.ts
@@ -21,7 +21,7 @@
     const messages: Release[] = [];
     const releases = new ShardReleases({
         log: createSilentLog(readTime),
-        leases: { recordArrivals: () => {}, recordOwnArrivals: () => {} },
+        leases: { recordArrivals: () => {}, recordOwnArrivals: () => {}, readArrivalEnd: () => -Infinity },
         holderGapMs: 3000,
         ordersInFlight,
         readTime,
