Tell all VMs of orders that may still arrive at handed-over shards

The store is away, VM a stops with an order without an answer and hands its shards to b; the store is back 50 to 600 ms later and assigns them to c. b had taken no order of its own to report, c waited 2.1 s and ordered, and a's order arrived after that with a lower token: 6 of 16 histories in simulated time, 0 of 4 where the store is not away. b itself waited 3 s for an order that had been answered after 400 ms, since no word of an answer follows a handover.

Now the VM that hands over reports them to all others, as after any other loss of a shard, and again once they have arrived. Both tests failed before and pass now: 0 of 16 histories, and b orders within 1.5 s.

--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -272,6 +272,8 @@
         const isSent = handover.shards.length > 0 && this.options.sendHandover(handover);
         if (isSent) {
             this.options.log.recordImportant("handedOver", handover);
+            // The store may assign the shards to a third VM as soon as it is back.
+            this.releases.report(handover.inTransit ?? [], handover.deal);
         }
         return isSent;
     }
--- a/packages/node/src/ownership/releases.ts
+++ b/packages/node/src/ownership/releases.ts
@@ -83,6 +83,13 @@
         });
     }
 
+    /** Tells all other VMs of orders that may still arrive at the engines of shards that were handed over. */
+    report(inTransit: readonly ShardInTransit[], generation: number): void {
+        if (inTransit.length > 0) {
+            this.send({ shards: [], generation, inTransit: [...inTransit] }, "handedOver");
+        }
+    }
+
     /** Records how long orders of another VM may still arrive. */
     recordReport(vm: string, inTransit: readonly ShardInTransit[] = []): void {
         const { leases, holderGapMs, readTime } = this.options;
@@ -91,7 +98,7 @@
         }
     }
 
-    private send(release: Release, why: ReleaseReason | "ordersArrived"): void {
+    private send(release: Release, why: ReleaseReason | "handedOver" | "ordersArrived"): void {
         this.options.log.recordImportant("releaseSent", { ...release, why });
         this.options.sendRelease(release);
         for (const { shard, forMs } of release.inTransit ?? []) {
--- a/packages/node/test/handovers.test.ts
+++ b/packages/node/test/handovers.test.ts
@@ -4,6 +4,27 @@
 
 const vms = ["a", "b", "c", "d", "e"];
 
+// Guards against an order that arrives after those of a third VM, which was not told of it.
+test("late orders of a VM that hands its shards over do not arrive after those of the next holder but one", async () => {
+    for (const backMs of [50, 200, 400, 600]) {
+        for (const transitMs of [2200, 2500, 2800, 2950]) {
+            const world = await createWorld(vms);
+            world.startOutage();
+            await world.schedule.advance(2500);
+            world.lostOrderMs = Infinity;
+            world.chooseTransitMs = vm => vm === "a" ? transitMs : 3;
+            await world.schedule.advance(100);
+            world.stop("a");
+            await world.schedule.advance(backMs);
+            world.endOutage(true);
+            world.planAssignment(() => "c");
+            await world.schedule.advance(9000);
+            assert.is(world.listHolders(0, world.schedule.now - 500).length, 1);
+            world.checkOrders();
+        }
+    }
+});
+
 /** Stops the holder with an order under way during an outage, and then the VM that took its shards over. */
 async function listNextHolders(transitMs: number, stopAfterMs: number, lengthMs: number): Promise<string[]> {
     const world = await createWorld(vms);
@@ -27,6 +48,20 @@
     }
 });
 
+// Guards against a receiver that waits for the longest transit although the order was answered.
+test("the receiver of a handover orders once the last order of the giver has been answered", async () => {
+    const world = await createWorld(vms);
+    world.startOutage();
+    await world.schedule.advance(2500);
+    world.lostOrderMs = Infinity;
+    world.chooseTransitMs = vm => vm === "a" ? 400 : 3;
+    await world.schedule.advance(100);
+    world.stop("a");
+    await world.schedule.advance(1500);
+    assert.equal(world.listHolders(0, world.schedule.now - 500), ["b"]);
+    world.checkOrders();
+});
+
 // Guards against two holders: a VM without its entry does not ask whether its shards were taken over.
 test("a VM that restarts without its entry, cut off from the others, does not order beside the VM that took over", async () => {
     const world = await createHandover();
