Bring four stale entries of the mutations back in step

What was seen: four entries named lines that later changes had rewritten, so that they checked nothing; `npm run mutations` listed them as "not there any more".

Cause and change, each with the same guard as before in its present form: - budget: the retries that may still arrive reduce the saved credit. Its limit is a method now. - attempt: the end of a tunnelled response without a length is not taken for its completion. The check for such a response is made by the caller of `finishUnframed` since streams without a length are told apart. - serving: a new adapter version updates the start limits of running attempts. They are the keys of a map since their parts can be quarantined. - admission: a run that its VM reports is not counted as started by the owner. The separate method became a parameter.

--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -18,8 +18,8 @@
     ],
     [
         "fleet/dist/src/budget.js",
-        "limit - this.pendingCredit",
-        "limit",
+        "this.readCreditLimit() - this.pendingCredit",
+        "this.readCreditLimit()",
         "packages/fleet/dist/test/budget.test.js",
     ],
     [
@@ -78,8 +78,8 @@
     ],
     [
         "node/dist/src/requests/attempt.js",
-        "this.isCloseDelimited && this.connection.via !== undefined",
-        "false",
+        "if (this.connection.via !== undefined) {",
+        "if (false) {",
         "platform/dist/test/paths.test.js",
     ],
     [
@@ -645,7 +645,7 @@
     ],
     [
         "node/dist/src/requests/serving.js",
-        "this.attempts.forEach(attempt => attempt.updateStartLimit());",
+        "this.attempts.forEach((_job, attempt) => attempt.updateStartLimit());",
         "",
         "packages/node/dist/test/versions.test.js",
     ],
@@ -1275,8 +1275,8 @@
     ],
     [
         "fleet/dist/src/admission.js",
-        "this.addRun(vm, request, now);\n                hasChanged",
-        "this.start(vm, request, now);\n                hasChanged",
+        "createClaim(request, now), now, false);",
+        "createClaim(request, now), now);",
         "packages/fleet/dist/test/admission.test.js",
     ],
     [
