Test the reports of late orders around a handover

What was seen: `node scripts/mutations.mjs lateorders.test` (10 entries) left three mutations uncaught: the report of the sender in a handover, its use by the receiver, and the report of a VM whose handover has ended.

Cause: in the histories of these tests no order of the VM that hands its shards over is under way, and after the handover the next holder is known to the VM that loses the shards by an assignment, which has a report of its own.

Change: two tests. In the first, orders of the VM that stops are under way for 1.5 s to 2.8 s; without either half of the report the receiver orders at once, and a lower token arrives after its higher one.

--- a/packages/node/test/lateorders.test.ts
+++ b/packages/node/test/lateorders.test.ts
@@ -35,6 +35,43 @@
     }
 });
 
+// Guards against a receiver of a handover that gives orders while one of the sender, which has a lower token, may still
+// arrive.
+test("a VM that takes over shards waits for the orders of their sender that may still arrive", async () => {
+    for (let seed = 1; seed <= 8; seed++) {
+        const choose = createRandom(seed);
+        const world = await createWorld(["a", "b", "c", "d", "e"]);
+        world.lostOrderMs = Infinity;
+        world.startOutage();
+        await world.schedule.advance(2000);
+        world.chooseTransitMs = vm => vm === "a" ? 1500 + choose() * 1300 : 3;
+        await world.schedule.advance(400 + choose() * 400);
+        world.stop("a");
+        await world.schedule.advance(8000);
+        assert.equal(world.listHolders(0, world.schedule.now - 2000), ["b"]);
+        world.checkOrders();
+    }
+});
+
+// Guards against an order of a VM that lost its handed-over shards to the restart of their sender. No assignment shows
+// this loss, so that only the VM itself can report the order to the VM to which the store assigns the shards meanwhile.
+test("late orders to shards whose handover has ended do not arrive after those of the next holder", async () => {
+    for (let offsetMs = 0; offsetMs < 1200; offsetMs += 200) {
+        const world = await createHandover();
+        world.lostOrderMs = Infinity;
+        world.chooseTransitMs = vm => vm === "b" ? 2950 : 3;
+        await world.schedule.advance(1000 + offsetMs);
+        world.kill("a");
+        world.endOutage(true);
+        world.start("a");
+        await world.schedule.advance(50);
+        world.planAssignment(() => "c");
+        await world.schedule.advance(8000);
+        assert.equal(world.listHolders(0, world.schedule.now - 2000), ["c"]);
+        world.checkOrders();
+    }
+});
+
 // Guards against turns at one engine: a VM that finds no entry of its own counts as one that never gave orders.
 test("a VM that restarts without its entry keeps the holder gap after its earlier orders", async () => {
     for (let downMs = 50; downMs < 700; downMs += 100) {
