Test directly that a release waits for the last outcome

What was seen: the mutation that lets a release go out before the outcome of the last order is known met the 30 s limit of ownership.test.ts ("hung"), so that a slow machine could not be told from a test that misses it.

Cause: two directed tests of that file do fail within seconds (a lower token arrives after a higher one), but the two properties over random histories then shrink their counterexamples: 169 s for the whole file with the mutation.

Change: a test of the release itself, which must not be sent before the outcome 85 ms later; the entry names it. The tests of ownership.test.ts stay. The setup of releases.test.ts is shared by its three tests.

--- a/packages/node/test/releases.test.ts
+++ b/packages/node/test/releases.test.ts
@@ -6,8 +6,16 @@
 import { createSilentLog } from "./fixtures.js";
 import { Schedule } from "./schedule.js";
 
-/** Loses shard 1, to whose engine an order got no answer. @returns The messages to the other VMs. */
-async function listMessages(released: number[], answeredAfterMs: number): Promise<Release[]> {
+interface ReleaseFixture {
+    readonly schedule: Schedule;
+    readonly ordersInFlight: OrdersInFlight;
+    readonly releases: ShardReleases;
+    /** Messages to the other VMs. */
+    readonly messages: Release[];
+}
+
+/** Creates the releases of a VM whose only engine is in shard 1. */
+function createFixture(): ReleaseFixture {
     const schedule = new Schedule();
     const readTime = (): number => schedule.now;
     const timers = {
@@ -28,6 +36,12 @@
         findShard: () => 1,
         sendRelease: release => messages.push(release),
     });
+    return { schedule, ordersInFlight, releases, messages };
+}
+
+/** Loses shard 1, to whose engine an order got no answer. @returns The messages to the other VMs. */
+async function listMessages(released: number[], answeredAfterMs: number): Promise<Release[]> {
+    const { schedule, ordersInFlight, releases, messages } = createFixture();
     const recordAnswer = ordersInFlight.record("e1", Promise.resolve<OrderOutcome>("unknown"));
     schedule.add(answeredAfterMs, recordAnswer);
     await releases.release([1], released, 4, "renewal");
@@ -35,6 +49,20 @@
     return messages;
 }
 
+// Guards against an order of the next holder that overtakes one whose outcome the sender of the release still awaits.
+test("a release is sent only once the outcome of the last order is known", async () => {
+    const { schedule, ordersInFlight, releases, messages } = createFixture();
+    const outcome = new Promise<OrderOutcome>(resolve => schedule.add(85, () => resolve("holds")));
+    ordersInFlight.record("e1", outcome);
+    schedule.add(80, () => {});
+    const released = releases.release([1], [1], 4, "renewal");
+    await schedule.advance(84);
+    assert.equal(messages, []);
+    await schedule.advance(1);
+    await released;
+    assert.equal(messages, [{ shards: [1], generation: 4, inTransit: [] }]);
+});
+
 test("a release names the order that may still arrive, and another one follows once it is answered", async () => {
     assert.equal(await listMessages([1], 1200), [
         { shards: [1], generation: 4, inTransit: [{ shard: 1, forMs: 3000 }] },
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -287,7 +287,7 @@
         "node/dist/src/ownership/ordersinflight.js",
         "await Promise.all(this.listOrders(isSelected).map(({ outcome }) => outcome));",
         "",
-        "packages/node/dist/test/ownership.test.js",
+        "packages/node/dist/test/releases.test.js",
     ],
     [
         "node/dist/src/ownership/engines.js",
