Test what PlatformOrders makes of incomplete and refused responses

What was seen: no entry of the mutations named orderresponses.ts, and two of the guards of orders.ts could be taken out without a failure of lateanswers.test.ts or translation.test.ts: that an order with a status has its outcome although its body is not complete in time, and that only a response with status 200 is a report.

Why it holds: without the first guard the order counts as under way for 3 s ("unknown" in place of "fenced"); without the second the body of a 503 is taken for a report.

--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -445,6 +445,36 @@
         "void",
         "platform/dist/test/lateanswers.test.js",
     ],
+    [
+        "../platform/dist/src/orders.js",
+        "if (hasStatus) {",
+        "if (false) {",
+        "platform/dist/test/lateanswers.test.js",
+    ],
+    [
+        "../platform/dist/src/orders.js",
+        "status === 200 && text !== undefined",
+        "text !== undefined",
+        "platform/dist/test/lateanswers.test.js",
+    ],
+    [
+        "../platform/dist/src/orders.js",
+        "!isOtherIncarnation &&",
+        "",
+        "platform/dist/test/translation.test.js",
+    ],
+    [
+        "../platform/dist/src/orderresponses.js",
+        "born !== bornAt",
+        "false",
+        "platform/dist/test/translation.test.js",
+    ],
+    [
+        "../platform/dist/src/orderresponses.js",
+        "code === connectTimeoutError",
+        "false",
+        "platform/dist/test/translation.test.js",
+    ],
     [
         "node/dist/src/accounts/guard.js",
         "bounds.isRevocationStrict && ageMs > bounds.revocationMs - sendMarginMs",
