--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -18,8 +18,8 @@
     ],
     [
         "fleet/dist/src/budget.js",
-        "limit - this.pendingCredit",
-        "limit",
+        "this.readCreditLimit() - this.pendingCredit",
+        "this.readCreditLimit()",
         "packages/fleet/dist/test/budget.test.js",
     ],
     [
@@ -78,8 +78,8 @@
     ],
     [
         "node/dist/src/requests/attempt.js",
-        "this.isCloseDelimited && this.connection.via !== undefined",
-        "false",
+        "if (this.connection.via !== undefined) {",
+        "if (false) {",
         "platform/dist/test/paths.test.js",
     ],
     [
@@ -287,7 +287,7 @@
         "node/dist/src/ownership/ordersinflight.js",
         "await Promise.all(this.listOrders(isSelected).map(({ outcome }) => outcome));",
         "",
-        "packages/node/dist/test/ownership.test.js",
+        "packages/node/dist/test/releases.test.js",
     ],
     [
         "node/dist/src/ownership/engines.js",
@@ -445,6 +445,36 @@
         "void",
         "platform/dist/test/lateanswers.test.js",
     ],
+    [
+        "../platform/dist/src/orders.js",
+        "if (hasStatus) {",
+        "if (false) {",
+        "platform/dist/test/lateanswers.test.js",
+    ],
+    [
+        "../platform/dist/src/orders.js",
+        "status === 200 && text !== undefined",
+        "text !== undefined",
+        "platform/dist/test/lateanswers.test.js",
+    ],
+    [
+        "../platform/dist/src/orders.js",
+        "!isOtherIncarnation &&",
+        "",
+        "platform/dist/test/translation.test.js",
+    ],
+    [
+        "../platform/dist/src/orderresponses.js",
+        "born !== bornAt",
+        "false",
+        "platform/dist/test/translation.test.js",
+    ],
+    [
+        "../platform/dist/src/orderresponses.js",
+        "code === connectTimeoutError",
+        "false",
+        "platform/dist/test/translation.test.js",
+    ],
     [
         "node/dist/src/accounts/guard.js",
         "bounds.isRevocationStrict && ageMs > bounds.revocationMs - sendMarginMs",
@@ -645,7 +675,7 @@
     ],
     [
         "node/dist/src/requests/serving.js",
-        "this.attempts.forEach(attempt => attempt.updateStartLimit());",
+        "this.attempts.forEach((_job, attempt) => attempt.updateStartLimit());",
         "",
         "packages/node/dist/test/versions.test.js",
     ],
@@ -1275,8 +1305,8 @@
     ],
     [
         "fleet/dist/src/admission.js",
-        "this.addRun(vm, request, now);\n                hasChanged",
-        "this.start(vm, request, now);\n                hasChanged",
+        "createClaim(request, now), now, false);",
+        "createClaim(request, now), now);",
         "packages/fleet/dist/test/admission.test.js",
     ],
     [
