Test each guard of a handover beside late orders

Mutations of the new guards: the receiver's use of the handover was not caught, since the report to all VMs that follows covers it in simulated time, and nothing tested that a VM hands on what it was told. A method name follows the list of verbs.

--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -273,7 +273,7 @@
         if (isSent) {
             this.options.log.recordImportant("handedOver", handover);
             // The store may assign the shards to a third VM as soon as it is back.
-            this.releases.report(handover.inTransit ?? [], handover.deal);
+            this.releases.sendReport(handover.inTransit ?? [], handover.deal);
         }
         return isSent;
     }
--- a/packages/node/src/ownership/releases.ts
+++ b/packages/node/src/ownership/releases.ts
@@ -84,7 +84,7 @@
     }
 
     /** Tells all other VMs of orders that may still arrive at the engines of shards that were handed over. */
-    report(inTransit: readonly ShardInTransit[], generation: number): void {
+    sendReport(inTransit: readonly ShardInTransit[], generation: number): void {
         if (inTransit.length > 0) {
             this.send({ shards: [], generation, inTransit: [...inTransit] }, "handedOver");
         }
--- a/packages/node/test/handovers.test.ts
+++ b/packages/node/test/handovers.test.ts
@@ -48,6 +48,30 @@
     }
 });
 
+// Guards against a receiver that orders between a handover and the report to all VMs.
+test("the receiver of a handover waits for the orders that the handover names", async () => {
+    const world = await createWorld(vms);
+    world.startOutage();
+    await world.schedule.advance(2500);
+    const { incarnation } = world.processes.get("a")!;
+    world.kill("a");
+    const { ownership } = world.processes.get("b")!;
+    ownership.receiveHandover({
+        shards: [0, 1, 2, 3],
+        deal: world.generation,
+        depth: 1,
+        givers: [{ vm: "a", incarnation }],
+        inTransit: [{ shard: 0, forMs: 1000 }],
+    });
+    await world.schedule.advance(990);
+    assert.equal([world.listHolders(0, world.schedule.now - 900), world.listHolders(1, world.schedule.now - 500)], [
+        [],
+        ["b"],
+    ]);
+    await world.schedule.advance(500);
+    assert.equal(world.listHolders(0, world.schedule.now - 400), ["b"]);
+});
+
 // Guards against a receiver that waits for the longest transit although the order was answered.
 test("the receiver of a handover orders once the last order of the giver has been answered", async () => {
     const world = await createWorld(vms);
--- a/packages/node/test/releases.test.ts
+++ b/packages/node/test/releases.test.ts
@@ -15,7 +15,7 @@
 }
 
 /** Creates the releases of a VM whose only engine is in shard 1. */
-function createFixture(): ReleaseFixture {
+function createFixture(reportedArrivalEnd = -Infinity): ReleaseFixture {
     const schedule = new Schedule();
     const readTime = (): number => schedule.now;
     const timers = {
@@ -29,7 +29,7 @@
     const messages: Release[] = [];
     const releases = new ShardReleases({
         log: createSilentLog(readTime),
-        leases: { recordArrivals: () => {}, recordOwnArrivals: () => {}, readArrivalEnd: () => -Infinity },
+        leases: { recordArrivals: () => {}, recordOwnArrivals: () => {}, readArrivalEnd: () => reportedArrivalEnd },
         holderGapMs: 3000,
         ordersInFlight,
         readTime,
@@ -70,6 +70,11 @@
     ]);
 });
 
+test("a VM hands on what it was told of orders that may still arrive", () => {
+    const { releases } = createFixture(1500);
+    assert.equal(releases.listAllInTransit([1]), [{ shard: 1, forMs: 1500 }]);
+});
+
 test("a shard that must not be released is not released either once its order is answered", async () => {
     assert.equal(await listMessages([], 1200), [
         { shards: [], generation: 4, inTransit: [{ shard: 1, forMs: 3000 }] },
