--- a/packages/node/test/lateorders.test.ts
+++ b/packages/node/test/lateorders.test.ts
@@ -69,4 +69,26 @@
     world.checkOrders();
 });
 
+// Guards against a lower token after a higher one at one engine: a killed VM reports no order under way, and restarts
+// while the generation of its last orders is still in force.
+test("late orders of a killed process have no lower token than those of the next process of its VM", async () => {
+    for (let downMs = 50; downMs < 700; downMs += 100) {
+        const choose = createRandom(downMs);
+        const world = await createWorld(["a", "b", "c"]);
+        world.lostOrderMs = Infinity;
+        world.chooseTransitMs = vm => vm === "a" ? 300 + choose() * 1700 : 3;
+        await world.schedule.advance(1000);
+        world.kill("a");
+        world.chooseTransitMs = () => 3;
+        await world.schedule.advance(downMs);
+        world.start("a");
+        await world.schedule.advance(6000);
+        assert.equal(world.listHolders(0, world.schedule.now - 500), ["a"]);
+        world.planAssignment(() => "b");
+        await world.schedule.advance(6000);
+        assert.equal(world.listHolders(0, world.schedule.now - 500), ["b"]);
+        world.checkOrders();
+    }
+});
+
 test.run();
