Keep the fencing tokens of a VM over a restart in its generation

A process that starts while the generation in its entry is still in force orders 0.8 s after its start. It did not know the tokens of the process before, so it used the highest of the generation, and orders of the killed process that took 1.25 to 1.95 s came below it. A killed process reports no orders, and a longer wait would hold up each restart.

The entry now holds the tokens beside the generation, and a process that finds the generation unchanged gives its orders with them. Tokens below those of another VM are excluded: within a generation only a handover gives another VM a higher one, its receiver orders only while most VMs know of it, and the start is confirmed by most VMs. If one of these has ever heard of a takeover of this VM's shards, or does not say, the highest token is used as before. The term in the statuses of engines stays as it was: it is higher after a restart, so that VMs report their requests to the new process.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -78,7 +78,7 @@
     type UrgencyOrderOptions,
     type WaitingLoad,
 } from "./scheduling/index.js";
-export { type LeaseReason, type ShardLease } from "./shardlease.js";
+export { type FencesByShard, type LeaseReason, type ShardLease } from "./shardlease.js";
 export { readShard, ShardLeases, type ShardLeasesOptions } from "./shardleases.js";
 export {
     AccountLedger,
--- a/packages/fleet/src/shardlease.ts
+++ b/packages/fleet/src/shardlease.ts
@@ -14,12 +14,17 @@
     readonly mayOrderAt: number;
     /** Number of handovers of the shard within the generation, part of the fencing token. */
     readonly handoverDepth: number;
-    /** Fencing token of the orders under this lease. */
+    /** Rises from process to process. It is the fencing token of the orders, unless `recordedFence` is. */
     readonly fence: number;
+    /** Fencing token with which this VM's previous process gave orders under the same generation. */
+    readonly recordedFence?: number | undefined;
     /** Whether the shard was handed over by the VM to which the store assigned it. */
     readonly isHandover: boolean;
 }
 
+/** Fencing tokens by shard. */
+export type FencesByShard = Readonly<Record<number, number>>;
+
 /** Largest number of handovers within one generation: fencing tokens reserve this range for each generation. */
 export const maxHandoverDepth = 15;
 
--- a/packages/fleet/src/shardleases.ts
+++ b/packages/fleet/src/shardleases.ts
@@ -1,5 +1,5 @@
 import { OrderArrivals } from "./orderarrivals.js";
-import { createFence, type LeaseReason, maxHandoverDepth, type ShardLease } from "./shardlease.js";
+import { createFence, type FencesByShard, type LeaseReason, maxHandoverDepth, type ShardLease } from "./shardlease.js";
 
 /** Options of {@link ShardLeases}. */
 export interface ShardLeasesOptions {
@@ -47,6 +47,9 @@
     /** Orders of other VMs that may still arrive. */
     private readonly arrivals = new OrderArrivals();
     private recordedGeneration: number | undefined;
+    private recordedFences: FencesByShard = {};
+    /** Whether no VM can have taken over the shards of this VM's previous process. */
+    private wasNeverTakenOver = false;
     private firstGeneration: number | undefined;
     private validUntil = 0;
     private generation = 0;
@@ -74,15 +77,27 @@
         return Math.max(this.generation, this.reportedGeneration);
     }
 
-    /**
-     * Fencing token for the engines of a shard: higher than that of every earlier holder, and constant for as long as
-     * the shard is held. If the token rose meanwhile, an engine would reject the holder's own earlier order that a
-     * lossy link delivers 200 ms late, after an order with the higher token.
-     */
+    /** Identifies the holder of a shard: higher than that of every earlier holder, also of this VM's earlier process. */
     readFence(shard: number): number {
         return this.leases.get(shard)?.fence ?? 0;
     }
 
+    /**
+     * Fencing token of the orders to the engines of a shard: higher than that of every earlier holder, and constant for
+     * as long as the VM holds the shard, over restarts as well. If the token rose meanwhile, the VM's own earlier order
+     * that a lossy link delivers late would arrive with a lower token than a later one.
+     */
+    readOrderFence(shard: number): number {
+        const lease = this.leases.get(shard);
+        return lease?.recordedFence ?? lease?.fence ?? 0;
+    }
+
+    /** Fencing tokens of the orders to the shards that are assigned to this VM, to be recorded for its next start. */
+    listOrderFences(): FencesByShard {
+        const own = [...this.leases].filter(([, lease]) => !lease.isHandover);
+        return Object.fromEntries(own.map(([shard]) => [shard, this.readOrderFence(shard)]));
+    }
+
     /** Why this VM may give orders to a shard, and the generation in which it first held the shard. */
     explainLease(shard: number): { readonly reason: LeaseReason; readonly generation: number; } | undefined {
         const lease = this.leases.get(shard);
@@ -152,11 +167,12 @@
     }
 
     /**
-     * Sets the generation under which this VM last held its shards before it restarted. If the generation is still
-     * current, no other VM can have held them since, and there is no lease to wait for.
+     * Sets the generation under which this VM last held its shards before it restarted, and its fencing tokens. If the
+     * generation is still current, no other VM can have held them since, and there is no lease to wait for.
      */
-    setRecordedGeneration(generation: number, now: number): void {
+    setRecordedGeneration(generation: number, now: number, fences: FencesByShard = {}): void {
         this.recordedGeneration = generation;
+        this.recordedFences = fences;
         this.applyRecordedGeneration(now);
     }
 
@@ -263,6 +279,21 @@
                 this.leases.set(shard, { ...lease, mayOrderAt, reason: "recorded" });
             }
         }
+        this.applyRecordedFences();
+    }
+
+    /** Keeps the tokens of the previous process, whose late orders may arrive after the first ones of this process. */
+    private applyRecordedFences(): void {
+        const isRecorded = this.generation === this.recordedGeneration && this.generation === this.firstGeneration;
+        if (!isRecorded || !this.wasNeverTakenOver) {
+            return;
+        }
+        for (const [shard, lease] of this.leases) {
+            const recordedFence = this.recordedFences[shard];
+            if (recordedFence !== undefined && !lease.isHandover) {
+                this.leases.set(shard, { ...lease, recordedFence });
+            }
+        }
     }
 
     /**
@@ -319,14 +350,18 @@
      * Records that most VMs know of this start, and whether one of them has recently confirmed that another VM took
      * over this VM's shards. Before this call, no orders are given under the first generation: the other VM, which may
      * not learn of the start itself, may give orders until most VMs report to it that they know of the start.
+     * @param wasNeverTakenOver Whether none of them knows of a VM that ever took over this VM's shards. Such a VM used
+     * higher tokens than the recorded ones.
      */
-    recordStartKnown(now: number, wasTakenOver: boolean): void {
+    recordStartKnown(now: number, wasTakenOver: boolean, wasNeverTakenOver = false): void {
         const atOnce = Math.min(this.startConfirmedAt, now);
         const afterGap = Math.max(
             now + this.options.leaseMs + orderOutcomeMs,
             this.previousProcessOrderAt + this.options.holderGapMs,
         );
         this.startConfirmedAt = wasTakenOver ? Math.min(this.startConfirmedAt, afterGap) : atOnce;
+        this.wasNeverTakenOver = wasNeverTakenOver;
+        this.applyRecordedFences();
     }
 
     private isStartConfirmed(now: number): boolean {
--- a/packages/fleet/test/shardleases.test.ts
+++ b/packages/fleet/test/shardleases.test.ts
@@ -177,6 +177,31 @@
     assert.ok(twice.readFence(2) > before);
 });
 
+test("a VM keeps its tokens over a restart within a generation, unless another VM took over its shards", () => {
+    const before = createLeases(-10_000);
+    before.recordStartKnown(-9000, false);
+    before.applyRenewal(22, [1], 0, 0);
+    before.applyRenewal(23, [1, 2], 500, 500);
+    const fences = before.listOrderFences();
+    assert.ok(fences[1]! < fences[2]!);
+    const restart = (generation: number, wasNeverTakenOver: boolean): ShardLeases => {
+        const leases = createLeases(1000);
+        leases.setRecordedGeneration(23, 1000, fences);
+        leases.applyRenewal(generation, [1, 2], 1050, 1060);
+        leases.recordStartKnown(1100, false, wasNeverTakenOver);
+        return leases;
+    };
+    const restarted = restart(23, true);
+    assert.equal(restarted.listOrderFences(), fences);
+    assert.ok(restarted.readFence(2) > fences[2]!);
+    restarted.applyRenewal(24, [1, 2], 1400, 1410);
+    assert.equal(restarted.listOrderFences(), fences);
+    for (const other of [restart(23, false), restart(24, true)]) {
+        assert.ok(other.readOrderFence(1) > fences[2]!);
+        assert.ok(other.readOrderFence(2) > fences[2]!);
+    }
+});
+
 test("an engine has the same shard on every VM", () => {
     assert.is(readShard("i-7f3a91c2", 12), readShard("i-7f3a91c2", 12));
     const shards = new Set(Array.from({ length: 200 }, (_, index) => readShard(`i-${index}`, 12)));
--- a/packages/node/src/knowledge/ownentry.ts
+++ b/packages/node/src/knowledge/ownentry.ts
@@ -3,6 +3,9 @@
 import type { NodeSettings } from "../options.js";
 import type { ClusterStore, Member } from "../ports.js";
 
+/** What the entry holds about the leases of this VM. */
+type EntryState = Pick<Member, "generation" | "fences" | "hasLeft">;
+
 /** Options of {@link OwnEntry}. */
 export interface OwnEntryOptions {
     /** Identity of this VM in its entry. */
@@ -14,7 +17,7 @@
 export class OwnEntry {
     private previousEntry: Member | undefined;
     private hasReadPrevious = false;
-    private state: Pick<Member, "generation" | "hasLeft"> = {};
+    private state: EntryState = {};
     private softwareClaims: SoftwareClaims | undefined;
     private onClaimsConfirmed = (): void => {};
 
@@ -38,7 +41,7 @@
     }
 
     /** Writes the entry, which replaces the earlier one; an earlier process's entry is replaced only once it was read. */
-    append(state: Pick<Member, "generation" | "hasLeft">): void {
+    append(state: EntryState): void {
         this.state = state;
         this.write();
     }
--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -17,6 +17,7 @@
     address: z.string(),
     dataCentre: z.string().optional(),
     generation: z.number().optional(),
+    fences: z.record(z.string(), z.number()).optional(),
     hasLeft: z.boolean().optional(),
     softwareClaims: softwareClaimsSchema.optional(),
     cores: z.number().nonnegative().optional(),
@@ -163,6 +164,8 @@
         giversAreGone: z.boolean(),
         /** Whether another VM has recently reported that it took over shards of the querying VM. */
         isTakenOver: z.boolean(),
+        /** Whether the sender knows of no VM that ever took over shards of the querying VM. */
+        wasNeverTakenOver: z.boolean().optional(),
     }),
     /**
      * Crash reports: upstreams that have ended, and what ran there: all when a link opens, later only new ones.
--- a/packages/node/src/ownership/engines.ts
+++ b/packages/node/src/ownership/engines.ts
@@ -54,8 +54,10 @@
     readonly findService: (name: string) => Service | undefined;
     /** Whether orders may be given to an engine now. */
     readonly mayOrder: (name: string) => boolean;
-    /** Fencing token for the orders to an engine. */
+    /** Identifies the holder of an engine; it rises from holder to holder. */
     readonly readFence: (name: string) => number;
+    /** Fencing token for the orders to an engine. */
+    readonly readOrderFence: (name: string) => number;
     /** Records the orders that are sent. @default they are not recorded */
     readonly ordersInFlight?: Pick<OrdersInFlight, "record">;
     /** Fields of the log line which explain why orders to an engine are allowed from now on. */
@@ -306,6 +308,7 @@
             }),
             roomWaits: new RoomWaitLog(this.options.log, id),
             fence: this.options.readFence(name),
+            orderFence: 0,
             revision: 0,
             lastStatus: "",
             isStepRunning: false,
@@ -413,6 +416,7 @@
                 engine: owned.id,
                 canOrder,
                 fence: owned.fence,
+                orderFence: this.options.readOrderFence(owned.name),
                 ...why,
             });
             this.sendChanges([owned]);
@@ -446,10 +450,11 @@
         owned.isStepRunning = true;
         owned.isOrdering = true;
         owned.fence = Math.max(owned.fence, this.options.readFence(owned.name));
+        owned.orderFence = Math.max(owned.orderFence, this.options.readOrderFence(owned.name));
         const sentAt = this.options.readTime();
         const lease = this.options.readLeaseFields?.(owned.name);
         const before = readReach(owned);
-        const { fence } = owned;
+        const { orderFence: fence } = owned;
         const sending = this.options.orders.send(state.upstream, order, {
             holder: this.options.vm,
             fence,
@@ -471,7 +476,7 @@
             adapter: order.adapter,
             version: order.version,
             sequence: order.expectedSequence,
-            fence: owned.fence,
+            fence,
             ...lease,
             answer: outcome,
             places: owned.planner.countSlots(now, key => owned.admission.countUses(key)),
--- a/packages/node/src/ownership/handoversources.ts
+++ b/packages/node/src/ownership/handoversources.ts
@@ -50,4 +50,9 @@
     isTakenOver(vm: string, now: number): boolean {
         return now - (this.reportedAt.get(vm) ?? -Infinity) < takeoverReportValidMs;
     }
+
+    /** Whether a VM has ever reported that it took over shards of another VM. */
+    hasBeenTakenOver(vm: string): boolean {
+        return this.reportedAt.has(vm);
+    }
 }
--- a/packages/node/src/ownership/leasemessages.ts
+++ b/packages/node/src/ownership/leasemessages.ts
@@ -69,4 +69,6 @@
     readonly giversAreGone: boolean;
     /** Whether another VM has recently reported that it took over shards of the asking VM. */
     readonly isTakenOver: boolean;
+    /** Whether the replying VM knows of no VM that ever took over shards of the asking VM. @default false */
+    readonly wasNeverTakenOver?: boolean | undefined;
 }
--- a/packages/node/src/ownership/ownedengine.ts
+++ b/packages/node/src/ownership/ownedengine.ts
@@ -10,6 +10,8 @@
     readonly admission: EngineAdmission;
     readonly roomWaits: RoomWaitLog;
     fence: number;
+    /** Highest fencing token of the orders so far. */
+    orderFence: number;
     revision: number;
     lastStatus: string;
     isStepRunning: boolean;
--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -1,4 +1,4 @@
-import { readShard, ShardLeases } from "@radishreel/fleet";
+import { type FencesByShard, readShard, ShardLeases } from "@radishreel/fleet";
 import { BootClock, processTimers, type ScheduledRun, type Timers } from "../clock.js";
 import type { Member, ShardAssigner } from "../ports.js";
 import { OwnedEngines, type OwnedEnginesOptions } from "./engines.js";
@@ -64,6 +64,7 @@
 type InternalOption =
     | "mayOrder"
     | "readFence"
+    | "readOrderFence"
     | "ordersInFlight"
     | "explainOrders"
     | "readLeaseFields"
@@ -82,8 +83,8 @@
     readonly sendQuery: (query: LeaseQuery) => void;
     /** Hands shards over to one other VM. @returns Whether a VM was available. */
     readonly sendHandover: (handover: Handover) => boolean;
-    /** Stores the generation in which this VM gives orders, for its next start. */
-    readonly recordGeneration: (generation: number) => void;
+    /** Stores the generation in which this VM gives orders, and their fencing tokens, for its next start. */
+    readonly recordGeneration: (generation: number, fences: FencesByShard) => void;
     /** Counts events of shard leases. */
     readonly onLeaseEvent?: (event: LeaseEvent) => void;
     /** Whether the whole system starts for the first time. @default false */
@@ -128,6 +129,7 @@
     /** VMs that have replied to a query of this process and therefore know that it has started. */
     private readonly startKnownBy = new Set<string>();
     private wasTakenOver = false;
+    private wasNeverTakenOver = true;
     private isStartConfirmed = false;
     private startTimer: ScheduledRun | undefined;
     /** Since when this VM holds shards that it may not use until most VMs know that it has started. */
@@ -162,6 +164,7 @@
             ordersInFlight,
             mayOrder: name => this.mayOrder(name),
             readFence: name => this.leases.readFence(this.findShard(name)),
+            readOrderFence: name => this.leases.readOrderFence(this.findShard(name)),
             explainOrders: name => this.explainOrders(name),
             readLeaseFields: name => this.readLeaseFields(name),
         });
@@ -186,7 +189,8 @@
             this.sendStartQueries(this.bootClock.read() + startQueryPeriodMs);
         }
         if (previousEntry?.generation !== undefined) {
-            this.leases.setRecordedGeneration(previousEntry.generation, this.bootClock.read());
+            const { generation, fences } = previousEntry;
+            this.leases.setRecordedGeneration(generation, this.bootClock.read(), fences);
         }
         const waitMs = previousEntry?.hasLeft === true ? this.options.holderGapMs : 0;
         this.renewTimer = this.timers.scheduleOnce(() => {
@@ -212,11 +216,12 @@
             return;
         }
         this.isStartConfirmed = true;
-        this.leases.recordStartKnown(this.bootClock.read(), this.wasTakenOver);
+        this.leases.recordStartKnown(this.bootClock.read(), this.wasTakenOver, this.wasNeverTakenOver);
         this.options.log.recordImportant("startConfirmed", {
             heardBy: this.startKnownBy.size,
             others: this.options.countOthers(),
             wasTakenOver: this.wasTakenOver,
+            wasNeverTakenOver: this.wasNeverTakenOver,
         });
     }
 
@@ -429,6 +434,7 @@
             giversHaveStarted: this.handoverSources.hasAnyRestarted(givers),
             giversAreGone: this.handoverSources.hasNoneRestarted(givers),
             isTakenOver: this.handoverSources.isTakenOver(vm, now),
+            wasNeverTakenOver: !this.handoverSources.hasBeenTakenOver(vm),
         };
     }
 
@@ -450,6 +456,7 @@
         if (state.query > this.options.incarnation * queriesPerIncarnation && state.query <= openQuery.query) {
             this.startKnownBy.add(vm);
             this.wasTakenOver ||= state.isTakenOver;
+            this.wasNeverTakenOver &&= state.wasNeverTakenOver === true;
             this.checkStartConfirmed();
         }
         if (state.giversHaveStarted) {
@@ -524,7 +531,7 @@
         }
         if (this.leases.canOrderAll(now) && this.leases.currentGeneration !== this.recordedGeneration) {
             this.recordedGeneration = this.leases.currentGeneration;
-            this.options.recordGeneration(this.leases.currentGeneration);
+            this.options.recordGeneration(this.leases.currentGeneration, this.leases.listOrderFences());
         }
     }
 
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -2,6 +2,7 @@
     CrashReport,
     EngineOrder,
     EngineReport,
+    FencesByShard,
     ModelDemand,
     OrderOutcome,
     SoftwareClaims,
@@ -134,6 +135,8 @@
     readonly dataCentre?: string | undefined;
     /** Generation of the shard assignment in which the VM has given orders; undefined if it has given none. */
     readonly generation?: number | undefined;
+    /** Fencing tokens of the VM's orders in this generation. @default unknown */
+    readonly fences?: FencesByShard | undefined;
     /** Whether the VM's process stopped as planned and released its shards. */
     readonly hasLeft?: boolean | undefined;
     /** Software versions at which streams may have begun at the VM; undefined if it has claimed none. */
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -568,7 +568,7 @@
             sendHandover: handover => this.messenger.sendHandover(handover),
             ledger: this.fairShares?.ledger,
             countOthers: () => this.peers.countMembers(),
-            recordGeneration: generation => this.ownEntry.append({ generation }),
+            recordGeneration: (generation, fences) => this.ownEntry.append({ generation, fences }),
             onLeaseEvent: event => this.metrics.recordLeaseEvent(event),
             isCandidate: createCandidacyCheck(settings, this.view, () => this.peers),
             transfers: settings.features?.hasTransferBudget ? { registry: this.metrics.registry } : undefined,
--- a/packages/node/test/engines.test.ts
+++ b/packages/node/test/engines.test.ts
@@ -58,6 +58,7 @@
         findService: () => engineService,
         mayOrder: () => true,
         readFence: () => 7,
+        readOrderFence: () => 7,
         sendStatuses: sent => {
             messages.push(sent.length);
             statuses.push(...sent);
--- a/packages/node/test/fairshares.test.ts
+++ b/packages/node/test/fairshares.test.ts
@@ -133,6 +133,7 @@
         findService: () => engineService,
         mayOrder: () => true,
         readFence: () => 7,
+        readOrderFence: () => 7,
         sendStatuses: () => {},
         sendReply: () => {},
         countOthers: () => 2,
--- a/packages/node/test/leaving.test.ts
+++ b/packages/node/test/leaving.test.ts
@@ -157,6 +157,7 @@
         findService: () => engineService,
         mayOrder: () => true,
         readFence: () => 7,
+        readOrderFence: () => 7,
         sendStatuses: () => {},
         sendReply: (_vm, reply) => replies.push(reply),
         countOthers: () => 2,
--- a/packages/node/test/ownership.test.ts
+++ b/packages/node/test/ownership.test.ts
@@ -251,6 +251,21 @@
     world.checkOrders();
 });
 
+// Guards against a restarted VM that goes on with its recorded tokens, though another VM used higher ones.
+test("a VM whose shards were taken over long before its restart continues with higher tokens", async () => {
+    const world = await createHandover();
+    world.kill("a");
+    world.kill("b");
+    await world.schedule.advance(6000);
+    world.endOutage(true);
+    const { generation } = world;
+    world.start("a");
+    await world.schedule.advance(2000);
+    assert.is(world.generation, generation);
+    assert.equal(world.listHolders(0, world.schedule.now - 500), ["a"]);
+    world.checkOrders();
+});
+
 // Guards against a lower token that arrives after a higher one. The VM that took over shards does not learn that their
 // source has restarted, since the link between the two is cut, and keeps giving orders beside it.
 test("a VM that took over shards stops after their source restarts, though it is cut off from the source", async () => {
--- a/packages/node/test/shardgroup.ts
+++ b/packages/node/test/shardgroup.ts
@@ -109,7 +109,7 @@
             sendQuery: query => this.broadcast({ kind: "query", query }),
             sendHandover: handover => this.sendHandover(handover),
             countOthers: () => world.vms.length - 1,
-            recordGeneration: generation => world.write(this, { generation }),
+            recordGeneration: (generation, fences) => world.write(this, { generation, fences }),
             isCandidate: () => !world.standbys.has(vm),
         });
     }
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -355,6 +355,30 @@
         "const restartPauseMs = 0;",
         "packages/fleet/dist/test/shardleases.test.js",
     ],
+    [
+        "fleet/dist/src/shardleases.js",
+        "const recordedFence = this.recordedFences[shard];",
+        "const recordedFence = undefined;",
+        "packages/node/dist/test/lateorders.test.js",
+    ],
+    [
+        "fleet/dist/src/shardleases.js",
+        "if (!isRecorded || !this.wasNeverTakenOver) {",
+        "if (!this.wasNeverTakenOver) {",
+        "packages/fleet/dist/test/shardleases.test.js",
+    ],
+    [
+        "node/dist/src/ownership/ownership.js",
+        "wasNeverTakenOver: !this.handoverSources.hasBeenTakenOver(vm),",
+        "wasNeverTakenOver: !this.handoverSources.isTakenOver(vm, now),",
+        "packages/node/dist/test/ownership.test.js",
+    ],
+    [
+        "../platform/dist/src/clusterstore.js",
+        "fences: member.fences,",
+        "",
+        "platform/dist/test/orders.test.js",
+    ],
     [
         "fleet/dist/src/shardleases.js",
         "now >= this.arrivals.readEnd(shard)",
