Leave late orders of earlier givers out of the report of a handover

VM a hands its shards to b with an order under way, b stops and hands them on to c, and the report of a does not reach c. c ordered at once, and a's order arrived after that with a lower token.

Cause: the handover names the orders of a to c, but the report that follows it repeated them as b's own, and said at once that they had arrived, since b has none of its own to wait for. The later report of a VM replaces its earlier one.

Now the report holds b's own orders alone; the handover still names all.

--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -254,7 +254,7 @@
             givers,
             inTransit: this.releases.listAllInTransit(heldShards),
         };
-        if (isCutOff && this.sendHandover(handover)) {
+        if (isCutOff && this.sendHandover(handover, heldShards)) {
             return;
         }
         // The release is sent only after this VM has left the group. Until then the VM may restart and give orders in
@@ -269,16 +269,17 @@
         else if (!isCutOff) {
             // The store became unreachable just now. If it reassigned the shards nevertheless, the receiver learns the
             // new generation from the store or from other VMs, like every holder of shards.
-            this.sendHandover(handover);
+            this.sendHandover(handover, heldShards);
         }
     }
 
-    private sendHandover(handover: Handover): boolean {
+    /** Hands shards over to one other VM, and tells all of this VM's orders that may still arrive at those it held. */
+    private sendHandover(handover: Handover, heldShards: readonly number[]): boolean {
         const isSent = handover.shards.length > 0 && this.options.sendHandover(handover);
         if (isSent) {
             this.options.log.recordImportant("handedOver", handover);
             // The store may assign the shards to a third VM as soon as it is back.
-            this.releases.sendReport(handover.inTransit ?? [], handover.deal);
+            this.releases.sendReport(heldShards, handover.deal);
         }
         return isSent;
     }
--- a/packages/node/src/ownership/releases.ts
+++ b/packages/node/src/ownership/releases.ts
@@ -83,10 +83,14 @@
         });
     }
 
-    /** Tells all other VMs of orders that may still arrive at the engines of shards that were handed over. */
-    sendReport(inTransit: readonly ShardInTransit[], generation: number): void {
+    /**
+     * Tells all other VMs of this VM's orders that may still arrive at the engines of handed-over shards, and again once
+     * they have. Those of earlier holders are left to the VMs that sent them.
+     */
+    sendReport(shards: readonly number[], generation: number): void {
+        const inTransit = this.listInTransit(shards);
         if (inTransit.length > 0) {
-            this.send({ shards: [], generation, inTransit: [...inTransit] }, "handedOver");
+            this.send({ shards: [], generation, inTransit }, "handedOver");
         }
     }
 
--- a/packages/node/test/handovers.test.ts
+++ b/packages/node/test/handovers.test.ts
@@ -48,6 +48,25 @@
     }
 });
 
+// Guards against a report that takes back what the handover says of an earlier giver's order.
+test("a VM that gets shards handed on waits for the order of the first giver, of which it had no word", async () => {
+    for (const transitMs of [2500, 2900]) {
+        const world = await createWorld(vms);
+        world.startOutage();
+        await world.schedule.advance(2500);
+        world.lostOrderMs = Infinity;
+        world.chooseTransitMs = vm => vm === "a" ? transitMs : 3;
+        await world.schedule.advance(100);
+        world.closePath("a", "c");
+        world.stop("a");
+        await world.schedule.advance(500);
+        world.stop("b");
+        await world.schedule.advance(8000);
+        assert.equal(world.listHolders(0, world.schedule.now - 500), ["c"]);
+        world.checkOrders();
+    }
+});
+
 // Guards against a receiver that orders between a handover and the report to all VMs.
 test("the receiver of a handover waits for the orders that the handover names", async () => {
     const world = await createWorld(vms);
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -429,7 +429,7 @@
     ],
     [
         "node/dist/src/ownership/ownership.js",
-        "this.releases.sendReport(handover.inTransit ?? [], handover.deal);",
+        "this.releases.sendReport(heldShards, handover.deal);",
         "",
         "packages/node/dist/test/handovers.test.js",
     ],
