--- a/packages/fleet/src/shardleases.ts
+++ b/packages/fleet/src/shardleases.ts
@@ -404,7 +404,7 @@
 
     /** Whether this VM may give orders to the engines of a shard now. */
     canOrder(shard: number, now: number): boolean {
-        return this.mayHandOver(shard, now) && now >= this.arrivals.readEnd(shard);
+        return this.mayHandOver(shard, now) && this.hasNoLateOrders(shard, now);
     }
 
     /** Whether this VM may give orders to the engines of a shard as soon as those of earlier holders have arrived. */
@@ -420,6 +420,11 @@
             && (lease.generation !== this.firstGeneration || this.isStartConfirmed(now));
     }
 
+    /** Whether no order of another VM to the engines of a shard can still arrive. */
+    private hasNoLateOrders(shard: number, now: number): boolean {
+        return now >= this.arrivals.readEnd(shard);
+    }
+
     /**
      * Shards whose release this VM may announce: those whose earlier holders have all stopped. A shard that this VM
      * still waits for may be in use by the previous holder, and a handed-over shard by the VM to which the store
@@ -428,7 +433,7 @@
     listReleasable(now: number): number[] {
         return [...this.leases]
             .filter(([shard, lease]) =>
-                !lease.isHandover && this.hasTurn(lease, now) && now >= this.arrivals.readEnd(shard)
+                !lease.isHandover && this.hasTurn(lease, now) && this.hasNoLateOrders(shard, now)
             )
             .map(([shard]) => shard);
     }
--- a/packages/node/test/handovers.test.ts
+++ b/packages/node/test/handovers.test.ts
@@ -1,19 +1,26 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { World } from "./shardgroup.js";
 import { createHandover, createWorld } from "./shardworlds.js";
 
 const vms = ["a", "b", "c", "d", "e"];
 
+/** Creates VMs without a store, the first of which holds all shards and has orders under way that arrive late. */
+async function createLateOutage(transitMs: number): Promise<World> {
+    const world = await createWorld(vms);
+    world.startOutage();
+    await world.schedule.advance(2500);
+    world.lostOrderMs = Infinity;
+    world.chooseTransitMs = vm => vm === "a" ? transitMs : 3;
+    await world.schedule.advance(100);
+    return world;
+}
+
 // Guards against an order that arrives after those of a third VM, which was not told of it.
 test("late orders of a VM that hands its shards over do not arrive after those of the next holder but one", async () => {
     for (const backMs of [50, 200, 400, 600]) {
         for (const transitMs of [2200, 2500, 2800, 2950]) {
-            const world = await createWorld(vms);
-            world.startOutage();
-            await world.schedule.advance(2500);
-            world.lostOrderMs = Infinity;
-            world.chooseTransitMs = vm => vm === "a" ? transitMs : 3;
-            await world.schedule.advance(100);
+            const world = await createLateOutage(transitMs);
             world.stop("a");
             await world.schedule.advance(backMs);
             world.endOutage(true);
@@ -25,18 +32,12 @@
     }
 });
 
-/** Stops the holder with an order under way during an outage, and then the VM that took its shards over. */
-async function listNextHolders(transitMs: number, stopAfterMs: number, lengthMs: number): Promise<string[]> {
-    const world = await createWorld(vms);
-    world.startOutage();
-    await world.schedule.advance(2500);
-    world.lostOrderMs = Infinity;
-    world.chooseTransitMs = vm => vm === "a" ? transitMs : 3;
-    await world.schedule.advance(100);
+/** Stops the holder, and then the VM that took its shards over. @returns The VMs that give orders 8 s later. */
+async function listNextHolders(world: World, stopAfterMs: number): Promise<string[]> {
     world.stop("a");
     await world.schedule.advance(stopAfterMs);
     world.stop("b");
-    await world.schedule.advance(lengthMs);
+    await world.schedule.advance(8000);
     world.checkOrders();
     return world.listHolders(0, world.schedule.now - 500);
 }
@@ -44,26 +45,17 @@
 // Guards against shards without an owner until the store is back, in a rolling restart beside a late order.
 test("a VM that still waits for an order of the giver hands its shards on when it stops", async () => {
     for (const stopAfterMs of [1000, 2000]) {
-        assert.equal(await listNextHolders(2900, stopAfterMs, 8000), ["c"]);
+        const world = await createLateOutage(2900);
+        assert.equal(await listNextHolders(world, stopAfterMs), ["c"]);
     }
 });
 
 // Guards against a report that takes back what the handover says of an earlier giver's order.
 test("a VM that gets shards handed on waits for the order of the first giver, of which it had no word", async () => {
     for (const transitMs of [2500, 2900]) {
-        const world = await createWorld(vms);
-        world.startOutage();
-        await world.schedule.advance(2500);
-        world.lostOrderMs = Infinity;
-        world.chooseTransitMs = vm => vm === "a" ? transitMs : 3;
-        await world.schedule.advance(100);
+        const world = await createLateOutage(transitMs);
         world.closePath("a", "c");
-        world.stop("a");
-        await world.schedule.advance(500);
-        world.stop("b");
-        await world.schedule.advance(8000);
-        assert.equal(world.listHolders(0, world.schedule.now - 500), ["c"]);
-        world.checkOrders();
+        assert.equal(await listNextHolders(world, 500), ["c"]);
     }
 });
 
@@ -93,12 +85,7 @@
 
 // Guards against a receiver that waits for the longest transit although the order was answered.
 test("the receiver of a handover orders once the last order of the giver has been answered", async () => {
-    const world = await createWorld(vms);
-    world.startOutage();
-    await world.schedule.advance(2500);
-    world.lostOrderMs = Infinity;
-    world.chooseTransitMs = vm => vm === "a" ? 400 : 3;
-    await world.schedule.advance(100);
+    const world = await createLateOutage(400);
     world.stop("a");
     await world.schedule.advance(1500);
     assert.equal(world.listHolders(0, world.schedule.now - 500), ["b"]);
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -309,8 +309,8 @@
     ],
     [
         "fleet/dist/src/shardleases.js",
-        "!lease.isHandover && this.mayBegin(",
-        "this.mayBegin(",
+        "!lease.isHandover && this.hasTurn(",
+        "this.hasTurn(",
         "packages/node/dist/test/ownership.test.js",
     ],
     [
@@ -425,7 +425,7 @@
         "node/dist/src/ownership/ownership.js",
         "inTransit: this.releases.listAllInTransit(heldShards),",
         "",
-        "packages/node/dist/test/lateorders.test.js",
+        "packages/node/dist/test/handovers.test.js",
     ],
     [
         "node/dist/src/ownership/ownership.js",
