Show that a takeover is forgotten when most VMs restart right after it

A start is confirmed once most VMs have replied, and VMs that have just started count among them, although they can know of nothing before: the lack of a sign is taken for a fact again.

--- a/packages/node/test/handovers.test.ts
+++ b/packages/node/test/handovers.test.ts
@@ -110,4 +110,35 @@
     world.checkOrders();
 });
 
+/** Restarts some VMs soon after the holder has begun a stop during an outage, so that the second VM took over. */
+async function checkRestartAfterHandover(restarted: readonly string[]): Promise<void> {
+    for (const killAfterMs of [100, 300, 700]) {
+        for (const downMs of [50, 150, 400]) {
+            const world = await createWorld(vms);
+            world.startOutage();
+            await world.schedule.advance(2500);
+            world.stop("a");
+            await world.schedule.advance(killAfterMs);
+            world.endOutage(true);
+            restarted.forEach(vm => world.kill(vm));
+            await world.schedule.advance(downMs);
+            restarted.forEach(vm => world.start(vm));
+            await world.schedule.advance(9000);
+            assert.is(world.listHolders(0, world.schedule.now - 500).length, 1);
+            world.checkOrders();
+        }
+    }
+}
+
+// Guards against a start that most VMs confirm which have just started themselves and know of no takeover.
+test("a VM that restarts with most others waits after a takeover that one of the rest knows of", async () => {
+    await checkRestartAfterHandover(["a", "b", "c"]);
+    await checkRestartAfterHandover(["a", "b", "c", "d"]);
+});
+
+// Guards against a takeover during an outage of the store that no process remembers.
+test("VMs that all restart right after a handover keep the holder gap", async () => {
+    await checkRestartAfterHandover(vms);
+});
+
 test.run();
