Report the late orders of the process before a kill where a restarted VM loses a shard

A VM is killed while orders of it are under way, restarts in its generation, and loses a shard within 3 s.

Cause: only orders of the process itself were reported.

Now each shard that a process loses within the holder gap of its start is reported as one that orders may still reach, and again once they cannot: by the renewal, by the word of a peer, at a stop and in a handover, since all of these read the same list. It is not reported at the first start of the system, nor if the entry shows that the earlier process did not hold it in the generation of the start. A VM whose entry says that it left as planned holds no shard in that time, so that nothing depends on that entry being right.

Tests: the test of orders to shards whose handover has ended also runs with a restarted VM that never holds the shards.

--- a/packages/fleet/src/shardleases.ts
+++ b/packages/fleet/src/shardleases.ts
@@ -50,7 +50,7 @@
     private recordedFences: FencesByShard = {};
     /** Whether no VM can have taken over the shards of this VM's previous process. */
     private wasNeverTakenOver = false;
-    private firstGeneration: number | undefined;
+    private firstSeenGeneration: number | undefined;
     private validUntil = 0;
     private generation = 0;
     /** Newest generation that another VM has reported. */
@@ -72,6 +72,11 @@
         return this.generation;
     }
 
+    /** The first generation that this process saw; undefined before its first renewal. */
+    get firstGeneration(): number | undefined {
+        return this.firstSeenGeneration;
+    }
+
     /** The newest generation that this VM knows of, from the store or from other VMs. */
     get newestGeneration(): number {
         return Math.max(this.generation, this.reportedGeneration);
@@ -132,7 +137,7 @@
             this.leases.clear();
         }
         this.generation = generation;
-        this.firstGeneration ??= generation;
+        this.firstSeenGeneration ??= generation;
         this.renewUntil(sentAt);
         const held = new Set(shards);
         for (const [shard, lease] of this.leases) {
--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -1,6 +1,7 @@
 import { type FencesByShard, readShard, ShardLeases } from "@radishreel/fleet";
 import { BootClock, processTimers, type ScheduledRun, type Timers } from "../clock.js";
 import type { Member, ShardAssigner } from "../ports.js";
+import { EarlierOrders } from "./earlierorders.js";
 import { OwnedEngines, type OwnedEnginesOptions } from "./engines.js";
 import { HandoverSources } from "./handoversources.js";
 import { LeaseLog } from "./leaselog.js";
@@ -112,6 +113,7 @@
     readonly engines: OwnedEngines;
     private readonly leases: ShardLeases;
     private readonly leaseLog: LeaseLog;
+    private readonly earlierOrders: EarlierOrders;
     private readonly releases: ShardReleases;
     private readonly timers: Timers;
     private renewTimer: ScheduledRun | undefined;
@@ -155,9 +157,12 @@
         this.leaseLog = new LeaseLog(options.log);
         const readTime = (): number => this.bootClock.read();
         // An order that arrives even later has a lower token than those of the next holder.
-        const ordersInFlight = new OrdersInFlight({ timers: this.timers, readTime, maxTransitMs: options.holderGapMs });
+        const transit = { timers: this.timers, readTime, maxTransitMs: options.holderGapMs };
+        const ordersInFlight = new OrdersInFlight(transit);
+        const { leases } = this;
+        const earlierOrders = this.earlierOrders = new EarlierOrders({ ...transit, leases });
         const findShard = (name: string): number => this.findShard(name);
-        this.releases = new ShardReleases({ ...options, leases: this.leases, ordersInFlight, readTime, findShard });
+        this.releases = new ShardReleases({ ...options, leases, ordersInFlight, earlierOrders, readTime, findShard });
         this.engines = new OwnedEngines({
             ...options,
             readBoot: readTime,
@@ -181,6 +186,7 @@
         if (previousEntry === undefined && this.options.isFirstStart === true) {
             this.isStartConfirmed = true;
             this.leases.setFirstProcess();
+            this.earlierOrders.setFirstProcess();
         }
         else {
             this.sendStartQueries(this.bootClock.read() + startQueryPeriodMs);
@@ -188,6 +194,7 @@
         if (previousEntry?.generation !== undefined) {
             const { generation, fences } = previousEntry;
             this.leases.setRecordedGeneration(generation, this.bootClock.read(), fences);
+            this.earlierOrders.setRecordedGeneration(generation, fences);
         }
         const waitMs = previousEntry?.hasLeft === true ? this.options.holderGapMs : 0;
         this.renewTimer = this.timers.scheduleOnce(() => {
--- a/packages/node/src/ownership/releases.ts
+++ b/packages/node/src/ownership/releases.ts
@@ -1,5 +1,6 @@
 import type { ShardLeases } from "@radishreel/fleet";
 import type { DecisionLog } from "../decisions.js";
+import type { EarlierOrders } from "./earlierorders.js";
 import type { LeaseEvent, ShardInTransit } from "./leasemessages.js";
 import type { OrdersInFlight } from "./ordersinflight.js";
 
@@ -11,7 +12,7 @@
     /** Shards to which this VM gives no more orders. */
     readonly shards: number[];
     readonly generation: number;
-    /** Shards to whose engines an order of this VM may still arrive. @default none */
+    /** Shards to whose engines an order of this VM, or of its earlier process, may still arrive. @default none */
     readonly inTransit?: ShardInTransit[] | undefined;
 }
 
@@ -22,6 +23,7 @@
     /** Longest time for which reported orders are waited for, in milliseconds. */
     readonly holderGapMs: number;
     readonly ordersInFlight: OrdersInFlight;
+    readonly earlierOrders: EarlierOrders;
     /** Time in milliseconds that includes suspension of the VM. */
     readonly readTime: () => number;
     /** Shard of an engine, by its name. */
@@ -59,14 +61,16 @@
         await this.options.ordersInFlight.waitOutcomes(name => shards.includes(this.options.findShard(name)));
     }
 
-    /** Lists the shards to whose engines an order of this VM may still arrive. */
+    /** Lists the shards to whose engines an order of this VM, or of its earlier process, may still arrive. */
     listInTransit(shards: readonly number[]): ShardInTransit[] {
-        const { findShard, leases, ordersInFlight, readTime } = this.options;
+        const { earlierOrders, findShard, leases, ordersInFlight, readTime } = this.options;
         return shards.flatMap(shard => {
-            const end = ordersInFlight.findLastArrival(name => findShard(name) === shard);
-            if (end === undefined) {
+            const ownEnd = ordersInFlight.findLastArrival(name => findShard(name) === shard);
+            const earlierEnd = earlierOrders.findLastArrival(shard);
+            if (ownEnd === undefined && earlierEnd === undefined) {
                 return [];
             }
+            const end = Math.max(ownEnd ?? -Infinity, earlierEnd ?? -Infinity);
             leases.recordOwnArrivals(shard, end);
             return [{ shard, forMs: Math.max(0, end - readTime()) }];
         });
@@ -114,7 +118,11 @@
 
     /** Tells the other VMs when no order of this VM to a shard can arrive any more. */
     private async sendArrival({ shards, generation }: Release, shard: number): Promise<void> {
-        await this.options.ordersInFlight.waitArrivals(name => this.options.findShard(name) === shard);
+        const { earlierOrders, findShard, ordersInFlight } = this.options;
+        await Promise.all([
+            earlierOrders.waitArrivals(shard),
+            ordersInFlight.waitArrivals(name => findShard(name) === shard),
+        ]);
         const released = shards.includes(shard) ? [shard] : [];
         this.send({ shards: released, generation, inTransit: [{ shard, forMs: 0 }] }, "ordersArrived");
     }
--- a/packages/node/test/lateorders.test.ts
+++ b/packages/node/test/lateorders.test.ts
@@ -57,18 +57,25 @@
 // this loss, so that only the VM itself can report the order to the VM to which the store assigns the shards meanwhile.
 test("late orders to shards whose handover has ended do not arrive after those of the next holder", async () => {
     for (let offsetMs = 0; offsetMs < 1200; offsetMs += 200) {
-        const world = await createHandover();
-        world.lostOrderMs = Infinity;
-        world.chooseTransitMs = vm => vm === "b" ? 2950 : 3;
-        await world.schedule.advance(1000 + offsetMs);
-        world.kill("a");
-        world.endOutage(true);
-        world.start("a");
-        await world.schedule.advance(50);
-        world.planAssignment(() => "c");
-        await world.schedule.advance(8000);
-        assert.equal(world.listHolders(0, world.schedule.now - 2000), ["c"]);
-        world.checkOrders();
+        for (const isRestartedCutOff of [false, true]) {
+            const world = await createHandover();
+            world.lostOrderMs = Infinity;
+            world.chooseTransitMs = vm => vm === "b" ? 2950 : 3;
+            await world.schedule.advance(1000 + offsetMs);
+            world.kill("a");
+            world.endOutage(true);
+            if (isRestartedCutOff) {
+                // The restarted VM never holds the shards, and reports nothing of its earlier process either.
+                world.cutOff.add("a");
+            }
+            world.start("a");
+            await world.schedule.advance(50);
+            world.planAssignment(() => "c");
+            world.cutOff.delete("a");
+            await world.schedule.advance(8000);
+            assert.equal(world.listHolders(0, world.schedule.now - 2000), ["c"]);
+            world.checkOrders();
+        }
     }
 });
 
--- a/packages/node/test/releases.test.ts
+++ b/packages/node/test/releases.test.ts
@@ -1,6 +1,7 @@
 import type { OrderOutcome } from "@radishreel/fleet";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { EarlierOrders } from "../src/ownership/earlierorders.js";
 import { OrdersInFlight } from "../src/ownership/ordersinflight.js";
 import { type Release, ShardReleases } from "../src/ownership/releases.js";
 import { createSilentLog } from "./fixtures.js";
@@ -25,13 +26,17 @@
         },
         scheduleEvery: () => ({ cancel: () => {} }),
     };
-    const ordersInFlight = new OrdersInFlight({ timers, readTime, maxTransitMs: 3000 });
+    const transit = { timers, readTime, maxTransitMs: 3000 };
+    const ordersInFlight = new OrdersInFlight(transit);
+    const earlierOrders = new EarlierOrders({ ...transit, leases: { firstGeneration: 1 } });
+    earlierOrders.setFirstProcess();
     const messages: Release[] = [];
     const releases = new ShardReleases({
         log: createSilentLog(readTime),
         leases: { recordArrivals: () => {}, recordOwnArrivals: () => {}, readArrivalEnd: () => reportedArrivalEnd },
         holderGapMs: 3000,
         ordersInFlight,
+        earlierOrders,
         readTime,
         findShard: () => 1,
         sendRelease: release => messages.push(release),
