Release a shard only once the orders that may still reach it have arrived

Cause: a release named such a shard among the released ones, and its late orders beside it.

Now the first message names the shard in `inTransit` alone, and the second one, which follows when no order can arrive any more, releases it. Receivers that read the reports wait for the second message or the reported time either way.

Tests: one of the releases now expects the shard in the second message alone; a new one has VMs that read no reports.

--- a/packages/node/src/ownership/releases.ts
+++ b/packages/node/src/ownership/releases.ts
@@ -9,7 +9,7 @@
 
 /** A message to all other VMs about shards that this VM no longer holds. */
 export interface Release {
-    /** Shards to which this VM gives no more orders. */
+    /** Shards to which this VM gives no more orders, and where those that it gave have arrived. */
     readonly shards: number[];
     readonly generation: number;
     /** Shards to whose engines an order of this VM, or of its earlier process, may still arrive. @default none */
@@ -38,8 +38,8 @@
 
     /**
      * Notifies the other VMs of lost shards once the outcomes of the last orders to their engines are known. The next
-     * holder of a released shard starts at once, except where an order without an answer may still arrive; it is told
-     * when that order has arrived.
+     * holder of a released shard starts at once. A shard to which an order without an answer may still arrive is
+     * released when that order has arrived: VMs of earlier versions read of released shards alone.
      * @param lost All shards that this VM held until now. Orders that may arrive are reported for each of them.
      * @param released Those whose earlier holders have all stopped as well, which does not hold for handed-over shards.
      */
@@ -53,7 +53,9 @@
             return;
         }
         this.options.onLeaseEvent?.("releaseSent");
-        this.send({ shards: released, generation, inTransit }, why);
+        const late = inTransit.filter(({ shard }) => released.includes(shard)).map(({ shard }) => shard);
+        const shards = released.filter(shard => !late.includes(shard));
+        this.send({ shards, generation, inTransit }, why, late);
     }
 
     /** Waits until the outcomes of the orders to the engines of shards are known, `unknown` included. */
@@ -106,24 +108,28 @@
         }
     }
 
-    private send(release: Release, why: ReleaseReason | "handedOver" | "ordersArrived"): void {
+    /** @param late Shards to release once the orders to them have arrived. */
+    private send(
+        release: Release,
+        why: ReleaseReason | "handedOver" | "ordersArrived",
+        late: readonly number[] = [],
+    ): void {
         this.options.log.recordImportant("releaseSent", { ...release, why });
         this.options.sendRelease(release);
         for (const { shard, forMs } of release.inTransit ?? []) {
             if (forMs > 0) {
-                void this.sendArrival(release, shard);
+                void this.sendArrival(release.generation, shard, late.includes(shard));
             }
         }
     }
 
     /** Tells the other VMs when no order of this VM to a shard can arrive any more. */
-    private async sendArrival({ shards, generation }: Release, shard: number): Promise<void> {
+    private async sendArrival(generation: number, shard: number, isReleased: boolean): Promise<void> {
         const { earlierOrders, findShard, ordersInFlight } = this.options;
         await Promise.all([
             earlierOrders.waitArrivals(shard),
             ordersInFlight.waitArrivals(name => findShard(name) === shard),
         ]);
-        const released = shards.includes(shard) ? [shard] : [];
-        this.send({ shards: released, generation, inTransit: [{ shard, forMs: 0 }] }, "ordersArrived");
+        this.send({ shards: isReleased ? [shard] : [], generation, inTransit: [{ shard, forMs: 0 }] }, "ordersArrived");
     }
 }
--- a/packages/node/test/lateorders.test.ts
+++ b/packages/node/test/lateorders.test.ts
@@ -135,4 +135,26 @@
     }
 });
 
+// Guards against VMs of an earlier version in a rolling upgrade: they read which shards are released, not which orders
+// may still arrive.
+test("VMs that read no reports of late orders do not order before these have arrived", async () => {
+    for (let seed = 1; seed <= 12; seed++) {
+        const choose = createRandom(seed);
+        const world = await createWorld(["a", "b", "c"]);
+        for (const { ownership } of world.processes.values()) {
+            const recordRelease = ownership.recordRelease.bind(ownership);
+            ownership.recordRelease = (vm, { shards, generation }) => recordRelease(vm, { shards, generation });
+        }
+        world.lostOrderMs = Infinity;
+        world.chooseTransitMs = vm => vm === "a" ? 300 + choose() * 1700 : 3;
+        for (let deal = 0; deal < 8; deal++) {
+            await world.schedule.advance(100 + choose() * 2400);
+            const holder = world.vms[Math.floor(choose() * 3)];
+            world.planAssignment(() => holder);
+        }
+        await world.schedule.advance(8000);
+        world.checkOrders();
+    }
+});
+
 test.run();
--- a/packages/node/test/releases.test.ts
+++ b/packages/node/test/releases.test.ts
@@ -68,9 +68,10 @@
     assert.equal(messages, [{ shards: [1], generation: 4, inTransit: [] }]);
 });
 
-test("a release names the order that may still arrive, and another one follows once it is answered", async () => {
+// Guards against VMs of an earlier version, which read of released shards alone and order at once.
+test("a shard whose order may still arrive is named as such, and released once the order is answered", async () => {
     assert.equal(await listMessages([1], 1200), [
-        { shards: [1], generation: 4, inTransit: [{ shard: 1, forMs: 3000 }] },
+        { shards: [], generation: 4, inTransit: [{ shard: 1, forMs: 3000 }] },
         { shards: [1], generation: 4, inTransit: [{ shard: 1, forMs: 0 }] },
     ]);
 });
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -453,8 +453,20 @@
     ],
     [
         "node/dist/src/ownership/releases.js",
-        "const released = shards.includes(shard) ? [shard] : [];",
-        "const released = [shard];",
+        "isReleased ? [shard] : []",
+        "[shard]",
+        "packages/node/dist/test/releases.test.js",
+    ],
+    [
+        "node/dist/src/ownership/releases.js",
+        "const shards = released.filter(shard => !late.includes(shard));",
+        "const shards = released;",
+        "packages/node/dist/test/lateorders.test.js",
+    ],
+    [
+        "node/dist/src/ownership/releases.js",
+        "late.includes(shard));\n            }",
+        "false);\n            }",
         "packages/node/dist/test/releases.test.js",
     ],
     [
