Count what a VM remembers of a takeover also after others have confirmed the start

An outage of the store, a planned stop that hands the shards over, and a kill of most VMs right after it, the one that took over among them. The first VM orders again 0.8 s after its start, with a token below that of the receiver.

Cause: a start counts as confirmed once most VMs have replied. VMs that have just started reply as well, and know of no takeover; what a VM that does remember says a moment later was ignored. The lack of a sign was taken for a fact.

A reply to a query of the start now counts whenever it comes: it puts the first order off to the holder gap, and gives up the recorded token. The time in which most VMs knew of the start stays that of the first majority, since the receiver stops by that.

Three and four of five VMs restarted, 18 cases: a lower token in the first case before, none now; each of the two parts taken out fails the test.

--- a/packages/fleet/src/shardleases.ts
+++ b/packages/fleet/src/shardleases.ts
@@ -58,6 +58,8 @@
 
     /** Latest time at which an order of this VM's previous process can have arrived at its engine. */
     private previousProcessOrderAt: number;
+    /** Since when most VMs know that this process has started. */
+    private startKnownAt = Infinity;
     /** From when on orders may be given under the first generation that this process saw. */
     private startConfirmedAt = Infinity;
     /** Until when orders may be given to shards that were handed over. */
@@ -290,12 +292,12 @@
     /** Keeps the tokens of the previous process, whose late orders may arrive after the first ones of this process. */
     private applyRecordedFences(): void {
         const isRecorded = this.generation === this.recordedGeneration && this.generation === this.firstGeneration;
-        if (!isRecorded || !this.wasNeverTakenOver) {
+        if (!isRecorded) {
             return;
         }
         for (const [shard, lease] of this.leases) {
-            const recordedFence = this.recordedFences[shard];
-            if (recordedFence !== undefined && !lease.isHandover) {
+            const recordedFence = this.wasNeverTakenOver ? this.recordedFences[shard] : undefined;
+            if (recordedFence !== lease.recordedFence && !lease.isHandover) {
                 this.leases.set(shard, { ...lease, recordedFence });
             }
         }
@@ -348,23 +350,25 @@
     /** Declares that this VM had no earlier process, so that no shard can come back to it. */
     setFirstProcess(): void {
         this.previousProcessOrderAt = -Infinity;
+        this.startKnownAt = -Infinity;
         this.startConfirmedAt = -Infinity;
     }
 
     /**
      * Records that most VMs know of this start, and whether one of them has recently confirmed that another VM took
      * over this VM's shards. Before this call, no orders are given under the first generation: the other VM, which may
-     * not learn of the start itself, may give orders until most VMs report to it that they know of the start.
+     * not learn of the start itself, may give orders until most VMs report to it that they know of the start. A further
+     * call adds what another VM knows, which may have replied later than those that have just started themselves.
      * @param wasNeverTakenOver Whether none of them knows of a VM that ever took over this VM's shards. Such a VM used
      * higher tokens than the recorded ones.
      */
     recordStartKnown(now: number, wasTakenOver: boolean, wasNeverTakenOver = false): void {
-        const atOnce = Math.min(this.startConfirmedAt, now);
+        this.startKnownAt = Math.min(this.startKnownAt, now);
         const afterGap = Math.max(
-            now + this.options.leaseMs + orderOutcomeMs,
+            this.startKnownAt + this.options.leaseMs + orderOutcomeMs,
             this.previousProcessOrderAt + this.options.holderGapMs,
         );
-        this.startConfirmedAt = wasTakenOver ? Math.min(this.startConfirmedAt, afterGap) : atOnce;
+        this.startConfirmedAt = wasTakenOver ? afterGap : this.startKnownAt;
         this.wasNeverTakenOver = wasNeverTakenOver;
         this.applyRecordedFences();
     }
--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -220,6 +220,24 @@
             return;
         }
         this.isStartConfirmed = true;
+        this.recordStartKnown();
+    }
+
+    private recordStartReply(vm: string, { isTakenOver, wasNeverTakenOver }: LeaseState): void {
+        const [wasTakenOver, neverTakenOver] = [this.wasTakenOver, this.wasNeverTakenOver];
+        this.startKnownBy.add(vm);
+        this.wasTakenOver ||= isTakenOver;
+        this.wasNeverTakenOver &&= wasNeverTakenOver === true;
+        const isNew = wasTakenOver !== this.wasTakenOver || neverTakenOver !== this.wasNeverTakenOver;
+        if (!this.isStartConfirmed) {
+            this.checkStartConfirmed();
+        }
+        else if (isNew) {
+            this.recordStartKnown();
+        }
+    }
+
+    private recordStartKnown(): void {
         this.leases.recordStartKnown(this.bootClock.read(), this.wasTakenOver, this.wasNeverTakenOver);
         this.options.log.recordImportant("startConfirmed", {
             heardBy: this.startKnownBy.size,
@@ -461,10 +479,7 @@
             );
         }
         if (state.query > this.options.incarnation * queriesPerIncarnation && state.query <= openQuery.query) {
-            this.startKnownBy.add(vm);
-            this.wasTakenOver ||= state.isTakenOver;
-            this.wasNeverTakenOver &&= state.wasNeverTakenOver === true;
-            this.checkStartConfirmed();
+            this.recordStartReply(vm, state);
         }
         if (state.giversHaveStarted) {
             this.receiveStart();
