Let the orders of a killed process be under way for as long as any other

Two VMs take turns at all engines of some shards, which is what the users saw: a VM whose orders are late loses its shards to another one, is killed and restarts; its old orders arrive; the other VM orders; the shards come back, and the restarted VM orders 3.25 s after its start, less than 3 s after its old orders arrived.

Cause: orders of the process before a start counted as over 250 ms after it, the time in which an order has an outcome. That is a time of the sender; when an order arrives is none of its business.

Now they count as under way until the holder gap has passed since the start, like all orders without an answer; only a process that follows a planned stop keeps the shorter time, since its last orders are as old as the stop was long.

The new test fails before ("the holder ordered too soon"). The price: a restarted VM waits for shards that come back to it until 6.0 s after its start in place of 3.25. In the generation of its kill it still orders after 0.8 s.

--- a/packages/fleet/src/shardleases.ts
+++ b/packages/fleet/src/shardleases.ts
@@ -66,7 +66,8 @@
     private handoversValidUntil = 0;
 
     constructor(private readonly options: ShardLeasesOptions) {
-        this.previousProcessOrderAt = options.startedAt + orderOutcomeMs;
+        // An order takes no longer than the holder gap to arrive.
+        this.previousProcessOrderAt = options.startedAt + options.holderGapMs;
     }
 
     /** The generation that this VM saw last; it rises with every change of any shard's holder. */
@@ -354,6 +355,11 @@
         this.startConfirmedAt = -Infinity;
     }
 
+    /** Declares that the previous process stopped as planned: its last orders are as old as the stop was long. */
+    setPlannedStop(): void {
+        this.previousProcessOrderAt = this.options.startedAt + orderOutcomeMs;
+    }
+
     /**
      * Records that most VMs know of this start, and whether one of them has recently confirmed that another VM took
      * over this VM's shards. Before this call, no orders are given under the first generation: the other VM, which may
--- a/packages/node/src/ownership/ownership.ts
+++ b/packages/node/src/ownership/ownership.ts
@@ -196,7 +196,11 @@
             this.leases.setRecordedGeneration(generation, this.bootClock.read(), fences);
             this.earlierOrders.setRecordedGeneration(generation, fences);
         }
-        const waitMs = previousEntry?.hasLeft === true ? this.options.holderGapMs : 0;
+        const hasLeft = previousEntry?.hasLeft === true;
+        if (hasLeft) {
+            this.leases.setPlannedStop();
+        }
+        const waitMs = hasLeft ? this.options.holderGapMs : 0;
         this.renewTimer = this.timers.scheduleOnce(() => {
             this.hasStarted = true;
             void this.renew();
--- a/packages/node/test/lateorders.test.ts
+++ b/packages/node/test/lateorders.test.ts
@@ -135,6 +135,28 @@
     }
 });
 
+// Guards against turns at one engine: a process that starts counts the orders of the one before as over too early.
+test("a killed VM that gets its shards back keeps the holder gap after the arrival of its earlier late orders", async () => {
+    for (let downMs = 50; downMs < 700; downMs += 100) {
+        const world = await createWorld(["a", "b", "c"]);
+        world.lostOrderMs = Infinity;
+        world.chooseTransitMs = vm => vm === "a" ? 1200 : 3;
+        await world.schedule.advance(1000);
+        world.planAssignment(() => "b");
+        await world.schedule.advance(100);
+        world.kill("a");
+        world.chooseTransitMs = () => 3;
+        await world.schedule.advance(downMs);
+        world.start("a");
+        await world.schedule.advance(2700);
+        assert.equal(world.listHolders(0, world.schedule.now - 300), ["b"]);
+        world.planAssignment(() => "a");
+        await world.schedule.advance(8000);
+        assert.equal(world.listHolders(0, world.schedule.now - 500), ["a"]);
+        world.checkOrders();
+    }
+});
+
 // Guards against VMs of an earlier version in a rolling upgrade: they read which shards are released, not which orders
 // may still arrive.
 test("VMs that read no reports of late orders do not order before these have arrived", async () => {
