--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -1610,9 +1610,9 @@
         "platform/dist/test/endless.test.js",
     ],
     [
-        "../platform/dist/src/store.js",
-        "maxResponseSize: maxResponseBytes,",
-        "",
+        "../platform/dist/src/responselimit.js",
+        "if (receivedBytes <= maxBytes) {",
+        "if (true) {",
         "platform/dist/test/endless.test.js",
     ],
 ];
