Say how the fakes of a deployment ended when an apply fails

What was seen: a failed setup said that the connection to the log was refused, and nothing of the process that holds the log.

Change: the error of `Deployment.apply` has the last lines of the fakes if they have ended.

--- a/packages/harness/src/deployment.ts
+++ b/packages/harness/src/deployment.ts
@@ -121,10 +121,17 @@
     async apply(agent: AgentProcess, ...files: string[]): Promise<void> {
         const { code, stdout, stderr } = await this.runCli("apply", "--agent", agent.operators, ...files);
         if (code !== 0) {
-            throw new Error(`apply exited with code ${code}: ${stdout}${stderr}`);
+            throw new Error(`apply exited with code ${code}: ${stdout}${stderr}${this.formatFakesEnd()}`);
         }
     }
 
+    /** Formats the last lines of the fakes if they have ended; nothing while they run. */
+    private formatFakesEnd(): string {
+        return this.fakes === undefined || this.fakes.isRunning
+            ? ""
+            : `the fakes ended:\n${this.fakes.lines.join("\n")}`;
+    }
+
     /** Writes a JSON file into the deployment's directory and returns its path. */
     async writeFile(name: string, value: unknown): Promise<string> {
         const file = path.join(this.directory, name);
