Keep the fakes running when a request to them has no JSON body

Cause: the fakes of a deployment run in one process. An engine parsed the body of any unknown path as a completion; a body that is no JSON was an unhandled rejection, which ended the process and closed the port of the log. `GET /v1/report`, which VMs of other tests send to the workers that they know, is such a request; so are calls to a store.

Ruled out: the log reports its port before it listens (the fakes print addresses after all `listen` calls have completed), `::1` in place of 127.0.0.1 (addresses are numeric throughout), a full backlog (Linux drops such a SYN by default, and does not refuse it).

Change: a fake answers 400 to a request whose body it cannot parse. Any other exception ends the process as before.

--- a/packages/fakes/src/server.ts
+++ b/packages/fakes/src/server.ts
@@ -48,7 +48,12 @@
             sendResponse(response, { status: 200, body: {} });
             return;
         }
-        await this.receiveOperation(request, response);
+        try {
+            await this.receiveOperation(request, response);
+        }
+        catch (error) {
+            refuseMalformed(response, error);
+        }
     }
 
     private async receiveOperation(request: FakeRequest, response: ServerResponse): Promise<void> {
@@ -112,6 +117,14 @@
     }
 }
 
+/** Refuses a request whose body is no JSON, as a client whose own server had the same port before may send it. */
+function refuseMalformed(response: ServerResponse, error: unknown): void {
+    if (!(error instanceof SyntaxError) || response.headersSent) {
+        throw error;
+    }
+    sendResponse(response, { status: 400, body: { error: { code: "malformed", message: error.message } } });
+}
+
 function formatBody(body: unknown): string {
     return typeof body === "string" ? body : JSON.stringify(body);
 }
--- a/packages/fakes/test/upstreams.test.ts
+++ b/packages/fakes/test/upstreams.test.ts
@@ -50,6 +50,19 @@
         }));
 }
 
+/** Requests of clients that poll another kind of server. */
+const strayRequests = [["GET", "/v1/report"], ["GET", "/v1/log-read?topic=a"], ["POST", "/orders/load"]] as const;
+
+for (const [method, path] of strayRequests) {
+    test(`a stray ${method} ${path} does not end the process that holds an engine and the log`, () =>
+        runWithEngine({}, async (_engine, client, address) => {
+            const response = await fetch(`http://${address}${path}`, { method });
+            assert.is(response.status, 400);
+            await response.text();
+            assert.ok((await client.readEngineStatus(address)).isOk());
+        }));
+}
+
 test("an order that its sender may no longer give is not sent", () =>
     runWithEngine({}, async (engine, client, address) => {
         assert.is(readKind(await client.loadModel(address, "a@1", 1, () => false)), "failed");
