Show that a new owner orders a load that the owner before it has undone

In the planner alone: the first report names an adapter as coming, so that it has a slot; the owner before unloads it and fills the place; a second report 160 ms later brings the new sequence, but is too young to remove that slot. Its check is sent as a load; each rejection pauses the request in the queue and not the check, which comes back at once: 1,000 orders in 1 s.

--- /dev/null
+++ b/packages/fleet/test/inheritedloads.test.ts
@@ -0,0 +1,46 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { EngineSlotPlanner, type HeldModel } from "../src/index.js";
+import { limits } from "./simulatedengine.js";
+
+function createModels(...names: string[]): HeldModel[] {
+    return [{ name: "base", version: 1, adapters: names.map(name => ({ name, version: 1 })) }];
+}
+
+/** Creates the planner of an engine with four full slots, whose first report names a load that the owner before has undone since. */
+function createNewOwner(): EngineSlotPlanner {
+    const planner = new EngineSlotPlanner({ limits, models: createModels(), sequence: 100, now: 0 });
+    const first = { models: createModels("a1", "a2", "a3"), coming: ["base/a18"], sequence: 100, isBusy: false };
+    planner.decide(0, () => 0);
+    planner.applyReport(first, 0, 2);
+    planner.recordMissing("base/a1", 100);
+    planner.decide(101, () => 0);
+    const second = { models: createModels("a1", "a2", "a3", "a7"), coming: [], sequence: 103, isBusy: false };
+    planner.applyReport(second, 160, 162);
+    return planner;
+}
+
+// Guards against a load beyond the slots of an engine: a new owner repeats one that the owner before has undone.
+test("a new owner does not order a load that a full engine no longer reports", () => {
+    const planner = createNewOwner();
+    for (let now = 163; now < 700; now++) {
+        const step = planner.decide(now, () => 0);
+        assert.is.not(step.kind, "order", `${now} ms: ${JSON.stringify(step)}`);
+    }
+});
+
+// Guards against a flood of orders: the check of a load came back at once after each rejection.
+test("an order that an engine rejects is not repeated at once", () => {
+    const planner = createNewOwner();
+    let orders = 0;
+    for (let now = 163; now < 1163; now++) {
+        const step = planner.decide(now, () => 0);
+        if (step.kind === "order") {
+            orders += 1;
+            planner.applyOutcome(step.order, "rejected", now);
+        }
+    }
+    assert.ok(orders <= 1, `${orders} orders in 1 s`);
+});
+
+test.run();
