--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -1,3 +1,4 @@
+import { SocketReader } from "@radishreel/wire";
 import type { Socket } from "node:net";
 import { Client } from "undici";
 import { type ConnectTarget, DirectConnector, type UpstreamConnector } from "../paths/index.js";
@@ -154,8 +155,8 @@
         try {
             const { socket, via } = await connector.open(target, this.opening.signal);
             this.socket = socket;
-            const read = socket.read.bind(socket);
-            socket.read = (size): unknown => this.isPaused ? null : this.checkRead(read(size));
+            const reader = new SocketReader({ socket });
+            socket.read = (): unknown => this.isPaused ? null : this.checkRead(reader.read());
             this.carrier = via;
             callback(null, socket);
         }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,11 +1,13 @@
-/** Authenticated CBOR frames over TCP, checked against a schema and limited in size. */
+/** Authenticated CBOR frames over TCP, checked against a schema and limited in size, and reading in bounded shares. */
 export { isAddress, type ListenAddress, parseAddress } from "./address.js";
 export { ByteBuffer } from "./bytebuffer.js";
 export { LinkClient, type LinkClientOptions } from "./client.js";
 export { encodeFrame, frameHeaderBytes, FrameReader } from "./frame.js";
 export { checkProof, createHello, createProof, type Hello } from "./handshake.js";
 export { Link, type LinkEvents, type LinkOptions } from "./link.js";
+export { ReadQueue, type ReadQueueOptions, readShareBytes, responseReads } from "./readqueue.js";
 export { LinkServer, type LinkServerOptions } from "./server.js";
+export { SocketReader, type SocketReaderOptions } from "./socketreader.js";
 export { LinkTicker } from "./ticker.js";
 export {
     type CloseReason,
--- /dev/null
+++ b/packages/wire/src/socketreader.ts
@@ -0,0 +1,54 @@
+import type { Socket } from "node:net";
+import { type ReadQueue, readShareBytes, responseReads } from "./readqueue.js";
+
+/** Options of {@link SocketReader}. */
+export interface SocketReaderOptions {
+    readonly socket: Socket;
+    /** @default that of all connections on which this process waits for responses */
+    readonly queue?: ReadQueue;
+}
+
+/** Reads a socket in shares, and waits for its turn between two of them. */
+export class SocketReader {
+    private readonly socket: Socket;
+    private readonly queue: ReadQueue;
+    private readonly readSocket: (size?: number) => Buffer | null;
+    private bytesLeft = readShareBytes;
+    private isWaiting = false;
+
+    /** Binds the socket's own `read`, which the owner of this reader may replace. */
+    constructor({ socket, queue = responseReads }: SocketReaderOptions) {
+        this.socket = socket;
+        this.queue = queue;
+        this.readSocket = socket.read.bind(socket) as (size?: number) => Buffer | null;
+    }
+
+    /**
+     * Reads what has arrived, up to the rest of the share.
+     * @returns As `socket.read`: null if there is nothing to read now. The socket emits `readable` when there is again.
+     */
+    read(): Buffer | null {
+        if (this.isWaiting) {
+            return null;
+        }
+        if (this.bytesLeft === 0) {
+            this.waitForTurn();
+            return null;
+        }
+        const isMore = this.socket.readableLength > this.bytesLeft;
+        const bytes = this.readSocket(isMore ? this.bytesLeft : undefined);
+        this.bytesLeft = Math.max(0, this.bytesLeft - (bytes?.length ?? 0));
+        return bytes;
+    }
+
+    private waitForTurn(): void {
+        this.isWaiting = true;
+        this.queue.push(() => {
+            this.isWaiting = false;
+            this.bytesLeft = readShareBytes;
+            if (!this.socket.destroyed) {
+                this.socket.emit("readable");
+            }
+        });
+    }
+}
