Read the bodies of requests in shares

A server's connection is read and parsed in parts of 64 KB, up to 32 of them in an iteration of the event loop, and a part in chunks of one byte takes some 20 ms.

Change: after a part of an incomplete body its connection is paused until its turn; one caller continues in an iteration. Node.js asks for more whenever the buffer of the request has room, so that is held back meanwhile.

Why it holds: an iteration takes one part of the bodies that are being read.

--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -1,6 +1,7 @@
 import { ByteBuffer } from "@radishreel/wire";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { RawHeaders } from "../ports.js";
+import { BodyPacer } from "./bodypacer.js";
 import { ResponseWriter } from "./responsewriter.js";
 
 /** Why this program ends a request itself. Each reason is a metric label. */
@@ -169,6 +170,7 @@
     /** Reads the whole body; undefined if it is longer than allowed or the caller disconnected. */
     async readBody(maxBytes: number): Promise<Buffer | undefined> {
         const bytes = new ByteBuffer();
+        const pacer = new BodyPacer(this.request);
         try {
             // An incomplete request must not be destroyed before its refusal was sent.
             for await (const chunk of this.meter === undefined ? this.request : this.createBodyIterator()) {
@@ -177,6 +179,7 @@
                 if (bytes.length > maxBytes || this.bodyRefusal !== undefined) {
                     return undefined;
                 }
+                await pacer.finishPiece();
             }
         }
         catch {
