Believe a later report about loads that only an earlier report has told of

Cause: the new owner's first report named a load as coming that the owner before undid and replaced by another one. The next report, 0.16 s later, came too early to count, since what a report tells lags behind orders. But this owner had given no order: the slot rested on the first report alone. The check of the load was then sent as a load beyond the slots. When the engine rejected it, only the queued request paused, so that the check came back at once.

Change: a slot keeps the sequence of the report that told of it until an order of this owner changes it, and a report with a higher sequence is believed. A rejected order pauses the checks of its slot as well.

Why it holds: the sequence counts the orders that an engine has accepted, so a report with a higher one is the later one, whatever its delay.

--- a/packages/fleet/src/slot.ts
+++ b/packages/fleet/src/slot.ts
@@ -31,6 +31,8 @@
     checkPauseMs: number;
     /** When the state or the version last changed. */
     changedAt: number;
+    /** Sequence of the report that last named the adapter; undefined if an order of this owner has changed it since. */
+    reportedSequence: number | undefined;
     /** Expected duration of the load, in milliseconds. */
     expectedMs: number;
     /** Time from the load order to the first check that found the load overdue, in milliseconds; undefined before. */
--- a/packages/fleet/src/slotplanner.ts
+++ b/packages/fleet/src/slotplanner.ts
@@ -322,10 +322,7 @@
                 reported.set(formatAdapterKey(model.name, adapter.name), adapter.version);
             }
         }
-        // A report is always current for unknown adapters, also right after the start of a process, whose clock starts
-        // at 0.
-        const isReportCurrent = (key: string): boolean =>
-            askedAt - (this.slots.find(key)?.changedAt ?? -Infinity) >= reportDelayMs;
+        const isReportCurrent = (key: string): boolean => this.isReportCurrent(key, report.sequence, askedAt);
         for (const key of [...this.slots.entries.keys()]) {
             if (!reported.has(key) && !report.coming.includes(key) && isReportCurrent(key)) {
                 this.slots.remove(key);
@@ -333,12 +330,13 @@
         }
         for (const [key, version] of reported) {
             if (isReportCurrent(key)) {
-                this.slots.update(key, version, "loaded", now);
+                this.slots.updateReported(key, version, "loaded", now, report.sequence);
             }
         }
         for (const key of report.coming) {
             if (!reported.has(key) && isReportCurrent(key)) {
-                this.slots.update(key, this.queue.find(key)?.version ?? 0, "loading", now);
+                const version = this.queue.find(key)?.version ?? 0;
+                this.slots.updateReported(key, version, "loading", now, report.sequence);
             }
         }
         this.slots.removeUnknownBeyondLimit();
@@ -347,6 +345,18 @@
         }
     }
 
+    /**
+     * Whether a report tells the state of an adapter. What an order of this owner has changed is in reports only after
+     * their delay; what an earlier report has told is outdated once the engine has accepted further orders, which may
+     * have been those of the owner before. A report tells of all adapters in no slot, also right after the start of a
+     * process, whose clock starts at 0.
+     */
+    private isReportCurrent(key: string, sequence: number, askedAt: number): boolean {
+        const slot = this.slots.find(key);
+        return slot === undefined || askedAt - slot.changedAt >= reportDelayMs
+            || (slot.reportedSequence !== undefined && sequence > slot.reportedSequence);
+    }
+
     /** Records that a requested report did not arrive. */
     recordReportFailure(failure: "unreachable" | "silent" | "unknown" | "replaced", now: number): void {
         this.scheduler.recordReportFailure(now);
@@ -436,6 +446,7 @@
 
     private applyRejection(key: string, now: number): void {
         this.queue.pause(key, now + rejectedPauseMs);
+        this.slots.pauseChecks(key, now + rejectedPauseMs);
     }
 
     /** Finds a load or unload whose check is due: the outcome of the repeated order shows whether it is complete. */
--- a/packages/fleet/src/slottable.ts
+++ b/packages/fleet/src/slottable.ts
@@ -104,6 +104,7 @@
                 checkAt: now,
                 checkPauseMs,
                 changedAt: now,
+                reportedSequence: undefined,
                 expectedMs: this.loadTimes.read(false),
                 incompleteMs: undefined,
                 isWarm: false,
@@ -118,10 +119,17 @@
             known.checkAt = now;
             known.checkPauseMs = checkPauseMs;
             known.changedAt = now;
+            known.reportedSequence = undefined;
         }
         this.warm.record(key);
     }
 
+    /** Updates an adapter that a report names. @param sequence Number of orders that the engine had accepted by then. */
+    updateReported(key: string, version: number, state: "loaded" | "loading", now: number, sequence: number): void {
+        this.update(key, version, state, now);
+        this.slots.get(key)!.reportedSequence = sequence;
+    }
+
     remove(key: string): void {
         this.slots.delete(key);
     }
@@ -190,11 +198,20 @@
         if (slot.state !== "unloading") {
             slot.state = "unloading";
             slot.changedAt = now;
+            slot.reportedSequence = undefined;
             slot.checkPauseMs = checkPauseMs;
         }
         this.scheduleCheck(slot, now);
     }
 
+    /** Checks an adapter no earlier than at a time, if it is in a slot. */
+    pauseChecks(key: string, until: number): void {
+        const slot = this.slots.get(key);
+        if (slot !== undefined) {
+            slot.checkAt = Math.max(slot.checkAt, until);
+        }
+    }
+
     /** Schedules the next check, after a pause that grows from check to check. */
     private scheduleCheck(slot: AdapterSlot, now: number): void {
         slot.checkAt = now + slot.checkPauseMs;
