Read upstreams in shares in the programs beside the platform as well

The same cause in radishreel-gateway and radishreel-agent: a connection was read until it was empty, and completions and statuses were kept as a buffer for each chunk.

--- a/packages/upstreams/src/completion.ts
+++ b/packages/upstreams/src/completion.ts
@@ -6,6 +6,7 @@
     type Reason,
     type Verdict,
 } from "@radishreel/verdict";
+import { ByteBuffer } from "@radishreel/wire";
 import type { IncomingHttpHeaders } from "node:http";
 import {
     type Attempt,
@@ -83,8 +84,7 @@
     private status = 0;
     private headers: IncomingHttpHeaders = {};
     private readonly checker: StreamChecker;
-    private bufferedChunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    private readonly buffered = new ByteBuffer();
     private hasPassedHead = false;
     private rejection: { reason: Reason; detail: string; } | undefined;
 
@@ -147,9 +147,8 @@
     }
 
     private addChunk(chunk: Buffer): void {
-        this.bufferedChunks.push(chunk);
-        this.bufferedBytes += chunk.length;
-        if (this.bufferedBytes > (this.options.maxResponseBytes ?? defaultMaxResponseBytes)) {
+        this.buffered.push(chunk);
+        if (this.buffered.length > (this.options.maxResponseBytes ?? defaultMaxResponseBytes)) {
             this.refuseResponse("malformedAnswer", "the answer is too large");
         }
     }
@@ -211,7 +210,7 @@
     }
 
     private createBufferedVerdict(): CompletionEnd["verdict"] {
-        const body = Buffer.concat(this.bufferedChunks);
+        const body = this.buffered.popAll();
         const declared = this.headers["content-length"];
         if (declared !== undefined && Number(declared) !== body.length) {
             return createMayHaveRun("truncatedAnswer", "the engine's answer is shorter than it says");
--- a/packages/upstreams/src/exchange.ts
+++ b/packages/upstreams/src/exchange.ts
@@ -5,8 +5,9 @@
     type NotRunVerdict,
     type Reason,
 } from "@radishreel/verdict";
+import { SocketReader } from "@radishreel/wire";
 import type { IncomingHttpHeaders } from "node:http";
-import { Agent, type Dispatcher } from "undici";
+import { Agent, buildConnector, type Dispatcher } from "undici";
 
 /** Progress of an exchange with an upstream. */
 export type ExchangePhase =
@@ -85,7 +86,7 @@
 
     constructor(options: UpstreamConnectionsOptions = {}) {
         this.agent = new Agent({
-            connect: { timeout: options.connectTimeoutMs ?? 1000 },
+            connect: createConnector(options.connectTimeoutMs ?? 1000),
             keepAliveTimeout: options.keepAliveMs ?? 4000,
             keepAliveMaxTimeout: options.keepAliveMs ?? 4000,
             pipelining: 1,
@@ -107,6 +108,21 @@
     }
 }
 
+/** Creates a connector whose connections read in shares: an upstream may send small chunks as fast as they are read. */
+function createConnector(timeoutMs: number): buildConnector.connector {
+    const connect = buildConnector({ timeout: timeoutMs });
+    return (options, callback) => {
+        connect(options, (...result) => {
+            const [error, socket] = result;
+            if (error === null) {
+                const reader = new SocketReader({ socket });
+                socket.read = () => reader.read();
+            }
+            callback(...result);
+        });
+    };
+}
+
 class UndiciExchange implements Exchange, Dispatcher.DispatchHandler {
     readonly end: Promise<ExchangeEnd>;
     private finishExchange: (end: ExchangeEnd) => void = () => {};
--- a/packages/upstreams/src/orders.ts
+++ b/packages/upstreams/src/orders.ts
@@ -1,3 +1,4 @@
+import { ByteBuffer } from "@radishreel/wire";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { type ExchangeOptions, UpstreamConnections } from "./exchange.js";
@@ -132,7 +133,7 @@
 
     private async send(options: Omit<ExchangeOptions, "headers" | "receiver">): Promise<Result<string, OrderError>> {
         let status = 0;
-        const chunks: Buffer[] = [];
+        const bytes = new ByteBuffer();
         const end = await this.connections.open({
             ...options,
             headers: { "content-type": "application/json" },
@@ -140,7 +141,7 @@
                 receiveHead: responseStatus => {
                     status = responseStatus;
                 },
-                receiveData: chunk => chunks.push(chunk),
+                receiveData: chunk => bytes.push(chunk),
             },
         }).end;
         if (end.kind === "broken") {
@@ -150,7 +151,7 @@
             return err({ kind: "staleFence", message: "the engine has seen a higher fencing token" });
         }
         return status === 200
-            ? ok(Buffer.concat(chunks).toString("utf8"))
+            ? ok(bytes.popAll().toString("utf8"))
             : err({ kind: "failed", message: `the upstream responded with status ${status}` });
     }
 }
