--- a/packages/fleet/test/inheritedloads.test.ts
+++ b/packages/fleet/test/inheritedloads.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { EngineSlotPlanner, type HeldModel } from "../src/index.js";
+import { type EngineOrder, EngineSlotPlanner, type HeldModel } from "../src/index.js";
 import { limits } from "./simulatedengine.js";
 
 function createModels(...names: string[]): HeldModel[] {
@@ -62,4 +62,36 @@
     assert.is(orders, 2);
 });
 
+/** Creates the planner of a new owner whose first report names one adapter. */
+function createReported(report: { models: HeldModel[]; coming: string[]; }): EngineSlotPlanner {
+    const planner = new EngineSlotPlanner({ limits, models: createModels(), sequence: 100, now: 0 });
+    planner.applyReport({ ...report, sequence: 100, isBusy: false }, 0, 2);
+    return planner;
+}
+
+function createOrder(action: "load" | "unload", adapter: string): EngineOrder {
+    return { action, model: "base", adapter, version: 1, expectedSequence: 100 };
+}
+
+// Guards against a report from before the outcome of an order: a loaded adapter would count as loading again.
+test("a lagging report does not undo what the check of a reported load has shown", () => {
+    const planner = createReported({ models: createModels(), coming: ["base/a1"] });
+    planner.applyOutcome(createOrder("load", "a2"), "accepted", 10);
+    planner.applyOutcome(createOrder("load", "a1"), "holds", 60);
+    planner.applyReport(
+        { models: createModels(), coming: ["base/a1", "base/a2"], sequence: 101, isBusy: false },
+        160,
+        162,
+    );
+    assert.is(planner.findLoadedVersion("base/a1"), 1);
+});
+
+// Guards against requests for an adapter that is being unloaded, which the engine holds until its last run has ended.
+test("a lagging report does not undo the unload of a reported adapter", () => {
+    const planner = createReported({ models: createModels("a1"), coming: [] });
+    planner.applyOutcome(createOrder("unload", "a1"), "accepted", 10);
+    planner.applyReport({ models: createModels("a1"), coming: [], sequence: 101, isBusy: false }, 160, 162);
+    assert.is(planner.findLoadedVersion("base/a1"), undefined);
+});
+
 test.run();
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -1675,6 +1675,66 @@
         "if (true) {",
         "platform/dist/test/endless.test.js",
     ],
+    [
+        "wire/dist/src/socketreader.js",
+        "isMore ? this.bytesLeft : undefined",
+        "undefined",
+        "packages/node/dist/test/readshares.test.js",
+    ],
+    [
+        "wire/dist/src/socketreader.js",
+        "if (this.bytesLeft === 0) {",
+        "if (false) {",
+        "packages/node/dist/test/readshares.test.js",
+    ],
+    [
+        "wire/dist/src/socketreader.js",
+        "this.socket.emit(\"readable\");",
+        "",
+        "packages/node/dist/test/readshares.test.js",
+    ],
+    [
+        "wire/dist/src/readqueue.js",
+        "splice(0, this.readersPerIteration)",
+        "splice(0)",
+        "packages/wire/dist/test/readqueue.test.js",
+    ],
+    [
+        "node/dist/src/requests/bodypacer.js",
+        "socket.pause();",
+        "",
+        "platform/dist/test/smallpieces.test.js",
+    ],
+    [
+        "node/dist/src/requests/bodypacer.js",
+        "if (!this.isWaiting) {",
+        "if (true) {",
+        "platform/dist/test/smallpieces.test.js",
+    ],
+    [
+        "fleet/dist/src/slotplanner.js",
+        "sequence > slot.reportedSequence",
+        "false",
+        "packages/fleet/dist/test/inheritedloads.test.js",
+    ],
+    [
+        "fleet/dist/src/slottable.js",
+        "slot.checkAt = Math.max(slot.checkAt, until);",
+        "",
+        "packages/fleet/dist/test/inheritedloads.test.js",
+    ],
+    [
+        "fleet/dist/src/slottable.js",
+        "known.reportedSequence = undefined;",
+        "",
+        "packages/fleet/dist/test/inheritedloads.test.js",
+    ],
+    [
+        "fleet/dist/src/slottable.js",
+        "slot.reportedSequence = undefined;",
+        "",
+        "packages/fleet/dist/test/inheritedloads.test.js",
+    ],
 ];
 
 /** Timeout of a test file of a package, in milliseconds. */
