Take no bytes from a socket that is only asked for more

Node.js calls `read(0)` on its own to ask a socket for more, and drops what it returns. The reader of shares ignored the size and would have returned the bytes, which would then be missing from a response. They are taken before such a call in the order of events that was seen, so that no test failed.

Change: the size is passed on, and 0 takes nothing.

--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -156,7 +156,7 @@
             const { socket, via } = await connector.open(target, this.opening.signal);
             this.socket = socket;
             const reader = new SocketReader({ socket });
-            socket.read = (): unknown => this.isPaused ? null : this.checkRead(reader.read());
+            socket.read = (size): unknown => this.isPaused ? null : this.checkRead(reader.read(size));
             this.carrier = via;
             callback(null, socket);
         }
--- a/packages/upstreams/src/exchange.ts
+++ b/packages/upstreams/src/exchange.ts
@@ -116,7 +116,7 @@
             const [error, socket] = result;
             if (error === null) {
                 const reader = new SocketReader({ socket });
-                socket.read = () => reader.read();
+                socket.read = size => reader.read(size);
             }
             callback(...result);
         });
--- a/packages/wire/src/socketreader.ts
+++ b/packages/wire/src/socketreader.ts
@@ -25,12 +25,16 @@
 
     /**
      * Reads what has arrived, up to the rest of the share.
+     * @param size 0 asks the socket for more without taking any bytes, as Node.js itself does; other sizes are ignored.
      * @returns As `socket.read`: null if there is nothing to read now. The socket emits `readable` when there is again.
      */
-    read(): Buffer | null {
+    read(size?: number): Buffer | null {
         if (this.isWaiting) {
             return null;
         }
+        if (size === 0) {
+            return this.readSocket(0);
+        }
         if (this.bytesLeft === 0) {
             this.waitForTurn();
             return null;
