Pause between the parts of uploads in small chunks

What callers saw: beside four uploads of 4 MB in chunks of one byte and a busy machine (load 16 on 8 cores), a request reached its worker after 1,126 ms, and a caller waits one second until its request is read.

Cause: one part of such a body takes some 20 ms, twice that on a busy machine, and came in each iteration of the event loop; a request passes through several iterations until it is forwarded.

Change: a part in small chunks is followed by a pause of 50 ms before the next one. The chunks count as small if the connection has brought more than 1.5 bytes for each byte of content.

Why it holds: a request passes through its iterations in the pauses. The price: a body in chunks of one byte arrives with at most 11 KB of content in 70 ms.

--- a/packages/node/src/requests/bodypacer.ts
+++ b/packages/node/src/requests/bodypacer.ts
@@ -1,16 +1,29 @@
 import { ReadQueue, readShareBytes } from "@radishreel/wire";
 import type { IncomingMessage } from "node:http";
 
+/** Callers whose request bodies are being read. One of them continues in an iteration of the event loop. */
+const bodyReads = new ReadQueue({ readersPerIteration: 1 });
+
 /**
- * Callers whose request bodies are being read. A server's connection is read in parts of 64 KB, and a part in chunks of
- * one byte takes some 20 ms, so one caller continues in an iteration of the event loop.
+ * Pause between two parts of bodies in small chunks, in milliseconds. A server's connection is read in parts of 64 KB, and
+ * a part in chunks of one byte takes some 20 ms; a request passes through several iterations until it is forwarded.
  */
-const bodyReads = new ReadQueue({ readersPerIteration: 1 });
+const smallChunksPauseMs = 50;
+
+/** Callers whose request bodies come in chunks of a few bytes. */
+const smallChunkReads = new ReadQueue({
+    readersPerIteration: 1,
+    scheduleNext: run => setTimeout(run, smallChunksPauseMs),
+});
+
+/** Bytes of a connection for each byte of content from which on the chunks of a body count as small. */
+const smallChunksRatio = 1.5;
 
 /** Reads the body of a request in shares, and lets other connections have their turn between two of them. */
 export class BodyPacer {
     private readonly readMore: () => void;
     private countedBytes: number;
+    private contentBytes = 0;
     private isWaiting = false;
 
     constructor(private readonly request: IncomingMessage) {
@@ -24,17 +37,32 @@
         };
     }
 
-    /** Called after a piece of the body: waits for the next share if this one, framing included, has been read. */
-    async finishPiece(): Promise<void> {
+    /**
+     * Called after a piece of the body: waits for the next share if this one, framing included, has been read.
+     * @param contentBytes Size of the piece.
+     */
+    async finishPiece(contentBytes: number): Promise<void> {
         const { request: { complete, socket } } = this;
+        this.contentBytes += contentBytes;
         if (complete || socket.bytesRead - this.countedBytes < readShareBytes) {
             return;
         }
         this.isWaiting = true;
         socket.pause();
         await bodyReads.wait();
+        if (this.hasSmallChunks) {
+            await smallChunkReads.wait();
+        }
         this.isWaiting = false;
         this.countedBytes = socket.bytesRead;
+        this.contentBytes = -this.request.readableLength;
         this.readMore();
     }
+
+    /** Whether what has arrived since the last share came in small chunks. */
+    private get hasSmallChunks(): boolean {
+        const { readableLength, socket } = this.request;
+        const contentBytes = this.contentBytes + readableLength;
+        return socket.bytesRead - this.countedBytes > contentBytes * smallChunksRatio;
+    }
 }
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -179,7 +179,7 @@
                 if (bytes.length > maxBytes || this.bodyRefusal !== undefined) {
                     return undefined;
                 }
-                await pacer.finishPiece();
+                await pacer.finishPiece((chunk as Buffer).length);
             }
         }
         catch {
