Apply reports in the slot table, and hold back the reads of a body only while it waits

Found by reading the change again; behaviour stays as it is.

`BodyPacer` replaced `_read` of every request at its start, bodies of a few bytes and requests without any included; it does so now for the time of a wait, and needs no state for it. `responseReads` has no user outside its package.

--- a/packages/fleet/src/slotplanner.ts
+++ b/packages/fleet/src/slotplanner.ts
@@ -316,47 +316,12 @@
             return;
         }
         this.models.update(report.models);
-        const reported = new Map<string, number>();
-        for (const model of report.models) {
-            for (const adapter of model.adapters) {
-                reported.set(formatAdapterKey(model.name, adapter.name), adapter.version);
-            }
-        }
-        const isReportCurrent = (key: string): boolean => this.isReportCurrent(key, report.sequence, askedAt);
-        for (const key of [...this.slots.entries.keys()]) {
-            if (!reported.has(key) && !report.coming.includes(key) && isReportCurrent(key)) {
-                this.slots.remove(key);
-            }
-        }
-        for (const [key, version] of reported) {
-            if (isReportCurrent(key)) {
-                this.slots.updateReported(key, version, "loaded", now, report.sequence);
-            }
-        }
-        for (const key of report.coming) {
-            if (!reported.has(key) && isReportCurrent(key)) {
-                const version = this.queue.find(key)?.version ?? 0;
-                this.slots.updateReported(key, version, "loading", now, report.sequence);
-            }
-        }
-        this.slots.removeUnknownBeyondLimit();
+        this.slots.applyReport(report, askedAt, now, key => this.queue.find(key)?.version ?? 0);
         if (report.isBusy) {
             this.scheduler.scheduleReport(now);
         }
     }
 
-    /**
-     * Whether a report tells the state of an adapter. What an order of this owner has changed is in reports only after
-     * their delay; what an earlier report has told is outdated once the engine has accepted further orders, which may
-     * have been those of the owner before. A report tells of all adapters in no slot, also right after the start of a
-     * process, whose clock starts at 0.
-     */
-    private isReportCurrent(key: string, sequence: number, askedAt: number): boolean {
-        const slot = this.slots.find(key);
-        return slot === undefined || askedAt - slot.changedAt >= reportDelayMs
-            || (slot.reportedSequence !== undefined && sequence > slot.reportedSequence);
-    }
-
     /** Records that a requested report did not arrive. */
     recordReportFailure(failure: "unreachable" | "silent" | "unknown" | "replaced", now: number): void {
         this.scheduler.recordReportFailure(now);
--- a/packages/fleet/src/slottable.ts
+++ b/packages/fleet/src/slottable.ts
@@ -1,4 +1,6 @@
 import { LoadTimes } from "./loadtimes.js";
+import type { EngineReport } from "./orders.js";
+import { reportDelayMs } from "./orderscheduler.js";
 import {
     type AdapterSlot,
     countSlotsByUse,
@@ -7,6 +9,7 @@
     recordSlotUse,
     type SlotCounts,
 } from "./slot.js";
+import { formatAdapterKey } from "./types.js";
 import { WarmAdapters } from "./warmadapters.js";
 
 /** Longest pause between two checks of a slow load or unload, in milliseconds. */
@@ -124,10 +127,33 @@
         this.warm.record(key);
     }
 
-    /** Updates an adapter that a report names. @param sequence Number of orders that the engine had accepted by then. */
-    updateReported(key: string, version: number, state: "loaded" | "loading", now: number, sequence: number): void {
-        this.update(key, version, state, now);
-        this.slots.get(key)!.reportedSequence = sequence;
+    /**
+     * Applies what the engine's report tells of each adapter, unless its state in this table is more recent.
+     * @param askedAt When the report was requested.
+     * @param readVersion Returns the version of an adapter that the engine is loading, which reports do not name.
+     */
+    applyReport(report: EngineReport, askedAt: number, now: number, readVersion: (key: string) => number): void {
+        const reported = new Map(
+            report.models.flatMap(({ name, adapters }) =>
+                adapters.map(adapter => [formatAdapterKey(name, adapter.name), adapter.version])
+            ),
+        );
+        const coming = report.coming.filter(key => !reported.has(key));
+        const isCurrent = (key: string): boolean => this.isReportCurrent(key, report.sequence, askedAt);
+        for (const key of [...this.slots.keys()]) {
+            if (!reported.has(key) && !coming.includes(key) && isCurrent(key)) {
+                this.slots.delete(key);
+            }
+        }
+        const updateReported = (key: string, version: number, state: "loaded" | "loading"): void => {
+            if (isCurrent(key)) {
+                this.update(key, version, state, now);
+                this.slots.get(key)!.reportedSequence = report.sequence;
+            }
+        };
+        reported.forEach((version, key) => updateReported(key, version, "loaded"));
+        coming.forEach(key => updateReported(key, readVersion(key), "loading"));
+        this.removeUnknownBeyondLimit();
     }
 
     remove(key: string): void {
@@ -138,7 +164,7 @@
      * Drops loads with unknown outcome for which the engine has reported no room: they were ordered with an earlier
      * sequence and can't be carried out any more. Sent again, they would be new loads.
      */
-    removeUnknownBeyondLimit(): void {
+    private removeUnknownBeyondLimit(): void {
         for (const [key, { state }] of this.slots) {
             if (this.free >= 0) {
                 return;
@@ -149,6 +175,18 @@
         }
     }
 
+    /**
+     * Whether a report tells the state of an adapter. What an order of this owner has changed is in reports only after
+     * their delay; what an earlier report has told is outdated once the engine has accepted further orders, which may
+     * have been those of the owner before. A report tells of all adapters in no slot, also right after the start of a
+     * process, whose clock starts at 0.
+     */
+    private isReportCurrent(key: string, sequence: number, askedAt: number): boolean {
+        const slot = this.slots.get(key);
+        return slot === undefined || askedAt - slot.changedAt >= reportDelayMs
+            || (slot.reportedSequence !== undefined && sequence > slot.reportedSequence);
+    }
+
     /** Counts a request for an adapter. */
     recordUse(key: string, now: number): void {
         const slot = this.slots.get(key);
--- a/packages/node/src/requests/bodypacer.ts
+++ b/packages/node/src/requests/bodypacer.ts
@@ -21,20 +21,11 @@
 
 /** Reads the body of a request in shares, and lets other connections have their turn between two of them. */
 export class BodyPacer {
-    private readonly readMore: () => void;
     private countedBytes: number;
     private contentBytes = 0;
-    private isWaiting = false;
 
     constructor(private readonly request: IncomingMessage) {
-        this.readMore = request._read.bind(request, 0);
         this.countedBytes = request.socket.bytesRead;
-        // A readable stream asks for more as long as its buffer has room, also while nobody reads it.
-        request._read = () => {
-            if (!this.isWaiting) {
-                this.readMore();
-            }
-        };
     }
 
     /**
@@ -42,21 +33,22 @@
      * @param contentBytes Size of the piece.
      */
     async finishPiece(contentBytes: number): Promise<void> {
-        const { request: { complete, socket } } = this;
+        const { request, request: { socket } } = this;
         this.contentBytes += contentBytes;
-        if (complete || socket.bytesRead - this.countedBytes < readShareBytes) {
+        if (request.complete || socket.bytesRead - this.countedBytes < readShareBytes) {
             return;
         }
-        this.isWaiting = true;
+        // A readable stream asks for more as long as its buffer has room, also while nobody reads it.
+        request._read = () => {};
         socket.pause();
         await bodyReads.wait();
         if (this.hasSmallChunks) {
             await smallChunkReads.wait();
         }
-        this.isWaiting = false;
         this.countedBytes = socket.bytesRead;
-        this.contentBytes = -this.request.readableLength;
-        this.readMore();
+        this.contentBytes = -request.readableLength;
+        Reflect.deleteProperty(request, "_read");
+        request._read(0);
     }
 
     /** Whether what has arrived since the last share came in small chunks. */
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -6,7 +6,7 @@
 export { checkProof, createHello, createProof, type Hello } from "./handshake.js";
 export { Link, type LinkEvents, type LinkOptions } from "./link.js";
 export { readAll } from "./readall.js";
-export { ReadQueue, type ReadQueueOptions, readShareBytes, responseReads } from "./readqueue.js";
+export { ReadQueue, type ReadQueueOptions, readShareBytes } from "./readqueue.js";
 export { LinkServer, type LinkServerOptions } from "./server.js";
 export { SocketReader, type SocketReaderOptions } from "./socketreader.js";
 export { LinkTicker } from "./ticker.js";
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -1707,12 +1707,12 @@
     ],
     [
         "node/dist/src/requests/bodypacer.js",
-        "if (!this.isWaiting) {",
-        "if (true) {",
+        "request._read = () => { };",
+        "",
         "platform/dist/test/smallpieces.test.js",
     ],
     [
-        "fleet/dist/src/slotplanner.js",
+        "fleet/dist/src/slottable.js",
         "sequence > slot.reportedSequence",
         "false",
         "packages/fleet/dist/test/inheritedloads.test.js",
