--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -9,7 +9,7 @@
 const root = path.join(import.meta.dirname, "..");
 const uvu = path.join(root, "node_modules/uvu/bin.js");
 
-/** Number of test files that run at the same time. */
+/** Number of test files that run at the same time, without those that run alone. */
 const concurrency = 4;
 
 /** Timeout of one test file, in milliseconds. A file that times out counts as failed. */
@@ -41,8 +41,8 @@
     });
 }
 
-/** Runs all files, up to {@link concurrency} at a time, and returns the results in the order of the files. */
-async function runFiles() {
+/** Runs files, up to some at a time, and returns the results in the order of the files. */
+async function runFiles(files, concurrency) {
     const runs = [];
     let next = 0;
     const runNextFiles = async () => {
@@ -54,6 +54,11 @@
     return runs;
 }
 
+/** Whether the tests of a file measure processes, so that no other tests may run at the same time. */
+function isSerial(file) {
+    return file.endsWith(".serial.test.js");
+}
+
 const knownFailuresFile = path.join(root, "KNOWN-RED.txt");
 const knownFailures = existsSync(knownFailuresFile)
     ? readFileSync(knownFailuresFile, "utf8").split("\n").filter(line => line.trim() !== "" && !line.startsWith("#"))
@@ -63,7 +68,11 @@
 let passed = 0;
 let failed = 0;
 const seenNames = new Set();
-for (const { file, code, text } of await runFiles()) {
+const results = [
+    ...await runFiles(files.filter(file => !isSerial(file)), concurrency),
+    ...await runFiles(files.filter(isSerial), 1),
+];
+for (const { file, code, text } of results) {
     console.log(`\n${file}`);
     process.stdout.write(text);
     const total = Number(/Total:\s+(\d+)/.exec(text)?.[1] ?? 0);
