Read from callers only what is handled next

What callers saw: 60 clients that sent small whole requests one behind the other ended the process of a VM within a second (heap out of memory), with all requests that it served. A body of 1 MB in chunks of one byte, within all limits, got 503 after 7.8 s on an idle VM.

Cause: Node.js parses all that it has read, 64 KB at a time, before anyone can stop it, and keeps each request and each chunk as an object until it is handled: some 1,500 requests, or 10,900 chunks, for one read. `BodyPacer` could only hold back the read after that, and made up for the work by pausing 50 ms for each 64 KB in small chunks, also if nobody else was there.

Change: `RequestReader` takes the bytes of a caller's connection itself and passes Node.js's parser pieces that end with the first empty line. It goes on only if a body is being read, or if no more than one request waits behind another; all else waits at the client. Turns end after 16 KB or 256 chunks, and one waiting reader goes on in an iteration of the event loop, so no pause is needed. A last response to a client that still sends is followed by up to a second in which what comes is dropped, since a close with unread bytes resets the connection and the response with it. Bytes that are no HTTP, behind a request that is being served, no longer write a 400 in front of its response.

Why it holds: the parser never has more than one head, or 16 KB of a body that is being read, beyond what is handled.

`smallpieces` in packages/node sends its pieces over a connection in place of a made-up iterator, which is not what reads a body any more.

--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -27,8 +27,6 @@
     address: ListenAddress,
     handle: (caller: CallerExchange) => void,
 ): Promise<void> {
-    // Slow uploads are allowed: the deadline of the request limits how long its body may take.
-    server.requestTimeout = 0;
     const app = polka({ server, onNoMatch: (request, response) => handle(new CallerExchange(request, response)) });
     await startListening(app, address);
 }
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,5 +1,6 @@
 import { type EngineStatus, FleetView, RetryBudgets } from "@radishreel/fleet";
-import { createServer, type Server } from "node:http";
+import { createHttpServer } from "@radishreel/wire";
+import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { interpret } from "robot3";
 import { AccountGuard } from "./accounts/index.js";
@@ -70,7 +71,8 @@
     private readonly streams: Streams;
     private readonly serving: Serving;
     private readonly peers: Peers;
-    private readonly callerServer: Server = createServer({ keepAlive: true, noDelay: true });
+    private readonly callerHttp = createHttpServer({ keepAlive: true, noDelay: true, readTime: readNow });
+    private readonly callerServer = this.callerHttp.server;
     private readonly readinessServer = createServer();
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly budgets: RetryBudgets;
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -1,7 +1,6 @@
 import { ByteBuffer } from "@radishreel/wire";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { RawHeaders } from "../ports.js";
-import { BodyPacer } from "./bodypacer.js";
 import { ResponseWriter } from "./responsewriter.js";
 
 /** Why this program ends a request itself. Each reason is a metric label. */
@@ -85,6 +84,8 @@
     private readonly writer: ResponseWriter;
     private writtenBytes = 0;
     private isLast = false;
+    /** Ends the reading of the body, which is not complete. */
+    private endReading: (() => void) | undefined;
     /** Whether another request has arrived on the connection meanwhile, which is served after this one. */
     hasSuccessor = false;
     /** Time for which the request waited for the requests before it on its connection, in milliseconds. */
@@ -167,27 +168,33 @@
         this.leftListeners.push(listener);
     }
 
-    /** Reads the whole body; undefined if it is longer than allowed or the caller disconnected. */
+    /** Reads the whole body; undefined if it is longer than allowed, was refused, or the caller disconnected. */
     async readBody(maxBytes: number): Promise<Buffer | undefined> {
+        const { request } = this;
         const bytes = new ByteBuffer();
-        const pacer = new BodyPacer(this.request);
-        try {
-            // An incomplete request must not be destroyed before its refusal was sent.
-            for await (const chunk of this.meter === undefined ? this.request : this.createBodyIterator()) {
-                bytes.push(chunk as Buffer);
-                this.bodyRefusal = this.meter?.recordBody((chunk as Buffer).length);
+        return new Promise(resolve => {
+            const finish = (body: Buffer | undefined): void => {
+                this.endReading = undefined;
+                // An incomplete request must not be destroyed before its refusal was sent.
+                request.off("data", receive).off("end", receiveEnd).pause();
+                resolve(body);
+            };
+            const receive = (piece: Buffer): void => {
+                bytes.push(piece);
+                this.bodyRefusal ??= this.meter?.recordBody(piece.length);
                 if (bytes.length > maxBytes || this.bodyRefusal !== undefined) {
-                    return undefined;
+                    finish(undefined);
                 }
-                await pacer.finishPiece((chunk as Buffer).length);
-            }
-        }
-        catch {
-            // The caller disconnected; the close event of the response reports it.
-            return undefined;
-        }
-        this.meter?.finishBody();
-        return bytes.popAll();
+            };
+            const receiveEnd = (): void => {
+                this.meter?.finishBody();
+                finish(bytes.popAll());
+            };
+            this.endReading = () => finish(undefined);
+            // The response reports that the caller has disconnected.
+            request.on("error", () => {}).once("close", () => this.endReading?.());
+            request.on("data", receive).on("end", receiveEnd);
+        });
     }
 
     /**
@@ -276,10 +283,6 @@
         this.endResponse(Buffer.from(text));
     }
 
-    private createBodyIterator(): NodeJS.AsyncIterator<unknown> {
-        return this.request.iterator({ destroyOnReturn: false });
-    }
-
     private receiveClose(): void {
         if (this.response.writableFinished || this.hasCallerLeft) {
             return;
--- a/packages/node/test/bodypacer.test.ts
+++ b/packages/node/test/bodypacer.test.ts
@@ -1,5 +1,5 @@
 /** Guards against uploads in chunks of a byte that take all time, and against pauses where chunks are larger. */
-import { createServer } from "node:http";
+import { createHttpServer } from "@radishreel/wire";
 import { type AddressInfo, connect } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -25,7 +25,7 @@
 async function readUpload(bodyBytes: number, chunkBytes: number): Promise<ReadBody> {
     const chunk = `${chunkBytes.toString(16)}\r\n${"x".repeat(chunkBytes)}\r\n`;
     const upload = chunk.repeat(bodyBytes / chunkBytes);
-    const front = createServer();
+    const { server: front } = createHttpServer();
     const read = new Promise<ReadBody>(resolve => {
         front.on("request", (request, response) => {
             const startedAt = performance.now();
--- a/packages/node/test/smallpieces.test.ts
+++ b/packages/node/test/smallpieces.test.ts
@@ -1,4 +1,5 @@
 /** Guards against responses and requests in pieces of a few bytes, of which each takes memory and work of its own. */
+import { createHttpServer } from "@radishreel/wire";
 import { createServer, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, createServer as createTcpServer, type Server as TcpServer } from "node:net";
 import { test } from "uvu";
@@ -103,16 +104,9 @@
 });
 
 test("a request's body that arrives in small pieces is not kept as a buffer for each of them", async () => {
-    const front = createServer();
+    const { server: front } = createHttpServer();
     const read = new Promise<Buffer | undefined>(resolve => {
         front.on("request", (request, response) => {
-            Object.defineProperty(request, Symbol.asyncIterator, {
-                value: async function*() {
-                    for (let at = 0; at < bodyBytes; at += contentBytes) {
-                        yield Buffer.from("abcd");
-                    }
-                },
-            });
             void new CallerExchange(request, response).readBody(bodyBytes).then(body => {
                 response.end();
                 resolve(body);
@@ -126,7 +120,9 @@
         return concat(list, length);
     };
     const caller = connect(await startServer(front), "127.0.0.1");
-    caller.write("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    caller.write("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n");
+    caller.write(Buffer.alloc(bodyBytes / contentBytes * piece.length, piece));
+    caller.write("0\r\n\r\n");
     const body = await read;
     Buffer.concat = concat;
     caller.destroy();
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -4,6 +4,7 @@
 export { LinkClient, type LinkClientOptions } from "./client.js";
 export { encodeFrame, frameHeaderBytes, FrameReader } from "./frame.js";
 export { checkProof, createHello, createProof, type Hello } from "./handshake.js";
+export { createHttpServer, HttpConnections, type HttpLimits, type HttpServerOptions } from "./httpconnections.js";
 export { Link, type LinkEvents, type LinkOptions } from "./link.js";
 export { readAll } from "./readall.js";
 export { ReadQueue, type ReadQueueOptions, readShareBytes } from "./readqueue.js";
