End bodies that are late, and refuse announced lengths beyond the limit at once

Cause: a body was read without a deadline, whatever the comment at the listener said, and an announced length was compared with nothing before the body was read.

Change: a body has until the end of its request's time, the smaller of what the caller named and the route's timeout. After that the request is refused with 408 `bodyLate`, which promises that it has not run and never will. A length beyond the limit gets 413 before anything is read.

Why it holds: no request reaches an upstream before its body is complete, so each of these refusals is true.

--- a/packages/node/src/reception.ts
+++ b/packages/node/src/reception.ts
@@ -5,6 +5,7 @@
 import type { RequestDialect } from "./ports.js";
 import type { CallerExchange, RefusalResponse } from "./requests/caller.js";
 import { CallerConnections } from "./requests/callerconnections.js";
+import { bodyTooLargeRefusal } from "./requests/refusals.js";
 import type { Serving } from "./requests/serving.js";
 import type { StopTimes } from "./stop.js";
 
@@ -51,7 +52,7 @@
     }
 
     private serve(caller: CallerExchange): void {
-        const { dialect, edge, serving, overloadMonitor, isIsolated } = this.options;
+        const { cluster, dialect, edge, serving, overloadMonitor, isIsolated } = this.options;
         if (this.stopTimes !== undefined || isIsolated()) {
             caller.closeAfterResponse();
         }
@@ -59,6 +60,10 @@
             serving.refuse(caller, dialect.parseDemand(caller.headers), stoppingRefusal);
             return;
         }
+        if (caller.announcedBytes > (cluster.routes?.routing.limits.maxBodyBytes ?? Infinity)) {
+            serving.refuse(caller, dialect.parseDemand(caller.headers), bodyTooLargeRefusal);
+            return;
+        }
         if (edge.handleCaller(caller)) {
             void serving.handle(caller).finally(() => overloadMonitor.recordResponse(caller));
         }
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -9,6 +9,8 @@
     | "unknownRoute"
     | "unknownService"
     | "bodyTooLarge"
+    /** The body is not complete at the end of the request's time. */
+    | "bodyLate"
     /** The request cannot be forwarded, since it is not valid HTTP. */
     | "requestInvalid"
     | "noUpstream"
@@ -61,6 +63,12 @@
     readonly detail?: object;
 }
 
+/** The response to a request whose body is not complete in time: it has not run. */
+const lateBodyRefusal: RefusalResponse = { status: 408, reason: "bodyLate" };
+
+/** Longest time for which a body is waited for, in milliseconds: longer timers would end at once. */
+const maxBodyMs = 2 ** 30;
+
 /** Counts the bytes that are held for one caller. */
 export interface CallerMeter {
     /** Records a part of the request's body. @returns The response to the request if the rest must not be read. */
@@ -90,7 +98,7 @@
     hasSuccessor = false;
     /** Time for which the request waited for the requests before it on its connection, in milliseconds. */
     waitedMs = 0;
-    /** The response to a request whose body was not read completely; undefined if the body is too large. */
+    /** The response to a request whose body was not read completely. @default that to a body that is too large */
     bodyRefusal: RefusalResponse | undefined;
     /** Number and total bytes of the chunks of an upstream's response that were written to this caller. */
     partsPassed = 0;
@@ -168,12 +176,20 @@
         this.leftListeners.push(listener);
     }
 
-    /** Reads the whole body; undefined if it is longer than allowed, was refused, or the caller disconnected. */
-    async readBody(maxBytes: number): Promise<Buffer | undefined> {
+    /**
+     * Reads the whole body; undefined if it is longer than allowed, was refused, or the caller disconnected.
+     * @param timeoutMs Time in which the body has to be complete, in milliseconds.
+     */
+    async readBody(maxBytes: number, timeoutMs = maxBodyMs): Promise<Buffer | undefined> {
         const { request } = this;
         const bytes = new ByteBuffer();
+        if (this.bodyRefusal !== undefined) {
+            return undefined;
+        }
         return new Promise(resolve => {
+            const timer = setTimeout(() => this.refuseBody(lateBodyRefusal), Math.min(timeoutMs, maxBodyMs));
             const finish = (body: Buffer | undefined): void => {
+                clearTimeout(timer);
                 this.endReading = undefined;
                 // An incomplete request must not be destroyed before its refusal was sent.
                 request.off("data", receive).off("end", receiveEnd).pause();
@@ -181,7 +197,9 @@
             };
             const receive = (piece: Buffer): void => {
                 bytes.push(piece);
-                this.bodyRefusal ??= this.meter?.recordBody(piece.length);
+                if (bytes.length <= maxBytes) {
+                    this.bodyRefusal ??= this.meter?.recordBody(piece.length);
+                }
                 if (bytes.length > maxBytes || this.bodyRefusal !== undefined) {
                     finish(undefined);
                 }
@@ -197,6 +215,12 @@
         });
     }
 
+    /** Stops reading a body that is not complete, which then has this response. */
+    refuseBody(refusal: RefusalResponse): void {
+        this.bodyRefusal ??= refusal;
+        this.endReading?.();
+    }
+
     /**
      * Makes the response say that its connection closes, unless its head was sent or another request waits behind it: the
      * caller may send its next request at any time until it is told.
--- a/packages/node/src/requests/refusals.ts
+++ b/packages/node/src/requests/refusals.ts
@@ -5,6 +5,9 @@
 /** Default `Retry-After` of a refusal, in seconds. An owner or an upstream is replaced within some seconds. */
 export const retryAfterSeconds = 0.5;
 
+/** The response to a request whose body is longer than allowed. */
+export const bodyTooLargeRefusal: RefusalResponse = { status: 413, reason: "bodyTooLarge" };
+
 /**
  * Bounds of `Retry-After` when all engines are full, in seconds. The caller is told to retry after half of the time
  * that its request would have to wait now, so that the remaining wait can fit within the caller's time limit.
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -36,7 +36,13 @@
 } from "./job.js";
 import type { LimitGrant, UpstreamLimiter } from "./limiter.js";
 import type { ResponseMetadata } from "./metadata.js";
-import { createBackoffRefusal, createDeclinedRefusal, createLimitRefusal, retryAfterSeconds } from "./refusals.js";
+import {
+    bodyTooLargeRefusal,
+    createBackoffRefusal,
+    createDeclinedRefusal,
+    createLimitRefusal,
+    retryAfterSeconds,
+} from "./refusals.js";
 import { createBodyHeaders } from "./responseheaders.js";
 import { AttemptResults } from "./results.js";
 import { Retries, type RetriesOptions } from "./retries.js";
@@ -96,6 +102,16 @@
     readonly startWaitMs?: number | undefined;
 }
 
+/** A request whose body is read. */
+interface BodyReadOptions {
+    readonly caller: CallerExchange;
+    readonly demand: CallerDemand;
+    readonly claim: AccountClaim | undefined;
+    readonly maxBodyBytes: number;
+    /** End of the request's time, in milliseconds. */
+    readonly deadlineAt: number;
+}
+
 /** An attempt that has started, and what it holds until its end. */
 interface StartedAttempt {
     readonly job: Job;
@@ -234,12 +250,13 @@
         }
         const account = known.value;
         const claim = this.options.accounts.createClaim(account, demand);
-        const body = await this.readBodyAndClaimQuota(caller, demand, claim, table.routing.limits.maxBodyBytes);
+        const { maxBodyBytes } = table.routing.limits;
+        const deadlineAt = startedAt + Math.min(demand.budgetMs ?? Infinity, route.timeoutMs);
+        const body = await this.readBodyAndClaimQuota({ caller, demand, claim, maxBodyBytes, deadlineAt });
         if (body === undefined) {
             return;
         }
         this.options.budgets(service.name).recordRequest(startedAt);
-        const timeMs = Math.min(demand.budgetMs ?? Infinity, route.timeoutMs);
         await this.runWithRelease(createJob({
             caller,
             demand,
@@ -257,7 +274,7 @@
             claim,
             origin,
             startedAt,
-            deadlineAt: startedAt + timeMs,
+            deadlineAt,
         }));
     }
 
@@ -271,13 +288,13 @@
 
     /** Reads the body while the quota is claimed; undefined if the caller has left or the request was refused. */
     private async readBodyAndClaimQuota(
-        caller: CallerExchange,
-        demand: CallerDemand,
-        claim: AccountClaim | undefined,
-        maxBytes: number,
+        { caller, demand, claim, maxBodyBytes, deadlineAt }: BodyReadOptions,
     ): Promise<Buffer | undefined> {
-        const { accounts } = this.options;
-        const [body, refusal] = await Promise.all([caller.readBody(maxBytes), accounts.claimQuota(claim)]);
+        const { accounts, readTime } = this.options;
+        const [body, refusal] = await Promise.all([
+            caller.readBody(maxBodyBytes, deadlineAt - readTime()),
+            accounts.claimQuota(claim),
+        ]);
         if (refusal === undefined && (body === undefined || caller.hasLeft)) {
             accounts.releaseQuota(claim);
         }
@@ -285,7 +302,7 @@
             return undefined;
         }
         if (body === undefined) {
-            this.refuse(caller, demand, caller.bodyRefusal ?? { status: 413, reason: "bodyTooLarge" });
+            this.refuse(caller, demand, caller.bodyRefusal ?? bodyTooLargeRefusal);
             return undefined;
         }
         if (refusal !== undefined) {
