Bound the memory for callers on every deployment

What callers saw: 200 bodies of 1 MB in large chunks, with a length or without one, took 417 to 1,163 MB of a VM of 220 MB, and most of it stayed after all had closed.

Cause: the bound on what a VM holds for callers was on under one contract that most deployments do not name. Where it was on, bodies that are never finished could use it up, and others were refused until those had stood still for a second; a caller that sends a byte now and then never stands still.

Beyond that, the one that has taken longest, for more than a second, is refused with 503 in favour of another one: its body is not whole, so it has not run. A body that is the only one is not refused for lack of room, so that each body within the limits is served in calm.

Why it holds: small requests are admitted as long as the whole bound is not used up, which bodies alone cannot do.

--- a/packages/node/src/edge/create.ts
+++ b/packages/node/src/edge/create.ts
@@ -5,10 +5,10 @@
 import { type EdgeGuard, MemoryGuard, unboundedEdge } from "./guard.js";
 import { EdgeMetrics } from "./metrics.js";
 
-/** Creates what bounds the memory for callers, if the settings enable it and name the VM's memory. */
+/** Creates what bounds the memory for callers, if the settings name the VM's memory. */
 export function createEdgeGuard(settings: NodeSettings, log: DecisionLog, metrics: NodeMetrics): EdgeGuard {
-    const { features, memoryMb } = settings;
-    if (features?.hasMemoryBounds !== true || memoryMb === undefined) {
+    const { memoryMb } = settings;
+    if (memoryMb === undefined) {
         return unboundedEdge;
     }
     const edgeMetrics = new EdgeMetrics(metrics.registry);
--- a/packages/node/src/edge/guard.ts
+++ b/packages/node/src/edge/guard.ts
@@ -50,7 +50,8 @@
 
     handleCaller(caller: CallerExchange): boolean {
         const { readTime, onRefusal } = this.options;
-        if (!this.ledger.add(caller, caller.announcedBytes, readTime())) {
+        const add = (): boolean => this.ledger.add(caller, caller.announcedBytes, readTime());
+        if (!add() && !this.runWithRoom(caller, add)) {
             onRefusal?.(memoryRefusal.reason);
             caller.refuse(memoryRefusal);
             return false;
@@ -79,7 +80,10 @@
     private createMeter(caller: CallerExchange): CallerMeter {
         const { readTime } = this.options;
         return {
-            recordBody: bytes => this.ledger.recordBody(caller, bytes, readTime()) ? undefined : memoryRefusal,
+            recordBody: bytes => {
+                const record = (count: number) => this.ledger.recordBody(caller, count, readTime());
+                return record(bytes) || this.runWithRoom(caller, () => record(0)) ? undefined : memoryRefusal;
+            },
             finishBody: () => this.ledger.finishBody(caller, readTime()),
             recordWrite: () => this.updateCaller(caller),
             waitForRoom: listener => {
@@ -88,6 +92,21 @@
         };
     }
 
+    /** Refuses other bodies that have taken long, one after the other, until something can be done. */
+    private runWithRoom(caller: CallerExchange, act: () => boolean): boolean {
+        for (;;) {
+            const longest = this.ledger.findLongestUpload(this.options.readTime());
+            if (longest === undefined || longest === caller) {
+                return false;
+            }
+            this.remove(longest);
+            longest.refuseBody(memoryRefusal);
+            if (act()) {
+                return true;
+            }
+        }
+    }
+
     /** Updates the bytes that wait for a caller, and resumes its upstream if there is room. */
     private updateCaller(caller: CallerExchange): boolean {
         const bytes = { unread: caller.unreadBytes, taken: caller.takenBytes };
--- a/packages/node/src/edge/ledger.ts
+++ b/packages/node/src/edge/ledger.ts
@@ -19,8 +19,17 @@
 /** Memory that an open request takes besides its bytes: its objects and those of its connection, in bytes. */
 const requestBytes = 8 * 1024;
 
+/**
+ * Part of the bound that bodies may take which are not complete yet: the rest is left to requests that can be served, so
+ * that callers who never finish a body do not keep others out.
+ */
+const uploadShare = resumeShare;
+
 const bytesPerMb = 1024 * 1024;
 
+/** Size up to which a body counts as one of the requests that bodies which are not complete must not keep out, in bytes. */
+const smallBodyBytes = 16 * 1024;
+
 /** What is known about the bytes of one caller. */
 export interface CallerBytes {
     /** Bytes of the response that were written and not yet taken by the caller's connection. */
@@ -37,6 +46,7 @@
     taken: number;
     /** When the caller last took or sent bytes, or had none waiting. */
     activeAt: number;
+    readonly startedAt: number;
     isUploading: boolean;
 }
 
@@ -54,6 +64,9 @@
     readonly boundBytes: number;
     private readonly accounts = new Map<Id, CallerAccount>();
     private held = 0;
+    /** Number of bodies that are not complete, and their bytes. */
+    private uploads = 0;
+    private uploadBytes = 0;
     private isOver = false;
 
     constructor({ memoryMb }: MemoryLedgerOptions) {
@@ -77,7 +90,7 @@
 
     /** Adds a request. @param announcedBytes Length of its body, 0 if unknown. @returns Whether it may begin. */
     add(id: Id, announcedBytes: number, now: number): boolean {
-        if (this.isOver || this.held + announcedBytes + requestBytes > this.boundBytes) {
+        if (!this.hasRoom(announcedBytes)) {
             return false;
         }
         this.accounts.set(id, {
@@ -86,13 +99,15 @@
             unread: 0,
             taken: 0,
             activeAt: now,
+            startedAt: now,
             isUploading: true,
         });
+        this.addUpload(1, announcedBytes);
         this.addHeld(announcedBytes + requestBytes);
         return true;
     }
 
-    /** Records a part of a request's body. @returns Whether the rest may be read. */
+    /** Records a part of a request's body; 0 bytes ask again. @returns Whether the rest may be read. */
     recordBody(id: Id, bytes: number, now: number): boolean {
         const account = this.accounts.get(id);
         if (account === undefined) {
@@ -102,20 +117,35 @@
         account.activeAt = now;
         const excess = Math.max(0, account.receivedBytes - account.bodyBytes);
         account.bodyBytes += excess;
+        this.addUpload(0, excess);
         this.addHeld(excess);
         // The announced length was counted when the request began.
-        return excess === 0 || !this.isOver;
+        return (excess === 0 && bytes > 0) || this.mayGrow(account);
     }
 
     /** Records that the body of a request is complete. */
     finishBody(id: Id, now: number): void {
         const account = this.accounts.get(id);
-        if (account !== undefined) {
+        if (account?.isUploading === true) {
             account.isUploading = false;
             account.activeAt = now;
+            this.addUpload(-1, -account.bodyBytes);
         }
     }
 
+    /**
+     * Finds the body that has taken longest to arrive, for more than a second, so that it makes room for another one;
+     * undefined if there is none. Slow callers would otherwise keep quick ones out.
+     */
+    findLongestUpload(now: number): Id | undefined {
+        const [longest] = [...this.accounts]
+            .filter(([, { isUploading, bodyBytes, startedAt }]) =>
+                isUploading && bodyBytes > 0 && now - startedAt >= urgentStallMs
+            )
+            .sort(([, left], [, right]) => left.startedAt - right.startedAt);
+        return longest?.[0];
+    }
+
     /** Updates the bytes that wait for a caller. @returns Whether more may be read from the caller's upstream. */
     updateResponse(id: Id, { unread, taken }: CallerBytes, now: number): boolean {
         const account = this.accounts.get(id);
@@ -137,6 +167,9 @@
         const account = this.accounts.get(id);
         if (account !== undefined) {
             this.accounts.delete(id);
+            if (account.isUploading) {
+                this.addUpload(-1, -account.bodyBytes);
+            }
             this.addHeld(-account.bodyBytes - account.unread - requestBytes);
         }
     }
@@ -163,6 +196,28 @@
         return ids;
     }
 
+    /** Whether a request may begin. A single body may be longer than the share of all of them. */
+    private hasRoom(announcedBytes: number): boolean {
+        if (this.isOver) {
+            return false;
+        }
+        if (announcedBytes > smallBodyBytes && this.uploadBytes + announcedBytes > this.boundBytes * uploadShare) {
+            return this.uploads === 0;
+        }
+        return this.held + announcedBytes + requestBytes <= this.boundBytes;
+    }
+
+    /** Whether a body that is not complete may grow. */
+    private mayGrow({ bodyBytes }: CallerAccount): boolean {
+        const isInShare = bodyBytes <= smallBodyBytes || this.uploadBytes <= this.boundBytes * uploadShare;
+        return this.uploads <= 1 || (!this.isOver && isInShare);
+    }
+
+    private addUpload(count: number, bytes: number): void {
+        this.uploads += count;
+        this.uploadBytes += bytes;
+    }
+
     private addHeld(bytes: number): void {
         this.held += bytes;
         if (this.held >= this.boundBytes) {
--- a/packages/node/src/features.ts
+++ b/packages/node/src/features.ts
@@ -8,8 +8,6 @@
     readonly hasTransferBudget: boolean;
     /** The choice of an upstream uses its learned speed where the upstreams of a service differ. */
     readonly hasLearnedSpeeds: boolean;
-    /** Bytes held for slow callers and upstreams are bounded. */
-    readonly hasMemoryBounds: boolean;
 }
 
 /** The features of a deployment whose settings name none. */
@@ -18,5 +16,4 @@
     hasFairShares: false,
     hasTransferBudget: false,
     hasLearnedSpeeds: false,
-    hasMemoryBounds: false,
 };
--- a/packages/wire/src/requestreader.ts
+++ b/packages/wire/src/requestreader.ts
@@ -21,7 +21,7 @@
 
 /** How long a client may take to read a refusal, and how many bytes it may send meanwhile, before the connection closes. */
 const lingerMs = 1000;
-const lingerBytes = 1024 * 1024;
+const lingerBytes = 128 * 1024;
 
 const emptyBytes = Buffer.alloc(0);
 
