Bound what a peer may send before it has proved that it knows the secret

Seen: 60 connections to the listener for links, none of which knows the secret, took 549 MB of a VM of 220 MB: each announced a frame of 8 MB and stopped short of its end. They could stay as long as they sent a byte now and then.

Cause: the limit of frames between VMs, 8 MB, held from the first frame on, and nothing ended a handshake.

Change: the first two frames, hello and proof, may have 4 KB each; a link whose peer has not proved within 10 s that it knows the secret closes; and a listener may have a bound on its links, beyond which the oldest link without a proof makes room for a new one.

Why it holds: a VM sends no other frame before its proof, and both are below 1 KB.

--- a/packages/node/src/links/peers.ts
+++ b/packages/node/src/links/peers.ts
@@ -37,6 +37,8 @@
     readonly secret: string;
     readonly host: string;
     readonly port: number;
+    /** Most links that others may open. @default unlimited */
+    readonly maxLinks?: number | undefined;
     readonly log: DecisionLog;
     readonly readTime: () => number;
     /** Called for each heartbeat and message on a link. */
@@ -88,6 +90,7 @@
         this.server = new LinkServer<PeerMessage>({
             host: options.host,
             port: options.port,
+            maxLinks: options.maxLinks,
             self: () => options.self,
             secret: options.secret,
             schema: peerMessageSchema,
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -21,8 +21,16 @@
     private readonly pendingBytes = new ByteBuffer();
     /** Bytes of the incomplete frame, as far as its length is known. */
     private neededBytes = frameHeaderBytes;
+    private frames = 0;
 
-    constructor(private readonly maxFrameBytes: number) {}
+    /**
+     * @param maxFrameBytes Largest frame.
+     * @param first Number of first frames that have a limit of their own, and that limit.
+     */
+    constructor(
+        private readonly maxFrameBytes: number,
+        private readonly first: { readonly count: number; readonly maxBytes: number; } = { count: 0, maxBytes: 0 },
+    ) {}
 
     /** Consumes received bytes and returns the messages that they complete, or why the stream is unusable. */
     receive(chunk: Buffer): Result<unknown[], "oversizedFrame" | "malformedFrame"> {
@@ -34,7 +42,7 @@
         let bytes = this.popWith(chunk);
         while (bytes.length >= frameHeaderBytes) {
             const bodyLength = bytes.readUInt32BE(0);
-            if (bodyLength > this.maxFrameBytes) {
+            if (bodyLength > (this.frames < this.first.count ? this.first.maxBytes : this.maxFrameBytes)) {
                 return err("oversizedFrame");
             }
             const end = frameHeaderBytes + bodyLength;
@@ -48,6 +56,7 @@
             catch {
                 return err("malformedFrame");
             }
+            this.frames += 1;
             bytes = bytes.subarray(end);
             this.neededBytes = frameHeaderBytes;
         }
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -27,11 +27,17 @@
     readonly secret: string;
     readonly schema: z.ZodType<Message, Outgoing>;
     readonly limits: LinkLimits;
+    /** Time in which the peer has to prove that it knows the secret, in milliseconds. @default unlimited */
+    readonly handshakeMs?: number | undefined;
     /** Ticker shared by the links of a process. @default a separate one with the interval `heartbeatMs` */
     readonly ticker?: LinkTicker | undefined;
     readonly events: LinkEvents<Message, Outgoing>;
 }
 
+/** Frames of a peer until it has proved that it knows the secret, and their largest size in bytes. */
+const handshakeFrames = 2;
+const maxHandshakeBytes = 4 * 1024;
+
 const heartbeatType = "heartbeat";
 const heartbeat = encodeFrame({ type: heartbeatType });
 
@@ -49,6 +55,7 @@
     private readonly reader: FrameReader;
     private readonly ownHello: Hello;
     private peerHello: Hello | undefined;
+    private readonly createdAt = performance.now();
     private lastReceived = performance.now();
     private lastSent = performance.now();
     /** Whether the socket is corked: frames of the current tick are buffered and written together. */
@@ -58,7 +65,7 @@
 
     constructor(private readonly options: LinkOptions<Message, Outgoing>) {
         const { socket, limits } = options;
-        this.reader = new FrameReader(limits.maxFrameBytes);
+        this.reader = new FrameReader(limits.maxFrameBytes, { count: handshakeFrames, maxBytes: maxHandshakeBytes });
         this.ownHello = createHello(options.self);
         socket.setNoDelay(true);
         socket.on("data", chunk => this.receive(chunk));
@@ -223,7 +230,11 @@
 
     private checkLiveness(): void {
         const now = performance.now();
-        const { heartbeatMs, silenceMs } = this.options.limits;
+        const { limits: { heartbeatMs, silenceMs }, handshakeMs = Infinity } = this.options;
+        if (!this.isOpen && now - this.createdAt > handshakeMs) {
+            this.close("lateHandshake");
+            return;
+        }
         if (now - this.lastReceived > silenceMs) {
             this.close("silent");
             return;
--- a/packages/wire/src/server.ts
+++ b/packages/wire/src/server.ts
@@ -4,6 +4,9 @@
 import type { LinkTicker } from "./ticker.js";
 import type { LinkLimits, NodeIdentity } from "./types.js";
 
+/** Time in which the peer of an accepted link has to prove that it knows the secret, in milliseconds. */
+const handshakeMs = 10_000;
+
 /** Options of {@link LinkServer}. */
 export interface LinkServerOptions<Message, Outgoing = Message> {
     readonly host: string;
@@ -14,6 +17,12 @@
     readonly schema: z.ZodType<Message, Outgoing>;
     /** Limits of all links, or a function that returns the limits of each accepted link. */
     readonly limits: LinkLimits | (() => LinkLimits);
+    /**
+     * Most links at a time. Beyond that, the oldest one whose peer has not proved yet that it knows the secret closes in
+     * favour of a new one.
+     * @default unlimited
+     */
+    readonly maxLinks?: number | undefined;
     /** Ticker shared by the links of a process. @default a separate one for each link */
     readonly ticker?: LinkTicker | undefined;
     readonly events: LinkEvents<Message, Outgoing>;
@@ -43,7 +52,15 @@
     }
 
     private receiveSocket(socket: Socket): void {
-        const { events, secret, schema, ticker } = this.options;
+        const { events, secret, schema, ticker, maxLinks = Infinity } = this.options;
+        if (this.links.size >= maxLinks) {
+            const oldest = [...this.links].find(({ isOpen }) => !isOpen);
+            if (oldest === undefined) {
+                socket.destroy();
+                return;
+            }
+            oldest.close("displaced");
+        }
         const limits = typeof this.options.limits === "function" ? this.options.limits() : this.options.limits;
         const link = new Link<Message, Outgoing>({
             socket,
@@ -52,6 +69,7 @@
             schema,
             ticker,
             limits: { ...limits, silenceMs: limits.clientSilenceMs },
+            handshakeMs,
             events: {
                 ...events,
                 onOpen: opened => events.onOpen(opened),
--- a/packages/wire/src/types.ts
+++ b/packages/wire/src/types.ts
@@ -31,6 +31,10 @@
     | "peerClosed"
     | "connectFailed"
     | "silent"
+    /** The peer has not proved in time that it knows the secret. */
+    | "lateHandshake"
+    /** Another connection needs the room of one whose peer has not proved yet that it knows the secret. */
+    | "displaced"
     | "oversizedFrame"
     | "malformedFrame"
     | "unknownMessage"
