Apply the configured limits of heads and their timeout

Cause: `max-header-bytes` was decoded and read by nobody, so that the 16 KB of Node.js held; and Node.js looks at its header timeout every 30 s only.

Change: the limit is that of the configuration, for connections that open from now on. Connections that were opened under another one close while they are idle, or after their next response, so that it is in force everywhere at once. A connection that has not sent anything yet has the idle timeout, since a client within the limits may open it early.

The fakes accept longer heads than the programs under test; otherwise the fake worker had answered 431 itself.

Why it holds: a head that may be sent is never longer than the parser's limit, which refuses one of exactly its length and is therefore one byte larger.

--- a/packages/fakes/src/listener.ts
+++ b/packages/fakes/src/listener.ts
@@ -18,9 +18,15 @@
     return Buffer.concat(chunks);
 }
 
+/** Largest head of a request that the fakes accept, in bytes: more than the programs under test do. */
+const maxHeaderSize = 256 * 1024;
+
 /** HTTP listener that can stop abruptly, to simulate the failure of a VM. */
 export abstract class FakeListener {
-    private readonly server: Server = createServer((request, response) => void this.receive(request, response));
+    private readonly server: Server = createServer(
+        { maxHeaderSize },
+        (request, response) => void this.receive(request, response),
+    );
     private readonly sockets = new Set<Socket>();
     private currentPort = 0;
 
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -299,8 +299,7 @@
         }
         this.metrics.setRoutingVersion(table.routing.version);
         this.streams.claims.update();
-        this.callerServer.keepAliveTimeout = table.routing.limits.idleTimeoutMs;
-        this.callerServer.headersTimeout = table.routing.limits.headerTimeoutMs + 1000;
+        this.callerHttp.connections.setLimits(table.routing.limits);
         if (this.lifecycle.machine.current === "starting") {
             this.lifecycle.send("ready");
             this.log.recordImportant("ready", { version: table.routing.version });
@@ -405,7 +404,8 @@
     private createReception(): Reception {
         const { cluster, edge, serving, overloadMonitor, options: { dialect } } = this;
         const parts = { cluster, dialect, edge, serving, overloadMonitor };
-        return new Reception({ ...parts, readTime: readNow, isIsolated: () => this.housekeeping.isIsolated });
+        const { connections: http } = this.callerHttp;
+        return new Reception({ ...parts, http, readTime: readNow, isIsolated: () => this.housekeeping.isIsolated });
     }
 
     private createTunnels(): Tunnels {
--- a/packages/node/src/reception.ts
+++ b/packages/node/src/reception.ts
@@ -1,3 +1,4 @@
+import type { HttpConnections } from "@radishreel/wire";
 import type { Server } from "node:http";
 import type { EdgeGuard } from "./edge/index.js";
 import type { ClusterState } from "./knowledge/cluster.js";
@@ -22,6 +23,8 @@
     readonly readTime: () => number;
     /** Whether this VM is cut off, so that callers should connect to another one. */
     readonly isIsolated: () => boolean;
+    /** Connections of callers, some of which may have been opened under a limit that is not in force any more. */
+    readonly http: Pick<HttpConnections, "isOutdated">;
 }
 
 /** Receives callers' connections and requests, and passes on the requests that this VM may serve. */
@@ -52,8 +55,8 @@
     }
 
     private serve(caller: CallerExchange): void {
-        const { cluster, dialect, edge, serving, overloadMonitor, isIsolated } = this.options;
-        if (this.stopTimes !== undefined || isIsolated()) {
+        const { cluster, dialect, edge, serving, overloadMonitor, isIsolated, http } = this.options;
+        if (this.stopTimes !== undefined || isIsolated() || http.isOutdated(caller.request.socket)) {
             caller.closeAfterResponse();
         }
         if (!this.hasTime(caller)) {
--- a/packages/wire/src/httpconnections.ts
+++ b/packages/wire/src/httpconnections.ts
@@ -61,7 +61,10 @@
         this.setLimits(this.limits);
         server.on("connection", (socket: Socket) => this.receiveConnection(socket));
         server.on("request", (request, response) => this.receiveRequest(request, response));
-        server.on("connect", (request: IncomingMessage) => this.readers.get(request.socket)?.endReading());
+        server.on("connect", ({ socket }: IncomingMessage) => {
+            socket.setTimeout(0);
+            this.readers.get(socket)?.endReading();
+        });
         server.on("clientError", (error: NodeJS.ErrnoException, socket) => this.fail(error, socket as Socket));
     }
 
@@ -70,15 +73,28 @@
         return this.readers.size;
     }
 
-    /** Sets what clients may send. The length of heads applies to connections that open from now on. */
+    /**
+     * Sets what clients may send. The length of heads holds for connections that open from now on, so idle ones close, and
+     * others are to close after their next response; see {@link isOutdated}.
+     */
     setLimits(limits: HttpLimits): void {
+        const hasChanged = limits.maxHeaderBytes !== this.limits.maxHeaderBytes;
         this.limits = limits;
+        if (hasChanged) {
+            this.closeOutdated();
+        }
         // Node.js refuses a head of exactly the length that it is given.
         Object.assign(this.server, { maxHeaderSize: limits.maxHeaderBytes + 1 });
         this.server.headersTimeout = limits.headerTimeoutMs + headSlackMs;
         this.server.keepAliveTimeout = limits.idleTimeoutMs;
     }
 
+    /** Whether a connection was opened under another limit of the length of heads. */
+    isOutdated(socket: Socket): boolean {
+        const opened = this.readers.get(socket)?.maxHeaderBytes;
+        return opened !== undefined && opened !== this.limits.maxHeaderBytes;
+    }
+
     /** Counts the bytes that were read and wait until the requests before them have been served. */
     countWaitingBytes(): number {
         let sum = 0;
@@ -88,7 +104,16 @@
         return sum;
     }
 
+    private closeOutdated(): void {
+        for (const [socket, reader] of this.readers) {
+            if (reader.isIdle && reader.waitingBytes === 0 && this.isOutdated(socket)) {
+                socket.destroySoon();
+            }
+        }
+    }
+
     private receiveConnection(socket: Socket): void {
+        const { maxHeaderBytes, idleTimeoutMs } = this.limits;
         if (this.readers.size >= this.maxConnections) {
             const oldest = this.findIdle();
             if (oldest === undefined) {
@@ -98,9 +123,9 @@
             this.readers.delete(oldest);
             oldest.destroy();
         }
-        this.readers.set(socket, new RequestReader({ socket, readTime: this.readTime }));
+        this.readers.set(socket, new RequestReader({ socket, readTime: this.readTime, maxHeaderBytes }));
         socket.once("close", () => this.readers.delete(socket));
-        socket.setTimeout(this.limits.idleTimeoutMs);
+        socket.setTimeout(idleTimeoutMs);
     }
 
     /** Finds the connection without a request that has been idle for longest, first among those that never had one. */
--- a/packages/wire/src/requestreader.ts
+++ b/packages/wire/src/requestreader.ts
@@ -29,6 +29,8 @@
 export interface RequestReaderOptions {
     /** A socket that the HTTP server of Node.js has just accepted. */
     readonly socket: Socket;
+    /** Longest head of a request on this connection, in bytes. */
+    readonly maxHeaderBytes: number;
     /** Clock in milliseconds. */
     readonly readTime: () => number;
 }
@@ -80,6 +82,10 @@
         return this.openCount === 0 && this.mode !== "detached";
     }
 
+    get maxHeaderBytes(): number {
+        return this.options.maxHeaderBytes;
+    }
+
     /** Bytes that were read and not passed on yet. */
     get waitingBytes(): number {
         return this.rest.length + this.socket.readableLength;
--- a/packages/wire/test/requestreader.test.ts
+++ b/packages/wire/test/requestreader.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { createHttpServer, type HttpServerOptions } from "../src/index.js";
+import { createHttpServer, type HttpConnections, type HttpServerOptions } from "../src/index.js";
 
 interface Received {
     readonly request: IncomingMessage;
@@ -14,11 +14,14 @@
 /** A server that keeps the requests that it receives. */
 class ServerTest {
     readonly received: Received[] = [];
+    readonly connections: HttpConnections;
     private readonly server: Server;
     private readonly clients: Socket[] = [];
 
     constructor(options: HttpServerOptions = {}) {
-        this.server = createHttpServer(options).server;
+        const { server, connections } = createHttpServer(options);
+        this.server = server;
+        this.connections = connections;
         this.server.on("request", (request, response) => this.received.push({ request, response }));
     }
 
@@ -138,4 +141,20 @@
         await server.waitFor(() => [busy, next].every(({ read }) => read().endsWith("served")));
     }, { maxConnections: 2 }));
 
+test("a new limit of the length of heads holds at once, also for clients that are connected", () =>
+    runTest(async server => {
+        const limits = { headerTimeoutMs: 5000, idleTimeoutMs: 5000 };
+        server.connections.setLimits({ ...limits, maxHeaderBytes: 1000 });
+        const long = `GET / HTTP/1.1\r\nHost: h\r\nX-Long: ${"x".repeat(2000)}\r\n\r\n`;
+        const refused = server.openClient(long);
+        await server.waitFor(() => refused.socket.destroyed);
+        assert.match(refused.read(), /^HTTP\/1.1 431 /);
+        const idle = server.openClient("");
+        await sleep(readMs);
+        server.connections.setLimits({ ...limits, maxHeaderBytes: 4000 });
+        await server.waitFor(() => idle.socket.destroyed);
+        server.openClient(long);
+        await server.waitFor(() => server.received.length === 1);
+    }));
+
 test.run();
