Bound the connections that others open to a VM

What callers saw: 800 connections that send nothing took 828 to 831 descriptors of a VM that has 500, at each of its four listeners; on a VM none is left then for other callers, for upstreams or for the store. At the listener for tunnels, 60 clients with requests one behind the other ended the process.

Cause: no listener bounded its connections, `limits.max-fds` was read by nobody, and the servers for tunnels and readiness read all that came.

Change: callers may have 0.6 of the VM's sockets, links 0.15 and tunnels 0.1, the load balancer and operators 32; the rest is for connections that the VM opens. A new connection beyond that closes the one that has been idle for longest, first one that never had a request, so that silent clients do not keep others out. Readiness and tunnels read as callers do.

Why it holds: a connection with a request is never closed for another one, and a request that crosses the close of an idle connection has not been read.

--- a/packages/node/src/options.ts
+++ b/packages/node/src/options.ts
@@ -53,6 +53,8 @@
     readonly cores?: number;
     /** Memory of this VM, in megabytes. @default unknown, and the memory for callers is not bounded */
     readonly memoryMb?: number | undefined;
+    /** Sockets that this VM may have open. @default unlimited */
+    readonly maxSockets?: number | undefined;
     /** Optional parts of the program. @default all are off */
     readonly features?: NodeFeatures;
 }
--- a/packages/node/src/paths/tunnels.ts
+++ b/packages/node/src/paths/tunnels.ts
@@ -21,6 +21,8 @@
     readonly dataCentre: string;
     /** Where this VM carries connections of others, if VMs do so. The port is the same on all VMs. */
     readonly address: ListenAddress | undefined;
+    /** Most connections to the listener for tunnels. @default unlimited */
+    readonly maxConnections?: number | undefined;
     /** Shared by all VMs of one deployment. */
     readonly secret: string;
     readonly view: FleetView;
@@ -44,6 +46,7 @@
         this.relays = new Relays(dataCentre);
         this.server = new TunnelServer({
             secret,
+            maxConnections: options.maxConnections,
             paths: this.paths,
             connector: this.createDirect(carriedTimeoutMs),
             isKnown: (upstream, address) => view.findUpstream(upstream)?.upstream.address === address,
--- a/packages/node/src/paths/tunnelserver.ts
+++ b/packages/node/src/paths/tunnelserver.ts
@@ -1,7 +1,7 @@
 import type { DirectPaths } from "@radishreel/fleet";
-import type { ListenAddress } from "@radishreel/wire";
+import { createHttpServer, type ListenAddress } from "@radishreel/wire";
 import { createHmac, timingSafeEqual } from "node:crypto";
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import type { UpstreamConnector } from "./connector.js";
 
@@ -28,6 +28,8 @@
 export interface TunnelServerOptions {
     /** Shared by all VMs of one deployment. */
     readonly secret: string;
+    /** Most connections to this listener, tunnels or not. @default unlimited */
+    readonly maxConnections?: number | undefined;
     readonly paths: DirectPaths;
     /** Opens direct connections only: a tunnel never leads through a third VM. */
     readonly connector: UpstreamConnector;
@@ -39,12 +41,15 @@
 
 /** Carries connections of other VMs to upstreams (HTTP `CONNECT`), for VMs that cannot connect to them. */
 export class TunnelServer {
-    private readonly server: Server = createServer((_request, response) => response.writeHead(404).end());
+    private readonly server: Server;
     private readonly sockets = new Set<Socket>();
     private readonly closing = new AbortController();
     private isPaused = false;
 
     constructor(private readonly options: TunnelServerOptions) {
+        const { maxConnections, readTime } = options;
+        this.server = createHttpServer({ maxConnections, readTime }).server;
+        this.server.on("request", (_request, response) => response.writeHead(404, { Connection: "close" }).end());
         this.server.on("connect", (request, socket: Socket) => void this.receiveConnect(request, socket));
     }
 
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,7 +1,4 @@
 import { type EngineStatus, FleetView, RetryBudgets } from "@radishreel/fleet";
-import { createHttpServer } from "@radishreel/wire";
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
 import { interpret } from "robot3";
 import { AccountGuard } from "./accounts/index.js";
 import { BootClock, processTimers, readNow } from "./clock.js";
@@ -41,6 +38,7 @@
 import { ConnectionPool } from "./requests/connections.js";
 import { UpstreamLimiter } from "./requests/limiter.js";
 import { Serving } from "./requests/serving.js";
+import { formatServerAddress, HttpServers, resolveSocketLimits, type SocketLimits } from "./servers.js";
 import { findStopTimes, runPlannedStop } from "./stop.js";
 import { Streams } from "./streams/index.js";
 
@@ -71,9 +69,8 @@
     private readonly streams: Streams;
     private readonly serving: Serving;
     private readonly peers: Peers;
-    private readonly callerHttp = createHttpServer({ keepAlive: true, noDelay: true, readTime: readNow });
-    private readonly callerServer = this.callerHttp.server;
-    private readonly readinessServer = createServer();
+    private readonly socketLimits: SocketLimits;
+    private readonly servers: HttpServers;
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly budgets: RetryBudgets;
     private readonly changeSharing: ChangeSharing;
@@ -95,6 +92,8 @@
 
     constructor(private readonly options: NodeOptions) {
         const { settings, sink } = options;
+        this.socketLimits = resolveSocketLimits(settings.maxSockets);
+        this.servers = new HttpServers(this.socketLimits);
         this.log = new DecisionLog({ program: "radishreel-node", vm: settings.vm, sink, readTime: readNow });
         this.overloadMonitor = new OverloadMonitor({
             log: this.log,
@@ -173,14 +172,12 @@
 
     /** `host:port` of the listener for callers; available once the listener has started. */
     get callerAddress(): string {
-        const { port } = this.callerServer.address() as AddressInfo;
-        return `${this.options.settings.callers.host}:${port}`;
+        return formatServerAddress(this.servers.callers, this.options.settings.callers);
     }
 
     /** `host:port` of the listener for the load balancer and for operators; available once the listener has started. */
     get readinessAddress(): string {
-        const { port } = this.readinessServer.address() as AddressInfo;
-        return `${this.options.settings.readiness.host}:${port}`;
+        return formatServerAddress(this.servers.readiness, this.options.settings.readiness);
     }
 
     /** Counts the registered upstreams that this VM knows. */
@@ -237,9 +234,9 @@
     async start(detail: object = {}): Promise<void> {
         const { settings, store } = this.options;
         this.log.recordImportant("start", { dataCentre: settings.dataCentre, pid: process.pid, ...detail });
-        this.reception.start(this.callerServer);
-        await startCallerListener(this.callerServer, settings.callers, caller => this.reception.receive(caller));
-        await startReadinessListener(this.readinessServer, settings.readiness, {
+        this.reception.start(this.servers.callers);
+        await startCallerListener(this.servers.callers, settings.callers, caller => this.reception.receive(caller));
+        await startReadinessListener(this.servers.readiness, settings.readiness, {
             path: settings.readinessPath,
             isReady: () => this.isReady,
             readMetrics: () => this.metrics.registry.metrics(),
@@ -299,7 +296,7 @@
         }
         this.metrics.setRoutingVersion(table.routing.version);
         this.streams.claims.update();
-        this.callerHttp.connections.setLimits(table.routing.limits);
+        this.servers.callerConnections.setLimits(table.routing.limits);
         if (this.lifecycle.machine.current === "starting") {
             this.lifecycle.send("ready");
             this.log.recordImportant("ready", { version: table.routing.version });
@@ -404,7 +401,7 @@
     private createReception(): Reception {
         const { cluster, edge, serving, overloadMonitor, options: { dialect } } = this;
         const parts = { cluster, dialect, edge, serving, overloadMonitor };
-        const { connections: http } = this.callerHttp;
+        const { callerConnections: http } = this.servers;
         return new Reception({ ...parts, http, readTime: readNow, isIsolated: () => this.housekeeping.isIsolated });
     }
 
@@ -413,6 +410,7 @@
         return new Tunnels({
             dataCentre: settings.dataCentre,
             address: settings.tunnels,
+            maxConnections: this.socketLimits.tunnels,
             secret: settings.secret,
             view: this.view,
             peers: () => this.peers,
@@ -491,6 +489,7 @@
             secret: settings.secret,
             host: settings.peers.host,
             port: settings.peers.port,
+            maxLinks: this.socketLimits.peers,
             log: this.log,
             readTime: readNow,
             onFrame: (direction, type) => this.recordFrame(direction, type),
@@ -649,7 +648,7 @@
     }
 
     private async runStop(): Promise<void> {
-        const { peers, serving, ownEntry, ownership, callerServer, readinessServer, options } = this;
+        const { peers, serving, ownEntry, ownership, servers, options } = this;
         const times = findStopTimes(readNow(), options.settings.graceMs);
         this.lifecycle.send("stop");
         this.reception.stop(times);
@@ -661,11 +660,11 @@
             serving,
             ownEntry,
             ownership,
-            callerServer,
+            callerServer: servers.callers,
             callerConnections: this.reception.connections,
             tunnels: this.tunnels,
         });
-        readinessServer.close();
+        servers.readiness.close();
         this.timers.forEach(timer => clearInterval(timer));
         this.crashGuard.stop();
         this.streams.stop();
