Leave out no header of a head within the limit

Found while the limit of heads was read again: a request with more than 1,000 headers lost the rest without a sign, since Node.js keeps 2,000 names and values by default. 2,000 headers of four letters have 12 KB, which every configuration allows; a header behind them that names the model would be missing, and another adapter could answer.

Change: headers are not counted; the limit of the head's length bounds them. The new test failed before: the last header of 2,001 did not arrive.

--- a/packages/wire/src/httpconnections.ts
+++ b/packages/wire/src/httpconnections.ts
@@ -56,6 +56,8 @@
         private readonly maxConnections = Infinity,
         private readonly readTime = () => performance.now(),
     ) {
+        // The length of a head bounds its headers; Node.js would leave out those beyond a count.
+        server.maxHeadersCount = 0;
         // How long a body may take is up to those who read it.
         server.requestTimeout = 0;
         this.setLimits(this.limits);
--- a/packages/wire/test/requestreader.test.ts
+++ b/packages/wire/test/requestreader.test.ts
@@ -141,6 +141,13 @@
         await server.waitFor(() => [busy, next].every(({ read }) => read().endsWith("served")));
     }, { maxConnections: 2 }));
 
+test("no header of a head within the limit is left out", () =>
+    runTest(async server => {
+        server.openClient(`GET / HTTP/1.1\r\nHost: h\r\n${"a: b\r\n".repeat(2000)}X-Last: x\r\n\r\n`);
+        await server.waitFor(() => server.received.length === 1);
+        assert.is(server.received[0]!.request.rawHeaders.at(-1), "x");
+    }));
+
 test("a new limit of the length of heads holds at once, also for clients that are connected", () =>
     runTest(async server => {
         const limits = { headerTimeoutMs: 5000, idleTimeoutMs: 5000 };
