Bound bodies and connections of the programs beside the platform

What callers saw: 100 clients with bodies in chunks of one byte took 6,980 MB of a `radishreel-gateway`, and 200 bodies of 1 MB that stopped short of their end 280 MB, where 256 MB is what a node may spend; 600 silent connections to any HTTP listener of gateway or agent were all kept (624 to 630 descriptors, at most 500 allowed).

Cause: the gateway kept each chunk as a buffer of its own and read bodies without a deadline or a common bound; no listener bounded its connections.

Change: `BodyReader` copies what arrives into blocks, refuses an announced length beyond the limit before it is read (413), gives a body until the deadline of its request (408 `bodyLate`) and bounds what incomplete bodies hold together (`maxArrivingBytes`, 32 MB; 503 `bodiesFull`: the one that has taken longest, for more than a second, makes room). A body that is the only one is not refused for lack of room. All HTTP servers read as that of a VM does, and have a bound on their connections (`maxConnections`, 2,000; 32 for metrics), beyond which the one that has been idle for longest closes. A refusal of a request whose body was not read says that its connection closes.

The two faults share the listener and its tests, so they are one commit.

Why it holds: a request whose body is not complete has reached no engine, so each refusal is true.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -221,6 +221,7 @@
         const { settings, logger, configuration, upstreams } = this;
         return new OperatorListener({
             ...settings.operators,
+            maxConnections: settings.maxConnections,
             keyDigests: settings.operatorKeyDigests,
             logger,
             actions: {
--- a/packages/agent/src/operators.ts
+++ b/packages/agent/src/operators.ts
@@ -1,7 +1,8 @@
 import { changeSchema, type Offerings } from "@radishreel/offerings";
 import type { Logger } from "@radishreel/telemetry";
+import { createHttpServer } from "@radishreel/wire";
 import { createHash, timingSafeEqual } from "node:crypto";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import polka from "polka";
 import readRawBody from "raw-body";
@@ -45,6 +46,8 @@
 export interface OperatorListenerOptions {
     readonly host: string;
     readonly port: number;
+    /** Most connections at a time. Beyond that, the one that has been idle for longest closes. */
+    readonly maxConnections: number;
     readonly keyDigests: readonly string[];
     readonly actions: OperatorActions;
     readonly logger: Logger;
@@ -65,9 +68,12 @@
 
 /** HTTP listener for operators. Every request needs an operator's key. */
 export class OperatorListener {
-    private readonly server: Server = createServer();
+    private readonly server: Server;
 
-    constructor(private readonly options: OperatorListenerOptions) {}
+    constructor(private readonly options: OperatorListenerOptions) {
+        const { maxConnections } = options;
+        this.server = createHttpServer({ maxConnections }).server;
+    }
 
     /** Starts listening and returns the port. */
     async start(): Promise<number> {
@@ -153,6 +159,9 @@
 }
 
 function send(response: ServerResponse, status: number, body: unknown): void {
+    if (!response.req.complete) {
+        response.setHeader("connection", "close");
+    }
     response.writeHead(status, { "content-type": "application/json" });
     response.end(JSON.stringify(body) + "\n");
 }
--- a/packages/agent/src/peers.ts
+++ b/packages/agent/src/peers.ts
@@ -54,7 +54,12 @@
     constructor(private readonly options: PeerOptions) {
         const { settings, self } = options;
         this.seeds = new Set(settings.agents);
-        this.server = new LinkServer({ ...settings.peers, ...this.createLinkOptions(), self });
+        this.server = new LinkServer({
+            ...settings.peers,
+            maxLinks: settings.maxConnections,
+            ...this.createLinkOptions(),
+            self,
+        });
     }
 
     /** Starts listening and connecting. Returns the port. */
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -18,6 +18,8 @@
     peers: listenerSchema.default(listenerSchema.parse({})),
     operators: listenerSchema.default(listenerSchema.parse({})),
     metrics: listenerSchema.default(listenerSchema.parse({})),
+    /** Most connections to each of the listeners for peers and for operators. */
+    maxConnections: z.number().int().positive().default(2000),
     /** SHA-256 digests of operators' keys, in lower-case hexadecimal. */
     operatorKeyDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/)).default([]),
     /** `host:port` of the platform's log. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import type { Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createMachine, interpret, state, transition } from "robot3";
+import { BodyReader } from "./body.js";
 import { readInstant } from "./clock.js";
 import { ControlTask } from "./control.js";
 import { DispatchTask } from "./dispatching.js";
@@ -72,9 +73,19 @@
         this.control = this.createControl();
         const routes = this.createRoutes();
         const onUnknown = routes.sendUnknownRoute.bind(routes);
-        const handover = createHandoverRoute(settings.secret, record => this.receiveHandover(record));
-        this.callers = new HttpListener({ ...settings.callers, routes: routes.list(false), onUnknown });
-        this.peers = new HttpListener({ ...settings.peers, routes: [...routes.list(true), handover], onUnknown });
+        const { maxConnections } = settings;
+        const handover = createHandoverRoute(
+            settings.secret,
+            settings.maxArrivingBytes,
+            record => this.receiveHandover(record),
+        );
+        this.callers = new HttpListener({ ...settings.callers, routes: routes.list(false), onUnknown, maxConnections });
+        this.peers = new HttpListener({
+            ...settings.peers,
+            routes: [...routes.list(true), handover],
+            onUnknown,
+            maxConnections,
+        });
     }
 
     /** Starts listening. The gateway serves requests as soon as it has received offerings. */
@@ -176,7 +187,7 @@
             },
             tokens: () => this.readTokens(),
             secret: settings.secret,
-            maxBodyBytes: settings.maxBodyBytes,
+            bodies: new BodyReader({ ...settings, maxBytes: settings.maxBodyBytes }),
             defaultDeadlineMs: settings.defaultDeadlineMs,
             createId: () => `${this.issuer}-${++this.requestCount}`,
             isStopping: () => this.isStopping,
--- a/packages/gateway/src/handover.ts
+++ b/packages/gateway/src/handover.ts
@@ -4,13 +4,16 @@
 import { decode, encode } from "cbor-x";
 import type { ServerResponse } from "node:http";
 import { z } from "zod";
+import { BodyReader } from "./body.js";
 import type { Route } from "./listener.js";
 import { checkPeerProof, createPeerProof, handoverPath, peerProofHeader } from "./peers.js";
-import { readBody } from "./request.js";
 
 /** Maximum size of a handover, in bytes. */
 const maxHandoverBytes = 64 * 1024 * 1024;
 
+/** Longest time for a handover to arrive, in milliseconds. */
+const handoverTimeoutMs = 10_000;
+
 /** Maximum time without a byte from the gateway that receives a handover, in milliseconds. */
 const handoverIdleTimeoutMs = 5000;
 
@@ -61,14 +64,20 @@
 
 /**
  * Creates the route on which this gateway takes over another gateway's token ledgers.
+ * @param maxArrivingBytes Most bytes of handovers that are not complete; a single one may be larger.
  * @param onRecords Takes over the ledgers. Returns false if this gateway cannot.
  */
-export function createHandoverRoute(secret: string, onRecords: (records: readonly LedgerRecord[]) => boolean): Route {
+export function createHandoverRoute(
+    secret: string,
+    maxArrivingBytes: number,
+    onRecords: (records: readonly LedgerRecord[]) => boolean,
+): Route {
+    const bodies = new BodyReader({ maxBytes: maxHandoverBytes, maxArrivingBytes });
     return {
         method: "post",
         pattern: handoverPath,
         handler: async (request, response) => {
-            const body = await readBody(request, maxHandoverBytes);
+            const body = await bodies.read(request, handoverTimeoutMs);
             const proof = request.headers[peerProofHeader];
             if (body.isErr() || !checkPeerProof(secret, "POST", handoverPath, body.value, proof, Date.now())) {
                 sendStatus(response, 403);
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -1,4 +1,5 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createHttpServer } from "@radishreel/wire";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import polka, { type Polka } from "polka";
 
@@ -21,16 +22,24 @@
     /** 0 lets the operating system choose a free port. */
     readonly port: number;
     readonly routes: readonly Route[];
+    /** Most connections at a time. Beyond that, the one that has been idle for longest closes. */
+    readonly maxConnections: number;
     /** Responds to requests that match no route. */
     readonly onUnknown: (response: ServerResponse) => void;
 }
 
 /** An HTTP listener that can stop without interrupting a request. */
 export class HttpListener {
-    private readonly server: Server = createServer({ keepAlive: true, keepAliveInitialDelay: probeDelayMs });
+    private readonly server: Server;
     private readonly app: Polka;
 
     constructor(private readonly options: HttpListenerOptions) {
+        const { maxConnections } = options;
+        this.server = createHttpServer({
+            maxConnections,
+            keepAlive: true,
+            keepAliveInitialDelay: probeDelayMs,
+        }).server;
         this.app = polka({ server: this.server, onNoMatch: (_request, response) => options.onUnknown(response) });
         for (const { method, pattern, handler } of options.routes) {
             this.app[method](pattern, (request, response) => void handler(request, response, request.originalUrl));
--- a/packages/gateway/src/request.ts
+++ b/packages/gateway/src/request.ts
@@ -3,7 +3,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
-import readRawBody from "raw-body";
 
 /** Headers that callers may send. */
 export const deadlineHeader = "x-deadline-ms";
@@ -66,18 +65,3 @@
     }
     return ok(deadlineMs);
 }
-
-/** Reads the whole body, up to a limit. */
-export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Result<Buffer, RefusedVerdict>> {
-    try {
-        return ok(await readRawBody(request, { limit: maxBytes, length: request.headers["content-length"] }));
-    }
-    catch (error) {
-        const isTooLarge = (error as { type?: string; }).type === "entity.too.large";
-        return err(
-            isTooLarge
-                ? createRefused("oversizedBody", `the body is larger than ${maxBytes} bytes`)
-                : createRefused("malformedBody", "the body did not arrive whole"),
-        );
-    }
-}
--- a/packages/gateway/src/response.ts
+++ b/packages/gateway/src/response.ts
@@ -60,6 +60,10 @@
     begin(status: number, headers: Record<string, string>): void {
         this.status = status;
         this.contentType = headers["content-type"] ?? "";
+        if (!this.response.req.complete) {
+            // The rest of the body is not read, so the connection cannot carry another request.
+            this.response.setHeader("connection", "close");
+        }
         this.response.writeHead(status, headers);
     }
 
--- a/packages/gateway/src/routes.ts
+++ b/packages/gateway/src/routes.ts
@@ -10,11 +10,12 @@
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { z } from "zod";
+import type { BodyReader } from "./body.js";
 import { type CallContext, parseCall, runCall, servicesPrefix } from "./calls.js";
 import { type CompletionContext, type CompletionPath, parseCompletion, runCompletion } from "./completions.js";
 import type { Route } from "./listener.js";
 import { checkPeerProof, peerProofHeader } from "./peers.js";
-import { type CallerRequest, readAccount, readBody, readDeadlineMs, requestTokenHeader } from "./request.js";
+import { type CallerRequest, readAccount, readDeadlineMs, requestTokenHeader } from "./request.js";
 import { CallerResponse, jsonMediaType } from "./response.js";
 import { maxStoredResponseBytes, maxTokensPerRequest, type TokenRegistry } from "./tokens.js";
 
@@ -26,7 +27,7 @@
     readonly calls: CallContext;
     readonly tokens: () => TokenRegistry;
     readonly secret: string;
-    readonly maxBodyBytes: number;
+    readonly bodies: BodyReader;
     readonly defaultDeadlineMs: number | undefined;
     readonly createId: () => string;
     readonly isStopping: () => boolean;
@@ -112,7 +113,7 @@
         isPeer: boolean,
         arrivedAt: number,
     ): Promise<Result<CallerRequest, RefusedVerdict>> {
-        const { fold, maxBodyBytes, defaultDeadlineMs, secret, createId } = this.context;
+        const { fold, bodies, defaultDeadlineMs, secret, createId } = this.context;
         if (!fold.isKnown) {
             return err(createRefused("noOfferings", "this gateway knows no offerings yet", noOfferingsRetrySeconds));
         }
@@ -125,7 +126,7 @@
         if (deadlineMs.isErr()) {
             return err(deadlineMs.error);
         }
-        const body = await readBody(incoming, maxBodyBytes);
+        const body = await bodies.read(incoming, deadlineMs.value);
         if (body.isErr()) {
             return err(body.error);
         }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -21,6 +21,10 @@
     /** Deadline for requests that specify none. If it is not set, requests without a deadline are refused. */
     defaultDeadlineMs: z.number().int().positive().optional(),
     maxBodyBytes: z.number().int().positive().default(1024 * 1024),
+    /** Most bytes of bodies that are not complete, over all callers. */
+    maxArrivingBytes: z.number().int().positive().default(32 * 1024 * 1024),
+    /** Most connections to each of the listeners for callers and for peers. */
+    maxConnections: z.number().int().positive().default(2000),
     /** Maximum time without a byte from an engine. */
     silenceMs: z.number().int().positive().default(10_000),
     /** Maximum time for which a caller may leave its response unread. */
--- a/packages/telemetry/src/serve.ts
+++ b/packages/telemetry/src/serve.ts
@@ -1,8 +1,12 @@
-import { createServer, type Server } from "node:http";
+import { createHttpServer } from "@radishreel/wire";
+import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import polka from "polka";
 import type { Registry } from "prom-client";
 
+/** Most connections of the load balancer and of those who read metrics. */
+const maxConnections = 32;
+
 /** Options of {@link startMetricsServer}. */
 export interface MetricsServerOptions {
     readonly host: string;
@@ -15,7 +19,7 @@
 
 /** Serves `/metrics`, `/healthz` and `/readyz` over HTTP and returns the port. */
 export async function startMetricsServer(options: MetricsServerOptions): Promise<{ server: Server; port: number; }> {
-    const server = createServer();
+    const { server } = createHttpServer({ maxConnections });
     const app = polka({ server });
     app.get("/metrics", (_request, response) => {
         void options.registry.metrics().then(text => {
--- a/packages/verdict/src/problem.ts
+++ b/packages/verdict/src/problem.ts
@@ -28,6 +28,7 @@
     notAllowed: 403,
     malformedBody: 400,
     oversizedBody: 413,
+    bodyLate: 408,
     malformedDeadline: 400,
     requestTokenRequired: 428,
     malformedRequestToken: 400,
--- a/packages/verdict/src/reasons.ts
+++ b/packages/verdict/src/reasons.ts
@@ -11,6 +11,8 @@
     "notAllowed",
     "malformedBody",
     "oversizedBody",
+    "bodyLate",
+    "bodiesFull",
     "malformedDeadline",
     // Request tokens.
     "requestTokenRequired",
