Keep connections in a planned stop whose requests wait to be parsed

Found by reading the reader of callers' connections again: bytes that were read and wait for their turn do not count as arrived since the last response, so a planned stop could close a connection as idle that has a whole request.

Change: a connection with such bytes is not idle. The new test fails without it.

--- a/packages/node/src/reception.ts
+++ b/packages/node/src/reception.ts
@@ -24,7 +24,7 @@
     /** Whether this VM is cut off, so that callers should connect to another one. */
     readonly isIsolated: () => boolean;
     /** Connections of callers, some of which may have been opened under a limit that is not in force any more. */
-    readonly http: Pick<HttpConnections, "isOutdated">;
+    readonly http: Pick<HttpConnections, "isOutdated" | "countWaitingBytes">;
 }
 
 /** Receives callers' connections and requests, and passes on the requests that this VM may serve. */
@@ -33,7 +33,10 @@
     private stopTimes: StopTimes | undefined;
 
     constructor(private readonly options: ReceptionOptions) {
-        this.connections = new CallerConnections(options.readTime);
+        this.connections = new CallerConnections(
+            options.readTime,
+            socket => options.http.countWaitingBytes(socket),
+        );
     }
 
     /** Receives the connections of a listener. */
--- a/packages/node/src/requests/callerconnections.ts
+++ b/packages/node/src/requests/callerconnections.ts
@@ -26,8 +26,14 @@
 export class CallerConnections {
     private readonly connections = new Map<Socket, CallerConnection>();
 
-    /** @param readTime Clock in milliseconds. */
-    constructor(private readonly readTime: () => number) {}
+    /**
+     * @param readTime Clock in milliseconds.
+     * @param countWaitingBytes Counts the bytes of a connection that were read and not parsed yet.
+     */
+    constructor(
+        private readonly readTime: () => number,
+        private readonly countWaitingBytes: (socket: Socket) => number = () => 0,
+    ) {}
 
     /** Adds a connection that a caller has opened. */
     add(socket: Socket): void {
@@ -62,7 +68,8 @@
     closeIdle(minIdleMs: number): boolean {
         let remains = false;
         for (const { socket, current, idleSince, idleBytes } of this.connections.values()) {
-            const isIdle = current === undefined && this.readTime() - idleSince >= minIdleMs;
+            const isQuiet = current === undefined && this.countWaitingBytes(socket) === 0;
+            const isIdle = isQuiet && this.readTime() - idleSince >= minIdleMs;
             // What has arrived since may be the beginning of a request.
             const mayClose = isIdle && socket.bytesRead === idleBytes;
             if (mayClose) {
--- a/packages/node/test/callerconnections.test.ts
+++ b/packages/node/test/callerconnections.test.ts
@@ -22,7 +22,8 @@
 class ConnectionTest {
     now = 0;
     readonly socket = new FakeSocket();
-    readonly connections = new CallerConnections(() => this.now);
+    waitingBytes = 0;
+    readonly connections = new CallerConnections(() => this.now, () => this.waitingBytes);
     readonly served: string[] = [];
     private readonly finishers = new Map<string, () => void>();
 
@@ -91,4 +92,15 @@
     assert.is(connection.socket.wasClosed, true);
 });
 
+test("a connection with a request that was read and not parsed yet is not closed as idle", () => {
+    const connection = new ConnectionTest();
+    connection.waitingBytes = 100;
+    connection.now = 1000;
+    assert.is(connection.connections.closeIdle(200), true);
+    assert.is(connection.socket.wasClosed, false);
+    connection.waitingBytes = 0;
+    connection.connections.closeIdle(200);
+    assert.is(connection.socket.wasClosed, true);
+});
+
 test.run();
--- a/packages/wire/src/httpconnections.ts
+++ b/packages/wire/src/httpconnections.ts
@@ -38,7 +38,10 @@
     ERR_HTTP_REQUEST_TIMEOUT: [408, "Request Timeout"],
 };
 
-/** Creates an HTTP server whose connections are bounded, before any listener for requests is added to it. */
+/**
+ * Creates an HTTP server whose connections are bounded. Bodies of its requests arrive only while they flow: read them with
+ * `data`, `resume` or `pipe`, not with an iterator.
+ */
 export function createHttpServer(options: HttpServerOptions = {}): { server: Server; connections: HttpConnections; } {
     const { maxConnections, readTime, ...serverOptions } = options;
     const server = createServer({ connectionsCheckingInterval: headsCheckMs, ...serverOptions });
@@ -97,13 +100,9 @@
         return opened !== undefined && opened !== this.limits.maxHeaderBytes;
     }
 
-    /** Counts the bytes that were read and wait until the requests before them have been served. */
-    countWaitingBytes(): number {
-        let sum = 0;
-        for (const reader of this.readers.values()) {
-            sum += reader.waitingBytes;
-        }
-        return sum;
+    /** Counts the bytes of a connection that were read and wait until the requests before them have been served. */
+    countWaitingBytes(socket: Socket): number {
+        return this.readers.get(socket)?.waitingBytes ?? 0;
     }
 
     private closeOutdated(): void {
