--- a/packages/wire/src/requestreader.ts
+++ b/packages/wire/src/requestreader.ts
@@ -82,6 +82,7 @@
         return this.openCount === 0 && this.mode !== "detached";
     }
 
+    /** Longest head of a request on this connection, in bytes. */
     get maxHeaderBytes(): number {
         return this.options.maxHeaderBytes;
     }
@@ -200,6 +201,7 @@
         return false;
     }
 
+    /** Lets the reader read its next share. */
     private beginTurn(): void {
         this.bytesLeft = readShareBytes;
         this.chunksLeft = chunksPerTurn;
@@ -246,6 +248,7 @@
         this.readToEnd();
     }
 
+    /** Drops what a refused client still sends, up to some bytes. */
     private readToEnd(): void {
         if (this.socket.destroyed) {
             return;
