Refuse a body that a VM's memory for callers cannot hold, also if it is the only one

What callers would see: with limits that allow bodies longer than the whole bound, one such body was admitted if no other one was under way, and took more than the bound; says so as if it were wanted.

Change: a body that is the only one may take the whole bound, beyond the share of all incomplete bodies, and no more.

--- a/packages/node/src/edge/ledger.ts
+++ b/packages/node/src/edge/ledger.ts
@@ -198,19 +198,16 @@
 
     /** Whether a request may begin. A single body may be longer than the share of all of them. */
     private hasRoom(announcedBytes: number): boolean {
-        if (this.isOver) {
-            return false;
-        }
-        if (announcedBytes > smallBodyBytes && this.uploadBytes + announcedBytes > this.boundBytes * uploadShare) {
-            return this.uploads === 0;
-        }
-        return this.held + announcedBytes + requestBytes <= this.boundBytes;
+        const isInShare = this.uploads === 0 || announcedBytes <= smallBodyBytes
+            || this.uploadBytes + announcedBytes <= this.boundBytes * uploadShare;
+        return !this.isOver && isInShare && this.held + announcedBytes + requestBytes <= this.boundBytes;
     }
 
     /** Whether a body that is not complete may grow. */
     private mayGrow({ bodyBytes }: CallerAccount): boolean {
-        const isInShare = bodyBytes <= smallBodyBytes || this.uploadBytes <= this.boundBytes * uploadShare;
-        return this.uploads <= 1 || (!this.isOver && isInShare);
+        const isInShare = this.uploads <= 1 || bodyBytes <= smallBodyBytes
+            || this.uploadBytes <= this.boundBytes * uploadShare;
+        return !this.isOver && isInShare;
     }
 
     private addUpload(count: number, bytes: number): void {
--- a/packages/node/test/edge.test.ts
+++ b/packages/node/test/edge.test.ts
@@ -69,6 +69,38 @@
     assert.equal(ledger.listStalled(2000), ["a"], "an upload that stands still");
 });
 
+test("bodies that never end leave room for small requests, and the longest of them makes room for another", () => {
+    // Guards against callers who send a byte now and then, so that their bodies never stand still.
+    const ledger = createLedger();
+    ledger.add("old", 0, 0);
+    ledger.add("next", 0, 500);
+    assert.is(ledger.recordBody("old", 240 * kb, 500), true);
+    assert.is(ledger.recordBody("next", 10 * kb, 600), true, "a small body");
+    assert.is(ledger.recordBody("next", 10 * kb, 600), false);
+    assert.is(ledger.findLongestUpload(600), undefined, "none has taken a second");
+    assert.is(ledger.add("announced", 20 * kb, 600), false);
+    assert.is(ledger.add("small", kb, 600), true);
+    assert.is(ledger.findLongestUpload(1000), "old");
+    ledger.remove("old");
+    assert.is(ledger.recordBody("next", 0, 1000), true);
+    assert.is(ledger.add("announced", 20 * kb, 1000), true);
+    ledger.finishBody("next", 1000);
+    ledger.finishBody("small", 1000);
+    assert.is(ledger.findLongestUpload(2000), "announced", "a complete body does not count");
+});
+
+test("a body that is the only one may take the whole bound, and no more", () => {
+    const ledger = createLedger();
+    assert.is(ledger.add("announced", 290 * kb, 0), true);
+    ledger.remove("announced");
+    assert.is(ledger.add("longer", 300 * kb, 0), false);
+    ledger.add("chunked", 0, 0);
+    assert.is(ledger.recordBody("chunked", 290 * kb, 0), true);
+    assert.is(ledger.recordBody("chunked", 10 * kb, 0), false);
+    ledger.remove("chunked");
+    assert.is(ledger.heldBytes, 0);
+});
+
 /** Opens callers that read nothing, and returns what happens to them and to others. */
 async function runSlowReaders(readers: number, isBounded: boolean) {
     let now = 0;
