Count bodies of the gateway in one place, and drop a getter that nobody uses

Read as a newcomer: the end of a body had to stop counting it before its bytes were taken out, which the code did not say. No behaviour changes; the tests of the gateway's bodies pass.

--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -42,9 +42,7 @@
             const finish = (result: Result<Buffer, RefusedVerdict>): void => {
                 clearTimeout(timer);
                 request.off("data", receive).off("end", receiveEnd).pause();
-                if (this.arriving.delete(body)) {
-                    this.arrivingBytes -= body.bytes.length;
-                }
+                this.remove(body);
                 resolve(result);
             };
             const body: ArrivingBody = {
@@ -54,10 +52,8 @@
             };
             const receive = (piece: Buffer): void => this.receive(body, piece);
             const receiveEnd = (): void => {
-                const { bytes } = body;
-                this.arriving.delete(body);
-                this.arrivingBytes -= bytes.length;
-                finish(ok(bytes.popAll()));
+                this.remove(body);
+                finish(ok(body.bytes.popAll()));
             };
             const late = createRefused("bodyLate", "the body did not arrive before the deadline");
             const timer = setTimeout(() => body.end(late), timeoutMs);
@@ -76,11 +72,18 @@
             return;
         }
         while (this.arrivingBytes > maxArrivingBytes && this.arriving.size > 1 && this.arriving.has(body)) {
-            const [oldest] = this.arriving as Set<ArrivingBody> & Iterable<ArrivingBody>;
-            const refused = performance.now() - oldest!.startedAt >= yieldMs ? oldest! : body;
+            const [oldest = body] = this.arriving;
+            const refused = performance.now() - oldest.startedAt >= yieldMs ? oldest : body;
             refused.end(createRefused("bodiesFull", "too many bodies arrive at this gateway", yieldMs / 1000));
         }
     }
+
+    /** Stops counting a body, before its bytes are taken out. */
+    private remove(body: ArrivingBody): void {
+        if (this.arriving.delete(body)) {
+            this.arrivingBytes -= body.bytes.length;
+        }
+    }
 }
 
 function createOversized(maxBytes: number): RefusedVerdict {
--- a/packages/wire/src/httpconnections.ts
+++ b/packages/wire/src/httpconnections.ts
@@ -73,11 +73,6 @@
         server.on("clientError", (error: NodeJS.ErrnoException, socket) => this.fail(error, socket as Socket));
     }
 
-    /** Number of open connections. */
-    get count(): number {
-        return this.readers.size;
-    }
-
     /**
      * Sets what clients may send. The length of heads holds for connections that open from now on, so idle ones close, and
      * others are to close after their next response; see {@link isOutdated}.
