Log the end of a response without framing also where it was believed

What callers saw: streams without a length or chunks that looked complete with events missing. The log had a line for an end that was doubted and none for one that was believed, so that nothing told how these had ended. No logic changes.

`endConfirmed` names the request, the upstream, the result and the time of the check; `endDoubted` names the request too.

--- a/packages/node/src/crashes/endcheck.ts
+++ b/packages/node/src/crashes/endcheck.ts
@@ -15,6 +15,11 @@
  */
 const exitMs = 100;
 
+/** A response whose connection has ended it. */
+export interface EndedResponse {
+    readonly requestId: string | undefined;
+}
+
 /** Options of {@link checkEndedResponse}. */
 export interface EndCheckOptions {
     readonly view: Pick<FleetView, "isUsable">;
@@ -31,6 +36,7 @@
  */
 export async function checkEndedResponse(
     upstream: Upstream,
+    { requestId }: EndedResponse,
     { view, log, readTime, probe }: EndCheckOptions,
 ): Promise<boolean> {
     const startedAt = readTime();
@@ -40,11 +46,14 @@
         await wait(exitMs);
         result = await runProbe(() => probe(upstream));
     }
-    if (result === "open") {
-        return false;
-    }
-    log.record("endDoubted", { upstream: upstream.id, result, ms: Math.round(readTime() - startedAt) });
-    return true;
+    const mayHaveEnded = result !== "open";
+    log.record(mayHaveEnded ? "endDoubted" : "endConfirmed", {
+        request: requestId,
+        upstream: upstream.id,
+        result,
+        ms: Math.round(readTime() - startedAt),
+    });
+    return mayHaveEnded;
 }
 
 async function runProbe(probe: () => Promise<ProbeResult>): Promise<ProbeResult | "late"> {
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -17,7 +17,7 @@
 import type { RefusalResponse } from "../requests/caller.js";
 import type { Job } from "../requests/job.js";
 import { readLastSendAt } from "../requests/timelimit.js";
-import { checkEndedResponse } from "./endcheck.js";
+import { checkEndedResponse, type EndedResponse } from "./endcheck.js";
 import { CrashMonitor, type UpstreamEnd } from "./monitor.js";
 import { type PermitMessage, Permits } from "./permits.js";
 import { CrashReports } from "./reports.js";
@@ -215,8 +215,8 @@
     }
 
     /** Checks whether the process of an upstream may have ended, when a response was ended by its connection. */
-    async checkEnded(upstream: Upstream): Promise<boolean> {
-        return checkEndedResponse(upstream, this.options);
+    async checkEnded(upstream: Upstream, response: EndedResponse): Promise<boolean> {
+        return checkEndedResponse(upstream, response, this.options);
     }
 
     /** Lists the quarantined requests. */
--- a/packages/node/test/crashguard.test.ts
+++ b/packages/node/test/crashguard.test.ts
@@ -109,8 +109,8 @@
     assert.is(guard.isAwaitingPermit(createRequest("g")), false);
 });
 
-test("the log tells why the end of a response that its connection ends was in doubt", async () => {
-    const lines: { event: string; result?: string; }[] = [];
+test("the log tells why the end of a response that its connection ends was believed or in doubt", async () => {
+    const lines: { event: string; request?: string; result?: string; }[] = [];
     const sink = {
         writableLength: 0,
         write: (line: string) => lines.push(JSON.parse(line) as typeof lines[number]) > 0,
@@ -118,12 +118,13 @@
     const log = new DecisionLog({ program: "p", vm: "v", sink, readTime: () => 0 });
     for (const result of ["open", "silent", "refused"] as const) {
         const guard = createCrashGuard({ log, view: createView("u"), probe: async () => result });
-        await guard.checkEnded(createUpstream("u"));
+        await guard.checkEnded(createUpstream("u"), { requestId: "r1" });
     }
-    assert.equal(lines.map(({ event, result }) => [event, result]), [["endDoubted", "silent"], [
-        "endDoubted",
-        "refused",
-    ]]);
+    assert.equal(lines.map(({ event, request, result }) => [event, request, result]), [
+        ["endConfirmed", "r1", "open"],
+        ["endDoubted", "r1", "silent"],
+        ["endDoubted", "r1", "refused"],
+    ]);
 });
 
 test("an upstream that nobody can connect to may have ended, one that accepts a connection late has not", async () => {
@@ -136,7 +137,7 @@
     const checks = Object.entries(results).map(async ([name, probe]) => [
         name,
         await createCrashGuard({ view: createView("u"), probe: probe as () => Promise<ProbeResult> })
-            .checkEnded(createUpstream("u")),
+            .checkEnded(createUpstream("u"), { requestId: "r1" }),
     ]);
     const expected = { refused: true, silent: true, never: true, late: false };
     assert.equal(Object.fromEntries(await Promise.all(checks)), expected);
@@ -150,7 +151,7 @@
         }
         const results: ProbeResult[] = ["open", "refused"];
         const guard = createCrashGuard({ view, probe: async () => results.shift()! });
-        assert.is(await guard.checkEnded(createUpstream("u")), true);
+        assert.is(await guard.checkEnded(createUpstream("u"), { requestId: "r1" }), true);
     });
 }
 
@@ -162,7 +163,7 @@
             return "open";
         };
         const guard = createCrashGuard({ view: createView("u", isLeaving), probe });
-        assert.is(await guard.checkEnded(createUpstream("u")), false);
+        assert.is(await guard.checkEnded(createUpstream("u"), { requestId: "r1" }), false);
         assert.is(probes, isLeaving ? 2 : 1);
     }
 });
