Believe the end of a response without framing only if the same incarnation runs on

What callers saw: streams and plain responses without a length that looked complete though their worker's process had crashed within them and its next process, or another worker, was back at the address when the VM looked. Cause: the check took any accepted connection for the worker. Change: after the close the VM asks who is there. Engines answer a report, which names the start of the incarnation; plain workers a health check of the path that the configuration names (`health-check`, decoded now). A health check that names no start counts for a worker that may start again under its id only on a connection that is older than the request. Without an answer the address is probed as before, and asked once more on a new connection if it accepts. Leaving upstreams are still checked again after 100 ms. Why it holds: the call is sent after the close was read, so its answer was written later than the close, however long the VM stood still. Framed responses cost none.

The crash monitor keeps the probe: its result only blames requests, so that it must be proven that a process has ended, and a process that is back at once is told by its entry (`receiveEntry`) within the 10 s of the watch. What it can miss are runs that this VM ended for silence, which it drops where the address is open.

The tests of the check's result are replaced: their cases now are results of the check of the incarnation, with two more (`other`, `unproven`).

--- a/packages/node/src/crashes/endcheck.ts
+++ b/packages/node/src/crashes/endcheck.ts
@@ -1,22 +1,19 @@
 import type { FleetView, Upstream } from "@radishreel/fleet";
 import { setTimeout as wait } from "node:timers/promises";
 import type { DecisionLog } from "../decisions.js";
-import type { ProbeResult } from "../paths/index.js";
+import type { IncarnationCheck, IncarnationResult, KnownRun } from "./incarnations.js";
 
-/**
- * Longest wait for a probe, in milliseconds: time for a direct connection that gets no reply, and for other VMs that are
- * asked meanwhile.
- */
-const probeLimitMs = 1000;
+/** Longest wait for a check, in milliseconds: a sound upstream may be silent for a second. */
+const checkLimitMs = 1500;
 
 /**
- * Pause before a leaving upstream is probed once more, in milliseconds: while a process exits, its connections may close
- * some time before its port does.
+ * Pause before a leaving upstream is checked once more, in milliseconds: while a process exits, its connections may close
+ * some time before it ends.
  */
 const exitMs = 100;
 
 /** A response whose connection has ended it. */
-export interface EndedResponse {
+export interface EndedResponse extends KnownRun {
     readonly requestId: string | undefined;
 }
 
@@ -25,30 +22,30 @@
     readonly view: Pick<FleetView, "isUsable">;
     readonly log: Pick<DecisionLog, "record">;
     readonly readTime: () => number;
-    /** Opens a connection to an upstream and closes it. */
-    readonly probe: (upstream: Upstream) => Promise<ProbeResult>;
+    readonly incarnations: IncarnationCheck;
 }
 
 /**
  * Checks whether an upstream may have ended when its connection has ended a response. Unlike a crash, which only counts
- * if it is proven, such an end is doubted without proof: the response is complete only if the upstream opens another
- * connection.
+ * if it is proven, such an end is doubted without proof: the response is complete only if the same incarnation is shown
+ * to run afterwards. Whatever else accepts connections at its address by then shows nothing.
  */
 export async function checkEndedResponse(
     upstream: Upstream,
-    { requestId }: EndedResponse,
-    { view, log, readTime, probe }: EndCheckOptions,
+    response: EndedResponse,
+    { view, log, readTime, incarnations }: EndCheckOptions,
 ): Promise<boolean> {
     const startedAt = readTime();
-    let result = await runProbe(() => probe(upstream));
+    const check = (): Promise<IncarnationResult> => incarnations.checkRunning(upstream, response);
+    let result = await runCheck(check);
     // A leaving upstream, or one that is no longer registered, may be about to exit.
-    if (result === "open" && !view.isUsable(upstream.id)) {
+    if (result === "same" && !view.isUsable(upstream.id)) {
         await wait(exitMs);
-        result = await runProbe(() => probe(upstream));
+        result = await runCheck(check);
     }
-    const mayHaveEnded = result !== "open";
+    const mayHaveEnded = result !== "same";
     log.record(mayHaveEnded ? "endDoubted" : "endConfirmed", {
-        request: requestId,
+        request: response.requestId,
         upstream: upstream.id,
         result,
         ms: Math.round(readTime() - startedAt),
@@ -56,11 +53,11 @@
     return mayHaveEnded;
 }
 
-async function runProbe(probe: () => Promise<ProbeResult>): Promise<ProbeResult | "late"> {
+async function runCheck(check: () => Promise<IncarnationResult>): Promise<IncarnationResult | "late"> {
     const finished = new AbortController();
-    const late = wait(probeLimitMs, "late" as const, { signal: finished.signal }).catch(() => "late" as const);
+    const late = wait(checkLimitMs, "late" as const, { signal: finished.signal }).catch(() => "late" as const);
     try {
-        return await Promise.race([probe(), late]);
+        return await Promise.race([check(), late]);
     }
     finally {
         finished.abort();
--- a/packages/node/src/crashes/guard.ts
+++ b/packages/node/src/crashes/guard.ts
@@ -17,7 +17,7 @@
 import type { RefusalResponse } from "../requests/caller.js";
 import type { Job } from "../requests/job.js";
 import { readLastSendAt } from "../requests/timelimit.js";
-import { checkEndedResponse, type EndedResponse } from "./endcheck.js";
+import { checkEndedResponse, type EndCheckOptions } from "./endcheck.js";
 import { CrashMonitor, type UpstreamEnd } from "./monitor.js";
 import { type PermitMessage, Permits } from "./permits.js";
 import { CrashReports } from "./reports.js";
@@ -44,14 +44,13 @@
 const maxLoggedParts = 16;
 
 /** Options of {@link CrashGuard}. */
-export interface CrashGuardOptions {
+export interface CrashGuardOptions extends EndCheckOptions {
     readonly vm: string;
     /** Distinguishes this process from earlier ones of the same VM. */
     readonly incarnation: number;
     readonly view: FleetView;
     readonly store: CrashReportStore;
     readonly log: DecisionLog;
-    readonly readTime: () => number;
     /** Sends a message to a VM, this one included. @returns Whether the message could be sent. */
     readonly send: (vm: string, message: PeerMessage) => boolean;
     readonly broadcast: (message: PeerMessage) => void;
@@ -215,8 +214,8 @@
     }
 
     /** Checks whether the process of an upstream may have ended, when a response was ended by its connection. */
-    async checkEnded(upstream: Upstream, response: EndedResponse): Promise<boolean> {
-        return checkEndedResponse(upstream, response, this.options);
+    checkEnded(upstream: Upstream, { demand, service }: Job, writtenAt = -Infinity): Promise<boolean> {
+        return checkEndedResponse(upstream, { requestId: demand.requestId, service, writtenAt }, this.options);
     }
 
     /** Lists the quarantined requests. */
--- a/packages/node/src/crashes/monitor.ts
+++ b/packages/node/src/crashes/monitor.ts
@@ -62,7 +62,8 @@
 /**
  * Distinguishes upstreams that ended from upstreams that only lost a connection: a run breaks in the same way in both
  * cases. An upstream has ended if its address refuses connections, or another process uses that address. An address
- * that does not respond proves nothing, because the path to it may be partitioned.
+ * that does not respond proves nothing, because the path to it may be partitioned. An address that accepts connections
+ * may belong to the next process already; then the entry of that process tells of the end.
  */
 export class CrashMonitor {
     private readonly watched = new Map<string, WatchedUpstream>();
--- a/packages/node/src/ports.ts
+++ b/packages/node/src/ports.ts
@@ -9,7 +9,7 @@
     StreamRecord,
     Upstream,
 } from "@radishreel/fleet";
-import type { Routing } from "@radishreel/routing";
+import type { Routing, Service } from "@radishreel/routing";
 import type { Result } from "neverthrow";
 
 /**
@@ -92,6 +92,27 @@
     readonly limit: LimitStatement;
 }
 
+/** A call that a process answers with which incarnation of an upstream it is. */
+export interface IdentityCall {
+    readonly path: string;
+    readonly headers: RawHeaders;
+    /** Identifies the call; responses echo the identifier. */
+    readonly requestId: string;
+}
+
+/** The whole response to an {@link IdentityCall}. */
+export interface IdentityResponse {
+    readonly status: number;
+    readonly headers: RawHeaders;
+    readonly body: string;
+}
+
+/**
+ * What a response shows about the process that sent it: it is the incarnation; it has the name of the upstream, and may
+ * be any of its incarnations; it is another incarnation or upstream; nothing.
+ */
+export type ShownIdentity = "incarnation" | "name" | "other" | "nothing";
+
 /** Headers and status codes that callers, this program and upstreams use. */
 export interface RequestDialect {
     parseDemand(headers: RawHeaders): CallerDemand;
@@ -100,6 +121,9 @@
     parseResponse(status: number, headers: RawHeaders): ResponseHead;
     /** Lists the headers of a response that are passed on to the caller: all but the hop-by-hop headers. */
     listResponseHeaders(headers: RawHeaders): string[];
+    /** Creates a call by which an upstream shows its identity; undefined if the upstream has no such call. */
+    createIdentityCall(upstream: Upstream, service: Service): IdentityCall | undefined;
+    parseIdentity(upstream: Upstream, response: IdentityResponse): ShownIdentity;
 }
 
 /** Conditions under which an order may be sent. */
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -1,8 +1,8 @@
-import { type EngineStatus, FleetView, RetryBudgets } from "@radishreel/fleet";
+import { type EngineStatus, FleetView, RetryBudgets, type Upstream } from "@radishreel/fleet";
 import { interpret } from "robot3";
 import { AccountGuard } from "./accounts/index.js";
 import { BootClock, processTimers, readNow } from "./clock.js";
-import { CrashGuard, createQuarantineRoutes } from "./crashes/index.js";
+import { CalledIncarnationCheck, CrashGuard, createQuarantineRoutes } from "./crashes/index.js";
 import { DecisionLog } from "./decisions.js";
 import { createEdgeGuard, type EdgeGuard } from "./edge/index.js";
 import { Housekeeping } from "./housekeeping.js";
@@ -30,7 +30,7 @@
 import { FairShares } from "./ownership/fairshares.js";
 import { ShardOwnership } from "./ownership/ownership.js";
 import { findCopyRule } from "./ownership/transfers.js";
-import { Tunnels } from "./paths/index.js";
+import { type ProbeResult, Tunnels } from "./paths/index.js";
 import type { Member } from "./ports.js";
 import { findQuota, Quotas } from "./quotas/index.js";
 import { Reception } from "./reception.js";
@@ -422,19 +422,17 @@
     }
 
     private createCrashGuard(): CrashGuard {
+        const { view, log, pool, incarnation, options: { settings: { vm }, store, dialect } } = this;
+        const readTime = readNow;
+        const probe = (upstream: Upstream): Promise<ProbeResult> => this.tunnels.checkListening(upstream);
         return new CrashGuard({
-            vm: this.options.settings.vm,
-            incarnation: this.incarnation,
-            view: this.view,
-            store: this.options.store,
-            log: this.log,
-            readTime: readNow,
+            ...{ vm, incarnation, view, store, log, readTime, probe },
+            incarnations: new CalledIncarnationCheck({ pool, dialect, readTime, probe }),
             send: (vm, message) => this.messenger.send(vm, message),
             broadcast: message => this.peers.broadcast(message),
             listPermitIssuers: () => this.coordinators.list(),
             onChange: () => this.serving.receiveVerdicts(),
             onUpstreamEnd: service => this.metrics.recordUpstreamEnd(service),
-            probe: upstream => this.tunnels.checkListening(upstream),
         });
     }
 
--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -1,6 +1,7 @@
 import { SocketReader } from "@radishreel/wire";
 import type { Socket } from "node:net";
 import { Client } from "undici";
+import { readNow } from "../clock.js";
 import { type ConnectTarget, DirectConnector, type UpstreamConnector } from "../paths/index.js";
 import { FramingLimit } from "./framinglimit.js";
 
@@ -30,6 +31,8 @@
 /** One connection to an upstream, which carries one request at a time. */
 export class UpstreamConnection {
     readonly client: Client;
+    /** When the connection had opened, in milliseconds; infinite before. */
+    openedAt = Infinity;
     private readonly opening = new AbortController();
     private carrier: string | undefined;
     private isOpened = false;
@@ -155,6 +158,7 @@
         try {
             const { socket, via } = await connector.open(target, this.opening.signal);
             this.socket = socket;
+            this.openedAt = readNow();
             const reader = new SocketReader({ socket });
             socket.read = (size): unknown => this.isPaused ? null : this.checkRead(reader.read(size));
             this.carrier = via;
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -465,7 +465,7 @@
             },
             onData: now => activity.recordData(now),
             onPaused: isPaused => isPaused ? response.pause() : response.start(readTime()),
-            checkEnded: () => this.options.guard.checkEnded(upstream, { requestId: job.demand.requestId }),
+            checkEnded: () => this.options.guard.checkEnded(upstream, job, record.writtenAt),
             onStable: () => this.options.guard.recordAnswer(job),
         });
         this.attempts.set(attempt, job);
--- a/packages/node/test/changingserver.ts
+++ b/packages/node/test/changingserver.ts
@@ -73,6 +73,8 @@
         limit: { kind: "none" },
     }),
     listResponseHeaders: () => [],
+    createIdentityCall: () => undefined,
+    parseIdentity: () => "nothing",
 };
 
 /** One route to two servers whose requests may not be retried. */
--- a/packages/node/test/crashguard.test.ts
+++ b/packages/node/test/crashguard.test.ts
@@ -3,8 +3,8 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { IncarnationCheck, IncarnationResult } from "../src/crashes/incarnations.js";
 import { DecisionLog } from "../src/decisions.js";
-import type { ProbeResult } from "../src/paths/index.js";
 import type { CallerExchange } from "../src/requests/caller.js";
 import { createJob, type Job } from "../src/requests/job.js";
 import { createCrashGuard, createDigest, createUpstream } from "./fixtures.js";
@@ -109,6 +109,14 @@
     assert.is(guard.isAwaitingPermit(createRequest("g")), false);
 });
 
+/** Checks the end of a response of an upstream whose checks have these results. @returns Whether it is doubted. */
+function checkEnd(view: FleetView, checkRunning: IncarnationCheck["checkRunning"]): Promise<boolean> {
+    return createCrashGuard({ view, incarnations: { checkRunning } }).checkEnded(
+        createUpstream("u"),
+        createRequest(),
+    );
+}
+
 test("the log tells why the end of a response that its connection ends was believed or in doubt", async () => {
     const lines: { event: string; request?: string; result?: string; }[] = [];
     const sink = {
@@ -116,55 +124,61 @@
         write: (line: string) => lines.push(JSON.parse(line) as typeof lines[number]) > 0,
     };
     const log = new DecisionLog({ program: "p", vm: "v", sink, readTime: () => 0 });
-    for (const result of ["open", "silent", "refused"] as const) {
-        const guard = createCrashGuard({ log, view: createView("u"), probe: async () => result });
-        await guard.checkEnded(createUpstream("u"), { requestId: "r1" });
+    const request = createRequest();
+    const results = ["same", "other", "unproven", "silent", "refused"] as const;
+    for (const result of results) {
+        const incarnations = { checkRunning: async () => result };
+        await createCrashGuard({ log, view: createView("u"), incarnations }).checkEnded(createUpstream("u"), request);
     }
-    assert.equal(lines.map(({ event, request, result }) => [event, request, result]), [
-        ["endConfirmed", "r1", "open"],
-        ["endDoubted", "r1", "silent"],
-        ["endDoubted", "r1", "refused"],
-    ]);
+    assert.equal(
+        lines.map(({ event, request, result }) => [event, request, result]),
+        results.map(result => [
+            result === "same" ? "endConfirmed" : "endDoubted",
+            request.demand.requestId,
+            result,
+        ]),
+    );
 });
 
-test("an upstream that nobody can connect to may have ended, one that accepts a connection late has not", async () => {
+test("an upstream that is not shown to run may have ended, one that is shown to run late has not", async () => {
     const results = {
         refused: async () => "refused",
         silent: async () => "silent",
+        other: async () => "other",
+        unproven: async () => "unproven",
         never: () => new Promise(() => {}),
-        late: async () => wait(100, "open"),
+        late: async () => wait(1100, "same"),
     } as const;
-    const checks = Object.entries(results).map(async ([name, probe]) => [
+    const checks = Object.entries(results).map(async ([name, check]) => [
         name,
-        await createCrashGuard({ view: createView("u"), probe: probe as () => Promise<ProbeResult> })
-            .checkEnded(createUpstream("u"), { requestId: "r1" }),
+        await checkEnd(createView("u"), check as () => Promise<IncarnationResult>),
     ]);
-    const expected = { refused: true, silent: true, never: true, late: false };
+    const expected = { refused: true, silent: true, other: true, unproven: true, never: true, late: false };
     assert.equal(Object.fromEntries(await Promise.all(checks)), expected);
 });
 
 for (const kind of ["announced", "registered as leaving", "removed"]) {
-    test(`a leaving upstream (${kind}) whose port closes after its connections has ended`, async () => {
-        const view = kind === "removed" ? new FleetView() : createView("u", kind === "registered as leaving");
-        if (kind === "announced") {
-            view.recordLeaving("u", 0);
-        }
-        const results: ProbeResult[] = ["open", "refused"];
-        const guard = createCrashGuard({ view, probe: async () => results.shift()! });
-        assert.is(await guard.checkEnded(createUpstream("u"), { requestId: "r1" }), true);
-    });
+    for (const last of ["refused", "other", "unproven"] as const) {
+        test(`a leaving upstream (${kind}) that is "${last}" at the second check has ended`, async () => {
+            const view = kind === "removed" ? new FleetView() : createView("u", kind === "registered as leaving");
+            if (kind === "announced") {
+                view.recordLeaving("u", 0);
+            }
+            const results: IncarnationResult[] = ["same", last];
+            assert.is(await checkEnd(view, async () => results.shift()!), true);
+        });
+    }
 }
 
-test("a leaving upstream that goes on accepting connections has not ended, and others are probed once", async () => {
+test("a leaving upstream that runs on has not ended, and others are checked once", async () => {
     for (const isLeaving of [true, false]) {
-        let probes = 0;
-        const probe = async (): Promise<ProbeResult> => {
-            probes += 1;
-            return "open";
-        };
-        const guard = createCrashGuard({ view: createView("u", isLeaving), probe });
-        assert.is(await guard.checkEnded(createUpstream("u"), { requestId: "r1" }), false);
-        assert.is(probes, isLeaving ? 2 : 1);
+        let checks = 0;
+        const isDoubted = await checkEnd(createView("u", isLeaving), async () => {
+            checks += 1;
+            return "same";
+        });
+        assert.is(isDoubted, false);
+        assert.is(checks, isLeaving ? 2 : 1);
     }
 });
 
--- a/packages/node/test/fixtures.ts
+++ b/packages/node/test/fixtures.ts
@@ -35,6 +35,7 @@
         onChange: () => {},
         onUpstreamEnd: () => {},
         probe: async () => "silent",
+        incarnations: { checkRunning: async () => "unproven" },
         ...options,
     });
 }
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -72,6 +72,8 @@
     name: z.string(),
     /** Connections that one upstream accepts from all callers together. */
     maxConnections: z.number().int().positive(),
+    /** Path on which upstreams answer health checks; undefined if they answer none. */
+    healthCheckPath: z.string().optional(),
     /** Set for model engines, undefined for plain services. */
     engine: engineLimitsSchema.optional(),
 });
