Ask on each new connection to an engine that may restart under its name which incarnation it leads to

Cause: the VM takes the version from the entry of the process before, which the new process may answer for some time, and the request names the id and not the start. Change: where an entry names its start, the first call on a new connection to an engine is its report, which names the start of the process that accepted the connection. Requests are written only after the answer, and to the incarnation of the entry; otherwise the connection is reset and the request was not sent. A connection stays with its process, so a kept one is asked once. Through a tunnel as well. The check of the end of unframed responses uses connections of its own, on which nothing else is asked.

--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -35,6 +35,7 @@
 import { findQuota, Quotas } from "./quotas/index.js";
 import { Reception } from "./reception.js";
 import { Admissions } from "./requests/admissions.js";
+import { createConnectionCheck } from "./requests/connectioncheck.js";
 import { ConnectionPool } from "./requests/connections.js";
 import { UpstreamLimiter } from "./requests/limiter.js";
 import { Serving } from "./requests/serving.js";
@@ -91,7 +92,7 @@
     private stopping: Promise<void> | undefined;
 
     constructor(private readonly options: NodeOptions) {
-        const { settings, sink } = options;
+        const { settings, sink, dialect } = options;
         this.socketLimits = resolveSocketLimits(settings.maxSockets);
         this.servers = new HttpServers(this.socketLimits);
         this.log = new DecisionLog({ program: "radishreel-node", vm: settings.vm, sink, readTime: readNow });
@@ -112,6 +113,7 @@
         this.tunnels = this.createTunnels();
         this.pool = new ConnectionPool({
             connector: this.tunnels.connector,
+            checkConnection: createConnectionCheck({ view: this.view, cluster: () => this.cluster, dialect }),
             onOpen: () => this.overloadMonitor.recordWork("upstream connection"),
         });
         this.cluster = new ClusterState({
--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -3,6 +3,8 @@
 import { Client } from "undici";
 import { readNow } from "../clock.js";
 import { type ConnectTarget, DirectConnector, type UpstreamConnector } from "../paths/index.js";
+import type { ShownIdentity } from "../ports.js";
+import type { ConnectionCheck } from "./connectioncheck.js";
 import { FramingLimit } from "./framinglimit.js";
 
 /** Idle timeout of a connection if the upstream announces none, in milliseconds. */
@@ -40,6 +42,7 @@
     private hasFailed = false;
     private isPaused = false;
     private lastUsedAt = 0;
+    private mayLeadElsewhere = false;
     private readonly framing = new FramingLimit();
     private onOverrun: () => void = () => {};
 
@@ -69,6 +72,11 @@
         return this.carrier;
     }
 
+    /** Whether requests may be written: the connection leads to the incarnation that it was opened for. */
+    get isChecked(): boolean {
+        return !this.mayLeadElsewhere;
+    }
+
     get isUsable(): boolean {
         return !this.hasFailed && !this.client.closed && !this.client.destroyed;
     }
@@ -89,6 +97,16 @@
         }
     }
 
+    /** Waits until a call that was written first has shown where the connection leads. Closes it unless that is certain. */
+    async waitForCheck(shown: Promise<ShownIdentity>): Promise<void> {
+        this.mayLeadElsewhere = true;
+        if (await shown === "incarnation") {
+            this.mayLeadElsewhere = false;
+            return;
+        }
+        this.cancel();
+    }
+
     /**
      * Starts to count the bytes of another response.
      * @param onOverrun Called once too many of them are no content; the connection is reset afterwards.
@@ -174,6 +192,8 @@
 export interface ConnectionPoolOptions {
     /** @default direct connections */
     readonly connector?: UpstreamConnector | undefined;
+    /** Called for each new connection before any request is written. @default nothing is asked */
+    readonly checkConnection?: ConnectionCheck | undefined;
     /** Called for each new connection. */
     readonly onOpen?: (() => void) | undefined;
 }
@@ -204,8 +224,18 @@
         if (found !== undefined) {
             return found;
         }
+        const connection = this.open(upstreamId, address);
+        const shown = this.options.checkConnection?.(connection, upstreamId);
+        if (shown !== undefined) {
+            void connection.waitForCheck(shown);
+        }
+        return connection;
+    }
+
+    /** Opens a new connection, on which nothing is asked. */
+    open(upstreamId: string, address: string): UpstreamConnection {
         this.options.onOpen?.();
-        return new UpstreamConnection({ target, connector: this.connector });
+        return new UpstreamConnection({ target: { upstream: upstreamId, address }, connector: this.connector });
     }
 
     /** Closes a connection that must not be used again. */
--- a/packages/node/src/requests/identity.ts
+++ b/packages/node/src/requests/identity.ts
@@ -1,6 +1,7 @@
 import type { Upstream } from "@radishreel/fleet";
+import { ByteBuffer } from "@radishreel/wire";
 import type { IdentityCall, RawHeaders, RequestDialect, ShownIdentity } from "../ports.js";
-import type { ConnectionPool } from "./connections.js";
+import type { ConnectionPool, UpstreamConnection } from "./connections.js";
 import { Exchange } from "./exchange.js";
 
 /** Longest wait for an answer, in milliseconds: a sound upstream may be silent for a second. */
@@ -11,7 +12,7 @@
 
 /** Options of {@link askIdentity}. */
 export interface AskIdentityOptions {
-    readonly pool: Pick<ConnectionPool, "claim" | "release">;
+    readonly pool: Pick<ConnectionPool, "claim" | "open" | "release">;
     readonly dialect: Pick<RequestDialect, "parseIdentity" | "parseResponse">;
     readonly readTime: () => number;
     readonly call: IdentityCall;
@@ -27,17 +28,40 @@
 }
 
 /** Asks the process at the address of an upstream which incarnation it is. Without a whole answer it shows nothing. */
-export function askIdentity(upstream: Upstream, options: AskIdentityOptions): Promise<IdentityAnswer> {
+export async function askIdentity(upstream: Upstream, options: AskIdentityOptions): Promise<IdentityAnswer> {
     const { pool, dialect, readTime, call, isFresh } = options;
-    const connection = pool.claim(upstream.id, upstream.address, isFresh, readTime());
+    const connection = isFresh
+        ? pool.open(upstream.id, upstream.address)
+        : pool.claim(upstream.id, upstream.address, false, readTime());
+    const shown = await readIdentity(connection, upstream, { dialect, call, limitMs: answerLimitMs });
+    if (shown === "incarnation" || shown === "name") {
+        pool.release(upstream.id, connection, readTime());
+    }
+    else {
+        connection.close();
+    }
+    return { shown, openedAt: connection.openedAt };
+}
+
+/** Options of {@link readIdentity}. */
+export interface ReadIdentityOptions extends Pick<AskIdentityOptions, "dialect" | "call"> {
+    /** Longest wait for the connection and the answer, in milliseconds. */
+    readonly limitMs: number;
+}
+
+/** Asks the process at the other end of a connection which incarnation it is. */
+export function readIdentity(
+    connection: UpstreamConnection,
+    upstream: Upstream,
+    { dialect, call, limitMs }: ReadIdentityOptions,
+): Promise<ShownIdentity> {
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
+        const body = new ByteBuffer();
         let status = 0;
         let headers: RawHeaders = [];
         const finish = (shown: ShownIdentity): void => {
             clearTimeout(timer);
-            resolve({ shown, openedAt: connection.openedAt });
+            resolve(shown);
         };
         const cancel = (): void => {
             exchange.cancel();
@@ -55,29 +79,21 @@
                     headers = receivedHeaders;
                 },
                 receiveData: chunk => {
-                    size += chunk.length;
-                    chunks.push(chunk);
-                    if (size > maxBodyBytes) {
+                    body.push(chunk);
+                    if (body.length > maxBodyBytes) {
                         cancel();
                     }
                 },
                 receiveEnd: () => {
                     const { requestId } = dialect.parseResponse(status, headers);
                     const isForCall = requestId === undefined || requestId === call.requestId;
-                    const body = Buffer.concat(chunks).toString();
-                    const shown = isForCall ? dialect.parseIdentity(upstream, { status, headers, body }) : "nothing";
-                    if (shown === "incarnation" || shown === "name") {
-                        pool.release(upstream.id, connection, readTime());
-                    }
-                    else {
-                        connection.close();
-                    }
-                    finish(shown);
+                    const response = { status, headers, body: body.popAll().toString() };
+                    finish(isForCall ? dialect.parseIdentity(upstream, response) : "nothing");
                 },
                 receiveBreak: () => finish("nothing"),
             },
         });
-        const timer = setTimeout(cancel, answerLimitMs);
+        const timer = setTimeout(cancel, limitMs);
         exchange.start();
     });
 }
