Take only valid HTTP/1.x heads of workers and of the store for answers

Callers got as an answer what a worker sent with status 600 or 999, with HTTP/2.0, HTTP/0.9, RTSP/1.0 or ICE/1.0 on its status line, or with a transfer coding other than one `chunked`. A response with `Transfer-Encoding: gzip` ends with its connection, but counted as framed, so its end was not checked. Orders took an outcome, and reports and records of the store their content, from the same forms.

Cause: the parser takes these, and tells no version. What it refuses (000, names and values with blanks or control bytes, folded lines, a length beside a coding, several lengths) was refused before; there was no test of it.

Change: `StatusLineCheck` (packages/wire) looks at the first 12 bytes of each status line where the bytes of a connection are read, before the parser gets them, and follows informational heads to the next status line. `findFramingFault` judges the headers that say where a body ends.

Why it holds: a head is passed on only after its bytes went through the check, whole or a byte at a time, on a new or a kept connection. Bytes that come before any request are left to the parser, as before.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -377,7 +377,7 @@
             this.finish({ kind: "invalid", detail });
             return;
         }
-        if (phase === "overrun") {
+        if (phase === "wrongAnswer") {
             this.finishBroken("wrongAnswer", detail);
             return;
         }
--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -1,4 +1,4 @@
-import { SocketReader } from "@radishreel/wire";
+import { SocketReader, StatusLineCheck } from "@radishreel/wire";
 import type { Socket } from "node:net";
 import { Client } from "undici";
 import { readNow } from "../clock.js";
@@ -44,7 +44,8 @@
     private lastUsedAt = 0;
     private mayLeadElsewhere = false;
     private readonly framing = new FramingLimit();
-    private onOverrun: () => void = () => {};
+    private readonly statusLines = new StatusLineCheck();
+    private onFault: (detail: string) => void = () => {};
 
     constructor(private readonly options: UpstreamConnectionOptions) {
         this.client = new Client(`http://${options.target.address}`, {
@@ -108,12 +109,13 @@
     }
 
     /**
-     * Starts to count the bytes of another response.
-     * @param onOverrun Called once too many of them are no content; the connection is reset afterwards.
+     * Starts to check the bytes of another response.
+     * @param onFault Called once they can be no response, or too many are no content; the connection is reset afterwards.
      */
-    beginExchange(onOverrun: () => void = () => {}): void {
+    beginExchange(onFault: (detail: string) => void = () => {}): void {
         this.framing.restart();
-        this.onOverrun = onOverrun;
+        this.statusLines.restart();
+        this.onFault = onFault;
     }
 
     /** Records bytes of the body of a response. */
@@ -151,20 +153,27 @@
         });
     }
 
-    /** Counts bytes that were read. @returns The bytes; null if those before were too many that are no content. */
+    /** Checks bytes that were read. @returns The bytes; null if they, or how many came before, are no response. */
     private checkRead(bytes: unknown): unknown {
         if (bytes === null) {
             return null;
         }
         if (this.framing.isExceeded) {
-            this.onOverrun();
-            this.cancel();
-            return null;
+            return this.refuseRead("too many bytes that are no content of a response");
+        }
+        if (!this.statusLines.receive(bytes as Buffer)) {
+            return this.refuseRead("a status line that is not of HTTP/1.x");
         }
         this.framing.recordReceived((bytes as Buffer).length);
         return bytes;
     }
 
+    private refuseRead(detail: string): null {
+        this.onFault(detail);
+        this.cancel();
+        return null;
+    }
+
     private async openSocket(callback: (...args: [Error, null] | [null, Socket]) => void): Promise<void> {
         if (this.isOpened) {
             // A request was checked for this connection only; undici must not reconnect on its own.
--- a/packages/node/src/requests/exchange.ts
+++ b/packages/node/src/requests/exchange.ts
@@ -1,3 +1,4 @@
+import { findFramingFault } from "@radishreel/wire";
 import type { Dispatcher } from "undici";
 import type { RawHeaders } from "../ports.js";
 import type { UpstreamConnection } from "./connections.js";
@@ -15,8 +16,8 @@
     | "waiting"
     /** The head of the response has arrived. */
     | "answering"
-    /** The upstream has sent more bytes beside the content of a response than any response needs. */
-    | "overrun";
+    /** The upstream has sent what is no HTTP response, or more beside the content of one than any response needs. */
+    | "wrongAnswer";
 
 /** Error codes of requests that undici refuses to write. */
 const invalidRequestCodes = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
@@ -83,18 +84,21 @@
             return;
         }
         this.phase = "waiting";
-        this.options.connection.beginExchange(() => {
-            this.phase = "overrun";
-            this.finishBroken("too many bytes that are no content of a response");
-        });
+        this.options.connection.beginExchange(detail => this.finishWrong(detail));
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
         if (status < 200 || this.hasEnded) {
             return;
         }
+        const headers = decodeRawHeaders(controller);
+        const fault = findFramingFault(headers);
+        if (fault !== undefined) {
+            this.finishWrong(fault);
+            return;
+        }
         this.phase = "answering";
-        this.options.receiver.receiveHead(status, decodeRawHeaders(controller));
+        this.options.receiver.receiveHead(status, headers);
     }
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -128,6 +132,11 @@
         this.finishBroken(error.message);
     }
 
+    private finishWrong(detail: string): void {
+        this.phase = "wrongAnswer";
+        this.finishBroken(detail);
+    }
+
     private finishBroken(detail: string): void {
         if (this.hasEnded) {
             return;
