Leave lengths to the parser, and judge only transfer codings

Taken out once, the checks of a length beside a coding and of several lengths were missed by no test: the parser refuses these itself, which packages/node/dist/test/wrongheads shows (13 forms).

--- a/packages/node/src/requests/exchange.ts
+++ b/packages/node/src/requests/exchange.ts
@@ -1,4 +1,4 @@
-import { findFramingFault } from "@radishreel/wire";
+import { findCodingFault } from "@radishreel/wire";
 import type { Dispatcher } from "undici";
 import type { RawHeaders } from "../ports.js";
 import type { UpstreamConnection } from "./connections.js";
@@ -92,7 +92,7 @@
             return;
         }
         const headers = decodeRawHeaders(controller);
-        const fault = findFramingFault(headers);
+        const fault = findCodingFault(headers);
         if (fault !== undefined) {
             this.finishWrong(fault);
             return;
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -3,7 +3,6 @@
 export { ByteBuffer } from "./bytebuffer.js";
 export { LinkClient, type LinkClientOptions } from "./client.js";
 export { encodeFrame, frameHeaderBytes, FrameReader } from "./frame.js";
-export { findFramingFault } from "./framingheaders.js";
 export { checkProof, createHello, createProof, type Hello } from "./handshake.js";
 export { createHttpServer, HttpConnections, type HttpLimits, type HttpServerOptions } from "./httpconnections.js";
 export { Link, type LinkEvents, type LinkOptions } from "./link.js";
@@ -13,6 +12,7 @@
 export { SocketReader, type SocketReaderOptions } from "./socketreader.js";
 export { StatusLineCheck } from "./statuslines.js";
 export { LinkTicker } from "./ticker.js";
+export { findCodingFault } from "./transfercodings.js";
 export {
     type CloseReason,
     formatIncarnation,
