Do not take a stream of a new VM for one of the old version

Seen in simulated time: a new VM begins streams at a new version and ends; a VM that has no link to it takes them up for callers that do not name them in `Resumes`, and they go on at the old version. The other VMs had a link to the new one.

Cause: a VM takes the only version that it and all VMs that it knows have read. A VM that it does not know may have begun the stream, at a version whose claim the others have not read yet.

Change: in a mesh a reply to a stream query lists the VMs that its sender knows, and each of them must have replied too. Otherwise the store is read, as before for a known VM that does not reply. Above 13 VMs nothing changes: each reply would list hundreds of VMs.

Why it holds: a VM that has replied knows the version at which it began a stream, and a read of the store that began after the request shows its claim. Only a new VM that nobody in touch has been linked to or read of remains.

`streamhistories.test.ts`: "a VM that does not know a new VM does not take a stream of that VM for one of the old version" failed before ("resumed" in place of "refused") and fails without the lists of known VMs.

--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -219,6 +219,8 @@
         query: z.number(),
         record: streamRecordSchema.optional(),
         claims: softwareClaimsSchema.optional(),
+        /** Other VMs that may be running, as far as the sender knows; only in a full mesh. */
+        vms: z.array(z.string()).optional(),
     }),
     /** The sender is stopping: it will lease no shards and receive no handovers. */
     z.object({ type: z.literal("leaving") }),
--- a/packages/node/src/streams/directory.ts
+++ b/packages/node/src/streams/directory.ts
@@ -18,6 +18,8 @@
     readonly listHolders: () => string[];
     /** Lists the VMs to which messages can be sent. */
     readonly listPeers: () => string[];
+    /** Lists all other VMs that may be running, for replies; undefined if there are too many for each reply. */
+    readonly listKnown: () => string[] | undefined;
     /** @returns Whether the message could be sent. */
     readonly send: (vm: string, message: PeerMessage) => boolean;
     readonly sendToAll: (vms: readonly string[], message: PeerMessage) => void;
@@ -31,12 +33,15 @@
     readonly record: StreamRecord | undefined;
     /** Claims of software versions that each VM knows, by VM. VMs that do not know all claims are missing. */
     readonly claims: ReadonlyMap<string, SoftwareClaims>;
+    /** All VMs that may be running, as far as those that replied know. */
+    readonly knownVms: ReadonlySet<string>;
 }
 
 /** A query whose replies have not all arrived. */
 interface OpenQuery {
     readonly unanswered: Set<string>;
     readonly claims: Map<string, SoftwareClaims>;
+    readonly knownVms: Set<string>;
     finish(record: StreamRecord | undefined): void;
 }
 
@@ -94,7 +99,11 @@
             return replies;
         }
         const others = await this.askVms(this.options.listPeers().filter(vm => !holders.includes(vm)), stream);
-        return { record: others.record, claims: new Map([...replies.claims, ...others.claims]) };
+        return {
+            record: others.record,
+            claims: new Map([...replies.claims, ...others.claims]),
+            knownVms: new Set([...replies.knownVms, ...others.knownVms]),
+        };
     }
 
     receiveMessage(vm: string, message: StreamMessage): void {
@@ -108,6 +117,7 @@
                     query: message.query,
                     record: message.stream === undefined ? undefined : this.find(message.stream),
                     claims: this.options.findClaims(),
+                    vms: this.options.listKnown(),
                 });
                 return;
             case "streamReply":
@@ -155,18 +165,19 @@
         const query = this.lastQuery;
         const asked = vms.filter(vm => this.options.send(vm, { type: "streamQuery", query, stream }));
         const claims = new Map<string, SoftwareClaims>();
+        const knownVms = new Set<string>();
         if (asked.length === 0) {
-            return { record: undefined, claims };
+            return { record: undefined, claims, knownVms };
         }
         return new Promise(resolve => {
             const finish = (record: StreamRecord | undefined): void => {
                 timer.cancel();
                 this.queries.delete(query);
                 this.addRecords(record === undefined ? [] : [record]);
-                resolve({ record, claims });
+                resolve({ record, claims, knownVms });
             };
             const timer = this.options.timers.scheduleOnce(() => finish(undefined), replyTimeoutMs);
-            this.queries.set(query, { unanswered: new Set(asked), claims, finish });
+            this.queries.set(query, { unanswered: new Set(asked), claims, knownVms, finish });
         });
     }
 
@@ -178,6 +189,7 @@
         if (reply.claims !== undefined) {
             query.claims.set(vm, reply.claims);
         }
+        reply.vms?.forEach(known => query.knownVms.add(known));
         if (reply.record !== undefined || query.unanswered.size === 0) {
             query.finish(reply.record);
         }
--- a/packages/node/src/streams/resolver.ts
+++ b/packages/node/src/streams/resolver.ts
@@ -4,7 +4,7 @@
 import type { CallerDemand, StreamHistory } from "../ports.js";
 import type { RefusalResponse } from "../requests/caller.js";
 import { mergeClaims } from "./claims.js";
-import type { StreamDirectory } from "./directory.js";
+import type { StreamDirectory, StreamReplies } from "./directory.js";
 
 /** `Retry-After` of a stream whose origin this VM does not know, in seconds: a peer or the store may be back. */
 const unknownRetrySeconds = 0.5;
@@ -31,6 +31,8 @@
 
 /** Options of {@link StreamResolver}. */
 export interface StreamResolverOptions {
+    /** This VM. */
+    readonly vm: string;
     readonly directory: Pick<StreamDirectory, "find" | "ask" | "addRecords">;
     /** Finds the claims that this VM knows; undefined until it has read them. */
     readonly findClaims: () => SoftwareClaims | undefined;
@@ -85,19 +87,22 @@
         if (known !== undefined) {
             return { source: known.origin === undefined ? "ambiguous" : "record", origin: known.origin };
         }
-        const { record, claims } = await directory.ask(stream);
+        const replies = await directory.ask(stream);
+        const { record } = replies;
         if (record !== undefined) {
             return { source: record.origin === undefined ? "ambiguous" : "peer", origin: record.origin };
         }
-        const origin = this.findOnlyOrigin(claims, route);
+        const origin = this.findOnlyOrigin(replies, route);
         return origin === undefined ? this.findStoredOrigin(stream, route) : { source: "onlyVersion", origin };
     }
 
     /** Finds the origin of all streams of a route, if all VMs know of one only. */
-    private findOnlyOrigin(claims: ReadonlyMap<string, SoftwareClaims>, route: Route): StreamOrigin | undefined {
-        const { findClaims, listOtherVms } = this.options;
+    private findOnlyOrigin({ claims, knownVms }: StreamReplies, route: Route): StreamOrigin | undefined {
+        const { vm, findClaims, listOtherVms } = this.options;
         const own = findClaims();
-        if (own === undefined || listOtherVms().some(vm => !claims.has(vm))) {
+        // A stream may have begun at a new VM that is linked to others and not yet to this one.
+        const others = [...listOtherVms(), ...knownVms].filter(other => other !== vm);
+        if (own === undefined || others.some(other => !claims.has(other))) {
             return undefined;
         }
         return findOnlyClaim([own, ...claims.values()], route);
--- a/packages/node/src/streams/streams.ts
+++ b/packages/node/src/streams/streams.ts
@@ -23,7 +23,7 @@
     readonly timers: Timers;
     readonly cluster: Pick<ClusterState, "routes" | "listMembers">;
     readonly coordinators: () => Pick<Coordinators, "list" | "listStreamHolders">;
-    readonly peers: () => Pick<Peers, "listConnected" | "listKnown" | "send" | "sendToAll">;
+    readonly peers: () => Pick<Peers, "isMesh" | "listConnected" | "listKnown" | "send" | "sendToAll">;
     readonly ownEntry: Pick<OwnEntry, "appendClaims">;
     readonly onResolved: (source: OriginSource) => void;
     /** Called when streams may begin at further software versions. */
@@ -56,12 +56,14 @@
             timers,
             listHolders: () => coordinators().listStreamHolders().filter(holder => holder !== vm),
             listPeers: () => peers().listConnected(),
+            listKnown: () => peers().isMesh ? peers().listKnown() : undefined,
             send: (to, message) => peers().send(to, message),
             sendToAll: (vms, message) => peers().sendToAll(vms, message),
             findClaims: () => this.claims.findAll(),
         });
         const history = new StreamHistoryReader(store);
         this.resolver = new StreamResolver({
+            vm,
             directory: this.directory,
             findClaims: () => this.claims.findAll(),
             listOtherVms: () => peers().listKnown(),
--- a/packages/node/test/network.ts
+++ b/packages/node/test/network.ts
@@ -155,6 +155,11 @@
         }
     }
 
+    /** Cuts the path between two VMs. */
+    closePathBetween(vm: string, other: string): void {
+        this.closePath(vm, other);
+    }
+
     openPaths(): void {
         for (const [key, path] of this.paths) {
             if (path.isCut) {
--- a/packages/node/test/streamhistories.test.ts
+++ b/packages/node/test/streamhistories.test.ts
@@ -109,6 +109,31 @@
     assert.equal(new Set(await Promise.all(ends)), new Set(["refused"]));
 });
 
+test("a VM that does not know a new VM does not take a stream of that VM for one of the old version", async () => {
+    for (const isCutOff of [true, false]) {
+        const world = await startWorld(4, ["v1", "v1"], createRandom(1), 1);
+        world.closePathBetween("vm000", "vm003");
+        if (isCutOff) {
+            world.store.cutOffVms.add("vm000");
+        }
+        world.addWorker("v2");
+        world.startVm("vm003");
+        const added = world.processes.get("vm003")!;
+        for (let ms = 0; ms < 100 && !added.listWorkers().some(({ version }) => version === "v2"); ms++) {
+            await world.schedule.advance(1);
+        }
+        const streams = Array.from({ length: 20 }, () => world.beginStream(added)!);
+        assert.ok(streams.some(({ versions }) => versions.has("v2")));
+        // The records are on their way when the new VM ends.
+        world.kill("vm003");
+        const vm = world.processes.get("vm000")!;
+        const ends = streams.map(stream => world.resumeStream(stream, vm, undefined));
+        await world.schedule.advance(3000);
+        assert.equal([...new Set(await Promise.all(ends))], ["refused"], `cut off: ${isCutOff}`);
+        world.checkStreams();
+    }
+});
+
 test("VMs that take over the records of streams from killed ones receive all of them", async () => {
     const world = await startWorld(60, twoVersions, createRandom(1));
     world.vms.forEach(vm => world.store.cutOffVms.add(vm));
@@ -228,6 +253,7 @@
         () => world.vms.filter(vm => !world.processes.has(vm)).forEach(vm => world.startVm(vm)),
         () => world.vms.filter(vm => !world.processes.has(vm)).forEach(vm => world.startVm(vm)),
         () => world.closePathsOf(world.vms.filter(() => random() < 0.3)),
+        () => world.closePathBetween(world.vms[0]!, world.vms.at(-1)!),
         () => world.openPaths(),
         () => world.vms.filter(() => random() < 0.4).forEach(vm => world.store.cutOffVms.add(vm)),
         () => world.store.cutOffVms.clear(),
@@ -257,7 +283,7 @@
     test(`no stream goes on at another version in random histories of ${count} VMs`, async () => {
         for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
             const random = createRandom(seed * 1000 + count);
-            const world = await startWorld(count, ["v1", "v1"], random);
+            const world = await startWorld(count, ["v1", "v1"], random, 1);
             await runHistory(world, random);
             try {
                 world.checkStreams();
--- a/packages/node/test/streams.test.ts
+++ b/packages/node/test/streams.test.ts
@@ -36,12 +36,13 @@
 function createResolver(service: string | undefined): StreamResolver {
     const claims = { s: ["v1"], t: ["v1"] };
     return new StreamResolver({
+        vm: "vm",
         directory: {
             find: stream =>
                 service === undefined
                     ? undefined
                     : { stream, origin: { service, softwareVersion: "v1" }, lifeMs: 1000 },
-            ask: () => Promise.resolve({ record: undefined, claims: new Map() }),
+            ask: () => Promise.resolve({ record: undefined, claims: new Map(), knownVms: new Set() }),
             addRecords: () => {},
         },
         findClaims: () => claims,
--- a/packages/node/test/streamworld.ts
+++ b/packages/node/test/streamworld.ts
@@ -1,5 +1,5 @@
-import { FleetView, type SoftwareClaims, type StreamRecord } from "@radishreel/fleet";
-import { type Route, RouteTable, type Routing } from "@radishreel/routing";
+import { FleetView, type SoftwareClaims } from "@radishreel/fleet";
+import { RouteTable } from "@radishreel/routing";
 import * as assert from "uvu/assert";
 import type { Timers } from "../src/clock.js";
 import { Coordinators } from "../src/links/coordinators.js";
@@ -8,6 +8,7 @@
 import { type StreamMessage, Streams } from "../src/streams/index.js";
 import { createSilentLog, createUpstream } from "./fixtures.js";
 import { SimulatedNetwork, SimulatedProcess } from "./network.js";
+import { budgetMs, route, routing, service, SimulatedStore } from "./streamstore.js";
 
 const storeDelayMs = 4;
 const storeTimeoutMs = 700;
@@ -15,34 +16,9 @@
 const housekeepingMs = 250;
 const appendBackoffMs = 200;
 
-/** How long callers wait for their streams, in milliseconds. */
-const budgetMs = 15_000;
-
 /** Number of VMs up to which all are linked to each other, as in topology.ts. */
 const maxMeshVms = 13;
 
-const service = "s";
-
-const route: Route = {
-    name: "r",
-    host: "h",
-    pathPrefix: "/",
-    kind: "stream",
-    targets: [{ service, weight: 1 }],
-    timeoutMs: budgetMs,
-    aimMs: 100,
-    priority: 0,
-    maxAttempts: 2,
-    isResumable: true,
-};
-
-const routing: Routing = {
-    version: 1,
-    routes: [route],
-    services: [{ name: service, maxConnections: 10 }],
-    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-};
-
 /** A worker of the only service. */
 interface Worker {
     readonly id: string;
@@ -63,17 +39,6 @@
 /** How a caller's attempt to resume a stream ended. */
 export type ResumptionEnd = "resumed" | "refused" | "noWorker" | "lost";
 
-/** The store: entries of workers, claims of VMs, and records of streams. */
-class SimulatedStore {
-    readonly claims = new Map<string, SoftwareClaims>();
-    readonly records: StreamRecord[] = [];
-    /** VMs that do not reach the store. */
-    readonly cutOffVms = new Set<string>();
-    /** Whether the store refuses all writes. */
-    isReadOnly = false;
-    appends = 0;
-}
-
 /** One process of a VM. */
 class StreamVm extends SimulatedProcess {
     readonly view = new FleetView();
@@ -83,9 +48,11 @@
     private hasReadMembers = false;
     private lastAppend = 0;
     private streamsRead = 0;
+    private readonly knownVms: Set<string>;
 
     constructor(readonly world: StreamWorld, vm: string) {
         super(world, vm);
+        this.knownVms = new Set(world.seeds);
         this.coordinators = new Coordinators({
             vm,
             view: { listUpstreams: () => world.hubs.map(owner => ({ owner })) } as unknown as FleetView,
@@ -106,8 +73,9 @@
             cluster: { routes: new RouteTable(routing), listMembers: () => this.members },
             coordinators: () => this.coordinators,
             peers: () => ({
+                isMesh: world.isMesh,
                 listConnected: () => this.listConnected(),
-                listKnown: () => world.vms.filter(other => other !== vm),
+                listKnown: () => this.listKnown(),
                 send: (to, message) => world.send(this, to, message),
                 sendToAll: (vms, message) => vms.forEach(to => world.send(this, to, message)),
             }),
@@ -137,7 +105,13 @@
     }
 
     override createInitialMessages(to: string): PeerMessage[] {
-        return this.isLinkWanted(to) ? this.streams.directory.createInitialMessages(to) : [];
+        if (!this.isLinkWanted(to)) {
+            return [];
+        }
+        if (this.world.processes.has(to)) {
+            this.knownVms.add(to);
+        }
+        return this.streams.directory.createInitialMessages(to);
     }
 
     /** Lists the workers that this VM may send a stream to. */
@@ -155,6 +129,12 @@
         return this.world.listLinked(this.vm).filter(other => this.isLinkWanted(other));
     }
 
+    /** Lists the other VMs that this VM was told of at its start, has read of, or has been linked to. */
+    private listKnown(): string[] {
+        this.members.forEach(({ id }) => this.knownVms.add(id));
+        return [...this.knownVms].filter(other => other !== this.vm);
+    }
+
     private isLinkWanted(other: string): boolean {
         const { isMesh, hubs } = this.world;
         return isMesh || hubs.includes(this.vm) || hubs.includes(other);
@@ -265,12 +245,16 @@
     /** VMs that are linked to all others; all VMs in a full mesh. */
     readonly hubs: readonly string[];
     readonly isMesh: boolean;
+    /** VMs that each VM knows from its start. */
+    readonly seeds: readonly string[];
     readonly streams: SimulatedStream[] = [];
     messages = 0;
     private nextId = 1;
 
-    constructor(count: number, private readonly random: () => number) {
+    /** @param addedCount Number of the last VMs that the others do not know from their start. */
+    constructor(count: number, private readonly random: () => number, addedCount = 0) {
         super(Array.from({ length: count }, (_value, index) => `vm${String(index).padStart(3, "0")}`));
+        this.seeds = this.vms.slice(0, count - addedCount);
         this.isMesh = count <= maxMeshVms;
         this.hubs = this.isMesh ? this.vms : this.vms.filter((_vm, index) => index % 3 === 0);
     }
@@ -374,15 +358,16 @@
     }
 }
 
-/** Starts a world whose VMs know workers of these versions. */
+/** Starts a world whose VMs know workers of these versions. The last `addedCount` VMs are yet to start. */
 export async function startWorld(
     count: number,
     versions: readonly string[],
     random: () => number,
+    addedCount = 0,
 ): Promise<StreamWorld> {
-    const world = new StreamWorld(count, random);
+    const world = new StreamWorld(count, random, addedCount);
     versions.forEach(version => world.addWorker(version));
-    world.vms.forEach(vm => world.startVm(vm));
+    world.seeds.forEach(vm => world.startVm(vm));
     await world.schedule.advance(1000);
     return world;
 }
