Believe the end of a response without a length only if its connection ended in order

The check looked only at `socket.errored`; a reset that lies at the socket together with bytes is read as an end without an error, and the write side of an upload may take the error.

Such a response is now complete only if, inside undici's `onResponseEnd`, the system still knows the peer's address: it does after a FIN (CLOSE_WAIT) and does not after a reset (CLOSE). Nothing reads the address of these sockets before (undici does only in errors). `end` comes before this side is shut down, after paused reads too; an error or a close first leaves a socket without a handle and so without an address. The request must also be written entirely, since a reset of an upstream that does not read it may still be on its way; such an early response is broken, the cost being that a whole one is not passed on. Framed responses are judged as before.

--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -1,4 +1,4 @@
-import { SocketReader, StatusLineCheck } from "@radishreel/wire";
+import { hasOrderlyEnd, SocketReader, StatusLineCheck } from "@radishreel/wire";
 import type { Socket } from "node:net";
 import { Client } from "undici";
 import { readNow } from "../clock.js";
@@ -63,11 +63,20 @@
         });
     }
 
-    /** Whether the connection was reset. A close-delimited response is incomplete in that case. */
+    /** Whether the connection has failed, or was reset with an error that this process has seen. */
     get wasReset(): boolean {
         return this.socket?.errored !== null && this.socket?.errored !== undefined;
     }
 
+    /**
+     * Whether the end of the connection proves that a response without framing is complete. To be called at the end of such
+     * a response only, as for {@link hasOrderlyEnd}. While the request is being written nothing is proven: an upstream that
+     * does not read the rest of it resets the connection, and that reset may still be on its way.
+     */
+    hasProvenEnd(): boolean {
+        return this.socket !== undefined && this.socket.writableLength === 0 && hasOrderlyEnd(this.socket);
+    }
+
     /** VM through which the connection goes; undefined for a direct one. */
     get via(): string | undefined {
         return this.carrier;
--- a/packages/node/src/requests/exchange.ts
+++ b/packages/node/src/requests/exchange.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from "undici";
 import type { RawHeaders } from "../ports.js";
 import type { UpstreamConnection } from "./connections.js";
+import { isEndedByClose } from "./responseheaders.js";
 
 /** Detail of an exchange that was withdrawn after its connection had opened and before the request was written. */
 export const withdrawnDetail = "withdrawn before it was sent";
@@ -48,6 +49,7 @@
 export class Exchange implements Dispatcher.DispatchHandler {
     private phase: ExchangePhase = "connecting";
     private hasEnded = false;
+    private isCloseDelimited = false;
 
     constructor(private readonly options: ExchangeOptions) {}
 
@@ -98,6 +100,7 @@
             return;
         }
         this.phase = "answering";
+        this.isCloseDelimited = isEndedByClose(this.options.method, status, headers);
         this.options.receiver.receiveHead(status, headers);
     }
 
@@ -113,7 +116,8 @@
         if (this.hasEnded) {
             return;
         }
-        if (this.options.connection.wasReset) {
+        const { connection } = this.options;
+        if (connection.wasReset || (this.isCloseDelimited && !connection.hasProvenEnd())) {
             this.finishBroken("connection reset before the end of the response");
             return;
         }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -6,6 +6,7 @@
 export { checkProof, createHello, createProof, type Hello } from "./handshake.js";
 export { createHttpServer, HttpConnections, type HttpLimits, type HttpServerOptions } from "./httpconnections.js";
 export { Link, type LinkEvents, type LinkOptions } from "./link.js";
+export { hasOrderlyEnd } from "./orderlyend.js";
 export { readAll } from "./readall.js";
 export { ReadQueue, type ReadQueueOptions, readShareBytes } from "./readqueue.js";
 export { LinkServer, type LinkServerOptions } from "./server.js";
