Bound what all responses of a VM together keep

A VM of the users is killed beyond its memory.

Cause: an attempt keeps up to 256 KB of a body, and up to 1 MB of an unfinished event. Each has a bound, their sum had none.

Change: `ResponseMemory` counts the bytes that all attempts of the process keep. Beyond 5 % of the VM's stated memory, a response that keeps more than 16 KB is treated as one that is too long: a signed answer is passed on as it comes, a failure ends by its head, an unfinished event breaks its stream. What an attempt keeps is dropped when it ends.

Why it holds: the most is the 5 %, and 16 KB and one share of reading for each attempt. The bound is not in force where no memory is stated. Beside an attack a sound unsigned body or event of more than 16 KB may be refused as well.

--- a/packages/node/src/edge/create.ts
+++ b/packages/node/src/edge/create.ts
@@ -2,6 +2,7 @@
 import type { DecisionLog } from "../decisions.js";
 import type { NodeMetrics } from "../metrics.js";
 import type { NodeSettings } from "../options.js";
+import { responseMemory } from "../requests/responsememory.js";
 import { type EdgeGuard, MemoryGuard, unboundedEdge } from "./guard.js";
 import { EdgeMetrics } from "./metrics.js";
 
@@ -11,6 +12,7 @@
     if (memoryMb === undefined) {
         return unboundedEdge;
     }
+    responseMemory.setMemory(memoryMb);
     const edgeMetrics = new EdgeMetrics(metrics.registry);
     return new MemoryGuard({
         memoryMb,
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -220,9 +220,8 @@
     }
 
     /**
-     * Updates the time limit for the start of a stream, since its adapter version may have been replaced after the
-     * request was sent. Plain requests have no such limit: their responses don't show when the engine started to run
-     * them.
+     * Updates the time limit for the start of a stream: its adapter version may have been replaced since the request was
+     * sent. Plain requests have none: their responses don't show when the engine started to run them.
      */
     updateStartLimit(): void {
         const { route, readStartLimitMs } = this.options;
@@ -540,10 +539,9 @@
     }
 
     private restartSilence(): void {
-        if (this.isPaused) {
-            return;
+        if (!this.isPaused) {
+            this.silence.restart(this.options.silenceLimits.nextMs);
         }
-        this.silence.restart(this.options.silenceLimits.nextMs);
     }
 
     /** Cancels an attempt that was written. An unwritten request is withheld by the check in the step of the write. */
@@ -569,6 +567,8 @@
         this.deadlineTimer.cancel();
         this.startLimitTimer?.cancel();
         this.bodyTimer?.cancel();
+        this.body.close();
+        this.splitter.close();
         this.silence.end();
         this.resolveWritten(this.wasWritten);
         this.exchange.cancel();
--- a/packages/node/src/requests/body.ts
+++ b/packages/node/src/requests/body.ts
@@ -1,4 +1,4 @@
-import { ByteBuffer } from "@radishreel/wire";
+import { KeptBytes } from "./responsememory.js";
 
 /** Maximum bytes of a plain response that are buffered until it is complete; larger responses are streamed. */
 const maxBufferedBytes = 256 * 1024;
@@ -22,13 +22,13 @@
 
 /** Counts the body of a plain response, and buffers it until it is complete or too long. */
 export class BufferedBody {
-    private readonly bytes = new ByteBuffer();
+    private readonly bytes = new KeptBytes();
     private receivedBytes = 0;
     private bytesWithoutProgress = 0;
 
     /** Whether the body must not be buffered any longer. */
     get isTooLong(): boolean {
-        return this.receivedBytes > maxBufferedBytes;
+        return this.receivedBytes > maxBufferedBytes || this.bytes.isRefused;
     }
 
     /** Whether the body is too long for that of a failure. */
@@ -51,6 +51,11 @@
         return true;
     }
 
+    /** Drops the buffered bytes. */
+    close(): void {
+        this.bytes.close();
+    }
+
     /** Returns the buffered bytes, which are no longer kept here. */
     popAll(): Buffer {
         return this.bytes.popAll();
--- a/packages/node/src/requests/events.ts
+++ b/packages/node/src/requests/events.ts
@@ -1,5 +1,5 @@
-import { ByteBuffer } from "@radishreel/wire";
 import { EventEndFinder } from "./eventend.js";
+import { KeptBytes } from "./responsememory.js";
 
 /** Maximum size of one event, in bytes. An attempt fails if its stream sends more without ending the event. */
 const maxEventBytes = 1024 * 1024;
@@ -24,7 +24,7 @@
  * an event that an upstream did not finish never reaches a caller.
  */
 export class EventSplitter {
-    private readonly pendingBytes = new ByteBuffer();
+    private readonly pendingBytes = new KeptBytes();
     private readonly finder = new EventEndFinder();
     private bytesSinceNew = 0;
     private lastId = -Infinity;
@@ -36,7 +36,13 @@
 
     /** Whether the unfinished event, or what came since the last new event, exceeds its maximum size. */
     get isTooLong(): boolean {
-        return this.pendingBytes.length > maxEventBytes || this.bytesSinceNew > maxBytesBetweenEvents;
+        const isUnfinishedTooLong = this.pendingBytes.length > maxEventBytes || this.pendingBytes.isRefused;
+        return isUnfinishedTooLong || this.bytesSinceNew > maxBytesBetweenEvents;
+    }
+
+    /** Drops the bytes of the unfinished event. */
+    close(): void {
+        this.pendingBytes.close();
     }
 
     receive(chunk: Buffer): StreamEvent[] {
--- a/packages/node/test/attempt.test.ts
+++ b/packages/node/test/attempt.test.ts
@@ -9,6 +9,7 @@
 import type { AttemptEnd } from "../src/requests/attemptend.js";
 import { CallerExchange } from "../src/requests/caller.js";
 import { ConnectionPool } from "../src/requests/connections.js";
+import { responseMemory } from "../src/requests/responsememory.js";
 import { plainDialect, plainRouting } from "./changingserver.js";
 
 async function startServer(server: Server): Promise<string> {
@@ -257,4 +258,20 @@
     });
 }
 
+for (const kind of ["stream", "unsafe"] as const) {
+    test(`an attempt that ends drops what it kept of its response: ${kind}`, async () => {
+        const most: number[] = [];
+        await runUnresponsive({
+            kind,
+            timeLeftMs: 300,
+            onArrival: (_attempt, response) => {
+                response.write(`id: 1\ndata: ${"x".repeat(10_000)}`);
+                setTimeout(() => most.push(responseMemory.heldBytes), 100);
+            },
+        });
+        assert.ok(most[0]! >= 10_000, `${most[0]} bytes were kept`);
+        assert.is(responseMemory.heldBytes, 0);
+    });
+}
+
 test.run();
