Take only valid HTTP/1.x heads for answers in the programs beside the platform

The gateway and the agent took for answers what the VMs did: status 600 and 999, four other versions and protocols, the coding gzip and two codings. Their connections now have the same checks. Such an exchange is broken while it waits, and may have run.

--- a/packages/upstreams/src/exchange.ts
+++ b/packages/upstreams/src/exchange.ts
@@ -5,8 +5,9 @@
     type NotRunVerdict,
     type Reason,
 } from "@radishreel/verdict";
-import { SocketReader } from "@radishreel/wire";
+import { findCodingFault, SocketReader, StatusLineCheck } from "@radishreel/wire";
 import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
 import { Agent, buildConnector, type Dispatcher } from "undici";
 
 /** Progress of an exchange with an upstream. */
@@ -115,14 +116,32 @@
         connect(options, (...result) => {
             const [error, socket] = result;
             if (error === null) {
-                const reader = new SocketReader({ socket });
-                socket.read = size => reader.read(size);
+                applyChecks(socket);
             }
             callback(...result);
         });
     };
 }
 
+/** Makes a connection read in shares, and ends it at a status line that is not of HTTP/1.x. */
+function applyChecks(socket: Socket): void {
+    const reader = new SocketReader({ socket });
+    const statusLines = new StatusLineCheck();
+    const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
+    socket.write = (...args: unknown[]): boolean => {
+        statusLines.restart();
+        return write(...args);
+    };
+    socket.read = (size): unknown => {
+        const bytes = reader.read(size);
+        if (bytes === null || statusLines.receive(bytes)) {
+            return bytes;
+        }
+        socket.destroy(new Error("the response is not of HTTP/1.x"));
+        return null;
+    };
+}
+
 class UndiciExchange implements Exchange, Dispatcher.DispatchHandler {
     readonly end: Promise<ExchangeEnd>;
     private finishExchange: (end: ExchangeEnd) => void = () => {};
@@ -183,10 +202,16 @@
         this.startSilenceTimer();
     }
 
-    onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
         if (status < 200) {
             return;
         }
+        const codings = [headers["transfer-encoding"] ?? []].flat();
+        const fault = findCodingFault(codings.flatMap(coding => ["transfer-encoding", coding]));
+        if (fault !== undefined) {
+            controller.abort(new Error(fault));
+            return;
+        }
         this.phase = "answering";
         this.silenceTimer?.refresh();
         this.options.receiver.receiveHead(status, headers);
