Answer or refuse what a planned stop still holds, and pass nothing on late

What callers saw: late in the grace time of a planned stop, requests were taken and passed on, and cut without an answer at its end, also unsafe ones (LOST around planned work; reported by another operator). Cause: whether a request may outlast the process was decided once, when its head arrived. Until the listener closes everything is taken; a slow or chunked body, or a wait for an upstream's backoff, then led to a late send. The end closed all connections. Change: once the listener is closed, requests that no upstream has and that may outlast the process are refused (503 stopping). At 0.93 of the grace time, all requests whose responses have not begun are answered: 503 if no upstream may have run them, else 504. Connections are closed at 0.95. Why it holds: the count of possible runs changes in the step that writes a request, and after its answer a request is withheld like one whose caller has left. Passed: stopping, stop, callerconnections, edge, results, units, attempt, requests. Not run: the whole suite; tunnels of other VMs (read only); memory and connections at their limits.

--- a/packages/node/src/accounts/guard.ts
+++ b/packages/node/src/accounts/guard.ts
@@ -7,7 +7,7 @@
 import type { PeerMessage } from "../links/messages.js";
 import type { CallerDemand, CallerIdentity, CallerKey } from "../ports.js";
 import { formatAccountKey, type QuotaClaim, type Quotas } from "../quotas/index.js";
-import type { RefusalReason, RefusalResponse } from "../requests/caller.js";
+import type { RefusalReason, RefusalResponse } from "../requests/refusal.js";
 import { type ConfirmationMessage, Confirmations } from "./confirmations.js";
 
 /**
--- a/packages/node/src/edge/guard.ts
+++ b/packages/node/src/edge/guard.ts
@@ -1,5 +1,6 @@
 import type { DecisionLog } from "../decisions.js";
-import type { CallerExchange, CallerMeter, RefusalReason, RefusalResponse } from "../requests/caller.js";
+import type { CallerExchange, CallerMeter } from "../requests/caller.js";
+import type { RefusalReason, RefusalResponse } from "../requests/refusal.js";
 import { MemoryLedger } from "./ledger.js";
 
 /** `Retry-After` of requests that are refused for lack of memory, in seconds: stalled callers are cut off after 1 s. */
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -2,8 +2,8 @@
 import type { AccountVerdict } from "./accounts/index.js";
 import type { LeaseEvent } from "./ownership/leasemessages.js";
 import type { ConnectOutcome } from "./paths/index.js";
-import type { RefusalReason } from "./requests/caller.js";
 import type { LimitVerdict } from "./requests/limiter.js";
+import type { RefusalReason } from "./requests/refusal.js";
 import type { SilenceOutcome } from "./requests/successors.js";
 import type { OriginSource } from "./streams/index.js";
 
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -648,10 +648,10 @@
     }
 
     private async runStop(): Promise<void> {
-        const { peers, serving, ownEntry, ownership, servers, options } = this;
+        const { peers, serving, ownEntry, ownership, servers, options, reception, tunnels } = this;
         const times = findStopTimes(readNow(), options.settings.graceMs);
         this.lifecycle.send("stop");
-        this.reception.stop(times);
+        reception.stop(times);
         await runPlannedStop({
             times,
             log: this.log,
@@ -661,8 +661,8 @@
             ownEntry,
             ownership,
             callerServer: servers.callers,
-            callerConnections: this.reception.connections,
-            tunnels: this.tunnels,
+            reception,
+            tunnels,
         });
         servers.readiness.close();
         this.timers.forEach(timer => clearInterval(timer));
--- a/packages/node/src/reception.ts
+++ b/packages/node/src/reception.ts
@@ -4,8 +4,9 @@
 import type { ClusterState } from "./knowledge/cluster.js";
 import type { OverloadMonitor } from "./overload.js";
 import type { RequestDialect } from "./ports.js";
-import type { CallerExchange, RefusalResponse } from "./requests/caller.js";
+import type { CallerExchange } from "./requests/caller.js";
 import { CallerConnections } from "./requests/callerconnections.js";
+import type { RefusalResponse } from "./requests/refusal.js";
 import { bodyTooLargeRefusal } from "./requests/refusals.js";
 import type { Serving } from "./requests/serving.js";
 import type { StopTimes } from "./stop.js";
@@ -13,6 +14,9 @@
 /** The response to a request that may last longer than a stopping process. Other VMs serve it at once. */
 const stoppingRefusal: RefusalResponse = { status: 503, reason: "stopping", retryAfterSeconds: 0.05 };
 
+/** The response to a request that is still at an upstream when the process ends. */
+const endingRefusal: RefusalResponse = { status: 504, reason: "stopping" };
+
 /** Options of {@link Reception}. */
 export interface ReceptionOptions {
     readonly cluster: Pick<ClusterState, "routes">;
@@ -31,6 +35,8 @@
 export class Reception {
     readonly connections: CallerConnections;
     private stopTimes: StopTimes | undefined;
+    /** The requests that are served, with the end of the time of each in milliseconds. */
+    private readonly open = new Map<CallerExchange, number>();
 
     constructor(private readonly options: ReceptionOptions) {
         this.connections = new CallerConnections(
@@ -57,12 +63,37 @@
         this.connections.receive(caller, () => this.serve(caller));
     }
 
+    /** Refuses the requests that no upstream has and that may outlast the process. */
+    refuseWaiting(): void {
+        for (const [caller, deadlineAt] of this.open) {
+            if (caller.possibleRuns === 0 && !this.mayFinish(deadlineAt)) {
+                this.end(caller, stoppingRefusal);
+            }
+        }
+    }
+
+    /** Ends all requests whose responses have not begun. */
+    endUnanswered(): void {
+        for (const caller of this.open.keys()) {
+            this.end(caller, caller.possibleRuns === 0 ? stoppingRefusal : endingRefusal);
+        }
+    }
+
+    private end(caller: CallerExchange, refusal: RefusalResponse): void {
+        if (caller.hasResponseHead || caller.hasLeft) {
+            return;
+        }
+        this.options.serving.refuse(caller, this.options.dialect.parseDemand(caller.headers), refusal);
+        caller.endServing();
+    }
+
     private serve(caller: CallerExchange): void {
         const { cluster, dialect, edge, serving, overloadMonitor, isIsolated, http } = this.options;
         if (this.stopTimes !== undefined || isIsolated() || http.isOutdated(caller.request.socket)) {
             caller.closeAfterResponse();
         }
-        if (!this.hasTime(caller)) {
+        const deadlineAt = this.readDeadline(caller);
+        if (this.isLate && !this.mayFinish(deadlineAt)) {
             serving.refuse(caller, dialect.parseDemand(caller.headers), stoppingRefusal);
             return;
         }
@@ -71,19 +102,28 @@
             return;
         }
         if (edge.handleCaller(caller)) {
-            void serving.handle(caller).finally(() => overloadMonitor.recordResponse(caller));
+            this.open.set(caller, deadlineAt);
+            void serving.handle(caller).finally(() => {
+                this.open.delete(caller);
+                overloadMonitor.recordResponse(caller);
+            });
         }
     }
 
-    /** Whether a request ends before the process does. One that comes early in a planned stop is served anyway. */
-    private hasTime(caller: CallerExchange): boolean {
+    /** Whether the load balancer sends no more callers to this stopping VM. Earlier requests are served anyway. */
+    private get isLate(): boolean {
+        return this.stopTimes !== undefined && this.options.readTime() >= this.stopTimes.closesAt;
+    }
+
+    private mayFinish(deadlineAt: number): boolean {
+        return this.stopTimes === undefined || deadlineAt <= this.stopTimes.endsAt;
+    }
+
+    /** Returns the end of a request's time, in milliseconds. A request without a route is refused at once. */
+    private readDeadline(caller: CallerExchange): number {
         const { cluster, dialect, readTime } = this.options;
-        const now = readTime();
-        if (this.stopTimes === undefined || now < this.stopTimes.closesAt) {
-            return true;
-        }
         const timeoutMs = cluster.routes?.findRoute(caller.host, caller.path)?.timeoutMs ?? 0;
         const { budgetMs = Infinity } = dialect.parseDemand(caller.headers);
-        return now + Math.min(budgetMs, timeoutMs) <= this.stopTimes.endsAt;
+        return readTime() - caller.waitedMs + Math.min(budgetMs, timeoutMs);
     }
 }
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -1,68 +1,9 @@
 import { ByteBuffer } from "@radishreel/wire";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { RawHeaders } from "../ports.js";
+import type { RefusalResponse } from "./refusal.js";
 import { ResponseWriter } from "./responsewriter.js";
 
-/** Why this program ends a request itself. Each reason is a metric label. */
-export type RefusalReason =
-    | "noConfiguration"
-    | "unknownRoute"
-    | "unknownService"
-    | "bodyTooLarge"
-    /** The body is not complete at the end of the request's time. */
-    | "bodyLate"
-    /** The request cannot be forwarded, since it is not valid HTTP. */
-    | "requestInvalid"
-    | "noUpstream"
-    | "upstreamsBusy"
-    | "enginesFull"
-    /** All upstreams have requested backoff from this VM for longer than the request can wait. */
-    | "upstreamsRest"
-    /** All upstreams limit the requests that they accept, and none has a part left within the request's time. */
-    | "upstreamsLimited"
-    /** This VM holds too many bytes for slow callers and upstreams. */
-    | "memoryFull"
-    /** This process ends before the request's time is over. */
-    | "stopping"
-    | "retryBudgetSpent"
-    | "attemptsSpent"
-    /** Each upstream process that ran the request has ended. */
-    | "endsUpstreams"
-    /** Each upstream process that began to answer a part of the request's prompt has ended. */
-    | "partEndsUpstreams"
-    /** No client account of the current configuration has the caller's key. */
-    | "unknownKey"
-    /** The configuration was last confirmed as current too long ago to tell whether the caller's key is still valid. */
-    | "configurationOld"
-    /** The client account has exceeded its quota. */
-    | "quotaSpent"
-    /** No coordinator of the client account's quota could be reached, or the coordinator does not know what is left. */
-    | "quotaUnknown"
-    /** It is not known at which software version the resumed stream began. */
-    | "streamUnknown"
-    /** The resumed stream cannot go on: no upstream of its software version is left, or it is not the only one. */
-    | "streamEnded"
-    | "timeout"
-    | "connectionLost"
-    | "upstreamSilent"
-    /** The upstream at which a response that had begun was to go on failed. */
-    | "upstreamFailed"
-    | "versionReplaced"
-    | "upstreamReplaced"
-    | "quarantined"
-    | "wrongAnswer"
-    | "truncatedAnswer";
-
-/** Response with which this program refuses a request. */
-export interface RefusalResponse {
-    readonly status: number;
-    readonly reason: RefusalReason;
-    /** Value of `Retry-After`, in seconds. */
-    readonly retryAfterSeconds?: number;
-    /** Additional fields of the log line. */
-    readonly detail?: object;
-}
-
 /** The response to a request whose body is not complete in time: it has not run. */
 const lateBodyRefusal: RefusalResponse = { status: 408, reason: "bodyLate" };
 
@@ -96,6 +37,8 @@
     private endReading: (() => void) | undefined;
     /** Whether another request has arrived on the connection meanwhile, which is served after this one. */
     hasSuccessor = false;
+    /** Number of attempts that have written the request to an upstream, without those that did not run it. */
+    possibleRuns = 0;
     /** Time for which the request waited for the requests before it on its connection, in milliseconds. */
     waitedMs = 0;
     /** The response to a request whose body was not read completely. @default that to a body that is too large */
@@ -290,6 +233,9 @@
 
     /** Sends a refusal; aborts the response instead if one has started. */
     refuse(refusal: RefusalResponse): void {
+        if (this.response.writableEnded) {
+            return;
+        }
         if (this.hasResponseHead) {
             this.cancelResponse();
             return;
@@ -307,15 +253,23 @@
         this.endResponse(Buffer.from(text));
     }
 
-    private receiveClose(): void {
-        if (this.response.writableFinished || this.hasCallerLeft) {
+    /** Makes whatever serves the request stop, as if its caller had left. The response is not changed any more. */
+    endServing(): void {
+        if (this.hasCallerLeft) {
             return;
         }
+        this.endReading?.();
         this.hasCallerLeft = true;
         for (const listener of this.leftListeners) {
             listener();
         }
     }
+
+    private receiveClose(): void {
+        if (!this.response.writableFinished) {
+            this.endServing();
+        }
+    }
 }
 
 /** Whether raw headers contain a header. @param name The name in lower case. */
--- a/packages/node/src/requests/refusals.ts
+++ b/packages/node/src/requests/refusals.ts
@@ -1,6 +1,6 @@
-import type { RefusalResponse } from "./caller.js";
 import type { SoonestLimit } from "./chooser.js";
 import type { Job } from "./job.js";
+import type { RefusalResponse } from "./refusal.js";
 
 /** Default `Retry-After` of a refusal, in seconds. An owner or an upstream is replaced within some seconds. */
 export const retryAfterSeconds = 0.5;
--- a/packages/node/src/requests/returns.ts
+++ b/packages/node/src/requests/returns.ts
@@ -1,8 +1,8 @@
 import type { UpstreamState } from "@radishreel/fleet";
 import { createHash } from "node:crypto";
 import type { Admissions, DeclinedOutcome } from "./admissions.js";
-import type { RefusalReason, RefusalResponse } from "./caller.js";
 import { cancelReturn, isExcluded, type Job, type ReadyUpstream } from "./job.js";
+import type { RefusalReason, RefusalResponse } from "./refusal.js";
 import { minReturnMs, retryAfterSeconds } from "./refusals.js";
 
 /** How long an engine whose owner declined a request is penalised for that request, in milliseconds. */
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -21,7 +21,7 @@
 import { Attempt } from "./attempt.js";
 import type { AttemptEnd } from "./attemptend.js";
 import { type AttemptRecord, createAttemptRecord, formatAttempt, formatElapsed, formatServed } from "./attemptline.js";
-import type { CallerExchange, RefusalReason, RefusalResponse } from "./caller.js";
+import type { CallerExchange } from "./caller.js";
 import { UpstreamChooser } from "./chooser.js";
 import type { ConnectionPool } from "./connections.js";
 import { RequestDigest } from "./digest.js";
@@ -36,6 +36,7 @@
 } from "./job.js";
 import type { LimitGrant, UpstreamLimiter } from "./limiter.js";
 import type { ResponseMetadata } from "./metadata.js";
+import type { RefusalReason, RefusalResponse } from "./refusal.js";
 import {
     bodyTooLargeRefusal,
     createBackoffRefusal,
@@ -204,12 +205,7 @@
 
     async handle(caller: CallerExchange): Promise<void> {
         this.openExchanges.add(caller);
-        try {
-            await this.serve(caller);
-        }
-        finally {
-            this.openExchanges.delete(caller);
-        }
+        await this.serve(caller).finally(() => this.openExchanges.delete(caller));
     }
 
     private async serve(caller: CallerExchange): Promise<void> {
@@ -444,6 +440,7 @@
             checkBeforeSend: () => {
                 record.writtenAt = this.maySend(job, choice, identity, grant) ? readTime() : undefined;
                 record.limitStatements = view.limits.countStatements(upstream.id);
+                job.caller.possibleRuns += record.writtenAt === undefined ? 0 : 1;
                 if (record.writtenAt !== undefined && job.service.engine === undefined) {
                     // Servers respond within a short time; engines may queue a request for longer.
                     response.start(record.writtenAt);
@@ -485,6 +482,7 @@
         response.pause();
         load.finish();
         admission?.finish();
+        job.caller.possibleRuns -= record.writtenAt !== undefined && end.kind === "notRun" ? 1 : 0;
         this.finishClaims(job, record, grant, retry);
         this.results.record({ job, choice, end, sentAt: record.sentAt, metadata: record.metadata });
         log.record("attempt", formatAttempt({ job, choice, end, record, now: readTime() }));
--- a/packages/node/src/stop.ts
+++ b/packages/node/src/stop.ts
@@ -6,15 +6,18 @@
 import type { Peers } from "./links/peers.js";
 import type { ShardOwnership } from "./ownership/ownership.js";
 import type { Tunnels } from "./paths/index.js";
-import type { CallerConnections } from "./requests/callerconnections.js";
+import type { Reception } from "./reception.js";
 import type { Serving } from "./requests/serving.js";
 
 /** Time until the load balancer sends no more callers to a stopping VM, in milliseconds: two failed checks. */
 const balancerNoticeMs = 2300;
 
-/** Share of the grace time after which running requests are cut off: the platform kills the process soon after. */
+/** Share of the grace time after which requests without a response are ended. */
 const requestGraceShare = 0.93;
 
+/** Share of the grace time after which all connections are closed: the platform kills the process soon after. */
+const connectionGraceShare = 0.95;
+
 /** Share of the grace time that the notice of the load balancer may take. */
 const noticeGraceShare = 0.75;
 
@@ -33,8 +36,8 @@
     readonly serving: Pick<Serving, "openCount" | "closeAfterResponses">;
     readonly ownEntry: Pick<OwnEntry, "append">;
     readonly ownership: Pick<ShardOwnership, "stop"> | undefined;
+    readonly reception: Pick<Reception, "connections" | "refuseWaiting" | "endUnanswered">;
     readonly callerServer: Server;
-    readonly callerConnections: Pick<CallerConnections, "closeIdle">;
     readonly tunnels: Pick<Tunnels, "pause" | "count">;
 }
 
@@ -42,8 +45,10 @@
 export interface StopTimes {
     /** When the listener for callers closes. */
     readonly closesAt: number;
-    /** When requests that still run are cut off. */
+    /** When requests without a response are ended. */
     readonly endsAt: number;
+    /** When connections are closed that still carry something. */
+    readonly cutsAt: number;
 }
 
 /** Finds the times of a planned stop. @param graceMs Time until the platform kills the process, in milliseconds. */
@@ -51,13 +56,15 @@
     return {
         closesAt: stoppedAt + Math.min(balancerNoticeMs, graceMs * noticeGraceShare),
         endsAt: stoppedAt + graceMs * requestGraceShare,
+        cutsAt: stoppedAt + graceMs * connectionGraceShare,
     };
 }
 
 /** Stops serving callers once running requests have finished or the grace time is over. */
 export async function runPlannedStop(options: PlannedStopOptions): Promise<void> {
     const { times, log, readTime, peers, serving, ownEntry, ownership } = options;
-    const { callerServer, callerConnections, tunnels } = options;
+    const { reception, callerServer, tunnels } = options;
+    const hasOpen = (): boolean => reception.connections.closeIdle(quietMs) || tunnels.count > 0;
     log.recordImportant("stop", { openRequests: serving.openCount });
     serving.closeAfterResponses();
     tunnels.pause();
@@ -68,9 +75,14 @@
     await wait(Math.max(0, times.closesAt - readTime()));
     // The `close` of the HTTP server also destroys connections whose complete responses were not sent completely.
     SocketServer.prototype.close.call(callerServer);
-    while ((callerConnections.closeIdle(quietMs) || tunnels.count > 0) && readTime() < times.endsAt) {
+    while (hasOpen() && readTime() < times.endsAt) {
+        reception.refuseWaiting();
         await wait(20);
     }
+    reception.endUnanswered();
+    while (hasOpen() && readTime() < times.cutsAt) {
+        await wait(5);
+    }
     log.recordImportant("stopped", { openRequests: serving.openCount });
     callerServer.closeAllConnections();
 }
--- a/packages/node/src/streams/resolver.ts
+++ b/packages/node/src/streams/resolver.ts
@@ -2,7 +2,7 @@
 import type { Route } from "@radishreel/routing";
 import type { DecisionLog } from "../decisions.js";
 import type { CallerDemand, StreamHistory } from "../ports.js";
-import type { RefusalResponse } from "../requests/caller.js";
+import type { RefusalResponse } from "../requests/refusal.js";
 import { mergeClaims } from "./claims.js";
 import type { StreamDirectory, StreamReplies } from "./directory.js";
 
--- a/packages/node/test/stop.test.ts
+++ b/packages/node/test/stop.test.ts
@@ -47,15 +47,15 @@
     const stop = (): Promise<void> => {
         const now = readNow();
         return runPlannedStop({
-            times: { closesAt: now + closesMs, endsAt: now + endsMs },
+            times: { closesAt: now + closesMs, endsAt: now + endsMs, cutsAt: now + endsMs },
             log: new DecisionLog({ program: "radishreel-node", vm: "front-1", sink, readTime: readNow }),
             readTime: readNow,
             peers: { broadcast: () => {} },
             serving: { openCount: 0, closeAfterResponses: () => {} },
             ownEntry: { append: () => {} },
             ownership: undefined,
+            reception: { connections: callerConnections, refuseWaiting: () => {}, endUnanswered: () => {} },
             callerServer: server,
-            callerConnections,
             tunnels: { pause: () => {}, count: 0 },
         });
     };
