Use an idle connection for a check of an incarnation right after its last use

Plain responses without framing of sound workers that may start again under their id were broken off where their VM had no connection that was idle for 40 ms: requests wait so long after a response, so that a second response to the last request is not taken for theirs. A check can tell by the request id that the response echoes; one without an id counts only after that time.

`node scripts/test.mjs platform/dist/test/restarted node/dist/test/incarnations`: 20 passed. With the request id not needed, and with the wait of 40 ms back, tests of these files fail.

--- a/packages/node/src/requests/identity.ts
+++ b/packages/node/src/requests/identity.ts
@@ -32,8 +32,15 @@
     const { pool, dialect, readTime, call, isFresh } = options;
     const connection = isFresh
         ? pool.open(upstream.id, upstream.address)
-        : pool.claim(upstream.id, upstream.address, false, readTime());
-    const shown = await readIdentity(connection, upstream, { dialect, call, limitMs: answerLimitMs });
+        : pool.claim(upstream.id, upstream.address, false, Infinity);
+    // Right after another response, one without the identifier of the call may be a second response to that request.
+    const needsRequestId = !connection.isReusable(readTime());
+    const shown = await readIdentity(connection, upstream, {
+        dialect,
+        call,
+        limitMs: answerLimitMs,
+        needsRequestId,
+    });
     if (shown === "incarnation" || shown === "name") {
         pool.release(upstream.id, connection, readTime());
     }
@@ -47,13 +54,15 @@
 export interface ReadIdentityOptions extends Pick<AskIdentityOptions, "dialect" | "call"> {
     /** Longest wait for the connection and the answer, in milliseconds. */
     readonly limitMs: number;
+    /** Whether an answer counts only if it echoes the identifier of the call. @default false */
+    readonly needsRequestId?: boolean;
 }
 
 /** Asks the process at the other end of a connection which incarnation it is. */
 export function readIdentity(
     connection: UpstreamConnection,
     upstream: Upstream,
-    { dialect, call, limitMs }: ReadIdentityOptions,
+    { dialect, call, limitMs, needsRequestId = false }: ReadIdentityOptions,
 ): Promise<ShownIdentity> {
     return new Promise(resolve => {
         const body = new ByteBuffer();
@@ -86,7 +95,7 @@
                 },
                 receiveEnd: () => {
                     const { requestId } = dialect.parseResponse(status, headers);
-                    const isForCall = requestId === undefined || requestId === call.requestId;
+                    const isForCall = requestId === undefined ? !needsRequestId : requestId === call.requestId;
                     const response = { status, headers, body: body.popAll().toString() };
                     finish(isForCall ? dialect.parseIdentity(upstream, response) : "nothing");
                 },
