Reset the other side of a tunnel if one side was reset without an error

A VM that carries a connection passed on a reset as an orderly end where it lay at the socket together with bytes. At its `end` a side must now have ended in order (`hasOrderlyEnd`); otherwise the other side is reset, in both directions. A side that this VM has ended first is no longer told from a reset, and resets the other one, which has ended by then.

The test's own reader took a reset behind bytes for an end as well; it now looks at the same proof.

--- a/packages/node/src/paths/tunnelserver.ts
+++ b/packages/node/src/paths/tunnelserver.ts
@@ -1,5 +1,5 @@
 import type { DirectPaths } from "@radishreel/fleet";
-import { createHttpServer, type ListenAddress } from "@radishreel/wire";
+import { createHttpServer, hasOrderlyEnd, type ListenAddress } from "@radishreel/wire";
 import { createHmac, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
@@ -137,6 +137,12 @@
                     to.resetAndDestroy();
                 }
             });
+            // Before the listener of `pipe`, which ends the other side in order.
+            from.on("end", () => {
+                if (!hasOrderlyEnd(from) && !to.destroyed) {
+                    to.resetAndDestroy();
+                }
+            });
             from.pipe(to);
         }
         upstreamSocket.on("close", () => socket.end());
--- a/packages/node/test/tunnelresets.test.ts
+++ b/packages/node/test/tunnelresets.test.ts
@@ -1,5 +1,6 @@
 /** Guards against tunnels that pass on the reset of one side as an orderly end. */
 import { DirectPaths } from "@radishreel/fleet";
+import { hasOrderlyEnd } from "@radishreel/wire";
 import { once } from "node:events";
 import { request as openRequest } from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
@@ -17,7 +18,8 @@
 /** Resolves with how a connection ends. */
 function waitEnd(socket: Socket): Promise<"ended" | "reset"> {
     return new Promise(resolve => {
-        socket.on("error", () => resolve("reset")).on("end", () => resolve("ended")).resume();
+        socket.on("error", () => resolve("reset")).on("end", () => resolve(hasOrderlyEnd(socket) ? "ended" : "reset"))
+            .resume();
     });
 }
 
