--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -47,8 +47,7 @@
     readonly readTime: () => number;
     readonly checkBeforeSend: () => boolean;
     /**
-     * Called before the caller receives anything of this attempt, for streams when their head arrives. Ends the attempt
-     * that this one replaces.
+     * Called before the caller receives anything of this attempt, for streams at their head. Ends the one it replaces.
      * @returns Whether this attempt may go on: false if the other one has. @default it may
      */
     readonly takeOver?: (() => boolean) | undefined;
