Count the wait for an incarnation from the write of the call

The check of a new connection included the time in which the connection opens, also through other VMs: at a VM that is cut off from its engines a slow tunnel could end the check. Opening has limits of its own.

--- a/packages/node/src/requests/connectioncheck.ts
+++ b/packages/node/src/requests/connectioncheck.ts
@@ -4,7 +4,7 @@
 import type { UpstreamConnection } from "./connections.js";
 import { readIdentity } from "./identity.js";
 
-/** Longest wait for a new connection and the answer on it, in milliseconds. */
+/** Longest wait for the answer on a new connection, in milliseconds. */
 const answerLimitMs = 400;
 
 /** Options of {@link createConnectionCheck}. */
--- a/packages/node/src/requests/identity.ts
+++ b/packages/node/src/requests/identity.ts
@@ -53,7 +53,7 @@
 
 /** Options of {@link readIdentity}. */
 export interface ReadIdentityOptions extends Pick<AskIdentityOptions, "dialect" | "call"> {
-    /** Longest wait for the connection and the answer, in milliseconds. */
+    /** Longest wait for the answer once the call was written, in milliseconds. */
     readonly limitMs: number;
     /** Whether an answer counts only if it echoes the identifier of the call. @default false */
     readonly needsRequestId?: boolean;
@@ -69,6 +69,7 @@
         const body = new ByteBuffer();
         let status = 0;
         let headers: RawHeaders = [];
+        let timer: NodeJS.Timeout | undefined;
         const finish = (shown: ShownIdentity): void => {
             clearTimeout(timer);
             resolve(shown);
@@ -83,6 +84,10 @@
             path: call.path,
             headers: [...call.headers],
             body: undefined,
+            checkBeforeSend: () => {
+                timer = setTimeout(cancel, limitMs);
+                return true;
+            },
             receiver: {
                 receiveHead: (receivedStatus, receivedHeaders) => {
                     status = receivedStatus;
@@ -103,7 +108,6 @@
                 receiveBreak: () => finish("nothing"),
             },
         });
-        const timer = setTimeout(cancel, limitMs);
         exchange.start();
     });
 }
