--- a/packages/node/src/crashes/incarnations.ts
+++ b/packages/node/src/crashes/incarnations.ts
@@ -27,7 +27,7 @@
 
 /** Options of {@link CalledIncarnationCheck}. */
 export interface CalledIncarnationCheckOptions {
-    readonly pool: Pick<ConnectionPool, "claim" | "open" | "release">;
+    readonly pool: Pick<ConnectionPool, "claim" | "release">;
     readonly dialect: Pick<RequestDialect, "createIdentityCall" | "parseIdentity" | "parseResponse">;
     readonly readTime: () => number;
     /** Opens a connection to an upstream and closes it. */
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -35,7 +35,6 @@
 import { findQuota, Quotas } from "./quotas/index.js";
 import { Reception } from "./reception.js";
 import { Admissions } from "./requests/admissions.js";
-import { createConnectionCheck } from "./requests/connectioncheck.js";
 import { ConnectionPool } from "./requests/connectionpool.js";
 import { UpstreamLimiter } from "./requests/limiter.js";
 import { Serving } from "./requests/serving.js";
@@ -92,7 +91,7 @@
     private stopping: Promise<void> | undefined;
 
     constructor(private readonly options: NodeOptions) {
-        const { settings, sink, dialect } = options;
+        const { settings, sink } = options;
         this.socketLimits = resolveSocketLimits(settings.maxSockets);
         this.servers = new HttpServers(this.socketLimits);
         this.log = new DecisionLog({ program: "radishreel-node", vm: settings.vm, sink, readTime: readNow });
@@ -113,7 +112,6 @@
         this.tunnels = this.createTunnels();
         this.pool = new ConnectionPool({
             connector: this.tunnels.connector,
-            checkConnection: createConnectionCheck({ view: this.view, cluster: () => this.cluster, dialect }),
             onOpen: () => this.overloadMonitor.recordWork("upstream connection"),
         });
         this.cluster = new ClusterState({
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -132,7 +132,7 @@
             body: options.body,
             receiver: this,
             checkBeforeSend: () => {
-                this.wasWritten = this.connection.isChecked && options.checkBeforeSend();
+                this.wasWritten = options.checkBeforeSend();
                 this.dataAt = this.wasWritten ? options.readTime() : undefined;
                 this.resolveWritten(this.wasWritten);
                 if (this.wasWritten) {
--- a/packages/node/src/requests/connectionpool.ts
+++ b/packages/node/src/requests/connectionpool.ts
@@ -1,5 +1,4 @@
 import { type ConnectTarget, DirectConnector, type UpstreamConnector } from "../paths/index.js";
-import type { ConnectionCheck } from "./connectioncheck.js";
 import { UpstreamConnection } from "./connections.js";
 
 /** Maximum number of idle connections to one upstream. */
@@ -9,8 +8,6 @@
 export interface ConnectionPoolOptions {
     /** @default direct connections */
     readonly connector?: UpstreamConnector | undefined;
-    /** Called for each new connection before any request is written. @default nothing is asked */
-    readonly checkConnection?: ConnectionCheck | undefined;
     /** Called for each new connection. */
     readonly onOpen?: (() => void) | undefined;
 }
@@ -41,18 +38,8 @@
         if (found !== undefined) {
             return found;
         }
-        const connection = this.open(upstreamId, address);
-        const shown = this.options.checkConnection?.(connection, upstreamId);
-        if (shown !== undefined) {
-            void connection.waitForCheck(shown);
-        }
-        return connection;
-    }
-
-    /** Opens a new connection, on which nothing is asked. */
-    open(upstreamId: string, address: string): UpstreamConnection {
         this.options.onOpen?.();
-        return new UpstreamConnection({ target: { upstream: upstreamId, address }, connector: this.connector });
+        return new UpstreamConnection({ target, connector: this.connector });
     }
 
     /** Closes a connection that must not be used again. */
--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -3,7 +3,6 @@
 import { Client } from "undici";
 import { readNow } from "../clock.js";
 import type { ConnectTarget, UpstreamConnector } from "../paths/index.js";
-import type { ShownIdentity } from "../ports.js";
 import { FramingLimit } from "./framinglimit.js";
 
 /** Idle timeout of a connection if the upstream announces none, in milliseconds. */
@@ -38,7 +37,6 @@
     private hasFailed = false;
     private isPaused = false;
     private lastUsedAt = 0;
-    private mayLeadElsewhere = false;
     private readonly framing = new FramingLimit();
     private readonly statusLines = new StatusLineCheck();
     private onFault: (detail: string) => void = () => {};
@@ -66,8 +64,8 @@
 
     /**
      * Whether the end of the connection proves that a response without framing is complete. To be called at the end of such
-     * a response only, as for {@link hasOrderlyEnd}. While the request is being written nothing is proven: an upstream that
-     * does not read the rest of it resets the connection, and that reset may still be on its way.
+     * a response only, as for {@link hasOrderlyEnd}. While the system has not taken the whole request nothing is proven: an
+     * upstream that does not read the rest of it resets the connection, and that reset may still be on its way.
      */
     hasProvenEnd(): boolean {
         return this.socket !== undefined && this.socket.writableLength === 0 && hasOrderlyEnd(this.socket);
@@ -78,11 +76,6 @@
         return this.carrier;
     }
 
-    /** Whether requests may be written: the connection leads to the incarnation that it was opened for. */
-    get isChecked(): boolean {
-        return !this.mayLeadElsewhere;
-    }
-
     get isUsable(): boolean {
         return !this.hasFailed && !this.client.closed && !this.client.destroyed;
     }
@@ -103,16 +96,6 @@
         }
     }
 
-    /** Waits until a call that was written first has shown where the connection leads. Closes it unless that is certain. */
-    async waitForCheck(shown: Promise<ShownIdentity>): Promise<void> {
-        this.mayLeadElsewhere = true;
-        if (await shown === "incarnation") {
-            this.mayLeadElsewhere = false;
-            return;
-        }
-        this.cancel();
-    }
-
     /**
      * Starts to check the bytes of another response.
      * @param onFault Called once they can be no response, or too many are no content; the connection is reset afterwards.
--- a/packages/node/src/requests/identity.ts
+++ b/packages/node/src/requests/identity.ts
@@ -13,7 +13,7 @@
 
 /** Options of {@link askIdentity}. */
 export interface AskIdentityOptions {
-    readonly pool: Pick<ConnectionPool, "claim" | "open" | "release">;
+    readonly pool: Pick<ConnectionPool, "claim" | "release">;
     readonly dialect: Pick<RequestDialect, "parseIdentity" | "parseResponse">;
     readonly readTime: () => number;
     readonly call: IdentityCall;
@@ -31,9 +31,7 @@
 /** Asks the process at the address of an upstream which incarnation it is. Without a whole answer it shows nothing. */
 export async function askIdentity(upstream: Upstream, options: AskIdentityOptions): Promise<IdentityAnswer> {
     const { pool, dialect, readTime, call, isFresh } = options;
-    const connection = isFresh
-        ? pool.open(upstream.id, upstream.address)
-        : pool.claim(upstream.id, upstream.address, false, Infinity);
+    const connection = pool.claim(upstream.id, upstream.address, isFresh, Infinity);
     // Right after another response, one without the identifier of the call may be a second response to that request.
     const needsRequestId = !connection.isReusable(readTime());
     const shown = await readIdentity(connection, upstream, {
