Break off answers of engines without a length whose connection was reset

What callers of the gateway and the agent would see: an answer with neither a length nor chunks that was reset right behind some bytes, or closed while its upload was still being written, passed for a complete one.

Cause: `onResponseEnd` of the exchange believed each end, and undici calls it after a reset as well.

Change: for an answer that only the close of its connection ends, the connection must have ended in order (`hasOrderlyEnd`) with nothing left to write; otherwise the exchange breaks with `connectionLost` while answering. undici does not tell the connection of a request, but writes a request in the turn in which it announces it: the first write after `onRequestStart` tells. An exchange whose connection is not known proves nothing.

--- a/packages/upstreams/src/exchange.ts
+++ b/packages/upstreams/src/exchange.ts
@@ -5,7 +5,7 @@
     type NotRunVerdict,
     type Reason,
 } from "@radishreel/verdict";
-import { findCodingFault, SocketReader, StatusLineCheck } from "@radishreel/wire";
+import { findCodingFault, hasOrderlyEnd, SocketReader, StatusLineCheck } from "@radishreel/wire";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import { Agent, buildConnector, type Dispatcher } from "undici";
@@ -84,10 +84,11 @@
 /** Pooled connections to upstreams. */
 export class UpstreamConnections {
     private readonly agent: Agent;
+    private readonly writes = new RequestWrites();
 
     constructor(options: UpstreamConnectionsOptions = {}) {
         this.agent = new Agent({
-            connect: createConnector(options.connectTimeoutMs ?? 1000),
+            connect: createConnector(options.connectTimeoutMs ?? 1000, this.writes),
             keepAliveTimeout: options.keepAliveMs ?? 4000,
             keepAliveMaxTimeout: options.keepAliveMs ?? 4000,
             pipelining: 1,
@@ -100,7 +101,7 @@
 
     /** Starts a request. */
     open(options: ExchangeOptions): Exchange {
-        return new UndiciExchange(this.agent, options);
+        return new UndiciExchange(this.agent, this.writes, options);
     }
 
     /** Closes every connection after its request has ended. */
@@ -109,14 +110,30 @@
     }
 }
 
+/** Tells on which connection a request is written: undici does not, but writes a request as soon as it has announced it. */
+class RequestWrites {
+    private onWrite: (socket: Socket) => void = () => {};
+
+    /** @param onWrite Called with the connection of the next write. */
+    begin(onWrite: (socket: Socket) => void): void {
+        this.onWrite = onWrite;
+    }
+
+    record(socket: Socket): void {
+        const { onWrite } = this;
+        this.onWrite = () => {};
+        onWrite(socket);
+    }
+}
+
 /** Creates a connector whose connections read in shares: an upstream may send small chunks as fast as they are read. */
-function createConnector(timeoutMs: number): buildConnector.connector {
+function createConnector(timeoutMs: number, writes: RequestWrites): buildConnector.connector {
     const connect = buildConnector({ timeout: timeoutMs });
     return (options, callback) => {
         connect(options, (...result) => {
             const [error, socket] = result;
             if (error === null) {
-                applyChecks(socket);
+                applyChecks(socket, writes);
             }
             callback(...result);
         });
@@ -124,12 +141,13 @@
 }
 
 /** Makes a connection read in shares, and ends it at a status line that is not of HTTP/1.x. */
-function applyChecks(socket: Socket): void {
+function applyChecks(socket: Socket, writes: RequestWrites): void {
     const reader = new SocketReader({ socket });
     const statusLines = new StatusLineCheck();
     const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
     socket.write = (...args: unknown[]): boolean => {
         statusLines.restart();
+        writes.record(socket);
         return write(...args);
     };
     socket.read = (size): unknown => {
@@ -149,8 +167,10 @@
     private controller: Dispatcher.DispatchController | undefined;
     private cancelReason: Reason | undefined;
     private silenceTimer: NodeJS.Timeout | undefined;
+    private socket: Socket | undefined;
+    private isCloseDelimited = false;
 
-    constructor(agent: Agent, private readonly options: ExchangeOptions) {
+    constructor(agent: Agent, private readonly writes: RequestWrites, private readonly options: ExchangeOptions) {
         this.end = new Promise(resolve => {
             this.finishExchange = resolve;
         });
@@ -199,6 +219,7 @@
             return;
         }
         this.phase = "waiting";
+        this.writes.begin(socket => this.socket = socket);
         this.startSilenceTimer();
     }
 
@@ -213,6 +234,7 @@
             return;
         }
         this.phase = "answering";
+        this.isCloseDelimited = isEndedByClose(this.options.method, status, headers);
         this.silenceTimer?.refresh();
         this.options.receiver.receiveHead(status, headers);
     }
@@ -224,6 +246,16 @@
 
     onResponseEnd(): void {
         clearTimeout(this.silenceTimer);
+        if (this.isCloseDelimited && !this.hasProvenEnd()) {
+            const detail = "connection reset before the end of the answer";
+            this.finishExchange({
+                kind: "broken",
+                phase: this.phase,
+                reason: this.cancelReason ?? "connectionLost",
+                detail,
+            });
+            return;
+        }
         this.finishExchange({ kind: "answered" });
     }
 
@@ -233,8 +265,22 @@
         this.finishExchange({ kind: "broken", phase: this.phase, reason, detail: error.message });
     }
 
+    /**
+     * Whether the end of the connection proves that the answer is complete. While the request is being written nothing is
+     * proven: an upstream that does not read the rest of it resets the connection, and that reset may still be on its way.
+     */
+    private hasProvenEnd(): boolean {
+        return this.socket !== undefined && this.socket.writableLength === 0 && hasOrderlyEnd(this.socket);
+    }
+
     private startSilenceTimer(): void {
         clearTimeout(this.silenceTimer);
         this.silenceTimer = setTimeout(() => this.cancel("upstreamSilent"), this.options.silenceMs);
     }
 }
+
+/** Whether only the close of its connection marks the end of an answer. */
+function isEndedByClose(method: string, status: number, headers: IncomingHttpHeaders): boolean {
+    const hasBody = method !== "HEAD" && status !== 204 && status !== 304;
+    return hasBody && headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+}
