Count no pause of the VM against an upstream in the check of an end

What callers would see: a whole stream without framing that is broken off (`endDoubted late`) since the VM stood still while its worker answered the check. Cause: the limits of the check were plain timers, which are due before what arrived meanwhile has been read. Change: `scheduleWhileAwake` runs after the reads, and gives a process that was suspended 200 ms more, since handling an answer takes several turns.

--- a/packages/node/src/clock.ts
+++ b/packages/node/src/clock.ts
@@ -80,6 +80,28 @@
     };
 }
 
+/** Delay of a timer by which this process counts as suspended meanwhile, in milliseconds. */
+const suspendedMs = 50;
+
+/** Time for what arrived while this process was suspended, in milliseconds. */
+const resumeMs = 200;
+
+/**
+ * Schedules a callback like {@link scheduleAfterReads}, and later if this process was suspended meanwhile: it may take
+ * several turns to handle what arrived.
+ */
+export function scheduleWhileAwake(run: () => void, waitMs: number): ScheduledRun {
+    const dueAt = readNow() + waitMs;
+    let scheduled = scheduleAfterReads(() => {
+        if (readNow() - dueAt < suspendedMs) {
+            run();
+            return;
+        }
+        scheduled = scheduleAfterReads(run, resumeMs);
+    }, waitMs);
+    return { cancel: () => scheduled.cancel() };
+}
+
 /** Timers of this process. */
 export const processTimers: Timers = {
     scheduleOnce: (run, waitMs) => {
--- a/packages/node/src/crashes/endcheck.ts
+++ b/packages/node/src/crashes/endcheck.ts
@@ -1,5 +1,6 @@
 import type { FleetView, Upstream } from "@radishreel/fleet";
 import { setTimeout as wait } from "node:timers/promises";
+import { scheduleWhileAwake } from "../clock.js";
 import type { DecisionLog } from "../decisions.js";
 import type { IncarnationCheck, IncarnationResult, KnownRun } from "./incarnations.js";
 
@@ -54,12 +55,8 @@
 }
 
 async function runCheck(check: () => Promise<IncarnationResult>): Promise<IncarnationResult | "late"> {
-    const finished = new AbortController();
-    const late = wait(checkLimitMs, "late" as const, { signal: finished.signal }).catch(() => "late" as const);
-    try {
-        return await Promise.race([check(), late]);
-    }
-    finally {
-        finished.abort();
-    }
+    return new Promise((resolve, reject) => {
+        const timer = scheduleWhileAwake(() => resolve("late"), checkLimitMs);
+        check().then(resolve, reject).finally(() => timer.cancel());
+    });
 }
--- a/packages/node/src/requests/identity.ts
+++ b/packages/node/src/requests/identity.ts
@@ -1,5 +1,6 @@
 import type { Upstream } from "@radishreel/fleet";
 import { ByteBuffer } from "@radishreel/wire";
+import { type ScheduledRun, scheduleWhileAwake } from "../clock.js";
 import type { IdentityCall, RawHeaders, RequestDialect, ShownIdentity } from "../ports.js";
 import type { ConnectionPool } from "./connectionpool.js";
 import type { UpstreamConnection } from "./connections.js";
@@ -67,9 +68,9 @@
         const body = new ByteBuffer();
         let status = 0;
         let headers: RawHeaders = [];
-        let timer: NodeJS.Timeout | undefined;
+        let timer: ScheduledRun | undefined;
         const finish = (shown: ShownIdentity): void => {
-            clearTimeout(timer);
+            timer?.cancel();
             resolve(shown);
         };
         const cancel = (): void => {
@@ -83,7 +84,7 @@
             headers: [...call.headers],
             body: undefined,
             checkBeforeSend: () => {
-                timer = setTimeout(cancel, limitMs);
+                timer = scheduleWhileAwake(cancel, limitMs);
                 return true;
             },
             receiver: {
