--- a/packages/node/src/requests/identity.ts
+++ b/packages/node/src/requests/identity.ts
@@ -6,7 +6,7 @@
 import type { UpstreamConnection } from "./connections.js";
 import { Exchange } from "./exchange.js";
 
-/** Longest wait for an answer, in milliseconds: a sound upstream may be silent for a second. */
+/** Longest wait for an answer to a call that was written, in milliseconds: a sound upstream may be silent for a second. */
 const answerLimitMs = 1300;
 
 /** Maximum bytes of the body of an answer. */
@@ -35,12 +35,7 @@
     const connection = pool.claim(upstream.id, upstream.address, isFresh, Infinity);
     // Right after another response, one without the identifier of the call may be a second response to that request.
     const needsRequestId = !connection.isReusable(readTime());
-    const shown = await readIdentity(connection, upstream, {
-        dialect,
-        call,
-        limitMs: answerLimitMs,
-        needsRequestId,
-    });
+    const shown = await readIdentity(connection, upstream, { dialect, call, needsRequestId });
     if (shown === "incarnation" || shown === "name") {
         pool.release(upstream.id, connection, readTime());
     }
@@ -51,18 +46,16 @@
 }
 
 /** Options of {@link readIdentity}. */
-export interface ReadIdentityOptions extends Pick<AskIdentityOptions, "dialect" | "call"> {
-    /** Longest wait for the answer once the call was written, in milliseconds. */
-    readonly limitMs: number;
-    /** Whether an answer counts only if it echoes the identifier of the call. @default false */
-    readonly needsRequestId?: boolean;
+interface ReadIdentityOptions extends Pick<AskIdentityOptions, "dialect" | "call"> {
+    /** Whether an answer counts only if it echoes the identifier of the call. */
+    readonly needsRequestId: boolean;
 }
 
 /** Asks the process at the other end of a connection which incarnation it is. */
-export function readIdentity(
+function readIdentity(
     connection: UpstreamConnection,
     upstream: Upstream,
-    { dialect, call, limitMs, needsRequestId = false }: ReadIdentityOptions,
+    { dialect, call, needsRequestId }: ReadIdentityOptions,
 ): Promise<ShownIdentity> {
     return new Promise(resolve => {
         const body = new ByteBuffer();
@@ -84,7 +77,7 @@
             headers: [...call.headers],
             body: undefined,
             checkBeforeSend: () => {
-                timer = scheduleWhileAwake(cancel, limitMs);
+                timer = scheduleWhileAwake(cancel, answerLimitMs);
                 return true;
             },
             receiver: {
