Log when a request was received, how late the process was at its write, and callers that left before it

The lines of an attempt counted from the choice on, so they did not tell whether a request had waited unread, for its choice, or at its upstream, and a request that was dropped since its caller had left wrote no line. `receivedMs` and `lagMs` of `attempt`, and the event `callerLeft`, do.

--- a/packages/node/src/overload.ts
+++ b/packages/node/src/overload.ts
@@ -33,6 +33,7 @@
     private checkedAt: number;
     private reportedAt: number;
     private overloadReportedAt: number;
+    private newestLagMs = 0;
     private reportedProcessorMs: number;
     private reportedIterations: number;
 
@@ -58,11 +59,18 @@
         this.recordWork("bytes passed", bytesPassed);
     }
 
+    /** Returns the delay of the housekeeping timer when it last ran, or of the run that is due, in milliseconds. */
+    readLag(): number {
+        const { readTime, intervalMs } = this.options;
+        return Math.max(this.newestLagMs, readTime() - this.checkedAt - intervalMs);
+    }
+
     /** Called by the housekeeping timer. */
     check(): void {
         const { readTime, intervalMs, onLag } = this.options;
         const now = readTime();
         const lagMs = Math.max(0, now - this.checkedAt - intervalMs);
+        this.newestLagMs = lagMs;
         this.checkedAt = now;
         onLag(lagMs);
         if (lagMs > overloadLagMs && now - this.overloadReportedAt >= reportIntervalMs) {
--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -361,6 +361,7 @@
             onRetryClaim: (service, isGranted) => this.metrics.recordRetryClaim(service, isGranted),
             onChoice: () => this.recordChoice(),
             onRedirect: () => this.metrics.recordRedirect(),
+            readLag: () => this.overloadMonitor.readLag(),
             startWaitMs: settings.startWaitMs,
         });
     }
--- a/packages/node/src/requests/attemptline.ts
+++ b/packages/node/src/requests/attemptline.ts
@@ -7,10 +7,15 @@
 /** Shortest silence that the log line of an attempt names, in milliseconds. */
 const minLoggedSilenceMs = 200;
 
+/** Shortest delay of the housekeeping timer that the log line of an attempt names, in milliseconds. */
+const minLoggedLagMs = 50;
+
 /** What is known of one attempt for its log line. Times are in milliseconds. */
 export interface AttemptRecord {
     readonly sentAt: number;
     writtenAt: number | undefined;
+    /** Delay of this process when the request was written, or when the attempt ended without that. */
+    lagMs: number;
     responseStartedAt: number | undefined;
     metadata: ResponseMetadata;
     /** Time since the version of the choice was replaced. */
@@ -41,6 +46,7 @@
     return {
         ...start,
         writtenAt: undefined,
+        lagMs: 0,
         responseStartedAt: undefined,
         metadata: emptyMetadata,
         limitStatements: 0,
@@ -76,7 +82,9 @@
         replacedMs: record.replacedMs,
         waitedMs: Math.round(job.waitedMs),
         via: record.via,
+        receivedMs: formatElapsed(job.startedAt, sentAt),
         writtenMs: formatElapsed(sentAt, record.writtenAt),
+        lagMs: record.lagMs < minLoggedLagMs ? undefined : Math.round(record.lagMs),
         begunMs: formatElapsed(sentAt, record.responseStartedAt),
         ms: Math.round(now - sentAt),
         silentMs: record.silentMs < minLoggedSilenceMs ? undefined : Math.round(record.silentMs),
@@ -103,6 +111,20 @@
     return limit?.kind === "limited" ? limit.perSecond : limit?.kind === "unreadable" ? limit.kind : undefined;
 }
 
+/** A request whose caller has left while no upstream had it. */
+export type LeftRequest = Pick<Job, "demand" | "startedAt" | "attempts" | "waitedMs">;
+
+/** Formats the fields of the log line of such a request. @param lagMs Delay of this process, in milliseconds. */
+export function formatLeft({ demand, startedAt, attempts, waitedMs }: LeftRequest, now: number, lagMs: number): object {
+    return {
+        request: demand.requestId,
+        ms: Math.round(now - startedAt),
+        attempts,
+        waitedMs: Math.round(waitedMs),
+        lagMs: Math.round(lagMs),
+    };
+}
+
 /** A request whose last attempt has ended. */
 export interface EndedRequest {
     readonly job: Job;
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -20,7 +20,15 @@
 import type { Admissions } from "./admissions.js";
 import { Attempt } from "./attempt.js";
 import type { AttemptEnd } from "./attemptend.js";
-import { type AttemptRecord, createAttemptRecord, formatAttempt, formatElapsed, formatServed } from "./attemptline.js";
+import {
+    type AttemptRecord,
+    createAttemptRecord,
+    formatAttempt,
+    formatElapsed,
+    formatLeft,
+    formatServed,
+    type LeftRequest,
+} from "./attemptline.js";
 import type { CallerExchange } from "./caller.js";
 import { UpstreamChooser } from "./chooser.js";
 import type { ConnectionPool } from "./connectionpool.js";
@@ -99,6 +107,8 @@
     readonly onChoice: () => void;
     /** Called when a request chooses again because its engine is busier than this VM knew. */
     readonly onRedirect: () => void;
+    /** Returns how late the timers of this process are, in milliseconds. @default 0 */
+    readonly readLag?: (() => number) | undefined;
     /** Maximum wait of requests for a process that has just started, in milliseconds. @default 300 */
     readonly startWaitMs?: number | undefined;
 }
@@ -109,6 +119,7 @@
     readonly demand: CallerDemand;
     readonly claim: AccountClaim | undefined;
     readonly maxBodyBytes: number;
+    readonly startedAt: number;
     /** End of the request's time, in milliseconds. */
     readonly deadlineAt: number;
 }
@@ -135,9 +146,11 @@
     private readonly successors: Successors;
     private readonly results: AttemptResults;
     private readonly readBoot: () => number;
+    private readonly readLag: () => number;
 
     constructor(private readonly options: ServingOptions) {
         this.readBoot = options.readBoot ?? options.readTime;
+        this.readLag = options.readLag ?? (() => 0);
         this.retries = new Retries(options);
         this.results = new AttemptResults({
             ...options,
@@ -248,7 +261,14 @@
         const claim = this.options.accounts.createClaim(account, demand);
         const { maxBodyBytes } = table.routing.limits;
         const deadlineAt = startedAt + Math.min(demand.budgetMs ?? Infinity, route.timeoutMs);
-        const body = await this.readBodyAndClaimQuota({ caller, demand, claim, maxBodyBytes, deadlineAt });
+        const body = await this.readBodyAndClaimQuota({
+            caller,
+            demand,
+            claim,
+            maxBodyBytes,
+            startedAt,
+            deadlineAt,
+        });
         if (body === undefined) {
             return;
         }
@@ -284,7 +304,7 @@
 
     /** Reads the body while the quota is claimed; undefined if the caller has left or the request was refused. */
     private async readBodyAndClaimQuota(
-        { caller, demand, claim, maxBodyBytes, deadlineAt }: BodyReadOptions,
+        { caller, demand, claim, maxBodyBytes, startedAt, deadlineAt }: BodyReadOptions,
     ): Promise<Buffer | undefined> {
         const { accounts, readTime } = this.options;
         const [body, refusal] = await Promise.all([
@@ -295,6 +315,7 @@
             accounts.releaseQuota(claim);
         }
         if (caller.hasLeft) {
+            this.recordLeft({ demand, startedAt, attempts: 0, waitedMs: 0 });
             return undefined;
         }
         if (body === undefined) {
@@ -439,6 +460,7 @@
             // The state that the choice was based on may have changed by the time that the connection is open.
             checkBeforeSend: () => {
                 record.writtenAt = this.maySend(job, choice, identity, grant) ? readTime() : undefined;
+                record.lagMs = this.readLag();
                 record.limitStatements = view.limits.countStatements(upstream.id);
                 job.caller.possibleRuns += record.writtenAt === undefined ? 0 : 1;
                 if (record.writtenAt !== undefined && job.service.engine === undefined) {
@@ -589,6 +611,7 @@
     /** Finishes a request without a successful response. The last failure determines what the caller receives. */
     private finishUnserved(job: Job, last: AttemptEnd | undefined, reason?: RefusalReason): void {
         if (job.caller.hasLeft) {
+            this.recordLeft(job);
             return;
         }
         if (last?.kind === "failed") {
@@ -659,6 +682,11 @@
         caller.refuse(refusal);
     }
 
+    /** Records that a request goes to no upstream any more, since its caller has left. */
+    private recordLeft(request: LeftRequest): void {
+        this.options.log.record("callerLeft", formatLeft(request, this.options.readTime(), this.readLag()));
+    }
+
     private recordEnd(job: Job, kind: AttemptEnd["kind"], choice: UpstreamChoice): void {
         const longPromptTokens = Math.round(this.longPromptThreshold.tokens);
         const now = this.options.readTime();
