Send no request whose caller has left while the VM stood still or was slow

Callers whose requests had waited at a VM's socket, together with the close of their connections, had their requests sent on: up to 40 of 40 after a standstill of the VM, and 32 and 36 of 180 more than half a second late at a VM that runs 5 of each 100 ms.

Cause: the HTTP parser hands a request out in the iteration of the event loop that reads it, and the close is read in a later one. Nothing waited for that, neither after the read nor after a wait for an owner, a connection or a second attempt, and the response learned of the close only once the socket was closed on both sides. The class: a decision that rests on events which lie unread.

A request now goes on only once the reads of a whole iteration have followed its own, and again before its write if more than 100 ms have passed since, on a connection that is open by then. The end of the caller's connection is noticed where it is read, also behind requests that wait. The wait is shared by all requests of an iteration.

--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -45,6 +45,8 @@
     /** Time left until the deadline of the request, in milliseconds. */
     readonly timeLeftMs: number;
     readonly readTime: () => number;
+    /** Waits until it is known whether the caller has left; undefined if it is known. @default it is known */
+    readonly checkCaller?: (() => Promise<void> | undefined) | undefined;
     readonly checkBeforeSend: () => boolean;
     /**
      * Called before the caller receives anything of this attempt, for streams at their head. Ends the one it replaces.
@@ -131,6 +133,7 @@
             headers: dialect.createHeaders(caller.headers, send),
             body: options.body,
             receiver: this,
+            checkWanted: options.checkCaller,
             checkBeforeSend: () => {
                 this.wasWritten = options.checkBeforeSend();
                 this.dataAt = this.wasWritten ? options.readTime() : undefined;
--- a/packages/node/src/requests/caller.ts
+++ b/packages/node/src/requests/caller.ts
@@ -41,6 +41,8 @@
     possibleRuns = 0;
     /** Time for which the request waited for the requests before it on its connection, in milliseconds. */
     waitedMs = 0;
+    /** When the connection was last found open, in milliseconds: what had arrived there before has been read. */
+    checkedAt = -Infinity;
     /** The response to a request whose body was not read completely. @default that to a body that is too large */
     bodyRefusal: RefusalResponse | undefined;
     /** Number and total bytes of the chunks of an upstream's response that were written to this caller. */
@@ -53,7 +55,7 @@
     ) {
         this.left = new Promise(resolve => this.leftListeners.push(() => resolve(undefined)));
         this.writer = new ResponseWriter(response);
-        response.on("close", () => this.receiveClose());
+        response.on("close", () => this.receiveDeparture());
         response.sendDate = false;
     }
 
@@ -265,7 +267,8 @@
         }
     }
 
-    private receiveClose(): void {
+    /** Stops serving the request unless its response has been sent: its caller has closed the connection, or that failed. */
+    receiveDeparture(): void {
         if (!this.response.writableFinished) {
             this.endServing();
         }
--- a/packages/node/src/requests/callerconnections.ts
+++ b/packages/node/src/requests/callerconnections.ts
@@ -37,13 +37,16 @@
 
     /** Adds a connection that a caller has opened. */
     add(socket: Socket): void {
-        this.connections.set(socket, {
+        const connection: CallerConnection = {
             socket,
             current: undefined,
             waiting: [],
             idleSince: this.readTime(),
             idleBytes: socket.bytesRead,
-        });
+        };
+        this.connections.set(socket, connection);
+        // The responses learn of this only once the connection is closed on both sides.
+        socket.once("end", () => receiveDeparture(connection)).once("error", () => receiveDeparture(connection));
         socket.once("close", () => this.connections.delete(socket));
     }
 
@@ -98,3 +101,9 @@
         }
     }
 }
+
+/** Stops serving the requests of a connection that its caller has closed, or that has failed. */
+function receiveDeparture({ current, waiting }: CallerConnection): void {
+    current?.receiveDeparture();
+    waiting.forEach(({ caller }) => caller.receiveDeparture());
+}
--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -17,6 +17,8 @@
  */
 const reuseDelayMs = 40;
 
+const closedError = new Error("connection closed");
+
 /** Options of {@link UpstreamConnection}. */
 export interface UpstreamConnectionOptions {
     readonly target: ConnectTarget;
@@ -32,7 +34,8 @@
     openedAt = Infinity;
     private readonly opening = new AbortController();
     private carrier: string | undefined;
-    private isOpened = false;
+    private isUsed = false;
+    private opened: Promise<Socket> | undefined;
     private socket: Socket | undefined;
     private hasFailed = false;
     private isPaused = false;
@@ -50,13 +53,24 @@
             keepAliveMaxTimeout: keepAliveMs * 4,
             keepAliveTimeoutThreshold: keepAliveMarginMs,
             maxResponseSize: options.maxBodyBytes ?? -1,
-            connect: (_options, callback) => void this.openSocket(callback),
+            connect: (_options, callback) => void this.passSocket(callback),
         });
         this.client.on("disconnect", () => {
             this.hasFailed = true;
         });
     }
 
+    /** Whether the connection has been opened. */
+    get isOpen(): boolean {
+        return this.socket !== undefined;
+    }
+
+    /** Opens the connection before its first request; rejects as its connector does. */
+    async open(): Promise<void> {
+        this.opened ??= this.openSocket();
+        await this.opened;
+    }
+
     /** Whether the connection has failed, or was reset with an error that this process has seen. */
     get wasReset(): boolean {
         return this.socket?.errored !== null && this.socket?.errored !== undefined;
@@ -162,25 +176,39 @@
         return null;
     }
 
-    private async openSocket(callback: (...args: [Error, null] | [null, Socket]) => void): Promise<void> {
-        if (this.isOpened) {
+    /** Passes the socket to undici, once. */
+    private async passSocket(callback: (...args: [Error, null] | [null, Socket]) => void): Promise<void> {
+        if (this.isUsed) {
             // A request was checked for this connection only; undici must not reconnect on its own.
-            callback(new Error("connection closed"), null);
+            callback(closedError, null);
             return;
         }
-        this.isOpened = true;
-        const { target, connector } = this.options;
+        this.isUsed = true;
         try {
-            const { socket, via } = await connector.open(target, this.opening.signal);
-            this.socket = socket;
-            this.openedAt = readNow();
-            const reader = new SocketReader({ socket });
-            socket.read = (size): unknown => this.isPaused ? null : this.checkRead(reader.read(size));
-            this.carrier = via;
-            callback(null, socket);
+            await this.open();
         }
         catch (error) {
             callback(error as Error, null);
+            return;
+        }
+        const { socket } = this;
+        if (socket === undefined || socket.destroyed || socket.readableEnded) {
+            callback(closedError, null);
+            return;
         }
+        callback(null, socket);
+    }
+
+    private async openSocket(): Promise<Socket> {
+        const { target, connector } = this.options;
+        const { socket, via } = await connector.open(target, this.opening.signal);
+        // The connection may fail before undici listens for that.
+        socket.on("error", () => {});
+        this.socket = socket;
+        this.openedAt = readNow();
+        const reader = new SocketReader({ socket });
+        socket.read = (size): unknown => this.isPaused ? null : this.checkRead(reader.read(size));
+        this.carrier = via;
+        return socket;
     }
 }
--- a/packages/node/src/requests/exchange.ts
+++ b/packages/node/src/requests/exchange.ts
@@ -41,6 +41,11 @@
     readonly headers: string[];
     readonly body: Buffer | undefined;
     readonly receiver: ExchangeReceiver;
+    /**
+     * Waits, on an open connection, until it is known whether the request is still wanted; undefined if that is known.
+     * @default it is known
+     */
+    readonly checkWanted?: (() => Promise<void> | undefined) | undefined;
     /** Called in the same step as the write; if it returns false, nothing is written. */
     readonly checkBeforeSend?: () => boolean;
 }
@@ -54,6 +59,30 @@
     constructor(private readonly options: ExchangeOptions) {}
 
     start(): void {
+        const { connection, checkWanted } = this.options;
+        if (checkWanted === undefined || (connection.isOpen && checkWanted() === undefined)) {
+            this.dispatch();
+            return;
+        }
+        void this.dispatchChecked(checkWanted);
+    }
+
+    /** Opens the connection first: how long that takes is not known, and the request may not be wanted any more. */
+    private async dispatchChecked(checkWanted: () => Promise<void> | undefined): Promise<void> {
+        try {
+            await this.options.connection.open();
+            await checkWanted();
+        }
+        catch (error) {
+            this.receiveError(error as Error);
+            return;
+        }
+        if (!this.hasEnded) {
+            this.dispatch();
+        }
+    }
+
+    private dispatch(): void {
         const { connection, method, path, headers, body } = this.options;
         try {
             connection.client.dispatch({ method, path, headers, body }, this);
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -16,7 +16,7 @@
 import type { DecisionLog } from "../decisions.js";
 import type { ClusterState } from "../knowledge/cluster.js";
 import type { CallerDemand, CallerIdentity, RequestDialect } from "../ports.js";
-import { endedRetrySeconds, type StreamResolution, type Streams } from "../streams/index.js";
+import type { StreamResolution, Streams } from "../streams/index.js";
 import type { Admissions } from "./admissions.js";
 import { Attempt } from "./attempt.js";
 import type { AttemptEnd } from "./attemptend.js";
@@ -44,20 +44,15 @@
 } from "./job.js";
 import type { LimitGrant, UpstreamLimiter } from "./limiter.js";
 import type { ResponseMetadata } from "./metadata.js";
+import { CallerPresence } from "./presence.js";
 import type { RefusalReason, RefusalResponse } from "./refusal.js";
-import {
-    bodyTooLargeRefusal,
-    createBackoffRefusal,
-    createDeclinedRefusal,
-    createLimitRefusal,
-    retryAfterSeconds,
-} from "./refusals.js";
+import { bodyTooLargeRefusal, retryAfterSeconds } from "./refusals.js";
 import { createBodyHeaders } from "./responseheaders.js";
 import { AttemptResults } from "./results.js";
 import { Retries, type RetriesOptions } from "./retries.js";
-import { createBusyRefusal } from "./returns.js";
 import { type FinishedAttempt, type RunningAttempt, type SilenceOutcome, Successors } from "./successors.js";
-import { readLastSendAt, readSilenceLimits, type SilenceLimits } from "./timelimit.js";
+import { readSilenceLimits, type SilenceLimits } from "./timelimit.js";
+import { UnservedRefusals } from "./unserved.js";
 
 /**
  * Maximum wait of requests until a newly started process has read routes and upstreams, in milliseconds. Reading takes
@@ -145,11 +140,14 @@
     private readonly retries: Retries;
     private readonly successors: Successors;
     private readonly results: AttemptResults;
+    private readonly refusals: UnservedRefusals;
+    private readonly presence: CallerPresence;
     private readonly readBoot: () => number;
     private readonly readLag: () => number;
 
     constructor(private readonly options: ServingOptions) {
         this.readBoot = options.readBoot ?? options.readTime;
+        this.presence = new CallerPresence({ readBoot: this.readBoot });
         this.readLag = options.readLag ?? (() => 0);
         this.retries = new Retries(options);
         this.results = new AttemptResults({
@@ -164,6 +162,7 @@
             longPromptThreshold: this.longPromptThreshold,
             mayRun: job => this.mayRun(job),
         });
+        this.refusals = new UnservedRefusals({ ...options, chooser: this.chooser });
         this.successors = new Successors({
             ...options,
             chooser: this.chooser,
@@ -272,6 +271,7 @@
         if (body === undefined) {
             return;
         }
+        await this.presence.check(caller);
         this.options.budgets(service.name).recordRequest(startedAt);
         await this.runWithRelease(createJob({
             caller,
@@ -457,6 +457,7 @@
             takeOver,
             progress: job.progress,
             readTime,
+            checkCaller: () => this.presence.check(job.caller),
             // The state that the choice was based on may have changed by the time that the connection is open.
             checkBeforeSend: () => {
                 record.writtenAt = this.maySend(job, choice, identity, grant) ? readTime() : undefined;
@@ -624,46 +625,7 @@
             job.caller.endResponse(last.body);
             return;
         }
-        this.refuse(job.caller, job.demand, this.createRefusal(job, last, reason));
-    }
-
-    private createRefusal(job: Job, last: AttemptEnd | undefined, reason?: RefusalReason): RefusalResponse {
-        const refusal = this.options.guard.findRefusal(job) ?? this.options.accounts.findRefusal(job);
-        if (refusal !== undefined) {
-            return refusal;
-        }
-        if (last?.kind === "broken") {
-            return { status: last.reason === "timeout" ? 504 : 502, reason: last.reason };
-        }
-        if (job.runs > 0) {
-            return { status: 502, reason: reason ?? "attemptsSpent" };
-        }
-        if (last?.kind === "invalid") {
-            return { status: 400, reason: "requestInvalid" };
-        }
-        const now = this.options.readTime();
-        if (reason === undefined && job.expectedAt !== undefined) {
-            return createDeclinedRefusal(job, now);
-        }
-        const limited = reason === undefined ? this.chooser.findSoonestLimit(job, now) : undefined;
-        if (limited !== undefined) {
-            return createLimitRefusal(limited, now);
-        }
-        const backoffEndAt = this.findBackoffEnd(job, now);
-        if (reason === undefined && backoffEndAt !== undefined) {
-            return createBackoffRefusal(backoffEndAt - now);
-        }
-        if (reason === undefined && this.chooser.hasEndedStream(job)) {
-            return { status: 503, reason: "streamEnded", retryAfterSeconds: endedRetrySeconds };
-        }
-        const fallback = now > readLastSendAt(job) ? "timeout" : last === undefined ? "noUpstream" : "upstreamsBusy";
-        return createBusyRefusal(job, reason ?? fallback, now, this.options.admissions.hasReturns);
-    }
-
-    /** Finds when the first backoff ends; undefined if an upstream without backoff could serve the request now. */
-    private findBackoffEnd(job: Job, now: number): number | undefined {
-        const hasAvailable = this.chooser.listAvailable(job, now).length > 0;
-        return hasAvailable ? undefined : this.chooser.findBackoffEnd(job, now);
+        this.refuse(job.caller, job.demand, this.refusals.create(job, last, reason));
     }
 
     /** Ends a request that this program does not serve. */
--- a/packages/wire/src/requestreader.ts
+++ b/packages/wire/src/requestreader.ts
@@ -167,7 +167,7 @@
             this.parseNext();
         }
         this.isReading = false;
-        if (this.waitingBytes === 0 && !this.socket.destroyed) {
+        if (this.socket.readableLength === 0 && !this.socket.destroyed) {
             // Otherwise the end of the connection would not be noticed.
             this.socket.read(0);
         }
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -10,6 +10,30 @@
 
 /** Mutations: file below packages/, original text, replacement, test file. */
 const mutations = [
+    [
+        "node/dist/src/requests/serving.js",
+        "await this.presence.check(caller);",
+        "",
+        "platform/dist/test/leftcallers.serial.test.js",
+    ],
+    [
+        "node/dist/src/requests/exchange.js",
+        "connection.isOpen && checkWanted() === undefined",
+        "true",
+        "packages/node/dist/test/presence.test.js",
+    ],
+    [
+        "node/dist/src/reads.js",
+        "this.waiting = undefined;\n                this.scheduleNext(resolve);",
+        "this.waiting = undefined;\n                resolve();",
+        "packages/node/dist/test/presence.test.js",
+    ],
+    [
+        "node/dist/src/requests/callerconnections.js",
+        "current?.receiveDeparture();",
+        "",
+        "platform/dist/test/leftcallers.serial.test.js",
+    ],
     [
         "fleet/dist/src/budget.js",
         "now - this.membersReadAt < windowMs",
