--- a/packages/node/test/tunnelresets.test.ts
+++ b/packages/node/test/tunnelresets.test.ts
@@ -15,6 +15,9 @@
     "ends in order": (socket: Socket) => socket.end(),
 };
 
+/** Tunnels that are reset, one after the other. */
+const resetCount = 20;
+
 /** Resolves with how a connection ends. */
 function waitEnd(socket: Socket): Promise<"ended" | "reset"> {
     return new Promise(resolve => {
@@ -84,4 +87,18 @@
         }));
 }
 
+test("bytes of a VM that has reset its tunnel behind them do not reach the upstream", async () => {
+    let reached = 0;
+    for (let count = 0; count < resetCount; count++) {
+        await runTunnel(async (vm, upstream) => {
+            upstream.on("data", (bytes: Buffer) => reached += bytes.length);
+            const ended = waitEnd(upstream);
+            vm.on("error", () => {}).write("bytes");
+            vm.resetAndDestroy();
+            await ended;
+        });
+    }
+    assert.is(reached, 0);
+});
+
 test.run();
