Hold back what a VM sends through a tunnel until a reset right behind it has been read

The request of a caller that had left reached its upstream through a tunnel if the VM that carries the tunnel found the request and the reset of the tunnel together, as after a standstill: the same fault as at the caller's connection. Bytes for the upstream wait for the reads of the next iteration now.

--- a/packages/node/src/paths/tunnelserver.ts
+++ b/packages/node/src/paths/tunnelserver.ts
@@ -3,6 +3,8 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
+import { Transform } from "node:stream";
+import { PendingReads } from "../reads.js";
 import type { UpstreamConnector } from "./connector.js";
 
 /** Maximum number of connections that this VM carries for others. Each takes two sockets and their buffers. */
@@ -44,6 +46,7 @@
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
     private readonly closing = new AbortController();
+    private readonly reads = new PendingReads();
     private isPaused = false;
 
     constructor(private readonly options: TunnelServerOptions) {
@@ -122,6 +125,13 @@
         return isProof ? tunnelStatus.refused : tunnelStatus.unreachable;
     }
 
+    /** Creates a stream that holds bytes back until a reset right behind them has been read: the request is given up then. */
+    private createDelay(): Transform {
+        return new Transform({
+            transform: (bytes: Buffer, _encoding, pass) => void this.reads.wait().then(() => pass(null, bytes)),
+        });
+    }
+
     /** Passes bytes both ways. A reset of one side resets the other, so that no response appears complete. */
     private startTunnel(socket: Socket, upstreamSocket: Socket): void {
         if (socket.destroyed) {
@@ -143,8 +153,9 @@
                     to.resetAndDestroy();
                 }
             });
-            from.pipe(to);
         }
+        socket.pipe(this.createDelay()).pipe(upstreamSocket);
+        upstreamSocket.pipe(socket);
         upstreamSocket.on("close", () => socket.end());
         socket.on("close", () => {
             this.sockets.delete(socket);
