--- a/packages/node/test/callerconnections.test.ts
+++ b/packages/node/test/callerconnections.test.ts
@@ -25,6 +25,7 @@
     waitingBytes = 0;
     readonly connections = new CallerConnections(() => this.now, () => this.waitingBytes);
     readonly served: string[] = [];
+    readonly left: string[] = [];
     private readonly finishers = new Map<string, () => void>();
 
     constructor() {
@@ -36,6 +37,7 @@
         const caller = {
             request: { socket: this.socket },
             onClosed: (listener: () => void) => this.finishers.set(name, listener),
+            receiveDeparture: () => this.left.push(name),
         };
         this.connections.receive(caller as unknown as CallerExchange, () => this.served.push(name));
     }
@@ -72,6 +74,15 @@
     assert.equal(connection.served, ["a"]);
 });
 
+for (const event of ["end", "error"]) {
+    test(`requests of a connection that has its ${event} are not served any more, before it is closed`, () => {
+        const connection = new ConnectionTest();
+        ["a", "b"].forEach(name => connection.receive(name));
+        connection.socket.emit(event);
+        assert.equal(connection.left, ["a", "b"]);
+    });
+}
+
 test("only a connection that has carried nothing for the whole time is closed", () => {
     const connection = new ConnectionTest();
     connection.receive("a");
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -32,7 +32,7 @@
         "node/dist/src/requests/callerconnections.js",
         "current?.receiveDeparture();",
         "",
-        "platform/dist/test/leftcallers.serial.test.js",
+        "packages/node/dist/test/callerconnections.test.js",
     ],
     [
         "fleet/dist/src/budget.js",
