--- a/packages/node/test/presence.test.ts
+++ b/packages/node/test/presence.test.ts
@@ -1,13 +1,19 @@
 /** Guards against requests that are written after their callers have left unnoticed. */
 import { createServer } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { type AddressInfo, connect, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { DirectConnector } from "../src/paths/index.js";
 import { PendingReads } from "../src/reads.js";
+import { Attempt } from "../src/requests/attempt.js";
+import type { AttemptEnd } from "../src/requests/attemptend.js";
+import { CallerExchange } from "../src/requests/caller.js";
+import { CallerConnections } from "../src/requests/callerconnections.js";
+import { ConnectionPool } from "../src/requests/connectionpool.js";
 import { UpstreamConnection } from "../src/requests/connections.js";
 import { Exchange, type ExchangePhase } from "../src/requests/exchange.js";
 import { CallerPresence } from "../src/requests/presence.js";
+import { plainDialect, plainRouting } from "./changingserver.js";
 
 /** Reads of a process whose iterations the test runs. */
 class StepwiseReads {
@@ -154,4 +160,82 @@
     });
 });
 
+/** Stops this process for a time, in milliseconds. */
+function pauseProcess(ms: number): void {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
+
+test("a request is not written if its caller left while its connection opened and the process stood still", async () => {
+    let writes = 0;
+    const upstream = createServer((_request, response) => response.end("x"));
+    const front = createServer();
+    await Promise.all(
+        [upstream, front].map(server => new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))),
+    );
+    const client = connect((front.address() as AddressInfo).port, "127.0.0.1");
+    const direct = new DirectConnector();
+    const pool = new ConnectionPool({
+        connector: {
+            mayReuse: () => true,
+            open: async (target, signal) => {
+                const opened = await direct.open(target, signal);
+                client.destroy();
+                pauseProcess(150);
+                return opened;
+            },
+        },
+    });
+    const presence = new CallerPresence({ readBoot: () => performance.now() });
+    const connections = new CallerConnections(() => performance.now());
+    front.on("connection", (socket: Socket) => connections.add(socket));
+    const end = new Promise<AttemptEnd>(resolve => {
+        front.on("request", (request, response) => {
+            const caller = new CallerExchange(request, response);
+            connections.receive(caller, () =>
+                void presence.check(caller)!.then(() =>
+                    new Attempt({
+                        caller,
+                        requestId: "q",
+                        route: plainRouting.routes[0]!,
+                        body: undefined,
+                        dialect: plainDialect,
+                        pool,
+                        upstreamId: "s1",
+                        address: `127.0.0.1:${(upstream.address() as AddressInfo).port}`,
+                        send: {
+                            upstreamName: "s1",
+                            budgetMs: 1000,
+                            version: 1,
+                            lastEventId: undefined,
+                            priority: undefined,
+                        },
+                        isFresh: true,
+                        progress: {
+                            lastEventId: undefined,
+                            events: 0,
+                            firstEventAt: undefined,
+                            lastEventAt: 0,
+                            longestPauseMs: 0,
+                        },
+                        silenceLimits: { firstMs: Infinity, nextMs: Infinity },
+                        readStartLimitMs: () => Infinity,
+                        timeLeftMs: 60_000,
+                        readTime: () => performance.now(),
+                        checkCaller: () => presence.check(caller),
+                        checkBeforeSend: () => {
+                            writes += caller.hasLeft ? 0 : 1;
+                            return !caller.hasLeft;
+                        },
+                        onMetadata: () => {},
+                        onStart: () => {},
+                    })
+                ).then(attempt => attempt.end).then(resolve));
+        });
+    });
+    client.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert.equal([(await end).kind, writes], ["callerLeft", 0]);
+    pool.close();
+    [upstream, front].forEach(server => server.close());
+});
+
 test.run();
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -22,6 +22,12 @@
         "true",
         "packages/node/dist/test/presence.test.js",
     ],
+    [
+        "node/dist/src/requests/attempt.js",
+        "checkWanted: options.checkCaller",
+        "checkWanted: undefined",
+        "packages/node/dist/test/presence.test.js",
+    ],
     [
         "node/dist/src/reads.js",
         "this.waiting = undefined;\n                this.scheduleNext(resolve);",
