Pause answers of upstreams at their connections in radishreel-gateway and radishreel-agent

Both programs ended if an answer without a length ended while its caller did not read: undici asserts in the socket's `end` event that its parser is not paused. All their callers lost their connections.

The connection's reads are paused now, as radishreel-node does, so that undici never sees a paused parser.

--- a/packages/upstreams/src/exchange.ts
+++ b/packages/upstreams/src/exchange.ts
@@ -112,17 +112,17 @@
 
 /** Tells on which connection a request is written: undici does not, but writes a request as soon as it has announced it. */
 class RequestWrites {
-    private onWrite: (socket: Socket) => void = () => {};
+    private onWrite: (connection: CheckedConnection) => void = () => {};
 
     /** @param onWrite Called with the connection of the next write. */
-    begin(onWrite: (socket: Socket) => void): void {
+    begin(onWrite: (connection: CheckedConnection) => void): void {
         this.onWrite = onWrite;
     }
 
-    record(socket: Socket): void {
+    record(connection: CheckedConnection): void {
         const { onWrite } = this;
         this.onWrite = () => {};
-        onWrite(socket);
+        onWrite(connection);
     }
 }
 
@@ -133,31 +133,55 @@
         connect(options, (...result) => {
             const [error, socket] = result;
             if (error === null) {
-                applyChecks(socket, writes);
+                new CheckedConnection(socket, writes);
             }
             callback(...result);
         });
     };
 }
 
-/** Makes a connection read in shares, and ends it at a status line that is not of HTTP/1.x. */
-function applyChecks(socket: Socket, writes: RequestWrites): void {
-    const reader = new SocketReader({ socket });
-    const statusLines = new StatusLineCheck();
-    const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
-    socket.write = (...args: unknown[]): boolean => {
-        statusLines.restart();
-        writes.record(socket);
-        return write(...args);
-    };
-    socket.read = (size): unknown => {
-        const bytes = reader.read(size);
-        if (bytes === null || statusLines.receive(bytes)) {
+/** A connection that reads in shares, can be paused, and ends at a status line that is not of HTTP/1.x. */
+class CheckedConnection {
+    private readonly reader: SocketReader;
+    private readonly statusLines = new StatusLineCheck();
+    private isPaused = false;
+
+    /** Replaces the socket's own `read` and `write`. */
+    constructor(readonly socket: Socket, writes: RequestWrites) {
+        this.reader = new SocketReader({ socket });
+        const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
+        socket.write = (...args: unknown[]): boolean => {
+            this.statusLines.restart();
+            writes.record(this);
+            return write(...args);
+        };
+        socket.read = (size): unknown => this.isPaused ? null : this.read(size);
+    }
+
+    /**
+     * Pauses reading. The controllers of undici cannot be used for this: undici throws in an event handler if the socket
+     * of a response that ends with its connection ends while its parser is paused.
+     */
+    pause(): void {
+        this.isPaused = true;
+    }
+
+    resume(): void {
+        if (this.isPaused) {
+            this.isPaused = false;
+            // The caller may be a callback of undici's parser, which must not be entered again.
+            process.nextTick(() => this.socket.emit("readable"));
+        }
+    }
+
+    private read(size: number | undefined): Buffer | null {
+        const bytes = this.reader.read(size);
+        if (bytes === null || this.statusLines.receive(bytes)) {
             return bytes;
         }
-        socket.destroy(new Error("the response is not of HTTP/1.x"));
+        this.socket.destroy(new Error("the response is not of HTTP/1.x"));
         return null;
-    };
+    }
 }
 
 class UndiciExchange implements Exchange, Dispatcher.DispatchHandler {
@@ -167,7 +191,7 @@
     private controller: Dispatcher.DispatchController | undefined;
     private cancelReason: Reason | undefined;
     private silenceTimer: NodeJS.Timeout | undefined;
-    private socket: Socket | undefined;
+    private connection: CheckedConnection | undefined;
     private isCloseDelimited = false;
 
     constructor(agent: Agent, private readonly writes: RequestWrites, private readonly options: ExchangeOptions) {
@@ -183,12 +207,12 @@
 
     pause(): void {
         clearTimeout(this.silenceTimer);
-        this.controller?.pause();
+        this.connection?.pause();
     }
 
     resume(): void {
         this.startSilenceTimer();
-        this.controller?.resume();
+        this.connection?.resume();
     }
 
     cancel(reason: Reason): void {
@@ -219,7 +243,7 @@
             return;
         }
         this.phase = "waiting";
-        this.writes.begin(socket => this.socket = socket);
+        this.writes.begin(connection => this.connection = connection);
         this.startSilenceTimer();
     }
 
@@ -246,6 +270,7 @@
 
     onResponseEnd(): void {
         clearTimeout(this.silenceTimer);
+        this.connection?.resume();
         if (this.isCloseDelimited && !this.hasProvenEnd()) {
             const detail = "connection reset before the end of the answer";
             this.finishExchange({
@@ -270,7 +295,8 @@
      * proven: an upstream that does not read the rest of it resets the connection, and that reset may still be on its way.
      */
     private hasProvenEnd(): boolean {
-        return this.socket !== undefined && this.socket.writableLength === 0 && hasOrderlyEnd(this.socket);
+        const { socket } = this.connection ?? {};
+        return socket !== undefined && socket.writableLength === 0 && hasOrderlyEnd(socket);
     }
 
     private startSilenceTimer(): void {
