--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -202,6 +202,10 @@
     private async openSocket(): Promise<Socket> {
         const { target, connector } = this.options;
         const { socket, via } = await connector.open(target, this.opening.signal);
+        if (this.hasFailed) {
+            socket.destroy();
+            throw closedError;
+        }
         // The connection may fail before undici listens for that.
         socket.on("error", () => {});
         this.socket = socket;
--- a/packages/node/test/presence.test.ts
+++ b/packages/node/test/presence.test.ts
@@ -1,6 +1,6 @@
 /** Guards against requests that are written after their callers have left unnoticed. */
 import { createServer } from "node:http";
-import { type AddressInfo, connect, type Socket } from "node:net";
+import { type AddressInfo, connect, Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { DirectConnector } from "../src/paths/index.js";
@@ -160,6 +160,25 @@
     });
 });
 
+test("a connection that opens after its request was cancelled is closed", async () => {
+    const socket = new Socket();
+    let finishOpening: (opened: { readonly socket: Socket; }) => void = () => {};
+    const connection = new UpstreamConnection({
+        target: { upstream: "u1", address: "127.0.0.1:9" },
+        connector: {
+            mayReuse: () => true,
+            open: () =>
+                new Promise(resolve => {
+                    finishOpening = resolve;
+                }),
+        },
+    });
+    const opening = connection.open().then(() => "opened", (error: Error) => error.message);
+    connection.cancel();
+    finishOpening({ socket });
+    assert.equal([await opening, socket.destroyed], ["connection closed", true]);
+});
+
 /** Stops this process for a time, in milliseconds. */
 function pauseProcess(ms: number): void {
     Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
