Let the reader of a socket be paused, in place of two connections that each did so

Both wings paused a connection by a flag of their own before the same reader, with the same comment. No behaviour changes; 153 tests of wire, upstreams, gateway and of exchanges in node pass.

--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -37,8 +37,8 @@
     private isUsed = false;
     private opened: Promise<Socket> | undefined;
     private socket: Socket | undefined;
+    private reader: SocketReader | undefined;
     private hasFailed = false;
-    private isPaused = false;
     private lastUsedAt = 0;
     private readonly framing = new FramingLimit();
     private readonly statusLines = new StatusLineCheck();
@@ -94,20 +94,13 @@
         return !this.hasFailed && !this.client.closed && !this.client.destroyed;
     }
 
-    /**
-     * Pauses reading. The controllers of undici cannot be used for this: undici throws in an event handler if the socket
-     * of a response that ends with its connection ends, fails or is closed while its parser is paused.
-     */
+    /** Pauses reading. */
     pause(): void {
-        this.isPaused = true;
+        this.reader?.pause();
     }
 
     resume(): void {
-        if (this.isPaused) {
-            this.isPaused = false;
-            // The caller may be a callback of undici's parser, which must not be entered again.
-            process.nextTick(() => this.socket?.emit("readable"));
-        }
+        this.reader?.resume();
     }
 
     /**
@@ -211,7 +204,8 @@
         this.socket = socket;
         this.openedAt = readNow();
         const reader = new SocketReader({ socket });
-        socket.read = (size): unknown => this.isPaused ? null : this.checkRead(reader.read(size));
+        this.reader = reader;
+        socket.read = (size): unknown => this.checkRead(reader.read(size));
         this.carrier = via;
         return socket;
     }
--- a/packages/upstreams/src/exchange.ts
+++ b/packages/upstreams/src/exchange.ts
@@ -110,16 +110,22 @@
     }
 }
 
+/** A connection, and what reads it. */
+interface Connection {
+    readonly socket: Socket;
+    readonly reader: SocketReader;
+}
+
 /** Tells on which connection a request is written: undici does not, but writes a request as soon as it has announced it. */
 class RequestWrites {
-    private onWrite: (connection: CheckedConnection) => void = () => {};
+    private onWrite: (connection: Connection) => void = () => {};
 
     /** @param onWrite Called with the connection of the next write. */
-    begin(onWrite: (connection: CheckedConnection) => void): void {
+    begin(onWrite: (connection: Connection) => void): void {
         this.onWrite = onWrite;
     }
 
-    record(connection: CheckedConnection): void {
+    record(connection: Connection): void {
         const { onWrite } = this;
         this.onWrite = () => {};
         onWrite(connection);
@@ -133,55 +139,31 @@
         connect(options, (...result) => {
             const [error, socket] = result;
             if (error === null) {
-                new CheckedConnection(socket, writes);
+                applyChecks(socket, writes);
             }
             callback(...result);
         });
     };
 }
 
-/** A connection that reads in shares, can be paused, and ends at a status line that is not of HTTP/1.x. */
-class CheckedConnection {
-    private readonly reader: SocketReader;
-    private readonly statusLines = new StatusLineCheck();
-    private isPaused = false;
-
-    /** Replaces the socket's own `read` and `write`. */
-    constructor(readonly socket: Socket, writes: RequestWrites) {
-        this.reader = new SocketReader({ socket });
-        const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
-        socket.write = (...args: unknown[]): boolean => {
-            this.statusLines.restart();
-            writes.record(this);
-            return write(...args);
-        };
-        socket.read = (size): unknown => this.isPaused ? null : this.read(size);
-    }
-
-    /**
-     * Pauses reading. The controllers of undici cannot be used for this: undici throws in an event handler if the socket
-     * of a response that ends with its connection ends while its parser is paused.
-     */
-    pause(): void {
-        this.isPaused = true;
-    }
-
-    resume(): void {
-        if (this.isPaused) {
-            this.isPaused = false;
-            // The caller may be a callback of undici's parser, which must not be entered again.
-            process.nextTick(() => this.socket.emit("readable"));
-        }
-    }
-
-    private read(size: number | undefined): Buffer | null {
-        const bytes = this.reader.read(size);
-        if (bytes === null || this.statusLines.receive(bytes)) {
+/** Makes a connection read in shares, and ends it at a status line that is not of HTTP/1.x. */
+function applyChecks(socket: Socket, writes: RequestWrites): void {
+    const reader = new SocketReader({ socket });
+    const statusLines = new StatusLineCheck();
+    const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
+    socket.write = (...args: unknown[]): boolean => {
+        statusLines.restart();
+        writes.record({ socket, reader });
+        return write(...args);
+    };
+    socket.read = (size): unknown => {
+        const bytes = reader.read(size);
+        if (bytes === null || statusLines.receive(bytes)) {
             return bytes;
         }
-        this.socket.destroy(new Error("the response is not of HTTP/1.x"));
+        socket.destroy(new Error("the response is not of HTTP/1.x"));
         return null;
-    }
+    };
 }
 
 class UndiciExchange implements Exchange, Dispatcher.DispatchHandler {
@@ -191,7 +173,7 @@
     private controller: Dispatcher.DispatchController | undefined;
     private cancelReason: Reason | undefined;
     private silenceTimer: NodeJS.Timeout | undefined;
-    private connection: CheckedConnection | undefined;
+    private connection: Connection | undefined;
     private isCloseDelimited = false;
 
     constructor(agent: Agent, private readonly writes: RequestWrites, private readonly options: ExchangeOptions) {
@@ -207,12 +189,12 @@
 
     pause(): void {
         clearTimeout(this.silenceTimer);
-        this.connection?.pause();
+        this.connection?.reader.pause();
     }
 
     resume(): void {
         this.startSilenceTimer();
-        this.connection?.resume();
+        this.connection?.reader.resume();
     }
 
     cancel(reason: Reason): void {
@@ -270,7 +252,7 @@
 
     onResponseEnd(): void {
         clearTimeout(this.silenceTimer);
-        this.connection?.resume();
+        this.connection?.reader.resume();
         if (this.isCloseDelimited && !this.hasProvenEnd()) {
             const detail = "connection reset before the end of the answer";
             this.finishExchange({
--- a/packages/wire/src/socketreader.ts
+++ b/packages/wire/src/socketreader.ts
@@ -8,13 +8,14 @@
     readonly queue?: ReadQueue;
 }
 
-/** Reads a socket in shares, and waits for its turn between two of them. */
+/** Reads a socket in shares, waits for its turn between two of them, and can be paused. */
 export class SocketReader {
     private readonly socket: Socket;
     private readonly queue: ReadQueue;
     private readonly readSocket: (size?: number) => Buffer | null;
     private bytesLeft = readShareBytes;
     private isWaiting = false;
+    private isPaused = false;
 
     /** Binds the socket's own `read`, which the owner of this reader may replace. */
     constructor({ socket, queue = responseReads }: SocketReaderOptions) {
@@ -29,7 +30,7 @@
      * @returns As `socket.read`: null if there is nothing to read now. The socket emits `readable` when there is again.
      */
     read(size?: number): Buffer | null {
-        if (this.isWaiting) {
+        if (this.isWaiting || this.isPaused) {
             return null;
         }
         if (size === 0) {
@@ -45,6 +46,22 @@
         return bytes;
     }
 
+    /**
+     * Pauses reading. The controllers of undici cannot be used for this: undici throws in an event handler if the socket
+     * of a response that ends with its connection ends, fails or is closed while its parser is paused.
+     */
+    pause(): void {
+        this.isPaused = true;
+    }
+
+    resume(): void {
+        if (this.isPaused) {
+            this.isPaused = false;
+            // The caller may be a callback of undici's parser, which must not be entered again.
+            process.nextTick(() => this.socket.emit("readable"));
+        }
+    }
+
     private waitForTurn(): void {
         this.isWaiting = true;
         this.queue.push(() => {
