Check each request on its open connection in one way, and take options from where they are declared

An exchange that may have to wait decided between two starts, one of which asked for the check and dropped its answer, so a connection had to tell whether it is open. Each such exchange now opens its connection, checks and dispatches; an open connection and a caller that was just seen add no iteration of the event loop.

--- a/packages/node/src/program.ts
+++ b/packages/node/src/program.ts
@@ -327,27 +327,21 @@
     }
 
     private createServing(): Serving {
-        const { settings, dialect } = this.options;
+        const { view, cluster, pool, log, admissions, streams, options: { settings, dialect } } = this;
         return new Serving({
+            ...{ view, cluster, dialect, pool, log, admissions, streams },
             dataCentre: settings.dataCentre,
-            view: this.view,
-            cluster: this.cluster,
             budgets: service => this.budgets.read(service),
-            dialect,
-            pool: this.pool,
-            log: this.log,
             readTime: readNow,
             readBoot: () => this.bootClock.read(),
-            admissions: this.admissions,
             guard: this.crashGuard,
             accounts: this.accountGuard,
-            streams: this.streams,
             isLinked: vm => vm === settings.vm || this.peers.isConnected(vm),
             sendPreparation: ({ engine, want }) =>
                 this.messenger.sendToOwner(engine, { type: "prepare", engine, want }),
             sendMissing: (engine, key) => this.messenger.sendToOwner(engine, { type: "missing", engine, key }),
             limiter: new UpstreamLimiter({
-                limits: this.view.limits,
+                limits: view.limits,
                 quotas: this.quotas,
                 readTime: readNow,
                 readBoot: () => this.bootClock.read(),
--- a/packages/node/src/requests/attempt.ts
+++ b/packages/node/src/requests/attempt.ts
@@ -8,7 +8,7 @@
 import type { ConnectionPool } from "./connectionpool.js";
 import type { UpstreamConnection } from "./connections.js";
 import { EventSplitter, type StreamEvent } from "./events.js";
-import { Exchange, type ExchangePhase, type ExchangeReceiver } from "./exchange.js";
+import { Exchange, type ExchangeOptions, type ExchangePhase, type ExchangeReceiver } from "./exchange.js";
 import { readResponseMetadata, type ResponseMetadata } from "./metadata.js";
 import { recordProgress, type StreamProgress } from "./progress.js";
 import { createBodyHeaders, createStreamHeaders, isEndedByClose } from "./responseheaders.js";
@@ -22,11 +22,10 @@
 const maxCountedPauseMs = 50;
 
 /** Options of {@link Attempt}. */
-export interface AttemptOptions {
+export interface AttemptOptions extends Pick<ExchangeOptions, "body" | "checkWanted"> {
     readonly caller: CallerExchange;
     readonly requestId: string | undefined;
     readonly route: Route;
-    readonly body: Buffer | undefined;
     readonly dialect: RequestDialect;
     readonly pool: ConnectionPool;
     /** Id of the upstream incarnation that the request is sent to. */
@@ -45,8 +44,6 @@
     /** Time left until the deadline of the request, in milliseconds. */
     readonly timeLeftMs: number;
     readonly readTime: () => number;
-    /** Waits until it is known whether the caller has left; undefined if it is known. @default it is known */
-    readonly checkCaller?: (() => Promise<void> | undefined) | undefined;
     readonly checkBeforeSend: () => boolean;
     /**
      * Called before the caller receives anything of this attempt, for streams at their head. Ends the one it replaces.
@@ -133,7 +130,7 @@
             headers: dialect.createHeaders(caller.headers, send),
             body: options.body,
             receiver: this,
-            checkWanted: options.checkCaller,
+            checkWanted: options.checkWanted,
             checkBeforeSend: () => {
                 this.wasWritten = options.checkBeforeSend();
                 this.dataAt = this.wasWritten ? options.readTime() : undefined;
--- a/packages/node/src/requests/attemptline.ts
+++ b/packages/node/src/requests/attemptline.ts
@@ -14,7 +14,7 @@
 export interface AttemptRecord {
     readonly sentAt: number;
     writtenAt: number | undefined;
-    /** Delay of this process when the request was written, or when the attempt ended without that. */
+    /** Delay of this process when the request was to be written; 0 before. */
     lagMs: number;
     responseStartedAt: number | undefined;
     metadata: ResponseMetadata;
--- a/packages/node/src/requests/connections.ts
+++ b/packages/node/src/requests/connections.ts
@@ -60,15 +60,10 @@
         });
     }
 
-    /** Whether the connection has been opened. */
-    get isOpen(): boolean {
-        return this.socket !== undefined;
-    }
-
-    /** Opens the connection before its first request; rejects as its connector does. */
-    async open(): Promise<void> {
+    /** Opens the connection, unless it has been opened; rejects as its connector does. */
+    open(): Promise<Socket> {
         this.opened ??= this.openSocket();
-        await this.opened;
+        return this.opened;
     }
 
     /** Whether the connection has failed, or was reset with an error that this process has seen. */
@@ -178,18 +173,15 @@
         }
         this.isUsed = true;
         try {
-            await this.open();
+            const socket = await this.open();
+            if (socket.destroyed || socket.readableEnded) {
+                throw closedError;
+            }
+            callback(null, socket);
         }
         catch (error) {
             callback(error as Error, null);
-            return;
-        }
-        const { socket } = this;
-        if (socket === undefined || socket.destroyed || socket.readableEnded) {
-            callback(closedError, null);
-            return;
         }
-        callback(null, socket);
     }
 
     private async openSocket(): Promise<Socket> {
--- a/packages/node/src/requests/exchange.ts
+++ b/packages/node/src/requests/exchange.ts
@@ -59,8 +59,8 @@
     constructor(private readonly options: ExchangeOptions) {}
 
     start(): void {
-        const { connection, checkWanted } = this.options;
-        if (checkWanted === undefined || (connection.isOpen && checkWanted() === undefined)) {
+        const { checkWanted } = this.options;
+        if (checkWanted === undefined) {
             this.dispatch();
             return;
         }
--- a/packages/node/src/requests/serving.ts
+++ b/packages/node/src/requests/serving.ts
@@ -457,7 +457,7 @@
             takeOver,
             progress: job.progress,
             readTime,
-            checkCaller: () => this.presence.check(job.caller),
+            checkWanted: () => this.presence.check(job.caller),
             // The state that the choice was based on may have changed by the time that the connection is open.
             checkBeforeSend: () => {
                 record.writtenAt = this.maySend(job, choice, identity, grant) ? readTime() : undefined;
--- a/packages/node/test/presence.test.ts
+++ b/packages/node/test/presence.test.ts
@@ -240,7 +240,7 @@
                         readStartLimitMs: () => Infinity,
                         timeLeftMs: 60_000,
                         readTime: () => performance.now(),
-                        checkCaller: () => presence.check(caller),
+                        checkWanted: () => presence.check(caller),
                         checkBeforeSend: () => {
                             writes += caller.hasLeft ? 0 : 1;
                             return !caller.hasLeft;
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -18,13 +18,13 @@
     ],
     [
         "node/dist/src/requests/exchange.js",
-        "connection.isOpen && checkWanted() === undefined",
-        "true",
+        "await checkWanted();",
+        "",
         "packages/node/dist/test/presence.test.js",
     ],
     [
         "node/dist/src/requests/attempt.js",
-        "checkWanted: options.checkCaller",
+        "checkWanted: options.checkWanted",
         "checkWanted: undefined",
         "packages/node/dist/test/presence.test.js",
     ],
