--- a/packages/node/test/attempt.test.ts
+++ b/packages/node/test/attempt.test.ts
@@ -5,12 +5,13 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { DirectConnector, type UpstreamConnector } from "../src/paths/index.js";
-import { Attempt } from "../src/requests/attempt.js";
+import type { Attempt } from "../src/requests/attempt.js";
 import type { AttemptEnd } from "../src/requests/attemptend.js";
 import { CallerExchange } from "../src/requests/caller.js";
 import { ConnectionPool } from "../src/requests/connectionpool.js";
 import { responseMemory } from "../src/requests/responsememory.js";
-import { plainDialect, plainRouting } from "./changingserver.js";
+import { createAttempt } from "./attempts.js";
+import { plainRouting } from "./changingserver.js";
 
 async function startServer(server: Server): Promise<string> {
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -60,37 +61,15 @@
                 caller.startResponse(200, []);
                 caller.pass(Buffer.from("id: 1\ndata: x\n\n"));
             }
-            const attempt = new Attempt({
+            const attempt = createAttempt({
                 caller,
-                requestId: "q",
                 route: { ...plainRouting.routes[0]!, kind },
-                body: undefined,
-                dialect: plainDialect,
                 pool,
-                upstreamId: "s1",
                 address,
-                send: {
-                    upstreamName: "s1",
-                    budgetMs: timeLeftMs,
-                    version: 1,
-                    lastEventId: undefined,
-                    priority: undefined,
-                },
-                isFresh: true,
-                progress: {
-                    lastEventId: undefined,
-                    events: 0,
-                    firstEventAt: undefined,
-                    lastEventAt: 0,
-                    longestPauseMs: 0,
-                },
                 silenceLimits: { firstMs: firstSilenceMs, nextMs: 60_000 },
                 readStartLimitMs,
                 timeLeftMs,
                 readTime,
-                checkBeforeSend: () => true,
-                onMetadata: () => {},
-                onStart: () => {},
                 onStable,
             });
             sent = attempt;
--- a/packages/node/test/exchanges.ts
+++ b/packages/node/test/exchanges.ts
@@ -2,7 +2,8 @@
 import { Exchange, type ExchangeOptions, type ExchangeReceiver } from "../src/requests/exchange.js";
 
 /** Options of {@link startExchange}. */
-export interface StartedExchangeOptions extends Partial<Pick<ExchangeOptions, "method" | "path" | "body">> {
+export interface StartedExchangeOptions
+    extends Partial<Pick<ExchangeOptions, "method" | "path" | "body" | "checkWanted">> {
     readonly connection: UpstreamConnection;
     /** What the test listens to. */
     readonly receiver: Partial<ExchangeReceiver>;
@@ -10,7 +11,7 @@
 
 /** Starts an exchange. @default a GET request for `/` */
 export function startExchange(options: StartedExchangeOptions): Exchange {
-    const { connection, receiver, method = "GET", path = "/", body } = options;
+    const { connection, receiver, method = "GET", path = "/", body, checkWanted } = options;
     const ignored: ExchangeReceiver = {
         receiveHead: () => {},
         receiveData: () => {},
@@ -23,6 +24,7 @@
         path,
         headers: [],
         body,
+        checkWanted,
         receiver: { ...ignored, ...receiver },
     });
     exchange.start();
--- a/packages/node/test/presence.test.ts
+++ b/packages/node/test/presence.test.ts
@@ -5,15 +5,15 @@
 import * as assert from "uvu/assert";
 import { DirectConnector } from "../src/paths/index.js";
 import { PendingReads } from "../src/reads.js";
-import { Attempt } from "../src/requests/attempt.js";
 import type { AttemptEnd } from "../src/requests/attemptend.js";
 import { CallerExchange } from "../src/requests/caller.js";
 import { CallerConnections } from "../src/requests/callerconnections.js";
 import { ConnectionPool } from "../src/requests/connectionpool.js";
 import { UpstreamConnection } from "../src/requests/connections.js";
-import { Exchange, type ExchangePhase } from "../src/requests/exchange.js";
+import type { Exchange, ExchangePhase, ExchangeReceiver } from "../src/requests/exchange.js";
 import { CallerPresence } from "../src/requests/presence.js";
-import { plainDialect, plainRouting } from "./changingserver.js";
+import { createAttempt } from "./attempts.js";
+import { startExchange } from "./exchanges.js";
 
 /** Reads of a process whose iterations the test runs. */
 class StepwiseReads {
@@ -75,7 +75,7 @@
 /** Starts an exchange on a new connection. */
 async function runExchange(
     act: (
-        exchange: (checkWanted: () => Promise<void> | undefined) => Exchange,
+        start: (checkWanted: () => Promise<void> | undefined) => Exchange,
         observed: {
             readonly requests: number;
             readonly ends: (ExchangePhase | "complete")[];
@@ -93,21 +93,11 @@
     const target = { upstream: "u1", address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
     const connection = new UpstreamConnection({ target, connector: new DirectConnector() });
     try {
-        await act(checkWanted =>
-            new Exchange({
-                connection,
-                method: "GET",
-                path: "/",
-                headers: [],
-                body: undefined,
-                checkWanted,
-                receiver: {
-                    receiveHead: () => {},
-                    receiveData: () => {},
-                    receiveEnd: () => observed.ends.push("complete"),
-                    receiveBreak: phase => observed.ends.push(phase),
-                },
-            }), observed);
+        const receiver: Partial<ExchangeReceiver> = {
+            receiveEnd: () => observed.ends.push("complete"),
+            receiveBreak: phase => observed.ends.push(phase),
+        };
+        await act(checkWanted => startExchange({ connection, receiver, checkWanted }), observed);
     }
     finally {
         connection.close();
@@ -123,38 +113,37 @@
 }
 
 test("a request is not written if it is not wanted any more once its connection is open", async () => {
-    await runExchange(async (createExchange, observed) => {
+    await runExchange(async (start, observed) => {
         let checks = 0;
-        const exchange = createExchange(() => {
+        const exchange = start(() => {
             checks += 1;
             exchange.cancel();
             return Promise.resolve();
         });
-        exchange.start();
         await waitUntil(() => checks > 0 && observed.sockets.length > 0 && observed.sockets[0]!.destroyed);
         assert.equal([checks, observed.requests, observed.ends], [1, 0, []]);
     });
 });
 
 test("a request is written once it is known to be wanted", async () => {
-    await runExchange(async (createExchange, observed) => {
+    await runExchange(async (start, observed) => {
         const checked: string[] = [];
-        createExchange(() => {
+        start(() => {
             checked.push("checked");
             return checked.length === 1 ? Promise.resolve() : undefined;
-        }).start();
+        });
         await waitUntil(() => observed.ends.length > 0);
         assert.equal([checked.length, observed.requests, observed.ends], [1, 1, ["complete"]]);
     });
 });
 
 test("a connection that closes while a request is checked has not written it", async () => {
-    await runExchange(async (createExchange, observed) => {
-        createExchange(async () => {
+    await runExchange(async (start, observed) => {
+        start(async () => {
             await waitUntil(() => observed.sockets.length > 0);
             observed.sockets[0]!.resetAndDestroy();
             await new Promise(resolve => setTimeout(resolve, 20));
-        }).start();
+        });
         await waitUntil(() => observed.ends.length > 0);
         assert.equal([observed.requests, observed.ends], [0, ["connecting"]]);
     });
@@ -212,41 +201,15 @@
             const caller = new CallerExchange(request, response);
             connections.receive(caller, () =>
                 void presence.check(caller)!.then(() =>
-                    new Attempt({
+                    createAttempt({
                         caller,
-                        requestId: "q",
-                        route: plainRouting.routes[0]!,
-                        body: undefined,
-                        dialect: plainDialect,
                         pool,
-                        upstreamId: "s1",
                         address: `127.0.0.1:${(upstream.address() as AddressInfo).port}`,
-                        send: {
-                            upstreamName: "s1",
-                            budgetMs: 1000,
-                            version: 1,
-                            lastEventId: undefined,
-                            priority: undefined,
-                        },
-                        isFresh: true,
-                        progress: {
-                            lastEventId: undefined,
-                            events: 0,
-                            firstEventAt: undefined,
-                            lastEventAt: 0,
-                            longestPauseMs: 0,
-                        },
-                        silenceLimits: { firstMs: Infinity, nextMs: Infinity },
-                        readStartLimitMs: () => Infinity,
-                        timeLeftMs: 60_000,
-                        readTime: () => performance.now(),
                         checkWanted: () => presence.check(caller),
                         checkBeforeSend: () => {
                             writes += caller.hasLeft ? 0 : 1;
                             return !caller.hasLeft;
                         },
-                        onMetadata: () => {},
-                        onStart: () => {},
                     })
                 ).then(attempt => attempt.end).then(resolve));
         });
