Refuse completions that are nested too deeply in radishreel-gateway

A completion whose messages or prompt are nested some 5,000 deep, 10 KB, raised "Maximum call stack size exceeded" when its prompt was written as JSON again, in a promise that nobody awaits, which ends the process and cuts off all its callers; the end of the process is by reading, the exception by a test. It is written where malformed bodies are handled now, and refused with 400 and malformedBody.

--- a/packages/gateway/src/completions.ts
+++ b/packages/gateway/src/completions.ts
@@ -24,6 +24,12 @@
 /** Number of characters at the start of a prompt that identify its prefix. */
 const prefixLength = 512;
 
+/** What the gateway uses of a completion's body. */
+interface CompletionBody extends Pick<z.infer<typeof completionBodySchema>, "model" | "stream"> {
+    /** Start of the prompt, as JSON. */
+    readonly prompted: string;
+}
+
 /** A validated completion. */
 export interface CompletionRequest {
     readonly path: CompletionPath;
@@ -47,7 +53,7 @@
     if (body.isErr()) {
         return err(body.error);
     }
-    const { model, stream, prompt, messages } = body.value;
+    const { model, stream, prompted } = body.value;
     const name = parseModelName(model);
     if (name === undefined || request.offerings.findBaseModel(name) === undefined) {
         return err(createRefused("unknownAdapter", `"${model}" is not offered; expected adapter@version`));
@@ -57,16 +63,18 @@
             createRefused("notAllowed", `customer "${request.account.name}" may not use adapter "${name.adapter}"`),
         );
     }
-    const prompted = JSON.stringify(messages ?? prompt ?? "").slice(0, prefixLength);
     const prefix = createHash("sha1").update(model).update(prompted).digest("base64url").slice(0, 12);
     return ok({ path, model, isStream: stream === true, prefix });
 }
 
-function parseBody(body: Buffer): Result<z.infer<typeof completionBodySchema>, RefusedVerdict> {
+function parseBody(body: Buffer): Result<CompletionBody, RefusedVerdict> {
     try {
         const parsed = completionBodySchema.safeParse(JSON.parse(body.toString("utf8")));
         if (parsed.success) {
-            return ok(parsed.data);
+            const { model, stream, prompt, messages } = parsed.data;
+            // Throws if they are nested too deeply.
+            const prompted = JSON.stringify(messages ?? prompt ?? "").slice(0, prefixLength);
+            return ok({ model, stream, prompted });
         }
         return err(
             createRefused(
@@ -76,7 +84,7 @@
         );
     }
     catch {
-        return err(createRefused("malformedBody", "the body is not JSON"));
+        return err(createRefused("malformedBody", "the body is not JSON, or is nested too deeply"));
     }
 }
 
